--- /dev/null
+++ b/config.go
@@ -0,0 +1,213 @@
+package beryllatch
+
+import (
+	"maps"
+	"slices"
+)
+
+// Config is the whole fleet configuration; it is immutable, and every With method returns a changed copy.
+type Config struct {
+	Version     uint64                `json:"version"`
+	Teams       map[string]Team       `json:"teams,omitempty"`
+	Services    map[string]Service    `json:"services,omitempty"`
+	Pools       map[string]Pool       `json:"pools,omitempty"`
+	Queues      map[string]Queue      `json:"queues,omitempty"`
+	APIKeys     map[string]APIKey     `json:"api_keys,omitempty"`
+	DataCentres map[string]DataCentre `json:"data_centres,omitempty"`
+	Instances   map[string]Instance   `json:"instances,omitempty"`
+	Waves       map[string]Wave       `json:"waves,omitempty"`
+	// Operations holds the most recent operator calls, oldest first, so that a repeated call returns its first outcome.
+	Operations []Operation `json:"operations,omitempty"`
+}
+
+// Team is a customer of the fleet with its share and its ceiling.
+type Team struct {
+	Name string `json:"name"`
+	// Weight is the team's share of a full fleet, relative to the other teams.
+	Weight int `json:"weight"`
+	// Ceiling is the largest number of executions that the team may have running across the fleet.
+	Ceiling int `json:"ceiling"`
+}
+
+// Service is a group of pools under one availability budget.
+type Service struct {
+	Name string `json:"name"`
+	// MaxUnavailable is the number of instances that may be out of service at the same time.
+	MaxUnavailable int `json:"max_unavailable"`
+}
+
+// Pool is a set of instances that serve the same queues.
+type Pool struct {
+	Name    string `json:"name"`
+	Service string `json:"service"`
+	// Spare marks the pool that lends instances to the others.
+	Spare bool `json:"spare,omitempty"`
+}
+
+// Queue accepts work and sends it to one pool.
+type Queue struct {
+	Name string `json:"name"`
+	Pool string `json:"pool"`
+	// Team is the only team that may use the queue; empty means any team with a valid key.
+	Team string `json:"team,omitempty"`
+	// Open queues accept work without a key.
+	Open bool `json:"open,omitempty"`
+	// DeadlineMS is the default deadline in milliseconds for work that declares none.
+	DeadlineMS int `json:"deadline_ms,omitempty"`
+	// MaxQueued is the largest number of requests that wait at one node.
+	MaxQueued int `json:"max_queued,omitempty"`
+}
+
+// APIKey lets a team hand in work; only the hash of the secret is stored.
+type APIKey struct {
+	ID        string `json:"id"`
+	Team      string `json:"team"`
+	Hash      string `json:"hash"`
+	Withdrawn bool   `json:"withdrawn,omitempty"`
+}
+
+// DataCentre is a failure domain that operators take out of service as a whole.
+type DataCentre struct {
+	Name   string `json:"name"`
+	Region string `json:"region,omitempty"`
+	Out    bool   `json:"out,omitempty"`
+}
+
+// InstanceState is the planned state of an instance.
+type InstanceState string
+
+// The planned states of an instance.
+const (
+	InstanceActive    InstanceState = "active"
+	InstanceDraining  InstanceState = "draining"
+	InstanceRebooting InstanceState = "rebooting"
+)
+
+// Instance is a worker of the fleet; its Pool field makes it a member of exactly one pool.
+type Instance struct {
+	ID           string        `json:"id"`
+	Pool         string        `json:"pool"`
+	DataCentre   string        `json:"data_centre"`
+	Rack         string        `json:"rack"`
+	Address      string        `json:"address"`
+	Slots        int           `json:"slots"`
+	Connections  int           `json:"connections"`
+	Cores        int           `json:"cores,omitempty"`
+	MemoryMB     int           `json:"memory_mb,omitempty"`
+	Accelerators int           `json:"accelerators,omitempty"`
+	State        InstanceState `json:"state"`
+	// MoveTo is the pool that the instance joins once it is drained; empty when no move is planned.
+	MoveTo string `json:"move_to,omitempty"`
+	// BootID is the boot identifier seen before a reboot was requested.
+	BootID string `json:"boot_id,omitempty"`
+}
+
+// WaveState is the state of a maintenance wave.
+type WaveState string
+
+// The states of a maintenance wave.
+const (
+	WaveRunning WaveState = "running"
+	WavePaused  WaveState = "paused"
+	WaveStopped WaveState = "stopped"
+	WaveDone    WaveState = "done"
+)
+
+// Wave is a maintenance run over every instance of a set of services.
+type Wave struct {
+	ID       string    `json:"id"`
+	Services []string  `json:"services"`
+	State    WaveState `json:"state"`
+	// Done lists the instances that have returned after their reboot, sorted.
+	Done []string `json:"done,omitempty"`
+}
+
+// Operation is the recorded outcome of one operator call.
+type Operation struct {
+	ID       string `json:"id"`
+	Operator string `json:"operator"`
+	Version  uint64 `json:"version"`
+}
+
+// maxOperations bounds the recorded operator calls in the configuration document.
+const maxOperations = 64
+
+// WithVersion returns a copy with the given version.
+func (c Config) WithVersion(v uint64) Config { c.Version = v; return c }
+
+// WithTeam returns a copy in which the team is added or replaced.
+func (c Config) WithTeam(t Team) Config { c.Teams = with(c.Teams, t.Name, t); return c }
+
+// WithoutTeam returns a copy without the named team.
+func (c Config) WithoutTeam(name string) Config { c.Teams = without(c.Teams, name); return c }
+
+// WithService returns a copy in which the service is added or replaced.
+func (c Config) WithService(s Service) Config { c.Services = with(c.Services, s.Name, s); return c }
+
+// WithoutService returns a copy without the named service.
+func (c Config) WithoutService(name string) Config { c.Services = without(c.Services, name); return c }
+
+// WithPool returns a copy in which the pool is added or replaced.
+func (c Config) WithPool(p Pool) Config { c.Pools = with(c.Pools, p.Name, p); return c }
+
+// WithoutPool returns a copy without the named pool.
+func (c Config) WithoutPool(name string) Config { c.Pools = without(c.Pools, name); return c }
+
+// WithQueue returns a copy in which the queue is added or replaced.
+func (c Config) WithQueue(q Queue) Config { c.Queues = with(c.Queues, q.Name, q); return c }
+
+// WithoutQueue returns a copy without the named queue.
+func (c Config) WithoutQueue(name string) Config { c.Queues = without(c.Queues, name); return c }
+
+// WithAPIKey returns a copy in which the key is added or replaced.
+func (c Config) WithAPIKey(k APIKey) Config { c.APIKeys = with(c.APIKeys, k.ID, k); return c }
+
+// WithDataCentre returns a copy in which the data centre is added or replaced.
+func (c Config) WithDataCentre(d DataCentre) Config {
+	c.DataCentres = with(c.DataCentres, d.Name, d)
+	return c
+}
+
+// WithInstance returns a copy in which the instance is added or replaced.
+func (c Config) WithInstance(i Instance) Config { c.Instances = with(c.Instances, i.ID, i); return c }
+
+// WithoutInstance returns a copy without the named instance.
+func (c Config) WithoutInstance(id string) Config { c.Instances = without(c.Instances, id); return c }
+
+// WithWave returns a copy in which the wave is added or replaced.
+func (c Config) WithWave(w Wave) Config { c.Waves = with(c.Waves, w.ID, w); return c }
+
+// WithOperation returns a copy that records the operation and forgets the oldest beyond the bound.
+func (c Config) WithOperation(o Operation) Config {
+	ops := append(slices.Clone(c.Operations), o)
+	if len(ops) > maxOperations {
+		ops = ops[len(ops)-maxOperations:]
+	}
+	c.Operations = ops
+	return c
+}
+
+// Operation returns the recorded outcome of the operation with the given id.
+func (c Config) Operation(id string) (Operation, bool) {
+	i := slices.IndexFunc(c.Operations, func(o Operation) bool { return o.ID == id })
+	if i < 0 {
+		return Operation{}, false
+	}
+	return c.Operations[i], true
+}
+
+// SortedKeys returns the keys of a map in ascending order.
+func SortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
+
+func with[V any](m map[string]V, k string, v V) map[string]V {
+	out := make(map[string]V, len(m)+1)
+	maps.Copy(out, m)
+	out[k] = v
+	return out
+}
+
+func without[V any](m map[string]V, k string) map[string]V {
+	out := maps.Clone(m)
+	delete(out, k)
+	return out
+}
--- /dev/null
+++ b/internal/decision/berylreducer/config.go
@@ -0,0 +1,30 @@
+package berylreducer
+
+import (
+	"strconv"
+
+	"github.com/beryllatch/beryllatch"
+)
+
+// configRead adopts a document only if its version is higher than the one in force.
+func (r *Reducer) configRead(e ConfigRead) {
+	if e.Config.Version > r.config.Version {
+		r.adopt(e.Config)
+	}
+	r.extendTenure()
+}
+
+func (r *Reducer) adopt(c beryllatch.Config) {
+	r.emit(LogState{
+		Subject: "config", From: strconv.FormatUint(r.config.Version, 10), To: strconv.FormatUint(c.Version, 10),
+	})
+	r.config = c
+	clear(r.keys)
+	for _, id := range beryllatch.SortedKeys(c.APIKeys) {
+		if k := c.APIKeys[id]; !k.Withdrawn {
+			r.keys[k.Hash] = k
+		}
+	}
+	r.adoptWorkers()
+	r.adoptTeams()
+}
--- /dev/null
+++ b/internal/decision/berylreducer/reducer.go
@@ -0,0 +1,119 @@
+package berylreducer
+
+import (
+	"math/rand/v2"
+
+	"github.com/beryllatch/beryllatch"
+)
+
+// Reducer holds the state of one node; a single goroutine owns it, and the zero value is ready for Started.
+type Reducer struct {
+	now  Instant
+	self Identity
+	rand *rand.Rand
+	// out collects the effects of the event at hand.
+	out []Effect
+
+	config  beryllatch.Config
+	keys    map[string]beryllatch.APIKey
+	tenure  tenureState
+	units   map[string]*teamUnits
+	workers map[string]*workerState
+	// requests holds every request between its arrival and its end.
+	requests map[string]*request
+	// waiting holds the requests without a worker, by queue, in order of arrival.
+	waiting  map[string][]*request
+	stopping bool
+	ready    bool
+}
+
+// Reduce applies one event and returns the effects that the node must carry out, in order.
+func (r *Reducer) Reduce(now Instant, e Event) []Effect {
+	r.now, r.out = now, nil
+	switch e := e.(type) {
+	case Started:
+		r.start(e)
+	case Ticked:
+		r.tick()
+	case Renewed:
+		r.renewed(e)
+	case RenewalFailed:
+		r.renewalFailed(e)
+	case ConfigRead:
+		r.configRead(e)
+	case PeerHeard:
+		r.peerHeard(e)
+	case GrantAsked:
+		r.emit(ReplyGrant{CallID: e.CallID})
+	case InstancesListed:
+		r.instancesListed(e)
+	case WorkerReported:
+		r.workerReported(e)
+	case RequestArrived:
+		r.requestArrived(e)
+	case RequestAbandoned:
+		r.requestAbandoned(e)
+	case ExecutionEnded:
+		r.executionEnded(e)
+	case UnitsRead:
+		r.unitsRead(e)
+	case UnitsWritten:
+		r.unitsWritten(e)
+	case UnitsAsked:
+		r.unitsAsked(e)
+	case StopRequested:
+		r.stopRequested()
+	default:
+		r.reduceClaim(e)
+		r.reduceTask(e)
+		r.reduceOperate(e)
+	}
+	r.updateReady()
+	return r.out
+}
+
+func (r *Reducer) emit(e ...Effect) { r.out = append(r.out, e...) }
+
+func (r *Reducer) count(name string) { r.emit(Count{Name: name, N: 1}) }
+
+func (r *Reducer) start(e Started) {
+	r.self = e.Self
+	r.rand = rand.New(rand.NewPCG(e.Seed, e.Seed))
+	r.keys = map[string]beryllatch.APIKey{}
+	r.units = map[string]*teamUnits{}
+	r.workers = map[string]*workerState{}
+	r.requests = map[string]*request{}
+	r.waiting = map[string][]*request{}
+	r.renew()
+}
+
+func (r *Reducer) tick() {
+	r.tickTenure()
+	r.tickUnits()
+	r.tickRequests()
+	r.tickTasks()
+	r.tickOperate()
+	r.stopWhenIdle()
+}
+
+func (r *Reducer) stopRequested() {
+	r.stopping = true
+	r.emit(LogState{Subject: "node", From: string(NodeLive), To: string(NodeLeaving)})
+	r.renew()
+	r.stopWhenIdle()
+}
+
+func (r *Reducer) stopWhenIdle() {
+	if r.stopping && len(r.requests) == 0 {
+		r.emit(Stop{})
+	}
+}
+
+func (r *Reducer) updateReady() {
+	ready := !r.stopping && r.mayStart() && r.config.Version > 0
+	if ready == r.ready {
+		return
+	}
+	r.ready = ready
+	r.emit(SetReady{Ready: ready})
+}
--- /dev/null
+++ b/internal/decision/berylreducer/task.go
@@ -0,0 +1,6 @@
+package berylreducer
+
+// reduceTask applies the events of queued tasks.
+func (r *Reducer) reduceTask(Event) {}
+
+func (r *Reducer) tickTasks() {}
--- /dev/null
+++ b/platform.go
@@ -0,0 +1,92 @@
+package beryllatch
+
+import (
+	"context"
+	"fmt"
+	"io"
+)
+
+// RowKey addresses one row of the platform's table.
+type RowKey struct {
+	Partition string
+	Sort      string
+}
+
+// Row is one versioned row of the platform's table; Version 0 means that the row does not exist.
+type Row struct {
+	Key     RowKey
+	Version uint64
+	Value   []byte
+	// Expires is the Unix time in seconds after which the table may drop the row; 0 means never.
+	Expires int64
+}
+
+// RowWrite is one conditional write of a transaction.
+type RowWrite struct {
+	Row Row
+	// Expect is the version that the stored row must have; 0 means that the row must not exist.
+	Expect uint64
+	// Delete removes the row instead of storing it.
+	Delete bool
+	// CheckOnly verifies the version without writing.
+	CheckOnly bool
+}
+
+// Table is the platform's transactional table service.
+type Table interface {
+	// Get returns the row by a consistent read; a missing row has Version 0.
+	Get(ctx context.Context, k RowKey) (Row, error)
+	// Query returns up to limit rows of a partition whose sort key is greater than after, in ascending order.
+	Query(ctx context.Context, partition, after string, limit int) ([]Row, error)
+	// Transact applies all writes or none; a stored row gets version Expect+1.
+	// It returns *ConditionFailedError, *UnavailableError or *UnknownOutcomeError.
+	Transact(ctx context.Context, writes ...RowWrite) error
+}
+
+// ObjectStore is the platform's store for large payloads.
+type ObjectStore interface {
+	// Put stores size bytes under the name.
+	Put(ctx context.Context, name string, r io.Reader, size int64) error
+	// Get opens the named object; the caller closes it.
+	Get(ctx context.Context, name string) (io.ReadCloser, error)
+}
+
+// InstanceStatus is one entry of the platform's instance list.
+type InstanceStatus struct {
+	Address string
+	Leaving bool
+}
+
+// InstanceList is the platform's list of live and leaving instances, which lags behind.
+type InstanceList interface {
+	// Instances returns the present list, by address.
+	Instances(ctx context.Context) (map[string]InstanceStatus, error)
+}
+
+// ConditionFailedError reports a transaction that changed nothing since a row had another version.
+type ConditionFailedError struct{ Key RowKey }
+
+// Error names the row when it is known.
+func (e *ConditionFailedError) Error() string {
+	return fmt.Sprintf("condition failed on row %s/%s", e.Key.Partition, e.Key.Sort)
+}
+
+// UnavailableError reports a platform call that surely had no effect.
+type UnavailableError struct{ Err error }
+
+// Error includes the cause.
+func (e *UnavailableError) Error() string { return "platform unavailable: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *UnavailableError) Unwrap() error { return e.Err }
+
+// UnknownOutcomeError reports a platform call that may have taken effect.
+type UnknownOutcomeError struct{ Err error }
+
+// Error includes the cause.
+func (e *UnknownOutcomeError) Error() string {
+	return "platform call outcome unknown: " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *UnknownOutcomeError) Unwrap() error { return e.Err }
