--- /dev/null
+++ b/task.go
@@ -0,0 +1,92 @@
+package beryllatch
+
+import (
+	"context"
+	"io"
+	"time"
+)
+
+// TaskState is the state of a queued task.
+type TaskState string
+
+// The states of a queued task.
+const (
+	TaskQueued      TaskState = "queued"
+	TaskDispatching TaskState = "dispatching"
+	TaskRunning     TaskState = "running"
+	TaskDone        TaskState = "done"
+	TaskFailed      TaskState = "failed"
+	TaskCancelled   TaskState = "cancelled"
+	TaskParked      TaskState = "parked"
+	TaskUnknown     TaskState = "unknown"
+)
+
+// Task is one piece of queued work as its row in the platform's table holds it.
+type Task struct {
+	ID         string    `json:"id"`
+	Team       string    `json:"team"`
+	Queue      string    `json:"queue"`
+	State      TaskState `json:"state"`
+	Idempotent bool      `json:"idempotent,omitempty"`
+	Attempt    int       `json:"attempt,omitempty"`
+	// Instance and BootID name the worker of the present attempt.
+	Instance string `json:"instance,omitempty"`
+	BootID   string `json:"boot_id,omitempty"`
+	// StartBy is the wall-clock limit for the start of the present attempt.
+	StartBy  time.Time `json:"start_by,omitzero"`
+	Accepted time.Time `json:"accepted,omitzero"`
+	Deadline time.Time `json:"deadline,omitzero"`
+	// Payload is the body; PayloadObject names the object that holds a larger one.
+	Payload       []byte `json:"payload,omitempty"`
+	PayloadObject string `json:"payload_object,omitempty"`
+	Result        []byte `json:"result,omitempty"`
+	ResultObject  string `json:"result_object,omitempty"`
+	Reason        Reason `json:"reason,omitempty"`
+	// CancelRequested asks the owner to stop the task.
+	CancelRequested bool `json:"cancel_requested,omitempty"`
+}
+
+// TaskRunState is the state of a task as its worker reports it.
+type TaskRunState string
+
+// The states that a worker reports.
+const (
+	TaskRunUnseen  TaskRunState = "unseen"
+	TaskRunRunning TaskRunState = "running"
+	TaskRunDone    TaskRunState = "done"
+	TaskRunFailed  TaskRunState = "failed"
+	TaskRunStopped TaskRunState = "stopped"
+)
+
+// TaskReport is a worker's answer about one task.
+type TaskReport struct {
+	State  TaskRunState `json:"state"`
+	BootID string       `json:"boot_id"`
+	Fence  uint64       `json:"fence"`
+}
+
+// WorkerReport is a worker's answer about itself.
+type WorkerReport struct {
+	BootID  string `json:"boot_id"`
+	Slots   int    `json:"slots"`
+	Running int    `json:"running"`
+	Leaving bool   `json:"leaving"`
+}
+
+// TaskRunner runs queued tasks on workers; every error is an *ExecutionError.
+type TaskRunner interface {
+	// StartTask starts the task under the execution's lease and fence, and returns once the worker has accepted it.
+	StartTask(ctx context.Context, e Execution, body io.Reader) error
+	// RenewTask extends the lease of a running task.
+	RenewTask(ctx context.Context, e Execution) (TaskReport, error)
+	// ReportTask asks for the state of a task.
+	ReportTask(ctx context.Context, address, id string) (TaskReport, error)
+	// StopTask ends a task; a task that has never been seen will be refused from then on.
+	StopTask(ctx context.Context, e Execution) (TaskReport, error)
+	// TaskResult opens the result of a finished task; the caller closes it.
+	TaskResult(ctx context.Context, address, id string) (io.ReadCloser, error)
+	// ReportWorker asks for the state of a worker.
+	ReportWorker(ctx context.Context, address string) (WorkerReport, error)
+	// RebootWorker asks a drained worker to reboot.
+	RebootWorker(ctx context.Context, address string) error
+}
