--- a/internal/decision/berylreducer/reducer.go
+++ b/internal/decision/berylreducer/reducer.go
@@ -23,6 +23,7 @@
 	requests map[string]*request
 	// waiting holds the requests without a worker, by queue, in order of arrival.
 	waiting  map[string][]*request
+	tasks    taskState
 	stopping bool
 	ready    bool
 }
@@ -37,8 +38,10 @@
 		r.tick()
 	case Renewed:
 		r.renewed(e)
+		r.tasksRenewed(e)
 	case RenewalFailed:
 		r.renewalFailed(e)
+		r.tasks.outage = true
 	case ConfigRead:
 		r.configRead(e)
 	case PeerHeard:
@@ -49,6 +52,7 @@
 		r.instancesListed(e)
 	case WorkerReported:
 		r.workerReported(e)
+		r.taskWorkerReported(e)
 	case RequestArrived:
 		r.requestArrived(e)
 	case RequestAbandoned:
@@ -84,6 +88,7 @@
 	r.workers = map[string]*workerState{}
 	r.requests = map[string]*request{}
 	r.waiting = map[string][]*request{}
+	r.startTasks()
 	r.renew()
 }
 
@@ -104,7 +109,7 @@
 }
 
 func (r *Reducer) stopWhenIdle() {
-	if r.stopping && len(r.requests) == 0 {
+	if r.stopping && len(r.requests) == 0 && r.tasksReleased() {
 		r.emit(Stop{})
 	}
 }
--- /dev/null
+++ b/internal/decision/berylreducer/shard.go
@@ -0,0 +1,236 @@
+package berylreducer
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"hash/fnv"
+	"strconv"
+	"time"
+
+	"github.com/beryllatch/beryllatch"
+)
+
+const (
+	shardCount        = 64
+	shardReadInterval = 2 * time.Second
+)
+
+// shardState is what this node does with a shard.
+type shardState int
+
+const (
+	shardForeign shardState = iota
+	shardOwned
+	// shardReleasing starts nothing more and is given away once no write or send is in flight.
+	shardReleasing
+)
+
+// shard is one part of all tasks; its owner alone starts the tasks in it.
+type shard struct {
+	ShardRow
+	version uint64
+	// seenAt is when the read that found this row was sent.
+	seenAt  time.Duration
+	known   bool
+	state   shardState
+	writing bool
+	next    time.Duration
+	tasks   map[string]*queuedTask
+	// after is the position of the next page; loading marks a LoadTasks effect in flight.
+	after    string
+	loading  bool
+	nextLoad time.Duration
+}
+
+// ShardOf returns the shard of a task id.
+func ShardOf(taskID string) int {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(taskID))
+	return int(h.Sum64() % shardCount)
+}
+
+func registeredNodes(rows []NodeRow) map[string]bool {
+	out := make(map[string]bool, len(rows))
+	for _, n := range rows {
+		out[n.Incarnation] = true
+	}
+	return out
+}
+
+func (r *Reducer) tickShards() {
+	t := &r.tasks
+	if t.outage {
+		return
+	}
+	if r.mayStart() || r.stopping {
+		if !t.readingShards && r.now.Mono >= t.nextShardRead {
+			t.readingShards = true
+			r.emit(ReadShards{})
+		}
+	}
+	for n := range t.shards {
+		r.planShard(&t.shards[n])
+		r.loadShard(&t.shards[n])
+	}
+}
+
+// readShardsSoon asks for the shard rows at the next tick.
+func (r *Reducer) readShardsSoon() { r.tasks.nextShardRead = 0 }
+
+func (r *Reducer) shardsRead(e ShardsRead) {
+	t := &r.tasks
+	t.readingShards = false
+	t.nextShardRead = r.now.Mono + shardReadInterval
+	if e.Failed {
+		return
+	}
+	found := make([]StoredShard, shardCount)
+	for n := range found {
+		found[n].Shard = n
+	}
+	for _, s := range e.Shards {
+		if s.Shard >= 0 && s.Shard < shardCount {
+			found[s.Shard] = s
+		}
+	}
+	for n := range found {
+		r.observeShard(&t.shards[n], found[n], e.SentAt.Mono)
+		r.planShard(&t.shards[n])
+		r.loadShard(&t.shards[n])
+	}
+}
+
+// observeShard takes over what the table says about a shard.
+func (r *Reducer) observeShard(s *shard, row StoredShard, sent time.Duration) {
+	if s.writing || row.Version < s.version {
+		return
+	}
+	same := row.ShardRow == s.ShardRow
+	if !same && s.state != shardForeign {
+		r.loseShard(s)
+	}
+	s.ShardRow, s.version, s.known, s.seenAt = row.ShardRow, row.Version, true, sent
+	if s.Owner == r.self.Incarnation && s.state == shardForeign {
+		r.gainShard(s)
+	}
+}
+
+func (r *Reducer) gainShard(s *shard) {
+	s.state = shardOwned
+	s.after, s.loading, s.nextLoad = "", false, 0
+	r.count("shard_gained")
+	r.logShard(s, "foreign", "owned")
+}
+
+func (r *Reducer) loseShard(s *shard) {
+	s.state = shardForeign
+	for _, id := range beryllatch.SortedKeys(s.tasks) {
+		r.dropTask(s.tasks[id])
+	}
+	r.count("shard_lost")
+	r.logShard(s, "owned", "foreign")
+}
+
+func (r *Reducer) logShard(s *shard, from, to string) {
+	r.emit(LogState{
+		Subject: "shard/" + strconv.Itoa(s.Shard), From: from, To: to,
+		Detail: "epoch " + strconv.FormatUint(uint64(s.Epoch), 10),
+	})
+}
+
+// planShard claims the shard, gives it away or leaves it.
+func (r *Reducer) planShard(s *shard) {
+	if !s.known || s.writing || r.now.Mono < s.next || r.tasks.outage {
+		return
+	}
+	mine := !r.stopping && r.preferredOwner(s.Shard) == r.self.Incarnation
+	switch {
+	case s.state == shardOwned && !mine:
+		s.state = shardReleasing
+		r.releaseShard(s)
+	case s.state == shardReleasing:
+		r.releaseShard(s)
+	case s.state == shardForeign && mine && r.mayStart() && r.ownerGone(s):
+		r.writeShard(s, ShardRow{Shard: s.Shard, Owner: r.self.Incarnation, Epoch: s.Epoch + 1})
+	}
+}
+
+func (r *Reducer) writeShard(s *shard, row ShardRow) {
+	s.writing = true
+	r.emit(WriteShard{Row: row, Expect: s.version})
+}
+
+// releaseShard gives the shard away once nothing that it started can still be under way.
+func (r *Reducer) releaseShard(s *shard) {
+	for _, t := range s.tasks {
+		if t.writing || t.reading || t.phase == phaseSending {
+			return
+		}
+	}
+	r.writeShard(s, ShardRow{Shard: s.Shard, Epoch: s.Epoch})
+}
+
+// ownerGone reports whether the owner of the shard can no longer start work.
+func (r *Reducer) ownerGone(s *shard) bool {
+	if s.Owner == "" || r.tasks.off.lapse {
+		return true
+	}
+	// A node row that a later read no longer finds was deleted at a graceful stop or after a lapse.
+	deleted := !r.tasks.registered[s.Owner] && r.tasks.nodesSent > s.seenAt
+	return deleted || r.knownLapsed(s.Owner)
+}
+
+// preferredOwner picks the live node with the highest hash for the shard.
+func (r *Reducer) preferredOwner(n int) string {
+	best, top := r.self.Incarnation, shardScore(n, r.self)
+	for _, x := range r.tasks.nodes {
+		if r.knownLapsed(x.Incarnation) {
+			continue
+		}
+		score := shardScore(n, x)
+		if score > top || score == top && x.Incarnation > best {
+			best, top = x.Incarnation, score
+		}
+	}
+	return best
+}
+
+func shardScore(n int, x Identity) uint64 {
+	sum := sha256.Sum256([]byte(strconv.Itoa(n) + "/" + x.Node))
+	return binary.BigEndian.Uint64(sum[:])
+}
+
+func (r *Reducer) shardWritten(e ShardWritten) {
+	s := &r.tasks.shards[e.Row.Shard]
+	s.writing = false
+	s.next = r.now.Mono + taskRetry
+	switch e.Result {
+	case WriteDone:
+		if s.state != shardForeign {
+			r.loseShard(s)
+		}
+		s.ShardRow, s.version = e.Row, e.Version
+		s.seenAt = r.now.Mono
+		if s.Owner == r.self.Incarnation {
+			r.gainShard(s)
+			r.loadShard(s)
+		}
+	case WriteConflict, WriteUnknown:
+		r.readShardsSoon()
+	case WriteFailed:
+	}
+}
+
+// tasksReleased reports whether the node owns no shard and answers no call.
+// In an outage no row can be written, and the shards are taken over later.
+func (r *Reducer) tasksReleased() bool {
+	if r.tasks.outage {
+		return len(r.tasks.calls) == 0
+	}
+	for n := range r.tasks.shards {
+		if s := &r.tasks.shards[n]; s.state != shardForeign || s.writing {
+			return false
+		}
+	}
+	return len(r.tasks.calls) == 0
+}
--- a/internal/decision/berylreducer/task.go
+++ b/internal/decision/berylreducer/task.go
@@ -1,6 +1,285 @@
 package berylreducer
 
+import (
+	"time"
+
+	"github.com/beryllatch/beryllatch"
+)
+
+// taskState is what a node holds about queued tasks; rows in the table hold everything that must last.
+type taskState struct {
+	// enabled is false on a node that owns no shards.
+	enabled bool
+	// outage is true from a failed renewal until the next one that succeeds.
+	outage bool
+	// freshAt is the last time at which the node was allowed to start work.
+	freshAt time.Duration
+	nodes   []Identity
+	// registered holds the incarnations whose rows the last completed renewal found.
+	registered map[string]bool
+	// nodesSent is when the renewal that read nodes was sent.
+	nodesSent time.Duration
+	shards    [shardCount]shard
+	// readingShards is true while a ReadShards effect is in flight.
+	readingShards bool
+	nextShardRead time.Duration
+	// tasks holds the loaded unfinished tasks of all owned shards.
+	tasks map[string]*queuedTask
+	// active holds the loaded tasks that need a look at every tick.
+	active map[string]*queuedTask
+	ready  readyTasks
+	calls  map[string]*taskCall
+	// lingering holds units of tasks that may still run under a lease granted here.
+	lingering []lingeringUnit
+	demand    map[string]int
+	runTime   map[string]time.Duration
+	reported  map[string]int
+	late      map[string]bool
+	nextCheck time.Duration
+	stopsSent int
+	// off switches single mechanisms off in tests.
+	off struct{ fence, dispatchRow, lapse bool }
+}
+
+// taskPhase is the next thing that a loaded task needs.
+type taskPhase int
+
+const (
+	phaseQueued taskPhase = iota
+	// phaseResting waits for the end of a pause before the next attempt.
+	phaseResting
+	// phaseWriting waits for the row that says dispatching.
+	phaseWriting
+	phaseSending
+	phaseRunning
+	// phaseAsking has an attempt of unknown state at a worker.
+	phaseAsking
+	phaseStopping
+	phaseCollecting
+	// phaseFinishing waits for the row of the final state.
+	phaseFinishing
+)
+
+// queuedTask is a loaded task of an owned shard.
+type queuedTask struct {
+	beryllatch.Task
+	shard   *shard
+	version uint64
+	phase   taskPhase
+	// writing and reading mark a table call in flight; dirty marks a row that differs from the stored one.
+	writing, reading, dirty bool
+	// uncertain marks a write whose answer was lost.
+	uncertain bool
+	// calling marks a worker call in flight.
+	calling bool
+	// holds marks a unit of the team, counted a slot of the worker.
+	holds, counted bool
+	next           time.Duration
+	nextWrite      time.Duration
+	// leaseEnd is the latest time at which the worker may still run the task.
+	leaseEnd time.Duration
+	started  time.Duration
+}
+
+// lingeringUnit is a unit that stays taken until the worker has surely stopped.
+type lingeringUnit struct {
+	team  string
+	until time.Duration
+}
+
+const (
+	taskLease     = 10 * time.Second
+	leaseRenewal  = 3 * time.Second
+	skewAllowance = 500 * time.Millisecond
+	taskRetry     = time.Second
+	// lapsedLease is how long after the end of its tenure a node's leases may last; units are reclaimed after it.
+	lapsedLease = 60 * time.Second
+	// workerSilence is the wait for a silent worker before a non-idempotent task counts as unknown.
+	workerSilence = 5 * time.Minute
+	finishedKept  = 24 * time.Hour
+)
+
+func (r *Reducer) startTasks() {
+	t := &r.tasks
+	t.tasks = map[string]*queuedTask{}
+	t.active = map[string]*queuedTask{}
+	t.ready = readyTasks{}
+	t.calls = map[string]*taskCall{}
+	t.demand = map[string]int{}
+	t.runTime = map[string]time.Duration{}
+	t.reported = map[string]int{}
+	t.late = map[string]bool{}
+	for n := range t.shards {
+		t.shards[n].Shard = n
+		t.shards[n].tasks = map[string]*queuedTask{}
+	}
+}
+
 // reduceTask applies the events of queued tasks.
-func (r *Reducer) reduceTask(Event) {}
+func (r *Reducer) reduceTask(e Event) {
+	switch e := e.(type) {
+	case TaskOffered:
+		r.taskOffered(e)
+	case PayloadReceived:
+		r.payloadReceived(e)
+	case PayloadFailed:
+		r.payloadFailed(e)
+	case SubmissionWritten:
+		r.submissionWritten(e)
+	case SubmissionRead:
+		r.submissionRead(e)
+	case TaskAsked:
+		r.taskAsked(e)
+	case TaskLookedUp:
+		r.taskLookedUp(e)
+	case CancelWritten:
+		r.cancelWritten(e)
+	default:
+		r.reduceOwnedTask(e)
+	}
+}
+
+func (r *Reducer) reduceOwnedTask(e Event) {
+	switch e := e.(type) {
+	case ShardsEnabled:
+		r.tasks.enabled = true
+	case ShardsRead:
+		r.shardsRead(e)
+	case ShardWritten:
+		r.shardWritten(e)
+	case TasksLoaded:
+		r.tasksLoaded(e)
+	case TaskWritten:
+		r.taskWritten(e)
+	case TaskRowRead:
+		r.taskRowRead(e)
+	case TaskStarted:
+		r.taskStarted(e)
+	case TaskReported:
+		r.taskReported(e)
+	case ResultCollected:
+		r.resultCollected(e)
+	default:
+		return
+	}
+	r.dispatchTasks()
+}
+
+// tasksRenewed notes the nodes among which the shards are spread.
+func (r *Reducer) tasksRenewed(e Renewed) {
+	t := &r.tasks
+	t.outage = false
+	t.nodesSent = e.SentAt.Mono
+	t.nodes = t.nodes[:0]
+	for _, n := range e.Nodes {
+		if n.State == NodeLive && n.Incarnation != r.self.Incarnation {
+			t.nodes = append(t.nodes, n.Identity)
+		}
+	}
+	t.registered = registeredNodes(e.Nodes)
+}
+
+func (r *Reducer) taskWorkerReported(e WorkerReported) { r.tasks.reported[e.Instance] = e.Running }
+
+func (r *Reducer) tickTasks() {
+	if !r.tasks.enabled {
+		return
+	}
+	if r.mayStart() {
+		r.tasks.freshAt = r.now.Mono
+	}
+	r.tickCalls()
+	r.tickShards()
+	r.endLingering()
+	r.countStops()
+	for _, id := range beryllatch.SortedKeys(r.tasks.active) {
+		if t := r.tasks.active[id]; t != nil {
+			r.stepTask(t)
+		}
+	}
+	r.checkForecast()
+	r.dispatchTasks()
+}
+
+// stepTask does what the task needs now.
+func (r *Reducer) stepTask(t *queuedTask) {
+	r.flushTask(t)
+	if t.calling || r.now.Mono < t.next {
+		return
+	}
+	switch t.phase {
+	case phaseQueued:
+		if !t.dirty && !t.writing && !t.reading {
+			delete(r.tasks.active, t.ID)
+		}
+	case phaseResting:
+		r.makeReady(t)
+	case phaseRunning:
+		r.renewTask(t)
+	case phaseAsking:
+		r.askTask(t)
+	case phaseStopping:
+		r.stopTask(t)
+	case phaseCollecting:
+		r.collectResult(t)
+	case phaseWriting:
+		r.startWithoutRow(t)
+	case phaseSending, phaseFinishing:
+	}
+}
+
+// fence orders the attempts of a task across all owners of its shard.
+func (r *Reducer) fence(t *queuedTask) uint64 {
+	if r.tasks.off.fence {
+		return 1
+	}
+	return uint64(t.shard.Epoch)<<32 | uint64(uint32(t.Attempt))
+}
+
+// loadedTask returns the task that an answer belongs to, unless a later attempt or owner has replaced it.
+func (r *Reducer) loadedTask(id string, fence uint64) *queuedTask {
+	t := r.tasks.tasks[id]
+	if t == nil || r.fence(t) != fence {
+		return nil
+	}
+	return t
+}
+
+func (r *Reducer) activate(t *queuedTask) { r.tasks.active[t.ID] = t }
+
+// dropTask forgets a task; its unit stays taken while the worker may still run it.
+func (r *Reducer) dropTask(t *queuedTask) {
+	if t.holds && t.leaseEnd > r.now.Mono {
+		t.holds = false
+		r.tasks.lingering = append(r.tasks.lingering, lingeringUnit{t.Team, t.leaseEnd + skewAllowance})
+	}
+	r.releaseTask(t)
+	r.tasks.ready.remove(t)
+	delete(r.tasks.active, t.ID)
+	delete(r.tasks.tasks, t.ID)
+	delete(t.shard.tasks, t.ID)
+}
+
+// releaseTask gives back the unit and the worker slot of the task's attempt.
+func (r *Reducer) releaseTask(t *queuedTask) {
+	if t.holds {
+		r.returnUnit(t.Team)
+		t.holds = false
+	}
+	if w := r.workers[t.Instance]; w != nil && t.counted {
+		w.running--
+	}
+	t.counted = false
+}
 
-func (r *Reducer) tickTasks() {}
+func (r *Reducer) endLingering() {
+	kept := r.tasks.lingering[:0]
+	for _, l := range r.tasks.lingering {
+		if l.until <= r.now.Mono {
+			r.returnUnit(l.team)
+		} else {
+			kept = append(kept, l)
+		}
+	}
+	r.tasks.lingering = kept
+}
--- /dev/null
+++ b/internal/decision/berylreducer/task_event.go
@@ -0,0 +1,348 @@
+package berylreducer
+
+import (
+	"time"
+
+	"github.com/beryllatch/beryllatch"
+)
+
+// ShardRow is the value of a task shard's row in the platform's table.
+type ShardRow struct {
+	Shard int `json:"shard"`
+	// Owner is the incarnation that owns the shard; empty when nobody does.
+	Owner string `json:"owner,omitempty"`
+	// Epoch grows by one with every change of the owner.
+	Epoch uint32 `json:"epoch"`
+}
+
+// StoredShard is a shard row with its table version.
+type StoredShard struct {
+	ShardRow
+	Version uint64
+}
+
+// StoredTask is a task row with its table version.
+type StoredTask struct {
+	beryllatch.Task
+	Version uint64
+}
+
+// TaskClaim is the value of an idempotency claim that belongs to a task.
+type TaskClaim struct {
+	// State is always "task", so that a request with the same key recognizes the claim.
+	State  string `json:"state"`
+	TaskID string `json:"task_id"`
+	Queue  string `json:"queue"`
+	// Key is the hash of the idempotency key; it is the sort key of the row.
+	Key string `json:"-"`
+}
+
+// TaskOffered is a caller's submission whose headers have been read.
+type TaskOffered struct {
+	CallID string
+	// TaskID is a new random id.
+	TaskID string
+	// KeyHash is the SHA-256 of the presented secret in hexadecimal digits; empty without a key.
+	KeyHash string
+	Queue   string
+	// IdempotencyKey is the hash of the caller's idempotency key; empty without one.
+	IdempotencyKey string
+	Idempotent     bool
+	// Deadline is the time by which the task must have ended; zero means the queue's default.
+	Deadline time.Duration
+}
+
+// PayloadReceived delivers the body of a submission, or the name of the object that holds it.
+type PayloadReceived struct {
+	CallID  string
+	Payload []byte
+	Object  string
+}
+
+// PayloadFailed reports a body that could not be received or stored.
+type PayloadFailed struct {
+	CallID string
+	Reason beryllatch.Reason
+}
+
+// SubmissionWritten reports the end of a SubmitTask effect.
+type SubmissionWritten struct {
+	CallID string
+	Result WriteResult
+}
+
+// SubmissionRead reports the end of a ReadSubmission effect.
+type SubmissionRead struct {
+	CallID string
+	// Failed is true when the rows could not be read.
+	Failed bool
+	// Found is true when the task's row exists, finished or not.
+	Found bool
+	// Claimed is true when the idempotency key has a claim; Claim is empty when that belongs to a request.
+	Claimed bool
+	Claim   TaskClaim
+}
+
+// TaskAsked is a caller's question about a task, or its cancellation.
+type TaskAsked struct {
+	CallID  string
+	TaskID  string
+	KeyHash string
+	// Cancel asks to cancel the task.
+	Cancel bool
+	// Result asks for the result of the task.
+	Result bool
+}
+
+// TaskLookedUp reports the end of a LookUpTask effect.
+type TaskLookedUp struct {
+	CallID string
+	// Failed is true when the rows could not be read.
+	Failed bool
+	// Found is true when the task's row exists, finished or not.
+	Found bool
+	Task  StoredTask
+}
+
+// CancelWritten reports the end of a WriteCancel effect.
+type CancelWritten struct {
+	CallID string
+	Result WriteResult
+}
+
+// ShardsEnabled makes the node take part in the ownership of task shards.
+type ShardsEnabled struct{}
+
+// ShardsRead delivers all shard rows.
+type ShardsRead struct {
+	// SentAt is when the read was sent.
+	SentAt Instant
+	Failed bool
+	Shards []StoredShard
+}
+
+// ShardWritten reports the end of a WriteShard effect.
+type ShardWritten struct {
+	Row     ShardRow
+	Version uint64
+	Result  WriteResult
+}
+
+// TasksLoaded reports the end of a LoadTasks effect.
+type TasksLoaded struct {
+	Shard  int
+	Epoch  uint32
+	After  string
+	Failed bool
+	// Tasks holds the rows in ascending order of their ids; fewer than the limit end the shard.
+	Tasks []StoredTask
+}
+
+// TaskWritten reports the end of a WriteTask effect.
+type TaskWritten struct {
+	ID     string
+	Epoch  uint32
+	Result WriteResult
+}
+
+// TaskRowRead reports the end of a ReadTask effect.
+type TaskRowRead struct {
+	ID     string
+	Epoch  uint32
+	Failed bool
+	// Found is false when the row of an unfinished task does not exist.
+	Found bool
+	Task  StoredTask
+}
+
+// TaskStarted reports the end of a StartTask effect.
+type TaskStarted struct {
+	ID    string
+	Fence uint64
+	// Outcome is OutcomeAnswered when the worker has accepted the task.
+	Outcome beryllatch.ExecutionOutcome
+	Reason  beryllatch.Reason
+}
+
+// TaskReported reports the end of an AskTask, RenewTask or StopTask effect.
+type TaskReported struct {
+	ID    string
+	Fence uint64
+	// Failed is true when the worker gave no answer.
+	Failed bool
+	// Refused is true when the worker refused the call since it has seen a higher fence.
+	Refused bool
+	Report  beryllatch.TaskReport
+}
+
+// ResultCollected reports the end of a CollectResult effect.
+type ResultCollected struct {
+	ID    string
+	Fence uint64
+	// WorkerFailed is true when the worker gave no whole result.
+	WorkerFailed bool
+	// StoreFailed is true when the object store did not take the result.
+	StoreFailed bool
+	Result      []byte
+	Object      string
+}
+
+// ReceivePayload tells the handler of a submission to read the body and to post PayloadReceived or PayloadFailed.
+type ReceivePayload struct {
+	CallID string
+	TaskID string
+}
+
+// SubmitTask writes the task row, the payload row and, if Claim.Key is set, the claim row in one transaction.
+type SubmitTask struct {
+	CallID  string
+	Shard   int
+	Task    beryllatch.Task
+	Payload []byte
+	Claim   TaskClaim
+}
+
+// ReadSubmission reads back the claim, if ClaimKey is set, and the task row.
+type ReadSubmission struct {
+	CallID   string
+	Shard    int
+	TaskID   string
+	Team     string
+	ClaimKey string
+}
+
+// AnswerTask gives the caller the state of a task.
+type AnswerTask struct {
+	CallID string
+	Task   beryllatch.Task
+	// Accepted is true when the answer confirms a submission or a cancellation.
+	Accepted bool
+}
+
+// RefuseTask answers a call of the tasks API with a refusal.
+type RefuseTask struct {
+	CallID  string
+	Refusal beryllatch.Refusal
+}
+
+// LookUpTask reads a task row, finished or not.
+type LookUpTask struct {
+	CallID string
+	Shard  int
+	TaskID string
+}
+
+// WriteCancel stores a task's cancellation if its row has the version Expect.
+type WriteCancel struct {
+	CallID string
+	Shard  int
+	Task   beryllatch.Task
+	Expect uint64
+}
+
+// ReadShards reads all shard rows.
+type ReadShards struct{}
+
+// WriteShard replaces a shard row if it has the version Expect.
+type WriteShard struct {
+	Row    ShardRow
+	Expect uint64
+}
+
+// LoadTasks reads up to Limit unfinished tasks of a shard with ids greater than After.
+type LoadTasks struct {
+	Shard int
+	Epoch uint32
+	After string
+	Limit int
+}
+
+// WriteTask replaces the row of an unfinished task if it and the shard row have the expected versions.
+// A task in a final state moves to the partition of finished tasks, and its payload row is deleted.
+type WriteTask struct {
+	Shard int
+	Epoch uint32
+	// ShardExpect is the version of the shard row; 0 means that it is not checked.
+	ShardExpect uint64
+	Task        beryllatch.Task
+	Expect      uint64
+}
+
+// ReadTask reads the row of an unfinished task.
+type ReadTask struct {
+	Shard int
+	Epoch uint32
+	ID    string
+}
+
+// StartTask reads the payload and sends the task to its worker.
+type StartTask struct {
+	ID            string
+	Shard         int
+	Execution     beryllatch.Execution
+	PayloadRow    bool
+	PayloadObject string
+}
+
+// AskTask asks a worker for the state of a task.
+type AskTask struct {
+	ID      string
+	Fence   uint64
+	Address string
+}
+
+// RenewTask extends the lease of a running task.
+type RenewTask struct{ Execution beryllatch.Execution }
+
+// StopTask ends a task at its worker.
+type StopTask struct{ Execution beryllatch.Execution }
+
+// CollectResult reads the result of a finished task from its worker and stores a large one as an object.
+type CollectResult struct {
+	ID      string
+	Fence   uint64
+	Address string
+}
+
+// SetGauge publishes a named value.
+type SetGauge struct {
+	Name  string
+	Value float64
+}
+
+func (TaskOffered) event()       {}
+func (PayloadReceived) event()   {}
+func (PayloadFailed) event()     {}
+func (SubmissionWritten) event() {}
+func (SubmissionRead) event()    {}
+func (TaskAsked) event()         {}
+func (TaskLookedUp) event()      {}
+func (CancelWritten) event()     {}
+func (ShardsEnabled) event()     {}
+func (ShardsRead) event()        {}
+func (ShardWritten) event()      {}
+func (TasksLoaded) event()       {}
+func (TaskWritten) event()       {}
+func (TaskRowRead) event()       {}
+func (TaskStarted) event()       {}
+func (TaskReported) event()      {}
+func (ResultCollected) event()   {}
+
+func (ReceivePayload) effect() {}
+func (SubmitTask) effect()     {}
+func (ReadSubmission) effect() {}
+func (AnswerTask) effect()     {}
+func (RefuseTask) effect()     {}
+func (LookUpTask) effect()     {}
+func (WriteCancel) effect()    {}
+func (ReadShards) effect()     {}
+func (WriteShard) effect()     {}
+func (LoadTasks) effect()      {}
+func (WriteTask) effect()      {}
+func (ReadTask) effect()       {}
+func (StartTask) effect()      {}
+func (AskTask) effect()        {}
+func (RenewTask) effect()      {}
+func (StopTask) effect()       {}
+func (CollectResult) effect()  {}
+func (SetGauge) effect()       {}
--- /dev/null
+++ b/internal/decision/berylreducer/task_lookup.go
@@ -0,0 +1,93 @@
+package berylreducer
+
+import (
+	"github.com/beryllatch/beryllatch"
+)
+
+// maxCancelTries bounds the repeats of a cancellation that meets other writes of the row.
+const maxCancelTries = 10
+
+func (r *Reducer) taskAsked(e TaskAsked) {
+	if !r.admitCall(e.CallID) {
+		return
+	}
+	key, known := r.keys[e.KeyHash]
+	if !known && e.KeyHash != "" {
+		r.refuseTask(e.CallID, beryllatch.ReasonUnauthorized, "the key is unknown or withdrawn")
+		return
+	}
+	c := &taskCall{id: e.CallID, team: key.Team, asked: e, until: r.now.Mono + submissionWait}
+	r.tasks.calls[c.id] = c
+	r.lookUp(c)
+}
+
+func (r *Reducer) lookUp(c *taskCall) {
+	c.step = callWaits
+	r.emit(LookUpTask{CallID: c.id, Shard: ShardOf(c.asked.TaskID), TaskID: c.asked.TaskID})
+}
+
+func (r *Reducer) taskLookedUp(e TaskLookedUp) {
+	c := r.tasks.calls[e.CallID]
+	if c == nil {
+		return
+	}
+	switch {
+	case e.Failed && c.uncertain:
+		r.readLater(c)
+	case e.Failed:
+		r.endCall(c, beryllatch.RunStateNotRun, beryllatch.ReasonPlatformUnavailable, "the task could not be read")
+	case !e.Found || e.Task.Team != c.team:
+		r.endCall(c, beryllatch.RunStateNotRun, beryllatch.ReasonUnknownTask, "the team has no task with this id")
+	case c.asked.Cancel:
+		r.cancelStored(c, e.Task)
+	case c.asked.Result && e.Task.State != beryllatch.TaskDone:
+		r.endCall(c, beryllatch.RunStateNotRun, beryllatch.ReasonTaskNotFinished, "the task is "+string(e.Task.State))
+	default:
+		r.answerCall(c, e.Task.Task, false)
+	}
+}
+
+func (r *Reducer) answerCall(c *taskCall, t beryllatch.Task, accepted bool) {
+	delete(r.tasks.calls, c.id)
+	r.emit(AnswerTask{CallID: c.id, Task: t, Accepted: accepted})
+}
+
+// cancelStored ends a task that waits in the table at once, and asks the owner of any other to stop it.
+func (r *Reducer) cancelStored(c *taskCall, t StoredTask) {
+	switch {
+	case t.State.Final() || t.CancelRequested:
+		r.answerCall(c, t.Task, t.State == beryllatch.TaskCancelled || t.CancelRequested)
+		return
+	case c.tries >= maxCancelTries:
+		r.endCall(c, beryllatch.RunStateUnknown, beryllatch.ReasonPlatformUnavailable, "the task changed too often")
+		return
+	}
+	c.tries++
+	t.CancelRequested = true
+	if t.State == beryllatch.TaskQueued {
+		t.State = beryllatch.TaskCancelled
+		t.Finished = r.now.Wall
+	}
+	c.task = t.Task
+	r.emit(WriteCancel{CallID: c.id, Shard: ShardOf(t.ID), Task: t.Task, Expect: t.Version})
+}
+
+func (r *Reducer) cancelWritten(e CancelWritten) {
+	c := r.tasks.calls[e.CallID]
+	if c == nil {
+		return
+	}
+	switch e.Result {
+	case WriteDone:
+		r.count("task_cancel_accepted")
+		r.answerCall(c, c.task, true)
+		if t := r.tasks.tasks[c.task.ID]; t != nil && c.task.State.Final() && !t.writing && !t.reading {
+			r.dropTask(t)
+		}
+	case WriteFailed:
+		r.endCall(c, beryllatch.RunStateNotRun, beryllatch.ReasonPlatformUnavailable, "the cancellation could not be stored")
+	default:
+		c.uncertain = c.uncertain || e.Result == WriteUnknown
+		r.lookUp(c)
+	}
+}
--- /dev/null
+++ b/internal/decision/berylreducer/task_write.go
@@ -0,0 +1,164 @@
+package berylreducer
+
+import (
+	"time"
+
+	"github.com/beryllatch/beryllatch"
+)
+
+// conflictPause leaves time for the shard rows to be read before a conflicting write is repeated.
+const conflictPause = 200 * time.Millisecond
+
+// writeTask stores the task's row, after the write that is in flight.
+func (r *Reducer) writeTask(t *queuedTask) {
+	t.dirty = true
+	r.activate(t)
+	r.flushTask(t)
+}
+
+func (r *Reducer) flushTask(t *queuedTask) {
+	stored := !t.dirty && !t.uncertain
+	if stored || t.writing || t.reading || r.now.Mono < t.nextWrite || !r.mayWrite(t) {
+		return
+	}
+	if t.uncertain {
+		t.reading = true
+		r.emit(ReadTask{Shard: t.shard.Shard, Epoch: t.shard.Epoch, ID: t.ID})
+		return
+	}
+	t.writing, t.dirty = true, false
+	e := WriteTask{
+		Shard: t.shard.Shard, Epoch: t.shard.Epoch, ShardExpect: t.shard.version, Task: t.Task, Expect: t.version,
+	}
+	if r.tasks.off.fence {
+		e.ShardExpect = 0
+	}
+	r.emit(e)
+}
+
+// mayWrite is false in an outage and once the shard is being given away.
+func (r *Reducer) mayWrite(t *queuedTask) bool {
+	return !r.tasks.outage && t.shard.state == shardOwned
+}
+
+func (r *Reducer) writtenTask(id string, epoch uint32) *queuedTask {
+	t := r.tasks.tasks[id]
+	if t == nil || t.shard.Epoch != epoch {
+		return nil
+	}
+	return t
+}
+
+func (r *Reducer) taskWritten(e TaskWritten) {
+	t := r.writtenTask(e.ID, e.Epoch)
+	if t == nil || !t.writing {
+		return
+	}
+	t.writing = false
+	switch e.Result {
+	case WriteDone:
+		t.version++
+		r.rowStored(t)
+	case WriteFailed:
+		r.writeLater(t)
+	case WriteConflict:
+		t.uncertain = true
+		r.readShardsSoon()
+		r.flushTask(t)
+	case WriteUnknown:
+		t.uncertain = true
+		r.flushTask(t)
+		r.startWithoutRow(t)
+	}
+}
+
+// writeLater repeats a write that had no effect; a result is collected again, so that memory does not hold it.
+func (r *Reducer) writeLater(t *queuedTask) {
+	t.dirty = true
+	t.nextWrite = r.now.Mono + taskRetry
+	if t.phase == phaseFinishing && t.State == beryllatch.TaskDone {
+		t.dirty = false
+		t.Result = nil
+		t.phase = phaseCollecting
+		t.next = r.now.Mono + taskRetry
+	}
+	r.startWithoutRow(t)
+}
+
+// rowStored continues after the row is known to be stored as it is in memory.
+func (r *Reducer) rowStored(t *queuedTask) {
+	switch {
+	case t.phase == phaseFinishing && !t.dirty:
+		r.finished(t)
+	case t.phase == phaseWriting && !t.dirty:
+		r.sendTask(t)
+	default:
+		r.flushTask(t)
+	}
+}
+
+// taskRowRead settles a write whose answer was lost or that met another version.
+func (r *Reducer) taskRowRead(e TaskRowRead) {
+	t := r.writtenTask(e.ID, e.Epoch)
+	if t == nil || !t.reading {
+		return
+	}
+	t.reading = false
+	if e.Failed {
+		t.nextWrite = r.now.Mono + taskRetry
+		r.startWithoutRow(t)
+		return
+	}
+	t.uncertain = false
+	if !e.Found {
+		r.rowGone(t)
+		return
+	}
+	if e.Task.Version == t.version {
+		t.nextWrite = r.now.Mono + conflictPause
+	}
+	stored := e.Task.Version > t.version && e.Task.Fence == t.Fence && e.Task.State == t.State
+	t.version = e.Task.Version
+	if stored {
+		r.rowStored(t)
+	} else {
+		t.dirty = true
+		r.flushTask(t)
+	}
+	if e.Task.CancelRequested {
+		r.cancelLoaded(t)
+	}
+}
+
+// rowGone ends a task whose row has moved to the finished ones.
+func (r *Reducer) rowGone(t *queuedTask) {
+	if t.phase == phaseFinishing {
+		r.finished(t)
+		return
+	}
+	if t.holds {
+		r.count("task_row_gone")
+	}
+	r.dropTask(t)
+}
+
+// finishTask stores a final state.
+func (r *Reducer) finishTask(t *queuedTask, state beryllatch.TaskState, reason beryllatch.Reason) {
+	r.releaseTask(t)
+	r.tasks.ready.remove(t)
+	t.State, t.Reason = state, reason
+	t.Finished = r.now.Wall
+	t.phase = phaseFinishing
+	r.writeTask(t)
+}
+
+func (r *Reducer) finished(t *queuedTask) {
+	r.count("task." + string(t.State))
+	if t.State == beryllatch.TaskDone && t.Finished.After(t.Deadline) {
+		r.count("task_late")
+	}
+	if t.State == beryllatch.TaskParked || t.State == beryllatch.TaskUnknown {
+		r.emit(LogState{Subject: "task/" + t.ID, From: string(beryllatch.TaskRunning), To: string(t.State), Detail: string(t.Reason)})
+	}
+	r.dropTask(t)
+}
--- a/refusal.go
+++ b/refusal.go
@@ -28,6 +28,8 @@
 	ReasonAnswerMismatch      Reason = "answer_mismatch"
 	ReasonJobFailing          Reason = "job_failing"
 	ReasonCallerGone          Reason = "caller_gone"
+	ReasonUnknownTask         Reason = "unknown_task"
+	ReasonTaskNotFinished     Reason = "task_not_finished"
 )
 
 // RunState tells a caller whether refused work was run.
--- a/task.go
+++ b/task.go
@@ -32,20 +32,38 @@
 	// Instance and BootID name the worker of the present attempt.
 	Instance string `json:"instance,omitempty"`
 	BootID   string `json:"boot_id,omitempty"`
+	// Fence orders the attempts; its upper 32 bits are the epoch of the task's shard, its lower 32 bits the attempt.
+	Fence uint64 `json:"fence,omitempty"`
+	// FailedOn lists the instances on which the job failed, in order.
+	FailedOn []string `json:"failed_on,omitempty"`
+	// Refusals counts the attempts that no worker started.
+	Refusals int `json:"refusals,omitempty"`
 	// StartBy is the wall-clock limit for the start of the present attempt.
 	StartBy  time.Time `json:"start_by,omitzero"`
 	Accepted time.Time `json:"accepted,omitzero"`
 	Deadline time.Time `json:"deadline,omitzero"`
-	// Payload is the body; PayloadObject names the object that holds a larger one.
-	Payload       []byte `json:"payload,omitempty"`
+	Finished time.Time `json:"finished,omitzero"`
+	// PayloadRow marks a body that has a table row of its own; PayloadObject names the object that holds a larger one.
+	PayloadRow    bool   `json:"payload_row,omitempty"`
 	PayloadObject string `json:"payload_object,omitempty"`
-	Result        []byte `json:"result,omitempty"`
-	ResultObject  string `json:"result_object,omitempty"`
-	Reason        Reason `json:"reason,omitempty"`
+	// Result is the body of the result; ResultObject names the object that holds a larger one.
+	Result       []byte `json:"result,omitempty"`
+	ResultObject string `json:"result_object,omitempty"`
+	Reason       Reason `json:"reason,omitempty"`
 	// CancelRequested asks the owner to stop the task.
 	CancelRequested bool `json:"cancel_requested,omitempty"`
 }
 
+// Final reports whether a task in this state is never started again without an operator.
+func (s TaskState) Final() bool {
+	switch s {
+	case TaskDone, TaskFailed, TaskCancelled, TaskParked, TaskUnknown:
+		return true
+	default:
+		return false
+	}
+}
+
 // TaskRunState is the state of a task as its worker reports it.
 type TaskRunState string
 
