--- a/internal/decision/berylreducer/shard.go
+++ b/internal/decision/berylreducer/shard.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"hash/fnv"
+	"slices"
 	"strconv"
 	"time"
 
@@ -62,6 +63,7 @@
 	if t.outage {
 		return
 	}
+	r.spreadShards()
 	if r.mayStart() || r.stopping {
 		if !t.readingShards && r.now.Mono >= t.nextShardRead {
 			t.readingShards = true
@@ -143,7 +145,8 @@
 	if !s.known || s.writing || r.now.Mono < s.next || r.tasks.outage {
 		return
 	}
-	mine := !r.stopping && r.preferredOwner(s.Shard) == r.self.Incarnation
+	preferred := r.tasks.preferred[s.Shard] == r.self.Incarnation || r.tasks.off.lapse
+	mine := !r.stopping && preferred
 	switch {
 	case s.state == shardOwned && !mine:
 		s.state = shardReleasing
@@ -180,13 +183,27 @@
 	return deleted || r.knownLapsed(s.Owner)
 }
 
-// preferredOwner picks the live node with the highest hash for the shard.
-func (r *Reducer) preferredOwner(n int) string {
-	best, top := r.self.Incarnation, shardScore(n, r.self)
+// spreadShards picks the preferred owner of every shard if the set of live nodes has changed.
+func (r *Reducer) spreadShards() {
+	live := []Identity{r.self}
 	for _, x := range r.tasks.nodes {
-		if r.knownLapsed(x.Incarnation) {
-			continue
+		if !r.knownLapsed(x.Incarnation) {
+			live = append(live, x)
 		}
+	}
+	if slices.Equal(live, r.tasks.spreadOver) {
+		return
+	}
+	r.tasks.spreadOver = live
+	for n := range r.tasks.preferred {
+		r.tasks.preferred[n] = preferredOwner(n, live)
+	}
+}
+
+// preferredOwner picks the node with the highest hash for the shard.
+func preferredOwner(n int, live []Identity) string {
+	best, top := "", uint64(0)
+	for _, x := range live {
 		score := shardScore(n, x)
 		if score > top || score == top && x.Incarnation > best {
 			best, top = x.Incarnation, score
--- a/internal/decision/berylreducer/task.go
+++ b/internal/decision/berylreducer/task.go
@@ -20,6 +20,9 @@
 	// nodesSent is when the renewal that read nodes was sent.
 	nodesSent time.Duration
 	shards    [shardCount]shard
+	// preferred is the owner that each shard should have, spread over the nodes in spreadOver.
+	preferred  [shardCount]string
+	spreadOver []Identity
 	// readingShards is true while a ReadShards effect is in flight.
 	readingShards bool
 	nextShardRead time.Duration
@@ -54,6 +57,8 @@
 	phaseRunning
 	// phaseAsking has an attempt of unknown state at a worker.
 	phaseAsking
+	// phaseFencing makes a worker that has not seen the attempt refuse a late send of it.
+	phaseFencing
 	phaseStopping
 	phaseCollecting
 	// phaseFinishing waits for the row of the final state.
@@ -218,7 +223,7 @@
 		r.renewTask(t)
 	case phaseAsking:
 		r.askTask(t)
-	case phaseStopping:
+	case phaseFencing, phaseStopping:
 		r.stopTask(t)
 	case phaseCollecting:
 		r.collectResult(t)
--- a/internal/decision/berylreducer/task_cancel.go
+++ b/internal/decision/berylreducer/task_cancel.go
@@ -20,14 +20,14 @@
 		t.phase = phaseStopping
 		t.next = r.now.Mono
 		r.activate(t)
-	case phaseWriting, phaseSending, phaseStopping, phaseCollecting, phaseFinishing:
+	case phaseWriting, phaseSending, phaseFencing, phaseStopping, phaseCollecting, phaseFinishing:
 	}
 }
 
 func (r *Reducer) countStops() {
 	r.tasks.stopsSent = 0
 	for _, t := range r.tasks.active {
-		if t.phase == phaseStopping && t.calling {
+		if (t.phase == phaseFencing || t.phase == phaseStopping) && t.calling {
 			r.tasks.stopsSent++
 		}
 	}
--- a/internal/decision/berylreducer/task_run.go
+++ b/internal/decision/berylreducer/task_run.go
@@ -117,7 +117,7 @@
 	switch t.phase {
 	case phaseAsking:
 		r.adoptTask(t)
-	case phaseStopping:
+	case phaseFencing, phaseStopping:
 		r.pauseTask(t)
 	default:
 		if t.CancelRequested {
--- a/internal/decision/berylreducer/task_takeover.go
+++ b/internal/decision/berylreducer/task_takeover.go
@@ -53,13 +53,19 @@
 	}
 }
 
-// reportedUnseen handles a worker that does not know the attempt.
+// reportedUnseen handles a worker that does not know the attempt. The attempt can no longer start by the clock; a stop
+// under the present fence makes sure of it, so that a wrong clock at the worker does not run the task twice.
 func (r *Reducer) reportedUnseen(t *queuedTask, report beryllatch.TaskReport) {
 	sameBoot := report.BootID == t.BootID
 	if !sameBoot || t.State != beryllatch.TaskDispatching {
 		r.interrupted(t, sameBoot && t.phase == phaseStopping)
 		return
 	}
+	if t.phase == phaseAsking && !r.tasks.off.fence {
+		t.phase = phaseFencing
+		r.stopTask(t)
+		return
+	}
 	t.leaseEnd = 0
 	r.count("task_retry." + string(beryllatch.ReasonWorkerUnreachable))
 	r.requeue(t, 0)
--- a/internal/decision/berylreducer/world_test.go
+++ b/internal/decision/berylreducer/world_test.go
@@ -15,7 +15,7 @@
 // performs, fails or cuts off.
 type world struct {
 	*session
-	rows    map[beryllatch.RowKey]beryllatch.Row
+	rows map[beryllatch.RowKey]beryllatch.Row
 	// renewed and leaving hold the last renewal of each registered incarnation and its state.
 	renewed map[string]time.Duration
 	leaving map[string]bool
@@ -27,6 +27,12 @@
 	// stale lists the starts with a fence below one that the table had already seen for the task's shard.
 	stale  []string
 	outage bool
+	// callCount numbers the calls of the tasks API.
+	callCount int
+	// slowClock lets workers start tasks after their start-by time.
+	slowClock bool
+	// skewed is true when slowClock was ever set, so that stale starts prove nothing.
+	skewed bool
 	// fault decides what happens to a call; nil means that all succeed.
 	fault  func(n *fakeNode, e Effect) fault
 	quiet  bool
@@ -62,6 +68,8 @@
 	boot    int
 	runs    map[string]*fakeRun
 	fences  map[string]uint64
+	// refused holds the fence up to which a task that was never seen will not be started.
+	refused map[string]uint64
 }
 
 type fakeRun struct {
@@ -78,7 +86,7 @@
 	}
 	for _, id := range beryllatch.SortedKeys(w.config.Instances) {
 		a := w.config.Instances[id].Address
-		w.workers[a] = &fakeWorker{address: a, runs: map[string]*fakeRun{}, fences: map[string]uint64{}}
+		w.workers[a] = &fakeWorker{address: a, runs: map[string]*fakeRun{}, fences: map[string]uint64{}, refused: map[string]uint64{}}
 	}
 	return w
 }
@@ -371,8 +379,9 @@
 
 func (w *world) page(e LoadTasks) []StoredTask {
 	var out []StoredTask
+	partition := openKey(e.Shard, "").Partition
 	for k := range w.rows {
-		if k.Partition == fmt.Sprintf("task#%d", e.Shard) && k.Sort > e.After {
+		if k.Partition == partition && k.Sort > e.After {
 			t, _ := w.storedAt(k)
 			out = append(out, t)
 		}
@@ -404,6 +413,9 @@
 		return w.report(x.ID, x.Fence, x.Address, f, func(run *fakeRun) { run.lease = x.LeaseExpiry })
 	case StopTask:
 		x := e.Execution
+		if f == faultNone && w.workers[x.Address].runs[x.ID] == nil {
+			w.workers[x.Address].refused[x.ID] = x.Fence
+		}
 		return w.report(x.ID, x.Fence, x.Address, f, func(run *fakeRun) {
 			if run.state == beryllatch.TaskRunRunning {
 				run.state = beryllatch.TaskRunStopped
@@ -430,7 +442,7 @@
 	case f == faultFailed:
 		answer.Outcome, answer.Reason = beryllatch.OutcomeNotSent, beryllatch.ReasonWorkerUnreachable
 		return answer
-	case w.now.Wall.After(x.StartBy), x.Fence < worker.fences[x.ID], busy:
+	case w.now.Wall.After(x.StartBy) && !w.slowClock, x.Fence < worker.fences[x.ID], x.Fence <= worker.refused[x.ID], busy:
 		answer.Outcome, answer.Reason = beryllatch.OutcomeRefused, beryllatch.ReasonWorkerRefused
 	default:
 		worker.fences[x.ID] = x.Fence
@@ -483,7 +495,7 @@
 
 func (f *fakeWorker) reboot() {
 	f.boot++
-	f.runs, f.fences = map[string]*fakeRun{}, map[string]uint64{}
+	f.runs, f.fences, f.refused = map[string]*fakeRun{}, map[string]uint64{}, map[string]uint64{}
 }
 
 // end finishes a running task.
