--- a/internal/decision/berylreducer/task.go
+++ b/internal/decision/berylreducer/task.go
@@ -214,7 +214,7 @@
 	}
 	switch t.phase {
 	case phaseQueued:
-		if !t.dirty && !t.writing && !t.reading {
+		if !t.dirty && !t.uncertain && !t.writing && !t.reading {
 			delete(r.tasks.active, t.ID)
 		}
 	case phaseResting:
--- a/internal/decision/berylreducer/task_event.go
+++ b/internal/decision/berylreducer/task_event.go
@@ -184,7 +184,9 @@
 	// StoreFailed is true when the object store did not take the result.
 	StoreFailed bool
 	Result      []byte
-	Object      string
+	// Object and Parts name the objects of a large result.
+	Object string
+	Parts  int
 }
 
 // ReceivePayload tells the handler of a submission to read the body and to post PayloadReceived or PayloadFailed.
@@ -297,7 +299,7 @@
 // StopTask ends a task at its worker.
 type StopTask struct{ Execution beryllatch.Execution }
 
-// CollectResult reads the result of a finished task from its worker and stores a large one as an object.
+// CollectResult reads the result of a finished task from its worker and stores a large one as objects.
 type CollectResult struct {
 	ID      string
 	Fence   uint64
--- a/internal/decision/berylreducer/task_run.go
+++ b/internal/decision/berylreducer/task_run.go
@@ -24,7 +24,9 @@
 	case beryllatch.OutcomeAnswered:
 		r.taskRuns(t)
 	case beryllatch.OutcomeNotSent, beryllatch.OutcomeRefused:
-		t.Refusals++
+		if e.Reason != beryllatch.ReasonPlatformUnavailable {
+			t.Refusals++
+		}
 		t.leaseEnd = 0
 		r.count("task_retry." + string(e.Reason))
 		r.requeue(t, backoff(t))
@@ -81,7 +83,7 @@
 	case e.Refused:
 		// A higher fence means that another node owns the shard.
 		r.readShardsSoon()
-		r.pauseTask(t)
+		r.silent(t)
 	case e.Failed:
 		r.silent(t)
 	default:
@@ -210,7 +212,7 @@
 	case e.WorkerFailed:
 		r.giveUpSilent(t)
 	default:
-		t.Result, t.ResultObject = e.Result, e.Object
+		t.Result, t.ResultObject, t.ResultParts = e.Result, e.Object, e.Parts
 		r.finishTask(t, beryllatch.TaskDone, "")
 	}
 }
--- a/task.go
+++ b/task.go
@@ -46,9 +46,10 @@
 	// PayloadRow marks a body that has a table row of its own; PayloadObject names the object that holds a larger one.
 	PayloadRow    bool   `json:"payload_row,omitempty"`
 	PayloadObject string `json:"payload_object,omitempty"`
-	// Result is the body of the result; ResultObject names the object that holds a larger one.
+	// Result is the body of the result; a larger one is split over ResultParts objects named ResultObject/<part>.
 	Result       []byte `json:"result,omitempty"`
 	ResultObject string `json:"result_object,omitempty"`
+	ResultParts  int    `json:"result_parts,omitempty"`
 	Reason       Reason `json:"reason,omitempty"`
 	// CancelRequested asks the owner to stop the task.
 	CancelRequested bool `json:"cancel_requested,omitempty"`
