--- /dev/null
+++ b/internal/common/berylsettings/doc.go
@@ -0,0 +1,2 @@
+// Package berylsettings declares and checks the settings of the processes.
+package berylsettings
--- /dev/null
+++ b/internal/common/beryltls/files.go
@@ -0,0 +1,119 @@
+package beryltls
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/beryllatch/beryllatch/internal/common/berylsettings"
+	"github.com/rotisserie/eris"
+)
+
+// checkInterval bounds how often the files' modification times are read.
+const checkInterval = time.Second
+
+// Files serves the certificate of a listener and reads its files again after a change.
+type Files struct {
+	names berylsettings.TLSFiles
+
+	mu      sync.Mutex
+	checked time.Time
+	changed [3]time.Time
+	cert    *tls.Certificate
+	ca      *x509.CertPool
+}
+
+// Load reads the files once, so that a bad file is reported at start.
+func Load(names berylsettings.TLSFiles) (*Files, error) {
+	f := &Files{names: names}
+	if err := f.read(); err != nil {
+		return nil, err
+	}
+	return f, nil
+}
+
+// ServerConfig returns the settings of a listener; with certificate authorities, clients must show a certificate.
+func (f *Files) ServerConfig() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS12,
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+			cert, ca := f.current()
+			cfg := &tls.Config{MinVersion: tls.VersionTLS12, Certificates: []tls.Certificate{*cert}}
+			if ca != nil {
+				cfg.ClientAuth, cfg.ClientCAs = tls.RequireAndVerifyClientCert, ca
+			}
+			return cfg, nil
+		},
+	}
+}
+
+// ClientConfig returns the settings of a connection to a peer that shows a certificate of the same authorities.
+func (f *Files) ClientConfig() *tls.Config {
+	_, ca := f.current()
+	return &tls.Config{
+		MinVersion: tls.VersionTLS12,
+		RootCAs:    ca,
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			cert, _ := f.current()
+			return cert, nil
+		},
+	}
+}
+
+// current returns the present certificate; a changed file that cannot be read leaves the old one in use.
+func (f *Files) current() (*tls.Certificate, *x509.CertPool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if time.Since(f.checked) >= checkInterval && f.times() != f.changed {
+		_ = f.readLocked()
+	}
+	return f.cert, f.ca
+}
+
+func (f *Files) read() error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.readLocked()
+}
+
+func (f *Files) readLocked() error {
+	f.checked = time.Now()
+	times := f.times()
+	cert, err := tls.LoadX509KeyPair(f.names.Cert, f.names.Key)
+	if err != nil {
+		return eris.Wrap(err, "load certificate")
+	}
+	ca, err := f.authorities()
+	if err != nil {
+		return err
+	}
+	f.cert, f.ca, f.changed = &cert, ca, times
+	return nil
+}
+
+func (f *Files) authorities() (*x509.CertPool, error) {
+	if f.names.CA == "" {
+		return nil, nil
+	}
+	pem, err := os.ReadFile(f.names.CA)
+	if err != nil {
+		return nil, eris.Wrap(err, "read certificate authorities")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, eris.Errorf("no certificate in %s", f.names.CA)
+	}
+	return pool, nil
+}
+
+func (f *Files) times() [3]time.Time {
+	var out [3]time.Time
+	for n, name := range []string{f.names.Cert, f.names.Key, f.names.CA} {
+		if st, err := os.Stat(name); err == nil {
+			out[n] = st.ModTime()
+		}
+	}
+	return out
+}
--- a/internal/decision/berylreducer/admission.go
+++ b/internal/decision/berylreducer/admission.go
@@ -31,7 +31,7 @@
 func (r *Reducer) requestArrived(e RequestArrived) {
 	q, ok := r.config.Queues[e.Queue]
 	switch {
-	case r.stopping:
+	case r.refusesNew():
 		r.refuseNotRun(e.ID, beryllatch.ReasonNodeStopping, "the node is shutting down")
 		return
 	case !r.mayStart():
--- a/internal/decision/berylreducer/reducer.go
+++ b/internal/decision/berylreducer/reducer.go
@@ -2,10 +2,14 @@
 
 import (
 	"math/rand/v2"
+	"time"
 
 	"github.com/beryllatch/beryllatch"
 )
 
+// lameDuckTime is how long a stopping node still accepts requests, since a balancer sees its readiness late.
+const lameDuckTime = 5 * time.Second
+
 // Reducer holds the state of one node; a single goroutine owns it, and the zero value is ready for Started.
 type Reducer struct {
 	now  Instant
@@ -24,7 +28,9 @@
 	// waiting holds the requests without a worker, by queue, in order of arrival.
 	waiting  map[string][]*request
 	stopping bool
-	ready    bool
+	// stopAt ends the time in which a stopping node still accepts requests.
+	stopAt time.Duration
+	ready  bool
 }
 
 // Reduce applies one event and returns the effects that the node must carry out, in order.
@@ -97,14 +103,21 @@
 }
 
 func (r *Reducer) stopRequested() {
+	if r.stopping {
+		return
+	}
 	r.stopping = true
+	r.stopAt = r.now.Mono + lameDuckTime
 	r.emit(LogState{Subject: "node", From: string(NodeLive), To: string(NodeLeaving)})
 	r.renew()
 	r.stopWhenIdle()
 }
 
+// refusesNew reports whether a stopping node has given the balancer time enough to take it out.
+func (r *Reducer) refusesNew() bool { return r.stopping && r.now.Mono >= r.stopAt }
+
 func (r *Reducer) stopWhenIdle() {
-	if r.stopping && len(r.requests) == 0 {
+	if r.refusesNew() && len(r.requests) == 0 {
 		r.emit(Stop{})
 	}
 }
--- /dev/null
+++ b/internal/node/berylcaller/attempt.go
@@ -0,0 +1,108 @@
+package berylcaller
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/beryllatch/beryllatch"
+	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
+)
+
+// answerLimit is the largest answer that is buffered; a larger one is streamed to the caller.
+const answerLimit = 1 << 20
+
+// answer is a whole buffered answer.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+func (a *answer) write(w http.ResponseWriter) {
+	passAnswer(w.Header(), a.header)
+	w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	w.WriteHeader(a.status)
+	_, _ = w.Write(a.body)
+}
+
+// attempt sends the request to the worker and returns the event that ends the attempt.
+func (x *exchange) attempt(e berylreducer.Dispatch) berylreducer.ExecutionEnded {
+	start := time.Now()
+	ended := berylreducer.ExecutionEnded{ID: e.ID, Attempt: e.Attempt, Outcome: beryllatch.OutcomeAnswered}
+	// The caller's departure must not cut an execution, whose outcome would then be unknown.
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(x.r.Context()), e.AnswerBy.Wall)
+	defer cancel()
+	err := x.execute(ctx, e.Execution)
+	ended.Duration = time.Since(start)
+	ended.Replayable = x.in.body.replayable() && !x.committed
+	var failed *beryllatch.ExecutionError
+	switch {
+	case err == nil:
+		ended.Failed = x.answer != nil && x.answer.status >= http.StatusInternalServerError
+	case errors.As(err, &failed):
+		ended.Outcome, ended.Reason = failed.Outcome, failed.Reason
+	default:
+		ended.Outcome, ended.Reason = beryllatch.OutcomeUnknown, beryllatch.ReasonAnswerLost
+	}
+	return ended
+}
+
+func (x *exchange) execute(ctx context.Context, e beryllatch.Execution) error {
+	x.answer = nil
+	h := http.Header{}
+	passRequest(h, x.r.Header)
+	id := x.in.callerID
+	if id == "" {
+		id = x.in.id
+	}
+	h.Set(headerRequestID, id)
+	if n := x.in.body.length(); n >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(n, 10))
+	}
+	resp, err := x.h.Upstream.Execute(ctx, e, h, x.in.body.reader())
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return x.receive(resp)
+}
+
+// receive buffers a small answer whole; a larger one is passed on as it arrives.
+func (x *exchange) receive(resp *http.Response) error {
+	head, err := io.ReadAll(io.LimitReader(resp.Body, answerLimit+1))
+	if err != nil {
+		return err
+	}
+	if len(head) <= answerLimit {
+		x.answer = &answer{status: resp.StatusCode, header: resp.Header, body: head}
+		return nil
+	}
+	x.committed = true
+	passAnswer(x.w.Header(), resp.Header)
+	if resp.ContentLength >= 0 {
+		x.w.Header().Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
+	}
+	x.w.WriteHeader(resp.StatusCode)
+	// A failed write means that the caller has gone; the answer is read to its end all the same.
+	_, _ = x.w.Write(head)
+	_, err = io.Copy(&lenientWriter{w: x.w}, resp.Body)
+	return err
+}
+
+// lenientWriter drops what a departed caller cannot receive, so that only the worker's errors are seen.
+type lenientWriter struct {
+	w    io.Writer
+	gone bool
+}
+
+func (l *lenientWriter) Write(p []byte) (int, error) {
+	if !l.gone {
+		_, err := l.w.Write(p)
+		l.gone = err != nil
+	}
+	return len(p), nil
+}
--- /dev/null
+++ b/internal/node/berylcaller/doc.go
@@ -0,0 +1,2 @@
+// Package berylcaller serves callers' requests over HTTP.
+package berylcaller
--- /dev/null
+++ b/internal/node/berylcaller/handler.go
@@ -0,0 +1,125 @@
+package berylcaller
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/beryllatch/beryllatch"
+	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
+	"github.com/beryllatch/beryllatch/internal/node/berylproblem"
+	"github.com/gorilla/mux"
+)
+
+// Node is the part of the daemon that the handler uses.
+type Node interface {
+	// Submit posts the arrival of a request; the channel delivers the effects that concern it.
+	Submit(e berylreducer.RequestArrived) <-chan berylreducer.Effect
+	// Post hands an event to the reducer.
+	Post(e berylreducer.Event)
+	// Release forgets the channel of an answered request.
+	Release(id string)
+}
+
+// Handler serves the requests of callers.
+type Handler struct {
+	Node     Node
+	Upstream beryllatch.Upstream
+}
+
+// Register adds the routes of the handler to a router.
+func (h *Handler) Register(r *mux.Router) {
+	r.HandleFunc("/v1/queues/{queue}/requests", h.serveRequest).Methods(http.MethodPost)
+}
+
+func (h *Handler) serveRequest(w http.ResponseWriter, r *http.Request) {
+	in, err := parse(r)
+	w.Header().Set(headerRequestID, in.id)
+	if err != nil {
+		berylproblem.Write(w, in.id, beryllatch.Refusal{
+			Reason: beryllatch.ReasonBadRequest, RunState: beryllatch.RunStateNotRun, Detail: err.Error(),
+		})
+		return
+	}
+	if err := in.body.prefetch(w); err != nil {
+		berylproblem.Write(w, in.id, beryllatch.Refusal{
+			Reason: beryllatch.ReasonBadRequest, RunState: beryllatch.RunStateNotRun, Detail: err.Error(),
+		})
+		return
+	}
+	x := exchange{h: h, w: w, r: r, in: in}
+	effects := h.Node.Submit(in.arrival(r))
+	defer h.Node.Release(in.id)
+	x.run(effects)
+}
+
+// exchange is one request and its answer.
+type exchange struct {
+	h  *Handler
+	w  http.ResponseWriter
+	r  *http.Request
+	in *input
+	// answer is the buffered answer of the last attempt; nil if there is none.
+	answer *answer
+	// committed is true once a part of a streamed answer has been sent to the caller.
+	committed bool
+}
+
+func (x *exchange) run(effects <-chan berylreducer.Effect) {
+	gone := x.r.Context().Done()
+	for {
+		select {
+		case e := <-effects:
+			if x.apply(e) {
+				return
+			}
+		case <-gone:
+			gone = nil
+			x.h.Node.Post(berylreducer.RequestAbandoned{ID: x.in.id})
+			// The reducer answers an abandoned request that still waits by dropping it.
+			if !x.dispatched(effects) {
+				return
+			}
+		}
+	}
+}
+
+// dispatched reports whether an effect of an abandoned request is still to be carried out.
+func (x *exchange) dispatched(effects <-chan berylreducer.Effect) bool {
+	const settle = time.Second
+	select {
+	case e := <-effects:
+		return !x.apply(e)
+	case <-time.After(settle):
+		return false
+	}
+}
+
+// apply carries out one effect and reports whether the exchange has ended.
+func (x *exchange) apply(e berylreducer.Effect) bool {
+	switch e := e.(type) {
+	case berylreducer.Dispatch:
+		x.h.Node.Post(x.attempt(e))
+		return false
+	case berylreducer.Finish:
+		x.finish()
+		return true
+	case berylreducer.Refuse:
+		x.refuse(e.Refusal)
+		return true
+	}
+	return false
+}
+
+func (x *exchange) finish() {
+	if x.answer != nil {
+		x.answer.write(x.w)
+	}
+}
+
+func (x *exchange) refuse(refusal beryllatch.Refusal) {
+	if x.committed {
+		// The caller must not take the part that it has received for a whole answer.
+		panic(http.ErrAbortHandler)
+	}
+	berylproblem.Write(x.w, x.in.id, refusal)
+}
--- /dev/null
+++ b/internal/node/berylcaller/header.go
@@ -0,0 +1,37 @@
+package berylcaller
+
+import (
+	"net/http"
+	"strings"
+)
+
+// connectionHeaders concern a single connection and never cross the system.
+var connectionHeaders = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true, "Te": true,
+	"Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Proxy-Connection": true, "Expect": true,
+	"Content-Length": true,
+}
+
+// testPrefix marks the headers that steer the stand-in worker; they cross the system like any other header.
+const testPrefix = "Beryllatch-Test-"
+
+// passRequest copies the headers that the worker gets: neither secrets nor headers for the system itself.
+func passRequest(dst, src http.Header) {
+	for name, values := range src {
+		own := strings.HasPrefix(name, "Beryllatch-") && !strings.HasPrefix(name, testPrefix)
+		if own || connectionHeaders[name] || name == "Authorization" || name == headerIdempotencyKey {
+			continue
+		}
+		dst[name] = append([]string(nil), values...)
+	}
+}
+
+// passAnswer copies the headers that the caller gets.
+func passAnswer(dst, src http.Header) {
+	for name, values := range src {
+		if strings.HasPrefix(name, "Beryllatch-") || connectionHeaders[name] {
+			continue
+		}
+		dst[name] = append([]string(nil), values...)
+	}
+}
--- /dev/null
+++ b/internal/node/beryldaemon/daemon.go
@@ -0,0 +1,136 @@
+package beryldaemon
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/beryllatch/beryllatch"
+	"github.com/beryllatch/beryllatch/internal/common/berylmetrics"
+	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
+	"github.com/beryllatch/beryllatch/internal/platform/berylconfig"
+	"github.com/phuslu/log"
+)
+
+const (
+	tickInterval = 100 * time.Millisecond
+	// platformTimeout is shorter than the tenure, so that a slow answer does not delay the next renewal beyond it.
+	platformTimeout = 1500 * time.Millisecond
+	// listInterval is how often the instance list is read.
+	listInterval = time.Second
+	// eventBuffer holds the events that wait for the loop; a full buffer slows the posters down.
+	eventBuffer = 4096
+)
+
+// Daemon is one entry node; set the exported fields, then call Run.
+type Daemon struct {
+	Self      berylreducer.Identity
+	Table     beryllatch.Table
+	Objects   beryllatch.ObjectStore
+	Instances beryllatch.InstanceList
+	Tasks     beryllatch.TaskRunner
+	Metrics   *berylmetrics.Registry
+	Log       *log.Logger
+	// Seed seeds the reducer's random choices.
+	Seed uint64
+
+	started time.Time
+	events  chan berylreducer.Event
+	ready   atomic.Bool
+	stop    chan struct{}
+	stopped sync.Once
+	// work counts the goroutines that carry out effects.
+	work sync.WaitGroup
+
+	mu       sync.Mutex
+	requests map[string]chan berylreducer.Effect
+
+	nodeVersion uint64
+	nodeMu      sync.Mutex
+	snapshot    atomic.Pointer[beryllatch.Config]
+}
+
+// Init prepares the daemon; the posting methods may be used from then on.
+func (d *Daemon) Init() {
+	d.started = time.Now()
+	d.events = make(chan berylreducer.Event, eventBuffer)
+	d.stop = make(chan struct{})
+	d.requests = map[string]chan berylreducer.Effect{}
+}
+
+// Run feeds events to the reducer until a graceful shutdown ends or ctx is cancelled.
+func (d *Daemon) Run(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer d.work.Wait()
+	defer cancel()
+	var r berylreducer.Reducer
+	reduce := func(e berylreducer.Event) {
+		for _, x := range r.Reduce(d.now(), e) {
+			d.execute(ctx, x)
+		}
+	}
+	reduce(berylreducer.Started{Self: d.Self, Seed: d.Seed})
+	d.every(ctx, listInterval, d.readInstances)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case e := <-d.events:
+			reduce(e)
+		case <-ticker.C:
+			reduce(berylreducer.Ticked{})
+		case <-d.stop:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Post hands an event to the reducer; it is dropped once the daemon has stopped.
+func (d *Daemon) Post(e berylreducer.Event) {
+	select {
+	case d.events <- e:
+	case <-d.stop:
+	}
+}
+
+// Ready reports whether the balancer may send work to this node.
+func (d *Daemon) Ready() bool { return d.ready.Load() }
+
+// Config returns the configuration in force, nil before the first.
+func (d *Daemon) Config() *beryllatch.Config { return d.snapshot.Load() }
+
+func (d *Daemon) now() berylreducer.Instant {
+	return berylreducer.Instant{Mono: time.Since(d.started), Wall: time.Now().Round(0)}
+}
+
+func (d *Daemon) store() berylconfig.Store { return berylconfig.Store{Table: d.Table} }
+
+// async carries out a blocking call outside the loop, within the platform timeout.
+func (d *Daemon) async(ctx context.Context, f func(ctx context.Context)) {
+	d.work.Go(func() {
+		ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+		defer cancel()
+		f(ctx)
+	})
+}
+
+// every calls f at once and then at the interval until ctx is cancelled.
+func (d *Daemon) every(ctx context.Context, interval time.Duration, f func(ctx context.Context)) {
+	d.work.Go(func() {
+		ticker := time.NewTicker(interval)
+		defer ticker.Stop()
+		for {
+			call, cancel := context.WithTimeout(ctx, platformTimeout)
+			f(call)
+			cancel()
+			select {
+			case <-ticker.C:
+			case <-ctx.Done():
+				return
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/node/beryldaemon/execute.go
@@ -0,0 +1,44 @@
+package beryldaemon
+
+import (
+	"context"
+
+	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
+)
+
+// execute carries out one effect; everything that may block runs outside the loop.
+func (d *Daemon) execute(ctx context.Context, x berylreducer.Effect) {
+	switch x := x.(type) {
+	case berylreducer.RenewTenure:
+		d.async(ctx, func(ctx context.Context) { d.renew(ctx, x) })
+	case berylreducer.ReadConfig:
+		d.async(ctx, d.readConfig)
+	case berylreducer.ReadUnits:
+		d.async(ctx, func(ctx context.Context) { d.readUnits(ctx, x) })
+	case berylreducer.WriteUnits:
+		d.async(ctx, func(ctx context.Context) { d.writeUnits(ctx, x) })
+	case berylreducer.Dispatch:
+		d.deliver(x.ID, x)
+	case berylreducer.Refuse:
+		d.deliver(x.ID, x)
+	case berylreducer.Finish:
+		d.deliver(x.ID, x)
+	case berylreducer.Count:
+		d.Metrics.Count(x.Name, x.N)
+	case berylreducer.LogState:
+		d.logState(x)
+	case berylreducer.SetReady:
+		d.ready.Store(x.Ready)
+		d.Log.Info().Str("subject", "readiness").Bool("to", x.Ready).Msg("state changed")
+	case berylreducer.Stop:
+		d.stopped.Do(func() { close(d.stop) })
+	}
+}
+
+func (d *Daemon) logState(x berylreducer.LogState) {
+	e := d.Log.Info().Str("subject", x.Subject).Str("from", x.From).Str("to", x.To)
+	if x.Detail != "" {
+		e = e.Str("detail", x.Detail)
+	}
+	e.Msg("state changed")
+}
--- /dev/null
+++ b/internal/node/berylproblem/doc.go
@@ -0,0 +1,2 @@
+// Package berylproblem writes refusals as RFC 9457 problem details.
+package berylproblem
--- /dev/null
+++ b/internal/node/berylserver/doc.go
@@ -0,0 +1,2 @@
+// Package berylserver connects a daemon to its listeners and to the platform.
+package berylserver
--- /dev/null
+++ b/internal/platform/berylconfig/doc.go
@@ -0,0 +1,2 @@
+// Package berylconfig stores the configuration document in the platform's table.
+package berylconfig
