--- /dev/null
+++ b/cmd/beryllatchd/doc.go
@@ -0,0 +1,2 @@
+// Command beryllatchd is the entry daemon of beryllatch.
+package main
--- a/internal/node/berylcaller/attempt.go
+++ b/internal/node/berylcaller/attempt.go
@@ -30,11 +30,11 @@
 }
 
 // attempt sends the request to the worker and returns the event that ends the attempt.
-func (x *exchange) attempt(e berylreducer.Dispatch) berylreducer.ExecutionEnded {
+func (x *exchange) attempt(ctx context.Context, e berylreducer.Dispatch) berylreducer.ExecutionEnded {
 	start := time.Now()
 	ended := berylreducer.ExecutionEnded{ID: e.ID, Attempt: e.Attempt, Outcome: beryllatch.OutcomeAnswered}
 	// The caller's departure must not cut an execution, whose outcome would then be unknown.
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(x.r.Context()), e.AnswerBy.Wall)
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), e.AnswerBy.Wall)
 	defer cancel()
 	err := x.execute(ctx, e.Execution)
 	ended.Duration = time.Since(start)
--- a/internal/node/berylcaller/handler.go
+++ b/internal/node/berylcaller/handler.go
@@ -1,6 +1,7 @@
 package berylcaller
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -49,7 +50,7 @@
 	x := exchange{h: h, w: w, r: r, in: in}
 	effects := h.Node.Submit(in.arrival(r))
 	defer h.Node.Release(in.id)
-	x.run(effects)
+	x.run(r.Context(), effects)
 }
 
 // exchange is one request and its answer.
@@ -64,19 +65,19 @@
 	committed bool
 }
 
-func (x *exchange) run(effects <-chan berylreducer.Effect) {
-	gone := x.r.Context().Done()
+func (x *exchange) run(ctx context.Context, effects <-chan berylreducer.Effect) {
+	gone := ctx.Done()
 	for {
 		select {
 		case e := <-effects:
-			if x.apply(e) {
+			if x.apply(ctx, e) {
 				return
 			}
 		case <-gone:
 			gone = nil
 			x.h.Node.Post(berylreducer.RequestAbandoned{ID: x.in.id})
 			// The reducer answers an abandoned request that still waits by dropping it.
-			if !x.dispatched(effects) {
+			if !x.dispatched(ctx, effects) {
 				return
 			}
 		}
@@ -84,21 +85,21 @@
 }
 
 // dispatched reports whether an effect of an abandoned request is still to be carried out.
-func (x *exchange) dispatched(effects <-chan berylreducer.Effect) bool {
+func (x *exchange) dispatched(ctx context.Context, effects <-chan berylreducer.Effect) bool {
 	const settle = time.Second
 	select {
 	case e := <-effects:
-		return !x.apply(e)
+		return !x.apply(ctx, e)
 	case <-time.After(settle):
 		return false
 	}
 }
 
 // apply carries out one effect and reports whether the exchange has ended.
-func (x *exchange) apply(e berylreducer.Effect) bool {
+func (x *exchange) apply(ctx context.Context, e berylreducer.Effect) bool {
 	switch e := e.(type) {
 	case berylreducer.Dispatch:
-		x.h.Node.Post(x.attempt(e))
+		x.h.Node.Post(x.attempt(ctx, e))
 		return false
 	case berylreducer.Finish:
 		x.finish()
--- /dev/null
+++ b/internal/node/berylcaller/handler_test.go
@@ -0,0 +1,238 @@
+package berylcaller
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/beryllatch/beryllatch"
+	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
+	"github.com/beryllatch/beryllatch/internal/node/berylproblem"
+	"github.com/gorilla/mux"
+	"gotest.tools/v3/assert"
+)
+
+// fakeNode dispatches each request until an attempt ends, then finishes or refuses it by the outcome.
+type fakeNode struct {
+	mu      sync.Mutex
+	effects map[string]chan berylreducer.Effect
+	ended   []berylreducer.ExecutionEnded
+	retries int
+}
+
+func (n *fakeNode) Submit(e berylreducer.RequestArrived) <-chan berylreducer.Effect {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	ch := make(chan berylreducer.Effect, 8)
+	n.effects[e.ID] = ch
+	ch <- dispatch(e.ID, 1)
+	return ch
+}
+
+func (n *fakeNode) Post(e berylreducer.Event) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	x, ok := e.(berylreducer.ExecutionEnded)
+	if !ok {
+		return
+	}
+	n.ended = append(n.ended, x)
+	ch := n.effects[x.ID]
+	switch {
+	case x.Outcome == beryllatch.OutcomeAnswered:
+		ch <- berylreducer.Finish{ID: x.ID}
+	case n.retries > 0 && x.Replayable:
+		n.retries--
+		ch <- dispatch(x.ID, x.Attempt+1)
+	default:
+		ch <- berylreducer.Refuse{ID: x.ID, Refusal: beryllatch.Refusal{
+			Reason: x.Reason, RunState: beryllatch.RunStateUnknown,
+		}}
+	}
+}
+
+func (n *fakeNode) Release(string) {}
+
+func dispatch(id string, attempt int) berylreducer.Dispatch {
+	return berylreducer.Dispatch{
+		ID: id, Attempt: attempt, AnswerBy: berylreducer.Instant{Wall: time.Now().Add(time.Minute)},
+	}
+}
+
+// fakeUpstream answers by a function of the body that it got.
+type fakeUpstream func(body []byte) (*http.Response, error)
+
+func (f fakeUpstream) Execute(
+	_ context.Context, _ beryllatch.Execution, _ http.Header, body io.Reader,
+) (*http.Response, error) {
+	b, err := io.ReadAll(body)
+	if err != nil {
+		return nil, err
+	}
+	return f(b)
+}
+
+func respond(body io.Reader, length int64) *http.Response {
+	return &http.Response{
+		StatusCode: http.StatusOK, ContentLength: length, Body: io.NopCloser(body), Header: http.Header{},
+	}
+}
+
+// cutReader delivers n bytes, then fails as a broken connection does.
+type cutReader struct{ n int }
+
+func (c *cutReader) Read(p []byte) (int, error) {
+	if c.n == 0 {
+		return 0, io.ErrUnexpectedEOF
+	}
+	n := min(len(p), c.n)
+	c.n -= n
+	return n, nil
+}
+
+func serve(t *testing.T, n *fakeNode, u fakeUpstream) *httptest.Server {
+	t.Helper()
+	n.effects = map[string]chan berylreducer.Effect{}
+	r := mux.NewRouter()
+	(&Handler{Node: n, Upstream: u}).Register(r)
+	srv := httptest.NewServer(r)
+	t.Cleanup(srv.Close)
+	return srv
+}
+
+func post(t *testing.T, srv *httptest.Server, body io.Reader, headers ...string) (*http.Response, []byte, error) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, srv.URL+"/v1/queues/price/requests", body)
+	assert.NilError(t, err)
+	for n := 0; n < len(headers); n += 2 {
+		req.Header.Add(headers[n], headers[n+1])
+	}
+	resp, err := srv.Client().Do(req)
+	assert.NilError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	return resp, b, err
+}
+
+// Guards against a caller taking a part of an answer for the whole, whether it is buffered or streamed.
+func TestCutAnswer(t *testing.T) {
+	t.Run("buffered", func(t *testing.T) {
+		srv := serve(t, &fakeNode{}, func([]byte) (*http.Response, error) {
+			return respond(&cutReader{n: 100}, 200), nil
+		})
+		resp, b, err := post(t, srv, nil)
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, http.StatusBadGateway)
+		var p berylproblem.Problem
+		assert.NilError(t, json.Unmarshal(b, &p))
+		assert.Equal(t, p.RunState, beryllatch.RunStateUnknown)
+		assert.Equal(t, p.Reason, beryllatch.ReasonAnswerLost)
+	})
+	t.Run("streamed", func(t *testing.T) {
+		for _, length := range []int64{-1, 4 << 20} {
+			srv := serve(t, &fakeNode{}, func([]byte) (*http.Response, error) {
+				return respond(&cutReader{n: 2 << 20}, length), nil
+			})
+			_, _, err := post(t, srv, nil)
+			assert.Assert(t, err != nil, "a cut answer of declared length %d looked whole", length)
+		}
+	})
+}
+
+// Guards against a second attempt that sends an empty or partial body.
+func TestRetrySendsWholeBody(t *testing.T) {
+	body := bytes.Repeat([]byte("x"), replayLimit)
+	var got [][]byte
+	n := &fakeNode{retries: 1}
+	srv := serve(t, n, func(b []byte) (*http.Response, error) {
+		got = append(got, b)
+		if len(got) == 1 {
+			return nil, &beryllatch.ExecutionError{
+				Outcome: beryllatch.OutcomeRefused, Reason: beryllatch.ReasonWorkerRefused, Err: errors.New("full"),
+			}
+		}
+		return respond(strings.NewReader("done"), 4), nil
+	})
+	resp, b, err := post(t, srv, bytes.NewReader(body))
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	assert.Equal(t, string(b), "done")
+	assert.Equal(t, len(got), 2)
+	assert.Assert(t, bytes.Equal(got[1], body))
+}
+
+// Guards against a streamed body being offered for a second attempt after a part of it was read.
+func TestStreamedBodyIsNotReplayable(t *testing.T) {
+	n := &fakeNode{retries: 1}
+	srv := serve(t, n, func([]byte) (*http.Response, error) {
+		return nil, &beryllatch.ExecutionError{
+			Outcome: beryllatch.OutcomeUnknown, Reason: beryllatch.ReasonAnswerLost, Err: errors.New("cut"),
+		}
+	})
+	resp, _, err := post(t, srv, bytes.NewReader(make([]byte, replayLimit+1)))
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusBadGateway)
+	assert.Equal(t, len(n.ended), 1)
+	assert.Assert(t, !n.ended[0].Replayable)
+}
+
+// Guards against ambiguous or malformed control headers being guessed at.
+func TestBadHeaders(t *testing.T) {
+	tests := map[string][]string{
+		"repeated key":        {headerIdempotencyKey, "a", headerIdempotencyKey, "b"},
+		"long key":            {headerIdempotencyKey, strings.Repeat("a", maxKeyLength+1)},
+		"idempotent mark":     {headerIdempotent, "yes"},
+		"negative deadline":   {headerDeadline, "-1"},
+		"deadline not number": {headerDeadline, "soon"},
+		"request id":          {headerRequestID, "a b"},
+		"no bearer":           {"Authorization", "Basic abc"},
+		"empty bearer":        {"Authorization", "Bearer "},
+	}
+	for name, headers := range tests {
+		t.Run(name, func(t *testing.T) {
+			n := &fakeNode{}
+			srv := serve(t, n, nil)
+			resp, b, err := post(t, srv, nil, headers...)
+			assert.NilError(t, err)
+			assert.Equal(t, resp.StatusCode, http.StatusBadRequest)
+			assert.Assert(t, bytes.Contains(b, []byte(`"run_state":"not_run"`)), "%s", b)
+			assert.Equal(t, len(n.effects), 0)
+		})
+	}
+}
+
+// Guards against secrets and control headers reaching a worker.
+func TestPassRequest(t *testing.T) {
+	dst := http.Header{}
+	passRequest(dst, http.Header{
+		"Authorization": {"Bearer x"}, headerIdempotencyKey: {"k"}, headerUrgent: {"true"}, "Connection": {"close"},
+		"X-Order": {"1", "2"}, "Content-Type": {"text/plain"},
+	})
+	assert.DeepEqual(t, dst, http.Header{"X-Order": {"1", "2"}, "Content-Type": {"text/plain"}})
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add("Bearer x", "k", "true", "100", "id")
+	f.Fuzz(func(t *testing.T, auth, key, mark, deadline, id string) {
+		r := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/", nil)
+		r.Header = http.Header{
+			"Authorization": {auth}, headerIdempotencyKey: {key}, headerIdempotent: {mark}, headerDeadline: {deadline},
+			headerRequestID: {id},
+		}
+		in, err := parse(r)
+		if in.id == "" {
+			t.Fatal("no request id")
+		}
+		if err == nil && (in.deadline < 0 || len(in.callerID) > 64) {
+			t.Fatalf("accepted %+v", in)
+		}
+	})
+}
--- /dev/null
+++ b/internal/node/berylserver/build.go
@@ -0,0 +1,82 @@
+package berylserver
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/beryllatch/beryllatch/internal/common/berylmetrics"
+	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
+	"github.com/beryllatch/beryllatch/internal/node/berylcaller"
+	"github.com/beryllatch/beryllatch/internal/node/beryldaemon"
+	"github.com/beryllatch/beryllatch/internal/platform/berylinstance"
+	"github.com/beryllatch/beryllatch/internal/platform/berylobject"
+	"github.com/beryllatch/beryllatch/internal/platform/beryltable"
+	"github.com/beryllatch/beryllatch/internal/upstream/berylworker"
+	"github.com/gorilla/mux"
+)
+
+// handlers serve the four listeners.
+type handlers struct {
+	callers   http.Handler
+	operators http.Handler
+	peers     http.Handler
+	admin     http.Handler
+}
+
+// build makes the daemon, its clients and its handlers.
+func (s *Server) build() handlers {
+	cfg := s.Settings
+	started := time.Now()
+	workers := berylworker.New()
+	metrics := berylmetrics.New()
+	s.daemon = &beryldaemon.Daemon{
+		Self: berylreducer.Identity{
+			Node:        cfg.Node,
+			Incarnation: fmt.Sprintf("%s-%x", cfg.Node, started.UnixNano()),
+			DataCentre:  cfg.DataCentre,
+			PeerAddress: cfg.AdvertiseAddress,
+		},
+		Table: beryltable.New(
+			beryltable.WithEndpoint(cfg.TableEndpoint), beryltable.WithTable(cfg.TableName),
+			beryltable.WithRegion(cfg.PlatformRegion), beryltable.WithCredentials(cfg.PlatformKeyID, cfg.PlatformSecret),
+		),
+		Objects: berylobject.New(
+			berylobject.WithEndpoint(cfg.ObjectEndpoint), berylobject.WithBucket(cfg.ObjectBucket),
+			berylobject.WithRegion(cfg.PlatformRegion), berylobject.WithCredentials(cfg.PlatformKeyID, cfg.PlatformSecret),
+		),
+		Instances: berylinstance.New(berylinstance.WithURL(cfg.InstanceList)),
+		Tasks:     workers,
+		Metrics:   metrics,
+		Log:       s.Log,
+		Seed:      uint64(started.UnixNano()),
+	}
+	s.daemon.Init()
+	callers := mux.NewRouter()
+	(&berylcaller.Handler{Node: s.daemon, Upstream: workers}).Register(callers)
+	return handlers{callers: callers, admin: s.admin(metrics)}
+}
+
+// admin serves metrics, liveness and readiness.
+func (s *Server) admin(metrics http.Handler) http.Handler {
+	r := mux.NewRouter()
+	r.Handle("/metrics", metrics).Methods(http.MethodGet)
+	r.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	r.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !s.daemon.Ready() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+		}
+	})
+	return r
+}
+
+func (s *Server) listeners(h handlers) []listener {
+	cfg := s.Settings
+	all := []listener{
+		{name: "callers", address: cfg.CallersAddress, tls: cfg.CallersTLS, handler: h.callers},
+		{name: "operators", address: cfg.OperatorsAddress, tls: cfg.OperatorsTLS, handler: h.operators},
+		{name: "peers", address: cfg.PeersAddress, tls: cfg.PeersTLS, handler: h.peers},
+		{name: "admin", address: cfg.AdminAddress, handler: h.admin},
+	}
+	return all
+}
--- /dev/null
+++ b/internal/node/berylserver/server.go
@@ -0,0 +1,120 @@
+package berylserver
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/beryllatch/beryllatch/internal/common/berylsettings"
+	"github.com/beryllatch/beryllatch/internal/common/beryltls"
+	"github.com/beryllatch/beryllatch/internal/node/beryldaemon"
+	"github.com/phuslu/log"
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// headerTimeout and maxHeader bound what a slow or hostile sender may hold.
+	headerTimeout = 5 * time.Second
+	maxHeader     = 32 << 10
+	idleTimeout   = 60 * time.Second
+)
+
+// Server is a daemon with its listeners.
+type Server struct {
+	Settings berylsettings.Daemon
+	Log      *log.Logger
+
+	daemon  *beryldaemon.Daemon
+	servers []*http.Server
+}
+
+// Run serves until ctx is cancelled, then shuts down gracefully; it returns an error if a listener cannot start.
+func (s *Server) Run(ctx context.Context) error {
+	parts := s.build()
+	for _, l := range s.listeners(parts) {
+		if err := s.listen(l); err != nil {
+			s.close()
+			return err
+		}
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		// The daemon outlives ctx: a graceful shutdown still needs its loop.
+		s.daemon.Run(context.WithoutCancel(ctx))
+	}()
+	select {
+	case <-ctx.Done():
+		s.stop(ctx, done)
+	case <-done:
+	}
+	s.close()
+	return nil
+}
+
+// stop finishes the running requests, for at most the shutdown timeout.
+func (s *Server) stop(ctx context.Context, done <-chan struct{}) {
+	for _, h := range s.servers {
+		h.SetKeepAlivesEnabled(false)
+	}
+	s.daemon.Stop()
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.Settings.ShutdownTimeout)
+	defer cancel()
+	select {
+	case <-done:
+	case <-ctx.Done():
+		s.Log.Warn().Msg("shutdown timeout: requests are still running")
+	}
+	for _, h := range s.servers {
+		_ = h.Shutdown(ctx)
+	}
+}
+
+func (s *Server) close() {
+	for _, h := range s.servers {
+		_ = h.Close()
+	}
+}
+
+// listener is one address with its handler.
+type listener struct {
+	name    string
+	address string
+	tls     berylsettings.TLSFiles
+	handler http.Handler
+}
+
+func (s *Server) listen(l listener) error {
+	h := &http.Server{
+		Handler: l.handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader, IdleTimeout: idleTimeout,
+	}
+	if l.tls.Enabled() {
+		files, err := beryltls.Load(l.tls)
+		if err != nil {
+			return eris.Wrapf(err, "%s listener", l.name)
+		}
+		h.TLSConfig = files.ServerConfig()
+	}
+	var cfg net.ListenConfig
+	ln, err := cfg.Listen(context.Background(), "tcp", l.address)
+	if err != nil {
+		return eris.Wrapf(err, "%s listener", l.name)
+	}
+	s.servers = append(s.servers, h)
+	go s.serve(h, ln, l.name)
+	s.Log.Info().Str("subject", l.name+" listener").Str("to", "listening").Str("address", ln.Addr().String()).
+		Msg("state changed")
+	return nil
+}
+
+func (s *Server) serve(h *http.Server, ln net.Listener, name string) {
+	serve := func() error { return h.Serve(ln) }
+	if h.TLSConfig != nil {
+		serve = func() error { return h.ServeTLS(ln, "", "") }
+	}
+	if err := serve(); !errors.Is(err, http.ErrServerClosed) {
+		s.Log.Error().Err(err).Msgf("%s listener failed", name)
+	}
+}
