--- /dev/null
+++ b/internal/common/berylconn/probe.go
@@ -0,0 +1,75 @@
+package berylconn
+
+import (
+	"context"
+	"net"
+	"net/http/httptrace"
+	"sync"
+	"time"
+)
+
+// Probe follows one HTTP/1 request over the connections that the transport gives it.
+type Probe struct {
+	// WriteBy is the wall-clock time after which no byte of the request is written; zero means no limit.
+	WriteBy time.Time
+	// Written, if not nil, is called once the whole request has been written.
+	Written func()
+
+	mu      sync.Mutex
+	conn    net.Conn
+	mark    int64
+	earlier bool
+}
+
+// Attach returns a context that makes the transport report to the probe.
+func (p *Probe) Attach(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(i httptrace.GotConnInfo) { p.got(i.Conn) },
+		WroteRequest: func(i httptrace.WroteRequestInfo) {
+			if i.Err == nil && p.Written != nil {
+				p.Written()
+			}
+		},
+	})
+}
+
+// Sent closes the connection of a failed request and tells whether any byte of it may have left.
+// It must not be called for a request that was answered, since its connection may serve another one by then.
+func (p *Probe) Sent() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.earlier || p.sealLocked()
+}
+
+// Close closes the connection of the request.
+func (p *Probe) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.conn != nil {
+		_ = p.conn.Close()
+	}
+}
+
+func (p *Probe) got(c net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	// The transport asks for a second connection only after it has given up the first.
+	p.earlier = p.earlier || p.sealLocked()
+	p.conn = c
+	if counted, ok := c.(*Conn); ok {
+		counted.limit(p.WriteBy)
+		p.mark = counted.count()
+	}
+}
+
+func (p *Probe) sealLocked() bool {
+	if p.conn == nil {
+		return false
+	}
+	c, ok := p.conn.(*Conn)
+	if !ok {
+		// A connection that isn't counted may have carried anything.
+		return true
+	}
+	return c.seal() > p.mark
+}
--- /dev/null
+++ b/internal/platform/berylobject/client.go
@@ -0,0 +1,103 @@
+package berylobject
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/aws/aws-sdk-go-v2/aws"
+	v4 "github.com/aws/aws-sdk-go-v2/aws/signer/v4"
+	"github.com/aws/aws-sdk-go-v2/service/s3"
+	smithyhttp "github.com/aws/smithy-go/transport/http"
+
+	"github.com/beryllatch/beryllatch"
+	"github.com/beryllatch/beryllatch/internal/common/berylconn"
+)
+
+// Client is a beryllatch.ObjectStore; it never repeats a call by itself.
+type Client struct {
+	api *s3.Client
+	cfg settings
+}
+
+var _ beryllatch.ObjectStore = (*Client)(nil)
+
+// New returns a client of the object store.
+func New(opts ...Option) *Client {
+	cfg := defaults()
+	for _, o := range opts {
+		o(&cfg)
+	}
+	return &Client{cfg: cfg, api: s3.New(s3.Options{
+		BaseEndpoint:               aws.String(cfg.endpoint),
+		Region:                     cfg.region,
+		Credentials:                cfg.credentials,
+		HTTPClient:                 cfg.client,
+		Retryer:                    aws.NopRetryer{},
+		UsePathStyle:               true,
+		RequestChecksumCalculation: aws.RequestChecksumCalculationWhenRequired,
+		ResponseChecksumValidation: aws.ResponseChecksumValidationWhenRequired,
+	})}
+}
+
+// NotFoundError reports an object that the store doesn't have.
+type NotFoundError struct{ Name string }
+
+// Error names the object.
+func (e *NotFoundError) Error() string { return fmt.Sprintf("object %q not found", e.Name) }
+
+// Put stores size bytes under the name; an error is *beryllatch.UnavailableError or *beryllatch.UnknownOutcomeError.
+func (c *Client) Put(ctx context.Context, name string, r io.Reader, size int64) error {
+	probe := &berylconn.Probe{}
+	ctx, cancel := context.WithTimeout(probe.Attach(ctx), c.cfg.timeout)
+	defer cancel()
+	_, err := c.api.PutObject(ctx, &s3.PutObjectInput{
+		Bucket:        aws.String(c.cfg.bucket),
+		Key:           aws.String(name),
+		Body:          r,
+		ContentLength: aws.Int64(size),
+	}, s3.WithAPIOptions(v4.SwapComputePayloadSHA256ForUnsignedPayloadMiddleware))
+	if err == nil {
+		return nil
+	}
+	if resp, ok := errors.AsType[*smithyhttp.ResponseError](err); ok && resp.Response != nil {
+		s := resp.HTTPStatusCode()
+		if s == http.StatusServiceUnavailable || (s >= 400 && s < 500 && s != http.StatusRequestTimeout) {
+			return &beryllatch.UnavailableError{Err: err}
+		}
+		return &beryllatch.UnknownOutcomeError{Err: err}
+	}
+	if probe.Sent() {
+		return &beryllatch.UnknownOutcomeError{Err: err}
+	}
+	return &beryllatch.UnavailableError{Err: err}
+}
+
+// Get opens the named object; the caller closes it. An error is *NotFoundError or *beryllatch.UnavailableError.
+func (c *Client) Get(ctx context.Context, name string) (io.ReadCloser, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.timeout)
+	out, err := c.api.GetObject(ctx, &s3.GetObjectInput{Bucket: aws.String(c.cfg.bucket), Key: aws.String(name)})
+	if err != nil {
+		cancel()
+		if resp, ok := errors.AsType[*smithyhttp.ResponseError](err); ok && resp.Response != nil &&
+			resp.HTTPStatusCode() == http.StatusNotFound {
+			return nil, &NotFoundError{Name: name}
+		}
+		return nil, &beryllatch.UnavailableError{Err: err}
+	}
+	return &body{ReadCloser: out.Body, cancel: cancel}, nil
+}
+
+// body ends the call's time limit when the object is closed.
+type body struct {
+	io.ReadCloser
+	cancel context.CancelFunc
+}
+
+// Close ends the transfer.
+func (b *body) Close() error {
+	defer b.cancel()
+	return b.ReadCloser.Close()
+}
--- /dev/null
+++ b/internal/platform/beryltable/client.go
@@ -0,0 +1,152 @@
+package beryltable
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/aws/aws-sdk-go-v2/aws"
+	"github.com/aws/aws-sdk-go-v2/service/dynamodb"
+	"github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
+
+	"github.com/beryllatch/beryllatch"
+	"github.com/beryllatch/beryllatch/internal/common/berylconn"
+)
+
+// Client is a beryllatch.Table; it never repeats a call by itself.
+type Client struct {
+	api *dynamodb.Client
+	cfg settings
+}
+
+var _ beryllatch.Table = (*Client)(nil)
+
+// New returns a client of the table service.
+func New(opts ...Option) *Client {
+	cfg := defaults()
+	for _, o := range opts {
+		o(&cfg)
+	}
+	return &Client{cfg: cfg, api: dynamodb.New(dynamodb.Options{
+		BaseEndpoint: aws.String(cfg.endpoint),
+		Region:       cfg.region,
+		Credentials:  cfg.credentials,
+		HTTPClient:   cfg.client,
+		Retryer:      aws.NopRetryer{},
+	})}
+}
+
+// Get returns the row by a consistent read; a missing row has Version 0.
+func (c *Client) Get(ctx context.Context, k beryllatch.RowKey) (beryllatch.Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.timeout)
+	defer cancel()
+	out, err := c.api.GetItem(ctx, &dynamodb.GetItemInput{
+		TableName:      aws.String(c.cfg.table),
+		Key:            encodeKey(k),
+		ConsistentRead: aws.Bool(true),
+	})
+	if err != nil {
+		return beryllatch.Row{}, &beryllatch.UnavailableError{Err: err}
+	}
+	if len(out.Item) == 0 {
+		return beryllatch.Row{Key: k}, nil
+	}
+	return decodeRow(out.Item)
+}
+
+// Query returns up to limit rows of a partition whose sort key is greater than after; limit 0 means all of them.
+func (c *Client) Query(ctx context.Context, partition, after string, limit int) ([]beryllatch.Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.timeout)
+	defer cancel()
+	in := &dynamodb.QueryInput{
+		TableName:                 aws.String(c.cfg.table),
+		ConsistentRead:            aws.Bool(true),
+		KeyConditionExpression:    aws.String("pk = :p"),
+		ExpressionAttributeValues: map[string]types.AttributeValue{":p": &types.AttributeValueMemberS{Value: partition}},
+	}
+	if after != "" {
+		// The service refuses an empty sort key in an expression.
+		in.KeyConditionExpression = aws.String("pk = :p AND sk > :s")
+		in.ExpressionAttributeValues[":s"] = &types.AttributeValueMemberS{Value: after}
+	}
+	var rows []beryllatch.Row
+	for {
+		if limit > 0 {
+			in.Limit = aws.Int32(int32(min(limit-len(rows), 1000)))
+		}
+		out, err := c.api.Query(ctx, in)
+		if err != nil {
+			return nil, &beryllatch.UnavailableError{Err: err}
+		}
+		for _, item := range out.Items {
+			row, err := decodeRow(item)
+			if err != nil {
+				return nil, err
+			}
+			rows = append(rows, row)
+		}
+		if len(out.LastEvaluatedKey) == 0 || (limit > 0 && len(rows) >= limit) {
+			return rows, nil
+		}
+		in.ExclusiveStartKey = out.LastEvaluatedKey
+	}
+}
+
+// Transact applies all writes or none.
+// Besides the errors of beryllatch.Table it returns *ItemTooLargeError and *TooManyWritesError before anything is sent.
+func (c *Client) Transact(ctx context.Context, writes ...beryllatch.RowWrite) error {
+	if len(writes) == 0 {
+		return nil
+	}
+	if len(writes) > MaxWrites {
+		return &TooManyWritesError{Count: len(writes)}
+	}
+	items := make([]types.TransactWriteItem, len(writes))
+	for i, w := range writes {
+		if n := itemSize(w.Row); n > MaxItemBytes && !w.Delete && !w.CheckOnly {
+			return &ItemTooLargeError{Key: w.Row.Key, Size: n}
+		}
+		items[i] = c.encodeWrite(w)
+	}
+	probe := &berylconn.Probe{}
+	ctx, cancel := context.WithTimeout(probe.Attach(ctx), c.cfg.timeout)
+	defer cancel()
+	_, err := c.api.TransactWriteItems(ctx, &dynamodb.TransactWriteItemsInput{TransactItems: items})
+	if err != nil {
+		return classify(err, probe, writes)
+	}
+	return nil
+}
+
+func (c *Client) encodeWrite(w beryllatch.RowWrite) types.TransactWriteItem {
+	table, cond, values := aws.String(c.cfg.table), aws.String("attribute_not_exists(pk)"), map[string]types.AttributeValue(nil)
+	if w.Expect > 0 {
+		cond = aws.String("ver = :v")
+		values = map[string]types.AttributeValue{":v": number(w.Expect)}
+	}
+	switch {
+	case w.CheckOnly:
+		return types.TransactWriteItem{ConditionCheck: &types.ConditionCheck{
+			TableName: table, Key: encodeKey(w.Row.Key), ConditionExpression: cond, ExpressionAttributeValues: values,
+		}}
+	case w.Delete:
+		return types.TransactWriteItem{Delete: &types.Delete{
+			TableName: table, Key: encodeKey(w.Row.Key), ConditionExpression: cond, ExpressionAttributeValues: values,
+		}}
+	}
+	row := w.Row
+	row.Version = w.Expect + 1
+	return types.TransactWriteItem{Put: &types.Put{
+		TableName: table, Item: encodeRow(row), ConditionExpression: cond, ExpressionAttributeValues: values,
+	}}
+}
+
+// MalformedRowError reports a stored item that isn't a row of this project.
+type MalformedRowError struct {
+	Key       beryllatch.RowKey
+	Attribute string
+}
+
+// Error names the row and the attribute.
+func (e *MalformedRowError) Error() string {
+	return fmt.Sprintf("row %s/%s: attribute %s is missing or malformed", e.Key.Partition, e.Key.Sort, e.Attribute)
+}
--- /dev/null
+++ b/internal/platform/beryltable/doc.go
@@ -0,0 +1,2 @@
+// Package beryltable implements beryllatch.Table over the DynamoDB JSON protocol.
+package beryltable
