--- /dev/null
+++ b/cmd/berylstandin/platform.go
@@ -0,0 +1,65 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+
+	"github.com/phuslu/log"
+
+	"github.com/beryllatch/beryllatch/internal/standin/berylplatform"
+)
+
+// platformCmd holds the settings of the platform stand-in.
+type platformCmd struct {
+	TableAddr     string            `default:"127.0.0.1:8000" help:"Address of the table service."`
+	ObjectsAddr   string            `default:"127.0.0.1:8001" help:"Address of the object store."`
+	InstancesAddr string            `default:"127.0.0.1:8002" help:"Address of the instance list."`
+	ControlAddr   string            `default:"127.0.0.1:8003" help:"Address of the test side: faults, instances, entries."`
+	BalancerAddr  string            `default:"127.0.0.1:8004" help:"Address of the load balancer."`
+	Entry         map[string]string `help:"Entry daemons behind the balancer, as address=admin-address."`
+	Instance      map[string]string `help:"Instances on the list from the start, as address=live or address=leaving."`
+	WriteRate     int               `default:"300" help:"Items written per second before the table refuses."`
+	ReadRate      int               `default:"2000" help:"Items read per second before the table refuses."`
+	Seed          uint64            `default:"1" help:"Seed that decides which calls a fault with a share hits."`
+}
+
+// Run serves until the context ends.
+func (c *platformCmd) Run(ctx context.Context) error {
+	if c.WriteRate < 1 || c.ReadRate < 1 {
+		return errors.New("write-rate and read-rate must be at least 1")
+	}
+	p := berylplatform.New(berylplatform.WithRates(c.WriteRate, c.ReadRate), berylplatform.WithSeed(c.Seed))
+	for address, admin := range c.Entry {
+		p.Balancer().Add(address, admin)
+	}
+	for address, state := range c.Instance {
+		if err := p.SetInstance(address, state, nil); err != nil {
+			return err
+		}
+	}
+	for name, address := range map[string]string{
+		"table": c.TableAddr, "objects": c.ObjectsAddr, "instances": c.InstancesAddr,
+	} {
+		g, err := p.Listen(ctx, name, address)
+		if err != nil {
+			return fmt.Errorf("%s: %w", name, err)
+		}
+		defer func() { _ = g.Close() }()
+		log.Info().Str("service", name).Str("address", g.Address()).Msg("listening")
+	}
+	var cfg net.ListenConfig
+	balancer, err := cfg.Listen(ctx, "tcp", c.BalancerAddr)
+	if err != nil {
+		return fmt.Errorf("balancer: %w", err)
+	}
+	log.Info().Str("service", "balancer").Str("address", balancer.Addr().String()).Msg("listening")
+	failed := make(chan error, 2)
+	go func() { failed <- p.Balancer().Serve(ctx, balancer) }()
+	go func() {
+		failed <- serve(ctx, "control", c.ControlAddr, &http.Server{Handler: p.Control(), ReadHeaderTimeout: headerTimeout})
+	}()
+	return errors.Join(<-failed, <-failed)
+}
--- /dev/null
+++ b/cmd/berylstandin/worker.go
@@ -0,0 +1,49 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/beryllatch/beryllatch/internal/standin/berylupstream"
+)
+
+// workerCmd holds the settings of the worker stand-ins.
+type workerCmd struct {
+	Listen      []string      `default:"127.0.0.1:9000" help:"Addresses; each gets a worker of its own."`
+	Slots       int           `default:"8" help:"Executions and tasks that run at a time."`
+	Connections int           `default:"64" help:"Open connections above which starts are refused."`
+	RunTime     time.Duration `default:"50ms" help:"How long work runs that doesn't say so itself."`
+	RebootTime  time.Duration `default:"2s" help:"How long a reboot takes."`
+	Seed        uint64        `default:"1" help:"Seed that decides which calls a fault with a share hits."`
+}
+
+// Run serves until the context ends or one of the workers fails.
+func (c *workerCmd) Run(ctx context.Context) error {
+	if c.Slots < 1 || c.Connections < 1 {
+		return errors.New("slots and connections must be at least 1")
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	failed := make(chan error, len(c.Listen))
+	for _, address := range c.Listen {
+		k := berylupstream.New(
+			berylupstream.WithName(address), berylupstream.WithSlots(c.Slots),
+			berylupstream.WithConnections(c.Connections), berylupstream.WithRun(c.RunTime),
+			berylupstream.WithReboot(c.RebootTime), berylupstream.WithSeed(c.Seed),
+		)
+		// The idle time exceeds that of the clients, so that no request meets a closing connection.
+		s := &http.Server{Handler: k.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: 2 * time.Minute}
+		k.Configure(s)
+		go func() {
+			failed <- serve(ctx, "worker", address, s)
+			cancel()
+		}()
+	}
+	var err error
+	for range c.Listen {
+		err = errors.Join(err, <-failed)
+	}
+	return err
+}
--- /dev/null
+++ b/internal/standin/berylplatform/doc.go
@@ -0,0 +1,3 @@
+// Package berylplatform is a stand-in for the platform: a table service, an object store, an instance list and a load
+// balancer, all in memory, with faults that are switched on over HTTP.
+package berylplatform
--- /dev/null
+++ b/internal/standin/berylplatform/platform.go
@@ -0,0 +1,101 @@
+package berylplatform
+
+import (
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+
+	"github.com/gorilla/mux"
+)
+
+// Platform is the stand-in with all of its services.
+type Platform struct {
+	cfg       settings
+	table     *table
+	objects   *objects
+	instances *instances
+	balancer  *Balancer
+
+	mu     sync.Mutex
+	faults Faults
+	random *rand.Rand
+	gates  map[string]*Gate
+}
+
+// New returns a platform without rows, objects and instances.
+func New(opts ...Option) *Platform {
+	cfg := defaults()
+	for _, o := range opts {
+		o(&cfg)
+	}
+	return &Platform{
+		cfg:       cfg,
+		table:     newTable(cfg.writes, cfg.reads),
+		objects:   newObjects(),
+		instances: newInstances(),
+		balancer:  newBalancer(cfg.health),
+		random:    rand.New(rand.NewPCG(cfg.seed, 0)),
+		gates:     make(map[string]*Gate),
+	}
+}
+
+// Table serves the DynamoDB JSON protocol.
+func (p *Platform) Table() http.Handler { return p.faulty(serviceTable, p.table) }
+
+// Objects serves the S3 REST protocol.
+func (p *Platform) Objects() http.Handler { return p.faulty(serviceObjects, p.objects) }
+
+// Instances serves the instance list under /instances.
+func (p *Platform) Instances() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/instances", p.instances.list).Methods(http.MethodGet)
+	return p.faulty(serviceInstances, r)
+}
+
+// Balancer returns the load balancer over the entry daemons.
+func (p *Platform) Balancer() *Balancer { return p.balancer }
+
+// Control serves the test side: faults, instances and entry daemons.
+func (p *Platform) Control() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/faults", p.getFaults).Methods(http.MethodGet)
+	r.HandleFunc("/faults", p.putFaults).Methods(http.MethodPut)
+	r.HandleFunc("/instances/{address}", p.instances.put).Methods(http.MethodPut)
+	r.HandleFunc("/instances/{address}", p.instances.remove).Methods(http.MethodDelete)
+	r.HandleFunc("/entries/{address}", p.balancer.put).Methods(http.MethodPut)
+	r.HandleFunc("/entries/{address}", p.balancer.remove).Methods(http.MethodDelete)
+	r.HandleFunc("/entries", p.balancer.list).Methods(http.MethodGet)
+	return r
+}
+
+// maxControlBytes bounds the body of a call on the test side.
+const maxControlBytes = 1 << 20
+
+// decodeStrict reads a JSON body and refuses unknown fields and trailing data.
+func decodeStrict(w http.ResponseWriter, r *http.Request, v any) bool {
+	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxControlBytes))
+	d.DisallowUnknownFields()
+	err := d.Decode(v)
+	if err == nil && d.More() {
+		err = errors.New("more than one JSON value")
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func writeJSON(w http.ResponseWriter, status int, contentType string, v any) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", contentType)
+	w.WriteHeader(status)
+	// The client may be gone; its call has had its effect all the same.
+	_, _ = w.Write(b)
+}
--- /dev/null
+++ b/internal/standin/berylupstream/worker.go
@@ -0,0 +1,170 @@
+package berylupstream
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/gorilla/mux"
+
+	"github.com/beryllatch/beryllatch"
+	"github.com/beryllatch/beryllatch/internal/upstream/berylworker"
+)
+
+// Worker is one stand-in worker.
+type Worker struct {
+	cfg settings
+
+	mu        sync.Mutex
+	bootID    string
+	rebooting bool
+	leaving   bool
+	running   int
+	open      int
+	tasks     map[string]*task
+	record    []*Start
+	faults    Faults
+	random    *rand.Rand
+	// changed is closed when the faults change.
+	changed chan struct{}
+	// waiting is the answer that waits for another one to be exchanged with.
+	waiting *crossing
+}
+
+// New returns an idle worker.
+func New(opts ...Option) *Worker {
+	cfg := defaults()
+	for _, o := range opts {
+		o(&cfg)
+	}
+	return &Worker{
+		cfg:     cfg,
+		bootID:  uuid.NewString(),
+		tasks:   make(map[string]*task),
+		random:  rand.New(rand.NewPCG(cfg.seed, 0)),
+		changed: make(chan struct{}),
+	}
+}
+
+// Handler serves the worker protocol and the test side.
+func (k *Worker) Handler() http.Handler {
+	r := mux.NewRouter()
+	v1 := r.PathPrefix("/v1").Subrouter()
+	v1.Use(k.guard)
+	v1.HandleFunc("/executions", k.execute).Methods(http.MethodPost)
+	v1.HandleFunc("/tasks/{id}", k.startTask).Methods(http.MethodPut)
+	v1.HandleFunc("/tasks/{id}", k.reportTask).Methods(http.MethodGet)
+	v1.HandleFunc("/tasks/{id}", k.stopTask).Methods(http.MethodDelete)
+	v1.HandleFunc("/tasks/{id}/lease", k.renewTask).Methods(http.MethodPost)
+	v1.HandleFunc("/tasks/{id}/result", k.taskResult).Methods(http.MethodGet)
+	v1.HandleFunc("/tasks/{id}/checkpoint", k.checkpointTask).Methods(http.MethodPost)
+	v1.HandleFunc("/tasks/{id}/throttle", k.throttleTask).Methods(http.MethodPost)
+	v1.HandleFunc("/status", k.status).Methods(http.MethodGet)
+	v1.HandleFunc("/reboot", k.reboot).Methods(http.MethodPost)
+	r.HandleFunc("/record", k.getRecord).Methods(http.MethodGet)
+	r.HandleFunc("/record", k.clearRecord).Methods(http.MethodDelete)
+	r.HandleFunc("/faults", k.getFaults).Methods(http.MethodGet)
+	r.HandleFunc("/faults", k.putFaults).Methods(http.MethodPut)
+	r.HandleFunc("/leaving", k.putLeaving).Methods(http.MethodPut)
+	return r
+}
+
+// Configure makes the server count connections, so that starts on surplus ones are refused.
+func (k *Worker) Configure(s *http.Server) {
+	s.ConnContext = func(ctx context.Context, _ net.Conn) context.Context {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		k.open++
+		return context.WithValue(ctx, surplusKey{}, k.open > k.cfg.connections)
+	}
+	s.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateClosed || state == http.StateHijacked {
+			k.mu.Lock()
+			k.open--
+			k.mu.Unlock()
+		}
+	}
+}
+
+// Report returns what GET /v1/status answers.
+func (k *Worker) Report() beryllatch.WorkerReport {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return beryllatch.WorkerReport{BootID: k.bootID, Slots: k.cfg.slots, Running: k.running, Leaving: k.leaving}
+}
+
+// SetLeaving sets whether the worker is about to leave; a leaving worker refuses every start.
+func (k *Worker) SetLeaving(leaving bool) {
+	k.mu.Lock()
+	k.leaving = leaving
+	k.mu.Unlock()
+}
+
+// surplusKey marks the context of a connection beyond the limit.
+type surplusKey struct{}
+
+// guard echoes the execution id on every answer and answers for a worker that is rebooting.
+func (k *Worker) guard(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(berylworker.HeaderExecutionID, r.Header.Get(berylworker.HeaderExecutionID))
+		k.mu.Lock()
+		rebooting := k.rebooting
+		k.mu.Unlock()
+		start := r.URL.Path == berylworker.PathExecutions || r.Method == http.MethodPut
+		if rebooting && !start {
+			// Only a refused start says "not run"; the work that another call is about may have run before.
+			problem(w, http.StatusServiceUnavailable, "rebooting", "the worker is rebooting")
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (k *Worker) status(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, k.Report())
+}
+
+func (k *Worker) reboot(w http.ResponseWriter, _ *http.Request) {
+	k.mu.Lock()
+	if k.running > 0 || k.rebooting {
+		k.mu.Unlock()
+		refuse(w, http.StatusConflict, "busy", "work is running")
+		return
+	}
+	k.rebooting = true
+	k.mu.Unlock()
+	time.AfterFunc(k.cfg.reboot, func() {
+		k.mu.Lock()
+		k.rebooting, k.bootID = false, uuid.NewString()
+		k.mu.Unlock()
+	})
+	writeJSON(w, http.StatusAccepted, k.Report())
+}
+
+func (k *Worker) putLeaving(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Leaving bool `json:"leaving"`
+	}
+	if !decodeStrict(w, r, &body) {
+		return
+	}
+	k.SetLeaving(body.Leaving)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// The client may be gone; its call has had its effect all the same.
+	_, _ = w.Write(b)
+}
--- /dev/null
+++ b/internal/upstream/berylworker/protocol.go
@@ -0,0 +1,21 @@
+package berylworker
+
+// The headers of the worker protocol.
+const (
+	HeaderExecutionID = "Beryllatch-Execution-Id"
+	HeaderStartBy     = "Beryllatch-Start-By"
+	HeaderLeaseExpiry = "Beryllatch-Lease-Expiry"
+	HeaderTeam        = "Beryllatch-Team"
+	HeaderQueue       = "Beryllatch-Queue"
+	HeaderFence       = "Beryllatch-Fence"
+	HeaderRequestID   = "Beryllatch-Request-Id"
+	HeaderRunState    = "Beryllatch-Run-State"
+)
+
+// The paths of the worker protocol.
+const (
+	PathExecutions = "/v1/executions"
+	PathTasks      = "/v1/tasks/"
+	PathStatus     = "/v1/status"
+	PathReboot     = "/v1/reboot"
+)
--- /dev/null
+++ b/internal/upstream/berylworker/task.go
@@ -0,0 +1,134 @@
+package berylworker
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/beryllatch/beryllatch"
+)
+
+// maxReportBytes bounds a worker's report.
+const maxReportBytes = 64 << 10
+
+// StartTask starts the task under the execution's lease and fence, and returns once the worker has accepted it.
+func (c *Client) StartTask(ctx context.Context, e beryllatch.Execution, body io.Reader) error {
+	x := c.taskCall(http.MethodPut, e.Address, e.ID, "")
+	x.header, x.body, x.expect, x.startBy = executionHeader(e, nil), body, true, e.StartBy
+	if !e.StartBy.IsZero() {
+		x.answerBy = e.StartBy.Add(c.cfg.callTimeout)
+	}
+	_, err := call[beryllatch.TaskReport](ctx, c, x)
+	return err
+}
+
+// RenewTask extends the lease of a running task.
+func (c *Client) RenewTask(ctx context.Context, e beryllatch.Execution) (beryllatch.TaskReport, error) {
+	x := c.taskCall(http.MethodPost, e.Address, e.ID, "/lease")
+	x.header = executionHeader(e, nil)
+	return call[beryllatch.TaskReport](ctx, c, x)
+}
+
+// ReportTask asks for the state of a task.
+func (c *Client) ReportTask(ctx context.Context, address, id string) (beryllatch.TaskReport, error) {
+	return call[beryllatch.TaskReport](ctx, c, c.taskCall(http.MethodGet, address, id, ""))
+}
+
+// StopTask ends a task; a task that has never been seen will be refused from then on.
+func (c *Client) StopTask(ctx context.Context, e beryllatch.Execution) (beryllatch.TaskReport, error) {
+	x := c.taskCall(http.MethodDelete, e.Address, e.ID, "")
+	x.header = executionHeader(e, nil)
+	return call[beryllatch.TaskReport](ctx, c, x)
+}
+
+// CheckpointTask asks the worker to save the progress of a running task.
+func (c *Client) CheckpointTask(ctx context.Context, e beryllatch.Execution) (beryllatch.TaskReport, error) {
+	x := c.taskCall(http.MethodPost, e.Address, e.ID, "/checkpoint")
+	x.header = executionHeader(e, nil)
+	return call[beryllatch.TaskReport](ctx, c, x)
+}
+
+// ThrottleTask asks the worker to run a task at the given share of its speed, above 0 and at most 1.
+func (c *Client) ThrottleTask(
+	ctx context.Context, e beryllatch.Execution, share float64,
+) (beryllatch.TaskReport, error) {
+	x := c.taskCall(http.MethodPost, e.Address, e.ID, "/throttle")
+	x.header = executionHeader(e, nil)
+	r, w := io.Pipe()
+	defer func() { _ = r.Close() }()
+	go func() { _ = w.CloseWithError(json.NewEncoder(w).Encode(map[string]float64{"share": share})) }()
+	x.body = r
+	return call[beryllatch.TaskReport](ctx, c, x)
+}
+
+// TaskResult opens the result of a finished task; the caller closes it.
+// The call's time limit doesn't apply to it, since a result may be large; the caller's context does.
+func (c *Client) TaskResult(ctx context.Context, address, id string) (io.ReadCloser, error) {
+	x := c.taskCall(http.MethodGet, address, id, "/result")
+	x.answerBy = time.Time{}
+	resp, err := c.do(ctx, x)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, unexpected(statusError(resp))
+	}
+	return resp.Body, nil
+}
+
+// ReportWorker asks for the state of a worker.
+func (c *Client) ReportWorker(ctx context.Context, address string) (beryllatch.WorkerReport, error) {
+	return call[beryllatch.WorkerReport](ctx, c, exchange{
+		method: http.MethodGet, address: address, path: PathStatus, id: "status", answerBy: c.callLimit(),
+	})
+}
+
+// RebootWorker asks a drained worker to reboot.
+func (c *Client) RebootWorker(ctx context.Context, address string) error {
+	_, err := call[beryllatch.WorkerReport](ctx, c, exchange{
+		method: http.MethodPost, address: address, path: PathReboot, id: "reboot", answerBy: c.callLimit(),
+	})
+	return err
+}
+
+func (c *Client) taskCall(method, address, id, action string) exchange {
+	return exchange{
+		method: method, address: address, path: PathTasks + id + action,
+		rawPath: PathTasks + url.PathEscape(id) + action, id: id, answerBy: c.callLimit(),
+	}
+}
+
+func (c *Client) callLimit() time.Time { return time.Now().Add(c.cfg.callTimeout) }
+
+// call sends the request and decodes the report that answers it.
+func call[T any](ctx context.Context, c *Client, x exchange) (T, error) {
+	var report T
+	resp, err := c.do(ctx, x)
+	if err != nil {
+		return report, err
+	}
+	if resp.StatusCode < 200 || resp.StatusCode > 299 {
+		return report, unexpected(statusError(resp))
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(io.LimitReader(resp.Body, maxReportBytes))
+	if err != nil {
+		return report, err
+	}
+	if err := json.Unmarshal(b, &report); err != nil {
+		return report, &beryllatch.ExecutionError{
+			Outcome: beryllatch.OutcomeUnknown, Reason: beryllatch.ReasonAnswerLost, Err: err,
+		}
+	}
+	return report, nil
+}
+
+// unexpected reports a failed call whose answer doesn't say that the work was not run.
+func unexpected(err error) error {
+	return &beryllatch.ExecutionError{
+		Outcome: beryllatch.OutcomeUnknown, Reason: beryllatch.ReasonWorkerRefused, Err: err,
+	}
+}
