--- a/cmd/berylstandin/platform.go
+++ b/cmd/berylstandin/platform.go
@@ -41,7 +41,8 @@
 		}
 	}
 	for name, address := range map[string]string{
-		"table": c.TableAddr, "objects": c.ObjectsAddr, "instances": c.InstancesAddr,
+		berylplatform.ServiceTable: c.TableAddr, berylplatform.ServiceObjects: c.ObjectsAddr,
+		berylplatform.ServiceInstances: c.InstancesAddr,
 	} {
 		g, err := p.Listen(ctx, name, address)
 		if err != nil {
--- a/internal/common/berylconn/doc.go
+++ b/internal/common/berylconn/doc.go
@@ -1,2 +1,2 @@
-// Package berylconn tells whether a failed HTTP request can have put a byte on the wire.
+// Package berylconn tells whether a failed HTTP request may have sent any byte.
 package berylconn
--- a/internal/standin/berylplatform/faults.go
+++ b/internal/standin/berylplatform/faults.go
@@ -2,11 +2,11 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"maps"
 	"net/http"
-	"net/http/httptest"
 	"time"
 )
 
@@ -37,10 +37,11 @@
 	OutageUnavailable = "unavailable"
 )
 
+// The names of the services that Listen serves.
 const (
-	serviceTable     = "table"
-	serviceObjects   = "objects"
-	serviceInstances = "instances"
+	ServiceTable     = "table"
+	ServiceObjects   = "objects"
+	ServiceInstances = "instances"
 )
 
 // Faults returns the faults in force.
@@ -51,16 +52,18 @@
 }
 
 // SetFaults replaces the faults in force; an error names the field that is out of range.
-func (p *Platform) SetFaults(f Faults) error {
+func (p *Platform) SetFaults(ctx context.Context, f Faults) error {
 	if f.ListLagMS < 0 {
 		return fmt.Errorf("list_lag_ms must not be negative, got %d", f.ListLagMS)
 	}
-	byName := map[string]ServiceFaults{serviceTable: f.Table, serviceObjects: f.Objects, serviceInstances: f.Instances}
-	for _, name := range []string{serviceTable, serviceObjects, serviceInstances} {
+	byName := map[string]ServiceFaults{ServiceTable: f.Table, ServiceObjects: f.Objects, ServiceInstances: f.Instances}
+	for _, name := range []string{ServiceTable, ServiceObjects, ServiceInstances} {
 		if err := byName[name].validate(name); err != nil {
 			return err
 		}
 	}
+	p.setting.Lock()
+	defer p.setting.Unlock()
 	p.mu.Lock()
 	p.faults = f
 	gates := make(map[*Gate]bool, len(p.gates))
@@ -70,7 +73,7 @@
 	p.mu.Unlock()
 	p.instances.setLag(time.Duration(f.ListLagMS) * time.Millisecond)
 	for g, shut := range gates {
-		if err := g.Set(shut); err != nil {
+		if err := g.set(ctx, shut); err != nil {
 			return err
 		}
 	}
@@ -100,7 +103,7 @@
 	if !decodeStrict(w, r, &f) {
 		return
 	}
-	if err := p.SetFaults(f); err != nil {
+	if err := p.SetFaults(r.Context(), f); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
@@ -111,9 +114,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	switch name {
-	case serviceTable:
+	case ServiceTable:
 		return p.faults.Table
-	case serviceObjects:
+	case ServiceObjects:
 		return p.faults.Objects
 	}
 	return p.faults.Instances
@@ -124,7 +127,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	f := &p.faults.Table
-	if name == serviceObjects {
+	if name == ServiceObjects {
 		f = &p.faults.Objects
 	}
 	if f.AnswerLostNext > 0 {
@@ -160,24 +163,40 @@
 			h.ServeHTTP(w, r)
 			return
 		}
-		rec := httptest.NewRecorder()
-		h.ServeHTTP(rec, r)
-		if rec.Code < 300 && p.loseAnswer(name) {
+		a := &heldAnswer{header: make(http.Header), status: http.StatusOK}
+		h.ServeHTTP(a, r)
+		if a.status < 300 && p.loseAnswer(name) {
 			panic(http.ErrAbortHandler)
 		}
-		maps.Copy(w.Header(), rec.Header())
-		w.WriteHeader(rec.Code)
-		_, _ = w.Write(rec.Body.Bytes())
+		maps.Copy(w.Header(), a.header)
+		w.WriteHeader(a.status)
+		_, _ = w.Write(a.body.Bytes())
 	})
 }
 
+// heldAnswer keeps an answer until it is known whether it is lost.
+type heldAnswer struct {
+	header http.Header
+	status int
+	body   bytes.Buffer
+}
+
+// Header returns the answer's header.
+func (a *heldAnswer) Header() http.Header { return a.header }
+
+// WriteHeader keeps the status.
+func (a *heldAnswer) WriteHeader(status int) { a.status = status }
+
+// Write keeps a part of the body.
+func (a *heldAnswer) Write(b []byte) (int, error) { return a.body.Write(b) }
+
 func isWrite(name string, r *http.Request) bool {
-	if name == serviceTable {
+	if name == ServiceTable {
 		switch operation(r) {
 		case "TransactWriteItems", "PutItem", "DeleteItem", "UpdateItem":
 			return true
 		}
 		return false
 	}
-	return name == serviceObjects && r.Method == http.MethodPut
+	return name == ServiceObjects && r.Method == http.MethodPut
 }
--- a/internal/standin/berylplatform/gate.go
+++ b/internal/standin/berylplatform/gate.go
@@ -18,10 +18,10 @@
 	server  *http.Server
 }
 
-// Listen serves the named service of the platform ("table", "objects" or "instances") on the address.
+// Listen serves the named service on the address.
 func (p *Platform) Listen(ctx context.Context, name, address string) (*Gate, error) {
 	handlers := map[string]http.Handler{
-		serviceTable: p.Table(), serviceObjects: p.Objects(), serviceInstances: p.Instances(),
+		ServiceTable: p.Table(), ServiceObjects: p.Objects(), ServiceInstances: p.Instances(),
 	}
 	h, ok := handlers[name]
 	if !ok {
@@ -44,14 +44,6 @@
 	return g.address
 }
 
-// Set shuts or opens the gate; shutting it cuts its connections.
-func (g *Gate) Set(shut bool) error {
-	if shut {
-		return g.Close()
-	}
-	return g.open(context.Background())
-}
-
 // Close stops listening and cuts the connections.
 func (g *Gate) Close() error {
 	g.mu.Lock()
@@ -64,6 +56,13 @@
 	return err
 }
 
+func (g *Gate) set(ctx context.Context, shut bool) error {
+	if shut {
+		return g.Close()
+	}
+	return g.open(ctx)
+}
+
 func (g *Gate) open(ctx context.Context) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/standin/berylplatform/platform.go
+++ b/internal/standin/berylplatform/platform.go
@@ -18,6 +18,9 @@
 	instances *instances
 	balancer  *Balancer
 
+	// setting keeps two changes of the faults from mixing their outages.
+	setting sync.Mutex
+
 	mu     sync.Mutex
 	faults Faults
 	random *rand.Rand
@@ -42,16 +45,16 @@
 }
 
 // Table serves the DynamoDB JSON protocol.
-func (p *Platform) Table() http.Handler { return p.faulty(serviceTable, p.table) }
+func (p *Platform) Table() http.Handler { return p.faulty(ServiceTable, p.table) }
 
 // Objects serves the S3 REST protocol.
-func (p *Platform) Objects() http.Handler { return p.faulty(serviceObjects, p.objects) }
+func (p *Platform) Objects() http.Handler { return p.faulty(ServiceObjects, p.objects) }
 
 // Instances serves the instance list under /instances.
 func (p *Platform) Instances() http.Handler {
 	r := mux.NewRouter()
 	r.HandleFunc("/instances", p.instances.list).Methods(http.MethodGet)
-	return p.faulty(serviceInstances, r)
+	return p.faulty(ServiceInstances, r)
 }
 
 // Balancer returns the load balancer over the entry daemons.
--- a/internal/upstream/berylworker/client.go
+++ b/internal/upstream/berylworker/client.go
@@ -40,10 +40,11 @@
 ) (*http.Response, error) {
 	x := exchange{
 		method: http.MethodPost, address: e.Address, path: PathExecutions, id: e.ID,
-		header: executionHeader(e, h), body: body, expect: true, startBy: e.StartBy,
+		header: executionHeader(e, h), body: body, expect: true,
+		startBy: wall(e.StartBy),
 	}
 	if !e.LeaseExpiry.IsZero() {
-		x.answerBy = e.LeaseExpiry.Add(c.cfg.skew)
+		x.answerBy = wall(e.LeaseExpiry).Add(c.cfg.skew)
 	}
 	return c.do(ctx, x)
 }
@@ -76,6 +77,9 @@
 	return out
 }
 
+// wall drops the monotonic reading, which stands still while a machine is suspended.
+func wall(t time.Time) time.Time { return t.Round(0) }
+
 func formatTime(t time.Time) string {
 	if t.IsZero() {
 		return ""
--- a/internal/upstream/berylworker/task.go
+++ b/internal/upstream/berylworker/task.go
@@ -17,9 +17,9 @@
 // StartTask starts the task under the execution's lease and fence, and returns once the worker has accepted it.
 func (c *Client) StartTask(ctx context.Context, e beryllatch.Execution, body io.Reader) error {
 	x := c.taskCall(http.MethodPut, e.Address, e.ID, "")
-	x.header, x.body, x.expect, x.startBy = executionHeader(e, nil), body, true, e.StartBy
+	x.header, x.body, x.expect, x.startBy = executionHeader(e, nil), body, true, wall(e.StartBy)
 	if !e.StartBy.IsZero() {
-		x.answerBy = e.StartBy.Add(c.cfg.callTimeout)
+		x.answerBy = x.startBy.Add(c.cfg.callTimeout)
 	}
 	_, err := call[beryllatch.TaskReport](ctx, c, x)
 	return err
