--- /dev/null
+++ b/internal/platform/berylcall/doc.go
@@ -0,0 +1,2 @@
+// Package berylcall tells whether a failed call through the AWS SDK may have taken effect.
+package berylcall
--- /dev/null
+++ b/internal/platform/berylcall/outcome.go
@@ -0,0 +1,36 @@
+package berylcall
+
+import (
+	"errors"
+	"net/http"
+
+	smithyhttp "github.com/aws/smithy-go/transport/http"
+
+	"github.com/beryllatch/beryllatch"
+	"github.com/beryllatch/beryllatch/internal/common/berylconn"
+)
+
+// Outcome wraps the error of a failed write as *beryllatch.UnavailableError or *beryllatch.UnknownOutcomeError.
+func Outcome(err error, probe *berylconn.Probe) error {
+	status := Status(err)
+	if refused(status) || (status == 0 && !probe.Sent()) {
+		return &beryllatch.UnavailableError{Err: err}
+	}
+	return &beryllatch.UnknownOutcomeError{Err: err}
+}
+
+// Status returns the status of the answer that the error reports; 0 if there was no answer.
+func Status(err error) int {
+	// The SDK reports a failed connection as an answer with status 0.
+	resp, ok := errors.AsType[*smithyhttp.ResponseError](err)
+	if !ok || resp.Response == nil {
+		return 0
+	}
+	return resp.HTTPStatusCode()
+}
+
+// refused tells whether the status says that the call was not carried out; 408 says only that it took too long.
+func refused(status int) bool {
+	return status == http.StatusServiceUnavailable ||
+		(status >= 400 && status < 500 && status != http.StatusRequestTimeout)
+}
--- /dev/null
+++ b/internal/platform/berylinstance/client_test.go
@@ -0,0 +1,46 @@
+package berylinstance_test
+
+import (
+	"errors"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/beryllatch/beryllatch"
+	"github.com/beryllatch/beryllatch/internal/platform/berylinstance"
+	"github.com/beryllatch/beryllatch/internal/standin/berylplatform"
+)
+
+// Guards against an outage of the list that looks like an empty fleet.
+func TestInstances(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		outage string
+	}{
+		{"serving", ""},
+		{"refused", berylplatform.OutageRefuse},
+		{"503", berylplatform.OutageUnavailable},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			p := berylplatform.New()
+			assert.NilError(t, p.SetInstance("10.0.0.1:80", berylinstance.StateLive, nil))
+			assert.NilError(t, p.SetInstance("10.0.0.2:80", berylinstance.StateLeaving, nil))
+			g, err := p.Listen(t.Context(), berylplatform.ServiceInstances, "127.0.0.1:0")
+			assert.NilError(t, err)
+			defer func() { assert.NilError(t, g.Close()) }()
+			f := berylplatform.Faults{Instances: berylplatform.ServiceFaults{Outage: tc.outage}}
+			assert.NilError(t, p.SetFaults(t.Context(), f))
+			got, err := berylinstance.New(berylinstance.WithURL("http://" + g.Address() + "/instances")).Instances(t.Context())
+			if tc.outage != "" {
+				_, ok := errors.AsType[*beryllatch.UnavailableError](err)
+				assert.Assert(t, ok, "got %v", err)
+				return
+			}
+			assert.NilError(t, err)
+			assert.DeepEqual(t, got, map[string]beryllatch.InstanceStatus{
+				"10.0.0.1:80": {Address: "10.0.0.1:80"},
+				"10.0.0.2:80": {Address: "10.0.0.2:80", Leaving: true},
+			})
+		})
+	}
+}
--- a/internal/platform/berylobject/client.go
+++ b/internal/platform/berylobject/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -10,10 +9,10 @@
 	"github.com/aws/aws-sdk-go-v2/aws"
 	v4 "github.com/aws/aws-sdk-go-v2/aws/signer/v4"
 	"github.com/aws/aws-sdk-go-v2/service/s3"
-	smithyhttp "github.com/aws/smithy-go/transport/http"
 
 	"github.com/beryllatch/beryllatch"
 	"github.com/beryllatch/beryllatch/internal/common/berylconn"
+	"github.com/beryllatch/beryllatch/internal/platform/berylcall"
 )
 
 // Client is a beryllatch.ObjectStore; it never repeats a call by itself.
@@ -62,17 +61,7 @@
 	if err == nil {
 		return nil
 	}
-	if resp, ok := errors.AsType[*smithyhttp.ResponseError](err); ok && resp.Response != nil {
-		s := resp.HTTPStatusCode()
-		if s == http.StatusServiceUnavailable || (s >= 400 && s < 500 && s != http.StatusRequestTimeout) {
-			return &beryllatch.UnavailableError{Err: err}
-		}
-		return &beryllatch.UnknownOutcomeError{Err: err}
-	}
-	if probe.Sent() {
-		return &beryllatch.UnknownOutcomeError{Err: err}
-	}
-	return &beryllatch.UnavailableError{Err: err}
+	return berylcall.Outcome(err, probe)
 }
 
 // Get opens the named object; the caller closes it. An error is *NotFoundError or *beryllatch.UnavailableError.
@@ -81,8 +70,7 @@
 	out, err := c.api.GetObject(ctx, &s3.GetObjectInput{Bucket: aws.String(c.cfg.bucket), Key: aws.String(name)})
 	if err != nil {
 		cancel()
-		if resp, ok := errors.AsType[*smithyhttp.ResponseError](err); ok && resp.Response != nil &&
-			resp.HTTPStatusCode() == http.StatusNotFound {
+		if berylcall.Status(err) == http.StatusNotFound {
 			return nil, &NotFoundError{Name: name}
 		}
 		return nil, &beryllatch.UnavailableError{Err: err}
--- /dev/null
+++ b/internal/platform/berylobject/client_test.go
@@ -0,0 +1,86 @@
+package berylobject_test
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/beryllatch/beryllatch"
+	"github.com/beryllatch/beryllatch/internal/platform/berylobject"
+	"github.com/beryllatch/beryllatch/internal/standin/berylplatform"
+)
+
+func newStore(t *testing.T, p *berylplatform.Platform) *berylobject.Client {
+	t.Helper()
+	g, err := p.Listen(t.Context(), berylplatform.ServiceObjects, "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = g.Close() })
+	return berylobject.New(berylobject.WithEndpoint("http://" + g.Address()))
+}
+
+// Guards against a payload that comes back changed, and against a stream that is refused since it cannot be rewound.
+func TestRoundTrip(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		size int
+		body func([]byte) io.Reader
+	}{
+		{"empty", 0, func(b []byte) io.Reader { return bytes.NewReader(b) }},
+		{"seekable", 100_000, func(b []byte) io.Reader { return bytes.NewReader(b) }},
+		{"stream", 100_000, func(b []byte) io.Reader { return io.MultiReader(bytes.NewReader(b)) }},
+		{"large stream", 3 << 20, func(b []byte) io.Reader { return io.MultiReader(bytes.NewReader(b)) }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := newStore(t, berylplatform.New())
+			want := bytes.Repeat([]byte{7}, tc.size)
+			assert.NilError(t, c.Put(t.Context(), "tasks/a b", tc.body(want), int64(tc.size)))
+			r, err := c.Get(t.Context(), "tasks/a b")
+			assert.NilError(t, err)
+			got, err := io.ReadAll(r)
+			assert.NilError(t, err)
+			assert.NilError(t, r.Close())
+			assert.Assert(t, bytes.Equal(got, want))
+		})
+	}
+}
+
+// Guards against a missing object that looks like an outage, which would be retried for ever.
+func TestGetMissing(t *testing.T) {
+	_, err := newStore(t, berylplatform.New()).Get(t.Context(), "none")
+	missing, ok := errors.AsType[*berylobject.NotFoundError](err)
+	assert.Assert(t, ok, "got %v", err)
+	assert.Equal(t, missing.Name, "none")
+}
+
+// Guards against an object that is reported as not stored although it may be.
+func TestPutUnderFaults(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		faults  berylplatform.ServiceFaults
+		unknown bool
+	}{
+		{"refused", berylplatform.ServiceFaults{Outage: berylplatform.OutageRefuse}, false},
+		{"503", berylplatform.ServiceFaults{Outage: berylplatform.OutageUnavailable}, false},
+		{"answer lost", berylplatform.ServiceFaults{AnswerLostNext: 1}, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			p := berylplatform.New()
+			c := newStore(t, p)
+			assert.NilError(t, p.SetFaults(t.Context(), berylplatform.Faults{Objects: tc.faults}))
+			err := c.Put(t.Context(), "a", strings.NewReader("x"), 1)
+			_, unknown := errors.AsType[*beryllatch.UnknownOutcomeError](err)
+			_, unavailable := errors.AsType[*beryllatch.UnavailableError](err)
+			assert.Equal(t, unknown, tc.unknown, "got %v", err)
+			assert.Equal(t, unavailable, !tc.unknown, "got %v", err)
+			if !unknown {
+				_, err = c.Get(t.Context(), "a")
+				_, unavailable = errors.AsType[*beryllatch.UnavailableError](err)
+				assert.Assert(t, unavailable, "got %v", err)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/platform/beryltable/client_test.go
@@ -0,0 +1,131 @@
+package beryltable_test
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/beryllatch/beryllatch"
+	"github.com/beryllatch/beryllatch/internal/platform/beryltable"
+	"github.com/beryllatch/beryllatch/internal/standin/berylplatform"
+)
+
+// newTable serves a platform's table on loopback and returns a client of it.
+func newTable(t *testing.T, p *berylplatform.Platform, opts ...beryltable.Option) *beryltable.Client {
+	t.Helper()
+	g, err := p.Listen(t.Context(), berylplatform.ServiceTable, "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = g.Close() })
+	return beryltable.New(append([]beryltable.Option{beryltable.WithEndpoint("http://" + g.Address())}, opts...)...)
+}
+
+func key(sort string) beryllatch.RowKey { return beryllatch.RowKey{Partition: "p", Sort: sort} }
+
+func write(sort, value string, expect uint64) beryllatch.RowWrite {
+	return beryllatch.RowWrite{Row: beryllatch.Row{Key: key(sort), Value: []byte(value)}, Expect: expect}
+}
+
+// Guards against a write whose condition is lost on the way to the service.
+func TestTransactConditions(t *testing.T) {
+	remove := func(sort string, expect uint64) beryllatch.RowWrite {
+		return beryllatch.RowWrite{Row: beryllatch.Row{Key: key(sort)}, Expect: expect, Delete: true}
+	}
+	check := func(sort string, expect uint64) beryllatch.RowWrite {
+		return beryllatch.RowWrite{Row: beryllatch.Row{Key: key(sort)}, Expect: expect, CheckOnly: true}
+	}
+	for _, tc := range []struct {
+		name   string
+		writes []beryllatch.RowWrite
+		failed string
+		// want is the version and value of row a, which starts as 1:old, and the version of row b, which starts absent.
+		want string
+	}{
+		{"nothing to write", nil, "", "1:old 0"},
+		{"create", []beryllatch.RowWrite{write("b", "x", 0)}, "", "1:old 1"},
+		{"create an existing row", []beryllatch.RowWrite{write("a", "x", 0)}, "a", "1:old 0"},
+		{"update", []beryllatch.RowWrite{write("a", "new", 1)}, "", "2:new 0"},
+		{"update an older version", []beryllatch.RowWrite{write("a", "x", 2)}, "a", "1:old 0"},
+		{"update a missing row", []beryllatch.RowWrite{write("b", "x", 1)}, "b", "1:old 0"},
+		{"delete", []beryllatch.RowWrite{remove("a", 1)}, "", "0: 0"},
+		{"delete an older version", []beryllatch.RowWrite{remove("a", 7)}, "a", "1:old 0"},
+		{"check holds", []beryllatch.RowWrite{check("a", 1), write("b", "x", 0)}, "", "1:old 1"},
+		{"check of absence holds", []beryllatch.RowWrite{check("b", 0), write("a", "new", 1)}, "", "2:new 0"},
+		{"check fails", []beryllatch.RowWrite{write("b", "x", 0), check("a", 2)}, "a", "1:old 0"},
+		{"second write fails", []beryllatch.RowWrite{write("a", "new", 1), write("b", "x", 9)}, "b", "1:old 0"},
+		{"empty value", []beryllatch.RowWrite{write("a", "", 1)}, "", "2: 0"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := newTable(t, berylplatform.New())
+			assert.NilError(t, c.Transact(t.Context(), write("a", "old", 0)))
+			err := c.Transact(t.Context(), tc.writes...)
+			if tc.failed == "" {
+				assert.NilError(t, err)
+			} else {
+				failed, ok := errors.AsType[*beryllatch.ConditionFailedError](err)
+				assert.Assert(t, ok, "got %v", err)
+				assert.Equal(t, failed.Key, key(tc.failed))
+			}
+			a, err := c.Get(t.Context(), key("a"))
+			assert.NilError(t, err)
+			b, err := c.Get(t.Context(), key("b"))
+			assert.NilError(t, err)
+			assert.Equal(t, fmt.Sprintf("%d:%s %d", a.Version, a.Value, b.Version), tc.want)
+		})
+	}
+}
+
+// Guards against rows lost or repeated at the borders between pages.
+func TestQueryPages(t *testing.T) {
+	c := newTable(t, berylplatform.New())
+	big := strings.Repeat("x", 300<<10)
+	for i := range 7 {
+		assert.NilError(t, c.Transact(t.Context(), write(fmt.Sprint(i), big, 0)))
+	}
+	expires := write("8", "v", 0)
+	expires.Row.Expires = time.Now().Add(time.Hour).Unix()
+	expired := write("9", "v", 0)
+	expired.Row.Expires = 1
+	assert.NilError(t, c.Transact(t.Context(), expires, expired))
+	for _, tc := range []struct {
+		after string
+		limit int
+		want  string
+	}{
+		{"", 0, "0 1 2 3 4 5 6 8"},
+		{"", 3, "0 1 2"},
+		{"", 6, "0 1 2 3 4 5"},
+		{"4", 0, "5 6 8"},
+		{"4", 1, "5"},
+		{"8", 5, ""},
+	} {
+		t.Run(fmt.Sprintf("after %q limit %d", tc.after, tc.limit), func(t *testing.T) {
+			rows, err := c.Query(t.Context(), "p", tc.after, tc.limit)
+			assert.NilError(t, err)
+			var got []string
+			for _, r := range rows {
+				got = append(got, r.Key.Sort)
+			}
+			assert.Equal(t, strings.Join(got, " "), tc.want)
+		})
+	}
+	row, err := c.Get(t.Context(), key("8"))
+	assert.NilError(t, err)
+	assert.Equal(t, row.Expires, expires.Row.Expires)
+}
+
+// Guards against a call that the service would refuse only after a transfer, or with an unclear error.
+func TestTransactLimits(t *testing.T) {
+	c := beryltable.New(beryltable.WithEndpoint("http://127.0.0.1:1"))
+	err := c.Transact(t.Context(), write("a", strings.Repeat("x", beryltable.MaxItemBytes), 0))
+	large, ok := errors.AsType[*beryltable.ItemTooLargeError](err)
+	assert.Assert(t, ok, "got %v", err)
+	assert.Equal(t, large.Key, key("a"))
+	err = c.Transact(t.Context(), make([]beryllatch.RowWrite, beryltable.MaxWrites+1)...)
+	many, ok := errors.AsType[*beryltable.TooManyWritesError](err)
+	assert.Assert(t, ok, "got %v", err)
+	assert.Equal(t, many.Count, beryltable.MaxWrites+1)
+}
--- a/internal/platform/beryltable/errors.go
+++ b/internal/platform/beryltable/errors.go
@@ -3,14 +3,13 @@
 import (
 	"errors"
 	"fmt"
-	"net/http"
 
 	"github.com/aws/aws-sdk-go-v2/aws"
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
-	smithyhttp "github.com/aws/smithy-go/transport/http"
 
 	"github.com/beryllatch/beryllatch"
 	"github.com/beryllatch/beryllatch/internal/common/berylconn"
+	"github.com/beryllatch/beryllatch/internal/platform/berylcall"
 )
 
 // The limits of the table service.
@@ -52,20 +51,5 @@
 	if _, ok := errors.AsType[*types.TransactionInProgressException](err); ok {
 		return &beryllatch.UnknownOutcomeError{Err: err}
 	}
-	if resp, ok := errors.AsType[*smithyhttp.ResponseError](err); ok && resp.Response != nil {
-		if refused(resp.HTTPStatusCode()) {
-			return &beryllatch.UnavailableError{Err: err}
-		}
-		return &beryllatch.UnknownOutcomeError{Err: err}
-	}
-	if probe.Sent() {
-		return &beryllatch.UnknownOutcomeError{Err: err}
-	}
-	return &beryllatch.UnavailableError{Err: err}
-}
-
-// refused tells whether the status says that the call was not carried out; 408 says only that it took too long.
-func refused(status int) bool {
-	return status == http.StatusServiceUnavailable ||
-		(status >= 400 && status < 500 && status != http.StatusRequestTimeout)
+	return berylcall.Outcome(err, probe)
 }
--- /dev/null
+++ b/internal/platform/beryltable/errors_test.go
@@ -0,0 +1,180 @@
+package beryltable_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/beryllatch/beryllatch"
+	"github.com/beryllatch/beryllatch/internal/platform/beryltable"
+	"github.com/beryllatch/beryllatch/internal/standin/berylplatform"
+)
+
+// outcome names the type of a write's error.
+func outcome(err error) string {
+	if _, ok := errors.AsType[*beryllatch.UnavailableError](err); ok {
+		return "unavailable"
+	}
+	if _, ok := errors.AsType[*beryllatch.UnknownOutcomeError](err); ok {
+		return "unknown"
+	}
+	if _, ok := errors.AsType[*beryllatch.ConditionFailedError](err); ok {
+		return "condition"
+	}
+	if err != nil {
+		return "other: " + err.Error()
+	}
+	return "done"
+}
+
+// Guards against a write that is reported as failed although it took effect, or the reverse.
+func TestWriteUnderPlatformFaults(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		faults  berylplatform.ServiceFaults
+		want    string
+		applied bool
+	}{
+		{"none", berylplatform.ServiceFaults{}, "done", true},
+		{"connections refused", berylplatform.ServiceFaults{Outage: berylplatform.OutageRefuse}, "unavailable", false},
+		{"answered 503", berylplatform.ServiceFaults{Outage: berylplatform.OutageUnavailable}, "unavailable", false},
+		{"answer lost", berylplatform.ServiceFaults{AnswerLostNext: 1}, "unknown", true},
+		{"every answer lost", berylplatform.ServiceFaults{AnswerLostShare: 1}, "unknown", true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			p := berylplatform.New()
+			c := newTable(t, p)
+			assert.NilError(t, p.SetFaults(t.Context(), berylplatform.Faults{Table: tc.faults}))
+			got := outcome(c.Transact(t.Context(), write("a", "v", 0)))
+			assert.Equal(t, got, tc.want)
+			assert.NilError(t, p.SetFaults(t.Context(), berylplatform.Faults{}))
+			row, err := c.Get(t.Context(), key("a"))
+			assert.NilError(t, err)
+			assert.Equal(t, row.Version == 1, tc.applied)
+		})
+	}
+}
+
+// Guards against a write on a connection that the service has cut while it was idle being reported as not done.
+func TestWriteOnCutConnection(t *testing.T) {
+	var sent atomic.Bool
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if sent.Swap(true) {
+			panic(http.ErrAbortHandler)
+		}
+		w.Header().Set("Content-Type", "application/x-amz-json-1.0")
+		_, _ = io.WriteString(w, `{}`)
+	}))
+	defer srv.Close()
+	c := beryltable.New(beryltable.WithEndpoint(srv.URL))
+	assert.NilError(t, c.Transact(t.Context(), write("a", "v", 0)))
+	assert.Equal(t, outcome(c.Transact(t.Context(), write("b", "v", 0))), "unknown")
+}
+
+// Guards against a rate limit that is taken for a lost write.
+func TestWriteThrottled(t *testing.T) {
+	c := newTable(t, berylplatform.New(berylplatform.WithRates(1, 1)))
+	var last error
+	n := 0
+	for ; last == nil && n < 1000; n++ {
+		last = c.Transact(t.Context(), write("a", "v", uint64(n)))
+	}
+	assert.Equal(t, outcome(last), "unavailable")
+	row, err := c.Get(t.Context(), key("a"))
+	assert.NilError(t, err)
+	assert.Equal(t, row.Version, uint64(n-1))
+}
+
+// Guards against any answer or failure that is classified by guesswork.
+func TestWriteClassification(t *testing.T) {
+	answer := func(status int, body string) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "application/x-amz-json-1.0")
+			w.WriteHeader(status)
+			_, _ = io.WriteString(w, body)
+		}
+	}
+	cancelled := func(reasons string) http.HandlerFunc {
+		return answer(400, `{"__type":"TransactionCanceledException","CancellationReasons":[`+reasons+`]}`)
+	}
+	for _, tc := range []struct {
+		name    string
+		handler http.HandlerFunc
+		want    string
+	}{
+		{"done", answer(200, `{}`), "done"},
+		{"truncated answer", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "100")
+			_, _ = io.WriteString(w, `{"a":`)
+		}, "unknown"},
+		{"damaged answer", answer(200, `{"`), "unknown"},
+		{"cut without an answer", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, "unknown"},
+		{"500", answer(500, `{"__type":"InternalServerError"}`), "unknown"},
+		{"502", answer(502, `bad gateway`), "unknown"},
+		{"504", answer(504, ``), "unknown"},
+		{"503", answer(503, ``), "unavailable"},
+		{"408", answer(408, ``), "unknown"},
+		{"redirect", answer(307, ``), "unknown"},
+		{"validation", answer(400, `{"__type":"ValidationException"}`), "unavailable"},
+		{"throttled", answer(400, `{"__type":"ThrottlingException"}`), "unavailable"},
+		{"in progress", answer(400, `{"__type":"TransactionInProgressException"}`), "unknown"},
+		{"conflict", cancelled(`{"Code":"TransactionConflict"}`), "unavailable"},
+		{"condition", cancelled(`{"Code":"ConditionalCheckFailed"}`), "condition"},
+		{"cancelled without reasons", cancelled(``), "unavailable"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var calls atomic.Int32
+			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				calls.Add(1)
+				tc.handler(w, r)
+			}))
+			defer srv.Close()
+			c := beryltable.New(beryltable.WithEndpoint(srv.URL))
+			assert.Equal(t, outcome(c.Transact(t.Context(), write("a", "v", 0))), tc.want)
+			// The client itself repeats nothing.
+			assert.Equal(t, calls.Load(), int32(1))
+		})
+	}
+}
+
+// Guards against a write that is given up while it is carried out being reported as not done.
+func TestWriteGivenUp(t *testing.T) {
+	release := make(chan struct{})
+	ctx, cancel := context.WithCancel(t.Context())
+	srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		cancel()
+		<-release
+	}))
+	defer srv.Close()
+	defer close(release)
+	c := beryltable.New(beryltable.WithEndpoint(srv.URL))
+	assert.Equal(t, outcome(c.Transact(ctx, write("a", "v", 0))), "unknown")
+}
+
+// Guards against a read that hangs with the service, or that is reported as having an unknown effect.
+func TestReadTimeout(t *testing.T) {
+	release := make(chan struct{})
+	srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release }))
+	defer srv.Close()
+	defer close(release)
+	c := beryltable.New(beryltable.WithEndpoint(srv.URL), beryltable.WithTimeout(20*time.Millisecond))
+	_, err := c.Get(t.Context(), key("a"))
+	assert.Equal(t, outcome(err), "unavailable")
+	_, err = c.Query(t.Context(), "p", "", 1)
+	assert.Equal(t, outcome(err), "unavailable")
+}
+
+// Guards against a foreign HTTP client, whose bytes are not counted, being trusted to have sent nothing.
+func TestUncountedClient(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+	defer srv.Close()
+	c := beryltable.New(beryltable.WithEndpoint(srv.URL), beryltable.WithHTTPClient(&http.Client{}))
+	assert.Equal(t, outcome(c.Transact(t.Context(), write("a", "v", 0))), "unknown")
+}
