--- a/config.go
+++ b/config.go
@@ -42,6 +42,8 @@
 	Service string `json:"service"`
 	// Spare marks the pool that lends instances to the others.
 	Spare bool `json:"spare,omitempty"`
+	// MinSize is the number of instances that moves must leave in the pool.
+	MinSize int `json:"min_size,omitempty"`
 }
 
 // Queue accepts work and sends it to one pool.
@@ -100,6 +102,10 @@
 	MoveTo string `json:"move_to,omitempty"`
 	// BootID is the boot identifier seen before a reboot was requested.
 	BootID string `json:"boot_id,omitempty"`
+	// Wave is the maintenance wave that drains or reboots the instance; empty when an operator drains it.
+	Wave string `json:"wave,omitempty"`
+	// DrainVersion is the configuration version that began the present drain; 0 while the instance is active.
+	DrainVersion uint64 `json:"drain_version,omitempty"`
 }
 
 // WaveState is the state of a maintenance wave.
@@ -118,6 +124,10 @@
 	ID       string    `json:"id"`
 	Services []string  `json:"services"`
 	State    WaveState `json:"state"`
+	// MaxUnhealthy is the number of unhealthy instances above which the wave stops; 0 means the default.
+	MaxUnhealthy int `json:"max_unhealthy,omitempty"`
+	// Reason says why the wave stopped.
+	Reason string `json:"reason,omitempty"`
 	// Done lists the instances that have returned after their reboot, sorted.
 	Done []string `json:"done,omitempty"`
 }
@@ -127,10 +137,14 @@
 	ID       string `json:"id"`
 	Operator string `json:"operator"`
 	Version  uint64 `json:"version"`
+	// Digest is the SHA-256 of the changes in hexadecimal digits; an id is bound to its changes.
+	Digest string `json:"digest,omitempty"`
+	// Refused is the reason of a change that was not accepted; empty for an accepted one.
+	Refused string `json:"refused,omitempty"`
 }
 
-// maxOperations bounds the recorded operator calls in the configuration document.
-const maxOperations = 64
+// MaxOperations bounds the recorded operator calls in the configuration document.
+const MaxOperations = 64
 
 // WithVersion returns a copy with the given version.
 func (c Config) WithVersion(v uint64) Config { c.Version = v; return c }
@@ -168,6 +182,12 @@
 	return c
 }
 
+// WithoutDataCentre returns a copy without the named data centre.
+func (c Config) WithoutDataCentre(name string) Config {
+	c.DataCentres = without(c.DataCentres, name)
+	return c
+}
+
 // WithInstance returns a copy in which the instance is added or replaced.
 func (c Config) WithInstance(i Instance) Config { c.Instances = with(c.Instances, i.ID, i); return c }
 
@@ -177,11 +197,14 @@
 // WithWave returns a copy in which the wave is added or replaced.
 func (c Config) WithWave(w Wave) Config { c.Waves = with(c.Waves, w.ID, w); return c }
 
+// WithoutWave returns a copy without the wave.
+func (c Config) WithoutWave(id string) Config { c.Waves = without(c.Waves, id); return c }
+
 // WithOperation returns a copy that records the operation and forgets the oldest beyond the bound.
 func (c Config) WithOperation(o Operation) Config {
 	ops := append(slices.Clone(c.Operations), o)
-	if len(ops) > maxOperations {
-		ops = ops[len(ops)-maxOperations:]
+	if len(ops) > MaxOperations {
+		ops = ops[len(ops)-MaxOperations:]
 	}
 	c.Operations = ops
 	return c
--- /dev/null
+++ b/internal/decision/berylplan/change_instance.go
@@ -0,0 +1,188 @@
+package berylplan
+
+import (
+	"github.com/beryllatch/beryllatch"
+)
+
+// PutInstance adds an active instance, or replaces the description of a known one but for its pool and state.
+type PutInstance struct{ Instance beryllatch.Instance }
+
+// RemoveInstance removes an instance that is drained or not live.
+type RemoveInstance struct{ ID string }
+
+// DrainInstance takes an active instance out of service.
+type DrainInstance struct{ ID string }
+
+// ReturnInstance puts a draining instance back into service and ends its move, if any.
+type ReturnInstance struct{ ID string }
+
+// MoveInstance drains an instance and moves it to another pool.
+type MoveInstance struct {
+	ID   string
+	Pool string
+}
+
+func (ch PutInstance) apply(c beryllatch.Config, _ Health) (beryllatch.Config, error) {
+	i := ch.Instance
+	old, known := c.Instances[i.ID]
+	if !known {
+		return c.WithInstance(activated(i)), nil
+	}
+	if i.Pool != old.Pool {
+		return c, invalid("instances."+i.ID+".pool", "is %q; a known instance changes its pool only by a move", old.Pool)
+	}
+	i.State, i.MoveTo, i.BootID, i.Wave = old.State, old.MoveTo, old.BootID, old.Wave
+	i.DrainVersion = old.DrainVersion
+	return c.WithInstance(i), nil
+}
+
+func (ch RemoveInstance) apply(c beryllatch.Config, h Health) (beryllatch.Config, error) {
+	i, err := instance(c, ch.ID)
+	if err != nil {
+		return c, err
+	}
+	live := h[i.ID].Live
+	if live && i.State == beryllatch.InstanceActive {
+		return c, &StateError{Field: "instances." + i.ID + ".state", State: string(i.State), Want: "draining"}
+	}
+	if live && !h[i.ID].Idle {
+		return c, &StateError{Field: "instances." + i.ID, State: "still running work", Want: "idle"}
+	}
+	if err := checkPoolKeeps(c, i); err != nil {
+		return c, err
+	}
+	return c.WithoutInstance(i.ID), nil
+}
+
+func (ch DrainInstance) apply(c beryllatch.Config, _ Health) (beryllatch.Config, error) {
+	i, err := instance(c, ch.ID)
+	if err != nil {
+		return c, err
+	}
+	if i.MoveTo != "" {
+		return c, &MoveError{Instance: i.ID, To: i.MoveTo}
+	}
+	if i.State != beryllatch.InstanceActive {
+		return c, &StateError{Field: "instances." + i.ID + ".state", State: string(i.State), Want: "active"}
+	}
+	return c.WithInstance(draining(c, i)), nil
+}
+
+func (ch ReturnInstance) apply(c beryllatch.Config, h Health) (beryllatch.Config, error) {
+	i, err := instance(c, ch.ID)
+	if err != nil {
+		return c, err
+	}
+	// A reboot may still be on its way to the instance, and it would cut new work.
+	if i.State == beryllatch.InstanceRebooting && !rebooted(i, h) && h[i.ID].Live {
+		return c, &StateError{Field: "instances." + i.ID + ".state", State: string(i.State), Want: "draining"}
+	}
+	if i.State == beryllatch.InstanceActive {
+		return c, &StateError{Field: "instances." + i.ID + ".state", State: string(i.State), Want: "draining"}
+	}
+	return c.WithInstance(activated(i)), nil
+}
+
+func (ch MoveInstance) apply(c beryllatch.Config, _ Health) (beryllatch.Config, error) {
+	i, err := instance(c, ch.ID)
+	if err != nil {
+		return c, err
+	}
+	if i.MoveTo != "" {
+		return c, &MoveError{Instance: i.ID, To: i.MoveTo}
+	}
+	if i.Wave != "" || i.State == beryllatch.InstanceRebooting {
+		return c, &StateError{Field: "instances." + i.ID + ".state", State: string(i.State) + " for maintenance", Want: "active"}
+	}
+	if _, ok := c.Pools[ch.Pool]; !ok {
+		return c, &NotFoundError{Field: "pools." + ch.Pool}
+	}
+	if ch.Pool == i.Pool {
+		return c, invalid("instances."+i.ID+".move_to", "is already in pool %q", i.Pool)
+	}
+	if cycle := moveCycle(c, i.Pool, ch.Pool); cycle != nil {
+		return c, &MoveCycleError{Instance: i.ID, Pools: cycle}
+	}
+	if err := checkPoolKeeps(c, i); err != nil {
+		return c, err
+	}
+	i = draining(c, i)
+	i.MoveTo = ch.Pool
+	return c.WithInstance(i), nil
+}
+
+func instance(c beryllatch.Config, id string) (beryllatch.Instance, error) {
+	i, ok := c.Instances[id]
+	if !ok {
+		return i, &NotFoundError{Field: "instances." + id}
+	}
+	return i, nil
+}
+
+// draining starts a drain with the version that the change will have, and leaves one under way as it is.
+func draining(c beryllatch.Config, i beryllatch.Instance) beryllatch.Instance {
+	if i.State == beryllatch.InstanceActive {
+		i.State, i.DrainVersion = beryllatch.InstanceDraining, c.Version+1
+	}
+	return i
+}
+
+func activated(i beryllatch.Instance) beryllatch.Instance {
+	i.State, i.MoveTo, i.BootID, i.Wave = beryllatch.InstanceActive, "", "", ""
+	i.DrainVersion = 0
+	return i
+}
+
+// rebooted reports whether the instance is live on another boot than the one seen before its reboot was requested.
+func rebooted(i beryllatch.Instance, h Health) bool {
+	now := h[i.ID]
+	return now.Live && now.BootID != "" && now.BootID != i.BootID
+}
+
+// checkPoolKeeps refuses to take the instance from a pool that would fall below its size, or below one with queues.
+func checkPoolKeeps(c beryllatch.Config, leaving beryllatch.Instance) error {
+	p := c.Pools[leaving.Pool]
+	need := p.MinSize
+	if len(poolQueues(c, p.Name)) > 0 {
+		need = max(need, 1)
+	}
+	left := 0
+	for id, i := range c.Instances {
+		if id != leaving.ID && i.Pool == p.Name && i.MoveTo == "" {
+			left++
+		}
+	}
+	if left < need {
+		return &PoolSizeError{Pool: p.Name, Left: left, Min: need}
+	}
+	return nil
+}
+
+// moveCycle returns the pools of the cycle that a move would close with the moves under way, or nil.
+func moveCycle(c beryllatch.Config, from, to string) []string {
+	next := map[string][]string{}
+	for _, id := range beryllatch.SortedKeys(c.Instances) {
+		if i := c.Instances[id]; i.MoveTo != "" {
+			next[i.Pool] = append(next[i.Pool], i.MoveTo)
+		}
+	}
+	seen := map[string]bool{}
+	var walk func(pool string, path []string) []string
+	walk = func(pool string, path []string) []string {
+		path = append(path, pool)
+		if pool == from {
+			return path
+		}
+		if seen[pool] {
+			return nil
+		}
+		seen[pool] = true
+		for _, p := range next[pool] {
+			if found := walk(p, path); found != nil {
+				return found
+			}
+		}
+		return nil
+	}
+	return walk(to, []string{from})
+}
--- /dev/null
+++ b/internal/decision/berylplan/health.go
@@ -0,0 +1,37 @@
+package berylplan
+
+import "github.com/beryllatch/beryllatch"
+
+// InstanceHealth is what a node knows about one instance.
+type InstanceHealth struct {
+	// Live is true when the instance reports itself healthy and is not leaving.
+	Live bool
+	// Idle is true when nothing runs on the instance and no node can start anything there any more.
+	Idle bool
+	// BootID is the boot identifier that the instance reports; empty when it never reported.
+	BootID string
+	// Overdue is true when a planned step takes longer than it should.
+	Overdue bool
+}
+
+// Health is a node's view of the fleet by instance id; an instance without an entry counts as not live.
+type Health map[string]InstanceHealth
+
+// With returns a copy in which the health of one instance is replaced.
+func (h Health) With(id string, i InstanceHealth) Health {
+	out := make(Health, len(h)+1)
+	for k, v := range h {
+		out[k] = v
+	}
+	out[id] = i
+	return out
+}
+
+// AllLive returns the health of a fleet in which every instance is live, idle and on the given boot.
+func AllLive(c beryllatch.Config, bootID string) Health {
+	h := make(Health, len(c.Instances))
+	for id := range c.Instances {
+		h[id] = InstanceHealth{Live: true, Idle: true, BootID: bootID}
+	}
+	return h
+}
--- /dev/null
+++ b/internal/decision/berylplan/lines.go
@@ -0,0 +1,90 @@
+package berylplan
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/beryllatch/beryllatch"
+)
+
+// Lines returns the configuration as text, one thing a line, in a stable order.
+func Lines(c beryllatch.Config) []string {
+	out := []string{fmt.Sprintf("version %d", c.Version)}
+	add := func(format string, args ...any) { out = append(out, strings.TrimRight(fmt.Sprintf(format, args...), " ")) }
+	for _, k := range beryllatch.SortedKeys(c.Teams) {
+		add("team %s weight=%d ceiling=%d", k, c.Teams[k].Weight, c.Teams[k].Ceiling)
+	}
+	for _, k := range beryllatch.SortedKeys(c.Services) {
+		add("service %s max_unavailable=%d", k, c.Services[k].MaxUnavailable)
+	}
+	for _, k := range beryllatch.SortedKeys(c.Pools) {
+		p := c.Pools[k]
+		add("pool %s service=%s%s%s", k, p.Service, flag("spare", p.Spare), number("min_size", p.MinSize))
+	}
+	for _, k := range beryllatch.SortedKeys(c.Queues) {
+		q := c.Queues[k]
+		add("queue %s pool=%s%s%s%s%s", k, q.Pool, word("team", q.Team), flag("open", q.Open),
+			number("deadline_ms", q.DeadlineMS), number("max_queued", q.MaxQueued))
+	}
+	for _, k := range beryllatch.SortedKeys(c.APIKeys) {
+		add("key %s team=%s%s", k, c.APIKeys[k].Team, flag("withdrawn", c.APIKeys[k].Withdrawn))
+	}
+	for _, k := range beryllatch.SortedKeys(c.DataCentres) {
+		add("data_centre %s%s%s", k, word("region", c.DataCentres[k].Region), flag("out", c.DataCentres[k].Out))
+	}
+	for _, k := range beryllatch.SortedKeys(c.Instances) {
+		i := c.Instances[k]
+		add("instance %s pool=%s dc=%s rack=%s %s%s%s%s", k, i.Pool, i.DataCentre, i.Rack, i.State,
+			word("move_to", i.MoveTo), word("boot", i.BootID), word("wave", i.Wave))
+	}
+	for _, k := range beryllatch.SortedKeys(c.Waves) {
+		w := c.Waves[k]
+		add("wave %s %s services=%s%s%s", k, w.State, strings.Join(w.Services, ","), word("reason", w.Reason),
+			word("done", strings.Join(w.Done, ",")))
+	}
+	for _, o := range c.Operations {
+		add("operation %s operator=%s version=%d%s", o.ID, o.Operator, o.Version, word("refused", o.Refused))
+	}
+	return out
+}
+
+// DiffLines returns the lines that differ between two configurations, marked - for before and + for after.
+func DiffLines(before, after beryllatch.Config) []string {
+	old, now := Lines(before), Lines(after)
+	return append(missing("- ", old, now), missing("+ ", now, old)...)
+}
+
+func missing(mark string, from, in []string) []string {
+	have := make(map[string]bool, len(in))
+	for _, l := range in {
+		have[l] = true
+	}
+	var out []string
+	for _, l := range from {
+		if !have[l] {
+			out = append(out, mark+l)
+		}
+	}
+	return out
+}
+
+func word(name, value string) string {
+	if value == "" {
+		return ""
+	}
+	return " " + name + "=" + value
+}
+
+func number(name string, n int) string {
+	if n == 0 {
+		return ""
+	}
+	return fmt.Sprintf(" %s=%d", name, n)
+}
+
+func flag(name string, set bool) string {
+	if !set {
+		return ""
+	}
+	return " " + name
+}
--- /dev/null
+++ b/internal/decision/berylreducer/operate_step.go
@@ -0,0 +1,129 @@
+package berylreducer
+
+import (
+	"time"
+
+	"github.com/beryllatch/beryllatch"
+	"github.com/beryllatch/beryllatch/internal/decision/berylplan"
+)
+
+const (
+	// stepInterval bounds how often the node looks for due steps.
+	stepInterval = 500 * time.Millisecond
+	// stepStagger delays each further node, so that a step of the first is usually in force before the next one tries.
+	stepStagger = 1500 * time.Millisecond
+	// rebootRetry repeats a reboot request that had no effect, or that a dead node never sent.
+	rebootRetry = 10 * time.Second
+	stepCall    = "step"
+)
+
+// steppingState says since when steps have been due under the present configuration.
+type steppingState struct {
+	looked  time.Duration
+	version uint64
+	due     bool
+	since   time.Duration
+}
+
+// tickSteps takes the due steps of waves and moves, if the node has tenure and it is its turn.
+func (r *Reducer) tickSteps() {
+	r.trackPlanned()
+	s := &r.operate.stepping
+	if r.stopping || !r.mayStart() || r.operate.write != nil || len(r.operate.queue) > 0 ||
+		r.now.Mono-s.looked < stepInterval {
+		return
+	}
+	s.looked = r.now.Mono
+	if s.version != r.config.Version {
+		s.version, s.due = r.config.Version, false
+	}
+	if !r.mayHaveSteps() {
+		return
+	}
+	r.takeSteps()
+	r.repeatReboots()
+}
+
+// mayHaveSteps spares the search when nothing is planned.
+func (r *Reducer) mayHaveSteps() bool {
+	if len(r.operate.planned) > 0 {
+		return true
+	}
+	for _, w := range r.config.Waves {
+		if w.State == beryllatch.WaveRunning {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *Reducer) takeSteps() {
+	s := &r.operate.stepping
+	steps, next := berylplan.NextSteps(r.config, r.health())
+	if len(steps) == 0 {
+		s.due = false
+		return
+	}
+	if !s.due {
+		s.due, s.since = true, r.now.Mono
+	}
+	if r.now.Mono-s.since < time.Duration(r.rank())*stepStagger {
+		return
+	}
+	w := r.writeConfig(stepCall, next)
+	w.steps = steps
+}
+
+// rank returns the number of registered nodes before this one in order of their names.
+func (r *Reducer) rank() int {
+	n := 0
+	for _, p := range r.tenure.peers {
+		if p.Node < r.self.Node {
+			n++
+		}
+	}
+	return n
+}
+
+// stepsWritten follows up on a write of steps; whoever lost the race reads the winner's document and does nothing.
+func (r *Reducer) stepsWritten(w *configWrite, result WriteResult) {
+	if result != WriteDone {
+		r.count("step_" + string(result))
+		r.emit(ReadConfig{})
+		return
+	}
+	for _, s := range w.steps {
+		r.count("step_" + string(s.Kind))
+		r.logStep(s)
+		if s.Kind == berylplan.StepReboot {
+			r.rebootWorker(s.Instance)
+		}
+	}
+}
+
+func (r *Reducer) logStep(s berylplan.Step) {
+	subject := "instance " + s.Instance
+	if s.Instance == "" {
+		subject = "wave " + s.Wave
+	}
+	r.emit(LogState{Subject: subject, To: string(s.Kind), Detail: s.Reason})
+}
+
+func (r *Reducer) rebootWorker(id string) {
+	i := r.config.Instances[id]
+	r.emit(RebootWorker{Instance: id, Address: i.Address, BootID: i.BootID})
+}
+
+// repeatReboots asks again where an instance is still on its old boot; a node further down the order waits longer.
+func (r *Reducer) repeatReboots() {
+	wait := rebootRetry + time.Duration(r.rank())*stepStagger
+	for _, id := range beryllatch.SortedKeys(r.operate.planned) {
+		p, i := r.operate.planned[id], r.config.Instances[id]
+		if i.State != beryllatch.InstanceRebooting || r.now.Mono-p.asked < wait || r.workers[id].bootID != i.BootID {
+			continue
+		}
+		p.asked = r.now.Mono
+		r.operate.planned[id] = p
+		r.rebootWorker(id)
+	}
+}
--- a/internal/decision/berylreducer/reducer.go
+++ b/internal/decision/berylreducer/reducer.go
@@ -23,6 +23,7 @@
 	requests map[string]*request
 	// waiting holds the requests without a worker, by queue, in order of arrival.
 	waiting  map[string][]*request
+	operate  operateState
 	stopping bool
 	ready    bool
 }
@@ -68,6 +69,7 @@
 		r.reduceTask(e)
 		r.reduceOperate(e)
 	}
+	r.operateAfter(e)
 	r.updateReady()
 	return r.out
 }
@@ -104,7 +106,7 @@
 }
 
 func (r *Reducer) stopWhenIdle() {
-	if r.stopping && len(r.requests) == 0 {
+	if r.stopping && len(r.requests) == 0 && r.operateIdle() {
 		r.emit(Stop{})
 	}
 }
--- /dev/null
+++ b/internal/node/beryloperator/node.go
@@ -0,0 +1,29 @@
+package beryloperator
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/beryllatch/beryllatch"
+	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
+	"github.com/beryllatch/beryllatch/internal/rpc/berylwire"
+)
+
+// Node is what the service needs from the node that it runs in.
+type Node interface {
+	// ApplyChanges posts the call to the node's event loop and waits for its reply; it returns the context's error if
+	// the context ends first.
+	ApplyChanges(ctx context.Context, e berylreducer.OperatorAsked) (berylreducer.ReplyOperator, error)
+	// Config returns the configuration in force at the node.
+	Config(ctx context.Context) (beryllatch.Config, error)
+	// Status returns the fleet as the node sees it.
+	Status(ctx context.Context) (*berylwire.GetStatusResponse, error)
+	// Task returns a task as its row holds it, or a *TaskNotFoundError.
+	Task(ctx context.Context, id string) (beryllatch.Task, error)
+}
+
+// TaskNotFoundError reports a task id without a task.
+type TaskNotFoundError struct{ ID string }
+
+// Error names the task.
+func (e *TaskNotFoundError) Error() string { return fmt.Sprintf("no task has the id %q", e.ID) }
--- /dev/null
+++ b/internal/node/beryloperator/server.go
@@ -0,0 +1,62 @@
+package beryloperator
+
+import (
+	"context"
+	"net/http"
+	"strings"
+
+	"github.com/beryllatch/beryllatch/internal/rpc/berylwire"
+	"github.com/twitchtv/twirp"
+)
+
+// defaultMaxBody holds a fleet of 630 instances in one call, at about 300 bytes each, several times over.
+const defaultMaxBody = 1 << 20
+
+// Option changes a setting of the handler.
+type Option func(*handler)
+
+// WithMaxBody sets the largest request body in bytes.
+func WithMaxBody(n int64) Option { return func(h *handler) { h.maxBody = n } }
+
+// New returns the handler of the operators' interface, below /twirp/.
+func New(n Node, credentials []Credential, opts ...Option) http.Handler {
+	h := &handler{credentials: credentials, maxBody: defaultMaxBody, next: berylwire.NewOperatorServer(&service{node: n})}
+	for _, o := range opts {
+		o(h)
+	}
+	return h
+}
+
+// handler identifies the operator and bounds the body before a call is decoded.
+type handler struct {
+	credentials []Credential
+	maxBody     int64
+	next        http.Handler
+}
+
+type operatorKey struct{}
+
+// ServeHTTP refuses calls without a known token.
+func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		_ = twirp.WriteError(w, twirp.Unauthenticated.Error("the operator token is missing"))
+		return
+	}
+	name, ok := identify(h.credentials, token)
+	if !ok {
+		_ = twirp.WriteError(w, twirp.Unauthenticated.Error("the operator token is unknown"))
+		return
+	}
+	if r.ContentLength > h.maxBody {
+		_ = twirp.WriteError(w, twirp.InvalidArgument.Errorf("the body is larger than %d bytes", h.maxBody))
+		return
+	}
+	r.Body = http.MaxBytesReader(w, r.Body, h.maxBody)
+	h.next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), operatorKey{}, name)))
+}
+
+func operatorOf(ctx context.Context) string {
+	name, _ := ctx.Value(operatorKey{}).(string)
+	return name
+}
--- a/validate.go
+++ b/validate.go
@@ -62,6 +62,9 @@
 		if _, ok := c.Services[p.Service]; !ok {
 			return invalid("pools."+k+".service", "unknown service %q", p.Service)
 		}
+		if p.MinSize < 0 || p.MinSize > len(c.Instances) {
+			return invalid("pools."+k+".min_size", "must be between 0 and the fleet's %d instances, got %d", len(c.Instances), p.MinSize)
+		}
 	}
 	return nil
 }
@@ -90,7 +93,8 @@
 	hashes := make(map[string]string, len(c.APIKeys))
 	for _, k := range SortedKeys(c.APIKeys) {
 		a := c.APIKeys[k]
-		if _, ok := c.Teams[a.Team]; !ok {
+		// A withdrawn key outlives its team, so that its secret can never be granted again.
+		if _, ok := c.Teams[a.Team]; !ok && !a.Withdrawn {
 			return invalid("api_keys."+k+".team", "unknown team %q", a.Team)
 		}
 		if len(a.Hash) != 64 {
