--- /dev/null
+++ b/internal/client/berylcommand/change.go
@@ -0,0 +1,134 @@
+package berylcommand
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"strings"
+
+	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
+	"github.com/beryllatch/beryllatch/internal/rpc/berylwire"
+	"github.com/google/uuid"
+	"github.com/twitchtv/twirp"
+)
+
+// maxAttempts repeats a call of unknown outcome; the operation id keeps it from taking effect twice.
+const maxAttempts = 3
+
+// change makes the changes in one configuration version and prints the outcome.
+func (s *session) change(changes ...*berylwire.Change) error {
+	q := &berylwire.ApplyRequest{OperationId: s.settings.OperationID, Changes: changes}
+	return s.apply(q)
+}
+
+func (s *session) apply(q *berylwire.ApplyRequest) error {
+	if q.GetOperationId() == "" {
+		q.OperationId = uuid.NewString()
+	}
+	// The id is printed before the call, so that it is known even if this process ends early.
+	_, _ = fmt.Fprintln(s.stderr, "operation id:", q.GetOperationId())
+	reply, err := s.send(q)
+	if err != nil {
+		return err
+	}
+	if err := s.printOutcome(q.GetOperationId(), reply); err != nil {
+		return err
+	}
+	switch berylreducer.OperatorOutcome(reply.GetOutcome()) {
+	case berylreducer.OutcomeAccepted:
+		return nil
+	case berylreducer.OutcomeNotAccepted:
+		return &refusedError{reason: reply.GetReason()}
+	}
+	return &unknownError{operation: q.GetOperationId(), reason: reply.GetReason()}
+}
+
+// send makes the call and repeats it while its outcome is unknown.
+func (s *session) send(q *berylwire.ApplyRequest) (*berylwire.ApplyResponse, error) {
+	clients, err := s.clients()
+	if err != nil {
+		return nil, err
+	}
+	doubt, sent := "", false
+	var last error
+	for n := range max(maxAttempts, len(clients)) {
+		reply, err := clients[n%len(clients)].Apply(s.ctx, q)
+		reason, refused := refusal(err)
+		switch {
+		case err == nil && settled(reply, sent):
+			return reply, nil
+		case err == nil:
+			doubt, sent = reply.GetReason(), true
+		case refused && !sent:
+			return nil, &refusedError{reason: reason}
+		case unsent(err):
+			last = err
+		default:
+			doubt, sent = err.Error(), true
+		}
+	}
+	if !sent {
+		return nil, &unreachableError{addresses: s.settings.Address, err: last}
+	}
+	return &berylwire.ApplyResponse{Outcome: string(berylreducer.OutcomeUnknown), Reason: doubt}, nil
+}
+
+// settled reports whether the reply is the outcome of the operation. After a call of unknown outcome, a refusal counts
+// only if it is recorded with a version; otherwise the earlier call may still take effect.
+func settled(reply *berylwire.ApplyResponse, sent bool) bool {
+	switch berylreducer.OperatorOutcome(reply.GetOutcome()) {
+	case berylreducer.OutcomeAccepted:
+		return true
+	case berylreducer.OutcomeNotAccepted:
+		return !sent || reply.GetVersion() > 0
+	}
+	return false
+}
+
+// refusal returns the message of a call that the node refused before it looked at the change.
+func refusal(err error) (string, bool) {
+	var t twirp.Error
+	if !errors.As(err, &t) {
+		return "", false
+	}
+	switch t.Code() {
+	case twirp.InvalidArgument, twirp.Malformed, twirp.Unauthenticated, twirp.PermissionDenied, twirp.NotFound, twirp.BadRoute:
+		return t.Msg(), true
+	}
+	return "", false
+}
+
+// unsent reports whether the connection was never made.
+func unsent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// outcome is the printed result of a change.
+type outcome struct {
+	OperationID string   `json:"operation_id"`
+	Outcome     string   `json:"outcome"`
+	Reason      string   `json:"reason,omitempty"`
+	Version     uint64   `json:"version,omitempty"`
+	InForce     bool     `json:"in_force"`
+	WaitingFor  []string `json:"waiting_for,omitempty"`
+}
+
+func (s *session) printOutcome(id string, r *berylwire.ApplyResponse) error {
+	o := outcome{
+		OperationID: id, Outcome: r.GetOutcome(), Reason: r.GetReason(), Version: r.GetVersion(),
+		InForce: r.GetInForce(), WaitingFor: r.GetWaitingFor(),
+	}
+	if s.settings.Output == "json" {
+		return s.printJSON(o)
+	}
+	if o.Outcome != string(berylreducer.OutcomeAccepted) {
+		return nil
+	}
+	force := "in force everywhere"
+	if !o.InForce {
+		force = "not yet confirmed by " + strings.Join(o.WaitingFor, ", ")
+	}
+	_, err := fmt.Fprintf(s.stdout, "accepted as version %d, %s\n", o.Version, force)
+	return err
+}
--- /dev/null
+++ b/internal/client/berylcommand/doc.go
@@ -0,0 +1,2 @@
+// Package berylcommand holds the commands of beryllatch, the operators' command-line client.
+package berylcommand
--- /dev/null
+++ b/internal/client/berylcommand/key_create.go
@@ -0,0 +1,97 @@
+package berylcommand
+
+import (
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/beryllatch/beryllatch/internal/rpc/berylwire"
+)
+
+// secretSize is the size of a key's secret in bytes.
+const secretSize = 32
+
+// keyCreate creates a key.
+type keyCreate struct {
+	ID   string `arg:"" help:"ID of the key."`
+	Team string `required:"" help:"Team that hands in work with the key."`
+
+	SecretFile string `type:"path" placeholder:"FILE" help:"File with a secret shown before, to repeat a call of unknown outcome."`
+}
+
+// Help gives an example.
+func (*keyCreate) Help() string {
+	return "Example:\n  beryllatch key create wheels-2026 --team=wheels\nThe secret is made here and shown once; only its hash is sent."
+}
+
+// Run sends the hash of a new secret, and shows the secret unless the key was surely not created.
+func (cmd *keyCreate) Run(s *session) error {
+	secret, hash, err := cmd.secret(s)
+	if err != nil {
+		return err
+	}
+	key := createdKey{ID: cmd.ID, Team: cmd.Team, Secret: secret}
+	changed := s.change(putKey(cmd.ID, cmd.Team, hash))
+	if status := exitStatus(changed); status == exitDone || status == exitUnknown {
+		if err := s.printSecret(key); err != nil {
+			return err
+		}
+	}
+	return changed
+}
+
+// secret returns a new secret, or the one shown by the call that is repeated.
+func (cmd *keyCreate) secret(s *session) (secret, hash string, err error) {
+	if cmd.SecretFile == "" && s.settings.OperationID != "" {
+		return "", "", usagef("--operation-id: needs --secret-file with the secret of the first call")
+	}
+	if cmd.SecretFile == "" {
+		return newSecret(s.random)
+	}
+	b, err := s.readFile(cmd.SecretFile)
+	if err != nil {
+		return "", "", err
+	}
+	secret = strings.TrimSpace(string(b))
+	if len(secret) < base64.RawURLEncoding.EncodedLen(secretSize) {
+		return "", "", usagef("%s: the secret is too short", cmd.SecretFile)
+	}
+	return secret, hashOf(secret), nil
+}
+
+// createdKey is what is shown of a new key, once.
+type createdKey struct {
+	ID     string `json:"id"`
+	Team   string `json:"team"`
+	Secret string `json:"secret"`
+}
+
+func (s *session) printSecret(k createdKey) error {
+	if s.settings.Output == "json" {
+		return s.printJSON(k)
+	}
+	_, err := fmt.Fprintf(s.stdout, "key %s of team %s, shown once: %s\n", k.ID, k.Team, k.Secret)
+	return err
+}
+
+func putKey(id, team, hash string) *berylwire.Change {
+	return &berylwire.Change{Change: &berylwire.Change_PutApiKey{PutApiKey: &berylwire.ApiKey{Id: id, Team: team, Hash: hash}}}
+}
+
+// newSecret returns a secret and the hexadecimal digits of its SHA-256 hash.
+func newSecret(random io.Reader) (secret, hash string, err error) {
+	b := make([]byte, secretSize)
+	if _, err := io.ReadFull(random, b); err != nil {
+		return "", "", err
+	}
+	secret = base64.RawURLEncoding.EncodeToString(b)
+	return secret, hashOf(secret), nil
+}
+
+func hashOf(secret string) string {
+	sum := sha256.Sum256([]byte(secret))
+	return hex.EncodeToString(sum[:])
+}
--- /dev/null
+++ b/internal/client/berylcommand/output.go
@@ -0,0 +1,94 @@
+package berylcommand
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+)
+
+// printJSON writes a value as indented JSON.
+func (s *session) printJSON(v any) error {
+	e := json.NewEncoder(s.stdout)
+	e.SetIndent("", "  ")
+	return e.Encode(v)
+}
+
+// table is a listing; its rows and its values hold the same things.
+type table struct {
+	head   []string
+	rows   [][]string
+	values []any
+}
+
+func (t *table) add(value any, cells ...any) {
+	row := make([]string, 0, len(cells))
+	for _, c := range cells {
+		row = append(row, cellText(c))
+	}
+	t.rows = append(t.rows, row)
+	t.values = append(t.values, value)
+}
+
+func cellText(c any) string {
+	switch c := c.(type) {
+	case string:
+		if c == "" {
+			return "-"
+		}
+		return c
+	case bool:
+		if c {
+			return "yes"
+		}
+		return "no"
+	}
+	return fmt.Sprint(c)
+}
+
+// printTable writes a listing in the chosen form.
+func (s *session) printTable(t table) error {
+	if s.settings.Output == "json" {
+		if t.values == nil {
+			t.values = []any{}
+		}
+		return s.printJSON(t.values)
+	}
+	w := tabwriter.NewWriter(s.stdout, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, strings.ToUpper(strings.Join(t.head, "\t")))
+	for _, r := range t.rows {
+		_, _ = fmt.Fprintln(w, strings.Join(r, "\t"))
+	}
+	return w.Flush()
+}
+
+// printFields writes one thing, a field a line, in the chosen form.
+func (s *session) printFields(v any) error {
+	if s.settings.Output == "json" {
+		return s.printJSON(v)
+	}
+	doc, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	var fields map[string]any
+	if err := json.Unmarshal(doc, &fields); err != nil {
+		return err
+	}
+	w := tabwriter.NewWriter(s.stdout, 0, 0, 2, ' ', 0)
+	for _, k := range slices.Sorted(maps.Keys(fields)) {
+		_, _ = fmt.Fprintf(w, "%s\t%s\n", k, cellText(fields[k]))
+	}
+	return w.Flush()
+}
+
+// find returns the named thing, or an error that names it.
+func find[V any](kind, name string, m map[string]V) (V, error) {
+	v, ok := m[name]
+	if !ok {
+		return v, &refusedError{reason: fmt.Sprintf("no %s has the name %q", kind, name)}
+	}
+	return v, nil
+}
--- /dev/null
+++ b/internal/client/berylcommand/queue_change.go
@@ -0,0 +1,28 @@
+package berylcommand
+
+import (
+	"github.com/beryllatch/beryllatch/internal/rpc/berylwire"
+)
+
+// queueChange changes the fields that are given.
+type queueChange struct {
+	Name       string  `arg:"" help:"Name of the queue."`
+	Pool       *string `help:"Pool that runs the work."`
+	Team       *string `help:"Only team that may use the queue; empty lets every team."`
+	Open       *bool   `negatable:"" help:"Accept work without a key."`
+	DeadlineMS *int32  `name:"deadline-ms" help:"Default deadline in milliseconds; 0 leaves it to the node."`
+	MaxQueued  *int32  `help:"Most requests waiting at one node; 0 leaves it to the node."`
+}
+
+// Help gives an example.
+func (*queueChange) Help() string {
+	return "Example:\n  beryllatch queue change lacing-plans --max-queued=512"
+}
+
+// Run sends the change.
+func (cmd *queueChange) Run(s *session) error {
+	return s.change(&berylwire.Change{Change: &berylwire.Change_ChangeQueue{ChangeQueue: &berylwire.ChangeQueue{
+		Name: cmd.Name, Pool: cmd.Pool, Team: cmd.Team, Open: cmd.Open,
+		DeadlineMs: cmd.DeadlineMS, MaxQueued: cmd.MaxQueued,
+	}}})
+}
--- /dev/null
+++ b/internal/client/berylcommand/status.go
@@ -0,0 +1,8 @@
+package berylcommand
+
+// statusCommand groups the commands of the state of the fleet.
+type statusCommand struct {
+	Fleet statusFleet `cmd:"" help:"Nodes and instances."`
+	Team  statusTeam  `cmd:"" help:"Running and waiting work of the teams."`
+	Task  statusTask  `cmd:"" help:"State of one task."`
+}
--- /dev/null
+++ b/internal/client/berylcommand/team_questionnaire.go
@@ -0,0 +1,129 @@
+package berylcommand
+
+import (
+	"fmt"
+	"text/tabwriter"
+
+	"github.com/beryllatch/beryllatch"
+	"github.com/beryllatch/beryllatch/internal/decision/berylplan"
+)
+
+// teamQuestionnaire generates the configuration from answers.
+type teamQuestionnaire struct {
+	Answers string `type:"path" placeholder:"FILE" help:"JSON file with the answers; - reads the standard input. Without it, the questions are asked."`
+	Apply   bool   `help:"Apply the configuration and create a key for each customer."`
+}
+
+// Help gives an example.
+func (*teamQuestionnaire) Help() string {
+	return `Example:
+  beryllatch team questionnaire --answers=examples/rimwise.json
+  beryllatch team questionnaire --answers=examples/rimwise.json --apply
+The configuration is shown line by line with reasons and checked as a whole; nothing is sent without --apply.`
+}
+
+// Run shows the generated configuration, and applies it on request.
+func (cmd *teamQuestionnaire) Run(s *session) error {
+	if cmd.Apply && s.settings.OperationID != "" {
+		return usagef("--operation-id: a repeat would make other keys; check with 'beryllatch team list' instead")
+	}
+	a, err := cmd.answers(s)
+	if err != nil {
+		return err
+	}
+	p, err := berylplan.PlanAnswers(a)
+	if err != nil {
+		return &usageError{err: err}
+	}
+	if _, err := p.Apply(beryllatch.Config{}); err != nil {
+		return &usageError{err: err}
+	}
+	if err := s.printPlan(p); err != nil {
+		return err
+	}
+	if !cmd.Apply {
+		return nil
+	}
+	return s.applyPlan(p)
+}
+
+func (cmd *teamQuestionnaire) answers(s *session) (berylplan.Answers, error) {
+	if cmd.Answers == "" {
+		return ask(s)
+	}
+	doc, err := s.readFile(cmd.Answers)
+	if err != nil {
+		return berylplan.Answers{}, err
+	}
+	a, err := decodeAnswers(doc)
+	if err != nil {
+		return a, usagef("%s: %w", cmd.Answers, err)
+	}
+	return a, nil
+}
+
+// decodeAnswers decodes the answers and refuses unknown and repeated fields.
+func decodeAnswers(doc []byte) (berylplan.Answers, error) {
+	var a berylplan.Answers
+	if err := decodeStrict(doc, &a); err != nil {
+		return berylplan.Answers{}, err
+	}
+	return a, a.Validate()
+}
+
+// planLine is one generated line and its reason.
+type planLine struct {
+	Line string `json:"line"`
+	Why  string `json:"why"`
+}
+
+// planOutput is the printed plan.
+type planOutput struct {
+	Lines []planLine `json:"lines"`
+	Notes []string   `json:"notes"`
+}
+
+func (s *session) printPlan(p berylplan.Plan) error {
+	out := planOutput{Notes: p.Notes}
+	for _, e := range p.Changes {
+		out.Lines = append(out.Lines, planLine{Line: e.Line(), Why: e.Why})
+	}
+	if s.settings.Output == "json" {
+		return s.printJSON(out)
+	}
+	w := tabwriter.NewWriter(s.stdout, 0, 0, 2, ' ', 0)
+	for _, l := range out.Lines {
+		_, _ = fmt.Fprintf(w, "%s\t# %s\n", l.Line, l.Why)
+	}
+	for _, n := range out.Notes {
+		_, _ = fmt.Fprintf(w, "# %s\n", n)
+	}
+	return w.Flush()
+}
+
+// applyPlan makes the changes and a key for each customer in one configuration version.
+func (s *session) applyPlan(p berylplan.Plan) error {
+	changes, err := encodePlan(p)
+	if err != nil {
+		return err
+	}
+	var keys []createdKey
+	for _, team := range p.Customers {
+		secret, hash, err := newSecret(s.random)
+		if err != nil {
+			return err
+		}
+		keys = append(keys, createdKey{ID: team + "-1", Team: team, Secret: secret})
+		changes = append(changes, putKey(team+"-1", team, hash))
+	}
+	changed := s.change(changes...)
+	if status := exitStatus(changed); status != exitDone && status != exitUnknown {
+		return changed
+	}
+	for _, k := range keys {
+		if err := s.printSecret(k); err != nil {
+			return err
+		}
+	}
+	return changed
+}
--- /dev/null
+++ b/internal/decision/berylplan/answers.go
@@ -0,0 +1,245 @@
+package berylplan
+
+import (
+	"fmt"
+	"regexp"
+	"time"
+)
+
+// LateAnswer says what happens to work that comes late.
+type LateAnswer string
+
+// The answers to what happens to late work.
+const (
+	LateLostSale LateAnswer = "lost_sale"
+	LateMayWait  LateAnswer = "may_wait"
+)
+
+// SizeAnswer is the size of a customer.
+type SizeAnswer string
+
+// The sizes of customers.
+const (
+	SizeLarge SizeAnswer = "large"
+	SizeSmall SizeAnswer = "small"
+)
+
+// Answers are a user's answers to the questionnaire.
+type Answers struct {
+	User        string             `json:"user"`
+	DataCentres []DataCentreAnswer `json:"data_centres"`
+	Work        []WorkAnswer       `json:"work"`
+	Customers   []CustomerAnswer   `json:"customers"`
+	Limits      LimitsAnswer       `json:"limits"`
+}
+
+// DataCentreAnswer names a data centre.
+type DataCentreAnswer struct {
+	Name   string `json:"name"`
+	Region string `json:"region,omitempty"`
+}
+
+// WorkAnswer describes one kind of work.
+type WorkAnswer struct {
+	Name string `json:"name"`
+	// PerMinute is the mean rate of requests.
+	PerMinute float64 `json:"per_minute"`
+	// BurstFactor is the rate of a burst over the mean rate; 0 means 5.
+	BurstFactor float64 `json:"burst_factor,omitempty"`
+	RunTimeMS   int     `json:"run_time_ms"`
+	// Workers is the number of workers planned for the work.
+	Workers int        `json:"workers"`
+	Late    LateAnswer `json:"late"`
+	// AnswerWithinMS is the deadline of work that is a lost sale when late.
+	AnswerWithinMS int `json:"answer_within_ms,omitempty"`
+	// LastHandedIn and WaitUntil are times of day: when the last work that may wait comes, and when it must be done.
+	LastHandedIn string `json:"last_handed_in,omitempty"`
+	WaitUntil    string `json:"wait_until,omitempty"`
+	// OnlyFor is the customer that alone hands in this work; empty means every customer.
+	OnlyFor string `json:"only_for,omitempty"`
+	// Open work is accepted without a key.
+	Open bool `json:"open,omitempty"`
+}
+
+// CustomerAnswer describes one customer.
+type CustomerAnswer struct {
+	Name string     `json:"name"`
+	Size SizeAnswer `json:"size"`
+	// Weight is the customer's share of a full fleet; 0 means 4 for a large customer and 1 for a small one.
+	Weight int `json:"weight,omitempty"`
+	// AtMostPercent is the customer's ceiling in percent of all slots; 0 means 60 for a large and 25 for a small one.
+	AtMostPercent int `json:"at_most_percent,omitempty"`
+}
+
+// LimitsAnswer holds the limits of the fleet.
+type LimitsAnswer struct {
+	SlotsPerWorker int `json:"slots_per_worker"`
+	// WorkersPerRack is the number of workers that one rack or switch takes down.
+	WorkersPerRack int `json:"workers_per_rack"`
+	SpareWorkers   int `json:"spare_workers,omitempty"`
+	// OutAtOncePercent is the share of a service's workers that may be out of service at the same time.
+	OutAtOncePercent int `json:"out_at_once_percent"`
+}
+
+const (
+	timeOfDay = "15:04"
+	maxNamed  = 200
+)
+
+var answerName = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
+
+// Validate returns a *beryllatch.InvalidFieldError for the first answer that cannot be used.
+func (a Answers) Validate() error {
+	for _, check := range []func() error{a.validateFleet, a.validateWork, a.validateCustomers, a.validateLimits} {
+		if err := check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (a Answers) validateFleet() error {
+	if err := checkName("user", a.User, map[string]bool{}); err != nil {
+		return err
+	}
+	if err := within("data_centres", len(a.DataCentres), 1, maxNamed); err != nil {
+		return err
+	}
+	seen := map[string]bool{}
+	for n, d := range a.DataCentres {
+		if err := checkName(fmt.Sprintf("data_centres[%d].name", n), d.Name, seen); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (a Answers) validateWork() error {
+	if err := within("work", len(a.Work), 1, maxNamed); err != nil {
+		return err
+	}
+	seen := map[string]bool{spareName: true}
+	for n, w := range a.Work {
+		field := fmt.Sprintf("work[%d]", n)
+		if err := checkName(field+".name", w.Name, seen); err != nil {
+			return err
+		}
+		if err := a.validateWorkAnswer(field, w); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (a Answers) validateWorkAnswer(field string, w WorkAnswer) error {
+	if !(w.PerMinute > 0 && w.PerMinute <= 1e6) {
+		return invalid(field+".per_minute", "must be above 0 and at most 1000000")
+	}
+	if w.BurstFactor != 0 && !(w.BurstFactor >= 1 && w.BurstFactor <= 100) {
+		return invalid(field+".burst_factor", "must be between 1 and 100, or 0 for 5")
+	}
+	if err := within(field+".run_time_ms", w.RunTimeMS, 1, int((24 * time.Hour).Milliseconds())); err != nil {
+		return err
+	}
+	if err := within(field+".workers", w.Workers, 1, 10_000); err != nil {
+		return err
+	}
+	if w.OnlyFor != "" && !a.hasCustomer(w.OnlyFor) {
+		return invalid(field+".only_for", "unknown customer %q", w.OnlyFor)
+	}
+	if w.OnlyFor != "" && w.Open {
+		return invalid(field+".open", "work for one customer needs that customer's key")
+	}
+	_, err := w.deadline(field)
+	return err
+}
+
+func (a Answers) hasCustomer(name string) bool {
+	for _, c := range a.Customers {
+		if c.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+// deadline returns how long the work may take from its arrival.
+func (w WorkAnswer) deadline(field string) (time.Duration, error) {
+	switch w.Late {
+	case LateLostSale:
+		if err := within(field+".answer_within_ms", w.AnswerWithinMS, w.RunTimeMS, 60_000); err != nil {
+			return 0, err
+		}
+		return time.Duration(w.AnswerWithinMS) * time.Millisecond, nil
+	case LateMayWait:
+		last, err := time.Parse(timeOfDay, w.LastHandedIn)
+		if err != nil {
+			return 0, invalid(field+".last_handed_in", "must be a time of day such as 04:00, got %q", w.LastHandedIn)
+		}
+		until, err := time.Parse(timeOfDay, w.WaitUntil)
+		if err != nil {
+			return 0, invalid(field+".wait_until", "must be a time of day such as 06:30, got %q", w.WaitUntil)
+		}
+		d := (until.Sub(last) + 24*time.Hour) % (24 * time.Hour)
+		if d < time.Duration(w.RunTimeMS)*time.Millisecond {
+			return 0, invalid(field+".wait_until", "leaves %s after the last work comes, less than its run time", d)
+		}
+		return d, nil
+	}
+	return 0, invalid(field+".late", "must be %s or %s, got %q", LateLostSale, LateMayWait, w.Late)
+}
+
+func (a Answers) validateCustomers() error {
+	if err := within("customers", len(a.Customers), 1, maxNamed); err != nil {
+		return err
+	}
+	seen := map[string]bool{}
+	for n, c := range a.Customers {
+		field := fmt.Sprintf("customers[%d]", n)
+		if err := checkName(field+".name", c.Name, seen); err != nil {
+			return err
+		}
+		if c.Size != SizeLarge && c.Size != SizeSmall {
+			return invalid(field+".size", "must be %s or %s, got %q", SizeLarge, SizeSmall, c.Size)
+		}
+		if err := within(field+".weight", c.Weight, 0, 1000); err != nil {
+			return err
+		}
+		if err := within(field+".at_most_percent", c.AtMostPercent, 0, 100); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (a Answers) validateLimits() error {
+	l := a.Limits
+	if err := within("limits.slots_per_worker", l.SlotsPerWorker, 1, 1000); err != nil {
+		return err
+	}
+	if err := within("limits.workers_per_rack", l.WorkersPerRack, 1, 1000); err != nil {
+		return err
+	}
+	if err := within("limits.spare_workers", l.SpareWorkers, 0, 10_000); err != nil {
+		return err
+	}
+	return within("limits.out_at_once_percent", l.OutAtOncePercent, 1, 50)
+}
+
+func checkName(field, name string, seen map[string]bool) error {
+	if !answerName.MatchString(name) {
+		return invalid(field, "must match %s, got %q", answerName, name)
+	}
+	if seen[name] {
+		return invalid(field, "%q is taken", name)
+	}
+	seen[name] = true
+	return nil
+}
+
+func within(field string, n, low, high int) error {
+	if n < low || n > high {
+		return invalid(field, "must be between %d and %d, got %d", low, high, n)
+	}
+	return nil
+}
--- a/internal/decision/berylplan/change.go
+++ b/internal/decision/berylplan/change.go
@@ -41,6 +41,8 @@
 	switch ch := ch.(type) {
 	case SetDataCentreOut:
 		return true
+	case CreateOnly:
+		return budgetExempt(c, ch.Change)
 	case PutInstance:
 		_, known := c.Instances[ch.Instance.ID]
 		return !known
--- a/internal/decision/berylplan/lines.go
+++ b/internal/decision/berylplan/lines.go
@@ -10,7 +10,9 @@
 // Lines returns the configuration as text, one thing a line, in a stable order.
 func Lines(c beryllatch.Config) []string {
 	out := []string{fmt.Sprintf("version %d", c.Version)}
-	add := func(format string, args ...any) { out = append(out, strings.TrimRight(fmt.Sprintf(format, args...), " ")) }
+	add := func(format string, args ...any) {
+		out = append(out, strings.TrimRight(fmt.Sprintf(format, args...), " "))
+	}
 	for _, k := range beryllatch.SortedKeys(c.Teams) {
 		add("team %s weight=%d ceiling=%d", k, c.Teams[k].Weight, c.Teams[k].Ceiling)
 	}
--- /dev/null
+++ b/internal/decision/berylplan/questionnaire.go
@@ -0,0 +1,207 @@
+package berylplan
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"time"
+
+	"github.com/beryllatch/beryllatch"
+)
+
+const (
+	spareName          = "spare"
+	defaultBurstFactor = 5.0
+	defaultWeightLarge = 4
+	defaultAtMostLarge = 60
+	defaultAtMostSmall = 25
+	// entryNodes is the usual number of entry nodes, which share the waiting requests of a burst.
+	entryNodes = 8
+	minQueued  = 32
+	maxQueued  = 4096
+	// usualFailuresPerDay and usualRepair give the spare for random failures: 7 a day among 630 instances, an hour each.
+	usualFailuresPerDay = 7.0 / 630
+	usualRepair         = time.Hour
+)
+
+// Explained is a generated change with the reason for its values.
+type Explained struct {
+	Change Change
+	Why    string
+}
+
+// Plan is the configuration generated from answers.
+type Plan struct {
+	Changes []Explained
+	// Customers lists the teams that need a key, in the order of the answers.
+	Customers []string
+	// Notes compares the planned workers with what the answers call for.
+	Notes []string
+}
+
+// PlanAnswers returns the configuration for the answers, or a *beryllatch.InvalidFieldError.
+func PlanAnswers(a Answers) (Plan, error) {
+	if err := a.Validate(); err != nil {
+		return Plan{}, err
+	}
+	p := &Plan{}
+	p.planDataCentres(a)
+	p.planTeams(a)
+	p.planWork(a)
+	p.planNotes(a)
+	return *p, nil
+}
+
+func (p *Plan) add(ch Change, why string, args ...any) {
+	p.Changes = append(p.Changes, Explained{Change: CreateOnly{Change: ch}, Why: fmt.Sprintf(why, args...)})
+}
+
+func (p *Plan) planDataCentres(a Answers) {
+	for _, d := range a.DataCentres {
+		p.add(PutDataCentre{DataCentre: beryllatch.DataCentre{Name: d.Name, Region: d.Region}}, "one of your data centres")
+	}
+}
+
+func (p *Plan) planTeams(a Answers) {
+	slots := a.slots()
+	for _, c := range a.Customers {
+		weight, percent := c.share()
+		ceiling := max(1, slots*percent/100)
+		p.Customers = append(p.Customers, c.Name)
+		p.add(PutTeam{Team: beryllatch.Team{Name: c.Name, Weight: weight, Ceiling: ceiling}},
+			"a %s customer: share %d when the fleet is full, at most %d%% of %d slots", c.Size, weight, percent, slots)
+	}
+}
+
+func (a Answers) slots() int {
+	workers := a.Limits.SpareWorkers
+	for _, w := range a.Work {
+		workers += w.Workers
+	}
+	return workers * a.Limits.SlotsPerWorker
+}
+
+// share returns the customer's weight and its ceiling in percent.
+func (c CustomerAnswer) share() (int, int) {
+	weight, percent := 1, defaultAtMostSmall
+	if c.Size == SizeLarge {
+		weight, percent = defaultWeightLarge, defaultAtMostLarge
+	}
+	if c.Weight > 0 {
+		weight = c.Weight
+	}
+	if c.AtMostPercent > 0 {
+		percent = c.AtMostPercent
+	}
+	return weight, percent
+}
+
+func (p *Plan) planWork(a Answers) {
+	spareService := a.spareService()
+	for _, w := range a.Work {
+		workers := w.Workers
+		if w.Name == spareService {
+			workers += a.Limits.SpareWorkers
+		}
+		p.add(PutService{Service: a.service(w.Name, workers)},
+			"%d%% of %d workers may be out of service at once", a.Limits.OutAtOncePercent, workers)
+		p.add(PutPool{Pool: beryllatch.Pool{Name: w.Name, Service: w.Name}}, "%d workers run this work", w.Workers)
+		p.planQueue(a, w)
+	}
+	if a.Limits.SpareWorkers == 0 {
+		return
+	}
+	if spareService == spareName {
+		p.add(PutService{Service: a.service(spareName, a.Limits.SpareWorkers)}, "the spare workers have their own budget")
+	}
+	p.add(PutPool{Pool: beryllatch.Pool{Name: spareName, Service: spareService, Spare: true}},
+		"%d workers that go where a demand lasts over %s", a.Limits.SpareWorkers, MoveAfter)
+}
+
+func (a Answers) service(name string, workers int) beryllatch.Service {
+	return beryllatch.Service{Name: name, MaxUnavailable: max(1, workers*a.Limits.OutAtOncePercent/100)}
+}
+
+// spareService returns the service whose budget the spare pool is under: the first one whose work may wait.
+func (a Answers) spareService() string {
+	for _, w := range a.Work {
+		if w.Late == LateMayWait {
+			return w.Name
+		}
+	}
+	return spareName
+}
+
+func (p *Plan) planQueue(a Answers, w WorkAnswer) {
+	d, _ := w.deadline("")
+	queued := queuedPerNode(w, d)
+	late := "late work is a lost sale, so it is refused early rather than answered late"
+	if w.Late == LateMayWait {
+		late = fmt.Sprintf("work that comes by %s is done by %s", w.LastHandedIn, w.WaitUntil)
+	}
+	who := "every customer with a key"
+	switch {
+	case w.Open:
+		who = "everyone, without a key"
+	case w.OnlyFor != "":
+		who = w.OnlyFor + " alone"
+	}
+	p.add(PutQueue{Queue: beryllatch.Queue{
+		Name: w.Name, Pool: w.Name, Team: w.OnlyFor, Open: w.Open, DeadlineMS: int(d.Milliseconds()), MaxQueued: queued,
+	}}, "for %s; %s; a burst of %gx may wait at %d nodes", who, late, w.burst(), entryNodes)
+}
+
+func (w WorkAnswer) burst() float64 {
+	if w.BurstFactor == 0 {
+		return defaultBurstFactor
+	}
+	return w.BurstFactor
+}
+
+// queuedPerNode returns the requests that can arrive in a burst before the first of them is late, shared by the nodes.
+func queuedPerNode(w WorkAnswer, deadline time.Duration) int {
+	n := w.PerMinute / 60 * w.burst() * deadline.Seconds() / entryNodes
+	return int(math.Min(maxQueued, math.Max(minQueued, math.Ceil(n))))
+}
+
+// planNotes compares the planned workers with the buffers that the answers call for.
+func (p *Plan) planNotes(a Answers) {
+	in := BufferInput{
+		SlotsPerInstance: a.Limits.SlotsPerWorker, RepairTime: usualRepair, LargestRack: a.Limits.WorkersPerRack,
+	}
+	planned := a.slots() / a.Limits.SlotsPerWorker
+	in.FailuresPerDay = usualFailuresPerDay * float64(planned)
+	in.LargestDataCentre = (planned + len(a.DataCentres) - 1) / len(a.DataCentres)
+	for _, w := range a.Work {
+		mean := w.PerMinute / 60 * float64(w.RunTimeMS) / 1000
+		in.Loads = append(in.Loads, PoolLoad{Pool: w.Name, Mean: mean, Burst: mean * w.burst()})
+	}
+	b := PlanBuffer(in)
+	p.Notes = append(p.Notes, fmt.Sprintf(
+		"%d workers planned, %d needed: %d for the mean load, %d for the largest burst (%d if the bursts did not come in turn),"+
+			" %d for the loss of a data centre, a rack (%d) or single workers (%d)",
+		planned, b.Total(), b.Base, b.Burst, b.BurstApart, b.Failure(), b.Rack, b.Random))
+	if b.Total() > planned {
+		p.Notes = append(p.Notes, fmt.Sprintf("%d workers are missing for a burst during the loss of a data centre",
+			b.Total()-planned))
+	}
+}
+
+// Apply returns the configuration after the plan's changes.
+func (p Plan) Apply(c beryllatch.Config) (beryllatch.Config, error) {
+	changes := make([]Change, 0, len(p.Changes))
+	for _, ch := range p.Changes {
+		changes = append(changes, ch.Change)
+	}
+	return Apply(c, nil, changes...)
+}
+
+// Line returns a change of a plan as one configuration line.
+func (e Explained) Line() string {
+	inner, _ := e.Change.(CreateOnly)
+	c, err := inner.Change.apply(beryllatch.Config{}, nil)
+	if err != nil {
+		return err.Error()
+	}
+	return strings.Join(Lines(c)[1:], "; ")
+}
--- a/internal/decision/berylreducer/operate_operation.go
+++ b/internal/decision/berylreducer/operate_operation.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"encoding/json"
 	"fmt"
 	"slices"
 
@@ -54,7 +55,9 @@
 func digest(changes []berylplan.Change) string {
 	h := sha256.New()
 	for _, ch := range changes {
-		_, _ = fmt.Fprintf(h, "%T%+v\n", ch, ch)
+		// The changes are plain values, so that encoding them cannot fail.
+		doc, _ := json.Marshal(ch)
+		_, _ = fmt.Fprintf(h, "%T%s\n", ch, doc)
 	}
 	return hex.EncodeToString(h.Sum(nil))
 }
--- a/internal/node/beryloperator/decode.go
+++ b/internal/node/beryloperator/decode.go
@@ -16,6 +16,9 @@
 	out := make([]berylplan.Change, 0, len(in))
 	for n, ch := range in {
 		d := decodeChange(ch)
+		if d != nil && ch.GetCreateOnly() {
+			d = berylplan.CreateOnly{Change: d}
+		}
 		if d == nil {
 			return nil, twirp.InvalidArgumentError(fmt.Sprintf("changes[%d]", n), "is empty or of an unknown kind")
 		}
@@ -58,9 +61,51 @@
 	case *berylwire.Change_WithdrawApiKey:
 		return berylplan.WithdrawAPIKey{ID: ch.WithdrawApiKey}
 	}
+	if ch := decodePartialChange(in); ch != nil {
+		return ch
+	}
 	return decodeFleetChange(in)
 }
 
+// decodePartialChange decodes the changes that replace only the fields present.
+func decodePartialChange(in *berylwire.Change) berylplan.Change {
+	switch ch := in.GetChange().(type) {
+	case *berylwire.Change_ChangeTeam:
+		t := ch.ChangeTeam
+		return berylplan.ChangeTeam{Name: t.GetName(), Weight: integer(t.Weight), Ceiling: integer(t.Ceiling)}
+	case *berylwire.Change_ChangeService:
+		s := ch.ChangeService
+		return berylplan.ChangeService{Name: s.GetName(), MaxUnavailable: integer(s.MaxUnavailable)}
+	case *berylwire.Change_ChangePool:
+		p := ch.ChangePool
+		return berylplan.ChangePool{Name: p.GetName(), Service: p.Service, Spare: p.Spare, MinSize: integer(p.MinSize)}
+	case *berylwire.Change_ChangeQueue:
+		q := ch.ChangeQueue
+		return berylplan.ChangeQueue{
+			Name: q.GetName(), Pool: q.Pool, Team: q.Team, Open: q.Open,
+			DeadlineMS: integer(q.DeadlineMs), MaxQueued: integer(q.MaxQueued),
+		}
+	case *berylwire.Change_ChangeDataCentre:
+		return berylplan.ChangeDataCentre{Name: ch.ChangeDataCentre.GetName(), Region: ch.ChangeDataCentre.Region}
+	case *berylwire.Change_ChangeInstance:
+		i := ch.ChangeInstance
+		return berylplan.ChangeInstance{
+			ID: i.GetId(), DataCentre: i.DataCentre, Rack: i.Rack, Address: i.Address,
+			Slots: integer(i.Slots), Connections: integer(i.Connections), Cores: integer(i.Cores),
+			MemoryMB: integer(i.MemoryMb), Accelerators: integer(i.Accelerators),
+		}
+	}
+	return nil
+}
+
+func integer(n *int32) *int {
+	if n == nil {
+		return nil
+	}
+	i := int(*n)
+	return &i
+}
+
 func decodeFleetChange(in *berylwire.Change) berylplan.Change {
 	switch ch := in.GetChange().(type) {
 	case *berylwire.Change_PutDataCentre:
--- a/validate.go
+++ b/validate.go
@@ -19,7 +19,8 @@
 // Validate returns an *InvalidFieldError for the first field that breaks a rule, in a stable order.
 func (c Config) Validate() error {
 	for _, check := range []func() error{
-		c.validateTeams, c.validatePools, c.validateQueues, c.validateAPIKeys, c.validateInstances, c.validateWaves,
+		c.validateTeams, c.validatePools, c.validateQueues, c.validateAPIKeys, c.validateDataCentres,
+		c.validateInstances, c.validateWaves,
 	} {
 		if err := check(); err != nil {
 			return err
@@ -108,6 +109,15 @@
 	return nil
 }
 
+func (c Config) validateDataCentres() error {
+	for _, k := range SortedKeys(c.DataCentres) {
+		if !namePattern.MatchString(k) || c.DataCentres[k].Name != k {
+			return invalid("data_centres."+k, "name must match %s", namePattern)
+		}
+	}
+	return nil
+}
+
 func (c Config) validateInstances() error {
 	addresses := make(map[string]string, len(c.Instances))
 	for _, k := range SortedKeys(c.Instances) {
@@ -128,6 +138,9 @@
 		if i.Slots < 1 || i.Connections < 1 {
 			return invalid(field, "slots and connections must be at least 1")
 		}
+		if i.Cores < 0 || i.MemoryMB < 0 || i.Accelerators < 0 {
+			return invalid(field, "cores, memory_mb and accelerators must not be negative")
+		}
 		if i.State != InstanceActive && i.State != InstanceDraining && i.State != InstanceRebooting {
 			return invalid(field+".state", "unknown state %q", i.State)
 		}
