--- a/internal/decision/berylreducer/reducer.go
+++ b/internal/decision/berylreducer/reducer.go
@@ -27,6 +27,7 @@
 	requests map[string]*request
 	// waiting holds the requests without a worker, by queue, in order of arrival.
 	waiting  map[string][]*request
+	operate  operateState
 	stopping bool
 	// stopAt ends the time in which a stopping node still accepts requests.
 	stopAt time.Duration
@@ -69,11 +70,14 @@
 		r.unitsAsked(e)
 	case StopRequested:
 		r.stopRequested()
+	case StatusAsked:
+		r.statusAsked(e)
 	default:
 		r.reduceClaim(e)
 		r.reduceTask(e)
 		r.reduceOperate(e)
 	}
+	r.operateAfter(e)
 	r.updateReady()
 	return r.out
 }
@@ -117,7 +121,7 @@
 func (r *Reducer) refusesNew() bool { return r.stopping && r.now.Mono >= r.stopAt }
 
 func (r *Reducer) stopWhenIdle() {
-	if r.refusesNew() && len(r.requests) == 0 {
+	if r.refusesNew() && len(r.requests) == 0 && r.operateIdle() {
 		r.emit(Stop{})
 	}
 }
--- a/internal/node/beryldaemon/daemon.go
+++ b/internal/node/beryldaemon/daemon.go
@@ -49,6 +49,10 @@
 	nodeVersion uint64
 	nodeMu      sync.Mutex
 	snapshot    atomic.Pointer[beryllatch.Config]
+	operators   calls[berylreducer.ReplyOperator]
+	statuses    calls[berylreducer.Status]
+	// nextReport is the worker whose report was asked for last.
+	nextReport int
 }
 
 // Init prepares the daemon; the posting methods may be used from then on.
@@ -72,6 +76,7 @@
 	}
 	reduce(berylreducer.Started{Self: d.Self, Seed: d.Seed})
 	d.every(ctx, listInterval, d.readInstances)
+	d.every(ctx, reportInterval, d.readWorkers)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
@@ -99,9 +104,6 @@
 // Ready reports whether the balancer may send work to this node.
 func (d *Daemon) Ready() bool { return d.ready.Load() }
 
-// Config returns the configuration in force, nil before the first.
-func (d *Daemon) Config() *beryllatch.Config { return d.snapshot.Load() }
-
 func (d *Daemon) now() berylreducer.Instant {
 	return berylreducer.Instant{Mono: time.Since(d.started), Wall: time.Now().Round(0)}
 }
--- a/internal/node/beryldaemon/execute.go
+++ b/internal/node/beryldaemon/execute.go
@@ -23,6 +23,14 @@
 		d.deliver(x.ID, x)
 	case berylreducer.Finish:
 		d.deliver(x.ID, x)
+	case berylreducer.WriteConfig:
+		d.async(ctx, func(ctx context.Context) { d.writeConfig(ctx, x) })
+	case berylreducer.ReplyOperator:
+		d.operators.resolve(x.CallID, x)
+	case berylreducer.ReplyStatus:
+		d.statuses.resolve(x.CallID, x.Status)
+	case berylreducer.RebootWorker:
+		d.async(ctx, func(ctx context.Context) { d.rebootWorker(ctx, x) })
 	case berylreducer.Count:
 		d.Metrics.Count(x.Name, x.N)
 	case berylreducer.LogState:
--- a/internal/node/beryldaemon/execute_tenure.go
+++ b/internal/node/beryldaemon/execute_tenure.go
@@ -74,9 +74,6 @@
 	if err != nil {
 		return 0, nil, err
 	}
-	if head == 0 {
-		return 0, nil, errors.Join(d.store().Create(ctx), errNoConfig)
-	}
 	nodes := make([]berylreducer.NodeRow, 0, len(rows))
 	for _, row := range rows {
 		var n berylreducer.NodeRow
@@ -87,9 +84,6 @@
 	return head, nodes, nil
 }
 
-// errNoConfig makes the node renew again once the first configuration is stored.
-var errNoConfig = errors.New("no configuration is stored yet")
-
 func (d *Daemon) readConfig(ctx context.Context) {
 	c, err := d.store().Read(ctx)
 	if err != nil {
--- /dev/null
+++ b/internal/node/beryldaemon/operator.go
@@ -0,0 +1,113 @@
+package beryldaemon
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"github.com/beryllatch/beryllatch"
+	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
+	"github.com/beryllatch/beryllatch/internal/node/beryloperator"
+	"github.com/beryllatch/beryllatch/internal/rpc/berylwire"
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+)
+
+// ApplyChanges posts an operator's call and waits for its reply.
+func (d *Daemon) ApplyChanges(
+	ctx context.Context, e berylreducer.OperatorAsked,
+) (berylreducer.ReplyOperator, error) {
+	return d.operators.wait(ctx, e.CallID, func() { d.Post(e) })
+}
+
+// Config returns the configuration in force at the node.
+func (d *Daemon) Config(context.Context) (beryllatch.Config, error) {
+	c := d.snapshot.Load()
+	if c == nil {
+		return beryllatch.Config{}, eris.New("the node has no configuration yet")
+	}
+	return *c, nil
+}
+
+// Status returns the fleet as the node sees it.
+func (d *Daemon) Status(ctx context.Context) (*berylwire.GetStatusResponse, error) {
+	id := uuid.NewString()
+	s, err := d.statuses.wait(ctx, id, func() { d.Post(berylreducer.StatusAsked{CallID: id}) })
+	if err != nil {
+		return nil, err
+	}
+	cfg, err := d.Config(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return statusMessage(d.Self.Node, s, cfg), nil
+}
+
+func statusMessage(node string, s berylreducer.Status, cfg beryllatch.Config) *berylwire.GetStatusResponse {
+	out := &berylwire.GetStatusResponse{Node: node, Mode: mode(s), ConfigVersion: s.ConfigVersion}
+	for _, n := range s.Nodes {
+		out.Nodes = append(out.Nodes, &berylwire.NodeStatus{
+			Id: n.Node, DataCentre: n.DataCentre, State: string(n.State), ConfigVersion: n.ConfigVersion,
+		})
+	}
+	for _, t := range s.Teams {
+		out.Teams = append(out.Teams, &berylwire.TeamStatus{
+			Name: t.Team, Running: int32(t.Running), Waiting: int32(t.Waiting), Units: int32(t.Units),
+			Ceiling: int32(cfg.Teams[t.Team].Ceiling),
+		})
+	}
+	for _, i := range s.Instances {
+		out.Instances = append(out.Instances, &berylwire.InstanceStatus{
+			Id: i.ID, Pool: i.Pool, DataCentre: i.DataCentre, State: string(i.State), Health: health(i),
+			Running: int32(i.Running),
+		})
+	}
+	return out
+}
+
+func mode(s berylreducer.Status) string {
+	if s.MayStart {
+		return "serving"
+	}
+	return "stale"
+}
+
+func health(i berylreducer.InstanceView) string {
+	switch {
+	case i.Leaving:
+		return "leaving"
+	case i.Healthy:
+		return "healthy"
+	default:
+		return "unhealthy"
+	}
+}
+
+// Task returns a task as its row holds it.
+func (d *Daemon) Task(ctx context.Context, id string) (beryllatch.Task, error) {
+	key, ok := taskKey(id)
+	if !ok {
+		return beryllatch.Task{}, &beryloperator.TaskNotFoundError{ID: id}
+	}
+	row, err := d.Table.Get(ctx, key)
+	if err != nil {
+		return beryllatch.Task{}, eris.Wrap(err, "read task")
+	}
+	if row.Version == 0 {
+		return beryllatch.Task{}, &beryloperator.TaskNotFoundError{ID: id}
+	}
+	var t beryllatch.Task
+	if err := json.Unmarshal(row.Value, &t); err != nil {
+		return beryllatch.Task{}, eris.Wrap(err, "decode task")
+	}
+	return t, nil
+}
+
+// taskKey returns the row of a task; the id starts with the number of its shard.
+func taskKey(id string) (beryllatch.RowKey, bool) {
+	var shard int
+	if _, err := fmt.Sscanf(id, "%d-", &shard); err != nil {
+		return beryllatch.RowKey{}, false
+	}
+	return beryllatch.RowKey{Partition: fmt.Sprintf("task#%d", shard), Sort: id}, true
+}
--- a/internal/node/berylserver/build.go
+++ b/internal/node/berylserver/build.go
@@ -9,6 +9,7 @@
 	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
 	"github.com/beryllatch/beryllatch/internal/node/berylcaller"
 	"github.com/beryllatch/beryllatch/internal/node/beryldaemon"
+	"github.com/beryllatch/beryllatch/internal/node/beryloperator"
 	"github.com/beryllatch/beryllatch/internal/platform/berylinstance"
 	"github.com/beryllatch/beryllatch/internal/platform/berylobject"
 	"github.com/beryllatch/beryllatch/internal/platform/beryltable"
@@ -25,7 +26,7 @@
 }
 
 // build makes the daemon, its clients and its handlers.
-func (s *Server) build() handlers {
+func (s *Server) build() (handlers, error) {
 	cfg := s.Settings
 	started := time.Now()
 	workers := berylworker.New()
@@ -54,7 +55,18 @@
 	s.daemon.Init()
 	callers := mux.NewRouter()
 	(&berylcaller.Handler{Node: s.daemon, Upstream: workers}).Register(callers)
-	return handlers{callers: callers, admin: s.admin(metrics)}
+	var credentials []beryloperator.Credential
+	for _, t := range cfg.OperatorTokens {
+		c, err := beryloperator.ParseCredential(t)
+		if err != nil {
+			return handlers{}, err
+		}
+		credentials = append(credentials, c)
+	}
+	return handlers{
+		callers: callers, operators: beryloperator.New(s.daemon, credentials), peers: http.NotFoundHandler(),
+		admin: s.admin(metrics),
+	}, nil
 }
 
 // admin serves metrics, liveness and readiness.
--- a/internal/node/berylserver/server.go
+++ b/internal/node/berylserver/server.go
@@ -32,7 +32,10 @@
 
 // Run serves until ctx is cancelled, then shuts down gracefully; it returns an error if a listener cannot start.
 func (s *Server) Run(ctx context.Context) error {
-	parts := s.build()
+	parts, err := s.build()
+	if err != nil {
+		return err
+	}
 	for _, l := range s.listeners(parts) {
 		if err := s.listen(l); err != nil {
 			s.close()
