Report a change as in force only after the node rows were read behind it

Cause: the confirmation used node rows read before the write, so that a node that had registered in between served the old version while the operator was told in_force (seen by the process test: 404 for a queue just created). Change: the head is read before the node rows, and a version counts as in force only once a renewal has read a head at least as high.

--- /dev/null
+++ b/internal/bench/berylprocess/fleet.go
@@ -0,0 +1,177 @@
+package berylprocess
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// operatorToken authenticates the harness at daemons that only listen on loopback.
+const operatorToken = "loopback-only"
+
+// startTimeout bounds the wait for a started process.
+const startTimeout = 20 * time.Second
+
+// Fleet is a platform stand-in, workers and entry daemons on loopback.
+type Fleet struct {
+	// Bin holds the built programs; Dir takes logs and files.
+	Bin string
+	Dir string
+
+	Platform *Process
+	Control  string
+	Balancer string
+	Daemons  []*Daemon
+	Workers  []*Worker
+
+	table     string
+	objects   string
+	instances string
+}
+
+// Daemon is one running entry node.
+type Daemon struct {
+	*Process
+	Callers   string
+	Operators string
+	Admin     string
+	peers     string
+	node      string
+	dc        string
+}
+
+// Worker is one running stand-in worker.
+type Worker struct {
+	*Process
+	ID         string
+	DataCentre string
+	Rack       string
+	Address    string
+}
+
+// StartPlatform starts the platform stand-in for the given number of entry daemons.
+func (f *Fleet) StartPlatform(daemons int) error {
+	var flags []string
+	for name, target := range map[string]*string{
+		"table": &f.table, "objects": &f.objects, "instances": &f.instances, "control": &f.Control, "balancer": &f.Balancer,
+	} {
+		addr, err := FreeAddress()
+		if err != nil {
+			return err
+		}
+		*target = addr
+		flags = append(flags, "--"+name+"-addr="+addr)
+	}
+	for n := range daemons {
+		d, err := newDaemon(n)
+		if err != nil {
+			return err
+		}
+		f.Daemons = append(f.Daemons, d)
+		flags = append(flags, fmt.Sprintf("--entry=%s=%s", d.Callers, d.Admin), fmt.Sprintf("--instance=%s=live", d.peers))
+	}
+	p, err := Start(f.Dir, "platform", filepath.Join(f.Bin, "berylstandin"), append([]string{"platform"}, flags...)...)
+	if err != nil {
+		return err
+	}
+	f.Platform = p
+	return nil
+}
+
+func newDaemon(n int) (*Daemon, error) {
+	d := &Daemon{node: fmt.Sprintf("entry-%d", n+1), dc: fmt.Sprintf("dc%d", 1+n%2)}
+	for _, target := range []*string{&d.Callers, &d.Operators, &d.peers, &d.Admin} {
+		addr, err := FreeAddress()
+		if err != nil {
+			return nil, err
+		}
+		*target = addr
+	}
+	return d, nil
+}
+
+// StartDaemon starts or restarts the daemon and waits until it is ready.
+func (f *Fleet) StartDaemon(ctx context.Context, d *Daemon) error {
+	hash := sha256.Sum256([]byte(operatorToken))
+	p, err := Start(
+		f.Dir, d.node, filepath.Join(f.Bin, "beryllatchd"),
+		"--node="+d.node, "--data-centre="+d.dc, "--callers-address="+d.Callers, "--operators-address="+d.Operators,
+		"--peers-address="+d.peers, "--admin-address="+d.Admin, "--table-endpoint=http://"+f.table,
+		"--object-endpoint=http://"+f.objects, "--instance-list=http://"+f.instances+"/instances",
+		"--operator-tokens=harness:"+hex.EncodeToString(hash[:]),
+	)
+	if err != nil {
+		return err
+	}
+	d.Process = p
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	return WaitFor(ctx, "http://"+d.Admin+"/readyz")
+}
+
+// StartWorker starts a stand-in worker with the given id in a rack of a data centre and lists it as live.
+func (f *Fleet) StartWorker(ctx context.Context, id, dc, rack string, args ...string) (*Worker, error) {
+	addr, err := FreeAddress()
+	if err != nil {
+		return nil, err
+	}
+	w := &Worker{ID: id, DataCentre: dc, Rack: rack, Address: addr}
+	w.Process, err = Start(
+		f.Dir, id, filepath.Join(f.Bin, "berylstandin"), append([]string{"worker", "--listen=" + addr}, args...)...,
+	)
+	if err != nil {
+		return nil, err
+	}
+	f.Workers = append(f.Workers, w)
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	return w, WaitFor(ctx, "http://"+addr+"/v1/status")
+}
+
+// Client runs the operators' client and returns its output.
+func (f *Fleet) Client(ctx context.Context, args ...string) (string, error) {
+	token := filepath.Join(f.Dir, "operator-token")
+	if err := os.WriteFile(token, []byte(operatorToken), 0o600); err != nil {
+		return "", eris.Wrap(err, "write operator token")
+	}
+	var addresses []string
+	for _, d := range f.Daemons {
+		addresses = append(addresses, "http://"+d.Operators)
+	}
+	args = append([]string{"--address=" + strings.Join(addresses, ","), "--token-file=" + token}, args...)
+	var stderr bytes.Buffer
+	cmd := exec.CommandContext(ctx, filepath.Join(f.Bin, "beryllatch"), args...)
+	cmd.Stderr = &stderr
+	out, err := cmd.Output()
+	if err != nil {
+		return string(out), eris.Wrapf(err, "beryllatch %s: %s%s", strings.Join(args[2:], " "), out, stderr.String())
+	}
+	return string(out), nil
+}
+
+// Stop ends every process that still runs.
+func (f *Fleet) Stop() {
+	for _, d := range f.Daemons {
+		if d.Process != nil && d.Running() {
+			d.Thaw()
+			d.Kill()
+		}
+	}
+	for _, w := range f.Workers {
+		if w.Running() {
+			w.Kill()
+		}
+	}
+	if f.Platform != nil && f.Platform.Running() {
+		f.Platform.Kill()
+	}
+}
--- /dev/null
+++ b/internal/bench/berylproof/fleet_test.go
@@ -0,0 +1,216 @@
+package berylproof
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/beryllatch/beryllatch/internal/bench/berylprocess"
+	"gotest.tools/v3/assert"
+)
+
+// testTimeout bounds a whole process-level test; it is no assertion about speed.
+const testTimeout = 3 * time.Minute
+
+var bin string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "berylproof")
+	if err != nil {
+		panic(err)
+	}
+	out, err := exec.CommandContext(context.Background(), "go", "build", "-o", dir+"/", "../../../cmd/...").CombinedOutput()
+	if err != nil {
+		panic(fmt.Sprintf("build: %v\n%s", err, out))
+	}
+	bin = dir
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// fleet is a running fleet with the key of one team.
+type fleet struct {
+	berylprocess.Fleet
+	t      *testing.T
+	secret string
+}
+
+// startFleet starts the daemons and, in each of two data centres, the workers.
+func startFleet(ctx context.Context, t *testing.T, daemons, workersPerDC int) *fleet {
+	t.Helper()
+	f := &fleet{Fleet: berylprocess.Fleet{Bin: bin, Dir: t.TempDir()}, t: t}
+	t.Cleanup(f.finish)
+	assert.NilError(t, f.StartPlatform(daemons))
+	for n := range 2 * workersPerDC {
+		dc := fmt.Sprintf("dc%d", 1+n%2)
+		_, err := f.StartWorker(ctx, fmt.Sprintf("w%d", n+1), dc, fmt.Sprintf("%s-r%d", dc, 1+n/4))
+		assert.NilError(t, err)
+	}
+	for _, d := range f.Daemons {
+		assert.NilError(t, f.StartDaemon(ctx, d))
+	}
+	f.configure(ctx)
+	return f
+}
+
+func (f *fleet) finish() {
+	f.Stop()
+	if !f.t.Failed() {
+		return
+	}
+	for _, d := range f.Daemons {
+		if d.Process == nil {
+			continue
+		}
+		log, _ := os.ReadFile(filepath.Join(f.Dir, d.Name+".log"))
+		f.t.Logf("%s:\n%s", d.Name, log)
+	}
+}
+
+// instanceFile is the file format of "beryllatch instance import".
+type instanceFile struct {
+	Instances []instanceEntry `json:"instances"`
+}
+
+type instanceEntry struct {
+	ID          string `json:"id"`
+	Pool        string `json:"pool"`
+	DataCentre  string `json:"data_centre"`
+	Rack        string `json:"rack"`
+	Address     string `json:"address"`
+	Slots       int    `json:"slots"`
+	Connections int    `json:"connections"`
+}
+
+func (f *fleet) configure(ctx context.Context) {
+	f.client(ctx, "service", "create", "quotes", "--max-unavailable=1")
+	f.client(ctx, "pool", "create", "quotes", "--service=quotes")
+	f.client(ctx, "queue", "create", "price", "--pool=quotes")
+	f.client(ctx, "team", "create", "red", "--weight=1", "--ceiling=8")
+	f.client(ctx, "dc", "create", "dc1")
+	f.client(ctx, "dc", "create", "dc2")
+	f.secret = f.createKey(ctx, "red-1", "red")
+	var file instanceFile
+	for _, w := range f.Workers {
+		file.Instances = append(file.Instances, instanceEntry{
+			ID: w.ID, Pool: "quotes", DataCentre: w.DataCentre, Rack: w.Rack, Address: w.Address, Slots: 8, Connections: 64,
+		})
+	}
+	path := filepath.Join(f.Dir, "instances.json")
+	b, err := json.Marshal(file)
+	assert.NilError(f.t, err)
+	assert.NilError(f.t, os.WriteFile(path, b, 0o600))
+	f.client(ctx, "instance", "import", path)
+}
+
+func (f *fleet) client(ctx context.Context, args ...string) string {
+	f.t.Helper()
+	out, err := f.Client(ctx, args...)
+	assert.NilError(f.t, err)
+	return out
+}
+
+func (f *fleet) createKey(ctx context.Context, id, team string) string {
+	f.t.Helper()
+	var reply struct {
+		Secret string `json:"secret"`
+	}
+	out := f.client(ctx, "key", "create", id, "--team="+team, "--output=json")
+	dec := json.NewDecoder(strings.NewReader(out))
+	for reply.Secret == "" {
+		assert.NilError(f.t, dec.Decode(&reply), out)
+	}
+	return reply.Secret
+}
+
+// reply is what a caller was told.
+type reply struct {
+	Status   int
+	RunState string `json:"run_state"`
+	Reason   string `json:"reason"`
+	err      error
+}
+
+// request sends one request to an address and returns what the caller was told.
+func (f *fleet) request(ctx context.Context, address, id, body string, headers ...string) reply {
+	req, err := http.NewRequestWithContext(
+		ctx, http.MethodPost, "http://"+address+"/v1/queues/price/requests", strings.NewReader(body),
+	)
+	if err != nil {
+		return reply{err: err}
+	}
+	req.Header.Set("Authorization", "Bearer "+f.secret)
+	req.Header.Set("Beryllatch-Request-Id", id)
+	for n := 0; n < len(headers); n += 2 {
+		req.Header.Set(headers[n], headers[n+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	out := reply{Status: resp.StatusCode, err: err}
+	if resp.StatusCode != http.StatusOK {
+		out.err = json.NewDecoder(bytes.NewReader(b)).Decode(&out)
+	}
+	return out
+}
+
+// start is one true start of an execution, as its worker recorded it.
+type start struct {
+	Worker    *berylprocess.Worker `json:"-"`
+	RequestID string               `json:"request_id"`
+	Team      string               `json:"team"`
+	Time      time.Time            `json:"time"`
+	BodySum   string               `json:"body_sha256"`
+	Outcome   string               `json:"outcome"`
+}
+
+// starts returns what the running workers truly started, by request id.
+func (f *fleet) starts(ctx context.Context) map[string][]start {
+	f.t.Helper()
+	out := map[string][]start{}
+	for _, w := range f.Workers {
+		if !w.Running() {
+			continue
+		}
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+w.Address+"/record", nil)
+		assert.NilError(f.t, err)
+		resp, err := http.DefaultClient.Do(req)
+		assert.NilError(f.t, err)
+		var list []start
+		err = json.NewDecoder(resp.Body).Decode(&list)
+		_ = resp.Body.Close()
+		assert.NilError(f.t, err)
+		for _, s := range list {
+			s.Worker = w
+			out[s.RequestID] = append(out[s.RequestID], s)
+		}
+	}
+	return out
+}
+
+// Guards against a system whose parts work alone but serve no request together.
+func TestOnePath(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	f := startFleet(ctx, t, 3, 1)
+	for n, d := range f.Daemons {
+		id := fmt.Sprintf("path-%d", n)
+		got := f.request(ctx, d.Callers, id, "order")
+		assert.NilError(t, got.err)
+		assert.Equal(t, got.Status, http.StatusOK, "%+v", got)
+		assert.Equal(t, len(f.starts(ctx)[id]), 1)
+	}
+}
--- a/internal/decision/berylreducer/operate.go
+++ b/internal/decision/berylreducer/operate.go
@@ -31,11 +31,13 @@
 	// confirming holds the accepted calls that wait until every node has their version in force.
 	confirming []*operation
 	// doubts maps an operation id to the version expected by a write of it whose answer was lost.
-	doubts   map[string]uint64
-	reports  map[string]workerRunning
-	planned  map[string]plannedInstance
-	nodes    map[string]nodeSeen
-	inForce  uint64
+	doubts  map[string]uint64
+	reports map[string]workerRunning
+	planned map[string]plannedInstance
+	nodes   map[string]nodeSeen
+	inForce uint64
+	// headSeen is the head version of the renewal whose node rows were read last.
+	headSeen uint64
 	stepping steppingState
 }
 
--- a/internal/decision/berylreducer/operate_force.go
+++ b/internal/decision/berylreducer/operate_force.go
@@ -23,8 +23,9 @@
 
 // nodesSeen records the node rows and the lowest version in force among them.
 func (r *Reducer) nodesSeen(e Renewed) {
+	r.operate.headSeen = e.HeadVersion
 	seen := make(map[string]nodeSeen, len(e.Nodes))
-	r.operate.inForce = r.config.Version
+	r.operate.inForce = min(r.config.Version, e.HeadVersion)
 	for _, row := range e.Nodes {
 		n := nodeSeen{NodeRow: row, changed: r.now.Mono}
 		if old, ok := r.operate.nodes[row.Incarnation]; ok && old.Renewal == row.Renewal {
@@ -54,13 +55,15 @@
 
 func (r *Reducer) confirmed(op *operation) bool {
 	late := r.waitingFor(op.version)
-	if len(late) > 0 && r.now.Mono-op.accepted.Mono < confirmTimeout {
+	// The head is read before the node rows, so that the rows hold every node that registered before that version.
+	inForce := len(late) == 0 && r.operate.headSeen >= op.version
+	if !inForce && r.now.Mono-op.accepted.Mono < confirmTimeout {
 		return false
 	}
 	r.count("operator_" + string(OutcomeAccepted))
 	for _, id := range op.callIDs {
 		r.emit(ReplyOperator{
-			CallID: id, Outcome: OutcomeAccepted, Version: op.version, InForce: len(late) == 0, WaitingFor: late,
+			CallID: id, Outcome: OutcomeAccepted, Version: op.version, InForce: inForce, WaitingFor: late,
 		})
 	}
 	return true
--- a/internal/node/beryldaemon/execute_tenure.go
+++ b/internal/node/beryldaemon/execute_tenure.go
@@ -19,16 +19,18 @@
 	return beryllatch.RowKey{Partition: nodePartition, Sort: d.Self.Incarnation}
 }
 
-// renew writes the node's row, then reads the head version and all node rows.
+// renew writes the node's row, then reads the head version, then all node rows.
 func (d *Daemon) renew(ctx context.Context, x berylreducer.RenewTenure) {
 	sent := d.now()
 	replaced, err := d.writeNode(ctx, x.Row)
 	if err != nil || replaced {
+		d.Log.Debug().Err(err).Msg("renewal: node row not written")
 		d.Post(berylreducer.RenewalFailed{SentAt: sent, Replaced: replaced})
 		return
 	}
 	head, nodes, err := d.readHead(ctx)
 	if err != nil {
+		d.Log.Debug().Err(err).Msg("renewal: head not read")
 		d.Post(berylreducer.RenewalFailed{SentAt: sent})
 		return
 	}
@@ -66,11 +68,12 @@
 }
 
 func (d *Daemon) readHead(ctx context.Context) (uint64, []berylreducer.NodeRow, error) {
-	rows, err := d.Table.Query(ctx, nodePartition, "", maxNodes)
+	// The head comes first: a node that registers after it reads at least that version before it starts work.
+	head, err := d.store().HeadVersion(ctx)
 	if err != nil {
 		return 0, nil, err
 	}
-	head, err := d.store().HeadVersion(ctx)
+	rows, err := d.Table.Query(ctx, nodePartition, "", maxNodes)
 	if err != nil {
 		return 0, nil, err
 	}
--- a/internal/platform/beryltable/item.go
+++ b/internal/platform/beryltable/item.go
@@ -27,7 +27,8 @@
 func encodeRow(r beryllatch.Row) item {
 	m := encodeKey(r.Key)
 	m["ver"] = number(r.Version)
-	m["val"] = &types.AttributeValueMemberB{Value: r.Value}
+	// A nil value would be sent as null, which the table stores as no binary at all.
+	m["val"] = &types.AttributeValueMemberB{Value: append([]byte{}, r.Value...)}
 	if r.Expires != 0 {
 		m["ttl"] = number(r.Expires)
 	}
