--- a/internal/standin/berylplatform/faults.go
+++ b/internal/standin/berylplatform/faults.go
@@ -147,7 +147,8 @@
 		}
 		if f.Outage == OutageRefuse {
 			// Reached only without a gate in front, or on a connection that is being closed.
-			panic(http.ErrAbortHandler)
+			cut(w)
+			return
 		}
 		// The whole body is read first, so that the effect comes even if the client gives up during the delay.
 		b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxObjectBytes+1))
@@ -166,7 +167,8 @@
 		a := &heldAnswer{header: make(http.Header), status: http.StatusOK}
 		h.ServeHTTP(a, r)
 		if a.status < 300 && p.loseAnswer(name) {
-			panic(http.ErrAbortHandler)
+			cut(w)
+			return
 		}
 		maps.Copy(w.Header(), a.header)
 		w.WriteHeader(a.status)
@@ -174,6 +176,16 @@
 	})
 }
 
+// cut closes the connection without an answer.
+// http.ErrAbortHandler would first wait for a body that the client holds back until it is told to continue.
+func cut(w http.ResponseWriter) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	_ = c.Close()
+}
+
 // heldAnswer keeps an answer until it is known whether it is lost.
 type heldAnswer struct {
 	header http.Header
--- a/internal/standin/berylupstream/answer.go
+++ b/internal/standin/berylupstream/answer.go
@@ -26,20 +26,29 @@
 		double(w, r, a)
 		return
 	}
-	cut := k.hit(func(f *Faults) *Trigger { return &f.Truncated })
+	truncated := k.hit(func(f *Faults) *Trigger { return &f.Truncated })
 	a.headerInto(w.Header())
 	w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
 	w.WriteHeader(a.status)
-	if !cut {
+	if !truncated {
 		// The client may be gone; the work has run all the same.
 		_, _ = w.Write(a.body)
 		return
 	}
 	_, _ = w.Write(a.body[:len(a.body)/2])
-	if f, ok := w.(http.Flusher); ok {
-		f.Flush()
+	// A failed flush cuts the answer all the same.
+	_ = http.NewResponseController(w).Flush()
+	cut(w)
+}
+
+// cut closes the connection without a further byte.
+// http.ErrAbortHandler would first wait for a body that the client holds back until it is told to continue.
+func cut(w http.ResponseWriter) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
 	}
-	panic(http.ErrAbortHandler)
+	_ = c.Close()
 }
 
 // cross exchanges the answer with another one; without a partner before lease expiry it returns its own.
@@ -75,11 +84,7 @@
 
 // double sends the answer twice and keeps the connection open, so that the second copy can meet a later request.
 func double(w http.ResponseWriter, r *http.Request, a answer) {
-	h, ok := w.(http.Hijacker)
-	if !ok {
-		panic(http.ErrAbortHandler)
-	}
-	c, _, err := h.Hijack()
+	c, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/standin/berylupstream/execution.go
+++ b/internal/standin/berylupstream/execution.go
@@ -23,7 +23,8 @@
 	k.mu.Unlock()
 	if k.hit(func(f *Faults) *Trigger { return &f.CutAfterStart }) {
 		go k.run(o, start)
-		panic(http.ErrAbortHandler)
+		cut(w)
+		return
 	}
 	outcome := k.run(o, start)
 	a := answer{id: o.id, status: http.StatusOK, header: http.Header{}}
@@ -47,7 +48,8 @@
 	w http.ResponseWriter, r *http.Request, allowed func(order) *refusal,
 ) (order, []byte, bool) {
 	if k.hit(func(f *Faults) *Trigger { return &f.CutBeforeStart }) {
-		panic(http.ErrAbortHandler)
+		cut(w)
+		return order{}, nil, false
 	}
 	o, fail := k.parseOrder(r)
 	if fail == nil && allowed != nil {
--- a/internal/standin/berylupstream/task.go
+++ b/internal/standin/berylupstream/task.go
@@ -85,7 +85,8 @@
 		return
 	}
 	if k.hit(func(f *Faults) *Trigger { return &f.CutAfterStart }) {
-		panic(http.ErrAbortHandler)
+		cut(w)
+		return
 	}
 	k.mu.Lock()
 	report := k.tasks[id].report(k.bootID)
