--- /dev/null
+++ b/internal/decision/berylplan/buffer_test.go
@@ -0,0 +1,47 @@
+package berylplan
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func is[E error](t *testing.T, err error) {
+	t.Helper()
+	var want E
+	assert.Assert(t, errors.As(err, &want), "got %T %v", err, err)
+}
+
+// TestPlanBuffer guards against buffers that are added up although bursts come in turn and failures do not coincide.
+func TestPlanBuffer(t *testing.T) {
+	in := BufferInput{
+		SlotsPerInstance: 8, FailuresPerDay: 7, RepairTime: time.Hour, LargestRack: 4, LargestDataCentre: 13,
+		Loads: []PoolLoad{{Pool: "a", Mean: 16, Burst: 80}, {Pool: "b", Mean: 8, Burst: 40}, {Pool: "c", Mean: 1, Burst: 5}},
+	}
+	b := PlanBuffer(in)
+	assert.Equal(t, b, Buffer{Base: 4, Burst: 8, BurstApart: 12, Random: 3, Rack: 4, DataCentre: 13})
+	assert.Equal(t, b.Spare(), 21)
+	in.LargestDataCentre, in.LargestRack = 0, 0
+	assert.Equal(t, PlanBuffer(in).Spare(), 11)
+}
+
+// TestLoadMoves guards against moves for short bursts, moves beyond the demand and moves beyond the budget.
+func TestLoadMoves(t *testing.T) {
+	c := fleet(1)
+	h := AllLive(c, "b0")
+	for _, v := range []struct {
+		need   int
+		lasted time.Duration
+		moves  int
+	}{
+		{need: 7, lasted: 60 * time.Second, moves: 0},
+		{need: 7, lasted: 61 * time.Second, moves: 1},
+		{need: 6, lasted: time.Hour, moves: 0},
+		{need: 8, lasted: time.Hour, moves: 1},
+	} {
+		moves := LoadMoves(c, h, []PoolDemand{{Pool: "lacing", Need: v.need, Lasted: v.lasted}})
+		assert.Equal(t, len(moves), v.moves, "%+v", v)
+	}
+}
--- a/internal/decision/berylplan/change_instance.go
+++ b/internal/decision/berylplan/change_instance.go
@@ -74,12 +74,15 @@
 		return c, err
 	}
 	// A reboot may still be on its way to the instance, and it would cut new work.
-	if i.State == beryllatch.InstanceRebooting && !rebooted(i, h) && h[i.ID].Live {
+	if i.State == beryllatch.InstanceRebooting && !rebooted(i, h) && !h[i.ID].Overdue {
 		return c, &StateError{Field: "instances." + i.ID + ".state", State: string(i.State), Want: "draining"}
 	}
 	if i.State == beryllatch.InstanceActive {
 		return c, &StateError{Field: "instances." + i.ID + ".state", State: string(i.State), Want: "draining"}
 	}
+	if i.State == beryllatch.InstanceRebooting && rebooted(i, h) {
+		c = withDone(c, i)
+	}
 	return c.WithInstance(activated(i)), nil
 }
 
--- a/internal/decision/berylplan/wave.go
+++ b/internal/decision/berylplan/wave.go
@@ -55,7 +55,7 @@
 	case i.State == beryllatch.InstanceRebooting && rebooted(i, p.health):
 		p.take(Step{Kind: StepReturn, Instance: i.ID, Wave: i.Wave})
 	case i.State != beryllatch.InstanceDraining:
-	case i.Wave != "" && (w.ID == "" || w.State == beryllatch.WaveStopped):
+	case i.Wave != "" && (w.ID == "" || w.State == beryllatch.WaveStopped || p.overBudget(i)):
 		p.take(Step{Kind: StepRelease, Instance: i.ID, Wave: i.Wave})
 	case i.Wave != "" && now.Live && now.Idle && now.BootID != "":
 		p.take(Step{Kind: StepReboot, Instance: i.ID, Wave: i.Wave, BootID: now.BootID})
@@ -64,6 +64,14 @@
 	}
 }
 
+// overBudget reports whether failures have used up the budget that the instance was drained under; an instance that
+// is not yet rebooting then returns at once.
+func (p *planner) overBudget(i beryllatch.Instance) bool {
+	service := p.config.Pools[i.Pool].Service
+	return len(Unavailable(p.config, p.health)[service]) > p.config.Services[service].MaxUnavailable &&
+		!p.config.DataCentres[i.DataCentre].Out && p.health[i.ID].Live
+}
+
 // wave starts as many instances as the rules allow, or ends the wave.
 func (p *planner) wave(id string) {
 	w := p.config.Waves[id]
--- /dev/null
+++ b/internal/decision/berylplan/wave_test.go
@@ -0,0 +1,113 @@
+package berylplan
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/beryllatch/beryllatch"
+)
+
+// designFleet has the design size: 630 instances of 23 services in 6 data centres, with budgets of a twelfth.
+func designFleet() beryllatch.Config {
+	c := beryllatch.Config{Version: 1}
+	for n := range 23 {
+		name := fmt.Sprintf("s%02d", n)
+		c = c.WithService(beryllatch.Service{Name: name, MaxUnavailable: 2}).
+			WithPool(beryllatch.Pool{Name: name, Service: name})
+	}
+	for n := range 6 {
+		c = c.WithDataCentre(beryllatch.DataCentre{Name: fmt.Sprintf("dc%d", n)})
+	}
+	for n := range 630 {
+		c = c.WithInstance(beryllatch.Instance{
+			ID: fmt.Sprintf("w%03d", n), Pool: fmt.Sprintf("s%02d", n%23), DataCentre: fmt.Sprintf("dc%d", n/105),
+			Rack: fmt.Sprintf("r%02d", n/4%27), Address: fmt.Sprintf("127.0.0.1:%d", 10000+n), Slots: 8, Connections: 64,
+			State: beryllatch.InstanceActive,
+		})
+	}
+	return c
+}
+
+// TestWaveAtDesignSize guards against a wave that takes longer than 7 weeks or than its estimate, and against two
+// racks of a service or two data centres at once.
+func TestWaveAtDesignSize(t *testing.T) {
+	c := designFleet()
+	w := beryllatch.Wave{ID: "winter", Services: beryllatch.SortedKeys(c.Services)}
+	c, err := Apply(c, AllLive(c, "b0"), StartWave{Wave: w})
+	if err != nil {
+		t.Fatal(err)
+	}
+	// A drain and reboot of half an hour is far above the usual minute.
+	estimate := WaveProgress(c, c.Waves["winter"], 30*time.Minute).Left
+	if estimate <= 0 || estimate > 7*7*24*time.Hour {
+		t.Fatalf("estimate is %s", estimate)
+	}
+	h, rounds := AllLive(c, "b0"), 0
+	for c.Waves["winter"].State == beryllatch.WaveRunning {
+		_, c = NextSteps(c, h)
+		checkOneRack(t, c)
+		_, c = NextSteps(c, h)
+		for id, i := range c.Instances {
+			if i.State == beryllatch.InstanceRebooting {
+				h[id] = InstanceHealth{Live: true, Idle: true, BootID: "b1"}
+			}
+		}
+		if rounds++; time.Duration(rounds) > estimate/(30*time.Minute)+1 {
+			t.Fatalf("%d rounds, %s estimated", rounds, estimate)
+		}
+	}
+	if done := len(c.Waves["winter"].Done); done != 630 {
+		t.Errorf("%d instances done", done)
+	}
+}
+
+func checkOneRack(t *testing.T, c beryllatch.Config) {
+	t.Helper()
+	racks, dc := map[string]string{}, ""
+	for id, i := range c.Instances {
+		if i.Wave == "" {
+			continue
+		}
+		if dc != "" && dc != i.DataCentre {
+			t.Fatalf("%s is under way in %s beside %s", id, i.DataCentre, dc)
+		}
+		dc = i.DataCentre
+		if r, ok := racks[i.Pool]; ok && r != i.Rack {
+			t.Fatalf("service %s is under way in racks %s and %s", i.Pool, r, i.Rack)
+		}
+		racks[i.Pool] = i.Rack
+	}
+}
+
+// TestErrorTypes guards against refusals that callers cannot tell apart or that name no field.
+func TestErrorTypes(t *testing.T) {
+	c := fleet(1)
+	drained, err := Apply(c, AllLive(c, "b0"), MoveInstance{ID: "w4", Pool: "lacing"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := AllLive(c, "b0")
+	_, err = Apply(drained, h, DrainInstance{ID: "w1"})
+	is[*BudgetError](t, err)
+	_, err = Apply(drained, h, MoveInstance{ID: "w4", Pool: "lacing"})
+	is[*MoveError](t, err)
+	_, err = Apply(drained, h, MoveInstance{ID: "w1", Pool: "spare"})
+	is[*MoveCycleError](t, err)
+	_, err = Apply(c, h, RemovePool{Name: "lacing"})
+	is[*InUseError](t, err)
+	_, err = Apply(c, h, RemovePool{Name: "rims"})
+	is[*NotFoundError](t, err)
+	_, err = Apply(c, h, RemoveInstance{ID: "w1"})
+	is[*StateError](t, err)
+	_, err = Apply(c, h, PutService{Service: beryllatch.Service{Name: "lacing"}})
+	is[*beryllatch.InvalidFieldError](t, err)
+}
+
+// TestUnreportedInstanceCounts guards against a node that has just started and takes a silent fleet for a healthy one.
+func TestUnreportedInstanceCounts(t *testing.T) {
+	for _, h := range []Health{nil, {"w1": back}} {
+		_, err := Apply(fleet(2), h, DrainInstance{ID: "w1"})
+		is[*BudgetError](t, err)
+	}
+}
