--- a/internal/decision/berylreducer/config.go
+++ b/internal/decision/berylreducer/config.go
@@ -8,16 +8,18 @@
 
 // configRead adopts a document only if its version is higher than the one in force.
 func (r *Reducer) configRead(e ConfigRead) {
-	if e.Config.Version > r.config.Version {
+	if e.Config.Version > r.config.Version || r.faults.adoptLower {
 		r.adopt(e.Config)
 	}
 	r.extendTenure()
+	r.checkInForce()
 }
 
 func (r *Reducer) adopt(c beryllatch.Config) {
 	r.emit(LogState{
 		Subject: "config", From: strconv.FormatUint(r.config.Version, 10), To: strconv.FormatUint(c.Version, 10),
 	})
+	previous := r.config
 	r.config = c
 	clear(r.keys)
 	for _, id := range beryllatch.SortedKeys(c.APIKeys) {
@@ -26,5 +28,5 @@
 		}
 	}
 	r.adoptWorkers()
-	r.adoptTeams()
+	r.adoptTeams(previous)
 }
--- a/internal/decision/berylreducer/effect.go
+++ b/internal/decision/berylreducer/effect.go
@@ -7,7 +7,9 @@
 // Effect is something that the node must do.
 type Effect interface{ effect() }
 
-// RenewTenure writes the node's row and reads the head version and all node rows.
+// RenewTenure writes the node's row if it has the version that this incarnation wrote last, then reads the head version
+// and all node rows; after a write without an answer the shell first reads the row back. An incarnation's first write
+// expects no row, and only a row that is missing after that is a replaced one.
 type RenewTenure struct{ Row NodeRow }
 
 // ReadConfig reads the configuration document from the table.
@@ -47,13 +49,49 @@
 // Finish tells the handler of a request to pass on the answer that it holds.
 type Finish struct{ ID string }
 
-// ReadUnits reads a team's unit row.
+// ReadUnits reads a team's unit row; it is always answered by one UnitsRead or UnitsReadFailed.
 type ReadUnits struct{ Team string }
 
-// WriteUnits replaces a team's unit row if it has the version Expect.
+// WriteUnits replaces a team's unit row if it has the version Expect and all checks hold, in one transaction; it is
+// always answered by one UnitsWritten.
 type WriteUnits struct {
 	Row    UnitRow
 	Expect uint64
+	Checks []NodeCheck
+}
+
+// NodeCheck is the condition that an incarnation's row still has the version, so that its tenure has not been renewed
+// since; version 0 means that the row is missing.
+type NodeCheck struct {
+	Incarnation string
+	Version     uint64
+}
+
+// NotifyUnits tells a peer that units of a team have been moved to it in the row.
+type NotifyUnits struct {
+	Peer Identity
+	Team string
+}
+
+// Reincarnate asks the shell for a new incarnation of the node, which it reports as Reincarnated.
+type Reincarnate struct{}
+
+// DeleteNode deletes an incarnation's row if the check holds; it is answered by NodeDeleted. The check of the node's own
+// row has version 0, and the shell uses the version that it wrote last.
+type DeleteNode struct{ Node NodeCheck }
+
+// NotifyConfig tells the peers that a configuration version is committed; their answers arrive as PeerHeard.
+type NotifyConfig struct {
+	Peers   []Identity
+	Version uint64
+}
+
+// ConfigInForce reports whether a committed version is in force everywhere, and which nodes have not shown it.
+type ConfigInForce struct {
+	Version uint64
+	InForce bool
+	// WaitingFor lists the nodes that have neither acknowledged the version nor surely lapsed, sorted.
+	WaitingFor []string
 }
 
 // AskUnits asks a peer to give up units of a team.
@@ -61,6 +99,8 @@
 	Peer  Identity
 	Team  string
 	Units int
+	// Demand is this node's own state of the team.
+	Demand Demand
 }
 
 // Count adds N to a named counter.
@@ -97,3 +137,8 @@
 func (LogState) effect()       {}
 func (SetReady) effect()       {}
 func (Stop) effect()           {}
+func (NotifyUnits) effect()    {}
+func (Reincarnate) effect()    {}
+func (DeleteNode) effect()     {}
+func (NotifyConfig) effect()   {}
+func (ConfigInForce) effect()  {}
--- a/internal/decision/berylreducer/event.go
+++ b/internal/decision/berylreducer/event.go
@@ -35,6 +35,8 @@
 	State         NodeState `json:"state"`
 	// Known lists the incarnations that the writer knew at its last completed renewal, sorted.
 	Known []string `json:"known,omitempty"`
+	// Version is the table's version of the row; it is set on rows that were read.
+	Version uint64 `json:"-"`
 }
 
 // UnitRow is the value of a team's unit row; free units are the ceiling less all holdings.
@@ -85,7 +87,7 @@
 // RenewalFailed reports a renewal without a success.
 type RenewalFailed struct {
 	SentAt Instant
-	// Replaced is true when another incarnation owns the node's row.
+	// Replaced is true when the node's row, once written, is missing or was written by another process.
 	Replaced bool
 }
 
@@ -96,7 +98,8 @@
 type PeerHeard struct {
 	From          Identity
 	ConfigVersion uint64
-	Demand        []Demand
+	// Demand is empty when the message carries no demand.
+	Demand []Demand
 	// GrantAskedAt is set on an answer to a request for an outage grant: the instant of the request.
 	GrantAskedAt Instant
 	Granted      bool
@@ -182,8 +185,31 @@
 	Team        string
 	Incarnation string
 	Units       int
+	// Demand is the asking node's state of the team.
+	Demand Demand
 }
 
+// UnitsReadFailed reports the end of a ReadUnits effect without a row.
+type UnitsReadFailed struct{ Team string }
+
+// UnitsMoved is a peer's notice that it has moved units of a team to this node in the row.
+type UnitsMoved struct{ Team string }
+
+// Reincarnated answers Reincarnate: the node goes on under a new incarnation.
+type Reincarnated struct{ Self Identity }
+
+// NodeDeleted reports the end of a DeleteNode effect.
+type NodeDeleted struct {
+	Incarnation string
+	Result      WriteResult
+}
+
+// ConfigNotified is a peer's notice that a configuration version is committed.
+type ConfigNotified struct{ Version uint64 }
+
+// ConfigCommitted reports that this node has committed a configuration version and must learn when it is in force.
+type ConfigCommitted struct{ Version uint64 }
+
 // StopRequested starts a graceful shutdown.
 type StopRequested struct{}
 
@@ -203,3 +229,9 @@
 func (UnitsWritten) event()     {}
 func (UnitsAsked) event()       {}
 func (StopRequested) event()    {}
+func (UnitsReadFailed) event()  {}
+func (UnitsMoved) event()       {}
+func (Reincarnated) event()     {}
+func (NodeDeleted) event()      {}
+func (ConfigNotified) event()   {}
+func (ConfigCommitted) event()  {}
--- /dev/null
+++ b/internal/decision/berylreducer/faults.go
@@ -0,0 +1,11 @@
+package berylreducer
+
+// faults switches off single safety mechanisms, so that a test can show that its check needs them.
+type faults struct {
+	// ignoreLapseWait takes units over from every peer whose row stands still.
+	ignoreLapseWait bool
+	// ignoreHead extends the tenure without the configuration version that the renewal read.
+	ignoreHead bool
+	// adoptLower adopts documents of a lower version.
+	adoptLower bool
+}
--- /dev/null
+++ b/internal/decision/berylreducer/heartbeat.go
@@ -0,0 +1,41 @@
+package berylreducer
+
+// heartbeatFanOut is the number of peers that a node exchanges demand with each second. Each heartbeat and its answer
+// carry the demand of one node, so that 36 nodes hear each other every 9 s on average within 16 KB/s a node.
+const heartbeatFanOut = 2
+
+// heartbeat sends this node's demand to the next peers in turn, or asks all peers for grants while renewals fail.
+func (r *Reducer) heartbeat() {
+	if r.tenure.failing {
+		r.askGrants()
+		return
+	}
+	if peers := r.nextPeers(); len(peers) > 0 {
+		r.emit(SendHeartbeats{Peers: peers, ConfigVersion: r.config.Version, Demand: r.demand()})
+	}
+}
+
+func (r *Reducer) nextPeers() []Identity {
+	members := r.registered()
+	var peers []Identity
+	for range min(heartbeatFanOut, len(members)) {
+		m := members[r.beat%len(members)]
+		r.beat++
+		if !m.lapsed {
+			peers = append(peers, m.row.Identity)
+		}
+	}
+	return peers
+}
+
+func (r *Reducer) peerHeard(e PeerHeard) {
+	r.configNotified(ConfigNotified{Version: e.ConfigVersion})
+	m := r.members[e.From.Incarnation]
+	if m == nil {
+		return
+	}
+	m.inForce = max(m.inForce, e.ConfigVersion)
+	r.noteDemand(m, e.Demand...)
+	r.grantHeard(m, e)
+	r.checkInForce()
+}
--- /dev/null
+++ b/internal/decision/berylreducer/membership.go
@@ -0,0 +1,217 @@
+package berylreducer
+
+import (
+	"slices"
+	"time"
+
+	"github.com/beryllatch/beryllatch"
+)
+
+const (
+	// lapseWait is how long a row stays unchanged before its writer's tenure has surely lapsed: the tenure, one second
+	// for the delay of the observer's reads and half a second for the difference of clock rates.
+	lapseWait = tenureLength + time.Second + 500*time.Millisecond
+	// unlistedLapseWait applies to a row that does not list the observer: its writer does not need the observer's grant.
+	unlistedLapseWait = maxOutage + lapseWait
+	// longestLease is the longest lease of an execution; its units return only after it.
+	longestLease = maxDeadline
+	// cleanupStagger spaces the clean-up attempts of the nodes, so that usually one of them does it.
+	cleanupStagger = 2 * time.Second
+	// demandAge is the age at which a peer's reported demand is no longer used.
+	demandAge = 15 * time.Second
+)
+
+// member is what the node knows about another node's incarnation.
+type member struct {
+	row NodeRow
+	// changedAt is when this node first saw the present row, or first saw it missing.
+	changedAt time.Duration
+	absent    bool
+	// listed and gone follow the platform's instance list.
+	listed bool
+	gone   bool
+	// grantedUntil ends this node's last grant to the member; grantUntil ends the member's last grant to this node.
+	grantedUntil time.Duration
+	grantUntil   time.Duration
+	// lapsed is true once the tenure is known to have lapsed, since lapsedAt.
+	lapsed   bool
+	lapsedAt time.Duration
+	// inForce is the highest configuration version that the member has reported.
+	inForce  uint64
+	demand   map[string]Demand
+	demandAt time.Duration
+	// deleting is true while a DeleteNode effect is outstanding.
+	deleting bool
+}
+
+// observeNodes compares the rows of a renewal's read with those of earlier reads.
+func (r *Reducer) observeNodes(e Renewed) {
+	t := &r.tenure
+	t.known = nil
+	seen := map[string]bool{}
+	for _, n := range e.Nodes {
+		t.known = append(t.known, n.Incarnation)
+		seen[n.Incarnation] = true
+		if n.Incarnation != r.self.Incarnation {
+			r.observeNode(n)
+		}
+	}
+	slices.Sort(t.known)
+	for _, id := range beryllatch.SortedKeys(r.members) {
+		m := r.members[id]
+		if !seen[id] && !m.absent {
+			m.absent, m.changedAt = true, r.now.Mono
+		}
+		r.judgeLapse(m, e.SentAt.Mono)
+	}
+}
+
+func (r *Reducer) observeNode(n NodeRow) {
+	m := r.members[n.Incarnation]
+	if m == nil {
+		m = &member{changedAt: r.now.Mono}
+		r.members[n.Incarnation] = m
+	}
+	if m.row.Version != n.Version || m.row.Renewal != n.Renewal || m.absent {
+		m.changedAt, m.absent = r.now.Mono, false
+		m.lapsed = false
+	}
+	m.row = n
+	m.inForce = max(m.inForce, n.ConfigVersion)
+}
+
+// judgeLapse applies a read that was started at readAt and shows the row as it has been since m.changedAt.
+func (r *Reducer) judgeLapse(m *member, readAt time.Duration) {
+	if m.lapsed {
+		return
+	}
+	unchanged := readAt - m.changedAt
+	lapsed := unchanged >= unlistedLapseWait
+	if unchanged >= lapseWait && r.now.Mono >= m.grantedUntil {
+		lapsed = lapsed || m.gone || slices.Contains(m.row.Known, r.self.Incarnation)
+	}
+	if r.faults.ignoreLapseWait {
+		lapsed = unchanged > 0
+	}
+	if lapsed {
+		m.lapsed, m.lapsedAt = true, r.now.Mono
+		r.emit(LogState{Subject: "peer " + m.row.Incarnation, From: string(m.row.State), To: "lapsed"})
+	}
+}
+
+// knownLapsed reports whether the incarnation's tenure has surely lapsed; whoever takes something over must also check
+// in the same transaction that the incarnation's row is unchanged, see NodeCheck.
+func (r *Reducer) knownLapsed(incarnation string) bool {
+	m := r.members[incarnation]
+	return m != nil && m.lapsed
+}
+
+// lapsedCheck returns the condition under which the incarnation has not come back.
+func (r *Reducer) lapsedCheck(incarnation string) NodeCheck {
+	m := r.members[incarnation]
+	if m == nil || m.absent {
+		return NodeCheck{Incarnation: incarnation}
+	}
+	return NodeCheck{Incarnation: incarnation, Version: m.row.Version}
+}
+
+// reclaimable reports whether no execution under the incarnation's units can still run.
+func (r *Reducer) reclaimable(incarnation string) bool {
+	if !r.knownLapsed(incarnation) {
+		return false
+	}
+	return r.now.Mono-r.members[incarnation].lapsedAt >= longestLease || r.faults.ignoreLapseWait
+}
+
+// noteHolder starts the waits for an incarnation that holds units but has never been seen among the node rows.
+func (r *Reducer) noteHolder(incarnation string) {
+	if incarnation != r.self.Incarnation && r.members[incarnation] == nil {
+		row := NodeRow{Identity: Identity{Incarnation: incarnation}}
+		r.members[incarnation] = &member{row: row, absent: true, changedAt: r.now.Mono}
+	}
+}
+
+// registered returns the members whose rows existed at the last read, sorted by incarnation.
+func (r *Reducer) registered() []*member {
+	var out []*member
+	for _, id := range beryllatch.SortedKeys(r.members) {
+		if m := r.members[id]; !m.absent {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// observeList marks the members that the platform's instance list no longer names; a list that lacks this node after
+// having named it is not trusted.
+func (r *Reducer) observeList(e InstancesListed) {
+	_, self := e.Instances[r.self.PeerAddress]
+	if r.selfListed && !self {
+		r.count("instance_list_ignored")
+		return
+	}
+	r.selfListed = self
+	for _, m := range r.members {
+		_, listed := e.Instances[m.row.PeerAddress]
+		m.gone = m.listed && !listed || m.gone && !listed
+		m.listed = listed
+	}
+}
+
+// tickMembership cleans up after lapsed incarnations; the nodes try one after another.
+func (r *Reducer) tickMembership() {
+	if !r.mayTransfer() || r.stopping {
+		return
+	}
+	wait := time.Duration(r.rank()) * cleanupStagger
+	for _, id := range beryllatch.SortedKeys(r.members) {
+		m := r.members[id]
+		if !r.reclaimable(id) || r.now.Mono-m.lapsedAt < longestLease+wait {
+			continue
+		}
+		switch {
+		case r.sweepUnits(id):
+		case m.absent:
+			delete(r.members, id)
+		case !m.deleting && r.nothingToReclaim(id):
+			m.deleting = true
+			r.emit(DeleteNode{Node: r.lapsedCheck(id)})
+		}
+	}
+}
+
+// rank is the node's place among the incarnations that have not lapsed.
+func (r *Reducer) rank() int {
+	n := 0
+	for id, m := range r.members {
+		if !m.lapsed && !m.absent && id < r.self.Incarnation {
+			n++
+		}
+	}
+	return n
+}
+
+// nothingToReclaim reports whether no unit row, as last read, and no shard names the incarnation.
+func (r *Reducer) nothingToReclaim(incarnation string) bool {
+	for _, u := range r.units {
+		if u.row.Holdings[incarnation] > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (r *Reducer) nodeDeleted(e NodeDeleted) {
+	if e.Incarnation == r.self.Incarnation {
+		if r.tenure.deleting {
+			r.emit(Stop{})
+		}
+		return
+	}
+	if m := r.members[e.Incarnation]; m != nil {
+		m.deleting = false
+		if e.Result == WriteDone {
+			r.emit(LogState{Subject: "peer " + e.Incarnation, From: "lapsed", To: "removed"})
+		}
+	}
+}
--- a/internal/decision/berylreducer/reducer.go
+++ b/internal/decision/berylreducer/reducer.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"time"
 
 	"github.com/beryllatch/beryllatch"
 )
@@ -17,6 +18,14 @@
 	config  beryllatch.Config
 	keys    map[string]beryllatch.APIKey
 	tenure  tenureState
+	members map[string]*member
+	// selfListed is true once the platform's instance list has named this node.
+	selfListed bool
+	// beat is the place of the next peer to send a heartbeat to.
+	beat    int
+	watches []configWatch
+	// faults switches off single safety mechanisms; only tests set it.
+	faults  faults
 	units   map[string]*teamUnits
 	workers map[string]*workerState
 	// requests holds every request between its arrival and its end.
@@ -24,12 +33,15 @@
 	// waiting holds the requests without a worker, by queue, in order of arrival.
 	waiting  map[string][]*request
 	stopping bool
-	ready    bool
+	// idleAt is when a stopping node ended its last request.
+	idleAt time.Duration
+	ready  bool
 }
 
 // Reduce applies one event and returns the effects that the node must carry out, in order.
 func (r *Reducer) Reduce(now Instant, e Event) []Effect {
 	r.now, r.out = now, nil
+	r.observeClock()
 	switch e := e.(type) {
 	case Started:
 		r.start(e)
@@ -44,8 +56,9 @@
 	case PeerHeard:
 		r.peerHeard(e)
 	case GrantAsked:
-		r.emit(ReplyGrant{CallID: e.CallID})
+		r.grantAsked(e)
 	case InstancesListed:
+		r.observeList(e)
 		r.instancesListed(e)
 	case WorkerReported:
 		r.workerReported(e)
@@ -57,6 +70,18 @@
 		r.executionEnded(e)
 	case UnitsRead:
 		r.unitsRead(e)
+	case UnitsReadFailed:
+		r.unitsReadFailed(e)
+	case UnitsMoved:
+		r.unitsMoved(e)
+	case Reincarnated:
+		r.reincarnated(e)
+	case NodeDeleted:
+		r.nodeDeleted(e)
+	case ConfigNotified:
+		r.configNotified(e)
+	case ConfigCommitted:
+		r.watchConfig(e.Version)
 	case UnitsWritten:
 		r.unitsWritten(e)
 	case UnitsAsked:
@@ -80,6 +105,8 @@
 	r.self = e.Self
 	r.rand = rand.New(rand.NewPCG(e.Seed, e.Seed))
 	r.keys = map[string]beryllatch.APIKey{}
+	r.members = map[string]*member{}
+	r.tenure.clock = r.now
 	r.units = map[string]*teamUnits{}
 	r.workers = map[string]*workerState{}
 	r.requests = map[string]*request{}
@@ -89,7 +116,9 @@
 
 func (r *Reducer) tick() {
 	r.tickTenure()
+	r.tickMembership()
 	r.tickUnits()
+	r.checkInForce()
 	r.tickRequests()
 	r.tickTasks()
 	r.tickOperate()
@@ -105,7 +134,7 @@
 
 func (r *Reducer) stopWhenIdle() {
 	if r.stopping && len(r.requests) == 0 {
-		r.emit(Stop{})
+		r.leave()
 	}
 }
 
