--- a/internal/decision/berylreducer/operate.go
+++ b/internal/decision/berylreducer/operate.go
@@ -31,13 +31,9 @@
 	// confirming holds the accepted calls that wait until every node has their version in force.
 	confirming []*operation
 	// doubts maps an operation id to the version expected by a write of it whose answer was lost.
-	doubts  map[string]uint64
-	reports map[string]workerRunning
-	planned map[string]plannedInstance
-	nodes   map[string]nodeSeen
-	inForce uint64
-	// headSeen is the head version of the renewal whose node rows were read last.
-	headSeen uint64
+	doubts   map[string]uint64
+	reports  map[string]workerRunning
+	planned  map[string]plannedInstance
 	stepping steppingState
 }
 
@@ -69,7 +65,6 @@
 		r.operateRead()
 	case Renewed:
 		r.bootstrap(e)
-		r.nodesSeen(e)
 		r.confirmOperations()
 	case WorkerReported:
 		r.workerRunningReported(e)
@@ -109,6 +104,7 @@
 	r.operate.write = nil
 	if e.Result == WriteDone {
 		r.configRead(ConfigRead{Config: w.config})
+		r.watchConfig(w.config.Version)
 	}
 	if w.op != nil {
 		r.operationWritten(w, e.Result)
--- a/internal/decision/berylreducer/operate_health.go
+++ b/internal/decision/berylreducer/operate_health.go
@@ -51,6 +51,7 @@
 			delete(r.operate.planned, id)
 		}
 	}
+	inForce := r.lowestInForce()
 	for id, i := range r.config.Instances {
 		if i.State == beryllatch.InstanceActive {
 			continue
@@ -59,7 +60,7 @@
 		if !ok || p.state != i.State || p.drainVersion != i.DrainVersion {
 			p = plannedInstance{state: i.State, drainVersion: i.DrainVersion, since: r.now.Mono, asked: r.now.Mono}
 		}
-		if p.settled == 0 && r.operate.inForce >= i.DrainVersion {
+		if p.settled == 0 && inForce >= i.DrainVersion {
 			p.settled = r.now.Mono + drainSettle
 		}
 		r.operate.planned[id] = p
@@ -77,7 +78,7 @@
 		p := r.operate.planned[id]
 		h[id] = berylplan.InstanceHealth{
 			Live:    w.bootID != "" && !w.unhealthy && !w.leaving,
-			Idle:    r.idle(id),
+			Idle:    r.instanceIdle(id),
 			BootID:  w.bootID,
 			Overdue: p.state != "" && r.now.Mono-p.since >= stepOverdue,
 		}
@@ -85,8 +86,8 @@
 	return h
 }
 
-// idle reports whether nothing runs on a drained instance and no node can start anything there.
-func (r *Reducer) idle(id string) bool {
+// instanceIdle reports whether nothing runs on a drained instance and no node can start anything there.
+func (r *Reducer) instanceIdle(id string) bool {
 	p, report := r.operate.planned[id], r.operate.reports[id]
 	return p.settled > 0 && report.at >= p.settled && report.running == 0 && r.workers[id].running == 0
 }
--- a/internal/decision/berylreducer/operate_step.go
+++ b/internal/decision/berylreducer/operate_step.go
@@ -74,17 +74,6 @@
 	w.steps = steps
 }
 
-// rank returns the number of registered nodes before this one in order of their names.
-func (r *Reducer) rank() int {
-	n := 0
-	for _, p := range r.tenure.peers {
-		if p.Node < r.self.Node {
-			n++
-		}
-	}
-	return n
-}
-
 // stepsWritten follows up on a write of steps; whoever lost the race reads the winner's document and does nothing.
 func (r *Reducer) stepsWritten(w *configWrite, result WriteResult) {
 	if result != WriteDone {
--- a/internal/decision/berylreducer/status.go
+++ b/internal/decision/berylreducer/status.go
@@ -38,8 +38,8 @@
 
 func (r *Reducer) statusAsked(e StatusAsked) {
 	s := Status{MayStart: r.mayStart(), ConfigVersion: r.config.Version, Teams: r.demand()}
-	for _, id := range beryllatch.SortedKeys(r.operate.nodes) {
-		s.Nodes = append(s.Nodes, r.operate.nodes[id].NodeRow)
+	for _, m := range r.registered() {
+		s.Nodes = append(s.Nodes, m.row)
 	}
 	for _, id := range beryllatch.SortedKeys(r.config.Instances) {
 		w := r.workers[id]
