--- a/internal/decision/berylreducer/admission.go
+++ b/internal/decision/berylreducer/admission.go
@@ -1,7 +1,8 @@
 package berylreducer
 
 import (
-	"strconv"
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/beryllatch/beryllatch"
@@ -18,49 +19,114 @@
 type request struct {
 	RequestArrived
 	team     string
-	pool     string
-	arrived  Instant
+	pool     *poolState
 	deadline Instant
+	// sequence orders requests by arrival.
+	sequence uint64
 	attempt  int
-	// instance is the worker of the running attempt; empty while the request waits.
-	instance string
-	tried    []string
-	holds    bool
+	// worker runs the present attempt; nil while the request waits.
+	worker *workerState
+	tried  []string
+	// mayHaveRun is true once an attempt has ended without proof that the worker did not start it.
+	mayHaveRun bool
+	// jobFailures counts the distinct workers on which the job itself has failed.
+	jobFailures int
+	abandoned   bool
+	// claim is the idempotency claim; nil without one.
+	claim *claim
+
+	// The fields below belong to the local queue.
+	share       *queueTeam
+	cost        time.Duration
+	latestStart time.Duration
+	index       int
+	startIndex  int
+	boundIndex  int
+}
+
+func (q *request) urgency() urgency {
+	if q.Urgent {
+		return urgent
+	}
+	return normal
+}
+
+// waits reports whether the request is in its pool's local queue.
+func (q *request) waits() bool { return q.startIndex != notPlaced }
+
+// refusal is the cause of a refusal before its run state is known.
+type refusal struct {
+	reason beryllatch.Reason
+	detail string
+	// after is the time until a repeat makes sense; 0 means the default.
+	after time.Duration
 }
 
 func (r *Reducer) requestArrived(e RequestArrived) {
-	q, ok := r.config.Queues[e.Queue]
-	switch {
-	case r.refusesNew():
-		r.refuseNotRun(e.ID, beryllatch.ReasonNodeStopping, "the node is shutting down")
+	if x := r.refuseState(); x != nil {
+		r.refuse(e.ID, beryllatch.RunStateNotRun, *x)
 		return
-	case !r.mayStart():
-		r.refuseNotRun(e.ID, beryllatch.ReasonNodeStale, "the node cannot prove that its configuration is up to date")
+	}
+	team, queue, x := r.authorise(e)
+	if x != nil {
+		r.refuse(e.ID, beryllatch.RunStateNotRun, *x)
+		return
+	}
+	r.sequence++
+	q := &request{
+		RequestArrived: e, team: team, pool: r.poolOf(queue.Pool), sequence: r.sequence,
+		deadline: r.now.Add(deadlineOf(e, queue)), index: notPlaced, startIndex: notPlaced, boundIndex: notPlaced,
+	}
+	q.share = q.pool.queue.team(team, r.weightOf(team))
+	r.requests[e.ID] = q
+	r.budget.arrived()
+	if x := r.shedOnArrival(q); x != nil {
+		r.refuseRequest(q, *x)
 		return
-	case !ok:
-		r.refuseNotRun(e.ID, beryllatch.ReasonUnknownQueue, "no queue has this name")
+	}
+	if e.IdempotencyKey != "" {
+		r.startClaim(q)
 		return
 	}
+	r.enqueue(q)
+	r.dispatchPool(q.pool)
+}
+
+// refuseState returns why the node accepts no request at all, or nil.
+func (r *Reducer) refuseState() *refusal {
+	switch {
+	case r.refusesNew():
+		return &refusal{reason: beryllatch.ReasonNodeStopping, detail: "the node is shutting down"}
+	case !r.mayStart():
+		return &refusal{
+			reason: beryllatch.ReasonNodeStale,
+			detail: "the node cannot prove that its configuration is up to date",
+		}
+	}
+	return nil
+}
+
+// authorise returns the team and the queue of a request under the present configuration.
+func (r *Reducer) authorise(e RequestArrived) (string, beryllatch.Queue, *refusal) {
+	q, ok := r.config.Queues[e.Queue]
+	if !ok {
+		return "", q, &refusal{reason: beryllatch.ReasonUnknownQueue, detail: "no queue has this name"}
+	}
 	key, known := r.keys[e.KeyHash]
 	switch {
 	case !known && (e.KeyHash != "" || !q.Open):
-		r.refuseNotRun(e.ID, beryllatch.ReasonUnauthorized, "the key is missing, unknown or withdrawn")
-		return
+		return "", q, &refusal{
+			reason: beryllatch.ReasonUnauthorized, detail: "the key is missing, unknown or withdrawn",
+		}
 	case q.Team != "" && q.Team != key.Team:
-		r.refuseNotRun(e.ID, beryllatch.ReasonForbiddenQueue, "the queue belongs to another team")
-		return
-	}
-	q2 := &request{RequestArrived: e, team: key.Team, pool: q.Pool, arrived: r.now, deadline: r.now.Add(deadlineOf(e, q))}
-	r.requests[e.ID] = q2
-	if len(r.waiting[q.Name]) >= maxQueued(q) {
-		r.end(q2)
-		r.refuseNotRun(e.ID, beryllatch.ReasonQueueFull, "too many requests wait at this node")
-		return
+		return "", q, &refusal{reason: beryllatch.ReasonForbiddenQueue, detail: "the queue belongs to another team"}
 	}
-	r.enqueue(q2)
-	r.dispatchWaiting()
+	return key.Team, q, nil
 }
 
+// weightOf returns the team's weight; work without a team weighs as little as the smallest team can.
+func (r *Reducer) weightOf(team string) int { return max(1, r.config.Teams[team].Weight) }
+
 func deadlineOf(e RequestArrived, q beryllatch.Queue) time.Duration {
 	d := e.Deadline
 	if d <= 0 {
@@ -79,150 +145,188 @@
 	return defaultMaxQueued
 }
 
+// shedOnArrival returns why the request should not wait here, or nil. A full queue gives up its least urgent request.
+func (r *Reducer) shedOnArrival(q *request) *refusal {
+	if x := r.jobRefusal(q); x != nil {
+		return x
+	}
+	wait := q.pool.expectedWait(q, r.now.Mono)
+	if r.now.Mono+wait+r.runTimeOf(q) > q.deadline.Mono {
+		return &refusal{
+			reason: beryllatch.ReasonDeadline, detail: "the work that waits here leaves no time before the deadline",
+			after: wait,
+		}
+	}
+	full := &refusal{reason: beryllatch.ReasonQueueFull, detail: "too many requests wait at this node", after: wait}
+	b := q.pool.queue.bound(q.Queue)
+	if b.waiting+r.claiming[q.Queue] < maxQueued(r.config.Queues[q.Queue]) {
+		return nil
+	}
+	victim := b.victim(q)
+	if victim == nil {
+		return full
+	}
+	r.dequeue(victim)
+	r.refuseRequest(victim, *full)
+	return nil
+}
+
 func (r *Reducer) enqueue(q *request) {
-	q.instance = ""
-	r.waiting[q.Queue] = append(r.waiting[q.Queue], q)
+	q.worker = nil
+	q.cost = r.runTimeOf(q)
+	q.latestStart = q.deadline.Mono - q.cost
+	q.pool.queue.add(q)
 	if u := r.units[q.team]; u != nil {
 		u.waiting++
 	}
 }
 
-// dispatchWaiting starts every waiting request that has a unit and a worker.
-func (r *Reducer) dispatchWaiting() {
-	if !r.mayStart() {
-		return
-	}
-	for _, queue := range beryllatch.SortedKeys(r.waiting) {
-		var rest []*request
-		for _, q := range r.waiting[queue] {
-			if !r.dispatch(q) {
-				rest = append(rest, q)
-			}
-		}
-		if len(rest) == 0 {
-			delete(r.waiting, queue)
-		} else {
-			r.waiting[queue] = rest
-		}
+func (r *Reducer) dequeue(q *request) {
+	q.pool.queue.remove(q)
+	if u := r.units[q.team]; u != nil {
+		u.waiting--
 	}
 }
 
-func (r *Reducer) dispatch(q *request) bool {
-	i, ok := r.chooseWorker(q.pool, q.tried)
-	if !ok {
-		return false
+// adoptRequests applies a changed configuration to the requests that wait: those that it no longer allows are refused.
+func (r *Reducer) adoptRequests() {
+	var waiting []*request
+	for _, q := range r.requests {
+		if q.waits() {
+			waiting = append(waiting, q)
+		}
 	}
-	if !r.takeUnit(q.team) {
-		r.readUnits(q.team)
-		return false
+	slices.SortFunc(waiting, func(a, b *request) int { return cmp.Compare(a.sequence, b.sequence) })
+	for _, q := range waiting {
+		r.dequeue(q)
 	}
-	if u := r.units[q.team]; u != nil {
-		u.waiting--
+	r.resetQueues()
+	for _, q := range waiting {
+		r.readmit(q)
 	}
-	q.holds = true
-	q.instance = i.ID
-	q.attempt++
-	r.workers[i.ID].running++
-	startBy := r.now.Wall.Add(min(startByLimit, r.tenure.until-r.now.Mono))
-	r.emit(Dispatch{
-		ID: q.ID, Attempt: q.attempt, Instance: i.ID,
-		Execution: beryllatch.Execution{
-			ID: q.ID + "." + strconv.Itoa(q.attempt), Address: i.Address, Team: q.team, Queue: q.Queue,
-			StartBy: startBy, LeaseExpiry: q.deadline.Wall,
-		},
-		AnswerBy: q.deadline,
-	})
-	return true
-}
-
-func (r *Reducer) executionEnded(e ExecutionEnded) {
-	q := r.requests[e.ID]
-	if q == nil || q.attempt != e.Attempt || q.instance == "" {
+	r.dispatchWaiting()
+}
+
+// readmit queues the request again if the configuration allows it.
+func (r *Reducer) readmit(q *request) {
+	team, queue, x := r.authorise(q.RequestArrived)
+	if x != nil || team != q.team {
+		r.refuseRequest(q, withdrawn(x))
 		return
 	}
-	r.release(q)
-	switch {
-	case e.Outcome == beryllatch.OutcomeAnswered:
-		r.end(q)
-		r.emit(Finish{ID: q.ID})
-	case r.mayRetry(q, e):
-		q.tried = append(q.tried, q.instance)
-		r.count("retry." + string(e.Reason))
-		r.enqueue(q)
-	case e.Outcome == beryllatch.OutcomeUnknown:
-		r.end(q)
-		r.refuse(q.ID, beryllatch.RunStateUnknown, e.Reason, "the request may have run")
-	default:
-		r.end(q)
-		r.refuseNotRun(q.ID, e.Reason, "no worker started the request")
+	q.pool = r.poolOf(queue.Pool)
+	q.share = q.pool.queue.team(team, r.weightOf(team))
+	r.enqueue(q)
+}
+
+// withdrawn returns the refusal of work whose permission has ended.
+func withdrawn(x *refusal) refusal {
+	if x != nil {
+		return *x
 	}
-	r.dispatchWaiting()
+	return refusal{reason: beryllatch.ReasonUnauthorized, detail: "the key now belongs to another team"}
 }
 
-// release gives back the unit and the worker slot of the request's attempt.
-func (r *Reducer) release(q *request) {
-	if q.holds {
-		r.returnUnit(q.team)
-		q.holds = false
+// resetQueues adopts the teams' weights; the local queues must be empty.
+func (r *Reducer) resetQueues() {
+	clear(r.blocked)
+	for _, p := range r.pools {
+		clear(p.queue.bounds)
+		for name, t := range p.queue.teams {
+			t.blocked = false
+			t.weight = r.weightOf(name)
+		}
 	}
-	if w := r.workers[q.instance]; w != nil {
-		w.running--
+	for class := range r.runTimes {
+		if _, ok := r.config.Queues[class.queue]; !ok {
+			delete(r.runTimes, class)
+		}
 	}
 }
 
-func (r *Reducer) end(q *request) { delete(r.requests, q.ID) }
-
 func (r *Reducer) requestAbandoned(e RequestAbandoned) {
 	q := r.requests[e.ID]
-	if q == nil || q.instance != "" {
+	if q == nil || q.abandoned {
 		return
 	}
-	r.removeWaiting(q)
-	r.end(q)
-	r.count("refusal." + string(beryllatch.ReasonCallerGone))
+	q.abandoned = true
+	if q.worker != nil {
+		return
+	}
+	if q.waits() {
+		r.dequeue(q)
+	}
+	r.refuseRequest(q, refusal{reason: beryllatch.ReasonCallerGone, detail: "the caller closed its connection"})
 }
 
-func (r *Reducer) removeWaiting(q *request) {
-	list := r.waiting[q.Queue]
-	for n, x := range list {
-		if x == q {
-			r.waiting[q.Queue] = append(list[:n:n], list[n+1:]...)
-			if u := r.units[q.team]; u != nil {
-				u.waiting--
-			}
-			return
-		}
+// tickRequests refuses the waiting requests that can no longer be answered by their deadlines.
+func (r *Reducer) tickRequests() {
+	r.budget.tick(r.now.Mono)
+	r.tickJobs()
+	r.tickLingering()
+	r.tickWorkers()
+	r.tickClaims()
+	for _, name := range beryllatch.SortedKeys(r.pools) {
+		r.shedLate(r.pools[name])
 	}
+	r.dispatchWaiting()
 }
 
-// tickRequests refuses the waiting requests whose deadline has passed.
-func (r *Reducer) tickRequests() {
-	for _, queue := range beryllatch.SortedKeys(r.waiting) {
-		for _, q := range append([]*request(nil), r.waiting[queue]...) {
-			if r.now.Mono >= q.deadline.Mono {
-				r.removeWaiting(q)
-				r.end(q)
-				r.refuseNotRun(q.ID, r.waitReason(q), "no worker was free before the deadline")
-			}
+func (r *Reducer) shedLate(p *poolState) {
+	for {
+		q, ok := p.queue.byLatestStart.top()
+		if !ok || r.now.Mono < q.latestStart {
+			return
 		}
+		if r.late(q) {
+			r.refuseLate(q)
+			continue
+		}
+		// The estimate has fallen since the request was queued.
+		q.latestStart = q.deadline.Mono - r.runTimeOf(q)
+		p.queue.byLatestStart.fix(q)
 	}
-	r.dispatchWaiting()
+}
+
+// late reports whether the deadline can no longer be met.
+func (r *Reducer) late(q *request) bool { return r.now.Mono+r.runTimeOf(q) >= q.deadline.Mono }
+
+func (r *Reducer) refuseLate(q *request) {
+	reason := r.waitReason(q)
+	r.dequeue(q)
+	r.refuseRequest(q, refusal{reason: reason, detail: "the request could not start in time for its deadline"})
 }
 
 func (r *Reducer) waitReason(q *request) beryllatch.Reason {
-	if u := r.units[q.team]; u != nil && u.running >= u.held {
+	switch {
+	case q.share.blocked:
 		return beryllatch.ReasonTeamCeiling
+	case !q.pool.hasWorker():
+		return beryllatch.ReasonNoCapacity
+	default:
+		return beryllatch.ReasonDeadline
 	}
-	return beryllatch.ReasonNoCapacity
 }
 
-func (r *Reducer) refuseNotRun(id string, reason beryllatch.Reason, detail string) {
-	r.refuse(id, beryllatch.RunStateNotRun, reason, detail)
+// refuseRequest ends a request that has no execution; its run state is not_run only if no attempt may have run.
+func (r *Reducer) refuseRequest(q *request, x refusal) {
+	state := beryllatch.RunStateNotRun
+	if q.mayHaveRun {
+		state = beryllatch.RunStateUnknown
+	}
+	r.end(q)
+	r.endClaim(q, false)
+	r.refuse(q.ID, state, x)
 }
 
-func (r *Reducer) refuse(id string, state beryllatch.RunState, reason beryllatch.Reason, detail string) {
-	r.count("refusal." + string(reason))
+func (r *Reducer) end(q *request) { delete(r.requests, q.ID) }
+
+func (r *Reducer) refuse(id string, state beryllatch.RunState, x refusal) {
+	if x.after <= 0 {
+		x.after = retryLater
+	}
+	r.count("refusal." + string(x.reason))
 	r.emit(Refuse{ID: id, Refusal: beryllatch.Refusal{
-		Reason: reason, RunState: state, RetryAfter: retryLater, Detail: detail,
+		Reason: x.reason, RunState: state, RetryAfter: x.after, Detail: x.detail,
 	}})
 }
--- a/internal/decision/berylreducer/config.go
+++ b/internal/decision/berylreducer/config.go
@@ -27,4 +27,5 @@
 	}
 	r.adoptWorkers()
 	r.adoptTeams()
+	r.adoptRequests()
 }
--- /dev/null
+++ b/internal/decision/berylreducer/dispatch.go
@@ -0,0 +1,186 @@
+package berylreducer
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/beryllatch/beryllatch"
+)
+
+// blockedTeam is a team that waits in a pool for a unit.
+type blockedTeam struct {
+	pool *poolState
+	team *queueTeam
+}
+
+// dispatchWaiting starts every waiting request that has a unit and a worker.
+func (r *Reducer) dispatchWaiting() {
+	for _, team := range beryllatch.SortedKeys(r.blocked) {
+		if u := r.units[team]; u == nil || u.running < u.held {
+			r.unblock(team)
+		}
+	}
+	for _, name := range beryllatch.SortedKeys(r.pools) {
+		r.dispatchPool(r.pools[name])
+	}
+}
+
+// dispatchPool starts the pool's waiting requests in order while there are units and workers.
+func (r *Reducer) dispatchPool(p *poolState) {
+	for r.mayStart() && r.active < r.slots && p.hasWorker() {
+		q, ok := p.queue.next()
+		if !ok {
+			return
+		}
+		r.dispatchNext(q)
+	}
+}
+
+func (r *Reducer) dispatchNext(q *request) {
+	if r.late(q) {
+		r.refuseLate(q)
+		return
+	}
+	if !r.takeUnit(q.team) {
+		r.block(q)
+		r.readUnits(q.team)
+		return
+	}
+	w := q.pool.choose(r.rand, q.tried)
+	r.dequeue(q)
+	r.dispatch(q, w)
+}
+
+// dispatch sends the next attempt of the request, which holds a unit, to the worker.
+func (r *Reducer) dispatch(q *request, w *workerState) {
+	q.worker = w
+	q.attempt++
+	q.pool.active++
+	r.active++
+	q.pool.queue.setRunning(q.share, q.share.running+1)
+	r.occupy(w)
+	r.emit(Dispatch{
+		ID: q.ID, Attempt: q.attempt, Instance: w.inst.ID,
+		Execution: beryllatch.Execution{
+			ID: q.ID + "." + strconv.Itoa(q.attempt), Address: w.inst.Address, Team: q.team, Queue: q.Queue,
+			StartBy: r.now.Wall.Add(r.startWithin(q)), LeaseExpiry: q.deadline.Wall,
+		},
+		AnswerBy: q.deadline,
+	})
+}
+
+// startWithin is how long from now the worker may still start the request.
+func (r *Reducer) startWithin(q *request) time.Duration {
+	return min(startByLimit, r.tenure.until-r.now.Mono, q.deadline.Mono-r.now.Mono)
+}
+
+// block keeps the request's team out of the pool's order until it has a free unit.
+func (r *Reducer) block(q *request) {
+	q.share.blocked = true
+	q.pool.queue.offer(q.share)
+	r.blocked[q.team] = append(r.blocked[q.team], blockedTeam{q.pool, q.share})
+}
+
+// unblock makes the team ready again in every pool, and returns where it waited.
+func (r *Reducer) unblock(team string) []blockedTeam {
+	list := r.blocked[team]
+	delete(r.blocked, team)
+	for _, b := range list {
+		b.team.blocked = false
+		b.pool.queue.offer(b.team)
+	}
+	return list
+}
+
+func (r *Reducer) executionEnded(e ExecutionEnded) {
+	q := r.requests[e.ID]
+	if q == nil || q.attempt != e.Attempt || q.worker == nil {
+		return
+	}
+	wasFull := r.active >= r.slots
+	w := q.worker
+	r.endAttempt(q, e)
+	r.settle(q, w, e)
+	if wasFull {
+		r.dispatchWaiting()
+		return
+	}
+	for _, b := range r.unblock(q.team) {
+		r.dispatchPool(b.pool)
+	}
+	r.dispatchPool(w.pool)
+	r.dispatchPool(q.pool)
+}
+
+// endAttempt updates what is learned from the attempt, and gives back its unit and its place on the worker.
+func (r *Reducer) endAttempt(q *request, e ExecutionEnded) {
+	w := q.worker
+	q.worker = nil
+	q.pool.active--
+	r.active--
+	started := e.Outcome == beryllatch.OutcomeAnswered || e.Outcome == beryllatch.OutcomeUnknown
+	if started {
+		r.learnRunTime(q, e, e.Outcome == beryllatch.OutcomeAnswered && !e.Failed)
+	}
+	q.mayHaveRun = q.mayHaveRun || started
+	if e.Outcome == beryllatch.OutcomeUnknown {
+		r.linger(q, w)
+	} else {
+		r.giveBack(q.team, q.pool, q.share, w)
+	}
+	r.scoreWorker(w, q, e)
+	r.scoreJob(q, w, e)
+	q.tried = append(q.tried, w.inst.ID)
+}
+
+// giveBack returns the unit and the place on the worker of an execution that surely runs no more.
+func (r *Reducer) giveBack(team string, p *poolState, t *queueTeam, w *workerState) {
+	p.queue.setRunning(t, t.running-1)
+	r.returnUnit(team)
+	r.vacate(w)
+}
+
+// settle answers the request or queues it for another attempt.
+func (r *Reducer) settle(q *request, w *workerState, e ExecutionEnded) {
+	wanted := e.Outcome != beryllatch.OutcomeAnswered || e.Failed
+	if wanted && r.mayRetry(q, e) {
+		if r.budget.take(r.now.Mono) {
+			r.count("retry." + string(retryReason(e)))
+			r.readmit(q)
+			return
+		}
+		r.count("retry_denied")
+		if e.Outcome != beryllatch.OutcomeAnswered {
+			r.refuseRequest(q, refusal{
+				reason: beryllatch.ReasonRetryBudget, detail: "no retry is left after " + string(e.Reason),
+			})
+			return
+		}
+	}
+	if e.Outcome == beryllatch.OutcomeAnswered {
+		r.finish(q, w)
+		return
+	}
+	r.refuseRequest(q, r.outcomeRefusal(q, e))
+}
+
+func (r *Reducer) finish(q *request, w *workerState) {
+	r.end(q)
+	if q.claim != nil {
+		q.claim.row.Instance = w.inst.ID
+		q.claim.row.ExecutionID = q.ID + "." + strconv.Itoa(q.attempt)
+	}
+	r.endClaim(q, true)
+	r.emit(Finish{ID: q.ID})
+}
+
+func (r *Reducer) outcomeRefusal(q *request, e ExecutionEnded) refusal {
+	switch {
+	case q.jobFailures >= jobWorkers:
+		return refusal{reason: beryllatch.ReasonJobFailing, detail: "the job failed on several workers", after: jobPark}
+	case q.mayHaveRun:
+		return refusal{reason: e.Reason, detail: "the request may have run"}
+	default:
+		return refusal{reason: e.Reason, detail: "no worker started the request"}
+	}
+}
--- a/internal/decision/berylreducer/event.go
+++ b/internal/decision/berylreducer/event.go
@@ -141,6 +141,8 @@
 	Idempotent bool
 	// IdempotencyKey is the hash of the caller's idempotency key; empty without one.
 	IdempotencyKey string
+	// BodyHash is the SHA-256 of the body in hexadecimal digits; empty if the body is not buffered.
+	BodyHash string
 	// Deadline is the time by which the caller needs the answer; zero means the queue's default.
 	Deadline time.Duration
 	Urgent   bool
--- /dev/null
+++ b/internal/decision/berylreducer/job_score.go
@@ -0,0 +1,126 @@
+package berylreducer
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/beryllatch/beryllatch"
+)
+
+const (
+	// jobWorkers is the number of distinct workers on which a job must fail before the job is held at fault.
+	jobWorkers = 3
+	jobPark    = 60 * time.Second
+	// jobMemory is how long a failure counts against a job.
+	jobMemory = 60 * time.Second
+	// maxJobs bounds the memory for failing jobs; beyond it the oldest is forgotten.
+	maxJobs = 1024
+)
+
+// jobScore holds the recent failures of one job.
+type jobScore struct {
+	fingerprint string
+	workers     []string
+	parkedUntil time.Duration
+	last        time.Duration
+}
+
+// jobScores holds the failing jobs; order lists them from the oldest to the most recent failure.
+type jobScores struct {
+	byFingerprint map[string]*jobScore
+	order         []*jobScore
+}
+
+// fingerprint identifies the job of a request; it is empty when neither its body nor its key is known.
+func (q *request) fingerprint() string {
+	key := q.BodyHash
+	if key == "" {
+		key = q.IdempotencyKey
+	}
+	if key == "" {
+		return ""
+	}
+	return strings.Join([]string{q.team, q.Queue, key}, "\x00")
+}
+
+// scoreJob counts a failure of the job itself, apart from the worker's score.
+func (r *Reducer) scoreJob(q *request, w *workerState, e ExecutionEnded) {
+	succeeded := e.Outcome == beryllatch.OutcomeAnswered && !e.Failed
+	if succeeded && len(r.jobs.order) == 0 {
+		return
+	}
+	f := q.fingerprint()
+	switch {
+	case succeeded:
+		r.jobs.forget(f)
+		return
+	case e.Outcome != beryllatch.OutcomeAnswered && e.Outcome != beryllatch.OutcomeUnknown, q.abandoned:
+		return
+	}
+	if !slices.Contains(q.tried, w.inst.ID) {
+		q.jobFailures++
+	}
+	if f != "" && r.jobs.fail(f, w.inst.ID, r.now.Mono) {
+		r.count("job_parked")
+	}
+}
+
+// jobRefusal returns the refusal of a parked job, or nil.
+func (r *Reducer) jobRefusal(q *request) *refusal {
+	if len(r.jobs.order) == 0 {
+		return nil
+	}
+	s := r.jobs.byFingerprint[q.fingerprint()]
+	if s == nil || r.now.Mono >= s.parkedUntil {
+		return nil
+	}
+	return &refusal{
+		reason: beryllatch.ReasonJobFailing, detail: "the job failed on several workers",
+		after: s.parkedUntil - r.now.Mono,
+	}
+}
+
+func (j *jobScores) forget(fingerprint string) {
+	if s := j.byFingerprint[fingerprint]; s != nil {
+		delete(j.byFingerprint, fingerprint)
+		j.order = slices.DeleteFunc(j.order, func(x *jobScore) bool { return x == s })
+	}
+}
+
+// fail records a failure and reports whether it parks the job.
+func (j *jobScores) fail(fingerprint, worker string, now time.Duration) bool {
+	s := j.byFingerprint[fingerprint]
+	if s == nil {
+		s = &jobScore{fingerprint: fingerprint}
+	}
+	j.forget(fingerprint)
+	j.byFingerprint[fingerprint] = s
+	j.order = append(j.order, s)
+	s.last = now
+	if !slices.Contains(s.workers, worker) {
+		s.workers = append(s.workers, worker)
+	}
+	if len(j.order) > maxJobs {
+		j.drop()
+	}
+	if len(s.workers) < jobWorkers {
+		return false
+	}
+	s.workers = nil
+	s.parkedUntil = now + jobPark
+	return true
+}
+
+func (j *jobScores) drop() {
+	delete(j.byFingerprint, j.order[0].fingerprint)
+	j.order = slices.Delete(j.order, 0, 1)
+}
+
+// tickJobs forgets the jobs without a recent failure.
+func (r *Reducer) tickJobs() {
+	j := &r.jobs
+	for len(j.order) > 0 && r.now.Mono-j.order[0].last >= jobMemory {
+		j.drop()
+	}
+}
--- /dev/null
+++ b/internal/decision/berylreducer/linger.go
@@ -0,0 +1,48 @@
+package berylreducer
+
+import "time"
+
+// skewAllowance is the largest difference between the clocks of a node and a worker that leases allow for.
+const skewAllowance = 500 * time.Millisecond
+
+// lingering is an execution that may still run at its worker although its answer is lost. It keeps its unit and its
+// place on the worker until its lease has surely expired, since otherwise the team could exceed its ceiling.
+type lingering struct {
+	team     string
+	pool     *poolState
+	share    *queueTeam
+	worker   *workerState
+	until    time.Duration
+	sequence uint64
+	index    int
+}
+
+func newLingerQueue() *priorityQueue[*lingering] {
+	before := func(a, b *lingering) bool {
+		if a.until != b.until {
+			return a.until < b.until
+		}
+		return a.sequence < b.sequence
+	}
+	return newPriorityQueue(before, func(l *lingering) *int { return &l.index })
+}
+
+func (r *Reducer) linger(q *request, w *workerState) {
+	r.sequence++
+	r.lingering.add(&lingering{
+		team: q.team, pool: q.pool, share: q.share, worker: w,
+		until: q.deadline.Mono + skewAllowance, sequence: r.sequence,
+	})
+}
+
+// tickLingering gives back what executions held whose leases have expired.
+func (r *Reducer) tickLingering() {
+	for {
+		l, ok := r.lingering.top()
+		if !ok || r.now.Mono < l.until {
+			return
+		}
+		r.lingering.remove(l)
+		r.giveBack(l.team, l.pool, l.share, l.worker)
+	}
+}
--- /dev/null
+++ b/internal/decision/berylreducer/pool.go
@@ -0,0 +1,112 @@
+package berylreducer
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	"github.com/beryllatch/beryllatch"
+)
+
+// tier is the distance of a worker from this node.
+type tier int
+
+// The tiers, near ones first.
+const (
+	tierSameDataCentre tier = iota
+	tierSameRegion
+	tierFar
+	tiers
+)
+
+// redraws bounds the random draws that avoid workers tried before; after that the set is searched.
+const redraws = 4
+
+// poolState is what the node knows about one pool: its eligible workers and its local queue.
+type poolState struct {
+	name  string
+	tiers [tiers]workerSet
+	// size is the number of workers in the pool, and open the number of those with an open or half-open breaker.
+	size int
+	open int
+	// active counts this node's executions that have not ended.
+	active int
+	queue  localQueue
+}
+
+// poolOf returns the named pool, which is created on first use.
+func (r *Reducer) poolOf(name string) *poolState {
+	p := r.pools[name]
+	if p == nil {
+		p = &poolState{name: name, queue: newLocalQueue()}
+		r.pools[name] = p
+	}
+	return p
+}
+
+// tierOf returns the distance of an instance from this node.
+func (r *Reducer) tierOf(i beryllatch.Instance) tier {
+	here, there := r.config.DataCentres[r.self.DataCentre], r.config.DataCentres[i.DataCentre]
+	switch {
+	case i.DataCentre == r.self.DataCentre:
+		return tierSameDataCentre
+	case here.Region == there.Region:
+		return tierSameRegion
+	default:
+		return tierFar
+	}
+}
+
+// hasWorker reports whether any worker is eligible.
+func (p *poolState) hasWorker() bool {
+	for t := range p.tiers {
+		if len(p.tiers[t].list) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// choose picks an eligible worker, or nil; a worker tried before is taken only if there is no other.
+func (p *poolState) choose(rnd *rand.Rand, tried []string) *workerState {
+	if w := p.chooseOutside(rnd, tried); w != nil || len(tried) == 0 {
+		return w
+	}
+	return p.chooseOutside(rnd, nil)
+}
+
+// chooseOutside takes the better of two random workers in each tier; a farther tier wins only with a lower score.
+func (p *poolState) chooseOutside(rnd *rand.Rand, tried []string) *workerState {
+	var best *workerState
+	for t := range p.tiers {
+		set := &p.tiers[t]
+		a, b := set.draw(rnd, tried), set.draw(rnd, tried)
+		if a != nil && b != nil && b.score() < a.score() {
+			a = b
+		}
+		if a != nil && (best == nil || a.score() < best.score()) {
+			best = a
+		}
+	}
+	return best
+}
+
+// draw returns a random worker outside the tried set, or nil.
+func (s *workerSet) draw(rnd *rand.Rand, tried []string) *workerState {
+	if len(s.list) == 0 {
+		return nil
+	}
+	for range redraws {
+		w := s.list[rnd.IntN(len(s.list))]
+		if !slices.Contains(tried, w.inst.ID) {
+			return w
+		}
+	}
+	start := rnd.IntN(len(s.list))
+	for n := range s.list {
+		w := s.list[(start+n)%len(s.list)]
+		if !slices.Contains(tried, w.inst.ID) {
+			return w
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/decision/berylreducer/priority_queue.go
@@ -0,0 +1,74 @@
+package berylreducer
+
+import "container/heap"
+
+// priorityQueue is an indexed heap; the element for which before holds against all others is on top.
+type priorityQueue[T any] struct {
+	items []T
+	// before orders the elements; it must be a strict order, so that results don't depend on insertion.
+	before func(a, b T) bool
+	// index points to the place where an element keeps its position; -1 means that it is not queued.
+	index func(T) *int
+}
+
+func newPriorityQueue[T any](before func(a, b T) bool, index func(T) *int) *priorityQueue[T] {
+	return &priorityQueue[T]{before: before, index: index}
+}
+
+// add queues the element; an element must be added to one queue per index only.
+func (p *priorityQueue[T]) add(x T) { heap.Push((*heapItems[T])(p), x) }
+
+// remove takes the element out, if it is queued.
+func (p *priorityQueue[T]) remove(x T) {
+	if i := *p.index(x); i >= 0 {
+		heap.Remove((*heapItems[T])(p), i)
+	}
+}
+
+// fix restores the order after a change of the element's rank.
+func (p *priorityQueue[T]) fix(x T) {
+	if i := *p.index(x); i >= 0 {
+		heap.Fix((*heapItems[T])(p), i)
+	}
+}
+
+func (p *priorityQueue[T]) len() int { return len(p.items) }
+
+// top returns the first element without taking it out.
+func (p *priorityQueue[T]) top() (T, bool) {
+	if len(p.items) == 0 {
+		var zero T
+		return zero, false
+	}
+	return p.items[0], true
+}
+
+// heapItems implements heap.Interface.
+type heapItems[T any] priorityQueue[T]
+
+func (h *heapItems[T]) Len() int           { return len(h.items) }
+func (h *heapItems[T]) Less(i, j int) bool { return h.before(h.items[i], h.items[j]) }
+
+func (h *heapItems[T]) Swap(i, j int) {
+	h.items[i], h.items[j] = h.items[j], h.items[i]
+	*h.index(h.items[i]) = i
+	*h.index(h.items[j]) = j
+}
+
+// Push appends the element; only package heap calls it.
+func (h *heapItems[T]) Push(x any) {
+	v := x.(T)
+	*h.index(v) = len(h.items)
+	h.items = append(h.items, v)
+}
+
+// Pop cuts off the last element; only package heap calls it.
+func (h *heapItems[T]) Pop() any {
+	last := len(h.items) - 1
+	v := h.items[last]
+	*h.index(v) = -1
+	var zero T
+	h.items[last] = zero
+	h.items = h.items[:last]
+	return v
+}
--- a/internal/decision/berylreducer/reducer.go
+++ b/internal/decision/berylreducer/reducer.go
@@ -23,10 +23,7 @@
 	tenure  tenureState
 	units   map[string]*teamUnits
 	workers map[string]*workerState
-	// requests holds every request between its arrival and its end.
-	requests map[string]*request
-	// waiting holds the requests without a worker, by queue, in order of arrival.
-	waiting  map[string][]*request
+	requestState
 	stopping bool
 	// stopAt ends the time in which a stopping node still accepts requests.
 	stopAt time.Duration
@@ -88,8 +85,7 @@
 	r.keys = map[string]beryllatch.APIKey{}
 	r.units = map[string]*teamUnits{}
 	r.workers = map[string]*workerState{}
-	r.requests = map[string]*request{}
-	r.waiting = map[string][]*request{}
+	r.requestState = newRequestState(e.Slots)
 	r.renew()
 }
 
@@ -117,7 +113,7 @@
 func (r *Reducer) refusesNew() bool { return r.stopping && r.now.Mono >= r.stopAt }
 
 func (r *Reducer) stopWhenIdle() {
-	if r.refusesNew() && len(r.requests) == 0 {
+	if r.refusesNew() && len(r.requests) == 0 && len(r.claims) == 0 {
 		r.emit(Stop{})
 	}
 }
--- a/internal/decision/berylreducer/retry.go
+++ b/internal/decision/berylreducer/retry.go
@@ -1,14 +1,71 @@
 package berylreducer
 
-import "github.com/beryllatch/beryllatch"
+import (
+	"time"
 
-// maxAttempts bounds the attempts of one request.
-const maxAttempts = 3
+	"golang.org/x/time/rate"
+
+	"github.com/beryllatch/beryllatch"
+)
+
+const (
+	// maxAttempts bounds the attempts of one request.
+	maxAttempts = 3
+	// retryShare is the part of recent requests that may be retried.
+	retryShare = 0.1
+	// retryFloor is the number of retries in each retryPeriod that is allowed whatever the traffic.
+	retryFloor  = 10
+	retryPeriod = 10 * time.Second
+	retryTick   = time.Second
+)
 
 // mayRetry reports whether another attempt cannot run the request twice against the caller's wish.
 func (r *Reducer) mayRetry(q *request, e ExecutionEnded) bool {
-	if !e.Replayable || q.attempt >= maxAttempts || r.now.Mono >= q.deadline.Mono {
+	if !e.Replayable || q.abandoned || q.attempt >= maxAttempts || r.late(q) || q.jobFailures >= jobWorkers {
 		return false
 	}
 	return q.Idempotent || e.Outcome == beryllatch.OutcomeNotSent || e.Outcome == beryllatch.OutcomeRefused
 }
+
+// retryReason names the cause of a retry in the counters.
+func retryReason(e ExecutionEnded) beryllatch.Reason {
+	if e.Outcome == beryllatch.OutcomeAnswered {
+		return beryllatch.ReasonJobFailing
+	}
+	return e.Reason
+}
+
+// retryBudget is a token bucket that is filled by a share of the recent requests.
+type retryBudget struct {
+	limiter *rate.Limiter
+	// recent is the decayed number of requests in the last retryPeriod.
+	recent   float64
+	arrivals int
+	lastTick time.Duration
+}
+
+func newRetryBudget() retryBudget {
+	perSecond := rate.Limit(retryFloor / retryPeriod.Seconds())
+	return retryBudget{limiter: rate.NewLimiter(perSecond, retryFloor)}
+}
+
+// bucketTime places the node's monotonic time on the time line that the limiter expects.
+func bucketTime(now time.Duration) time.Time { return time.Unix(0, 0).Add(now) }
+
+func (b *retryBudget) arrived() { b.arrivals++ }
+
+// take uses one token, if there is one.
+func (b *retryBudget) take(now time.Duration) bool { return b.limiter.AllowN(bucketTime(now), 1) }
+
+// tick adapts the bucket to the recent requests once a second.
+func (b *retryBudget) tick(now time.Duration) {
+	if now-b.lastTick < retryTick {
+		return
+	}
+	b.lastTick = now
+	b.recent += float64(b.arrivals) - b.recent/retryPeriod.Seconds()
+	b.arrivals = 0
+	size := max(retryFloor, retryShare*b.recent)
+	b.limiter.SetLimitAt(bucketTime(now), rate.Limit(size/retryPeriod.Seconds()))
+	b.limiter.SetBurstAt(bucketTime(now), int(size))
+}
--- a/internal/decision/berylreducer/routing.go
+++ b/internal/decision/berylreducer/routing.go
@@ -1,80 +1,263 @@
 package berylreducer
 
-import "github.com/beryllatch/beryllatch"
+import (
+	"slices"
+	"time"
+
+	"github.com/beryllatch/beryllatch"
+)
+
+const (
+	// notPlaced is the place of a worker outside the index of eligible workers.
+	notPlaced = -1
+	// refusalRest is the pause after a worker's first refusal; each further refusal in a row doubles it.
+	refusalRest    = 100 * time.Millisecond
+	maxRefusalRest = 2 * time.Second
+	// runTimeWeight is the weight of the newest sample in a worker's mean run time.
+	runTimeWeight = 0.1
+	// assumedRunTime stands for the run time of a worker without samples.
+	assumedRunTime = 100 * time.Millisecond
+)
 
 // workerState is what the node knows about one worker.
 type workerState struct {
+	inst beryllatch.Instance
+	pool *poolState
+	tier tier
+	// place is the position in the index of eligible workers.
+	place int
+	// running counts this node's executions on the worker, with those that may still run after a lost answer.
 	running   int
 	leaving   bool
 	listed    bool
 	unhealthy bool
 	bootID    string
+	// selfLeaving is true when the worker itself said that it leaves.
+	selfLeaving bool
+	// reported is the load from all nodes in the worker's last report.
+	reported int
+	runTime  time.Duration
+	// limit is the number of executions that this node places on the worker; refusals lower it.
+	limit    float64
+	refusals int
+	breaker  breaker
+	// restUntil is the end of the pause after refusals or of the open time of the breaker.
+	restUntil time.Duration
+	resting   bool
 }
 
+// adoptWorkers brings the workers and the index of eligible workers in line with the configuration.
 func (r *Reducer) adoptWorkers() {
-	for _, id := range beryllatch.SortedKeys(r.workers) {
-		if _, ok := r.config.Instances[id]; !ok && r.workers[id].running == 0 {
-			delete(r.workers, id)
-		}
+	r.dropWorkers()
+	for _, p := range r.pools {
+		p.tiers = [tiers]workerSet{}
+		p.size, p.open = 0, 0
 	}
-	for id := range r.config.Instances {
+	r.workerOrder = beryllatch.SortedKeys(r.workers)
+	for _, id := range beryllatch.SortedKeys(r.config.Instances) {
 		if r.workers[id] == nil {
 			r.workers[id] = &workerState{}
+			r.workerOrder = append(r.workerOrder, id)
 		}
 	}
+	slices.Sort(r.workerOrder)
+	for _, id := range r.workerOrder {
+		r.adoptWorker(r.workers[id], id)
+	}
+}
+
+func (r *Reducer) dropWorkers() {
+	for id, w := range r.workers {
+		if _, ok := r.config.Instances[id]; !ok && w.running == 0 {
+			delete(r.workers, id)
+		}
+	}
+}
+
+func (r *Reducer) adoptWorker(w *workerState, id string) {
+	w.place = notPlaced
+	i, ok := r.config.Instances[id]
+	if !ok {
+		// The worker has left the configuration; its running executions still count.
+		w.inst = beryllatch.Instance{ID: id}
+		w.pool = r.poolOf("")
+		return
+	}
+	if w.inst.Address != i.Address {
+		w.limit, w.runTime, w.breaker = 0, 0, breaker{}
+	}
+	w.inst, w.pool = i, r.poolOf(i.Pool)
+	w.tier = r.tierOf(i)
+	w.pool.size++
+	if w.breaker.state != breakerClosed {
+		w.pool.open++
+	}
+	r.place(w)
 }
 
 func (r *Reducer) instancesListed(e InstancesListed) {
-	for id, i := range r.config.Instances {
+	for _, id := range r.workerOrder {
 		w := r.workers[id]
-		status, ok := e.Instances[i.Address]
+		status, ok := e.Instances[w.inst.Address]
 		w.listed, w.leaving = ok, status.Leaving
+		r.place(w)
 	}
 }
 
 func (r *Reducer) workerReported(e WorkerReported) {
-	if w := r.workers[e.Instance]; w != nil {
-		w.unhealthy, w.bootID = !e.Healthy, e.BootID
+	w := r.workers[e.Instance]
+	if w == nil {
+		return
 	}
+	w.unhealthy, w.selfLeaving = !e.Healthy, e.Leaving
+	w.bootID, w.reported = e.BootID, e.Running
+	r.place(w)
+	r.dispatchPool(w.pool)
 }
 
-// eligible reports whether new work may go to the instance.
-func (r *Reducer) eligible(i beryllatch.Instance) bool {
-	w := r.workers[i.ID]
+// place adds the worker to the index of eligible workers or takes it out.
+func (r *Reducer) place(w *workerState) {
+	ok := r.eligible(w)
+	switch {
+	case ok && w.place == notPlaced:
+		w.pool.tiers[w.tier].add(w)
+	case !ok && w.place != notPlaced:
+		w.pool.tiers[w.tier].remove(w)
+	}
+}
+
+// eligible reports whether new work may go to the worker.
+func (r *Reducer) eligible(w *workerState) bool {
+	i := &w.inst
 	return i.State == beryllatch.InstanceActive && i.MoveTo == "" &&
 		!r.config.DataCentres[i.DataCentre].Out &&
-		!w.leaving && !w.unhealthy && w.running < i.Slots
+		!w.leaving && !w.selfLeaving && !w.unhealthy &&
+		w.breaker.state != breakerOpened && !w.breaker.probing &&
+		r.now.Mono >= w.restUntil && w.running < r.workerLimit(w)
 }
 
-// chooseWorker picks the less loaded of two random eligible workers of the pool, outside the tried set.
-func (r *Reducer) chooseWorker(pool string, tried []string) (beryllatch.Instance, bool) {
-	var candidates []beryllatch.Instance
-	for _, id := range beryllatch.SortedKeys(r.config.Instances) {
-		i := r.config.Instances[id]
-		if i.Pool == pool && r.eligible(i) && !contains(tried, id) {
-			candidates = append(candidates, i)
-		}
+// workerLimit is the number of executions that this node may have on the worker at once: its slots, at most an equal
+// share of its connections, less after refusals.
+func (r *Reducer) workerLimit(w *workerState) int {
+	most := r.workerShare(w)
+	if w.limit < 1 {
+		return most
 	}
-	if len(candidates) == 0 {
-		return beryllatch.Instance{}, false
+	return min(most, int(w.limit))
+}
+
+func (r *Reducer) workerShare(w *workerState) int {
+	share := max(1, w.inst.Connections/r.nodes())
+	return min(w.inst.Slots, share)
+}
+
+// nodes is the number of nodes that share the workers.
+func (r *Reducer) nodes() int { return len(r.tenure.peers) + 1 }
+
+// placeAll follows a change of the number of nodes, on which every worker's limit depends.
+func (r *Reducer) placeAll() {
+	if r.placedFor == r.nodes() {
+		return
+	}
+	r.placedFor = r.nodes()
+	for _, id := range r.workerOrder {
+		r.place(r.workers[id])
+	}
+}
+
+// occupy counts one execution on the worker.
+func (r *Reducer) occupy(w *workerState) {
+	w.running++
+	w.breaker.probing = w.breaker.state == breakerHalfOpen
+	r.place(w)
+}
+
+// vacate ends the count of one execution on the worker.
+func (r *Reducer) vacate(w *workerState) {
+	w.running--
+	r.place(w)
+}
+
+// scoreWorker learns from the end of an execution.
+func (r *Reducer) scoreWorker(w *workerState, q *request, e ExecutionEnded) {
+	w.breaker.probing = false
+	switch {
+	case e.Outcome == beryllatch.OutcomeRefused:
+		r.workerRefused(w)
+	case e.Outcome == beryllatch.OutcomeAnswered && !e.Failed:
+		r.workerAnswered(w, e.Duration)
+	case !q.abandoned:
+		r.workerFailed(w, q.team)
+	}
+	r.place(w)
+}
+
+func (r *Reducer) workerAnswered(w *workerState, d time.Duration) {
+	r.workerSucceeded(w)
+	w.refusals = 0
+	if w.runTime == 0 {
+		w.runTime = d
 	}
-	a := candidates[r.rand.IntN(len(candidates))]
-	b := candidates[r.rand.IntN(len(candidates))]
-	if r.load(b) < r.load(a) {
-		a = b
+	w.runTime += time.Duration(runTimeWeight * float64(d-w.runTime))
+	if w.limit >= 1 {
+		w.limit += 1 / w.limit
 	}
-	return a, true
+	if w.limit > float64(r.workerShare(w)) {
+		w.limit = 0
+	}
+}
+
+// workerRefused pauses the worker and places no more on it than it has just accepted.
+func (r *Reducer) workerRefused(w *workerState) {
+	w.limit = float64(max(1, min(w.running, r.workerShare(w))))
+	pause := min(refusalRest<<min(w.refusals, 10), maxRefusalRest)
+	w.refusals++
+	w.restUntil = max(w.restUntil, r.now.Mono+pause)
+	r.rest(w)
 }
 
-func (r *Reducer) load(i beryllatch.Instance) float64 {
-	return float64(r.workers[i.ID].running) / float64(i.Slots)
+// rest has the worker's pause checked at every tick.
+func (r *Reducer) rest(w *workerState) {
+	if !w.resting {
+		w.resting = true
+		r.resting = append(r.resting, w)
+	}
+	r.place(w)
 }
 
-func contains(list []string, s string) bool {
-	for _, x := range list {
-		if x == s {
-			return true
+// tickWorkers ends the pauses that are over.
+func (r *Reducer) tickWorkers() {
+	r.placeAll()
+	kept := r.resting[:0]
+	for _, w := range r.resting {
+		if w.breaker.state == breakerOpened && r.now.Mono >= w.breaker.until {
+			r.setBreaker(w, breakerHalfOpen)
 		}
+		w.resting = w.breaker.state == breakerOpened || r.now.Mono < w.restUntil
+		if w.resting {
+			kept = append(kept, w)
+			continue
+		}
+		r.place(w)
+	}
+	clear(r.resting[len(kept):])
+	r.resting = kept
+}
+
+// chooseWorker picks an eligible worker of the pool, if possible outside the tried set.
+func (r *Reducer) chooseWorker(pool string, tried []string) (beryllatch.Instance, bool) {
+	w := r.poolOf(pool).choose(r.rand, tried)
+	if w == nil {
+		return beryllatch.Instance{}, false
+	}
+	return w.inst, true
+}
+
+// score estimates the wait on the worker; lower is better.
+func (w *workerState) score() float64 {
+	d := w.runTime
+	if d <= 0 {
+		d = assumedRunTime
 	}
-	return false
+	return float64(w.running+w.reported+1) * float64(d)
 }
--- /dev/null
+++ b/internal/decision/berylreducer/worker_set.go
@@ -0,0 +1,19 @@
+package berylreducer
+
+// workerSet is a set of workers with a random pick in constant time.
+type workerSet struct{ list []*workerState }
+
+func (s *workerSet) add(w *workerState) {
+	w.place = len(s.list)
+	s.list = append(s.list, w)
+}
+
+func (s *workerSet) remove(w *workerState) {
+	last := len(s.list) - 1
+	moved := s.list[last]
+	s.list[w.place] = moved
+	moved.place = w.place
+	s.list[last] = nil
+	s.list = s.list[:last]
+	w.place = notPlaced
+}
--- a/refusal.go
+++ b/refusal.go
@@ -28,6 +28,7 @@
 	ReasonAnswerMismatch      Reason = "answer_mismatch"
 	ReasonJobFailing          Reason = "job_failing"
 	ReasonCallerGone          Reason = "caller_gone"
+	ReasonAnswerNotKept       Reason = "answer_not_kept"
 )
 
 // RunState tells a caller whether refused work was run.
@@ -37,6 +38,8 @@
 const (
 	RunStateNotRun  RunState = "not_run"
 	RunStateUnknown RunState = "unknown"
+	// RunStateRun means that the work has run, but that its answer is no longer available.
+	RunStateRun RunState = "run"
 )
 
 // Refusal tells a caller why there is no answer.
