--- a/internal/node/berylcaller/attempt.go
+++ b/internal/node/berylcaller/attempt.go
@@ -10,6 +10,7 @@
 
 	"github.com/beryllatch/beryllatch"
 	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
+	"github.com/beryllatch/beryllatch/internal/node/beryldaemon"
 )
 
 // answerLimit is the largest answer that is buffered; a larger one is streamed to the caller.
@@ -42,6 +43,7 @@
 	var failed *beryllatch.ExecutionError
 	switch {
 	case err == nil:
+		x.keep()
 		ended.Failed = x.answer != nil && x.answer.status >= http.StatusInternalServerError
 	case errors.As(err, &failed):
 		ended.Outcome, ended.Reason = failed.Outcome, failed.Reason
@@ -51,6 +53,19 @@
 	return ended
 }
 
+// keep hands the answer of a keyed request to the node, which stores it with the claim.
+func (x *exchange) keep() {
+	if x.in.idempotencyKey == "" {
+		return
+	}
+	a := beryldaemon.Answer{Omitted: true}
+	if x.answer != nil && len(x.answer.body) <= berylreducer.MaxStoredAnswer {
+		a = beryldaemon.Answer{Status: x.answer.status, Header: http.Header{}, Body: x.answer.body}
+		passAnswer(a.Header, x.answer.header)
+	}
+	x.h.Node.Keep(x.in.id, a)
+}
+
 func (x *exchange) execute(ctx context.Context, e beryllatch.Execution) error {
 	x.answer = nil
 	h := http.Header{}
--- a/internal/node/berylcaller/body.go
+++ b/internal/node/berylcaller/body.go
@@ -53,6 +53,14 @@
 // replayable reports whether the next attempt would get the whole body.
 func (b *body) replayable() bool { return b.whole || !b.touched }
 
+// hash returns the SHA-256 of a buffered body in hexadecimal digits, and nothing for a streamed one.
+func (b *body) hash() string {
+	if !b.whole {
+		return ""
+	}
+	return hash(string(b.buffered))
+}
+
 // length returns the length of the body in bytes, -1 if it is not known.
 func (b *body) length() int64 {
 	if b.whole {
--- a/internal/node/berylcaller/handler.go
+++ b/internal/node/berylcaller/handler.go
@@ -7,6 +7,7 @@
 
 	"github.com/beryllatch/beryllatch"
 	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
+	"github.com/beryllatch/beryllatch/internal/node/beryldaemon"
 	"github.com/beryllatch/beryllatch/internal/node/berylproblem"
 	"github.com/gorilla/mux"
 )
@@ -17,6 +18,8 @@
 	Submit(e berylreducer.RequestArrived) <-chan berylreducer.Effect
 	// Post hands an event to the reducer.
 	Post(e berylreducer.Event)
+	// Keep holds the whole answer of a keyed request until its claim is settled.
+	Keep(id string, a beryldaemon.Answer)
 	// Release forgets the channel of an answered request.
 	Release(id string)
 }
@@ -48,7 +51,7 @@
 		return
 	}
 	x := exchange{h: h, w: w, r: r, in: in}
-	effects := h.Node.Submit(in.arrival(r))
+	effects := h.Node.Submit(in.arrival())
 	defer h.Node.Release(in.id)
 	x.run(r.Context(), effects)
 }
@@ -104,6 +107,9 @@
 	case berylreducer.Finish:
 		x.finish()
 		return true
+	case berylreducer.ReplayAnswer:
+		x.replay(e.Row)
+		return true
 	case berylreducer.Refuse:
 		x.refuse(e.Refusal)
 		return true
@@ -117,6 +123,12 @@
 	}
 }
 
+// replay answers with the stored answer of the first request that had the idempotency key.
+func (x *exchange) replay(row berylreducer.ClaimRow) {
+	x.w.Header().Set(headerReplayed, "true")
+	(&answer{status: row.Status, header: row.Header, body: row.Answer}).write(x.w)
+}
+
 func (x *exchange) refuse(refusal beryllatch.Refusal) {
 	if x.committed {
 		// The caller must not take the part that it has received for a whole answer.
--- a/internal/node/berylcaller/handler_test.go
+++ b/internal/node/berylcaller/handler_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/beryllatch/beryllatch"
 	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
+	"github.com/beryllatch/beryllatch/internal/node/beryldaemon"
 	"github.com/beryllatch/beryllatch/internal/node/berylproblem"
 	"github.com/gorilla/mux"
 	"gotest.tools/v3/assert"
@@ -61,6 +62,8 @@
 
 func (n *fakeNode) Release(string) {}
 
+func (n *fakeNode) Keep(string, beryldaemon.Answer) {}
+
 func dispatch(id string, attempt int) berylreducer.Dispatch {
 	return berylreducer.Dispatch{
 		ID: id, Attempt: attempt, AnswerBy: berylreducer.Instant{Wall: time.Now().Add(time.Minute)},
--- a/internal/node/berylcaller/input.go
+++ b/internal/node/berylcaller/input.go
@@ -21,6 +21,7 @@
 	headerDeadline       = "Beryllatch-Deadline-Ms"
 	headerUrgent         = "Beryllatch-Urgent"
 	headerIdempotencyKey = "Idempotency-Key"
+	headerReplayed       = "Idempotent-Replayed"
 
 	maxKeyLength = 255
 	// maxBody bounds a request's body.
@@ -66,10 +67,10 @@
 	return in, nil
 }
 
-func (in *input) arrival(_ *http.Request) berylreducer.RequestArrived {
+func (in *input) arrival() berylreducer.RequestArrived {
 	return berylreducer.RequestArrived{
 		ID: in.id, KeyHash: in.keyHash, Queue: in.queue, Idempotent: in.idempotent,
-		IdempotencyKey: in.idempotencyKey, Deadline: in.deadline, Urgent: in.urgent,
+		IdempotencyKey: in.idempotencyKey, BodyHash: in.body.hash(), Deadline: in.deadline, Urgent: in.urgent,
 	}
 }
 
--- a/internal/node/beryldaemon/daemon.go
+++ b/internal/node/beryldaemon/daemon.go
@@ -46,11 +46,12 @@
 	mu       sync.Mutex
 	requests map[string]chan berylreducer.Effect
 
-	nodeVersion uint64
-	nodeMu      sync.Mutex
-	snapshot    atomic.Pointer[beryllatch.Config]
-	operators   calls[berylreducer.ReplyOperator]
-	statuses    calls[berylreducer.Status]
+	node      nodeRow
+	snapshot  atomic.Pointer[beryllatch.Config]
+	claims    *grouper
+	answers   answers
+	operators calls[berylreducer.ReplyOperator]
+	statuses  calls[berylreducer.Status]
 	// nextReport is the worker whose report was asked for last.
 	nextReport int
 }
@@ -61,6 +62,7 @@
 	d.events = make(chan berylreducer.Event, eventBuffer)
 	d.stop = make(chan struct{})
 	d.requests = map[string]chan berylreducer.Effect{}
+	d.claims = newGrouper(d.Table)
 }
 
 // Run feeds events to the reducer until a graceful shutdown ends or ctx is cancelled.
@@ -75,6 +77,7 @@
 		}
 	}
 	reduce(berylreducer.Started{Self: d.Self, Seed: d.Seed})
+	d.work.Go(func() { d.claims.run(ctx, func(f func(context.Context)) { d.async(ctx, f) }) })
 	d.every(ctx, listInterval, d.readInstances)
 	d.every(ctx, reportInterval, d.readWorkers)
 	ticker := time.NewTicker(tickInterval)
--- a/internal/node/beryldaemon/execute.go
+++ b/internal/node/beryldaemon/execute.go
@@ -8,15 +8,10 @@
 
 // execute carries out one effect; everything that may block runs outside the loop.
 func (d *Daemon) execute(ctx context.Context, x berylreducer.Effect) {
+	if d.executeClaim(ctx, x) || d.executeTenure(ctx, x) || d.executeUnits(ctx, x) {
+		return
+	}
 	switch x := x.(type) {
-	case berylreducer.RenewTenure:
-		d.async(ctx, func(ctx context.Context) { d.renew(ctx, x) })
-	case berylreducer.ReadConfig:
-		d.async(ctx, d.readConfig)
-	case berylreducer.ReadUnits:
-		d.async(ctx, func(ctx context.Context) { d.readUnits(ctx, x) })
-	case berylreducer.WriteUnits:
-		d.async(ctx, func(ctx context.Context) { d.writeUnits(ctx, x) })
 	case berylreducer.Dispatch:
 		d.deliver(x.ID, x)
 	case berylreducer.Refuse:
--- /dev/null
+++ b/internal/node/beryldaemon/execute_claim.go
@@ -0,0 +1,127 @@
+package beryldaemon
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+
+	"github.com/beryllatch/beryllatch"
+	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
+)
+
+// Answer is a worker's whole answer to a keyed request, kept until its claim is settled.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+	// Omitted is true when the body is too large to be stored with the claim.
+	Omitted bool
+}
+
+// answers holds the answers of keyed requests by request id; its zero value works.
+type answers struct {
+	mu sync.Mutex
+	m  map[string]*heldAnswer
+}
+
+type heldAnswer struct {
+	Answer
+	// settling is true once the reducer has asked to store the answer.
+	settling bool
+}
+
+func (a *answers) put(id string, v Answer) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.m == nil {
+		a.m = map[string]*heldAnswer{}
+	}
+	a.m[id] = &heldAnswer{Answer: v}
+}
+
+func (a *answers) take(id string) (Answer, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	h := a.m[id]
+	if h == nil {
+		return Answer{}, false
+	}
+	h.settling = true
+	return h.Answer, true
+}
+
+func (a *answers) drop(id string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.m, id)
+}
+
+// release drops an answer whose request has ended without a claim to settle.
+func (a *answers) release(id string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if h := a.m[id]; h != nil && !h.settling {
+		delete(a.m, id)
+	}
+}
+
+// executeClaim carries out the effects of idempotency claims and reports whether x is one.
+func (d *Daemon) executeClaim(ctx context.Context, x berylreducer.Effect) bool {
+	switch x := x.(type) {
+	case berylreducer.WriteClaim:
+		d.async(ctx, func(ctx context.Context) {
+			d.writeClaim(ctx, x.ID, claimWrite(x.Key, x.Row, x.Expect, x.Expires))
+		})
+	case berylreducer.ReleaseClaim:
+		d.async(ctx, func(ctx context.Context) {
+			d.writeClaim(ctx, x.ID, claimWrite(x.Key, x.Row, x.Expect, x.Expires))
+		})
+	case berylreducer.FinishClaim:
+		d.finishClaim(ctx, x)
+	case berylreducer.ReadClaim:
+		d.async(ctx, func(ctx context.Context) { d.readClaim(ctx, x) })
+	case berylreducer.ReplayAnswer:
+		d.deliver(x.ID, x)
+	default:
+		return false
+	}
+	return true
+}
+
+func claimWrite(key beryllatch.RowKey, row berylreducer.ClaimRow, expect uint64, expires int64) beryllatch.RowWrite {
+	// A claim row holds only strings, numbers and bytes, which always encode.
+	value, _ := json.Marshal(row)
+	return beryllatch.RowWrite{Row: beryllatch.Row{Key: key, Value: value, Expires: expires}, Expect: expect}
+}
+
+func (d *Daemon) writeClaim(ctx context.Context, id string, w beryllatch.RowWrite) berylreducer.WriteResult {
+	result := writeResult(d.claims.write(ctx, w))
+	d.Post(berylreducer.ClaimWritten{ID: id, Result: result})
+	return result
+}
+
+// finishClaim stores the outcome with the answer that this node holds.
+func (d *Daemon) finishClaim(ctx context.Context, x berylreducer.FinishClaim) {
+	row := x.Row
+	if row.State == berylreducer.ClaimDone {
+		a, ok := d.answers.take(x.ID)
+		row.Status, row.Header, row.Answer = a.Status, a.Header, a.Body
+		row.AnswerOmitted = a.Omitted || !ok
+	}
+	d.async(ctx, func(ctx context.Context) {
+		result := d.writeClaim(ctx, x.ID, claimWrite(x.Key, row, x.Expect, x.Expires))
+		if result == berylreducer.WriteDone || result == berylreducer.WriteConflict {
+			d.answers.drop(x.ID)
+		}
+	})
+}
+
+func (d *Daemon) readClaim(ctx context.Context, x berylreducer.ReadClaim) {
+	stored, err := d.Table.Get(ctx, x.Key)
+	e := berylreducer.ClaimRead{ID: x.ID, Failed: err != nil, Version: stored.Version, Expires: stored.Expires}
+	if err == nil && stored.Version > 0 {
+		e.Failed = json.Unmarshal(stored.Value, &e.Row) != nil
+	}
+	d.Post(e)
+}
--- a/internal/node/beryldaemon/execute_tenure.go
+++ b/internal/node/beryldaemon/execute_tenure.go
@@ -4,6 +4,9 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
+	"sync"
+	"time"
 
 	"github.com/beryllatch/beryllatch"
 	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
@@ -15,13 +18,52 @@
 	maxNodes = 256
 )
 
-func (d *Daemon) nodeKey() beryllatch.RowKey {
-	return beryllatch.RowKey{Partition: nodePartition, Sort: d.Self.Incarnation}
+// nodeRow is this node's own row in the table.
+type nodeRow struct {
+	mu          sync.Mutex
+	incarnation string
+	// version is the version that this incarnation wrote last; 0 before its first write.
+	version uint64
+	// doubtful is true after a write without an answer; the row must be read back first.
+	doubtful bool
+}
+
+// executeTenure carries out the effects of the tenure and the membership, and reports whether x is one.
+func (d *Daemon) executeTenure(ctx context.Context, x berylreducer.Effect) bool {
+	switch x := x.(type) {
+	case berylreducer.RenewTenure:
+		sent := d.now()
+		d.async(ctx, func(ctx context.Context) { d.renew(ctx, x, sent) })
+	case berylreducer.ReadConfig:
+		d.async(ctx, d.readConfig)
+	case berylreducer.Reincarnate:
+		d.reincarnate()
+	case berylreducer.DeleteNode:
+		d.async(ctx, func(ctx context.Context) { d.deleteNode(ctx, x) })
+	default:
+		return false
+	}
+	return true
+}
+
+func nodeKey(incarnation string) beryllatch.RowKey {
+	return beryllatch.RowKey{Partition: nodePartition, Sort: incarnation}
+}
+
+// reincarnate gives the node a new incarnation, since its row has been removed by a peer.
+func (d *Daemon) reincarnate() {
+	self := d.Self
+	self.Incarnation = NewIncarnation(self.Node, time.Now())
+	d.Post(berylreducer.Reincarnated{Self: self})
+}
+
+// NewIncarnation returns a name for a process of the node that starts at t.
+func NewIncarnation(node string, t time.Time) string {
+	return fmt.Sprintf("%s-%x", node, t.UnixNano())
 }
 
 // renew writes the node's row, then reads the head version, then all node rows.
-func (d *Daemon) renew(ctx context.Context, x berylreducer.RenewTenure) {
-	sent := d.now()
+func (d *Daemon) renew(ctx context.Context, x berylreducer.RenewTenure, sent berylreducer.Instant) {
 	replaced, err := d.writeNode(ctx, x.Row)
 	if err != nil || replaced {
 		d.Log.Debug().Err(err).Msg("renewal: node row not written")
@@ -37,34 +79,62 @@
 	d.Post(berylreducer.Renewed{SentAt: sent, HeadVersion: head, Nodes: nodes})
 }
 
-// writeNode stores the row; after a conflict or a lost answer it reads back which write took effect.
+// writeNode stores the row; after a lost answer it first reads back which write took effect.
 func (d *Daemon) writeNode(ctx context.Context, row berylreducer.NodeRow) (replaced bool, err error) {
-	d.nodeMu.Lock()
-	defer d.nodeMu.Unlock()
+	n := &d.node
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.incarnation != row.Incarnation {
+		n.incarnation, n.version, n.doubtful = row.Incarnation, 0, false
+	}
+	if n.doubtful {
+		if replaced, err = d.readBack(ctx, n); err != nil || replaced {
+			return replaced, err
+		}
+	}
 	value, err := json.Marshal(row)
 	if err != nil {
 		return false, err
 	}
-	w := beryllatch.RowWrite{Row: beryllatch.Row{Key: d.nodeKey(), Value: value}, Expect: d.nodeVersion}
-	err = d.Table.Transact(ctx, w)
-	if err == nil {
-		d.nodeVersion++
-		return false, nil
+	err = d.Table.Transact(ctx, beryllatch.RowWrite{
+		Row: beryllatch.Row{Key: nodeKey(row.Incarnation), Value: value}, Expect: n.version,
+	})
+	var unavailable *beryllatch.UnavailableError
+	switch {
+	case err == nil:
+		n.version++
+	case !errors.As(err, &unavailable):
+		n.doubtful = true
 	}
-	var failed *beryllatch.ConditionFailedError
-	if !errors.As(err, &failed) {
+	return false, err
+}
+
+// readBack learns the row's version after a write without an answer; a row that was written and is missing has been
+// removed by a peer.
+func (d *Daemon) readBack(ctx context.Context, n *nodeRow) (replaced bool, err error) {
+	stored, err := d.Table.Get(ctx, nodeKey(n.incarnation))
+	if err != nil {
 		return false, err
 	}
-	stored, readErr := d.Table.Get(ctx, d.nodeKey())
-	if readErr != nil {
-		return false, readErr
-	}
-	if stored.Version == 0 {
+	if stored.Version < n.version {
 		return true, nil
 	}
-	// An earlier write took effect though its answer was lost; the next renewal continues from its version.
-	d.nodeVersion = stored.Version
-	return false, err
+	n.version, n.doubtful = stored.Version, false
+	return false, nil
+}
+
+// deleteNode removes a row; the node's own row is removed at the version that it wrote last.
+func (d *Daemon) deleteNode(ctx context.Context, x berylreducer.DeleteNode) {
+	version := x.Node.Version
+	d.node.mu.Lock()
+	if d.node.incarnation == x.Node.Incarnation {
+		version = d.node.version
+	}
+	d.node.mu.Unlock()
+	err := d.Table.Transact(ctx, beryllatch.RowWrite{
+		Row: beryllatch.Row{Key: nodeKey(x.Node.Incarnation)}, Expect: version, Delete: true,
+	})
+	d.Post(berylreducer.NodeDeleted{Incarnation: x.Node.Incarnation, Result: writeResult(err)})
 }
 
 func (d *Daemon) readHead(ctx context.Context) (uint64, []berylreducer.NodeRow, error) {
@@ -81,6 +151,7 @@
 	for _, row := range rows {
 		var n berylreducer.NodeRow
 		if json.Unmarshal(row.Value, &n) == nil {
+			n.Version = row.Version
 			nodes = append(nodes, n)
 		}
 	}
--- a/internal/node/beryldaemon/execute_units.go
+++ b/internal/node/beryldaemon/execute_units.go
@@ -11,6 +11,19 @@
 
 func unitKey(team string) beryllatch.RowKey { return beryllatch.RowKey{Partition: "unit", Sort: team} }
 
+// executeUnits carries out the effects of the teams' units and reports whether x is one.
+func (d *Daemon) executeUnits(ctx context.Context, x berylreducer.Effect) bool {
+	switch x := x.(type) {
+	case berylreducer.ReadUnits:
+		d.async(ctx, func(ctx context.Context) { d.readUnits(ctx, x) })
+	case berylreducer.WriteUnits:
+		d.async(ctx, func(ctx context.Context) { d.writeUnits(ctx, x) })
+	default:
+		return false
+	}
+	return true
+}
+
 func (d *Daemon) readUnits(ctx context.Context, x berylreducer.ReadUnits) {
 	stored, err := d.Table.Get(ctx, unitKey(x.Team))
 	var row berylreducer.UnitRow
@@ -18,7 +31,7 @@
 		err = json.Unmarshal(stored.Value, &row)
 	}
 	if err != nil {
-		d.Post(berylreducer.UnitsWritten{Team: x.Team, Result: berylreducer.WriteFailed})
+		d.Post(berylreducer.UnitsReadFailed{Team: x.Team})
 		return
 	}
 	d.Post(berylreducer.UnitsRead{Team: x.Team, Row: row, Version: stored.Version})
@@ -30,9 +43,15 @@
 		d.Post(berylreducer.UnitsWritten{Team: x.Row.Team, Result: berylreducer.WriteFailed})
 		return
 	}
-	err = d.Table.Transact(ctx, beryllatch.RowWrite{
+	writes := []beryllatch.RowWrite{{
 		Row: beryllatch.Row{Key: unitKey(x.Row.Team), Value: value}, Expect: x.Expect,
-	})
+	}}
+	for _, c := range x.Checks {
+		writes = append(writes, beryllatch.RowWrite{
+			Row: beryllatch.Row{Key: nodeKey(c.Incarnation)}, Expect: c.Version, CheckOnly: true,
+		})
+	}
+	err = d.Table.Transact(ctx, writes...)
 	d.Post(berylreducer.UnitsWritten{
 		Team: x.Row.Team, Row: x.Row, Version: x.Expect + 1, Result: writeResult(err),
 	})
--- a/internal/node/beryldaemon/request.go
+++ b/internal/node/beryldaemon/request.go
@@ -20,8 +20,12 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	delete(d.requests, id)
+	d.answers.release(id)
 }
 
+// Keep holds the whole answer of a keyed request until its claim is settled.
+func (d *Daemon) Keep(id string, a Answer) { d.answers.put(id, a) }
+
 func (d *Daemon) deliver(id string, x berylreducer.Effect) {
 	d.mu.Lock()
 	ch := d.requests[id]
--- a/internal/node/berylserver/build.go
+++ b/internal/node/berylserver/build.go
@@ -1,7 +1,6 @@
 package berylserver
 
 import (
-	"fmt"
 	"net/http"
 	"time"
 
@@ -34,7 +33,7 @@
 	s.daemon = &beryldaemon.Daemon{
 		Self: berylreducer.Identity{
 			Node:        cfg.Node,
-			Incarnation: fmt.Sprintf("%s-%x", cfg.Node, started.UnixNano()),
+			Incarnation: beryldaemon.NewIncarnation(cfg.Node, started),
 			DataCentre:  cfg.DataCentre,
 			PeerAddress: cfg.AdvertiseAddress,
 		},
--- a/internal/upstream/berylworker/client_test.go
+++ b/internal/upstream/berylworker/client_test.go
@@ -93,25 +93,35 @@
 		starts  int
 	}{
 		{
-			"cut before the start", berylupstream.Faults{CutBeforeStart: once}, time.Minute,
+			"cut before the start",
+			berylupstream.Faults{CutBeforeStart: once},
+			time.Minute,
 			beryllatch.OutcomeUnknown, beryllatch.ReasonAnswerLost, 0,
 		},
 		{
-			"cut after the start", berylupstream.Faults{CutAfterStart: once}, time.Minute,
+			"cut after the start",
+			berylupstream.Faults{CutAfterStart: once},
+			time.Minute,
 			beryllatch.OutcomeUnknown, beryllatch.ReasonAnswerLost, 1,
 		},
 		{
-			"truncated answer", berylupstream.Faults{Truncated: once}, time.Minute,
+			"truncated answer",
+			berylupstream.Faults{Truncated: once},
+			time.Minute,
 			beryllatch.OutcomeUnknown, beryllatch.ReasonAnswerLost, 1,
 		},
 		{"doubled answer", berylupstream.Faults{Doubled: once}, time.Minute, beryllatch.OutcomeAnswered, "", 1},
 		{
-			"late answer", berylupstream.Faults{AnswerLate: once, AnswerLateMS: 20}, time.Minute,
+			"late answer",
+			berylupstream.Faults{AnswerLate: once, AnswerLateMS: 20},
+			time.Minute,
 			beryllatch.OutcomeAnswered, "", 1,
 		},
 		{"failing work", berylupstream.Faults{FailEverything: true}, time.Minute, beryllatch.OutcomeAnswered, "", 1},
 		{
-			"frozen past start-by", berylupstream.Faults{Freeze: true}, 100 * time.Millisecond,
+			"frozen past start-by",
+			berylupstream.Faults{Freeze: true},
+			100 * time.Millisecond,
 			"", "", 0,
 		},
 	} {
