--- /dev/null
+++ b/internal/bench/berylprocess/caller.go
@@ -0,0 +1,68 @@
+package berylprocess
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+)
+
+// Reply is what a caller was told.
+type Reply struct {
+	Status   int    `json:"-"`
+	Body     []byte `json:"-"`
+	RunState string `json:"run_state"`
+	Reason   string `json:"reason"`
+	// Err is set when the caller got no whole answer.
+	Err error `json:"-"`
+}
+
+// Answered reports whether the caller got a worker's whole answer.
+func (r Reply) Answered() bool { return r.Err == nil && r.Status == http.StatusOK }
+
+// NotRun reports whether the caller was told that the request has not run.
+func (r Reply) NotRun() bool { return r.Err == nil && r.RunState == "not_run" }
+
+// Caller sends work with one key.
+type Caller struct {
+	// Address is the host and port of a callers' listener or of the load balancer.
+	Address string
+	Secret  string
+	Client  *http.Client
+}
+
+// Request sends one request with the given id to the queue; headers are name and value in turn.
+func (c Caller) Request(ctx context.Context, queue, id, body string, headers ...string) Reply {
+	headers = append([]string{"Beryllatch-Request-Id", id}, headers...)
+	return c.Do(ctx, http.MethodPost, "/v1/queues/"+queue+"/requests", body, headers...)
+}
+
+// Do sends one call with the caller's key.
+func (c Caller) Do(ctx context.Context, method, path, body string, headers ...string) Reply {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.Address+path, strings.NewReader(body))
+	if err != nil {
+		return Reply{Err: err}
+	}
+	if c.Secret != "" {
+		req.Header.Set("Authorization", "Bearer "+c.Secret)
+	}
+	for n := 0; n < len(headers); n += 2 {
+		req.Header.Set(headers[n], headers[n+1])
+	}
+	client := c.Client
+	if client == nil {
+		client = http.DefaultClient
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return Reply{Err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	out := Reply{Status: resp.StatusCode, Body: b, Err: err}
+	if err == nil && resp.StatusCode >= http.StatusBadRequest {
+		out.Err = json.Unmarshal(b, &out)
+	}
+	return out
+}
--- a/internal/bench/berylprocess/fleet.go
+++ b/internal/bench/berylprocess/fleet.go
@@ -79,7 +79,7 @@
 		f.Daemons = append(f.Daemons, d)
 		flags = append(flags, fmt.Sprintf("--entry=%s=%s", d.Callers, d.Admin), fmt.Sprintf("--instance=%s=live", d.peers))
 	}
-	p, err := Start(f.Dir, "platform", filepath.Join(f.Bin, "berylstandin"), append([]string{"platform"}, flags...)...)
+	p, err := Run(f.Dir, "platform", filepath.Join(f.Bin, "berylstandin"), append([]string{"platform"}, flags...)...)
 	if err != nil {
 		return err
 	}
@@ -102,7 +102,7 @@
 // StartDaemon starts or restarts the daemon and waits until it is ready.
 func (f *Fleet) StartDaemon(ctx context.Context, d *Daemon) error {
 	hash := sha256.Sum256([]byte(operatorToken))
-	p, err := Start(
+	p, err := Run(
 		f.Dir, d.node, filepath.Join(f.Bin, "beryllatchd"),
 		"--node="+d.node, "--data-centre="+d.dc, "--callers-address="+d.Callers, "--operators-address="+d.Operators,
 		"--peers-address="+d.peers, "--admin-address="+d.Admin, "--table-endpoint=http://"+f.table,
@@ -125,7 +125,7 @@
 		return nil, err
 	}
 	w := &Worker{ID: id, DataCentre: dc, Rack: rack, Address: addr}
-	w.Process, err = Start(
+	w.Process, err = Run(
 		f.Dir, id, filepath.Join(f.Bin, "berylstandin"), append([]string{"worker", "--listen=" + addr}, args...)...,
 	)
 	if err != nil {
--- a/internal/bench/berylprocess/process.go
+++ b/internal/bench/berylprocess/process.go
@@ -21,8 +21,8 @@
 	err  error
 }
 
-// Start runs a program with its output in <dir>/<name>.log.
-func Start(dir, name, program string, args ...string) (*Process, error) {
+// Run starts a program with its output in <dir>/<name>.log.
+func Run(dir, name, program string, args ...string) (*Process, error) {
 	out, err := os.Create(filepath.Join(dir, name+".log"))
 	if err != nil {
 		return nil, eris.Wrap(err, "create log file")
--- /dev/null
+++ b/internal/bench/berylprocess/record.go
@@ -0,0 +1,74 @@
+package berylprocess
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Start is one true start of work, as its worker recorded it.
+type Start struct {
+	Worker    *Worker   `json:"-"`
+	ID        string    `json:"id"`
+	RequestID string    `json:"request_id"`
+	Team      string    `json:"team"`
+	Queue     string    `json:"queue"`
+	Kind      string    `json:"kind"`
+	Time      time.Time `json:"time"`
+	End       time.Time `json:"end"`
+	BodySum   string    `json:"body_sha256"`
+	Outcome   string    `json:"outcome"`
+}
+
+// Starts returns what the running workers truly started, in no particular order.
+func (f *Fleet) Starts(ctx context.Context) ([]Start, error) {
+	var out []Start
+	for _, w := range f.Workers {
+		if !w.Running() {
+			continue
+		}
+		var list []Start
+		if err := getJSON(ctx, "http://"+w.Address+"/record", &list); err != nil {
+			return nil, err
+		}
+		for _, s := range list {
+			s.Worker = w
+			out = append(out, s)
+		}
+	}
+	return out, nil
+}
+
+// SetFaults replaces the faults of a stand-in; the address is that of a worker or of the platform's control listener.
+func SetFaults(ctx context.Context, address, faults string) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+address+"/faults", strings.NewReader(faults))
+	if err != nil {
+		return eris.Wrap(err, "set faults")
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return eris.Wrap(err, "set faults")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode >= http.StatusBadRequest {
+		return eris.Errorf("set faults: status %d", resp.StatusCode)
+	}
+	return nil
+}
+
+func getJSON(ctx context.Context, url string, v any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return eris.Wrap(err, url)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return eris.Wrap(err, url)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return eris.Wrap(json.NewDecoder(resp.Body).Decode(v), url)
+}
--- a/internal/bench/berylproof/fleet_test.go
+++ b/internal/bench/berylproof/fleet_test.go
@@ -1,12 +1,9 @@
 package berylproof
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
-	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -133,70 +130,19 @@
 	return reply.Secret
 }
 
-// reply is what a caller was told.
-type reply struct {
-	Status   int
-	RunState string `json:"run_state"`
-	Reason   string `json:"reason"`
-	err      error
-}
-
-// request sends one request to an address and returns what the caller was told.
-func (f *fleet) request(ctx context.Context, address, id, body string, headers ...string) reply {
-	req, err := http.NewRequestWithContext(
-		ctx, http.MethodPost, "http://"+address+"/v1/queues/price/requests", strings.NewReader(body),
-	)
-	if err != nil {
-		return reply{err: err}
-	}
-	req.Header.Set("Authorization", "Bearer "+f.secret)
-	req.Header.Set("Beryllatch-Request-Id", id)
-	for n := 0; n < len(headers); n += 2 {
-		req.Header.Set(headers[n], headers[n+1])
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return reply{err: err}
-	}
-	defer func() { _ = resp.Body.Close() }()
-	b, err := io.ReadAll(resp.Body)
-	out := reply{Status: resp.StatusCode, err: err}
-	if resp.StatusCode != http.StatusOK {
-		out.err = json.NewDecoder(bytes.NewReader(b)).Decode(&out)
-	}
-	return out
-}
-
-// start is one true start of an execution, as its worker recorded it.
-type start struct {
-	Worker    *berylprocess.Worker `json:"-"`
-	RequestID string               `json:"request_id"`
-	Team      string               `json:"team"`
-	Time      time.Time            `json:"time"`
-	BodySum   string               `json:"body_sha256"`
-	Outcome   string               `json:"outcome"`
+// caller sends with the team's key to an address.
+func (f *fleet) caller(address string) berylprocess.Caller {
+	return berylprocess.Caller{Address: address, Secret: f.secret}
 }
 
 // starts returns what the running workers truly started, by request id.
-func (f *fleet) starts(ctx context.Context) map[string][]start {
+func (f *fleet) starts(ctx context.Context) map[string][]berylprocess.Start {
 	f.t.Helper()
-	out := map[string][]start{}
-	for _, w := range f.Workers {
-		if !w.Running() {
-			continue
-		}
-		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+w.Address+"/record", nil)
-		assert.NilError(f.t, err)
-		resp, err := http.DefaultClient.Do(req)
-		assert.NilError(f.t, err)
-		var list []start
-		err = json.NewDecoder(resp.Body).Decode(&list)
-		_ = resp.Body.Close()
-		assert.NilError(f.t, err)
-		for _, s := range list {
-			s.Worker = w
-			out[s.RequestID] = append(out[s.RequestID], s)
-		}
+	list, err := f.Starts(ctx)
+	assert.NilError(f.t, err)
+	out := map[string][]berylprocess.Start{}
+	for _, s := range list {
+		out[s.RequestID] = append(out[s.RequestID], s)
 	}
 	return out
 }
@@ -208,9 +154,8 @@
 	f := startFleet(ctx, t, 3, 1)
 	for n, d := range f.Daemons {
 		id := fmt.Sprintf("path-%d", n)
-		got := f.request(ctx, d.Callers, id, "order")
-		assert.NilError(t, got.err)
-		assert.Equal(t, got.Status, http.StatusOK, "%+v", got)
+		got := f.caller(d.Callers).Request(ctx, "price", id, "order")
+		assert.Assert(t, got.Answered(), "%+v", got)
 		assert.Equal(t, len(f.starts(ctx)[id]), 1)
 	}
 }
--- a/internal/node/beryldaemon/execute_units.go
+++ b/internal/node/beryldaemon/execute_units.go
@@ -31,7 +31,7 @@
 		err = json.Unmarshal(stored.Value, &row)
 	}
 	if err != nil {
-		d.Post(berylreducer.UnitsReadFailed{Team: x.Team})
+		d.Post(berylreducer.UnitsReadFailed(x))
 		return
 	}
 	d.Post(berylreducer.UnitsRead{Team: x.Team, Row: row, Version: stored.Version})
