--- a/internal/platform/berylinstance/decode_test.go
+++ b/internal/platform/berylinstance/decode_test.go
@@ -25,12 +25,14 @@
 		{"empty", `[]`, map[string]beryllatch.InstanceStatus{}, 0},
 		{
 			"live", `[{"targets":["10.0.0.1:80"],"labels":{"__meta_state":"live","other":"x"}}]`,
-			map[string]beryllatch.InstanceStatus{"10.0.0.1:80": status(false)}, 0,
+			map[string]beryllatch.InstanceStatus{"10.0.0.1:80": status(false)},
+			0,
 		},
 		{
 			"leaving in either group", `[{"targets":["10.0.0.1:80"],"labels":{"__meta_state":"leaving"}},` +
 				`{"targets":["10.0.0.1:80"],"labels":{"__meta_state":"live"}}]`,
-			map[string]beryllatch.InstanceStatus{"10.0.0.1:80": status(true)}, 0,
+			map[string]beryllatch.InstanceStatus{"10.0.0.1:80": status(true)},
+			0,
 		},
 		{"null", `null`, nil, -1},
 		{"cut", `[{"targets":["10.0.0.1:80"]`, nil, -1},
--- a/internal/platform/beryltable/client_test.go
+++ b/internal/platform/beryltable/client_test.go
@@ -15,12 +15,12 @@
 )
 
 // newTable serves a platform's table on loopback and returns a client of it.
-func newTable(t *testing.T, p *berylplatform.Platform, opts ...beryltable.Option) *beryltable.Client {
+func newTable(t *testing.T, p *berylplatform.Platform) *beryltable.Client {
 	t.Helper()
 	g, err := p.Listen(t.Context(), berylplatform.ServiceTable, "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = g.Close() })
-	return beryltable.New(append([]beryltable.Option{beryltable.WithEndpoint("http://" + g.Address())}, opts...)...)
+	return beryltable.New(beryltable.WithEndpoint("http://" + g.Address()))
 }
 
 func key(sort string) beryllatch.RowKey { return beryllatch.RowKey{Partition: "p", Sort: sort} }
--- /dev/null
+++ b/internal/standin/berylplatform/platform_test.go
@@ -0,0 +1,237 @@
+package berylplatform_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/beryllatch/beryllatch/internal/standin/berylplatform"
+)
+
+// send calls a handler without a network, so that it works under a fake clock.
+func send(t *testing.T, h http.Handler, method, path, body string) *httptest.ResponseRecorder {
+	t.Helper()
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, httptest.NewRequestWithContext(t.Context(), method, path, strings.NewReader(body)))
+	return w
+}
+
+// listed returns the addresses on the instance list with their states.
+func listed(t *testing.T, p *berylplatform.Platform) string {
+	t.Helper()
+	var groups []struct {
+		Targets []string          `json:"targets"`
+		Labels  map[string]string `json:"labels"`
+	}
+	resp := send(t, p.Instances(), http.MethodGet, "/instances", "")
+	assert.NilError(t, json.NewDecoder(resp.Body).Decode(&groups))
+	var out []string
+	for _, g := range groups {
+		out = append(out, g.Targets[0]+"="+g.Labels["__meta_state"])
+	}
+	return strings.Join(out, " ")
+}
+
+// Guards against a list that shows a change before its lag, or never.
+func TestListLag(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := berylplatform.New()
+		control := p.Control()
+		assert.Equal(t, send(t, control, http.MethodPut, "/instances/a:1", `{"state":"live"}`).Code, 204)
+		assert.Equal(t, listed(t, p), "a:1=live")
+		time.Sleep(time.Minute)
+		assert.Equal(t, send(t, control, http.MethodPut, "/faults", `{"list_lag_ms":5000}`).Code, 204)
+		assert.Equal(t, send(t, control, http.MethodPut, "/instances/b:1", `{"state":"live"}`).Code, 204)
+		time.Sleep(time.Second)
+		assert.Equal(t, send(t, control, http.MethodPut, "/instances/a:1", `{"state":"leaving"}`).Code, 204)
+		time.Sleep(time.Second)
+		assert.Equal(t, send(t, control, http.MethodDelete, "/instances/a:1", "").Code, 204)
+		for _, tc := range []struct {
+			wait time.Duration
+			want string
+		}{
+			{0, "a:1=live"},
+			{3 * time.Second, "a:1=live b:1=live"},
+			{time.Second, "a:1=leaving b:1=live"},
+			{time.Second, "b:1=live"},
+		} {
+			time.Sleep(tc.wait)
+			assert.Equal(t, listed(t, p), tc.want)
+		}
+		assert.Equal(t, send(t, control, http.MethodPut, "/instances/c:1", `{"state":"gone"}`).Code, 400)
+	})
+}
+
+// Guards against a fault that is silently ignored.
+func TestFaultsOverHTTP(t *testing.T) {
+	for _, tc := range []struct {
+		body   string
+		status int
+	}{
+		{`{}`, 204},
+		{`{"table":{"outage":"unavailable","slow_ms":3,"answer_lost_next":2,"answer_lost_share":0.5}}`, 204},
+		{`{"objects":{"outage":"refuse"}}`, 204},
+		{`{"table":{"outage":"down"}}`, 400},
+		{`{"table":{"slow":3}}`, 400},
+		{`{"tables":{}}`, 400},
+		{`{"table":{"slow_ms":-1}}`, 400},
+		{`{"objects":{"answer_lost_next":-1}}`, 400},
+		{`{"instances":{"answer_lost_share":2}}`, 400},
+		{`{"list_lag_ms":-1}`, 400},
+		{`{} {}`, 400},
+		{``, 400},
+	} {
+		t.Run(tc.body, func(t *testing.T) {
+			p := berylplatform.New()
+			assert.Equal(t, send(t, p.Control(), http.MethodPut, "/faults", tc.body).Code, tc.status)
+			if tc.status != 204 {
+				assert.DeepEqual(t, p.Faults(), berylplatform.Faults{})
+			}
+		})
+	}
+}
+
+const putItem = `{"TransactItems":[{"Put":{"TableName":"t","Item":{"pk":{"S":"p"},"sk":{"S":"s"},"ver":{"N":"1"}},` +
+	`"ConditionExpression":"attribute_not_exists(pk)"}}]}`
+
+// call sends one operation of the table service.
+func call(t *testing.T, h http.Handler, operation, body string) (int, string) {
+	t.Helper()
+	r := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/", strings.NewReader(body))
+	r.Header.Set("X-Amz-Target", "DynamoDB_20120810."+operation)
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, r)
+	return w.Code, w.Body.String()
+}
+
+// Guards against a call that the real service refuses and the stand-in accepts.
+func TestTableRefuses(t *testing.T) {
+	item := func(attributes string) string {
+		return `{"TransactItems":[{"Put":{"TableName":"t","Item":{` + attributes + `}}}]}`
+	}
+	for _, tc := range []struct {
+		name      string
+		operation string
+		body      string
+		want      string
+	}{
+		{"unknown operation", "Scan", `{}`, "UnknownOperationException"},
+		{"no JSON", "GetItem", `{`, "SerializationException"},
+		{"key without sk", "GetItem", `{"Key":{"pk":{"S":"p"}}}`, "ValidationException"},
+		{"empty sk", "TransactWriteItems", item(`"pk":{"S":"p"},"sk":{"S":""}`), "ValidationException"},
+		{"no items", "TransactWriteItems", `{"TransactItems":[]}`, "ValidationException"},
+		{
+			"one row twice", "TransactWriteItems",
+			`{"TransactItems":[{"Delete":{"Key":{"pk":{"S":"p"},"sk":{"S":"s"}}}},` +
+				`{"ConditionCheck":{"Key":{"pk":{"S":"p"},"sk":{"S":"s"}}}}]}`, "ValidationException",
+		},
+		{
+			"item too large", "TransactWriteItems",
+			item(`"pk":{"S":"p"},"sk":{"S":"s"},"val":{"S":"` + strings.Repeat("x", 400<<10) + `"}`), "ValidationException",
+		},
+		{
+			"condition that isn't served", "TransactWriteItems",
+			strings.ReplaceAll(putItem, "attribute_not_exists(pk)", "size(pk) < :v"), "ValidationException",
+		},
+		{"key condition that isn't served", "Query", `{"KeyConditionExpression":"pk > :p"}`, "ValidationException"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			status, body := call(t, berylplatform.New().Table(), tc.operation, tc.body)
+			assert.Equal(t, status, 400)
+			assert.Assert(t, strings.Contains(body, "#"+tc.want), "got %s", body)
+		})
+	}
+}
+
+// Guards against rate limits that never recover, and against refused calls that take effect.
+func TestTableRates(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := berylplatform.New(berylplatform.WithRates(10, 10)).Table()
+		count := func() int {
+			for n := 0; ; n++ {
+				if _, body := call(t, table, "TransactWriteItems", putItem); strings.Contains(body, "ThroughputExceeded") {
+					return n
+				}
+			}
+		}
+		assert.Equal(t, count(), 100)
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, count(), 20)
+	})
+}
+
+// Guards against a slow service that drops the call when its client gives up.
+func TestSlowWriteTakesEffect(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := berylplatform.New()
+		table := p.Table()
+		f := berylplatform.Faults{Table: berylplatform.ServiceFaults{SlowMS: 30_000}}
+		assert.NilError(t, p.SetFaults(t.Context(), f))
+		ctx, cancel := context.WithCancel(t.Context())
+		r := httptest.NewRequestWithContext(ctx, http.MethodPost, "/", strings.NewReader(putItem))
+		r.Header.Set("X-Amz-Target", "DynamoDB_20120810.TransactWriteItems")
+		go table.ServeHTTP(httptest.NewRecorder(), r)
+		time.Sleep(time.Second)
+		cancel()
+		time.Sleep(time.Minute)
+		assert.NilError(t, p.SetFaults(t.Context(), berylplatform.Faults{}))
+		_, body := call(t, table, "GetItem", `{"TableName":"t","Key":{"pk":{"S":"p"},"sk":{"S":"s"}}}`)
+		assert.Assert(t, strings.Contains(body, `"ver":{"N":"1"}`), "got %s", body)
+	})
+}
+
+// Guards against connections that go to a daemon which isn't ready, or always to the same one.
+func TestBalancer(t *testing.T) {
+	p := berylplatform.New(berylplatform.WithHealthInterval(time.Millisecond))
+	for _, name := range []string{"a", "b", "unready"} {
+		entry := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, name)
+		}))
+		defer entry.Close()
+		admin := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if name == "unready" || r.URL.Path != "/readyz" {
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}
+		}))
+		defer admin.Close()
+		body := `{"admin":"` + admin.Listener.Addr().String() + `"}`
+		path := "/entries/" + entry.Listener.Addr().String()
+		assert.Equal(t, send(t, p.Control(), http.MethodPut, path, body).Code, 204)
+	}
+	var cfg net.ListenConfig
+	l, err := cfg.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	served := make(chan error, 1)
+	go func() { served <- p.Balancer().Serve(ctx, l) }()
+	c := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	get := func() string {
+		resp, err := c.Get("http://" + l.Addr().String()) //nolint:noctx // The test ends with its servers.
+		if err != nil {
+			return ""
+		}
+		defer func() { _ = resp.Body.Close() }()
+		b, err := io.ReadAll(resp.Body)
+		assert.NilError(t, err)
+		return string(b)
+	}
+	// Until both daemons have been found ready, connections are closed or go to the first one found.
+	for get() != "a" || get() != "b" {
+		time.Sleep(time.Millisecond)
+	}
+	got := []string{get(), get(), get(), get()}
+	slices.Sort(got)
+	assert.DeepEqual(t, got, []string{"a", "a", "b", "b"})
+	cancel()
+	assert.NilError(t, <-served)
+}
--- a/internal/standin/berylupstream/worker_test.go
+++ b/internal/standin/berylupstream/worker_test.go
@@ -17,7 +17,7 @@
 )
 
 // send calls the worker without a network, so that it works under a fake clock.
-func send(t *testing.T, k *berylupstream.Worker, method, path, body string, change func(http.Header)) *http.Response {
+func send(t *testing.T, k *berylupstream.Worker, method, path, body string, change func(http.Header)) *httptest.ResponseRecorder {
 	t.Helper()
 	r := httptest.NewRequestWithContext(t.Context(), method, path, strings.NewReader(body))
 	r.Header.Set(berylworker.HeaderExecutionID, path[strings.LastIndex(path, "/")+1:])
@@ -28,7 +28,7 @@
 	}
 	w := httptest.NewRecorder()
 	k.Handler().ServeHTTP(w, r)
-	return w.Result()
+	return w
 }
 
 func set(pairs ...string) func(http.Header) {
@@ -62,10 +62,10 @@
 			assert.NilError(t, k.SetFaults(berylupstream.Faults{Freeze: true}))
 		}, nil, 503, "start_by_passed"},
 		{"no slot", func(t *testing.T, k *berylupstream.Worker) {
-			assert.Equal(t, send(t, k, http.MethodPut, "/v1/tasks/t1", "", nil).StatusCode, 202)
+			assert.Equal(t, send(t, k, http.MethodPut, "/v1/tasks/t1", "", nil).Code, 202)
 		}, nil, 503, "no_slot"},
 		{"rebooting", func(t *testing.T, k *berylupstream.Worker) {
-			assert.Equal(t, send(t, k, http.MethodPost, "/v1/reboot", "", nil).StatusCode, 202)
+			assert.Equal(t, send(t, k, http.MethodPost, "/v1/reboot", "", nil).Code, 202)
 		}, nil, 503, "rebooting"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -76,8 +76,8 @@
 				}
 				before := len(k.Record())
 				resp := send(t, k, http.MethodPost, "/v1/executions", "body", tc.change)
-				assert.Equal(t, resp.StatusCode, tc.status)
-				assert.Equal(t, resp.Header.Get(berylworker.HeaderRunState), "not_run")
+				assert.Equal(t, resp.Code, tc.status)
+				assert.Equal(t, resp.Header().Get(berylworker.HeaderRunState), "not_run")
 				var p struct{ Reason string }
 				assert.NilError(t, json.NewDecoder(resp.Body).Decode(&p))
 				assert.Equal(t, p.Reason, tc.reason)
@@ -102,34 +102,34 @@
 		outcome string
 	}{
 		{"execution stopped", func(t *testing.T, k *berylupstream.Worker) {
-			assert.Equal(t, send(t, k, http.MethodPost, "/v1/executions", "", lease(5*time.Second)).StatusCode, 504)
+			assert.Equal(t, send(t, k, http.MethodPost, "/v1/executions", "", lease(5*time.Second)).Code, 504)
 		}, 5 * time.Second, berylupstream.OutcomeStopped},
 		{"execution within its lease", func(t *testing.T, k *berylupstream.Worker) {
-			assert.Equal(t, send(t, k, http.MethodPost, "/v1/executions", "", lease(time.Minute)).StatusCode, 200)
+			assert.Equal(t, send(t, k, http.MethodPost, "/v1/executions", "", lease(time.Minute)).Code, 200)
 		}, 30 * time.Second, berylupstream.OutcomeDone},
 		{"task stopped", func(t *testing.T, k *berylupstream.Worker) {
-			assert.Equal(t, send(t, k, http.MethodPut, "/v1/tasks/t1", "", nil).StatusCode, 202)
+			assert.Equal(t, send(t, k, http.MethodPut, "/v1/tasks/t1", "", nil).Code, 202)
 		}, 10 * time.Second, berylupstream.OutcomeStopped},
 		{"task renewed", func(t *testing.T, k *berylupstream.Worker) {
-			assert.Equal(t, send(t, k, http.MethodPut, "/v1/tasks/t1", "", nil).StatusCode, 202)
+			assert.Equal(t, send(t, k, http.MethodPut, "/v1/tasks/t1", "", nil).Code, 202)
 			for range 8 {
 				time.Sleep(3 * time.Second)
-				assert.Equal(t, send(t, k, http.MethodPost, "/v1/tasks/t1/lease", "", nil).StatusCode, 200)
+				assert.Equal(t, send(t, k, http.MethodPost, "/v1/tasks/t1/lease", "", nil).Code, 200)
 			}
 		}, 30 * time.Second, berylupstream.OutcomeDone},
 		{"renewal doesn't shorten a lease", func(t *testing.T, k *berylupstream.Worker) {
-			assert.Equal(t, send(t, k, http.MethodPut, "/v1/tasks/t1", "", nil).StatusCode, 202)
-			assert.Equal(t, send(t, k, http.MethodPost, "/v1/tasks/t1/lease", "", lease(time.Second)).StatusCode, 200)
+			assert.Equal(t, send(t, k, http.MethodPut, "/v1/tasks/t1", "", nil).Code, 202)
+			assert.Equal(t, send(t, k, http.MethodPost, "/v1/tasks/t1/lease", "", lease(time.Second)).Code, 200)
 		}, 10 * time.Second, berylupstream.OutcomeStopped},
 		{"task throttled", func(t *testing.T, k *berylupstream.Worker) {
-			assert.Equal(t, send(t, k, http.MethodPut, "/v1/tasks/t1", "", lease(time.Hour)).StatusCode, 202)
+			assert.Equal(t, send(t, k, http.MethodPut, "/v1/tasks/t1", "", lease(time.Hour)).Code, 202)
 			time.Sleep(10 * time.Second)
-			assert.Equal(t, send(t, k, http.MethodPost, "/v1/tasks/t1/throttle", `{"share":0.5}`, nil).StatusCode, 200)
+			assert.Equal(t, send(t, k, http.MethodPost, "/v1/tasks/t1/throttle", `{"share":0.5}`, nil).Code, 200)
 		}, 50 * time.Second, berylupstream.OutcomeDone},
 		{"task stopped by its owner", func(t *testing.T, k *berylupstream.Worker) {
-			assert.Equal(t, send(t, k, http.MethodPut, "/v1/tasks/t1", "", nil).StatusCode, 202)
+			assert.Equal(t, send(t, k, http.MethodPut, "/v1/tasks/t1", "", nil).Code, 202)
 			time.Sleep(time.Second)
-			assert.Equal(t, send(t, k, http.MethodDelete, "/v1/tasks/t1", "", nil).StatusCode, 200)
+			assert.Equal(t, send(t, k, http.MethodDelete, "/v1/tasks/t1", "", nil).Code, 200)
 		}, time.Second, berylupstream.OutcomeStopped},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -154,7 +154,7 @@
 		assert.NilError(t, k.SetFaults(berylupstream.Faults{Freeze: true}))
 		time.AfterFunc(500*time.Millisecond, func() { assert.Check(t, k.SetFaults(berylupstream.Faults{})) })
 		start := time.Now()
-		assert.Equal(t, send(t, k, http.MethodPost, "/v1/executions", "", nil).StatusCode, 200)
+		assert.Equal(t, send(t, k, http.MethodPost, "/v1/executions", "", nil).Code, 200)
 		assert.Equal(t, k.Record()[0].Time.Sub(start), 500*time.Millisecond)
 	})
 }
@@ -164,10 +164,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		k := berylupstream.New(berylupstream.WithReboot(5 * time.Second))
 		before := k.Report().BootID
-		assert.Equal(t, send(t, k, http.MethodPost, "/v1/reboot", "", nil).StatusCode, 202)
+		assert.Equal(t, send(t, k, http.MethodPost, "/v1/reboot", "", nil).Code, 202)
 		time.Sleep(5 * time.Second)
 		synctest.Wait()
-		assert.Equal(t, send(t, k, http.MethodGet, "/v1/status", "", nil).StatusCode, 200)
+		assert.Equal(t, send(t, k, http.MethodGet, "/v1/status", "", nil).Code, 200)
 		assert.Assert(t, k.Report().BootID != before)
 	})
 }
@@ -191,7 +191,7 @@
 		t.Run(tc.body, func(t *testing.T) {
 			k := berylupstream.New(berylupstream.WithRun(0))
 			before := k.Faults()
-			assert.Equal(t, send(t, k, http.MethodPut, "/faults", tc.body, nil).StatusCode, tc.status)
+			assert.Equal(t, send(t, k, http.MethodPut, "/faults", tc.body, nil).Code, tc.status)
 			if tc.status != 204 {
 				assert.DeepEqual(t, k.Faults(), before)
 			}
@@ -202,7 +202,7 @@
 // Guards against a record that differs from what GET /record promises, and against one that outlives its clearing.
 func TestRecordOverHTTP(t *testing.T) {
 	k := berylupstream.New(berylupstream.WithName("w1"), berylupstream.WithRun(0))
-	assert.Equal(t, send(t, k, http.MethodPost, "/v1/executions", "", nil).StatusCode, 200)
+	assert.Equal(t, send(t, k, http.MethodPost, "/v1/executions", "", nil).Code, 200)
 	var got []map[string]any
 	assert.NilError(t, json.NewDecoder(send(t, k, http.MethodGet, "/record", "", nil).Body).Decode(&got))
 	assert.Equal(t, len(got), 1)
@@ -211,7 +211,7 @@
 	}
 	assert.Equal(t, got[0]["worker"], "w1")
 	assert.Equal(t, got[0]["kind"], berylupstream.KindRequest)
-	assert.Equal(t, send(t, k, http.MethodDelete, "/record", "", nil).StatusCode, 204)
+	assert.Equal(t, send(t, k, http.MethodDelete, "/record", "", nil).Code, 204)
 	assert.Equal(t, len(k.Record()), 0)
 }
 
@@ -219,8 +219,8 @@
 func TestStatus(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		k := berylupstream.New(berylupstream.WithSlots(3), berylupstream.WithRun(time.Second))
-		assert.Equal(t, send(t, k, http.MethodPut, "/v1/tasks/t1", "", nil).StatusCode, 202)
-		assert.Equal(t, send(t, k, http.MethodPut, "/leaving", `{"leaving":true}`, nil).StatusCode, 204)
+		assert.Equal(t, send(t, k, http.MethodPut, "/v1/tasks/t1", "", nil).Code, 202)
+		assert.Equal(t, send(t, k, http.MethodPut, "/leaving", `{"leaving":true}`, nil).Code, 204)
 		var got beryllatch.WorkerReport
 		assert.NilError(t, json.NewDecoder(send(t, k, http.MethodGet, "/v1/status", "", nil).Body).Decode(&got))
 		assert.DeepEqual(t, got, beryllatch.WorkerReport{BootID: k.Report().BootID, Slots: 3, Running: 1, Leaving: true})
--- a/internal/upstream/berylworker/task_test.go
+++ b/internal/upstream/berylworker/task_test.go
@@ -179,7 +179,7 @@
 	assert.Equal(t, failed(t, err).Outcome, beryllatch.OutcomeUnknown)
 	e = execution(address, "t2")
 	assert.Equal(t, failed(t, c.StartTask(t.Context(), e, nil)).Outcome, beryllatch.OutcomeRefused)
-	_, err = c.Execute(t.Context(), e, nil, nil)
+	_, _, err = execute(t.Context(), c, e, nil, nil)
 	assert.Equal(t, failed(t, err).Outcome, beryllatch.OutcomeRefused)
 }
 
