--- a/cmd/berylstandin/platform.go
+++ b/cmd/berylstandin/platform.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 
 	"github.com/phuslu/log"
@@ -51,16 +50,18 @@
 		defer func() { _ = g.Close() }()
 		log.Info().Str("service", name).Str("address", g.Address()).Msg("listening")
 	}
-	var cfg net.ListenConfig
-	balancer, err := cfg.Listen(ctx, "tcp", c.BalancerAddr)
+	balancer, err := listen(ctx, "balancer", c.BalancerAddr)
 	if err != nil {
-		return fmt.Errorf("balancer: %w", err)
+		return err
 	}
-	log.Info().Str("service", "balancer").Str("address", balancer.Addr().String()).Msg("listening")
-	failed := make(chan error, 2)
-	go func() { failed <- p.Balancer().Serve(ctx, balancer) }()
-	go func() {
-		failed <- serve(ctx, "control", c.ControlAddr, &http.Server{Handler: p.Control(), ReadHeaderTimeout: headerTimeout})
-	}()
-	return errors.Join(<-failed, <-failed)
+	control, err := listen(ctx, "control", c.ControlAddr)
+	if err != nil {
+		return err
+	}
+	return all(ctx,
+		func(ctx context.Context) error { return p.Balancer().Serve(ctx, balancer) },
+		func(ctx context.Context) error {
+			return serve(ctx, control, &http.Server{Handler: p.Control(), ReadHeaderTimeout: headerTimeout})
+		},
+	)
 }
--- a/cmd/berylstandin/serve.go
+++ b/cmd/berylstandin/serve.go
@@ -14,18 +14,41 @@
 // headerTimeout bounds the reading of a request's header.
 const headerTimeout = 10 * time.Second
 
-// serve runs the server on the address until the context ends, then cuts its connections.
-func serve(ctx context.Context, name, address string, s *http.Server) error {
+// listen opens the address and logs it, so that a port chosen by the system is known.
+func listen(ctx context.Context, service, address string) (net.Listener, error) {
 	var cfg net.ListenConfig
 	l, err := cfg.Listen(ctx, "tcp", address)
 	if err != nil {
-		return fmt.Errorf("%s: %w", name, err)
+		return nil, fmt.Errorf("%s: %w", service, err)
 	}
-	log.Info().Str("service", name).Str("address", l.Addr().String()).Msg("listening")
+	log.Info().Str("service", service).Str("address", l.Addr().String()).Msg("listening")
+	return l, nil
+}
+
+// serve runs the server until the context ends, then cuts its connections.
+func serve(ctx context.Context, l net.Listener, s *http.Server) error {
 	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
 	defer stop()
 	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-		return fmt.Errorf("%s: %w", name, err)
+		return err
 	}
 	return nil
 }
+
+// all runs the functions until the first one ends, ends the others through their context and joins the errors.
+func all(ctx context.Context, run ...func(context.Context) error) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ended := make(chan error, len(run))
+	for _, f := range run {
+		go func() {
+			ended <- f(ctx)
+			cancel()
+		}()
+	}
+	var err error
+	for range run {
+		err = errors.Join(err, <-ended)
+	}
+	return err
+}
--- a/cmd/berylstandin/worker.go
+++ b/cmd/berylstandin/worker.go
@@ -24,26 +24,21 @@
 	if c.Slots < 1 || c.Connections < 1 {
 		return errors.New("slots and connections must be at least 1")
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	failed := make(chan error, len(c.Listen))
+	var run []func(context.Context) error
 	for _, address := range c.Listen {
+		l, err := listen(ctx, "worker", address)
+		if err != nil {
+			return err
+		}
 		k := berylupstream.New(
-			berylupstream.WithName(address), berylupstream.WithSlots(c.Slots),
+			berylupstream.WithName(l.Addr().String()), berylupstream.WithSlots(c.Slots),
 			berylupstream.WithConnections(c.Connections), berylupstream.WithRun(c.RunTime),
 			berylupstream.WithReboot(c.RebootTime), berylupstream.WithSeed(c.Seed),
 		)
 		// The idle time exceeds that of the clients, so that no request meets a closing connection.
 		s := &http.Server{Handler: k.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: 2 * time.Minute}
 		k.Configure(s)
-		go func() {
-			failed <- serve(ctx, "worker", address, s)
-			cancel()
-		}()
+		run = append(run, func(ctx context.Context) error { return serve(ctx, l, s) })
 	}
-	var err error
-	for range c.Listen {
-		err = errors.Join(err, <-failed)
-	}
-	return err
+	return all(ctx, run...)
 }
