--- a/internal/common/berylconn/probe.go
+++ b/internal/common/berylconn/probe.go
@@ -41,11 +41,15 @@
 	return p.earlier || p.sealLocked()
 }
 
-// Close closes the connection of the request.
+// Close closes the connection of an answered request.
+// A connection that the transport already keeps for reuse is sealed too, so that a request which is given it surely
+// has not been sent.
 func (p *Probe) Close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.conn != nil {
+	if c, ok := p.conn.(*Conn); ok {
+		c.seal()
+	} else if p.conn != nil {
 		_ = p.conn.Close()
 	}
 }
