--- a/internal/platform/berylinstance/client.go
+++ b/internal/platform/berylinstance/client.go
@@ -36,7 +36,12 @@
 
 // New returns a client of the instance list.
 func New(opts ...Option) *Client {
-	c := &Client{url: "http://127.0.0.1:8002/instances", client: &http.Client{}, timeout: 2 * time.Second}
+	c := &Client{
+		url: "http://127.0.0.1:8002/instances",
+		// A transport of its own takes no proxy from the environment.
+		client:  &http.Client{Transport: &http.Transport{IdleConnTimeout: 30 * time.Second}},
+		timeout: 2 * time.Second,
+	}
 	for _, o := range opts {
 		o(c)
 	}
--- a/internal/standin/berylplatform/balancer.go
+++ b/internal/standin/berylplatform/balancer.go
@@ -32,7 +32,9 @@
 
 func newBalancer(interval time.Duration) *Balancer {
 	return &Balancer{
-		interval: interval, client: &http.Client{Timeout: time.Second}, entries: make(map[string]entry),
+		interval: interval,
+		client:   &http.Client{Timeout: time.Second, Transport: &http.Transport{IdleConnTimeout: time.Minute}},
+		entries:  make(map[string]entry),
 	}
 }
 
--- a/internal/standin/berylplatform/faults.go
+++ b/internal/standin/berylplatform/faults.go
@@ -86,6 +86,8 @@
 		return fmt.Errorf("%s.outage must be empty, refuse or unavailable, got %q", name, f.Outage)
 	case f.SlowMS < 0:
 		return fmt.Errorf("%s.slow_ms must not be negative, got %d", name, f.SlowMS)
+	case name == ServiceInstances && (f.AnswerLostNext != 0 || f.AnswerLostShare != 0):
+		return fmt.Errorf("%s.answer_lost_next and %[1]s.answer_lost_share: the list has no writes", name)
 	case f.AnswerLostNext < 0:
 		return fmt.Errorf("%s.answer_lost_next must not be negative, got %d", name, f.AnswerLostNext)
 	case f.AnswerLostShare < 0 || f.AnswerLostShare > 1:
--- a/internal/standin/berylupstream/admission.go
+++ b/internal/standin/berylupstream/admission.go
@@ -174,6 +174,9 @@
 	_ = rc.SetReadDeadline(o.startBy)
 	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 	if err != nil {
+		if f := o.late(); f != nil {
+			return nil, f
+		}
 		return nil, badRequest("body: " + err.Error())
 	}
 	_ = rc.SetReadDeadline(time.Time{})
--- a/internal/upstream/berylworker/client_test.go
+++ b/internal/upstream/berylworker/client_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -83,6 +85,32 @@
 	assert.Equal(t, body[:64], got.BodySum)
 }
 
+// Guards against a body that arrives changed, or never, for any way in which a caller may hand it over.
+func TestExecuteBodies(t *testing.T) {
+	large := strings.Repeat("x", 1<<20)
+	for _, tc := range []struct {
+		name   string
+		body   io.Reader
+		header http.Header
+		want   string
+	}{
+		{"nil", nil, nil, ""},
+		{"nil with a length", nil, http.Header{"Content-Length": {"4"}}, ""},
+		{"http.NoBody", http.NoBody, nil, ""},
+		{"known length", strings.NewReader("body"), nil, "body"},
+		{"unknown length", io.MultiReader(strings.NewReader(large)), nil, large},
+		{"length from the header", io.MultiReader(strings.NewReader("body")), http.Header{"Content-Length": {"4"}}, "body"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			k := berylupstream.New(berylupstream.WithRun(0))
+			e := execution(serveWorker(t, k), "e1")
+			_, digest, err := execute(t.Context(), berylworker.New(), e, tc.header, tc.body)
+			assert.NilError(t, err)
+			assert.Equal(t, digest, fmt.Sprintf("%x", sha256.Sum256([]byte(tc.want))))
+		})
+	}
+}
+
 // Guards against a fault of a worker that is reported as "not run", or as an answer.
 func TestExecuteUnderWorkerFaults(t *testing.T) {
 	once := berylupstream.Trigger{Next: 1}
--- /dev/null
+++ b/internal/upstream/berylworker/outcome_test.go
@@ -0,0 +1,77 @@
+package berylworker_test
+
+import (
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/beryllatch/beryllatch"
+	"github.com/beryllatch/beryllatch/internal/standin/berylupstream"
+	"github.com/beryllatch/beryllatch/internal/upstream/berylworker"
+)
+
+// Guards against an outcome that the worker's record contradicts, with many executions and all faults at once:
+// work started twice, started although it was reported as not run, or answered with another execution's answer.
+func TestOutcomesAgreeWithRecord(t *testing.T) {
+	share := func(s float64) berylupstream.Trigger { return berylupstream.Trigger{Share: s} }
+	k := berylupstream.New(berylupstream.WithSlots(6), berylupstream.WithRun(time.Millisecond))
+	assert.NilError(t, k.SetFaults(berylupstream.Faults{
+		AnswerLate: share(0.1), AnswerLateMS: 5, Crossed: share(0.2), Truncated: share(0.1), Doubled: share(0.1),
+		CutBeforeStart: share(0.1), CutAfterStart: share(0.1),
+	}))
+	address := serveWorker(t, k)
+	c := berylworker.New()
+	var (
+		mu       sync.Mutex
+		outcomes = make(map[string]beryllatch.ExecutionOutcome)
+		wg       sync.WaitGroup
+	)
+	for g := range 8 {
+		wg.Go(func() {
+			for i := range 40 {
+				id := fmt.Sprintf("%d-%d", g, i)
+				e := execution(address, id)
+				e.LeaseExpiry = time.Now().Add(time.Second)
+				_, digest, err := execute(t.Context(), c, e, nil, strings.NewReader(id))
+				outcome := beryllatch.OutcomeAnswered
+				if err != nil {
+					e, ok := errors.AsType[*beryllatch.ExecutionError](err)
+					if !assert.Check(t, ok, "got %v", err) {
+						return
+					}
+					outcome = e.Outcome
+				} else {
+					assert.Check(t, digest == fmt.Sprintf("%x", sha256.Sum256([]byte(id))), "answer to %s", id)
+				}
+				mu.Lock()
+				outcomes[id] = outcome
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	starts := make(map[string]int)
+	for _, s := range k.Record() {
+		starts[s.ID]++
+	}
+	seen := make(map[beryllatch.ExecutionOutcome]int)
+	for id, outcome := range outcomes {
+		seen[outcome]++
+		switch outcome {
+		case beryllatch.OutcomeAnswered:
+			assert.Equal(t, starts[id], 1, id)
+		case beryllatch.OutcomeUnknown:
+			assert.Assert(t, starts[id] <= 1, id)
+		default:
+			assert.Equal(t, starts[id], 0, "%s is %s", id, outcome)
+		}
+	}
+	t.Logf("outcomes: %v", seen)
+	assert.Assert(t, seen[beryllatch.OutcomeAnswered] > 0 && seen[beryllatch.OutcomeUnknown] > 0)
+}
