--- /dev/null
+++ b/internal/bench/berylproof/fault_test.go
@@ -0,0 +1,93 @@
+package berylproof
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/beryllatch/beryllatch/internal/bench/berylprocess"
+	"gotest.tools/v3/assert"
+)
+
+// loadTime is how long load runs before and after a fault; no assertion depends on its length.
+const loadTime = 2 * time.Second
+
+// callersOf returns two callers for each daemon.
+func (f *fleet) callersOf() []berylprocess.Caller {
+	var out []berylprocess.Caller
+	for _, d := range f.Daemons {
+		out = append(out, f.caller(d.Callers), f.caller(d.Callers))
+	}
+	return out
+}
+
+// balanced returns n callers behind the load balancer.
+func (f *fleet) balanced(n int) []berylprocess.Caller {
+	var out []berylprocess.Caller
+	for range n {
+		out = append(out, f.caller(f.Balancer))
+	}
+	return out
+}
+
+// judge compares the replies with the workers' records and requires that some requests were answered.
+func (f *fleet) judge(ctx context.Context, replies map[string]berylprocess.Reply) berylprocess.Summary {
+	f.t.Helper()
+	starts, err := f.Starts(ctx)
+	assert.NilError(f.t, err)
+	s := berylprocess.Compare(replies, starts)
+	f.t.Logf("answered %d, not run %d, unknown %d, no answer %d, starts %d, reasons %v",
+		s.Answered, s.NotRun, s.Unknown, s.NoAnswer, s.Starts, s.Reasons)
+	assert.Equal(f.t, len(s.Violations), 0, "%v", s.Violations)
+	assert.Assert(f.t, s.Answered > 0)
+	return s
+}
+
+// Guards against requests that run twice, or are refused as not run after a start, when a node dies without notice.
+func TestKill(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	f := startFleet(ctx, t, 3, 2)
+	load := berylprocess.StartLoad(ctx, "kill", "price", f.callersOf(), "Beryllatch-Test-Run-Ms", "20")
+	time.Sleep(loadTime)
+	f.Daemons[0].Kill()
+	time.Sleep(loadTime)
+	f.judge(ctx, load.Stop())
+}
+
+// Guards against a withdrawn key that still works at a node which was frozen while it was withdrawn.
+func TestFreeze(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	f := startFleet(ctx, t, 3, 1)
+	frozen := f.Daemons[2]
+	load := berylprocess.StartLoad(ctx, "before", "price", f.callersOf()[:4])
+	frozen.Freeze()
+	late := make(chan berylprocess.Reply, 1)
+	go func() { late <- f.caller(frozen.Callers).Request(ctx, "price", "frozen", "late") }()
+	f.client(ctx, "key", "withdraw", "red-1")
+	frozen.Thaw()
+	got := <-late
+	assert.Assert(t, !got.Answered(), "%+v", got)
+	assert.Equal(t, len(f.starts(ctx)["frozen"]), 0)
+	for n, d := range f.Daemons {
+		got := f.caller(d.Callers).Request(ctx, "price", "after", "after")
+		assert.Assert(t, got.NotRun(), "node %d: %+v", n, got)
+	}
+	assert.Equal(t, len(f.starts(ctx)["after"]), 0)
+	f.judge(ctx, load.Stop())
+}
+
+// Guards against a planned stop of a node that cuts or refuses a request.
+func TestRollingReplacement(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	f := startFleet(ctx, t, 3, 2)
+	load := berylprocess.StartLoad(ctx, "roll", "price", f.balanced(6), "Beryllatch-Test-Run-Ms", "50")
+	for _, d := range f.Daemons {
+		assert.NilError(t, d.Terminate())
+		assert.NilError(t, f.StartDaemon(ctx, d))
+	}
+	s := f.judge(ctx, load.Stop())
+	assert.Equal(t, s.NoAnswer+s.NotRun+s.Unknown, 0, "%+v", s)
+}
