--- a/internal/decision/berylreducer/operate.go
+++ b/internal/decision/berylreducer/operate.go
@@ -34,8 +34,6 @@
 	doubts   map[string]uint64
 	reports  map[string]workerRunning
 	planned  map[string]plannedInstance
-	nodes    map[string]nodeSeen
-	inForce  uint64
 	stepping steppingState
 }
 
@@ -67,7 +65,6 @@
 		r.operateRead()
 	case Renewed:
 		r.bootstrap(e)
-		r.nodesSeen(e)
 		r.confirmOperations()
 	case WorkerReported:
 		r.workerRunningReported(e)
@@ -107,6 +104,7 @@
 	r.operate.write = nil
 	if e.Result == WriteDone {
 		r.configRead(ConfigRead{Config: w.config})
+		r.watchConfig(w.config.Version)
 	}
 	if w.op != nil {
 		r.operationWritten(w, e.Result)
--- a/internal/decision/berylreducer/operate_force.go
+++ b/internal/decision/berylreducer/operate_force.go
@@ -3,44 +3,27 @@
 import (
 	"slices"
 	"time"
-)
 
-const (
-	// confirmTimeout bounds the wait for the other nodes: a tenure, a renewal and a read fit into it, and a change must
-	// be in force within 8 s.
-	confirmTimeout = 7 * time.Second
-	// lapseWithoutProof is when a silent node's tenure has ended whatever grants it got: the 15 min that outage mode
-	// lasts at most, the tenure, a renewal and the clock allowance.
-	lapseWithoutProof = 15*time.Minute + 5500*time.Millisecond
+	"github.com/beryllatch/beryllatch"
 )
 
-// nodeSeen is a node's row as last read.
-type nodeSeen struct {
-	NodeRow
-	// changed is when this node first saw the row's present renewal.
-	changed time.Duration
-}
+// confirmTimeout bounds the wait for the other nodes: a tenure, a renewal and a read fit into it, and a change must be in
+// force within 8 s.
+const confirmTimeout = 7 * time.Second
 
-// nodesSeen records the node rows and the lowest version in force among them.
-func (r *Reducer) nodesSeen(e Renewed) {
-	seen := make(map[string]nodeSeen, len(e.Nodes))
-	r.operate.inForce = r.config.Version
-	for _, row := range e.Nodes {
-		n := nodeSeen{NodeRow: row, changed: r.now.Mono}
-		if old, ok := r.operate.nodes[row.Incarnation]; ok && old.Renewal == row.Renewal {
-			n.changed = old.changed
-		}
-		seen[row.Incarnation] = n
-		if row.Incarnation != r.self.Incarnation && !r.lapsedForSure(n) {
-			r.operate.inForce = min(r.operate.inForce, row.ConfigVersion)
-		}
+// waitingFor returns the nodes that may not have the version in force, sorted by name. Only a read that was started
+// after since counts, as a node may have registered until then.
+func (r *Reducer) waitingFor(version uint64, since time.Duration) []string {
+	names := map[string]bool{}
+	for _, p := range r.unacknowledged(version) {
+		names[p.Node] = true
 	}
-	r.operate.nodes = seen
+	if r.config.Version < version || r.tenure.pending.SentAt.Mono < since {
+		names[r.self.Node] = true
+	}
+	return beryllatch.SortedKeys(names)
 }
 
-// lapsedForSure reports whether the node can no longer start work.
-func (r *Reducer) lapsedForSure(n nodeSeen) bool { return r.now.Mono-n.changed >= lapseWithoutProof }
-
 // confirmOperation answers an accepted call once every node has its version in force, or after the time limit.
 func (r *Reducer) confirmOperation(op *operation, version uint64) {
 	op.version, op.accepted = version, r.now
@@ -53,7 +36,7 @@
 }
 
 func (r *Reducer) confirmed(op *operation) bool {
-	late := r.waitingFor(op.version)
+	late := r.waitingFor(op.version, op.accepted.Mono)
 	if len(late) > 0 && r.now.Mono-op.accepted.Mono < confirmTimeout {
 		return false
 	}
@@ -65,15 +48,3 @@
 	}
 	return true
 }
-
-// waitingFor returns the registered nodes that have not acknowledged the version, sorted by name.
-func (r *Reducer) waitingFor(version uint64) []string {
-	var out []string
-	for _, n := range r.operate.nodes {
-		if n.Incarnation != r.self.Incarnation && n.ConfigVersion < version && !r.lapsedForSure(n) {
-			out = append(out, n.Node)
-		}
-	}
-	slices.Sort(out)
-	return slices.Compact(out)
-}
--- a/internal/decision/berylreducer/operate_health.go
+++ b/internal/decision/berylreducer/operate_health.go
@@ -59,7 +59,7 @@
 		if !ok || p.state != i.State || p.drainVersion != i.DrainVersion {
 			p = plannedInstance{state: i.State, drainVersion: i.DrainVersion, since: r.now.Mono, asked: r.now.Mono}
 		}
-		if p.settled == 0 && r.operate.inForce >= i.DrainVersion {
+		if p.settled == 0 && len(r.waitingFor(i.DrainVersion, p.since)) == 0 {
 			p.settled = r.now.Mono + drainSettle
 		}
 		r.operate.planned[id] = p
@@ -77,7 +77,7 @@
 		p := r.operate.planned[id]
 		h[id] = berylplan.InstanceHealth{
 			Live:    w.bootID != "" && !w.unhealthy && !w.leaving,
-			Idle:    r.idle(id),
+			Idle:    r.instanceIdle(id),
 			BootID:  w.bootID,
 			Overdue: p.state != "" && r.now.Mono-p.since >= stepOverdue,
 		}
@@ -85,8 +85,8 @@
 	return h
 }
 
-// idle reports whether nothing runs on a drained instance and no node can start anything there.
-func (r *Reducer) idle(id string) bool {
+// instanceIdle reports whether nothing runs on a drained instance and no node can start anything there.
+func (r *Reducer) instanceIdle(id string) bool {
 	p, report := r.operate.planned[id], r.operate.reports[id]
 	return p.settled > 0 && report.at >= p.settled && report.running == 0 && r.workers[id].running == 0
 }
--- a/internal/decision/berylreducer/operate_operation.go
+++ b/internal/decision/berylreducer/operate_operation.go
@@ -43,7 +43,7 @@
 	if r.replyRecorded(op) || r.joinOperation(op) {
 		return
 	}
-	if r.stopping || !r.mayStart() {
+	if r.stopping || !r.mayTransfer() {
 		r.giveUp(op, ReasonOperationStale)
 		return
 	}
@@ -112,9 +112,9 @@
 		return true
 	}
 	switch {
-	case !r.mayStart() && r.doubtful(op):
+	case !r.mayTransfer() && r.doubtful(op):
 		return false
-	case !r.mayStart():
+	case !r.mayTransfer():
 		r.replyOperation(op, OutcomeNotAccepted, ReasonOperationStale, 0)
 		return true
 	case op.tries >= maxOperationTries:
--- a/internal/decision/berylreducer/operate_step.go
+++ b/internal/decision/berylreducer/operate_step.go
@@ -29,7 +29,7 @@
 func (r *Reducer) tickSteps() {
 	r.trackPlanned()
 	s := &r.operate.stepping
-	if r.stopping || !r.mayStart() || r.operate.write != nil || len(r.operate.queue) > 0 ||
+	if r.stopping || !r.mayTransfer() || r.operate.write != nil || len(r.operate.queue) > 0 ||
 		r.now.Mono-s.looked < stepInterval {
 		return
 	}
@@ -74,17 +74,6 @@
 	w.steps = steps
 }
 
-// rank returns the number of registered nodes before this one in order of their names.
-func (r *Reducer) rank() int {
-	n := 0
-	for _, p := range r.tenure.peers {
-		if p.Node < r.self.Node {
-			n++
-		}
-	}
-	return n
-}
-
 // stepsWritten follows up on a write of steps; whoever lost the race reads the winner's document and does nothing.
 func (r *Reducer) stepsWritten(w *configWrite, result WriteResult) {
 	if result != WriteDone {
--- a/internal/decision/berylreducer/reducer.go
+++ b/internal/decision/berylreducer/reducer.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"time"
 
 	"github.com/beryllatch/beryllatch"
 )
@@ -17,6 +18,14 @@
 	config  beryllatch.Config
 	keys    map[string]beryllatch.APIKey
 	tenure  tenureState
+	members map[string]*member
+	// selfListed is true once the platform's instance list has named this node.
+	selfListed bool
+	// beat is the place of the next peer to send a heartbeat to.
+	beat    int
+	watches []configWatch
+	// faults switches off single safety mechanisms; only tests set it.
+	faults  faults
 	units   map[string]*teamUnits
 	workers map[string]*workerState
 	// requests holds every request between its arrival and its end.
@@ -25,12 +34,15 @@
 	waiting  map[string][]*request
 	operate  operateState
 	stopping bool
-	ready    bool
+	// idleAt is when a stopping node ended its last request.
+	idleAt time.Duration
+	ready  bool
 }
 
 // Reduce applies one event and returns the effects that the node must carry out, in order.
 func (r *Reducer) Reduce(now Instant, e Event) []Effect {
 	r.now, r.out = now, nil
+	r.observeClock()
 	switch e := e.(type) {
 	case Started:
 		r.start(e)
@@ -45,8 +57,9 @@
 	case PeerHeard:
 		r.peerHeard(e)
 	case GrantAsked:
-		r.emit(ReplyGrant{CallID: e.CallID})
+		r.grantAsked(e)
 	case InstancesListed:
+		r.observeList(e)
 		r.instancesListed(e)
 	case WorkerReported:
 		r.workerReported(e)
@@ -58,6 +71,18 @@
 		r.executionEnded(e)
 	case UnitsRead:
 		r.unitsRead(e)
+	case UnitsReadFailed:
+		r.unitsReadFailed(e)
+	case UnitsMoved:
+		r.unitsMoved(e)
+	case Reincarnated:
+		r.reincarnated(e)
+	case NodeDeleted:
+		r.nodeDeleted(e)
+	case ConfigNotified:
+		r.configNotified(e)
+	case ConfigCommitted:
+		r.watchConfig(e.Version)
 	case UnitsWritten:
 		r.unitsWritten(e)
 	case UnitsAsked:
@@ -82,6 +107,8 @@
 	r.self = e.Self
 	r.rand = rand.New(rand.NewPCG(e.Seed, e.Seed))
 	r.keys = map[string]beryllatch.APIKey{}
+	r.members = map[string]*member{}
+	r.tenure.clock = r.now
 	r.units = map[string]*teamUnits{}
 	r.workers = map[string]*workerState{}
 	r.requests = map[string]*request{}
@@ -91,7 +118,9 @@
 
 func (r *Reducer) tick() {
 	r.tickTenure()
+	r.tickMembership()
 	r.tickUnits()
+	r.checkInForce()
 	r.tickRequests()
 	r.tickTasks()
 	r.tickOperate()
@@ -107,7 +136,7 @@
 
 func (r *Reducer) stopWhenIdle() {
 	if r.stopping && len(r.requests) == 0 && r.operateIdle() {
-		r.emit(Stop{})
+		r.leave()
 	}
 }
 
