--- /dev/null
+++ b/internal/client/berylcommand/cli_test.go
@@ -0,0 +1,238 @@
+package berylcommand
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"fmt"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/beryllatch/beryllatch"
+	"github.com/beryllatch/beryllatch/internal/decision/berylplan"
+	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
+	"github.com/beryllatch/beryllatch/internal/node/beryloperator"
+	"github.com/beryllatch/beryllatch/internal/rpc/berylwire"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+)
+
+// fakeNode applies changes to a configuration in memory and keeps the outcome of each operation id.
+type fakeNode struct {
+	config   beryllatch.Config
+	outcomes map[string]berylreducer.ReplyOperator
+	// lost is the number of replies that get lost after they took effect.
+	lost  int
+	calls int
+}
+
+func (f *fakeNode) ApplyChanges(
+	_ context.Context, e berylreducer.OperatorAsked,
+) (berylreducer.ReplyOperator, error) {
+	f.calls++
+	reply, ok := f.outcomes[e.OperationID]
+	if !ok {
+		reply = f.apply(e)
+		f.outcomes[e.OperationID] = reply
+	}
+	if f.lost > 0 {
+		f.lost--
+		return berylreducer.ReplyOperator{}, context.DeadlineExceeded
+	}
+	return reply, nil
+}
+
+func (f *fakeNode) apply(e berylreducer.OperatorAsked) berylreducer.ReplyOperator {
+	next, err := berylplan.Apply(f.config, berylplan.AllLive(f.config, "b0"), e.Changes...)
+	if err != nil {
+		return berylreducer.ReplyOperator{Outcome: berylreducer.OutcomeNotAccepted, Reason: err.Error(), Version: f.config.Version + 1}
+	}
+	f.config = next.WithVersion(f.config.Version + 1)
+	return berylreducer.ReplyOperator{Outcome: berylreducer.OutcomeAccepted, Version: f.config.Version, InForce: true}
+}
+
+func (f *fakeNode) Config(context.Context) (beryllatch.Config, error) { return f.config, nil }
+
+func (f *fakeNode) Status(context.Context) (*berylwire.GetStatusResponse, error) {
+	return &berylwire.GetStatusResponse{
+		Node: "n1", Mode: "normal", ConfigVersion: f.config.Version,
+		Teams: []*berylwire.TeamStatus{{Name: "wheels", Running: 2, Ceiling: 4}},
+	}, nil
+}
+
+func (f *fakeNode) Task(_ context.Context, id string) (beryllatch.Task, error) {
+	return beryllatch.Task{}, &beryloperator.TaskNotFoundError{ID: id}
+}
+
+// client runs command lines against a fake node.
+type client struct {
+	t    *testing.T
+	node *fakeNode
+	url  string
+	file string
+	log  strings.Builder
+}
+
+func newClient(t *testing.T) *client {
+	t.Helper()
+	c := &client{t: t, node: &fakeNode{outcomes: map[string]berylreducer.ReplyOperator{}}}
+	h := beryloperator.New(c.node, []beryloperator.Credential{{Name: "ada", Hash: sha256.Sum256([]byte("token"))}})
+	server := httptest.NewServer(h)
+	t.Cleanup(server.Close)
+	c.url = server.URL
+	c.file = filepath.Join(t.TempDir(), "token")
+	assert.NilError(t, os.WriteFile(c.file, []byte("token\n"), 0o600))
+	return c
+}
+
+// run carries out one command line and records it with its output, but for the operation id.
+func (c *client) run(line string) (int, string) {
+	c.t.Helper()
+	full := append([]string{"--address=" + c.url, "--token-file=" + c.file}, strings.Fields(line)...)
+	var out, errs bytes.Buffer
+	status := Run(c.t.Context(), full, strings.NewReader(""), &out, &errs)
+	fmt.Fprintf(&c.log, "$ beryllatch %s\n%s", line, out.String())
+	for _, l := range strings.SplitAfter(errs.String(), "\n") {
+		if !strings.HasPrefix(l, "operation id:") {
+			c.log.WriteString(l)
+		}
+	}
+	fmt.Fprintf(&c.log, "status %d\n", status)
+	return status, out.String()
+}
+
+// TestCommands guards against commands that send another change than they say, and against wrong exit statuses.
+func TestCommands(t *testing.T) {
+	c := newClient(t)
+	for _, line := range []string{
+		"team create wheels --ceiling=4", "team create wheels --ceiling=5", "team change wheels --ceiling=6",
+		"team create spokes --ceiling=0", "team create spokes", "team show spokes", "team list --output=json",
+		"service create lacing --max-unavailable=1", "pool create lacing --service=lacing",
+		"pool create spare --service=lacing --spare", "queue create plans --pool=lacing --team=wheels --deadline-ms=3000",
+		"queue change plans --max-queued=64", "queue show plans", "dc create d1 --region=east",
+		"instance create w1 --pool=lacing --dc=d1 --rack=r1 --worker-address=127.0.0.1:9001 --slots=8 --connections=64",
+		"instance create w2 --pool=lacing --dc=d1 --rack=r1 --worker-address=127.0.0.1:9002 --slots=8 --connections=64",
+		"instance drain w1", "instance drain w2", "instance return w1", "instance move w2 spare", "instance list",
+		"dc out d1", "dc in d1", "dc list", "wave start december --services=lacing", "wave pause december", "wave list",
+		"wave resume december", "wave stop december", "wave watch december", "team remove wheels", "pool remove spare",
+		"queue remove plans", "status team", "status team spokes", "status task t1", "instance change w1 --slots=4",
+	} {
+		c.run(line)
+	}
+	golden.Assert(t, c.log.String(), "commands.golden")
+}
+
+// TestKeySecret guards against a secret that is sent, stored or lost, and a key that is granted again.
+func TestKeySecret(t *testing.T) {
+	c := newClient(t)
+	c.run("team create wheels --ceiling=4")
+	status, out := c.run("key create k1 --team=wheels")
+	assert.Equal(t, status, exitDone)
+	_, secret, _ := strings.Cut(strings.TrimSpace(out), "shown once: ")
+	sum := sha256.Sum256([]byte(secret))
+	assert.Equal(t, c.node.config.APIKeys["k1"].Hash, fmt.Sprintf("%x", sum))
+	for _, line := range []string{"key withdraw k1", "key list"} {
+		status, out := c.run(line)
+		assert.Equal(t, status, exitDone)
+		assert.Assert(t, !strings.Contains(out, secret))
+	}
+	status, out = c.run("key create k1 --team=wheels")
+	assert.Assert(t, status == exitRefused && !strings.Contains(out, "shown once"))
+	status, _ = c.run("key create k2 --team=wheels --operation-id=op2")
+	assert.Equal(t, status, exitUsage)
+}
+
+// TestLostReplies guards against a change that is made twice, or is called refused after its reply was lost.
+func TestLostReplies(t *testing.T) {
+	c := newClient(t)
+	c.node.lost = 2
+	status, _ := c.run("team create wheels --ceiling=4 --operation-id=op1")
+	assert.Assert(t, status == exitDone && c.node.calls == 3 && c.node.config.Version == 1, "%s", c.log.String())
+	status, _ = c.run("team create wheels --ceiling=4 --operation-id=op1")
+	assert.Assert(t, status == exitDone && c.node.config.Version == 1)
+	c.node.lost = 100
+	status, _ = c.run("team create spokes --ceiling=4")
+	assert.Equal(t, status, exitUnknown)
+}
+
+// TestUnrecordedRefusalAfterLoss guards against "refused" while an earlier call may still take effect.
+func TestUnrecordedRefusalAfterLoss(t *testing.T) {
+	refused := &berylwire.ApplyResponse{Outcome: string(berylreducer.OutcomeNotAccepted)}
+	recorded := &berylwire.ApplyResponse{Outcome: string(berylreducer.OutcomeNotAccepted), Version: 3}
+	assert.Assert(t, settled(refused, false) && settled(recorded, true) && !settled(refused, true))
+}
+
+// TestUnreachable guards against an unknown outcome for a call that was never sent.
+func TestUnreachable(t *testing.T) {
+	c := newClient(t)
+	c.url = "http://127.0.0.1:1"
+	status, _ := c.run("team create wheels --ceiling=4")
+	assert.Equal(t, status, exitUnreachable)
+	status, _ = c.run("team list")
+	assert.Equal(t, status, exitUnreachable)
+	c.file = filepath.Join(t.TempDir(), "missing")
+	status, _ = c.run("team list")
+	assert.Equal(t, status, exitUsage)
+}
+
+// TestExamples guards against example answers that do not give a working configuration.
+func TestExamples(t *testing.T) {
+	for _, user := range []string{"rimwise", "papelera"} {
+		c := newClient(t)
+		_, out := c.run("team questionnaire --answers=../../../examples/" + user + ".json")
+		golden.Assert(t, out, user+".golden")
+		status, _ := c.run("team questionnaire --apply --answers=../../../examples/" + user + ".json")
+		assert.Equal(t, status, exitDone, "%s", c.log.String())
+		assert.Assert(t, len(c.node.config.Teams) == 6 && len(c.node.config.APIKeys) == 6 && len(c.node.config.Services) == 5)
+		status, _ = c.run("instance import " + writeFleet(t, c.node.config))
+		assert.Equal(t, status, exitDone, "%s", c.log.String())
+		assert.Equal(t, len(c.node.config.Instances), 10)
+		status, _ = c.run("team questionnaire --apply --answers=../../../examples/" + user + ".json")
+		assert.Equal(t, status, exitRefused)
+	}
+}
+
+// writeFleet writes a file with ten instances over the pools and data centres.
+func writeFleet(t *testing.T, c beryllatch.Config) string {
+	t.Helper()
+	pools, dcs := beryllatch.SortedKeys(c.Pools), beryllatch.SortedKeys(c.DataCentres)
+	var f importFile
+	for n := range 10 {
+		f.Instances = append(f.Instances, importInstance{
+			ID: fmt.Sprintf("w%d", n), Pool: pools[n%len(pools)], DataCentre: dcs[n%len(dcs)], Rack: "r1",
+			Address: fmt.Sprintf("127.0.0.1:%d", 9000+n), Slots: 8, Connections: 64,
+		})
+	}
+	doc, err := json.Marshal(f)
+	assert.NilError(t, err)
+	name := filepath.Join(t.TempDir(), "fleet.json")
+	assert.NilError(t, os.WriteFile(name, doc, 0o600))
+	return name
+}
+
+// TestInterview guards against questions whose answers cannot make a plan.
+func TestInterview(t *testing.T) {
+	lines := []string{
+		"acme", "1", "d1", "", "2", "quotes", "60", "500", "4", "often", "lost_sale", "2000", "reports", "0", "6", "60000", "2",
+		"may_wait", "04:00", "06:00", "1", "ada", "large", "8", "4", "2", "25",
+	}
+	var out, errs bytes.Buffer
+	status := Run(t.Context(), []string{"team", "questionnaire"}, strings.NewReader(strings.Join(lines, "\n")+"\n"), &out, &errs)
+	assert.Equal(t, status, exitDone, "%s", errs.String())
+	assert.Assert(t, strings.Contains(out.String(), "queue reports pool=reports deadline_ms=7200000"), "%s", out.String())
+	status = Run(t.Context(), []string{"team", "questionnaire"}, strings.NewReader("acme\n"), &out, &errs)
+	assert.Equal(t, status, exitUsage)
+}
+
+// TestDocsUpToDate guards against a reference page that differs from the commands; go generate rewrites the page.
+func TestDocsUpToDate(t *testing.T) {
+	var out, errs bytes.Buffer
+	assert.Equal(t, Run(t.Context(), []string{"docs"}, strings.NewReader(""), &out, &errs), exitDone, "%s", errs.String())
+	page, err := os.ReadFile("../../../docs/CLIENT.md")
+	assert.NilError(t, err)
+	assert.Equal(t, out.String(), string(page))
+}
--- a/internal/decision/berylplan/questionnaire.go
+++ b/internal/decision/berylplan/questionnaire.go
@@ -106,7 +106,7 @@
 		p.add(PutService{Service: a.service(w.Name, workers)},
 			"%d%% of %d workers may be out of service at once", a.Limits.OutAtOncePercent, workers)
 		p.add(PutPool{Pool: beryllatch.Pool{Name: w.Name, Service: w.Name}}, "%d workers run this work", w.Workers)
-		p.planQueue(a, w)
+		p.planQueue(w)
 	}
 	if a.Limits.SpareWorkers == 0 {
 		return
@@ -132,7 +132,7 @@
 	return spareName
 }
 
-func (p *Plan) planQueue(a Answers, w WorkAnswer) {
+func (p *Plan) planQueue(w WorkAnswer) {
 	d, _ := w.deadline("")
 	queued := queuedPerNode(w, d)
 	late := "late work is a lost sale, so it is refused early rather than answered late"
--- a/internal/decision/berylreducer/operate_test.go
+++ b/internal/decision/berylreducer/operate_test.go
@@ -200,15 +200,15 @@
 }
 
 // runUntil lets time pass until the wave ends, for an hour at most.
-func (s *scene) runUntil(t *testing.T, wave string, state beryllatch.WaveState) {
+func (s *scene) runUntil(t *testing.T, state beryllatch.WaveState) {
 	t.Helper()
 	for range 3600 {
-		if s.head.Waves[wave].State == state {
+		if s.head.Waves["w"].State == state {
 			return
 		}
 		s.run(time.Second)
 	}
-	t.Fatalf("the wave is %s\n%s", s.head.Waves[wave].State, s.log.String())
+	t.Fatalf("the wave is %s\n%s", s.head.Waves["w"].State, s.log.String())
 }
 
 func (s *scene) down(down bool, ids ...string) {
@@ -279,12 +279,12 @@
 			s.ask("n1", "op1", wave)
 			s.run(2 * time.Second)
 			s.down(true, "w2", "w3", "w4")
-			s.runUntil(t, "w", beryllatch.WaveStopped)
+			s.runUntil(t, beryllatch.WaveStopped)
 			s.run(5 * time.Second)
 			s.down(false, "w2", "w3", "w4")
 			s.run(2 * time.Second)
 			s.ask("n1", "op2", berylplan.ResumeWave{ID: "w"})
-			s.runUntil(t, "w", beryllatch.WaveDone)
+			s.runUntil(t, beryllatch.WaveDone)
 			return s
 		},
 		// Guards against drains while a data centre is out, and a reboot of a worker that is not idle.
@@ -299,7 +299,7 @@
 			s.workers["w1"].running = 0
 			s.run(20 * time.Second)
 			s.ask("n2", "op3", berylplan.SetDataCentreOut{Name: "dc2"})
-			s.runUntil(t, "w", beryllatch.WaveDone)
+			s.runUntil(t, beryllatch.WaveDone)
 			return s
 		},
 		// Guards against a wave that ends with the node that took its last step.
@@ -308,7 +308,7 @@
 			s.ask("n1", "op1", wave)
 			s.run(4 * time.Second)
 			s.nodes["n1"].dieAfterWrite = true
-			s.runUntil(t, "w", beryllatch.WaveDone)
+			s.runUntil(t, beryllatch.WaveDone)
 			return s
 		},
 		// Guards against nodes that wait for each other, and a table without a document.
--- /dev/null
+++ b/internal/node/beryloperator/server_test.go
@@ -0,0 +1,152 @@
+package beryloperator
+
+import (
+	"context"
+	"crypto/sha256"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/beryllatch/beryllatch"
+	"github.com/beryllatch/beryllatch/internal/decision/berylplan"
+	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
+	"github.com/beryllatch/beryllatch/internal/rpc/berylwire"
+	"github.com/twitchtv/twirp"
+	"gotest.tools/v3/assert"
+)
+
+// fakeNode records the calls and returns what it is told to.
+type fakeNode struct {
+	asked []berylreducer.OperatorAsked
+	reply berylreducer.ReplyOperator
+	err   error
+}
+
+func (f *fakeNode) ApplyChanges(
+	_ context.Context, e berylreducer.OperatorAsked,
+) (berylreducer.ReplyOperator, error) {
+	f.asked = append(f.asked, e)
+	return f.reply, f.err
+}
+
+func (f *fakeNode) Config(context.Context) (beryllatch.Config, error) {
+	k := beryllatch.APIKey{ID: "k1", Team: "red", Hash: strings.Repeat("1", 64)}
+	return beryllatch.Config{Version: 7}.WithAPIKey(k), f.err
+}
+
+func (f *fakeNode) Status(context.Context) (*berylwire.GetStatusResponse, error) {
+	return &berylwire.GetStatusResponse{Node: "n1"}, f.err
+}
+
+func (f *fakeNode) Task(_ context.Context, id string) (beryllatch.Task, error) {
+	return beryllatch.Task{}, &TaskNotFoundError{ID: id}
+}
+
+func (f *fakeNode) serve(t *testing.T, token string) berylwire.Operator {
+	t.Helper()
+	h := New(f, []Credential{
+		{Name: "ada", Hash: sha256.Sum256([]byte("token-a"))},
+		{Name: "bob", Hash: sha256.Sum256([]byte("token-b"))},
+	}, WithMaxBody(4096))
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		r.Header.Set("Authorization", token)
+		h.ServeHTTP(w, r)
+	}))
+	t.Cleanup(server.Close)
+	return berylwire.NewOperatorProtobufClient(server.URL, server.Client())
+}
+
+func code(t *testing.T, err error) twirp.ErrorCode {
+	t.Helper()
+	var e twirp.Error
+	assert.Assert(t, errors.As(err, &e), "%v", err)
+	return e.Code()
+}
+
+func drain(id string) *berylwire.Change {
+	return &berylwire.Change{Change: &berylwire.Change_DrainInstance{DrainInstance: id}}
+}
+
+// TestIdentity guards against calls without a known token, and against a change recorded under another name.
+func TestIdentity(t *testing.T) {
+	f := &fakeNode{reply: berylreducer.ReplyOperator{Outcome: berylreducer.OutcomeAccepted, Version: 8, InForce: true}}
+	q := &berylwire.ApplyRequest{OperationId: "op1", Changes: []*berylwire.Change{drain("w1")}}
+	for _, token := range []string{"", "Bearer ", "Bearer token-c", "token-a"} {
+		_, err := f.serve(t, token).Apply(t.Context(), q)
+		assert.Equal(t, code(t, err), twirp.Unauthenticated, "token %q", token)
+	}
+	reply, err := f.serve(t, "Bearer token-b").Apply(t.Context(), q)
+	assert.NilError(t, err)
+	assert.Assert(t, reply.GetOutcome() == "accepted" && reply.GetVersion() == 8 && reply.GetInForce())
+	assert.DeepEqual(t, f.asked, []berylreducer.OperatorAsked{{
+		CallID: "operator-1", Operator: "bob", OperationID: "op1", Changes: []berylplan.Change{berylplan.DrainInstance{ID: "w1"}},
+	}})
+}
+
+// TestValidation guards against calls that reach the node although they cannot be right.
+func TestValidation(t *testing.T) {
+	f := &fakeNode{}
+	o := f.serve(t, "Bearer token-a")
+	for name, q := range map[string]*berylwire.ApplyRequest{
+		"no id":        {Changes: []*berylwire.Change{drain("w1")}},
+		"bad id":       {OperationId: "a b", Changes: []*berylwire.Change{drain("w1")}},
+		"no change":    {OperationId: "op1"},
+		"empty change": {OperationId: "op1", Changes: []*berylwire.Change{{}}},
+	} {
+		_, err := o.Apply(t.Context(), q)
+		assert.Equal(t, code(t, err), twirp.InvalidArgument, name)
+	}
+	_, err := o.Apply(t.Context(), &berylwire.ApplyRequest{
+		OperationId: "op1", Changes: []*berylwire.Change{drain(strings.Repeat("w", 8192))},
+	})
+	assert.Equal(t, code(t, err), twirp.InvalidArgument)
+	_, err = o.GetTask(t.Context(), &berylwire.GetTaskRequest{Id: "t1"})
+	assert.Equal(t, code(t, err), twirp.NotFound)
+	assert.Equal(t, len(f.asked), 0)
+}
+
+// TestChunkedBodyIsBounded guards against a body without a declared length that fills the memory.
+func TestChunkedBodyIsBounded(t *testing.T) {
+	h := New(&fakeNode{}, []Credential{{Name: "ada", Hash: sha256.Sum256([]byte("token-a"))}}, WithMaxBody(10))
+	body := io.MultiReader(strings.NewReader("0123456789"), strings.NewReader("0123456789"))
+	r := httptest.NewRequestWithContext(t.Context(), http.MethodPost, berylwire.OperatorPathPrefix+"Apply", body)
+	r.Header.Set("Authorization", "Bearer token-a")
+	r.Header.Set("Content-Type", "application/protobuf")
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, r)
+	assert.Assert(t, w.Code >= 400, "status %d", w.Code)
+}
+
+// TestLostReplyIsUnknown guards against "not accepted" for a change whose reply did not come in time.
+func TestLostReplyIsUnknown(t *testing.T) {
+	f := &fakeNode{err: context.DeadlineExceeded}
+	reply, err := f.serve(t, "Bearer token-a").Apply(t.Context(), &berylwire.ApplyRequest{
+		OperationId: "op1", Changes: []*berylwire.Change{drain("w1")},
+	})
+	assert.NilError(t, err)
+	assert.Equal(t, reply.GetOutcome(), "unknown")
+}
+
+// TestConfigWithoutHashes guards against key hashes that leave the node.
+func TestConfigWithoutHashes(t *testing.T) {
+	v, err := (&fakeNode{}).serve(t, "Bearer token-a").GetConfig(t.Context(), &berylwire.GetConfigRequest{})
+	assert.NilError(t, err)
+	assert.Assert(t, v.GetVersion() == 7 && !strings.Contains(string(v.GetConfig()), "1111"), "%s", v.GetConfig())
+}
+
+// TestParseCredential guards against a hash that is cut short and against a hash in an error message.
+func TestParseCredential(t *testing.T) {
+	digits := strings.Repeat("ab", 32)
+	c, err := ParseCredential("ada:" + digits)
+	assert.NilError(t, err)
+	assert.Equal(t, c.Name, "ada")
+	for _, s := range []string{"", "ada", ":" + digits, "ada:" + digits[2:], "ada:" + digits[1:] + "x"} {
+		_, err := ParseCredential(s)
+		var e *CredentialError
+		assert.Assert(t, errors.As(err, &e), "%q", s)
+		assert.Assert(t, !strings.Contains(err.Error(), "abab"))
+	}
+}
--- a/internal/node/beryloperator/service.go
+++ b/internal/node/beryloperator/service.go
@@ -40,9 +40,9 @@
 	})
 	if err != nil {
 		// The change may have been written, so that the only true answer is "unknown".
-		return &berylwire.ApplyResponse{
-			Outcome: string(berylreducer.OutcomeUnknown), Reason: berylreducer.ReasonOutcomeUnknown,
-		}, nil
+		reply = berylreducer.ReplyOperator{
+			Outcome: berylreducer.OutcomeUnknown, Reason: berylreducer.ReasonOutcomeUnknown,
+		}
 	}
 	return &berylwire.ApplyResponse{
 		Outcome: string(reply.Outcome), Reason: reply.Reason, Version: reply.Version,
