--- a/internal/decision/berylplan/change_pool.go
+++ b/internal/decision/berylplan/change_pool.go
@@ -39,7 +39,7 @@
 		}
 	}
 	for id, w := range c.Waves {
-		if slices.Contains(w.Services, ch.Name) {
+		if slices.Contains(w.Services, ch.Name) && !finished(w) {
 			users = append(users, "waves."+id)
 		}
 	}
@@ -47,6 +47,11 @@
 		slices.Sort(users)
 		return c, &InUseError{Field: "services." + ch.Name, Users: users}
 	}
+	for id, w := range c.Waves {
+		if slices.Contains(w.Services, ch.Name) {
+			c = c.WithoutWave(id)
+		}
+	}
 	return c.WithoutService(ch.Name), nil
 }
 
--- a/internal/decision/berylreducer/operate_event.go
+++ b/internal/decision/berylreducer/operate_event.go
@@ -35,7 +35,8 @@
 	OutcomeUnknown     OperatorOutcome = "unknown"
 )
 
-// WriteConfig replaces the configuration document if it has the version Expect; 0 means that there is none yet.
+// WriteConfig replaces the configuration document if it has the version Expect; 0 means that there is none yet. It is
+// always answered by one ConfigWritten.
 type WriteConfig struct {
 	CallID string
 	// Config has the version Expect+1.
--- a/internal/decision/berylreducer/operate_force.go
+++ b/internal/decision/berylreducer/operate_force.go
@@ -18,7 +18,7 @@
 	for _, p := range r.unacknowledged(version) {
 		names[p.Node] = true
 	}
-	if r.config.Version < version || r.tenure.pending.SentAt.Mono < since {
+	if r.config.Version < version || r.tenure.pending.SentAt.Mono <= since {
 		names[r.self.Node] = true
 	}
 	return beryllatch.SortedKeys(names)
--- a/internal/decision/berylreducer/operate_operation.go
+++ b/internal/decision/berylreducer/operate_operation.go
@@ -17,6 +17,7 @@
 	ReasonOperationReused  = "operation_id_reused: the id belongs to a call with other changes"
 	ReasonConflicts        = "conflict: other changes kept coming first"
 	ReasonOperationStale   = "node_stale: the node cannot prove that its configuration is up to date"
+	ReasonStopping         = "node_stopping: the node is shutting down"
 	ReasonNoPlatform       = "platform_unavailable: the configuration was not written"
 	ReasonOutcomeUnknown   = "answer_lost: the change may be in force; repeat the call with the same operation id"
 	ReasonOperationMissing = "operation_id: is missing"
@@ -43,7 +44,11 @@
 	if r.replyRecorded(op) || r.joinOperation(op) {
 		return
 	}
-	if r.stopping || !r.mayTransfer() {
+	switch {
+	case r.stopping:
+		r.giveUp(op, ReasonStopping)
+		return
+	case !r.mayTransfer():
 		r.giveUp(op, ReasonOperationStale)
 		return
 	}
@@ -117,7 +122,7 @@
 	case !r.mayTransfer():
 		r.replyOperation(op, OutcomeNotAccepted, ReasonOperationStale, 0)
 		return true
-	case op.tries >= maxOperationTries:
+	case op.tries >= maxOperationTries, r.forgotten(op):
 		r.giveUp(op, ReasonConflicts)
 		return true
 	}
@@ -143,8 +148,8 @@
 	return next, ""
 }
 
-// doubtful reports whether a write of the operation may still take effect. It cannot once the document has moved past
-// the version that the write expected without recording the operation.
+// doubtful reports whether a write of the operation may still take effect, or may have taken effect unseen. It cannot
+// once the document has moved past the version that the write expected without recording the operation.
 func (r *Reducer) doubtful(op *operation) bool {
 	expect, ok := r.operate.doubts[op.OperationID]
 	if !ok {
@@ -157,11 +162,27 @@
 	return true
 }
 
+// forgotten reports whether the document no longer tells if the operation took effect: it may have been recorded and
+// dropped again. Such a call is not written once more.
+func (r *Reducer) forgotten(op *operation) bool {
+	return r.doubtful(op) && r.config.Version-r.operate.doubts[op.OperationID] >= beryllatch.MaxOperations
+}
+
+// doubt notes a write whose answer was lost, and drops the oldest notes beyond the operations that the document keeps.
 func (r *Reducer) doubt(w *configWrite) {
 	if r.operate.doubts == nil {
 		r.operate.doubts = map[string]uint64{}
 	}
 	r.operate.doubts[w.op.OperationID] = w.expect
+	for len(r.operate.doubts) > beryllatch.MaxOperations {
+		oldest := w.op.OperationID
+		for _, id := range beryllatch.SortedKeys(r.operate.doubts) {
+			if r.operate.doubts[id] < r.operate.doubts[oldest] {
+				oldest = id
+			}
+		}
+		delete(r.operate.doubts, oldest)
+	}
 }
 
 func (r *Reducer) operationWritten(w *configWrite, result WriteResult) {
--- a/internal/decision/berylreducer/operate_step.go
+++ b/internal/decision/berylreducer/operate_step.go
@@ -37,7 +37,7 @@
 	if s.version != r.config.Version {
 		s.version, s.due = r.config.Version, false
 	}
-	if !r.mayHaveSteps() {
+	if !r.mayHaveSteps() || !r.heardOfAll() {
 		return
 	}
 	r.takeSteps()
@@ -57,6 +57,17 @@
 	return false
 }
 
+// heardOfAll reports whether every instance has been probed since the node started; until then a node that has just
+// started would take the fleet for dead, and stop its waves.
+func (r *Reducer) heardOfAll() bool {
+	for id := range r.config.Instances {
+		if _, ok := r.operate.reports[id]; !ok {
+			return false
+		}
+	}
+	return true
+}
+
 func (r *Reducer) takeSteps() {
 	s := &r.operate.stepping
 	steps, next := berylplan.NextSteps(r.config, r.health())
@@ -98,8 +109,13 @@
 	r.emit(LogState{Subject: subject, To: string(s.Kind), Detail: s.Reason})
 }
 
+// rebootWorker requests the reboot of an instance that is recorded as rebooting; if the node cannot prove that its
+// document is up to date, another node will ask.
 func (r *Reducer) rebootWorker(id string) {
 	i := r.config.Instances[id]
+	if i.State != beryllatch.InstanceRebooting || !r.mayTransfer() {
+		return
+	}
 	r.emit(RebootWorker{Instance: id, Address: i.Address, BootID: i.BootID})
 }
 
