--- a/internal/decision/berylreducer/operate_test.go
+++ b/internal/decision/berylreducer/operate_test.go
@@ -283,6 +283,9 @@
 			s.run(4 * time.Second)
 			s.note("n1 cut")
 			s.nodes["n1"].cut = true
+			s.workers["w1"].ignores = true
+			s.run(6 * time.Second)
+			s.workers["w1"].ignores = false
 			s.runUntil(t, beryllatch.WaveDone)
 			return s
 		},
