--- a/internal/decision/berylreducer/operate_force.go
+++ b/internal/decision/berylreducer/operate_force.go
@@ -3,25 +3,23 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/beryllatch/beryllatch"
 )
 
-// confirmTimeout bounds the wait for the other nodes: a tenure, a renewal and a read fit into it, and a change must be in
-// force within 8 s.
-const confirmTimeout = 7 * time.Second
+const (
+	// confirmTimeout bounds the wait for the other nodes: a tenure, a renewal and a read fit into it, and a change must
+	// be in force within 8 s.
+	confirmTimeout = 7 * time.Second
+)
 
-// waitingFor returns the nodes that may not have the version in force, sorted by name. Only a read that was started
-// after since counts, as a node may have registered until then.
-func (r *Reducer) waitingFor(version uint64, since time.Duration) []string {
-	names := map[string]bool{}
-	for _, p := range r.unacknowledged(version) {
-		names[p.Node] = true
-	}
-	if r.config.Version < version || r.tenure.pending.SentAt.Mono <= since {
-		names[r.self.Node] = true
+// lowestInForce returns the version that every node which may start work has in force.
+func (r *Reducer) lowestInForce() uint64 {
+	v := min(r.config.Version, r.tenure.pending.HeadVersion)
+	for _, m := range r.registered() {
+		if !m.lapsed {
+			v = min(v, m.inForce)
+		}
 	}
-	return beryllatch.SortedKeys(names)
+	return v
 }
 
 // confirmOperation answers an accepted call once every node has its version in force, or after the time limit.
@@ -36,14 +34,16 @@
 }
 
 func (r *Reducer) confirmed(op *operation) bool {
-	late := r.waitingFor(op.version, op.accepted.Mono)
-	if len(late) > 0 && r.now.Mono-op.accepted.Mono < confirmTimeout {
+	late := r.waitingNames(r.unacknowledged(op.version), op.version)
+	// The head is read before the node rows, so that the rows hold every node that registered before that version.
+	inForce := len(late) == 0 && r.tenure.pending.HeadVersion >= op.version
+	if !inForce && r.now.Mono-op.accepted.Mono < confirmTimeout {
 		return false
 	}
 	r.count("operator_" + string(OutcomeAccepted))
 	for _, id := range op.callIDs {
 		r.emit(ReplyOperator{
-			CallID: id, Outcome: OutcomeAccepted, Version: op.version, InForce: len(late) == 0, WaitingFor: late,
+			CallID: id, Outcome: OutcomeAccepted, Version: op.version, InForce: inForce, WaitingFor: late,
 		})
 	}
 	return true
--- a/internal/decision/berylreducer/operate_health.go
+++ b/internal/decision/berylreducer/operate_health.go
@@ -51,6 +51,7 @@
 			delete(r.operate.planned, id)
 		}
 	}
+	inForce := r.lowestInForce()
 	for id, i := range r.config.Instances {
 		if i.State == beryllatch.InstanceActive {
 			continue
@@ -59,7 +60,7 @@
 		if !ok || p.state != i.State || p.drainVersion != i.DrainVersion {
 			p = plannedInstance{state: i.State, drainVersion: i.DrainVersion, since: r.now.Mono, asked: r.now.Mono}
 		}
-		if p.settled == 0 && len(r.waitingFor(i.DrainVersion, p.since)) == 0 {
+		if p.settled == 0 && inForce >= i.DrainVersion {
 			p.settled = r.now.Mono + drainSettle
 		}
 		r.operate.planned[id] = p
--- a/internal/decision/berylreducer/reducer.go
+++ b/internal/decision/berylreducer/reducer.go
@@ -7,6 +7,9 @@
 	"github.com/beryllatch/beryllatch"
 )
 
+// lameDuckTime is how long a stopping node still accepts requests, since a balancer sees its readiness late.
+const lameDuckTime = 5 * time.Second
+
 // Reducer holds the state of one node; a single goroutine owns it, and the zero value is ready for Started.
 type Reducer struct {
 	now  Instant
@@ -28,12 +31,11 @@
 	faults  faults
 	units   map[string]*teamUnits
 	workers map[string]*workerState
-	// requests holds every request between its arrival and its end.
-	requests map[string]*request
-	// waiting holds the requests without a worker, by queue, in order of arrival.
-	waiting  map[string][]*request
+	requestState
 	operate  operateState
 	stopping bool
+	// stopAt ends the time in which a stopping node still accepts requests.
+	stopAt time.Duration
 	// idleAt is when a stopping node ended its last request.
 	idleAt time.Duration
 	ready  bool
@@ -89,6 +91,8 @@
 		r.unitsAsked(e)
 	case StopRequested:
 		r.stopRequested()
+	case StatusAsked:
+		r.statusAsked(e)
 	default:
 		r.reduceClaim(e)
 		r.reduceTask(e)
@@ -111,8 +115,7 @@
 	r.tenure.clock = r.now
 	r.units = map[string]*teamUnits{}
 	r.workers = map[string]*workerState{}
-	r.requests = map[string]*request{}
-	r.waiting = map[string][]*request{}
+	r.requestState = newRequestState(e.Slots)
 	r.renew()
 }
 
@@ -128,14 +131,21 @@
 }
 
 func (r *Reducer) stopRequested() {
+	if r.stopping {
+		return
+	}
 	r.stopping = true
+	r.stopAt = r.now.Mono + lameDuckTime
 	r.emit(LogState{Subject: "node", From: string(NodeLive), To: string(NodeLeaving)})
 	r.renew()
 	r.stopWhenIdle()
 }
 
+// refusesNew reports whether a stopping node has given the balancer time enough to take it out.
+func (r *Reducer) refusesNew() bool { return r.stopping && r.now.Mono >= r.stopAt }
+
 func (r *Reducer) stopWhenIdle() {
-	if r.stopping && len(r.requests) == 0 && r.operateIdle() {
+	if r.refusesNew() && len(r.requests) == 0 && len(r.claims) == 0 && r.operateIdle() {
 		r.leave()
 	}
 }
--- /dev/null
+++ b/internal/node/beryldaemon/execute_operate.go
@@ -0,0 +1,26 @@
+package beryldaemon
+
+import (
+	"context"
+
+	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
+)
+
+func (d *Daemon) writeConfig(ctx context.Context, x berylreducer.WriteConfig) {
+	err := d.store().Write(ctx, x.Config, x.Expect)
+	result := writeResult(err)
+	if result == berylreducer.WriteDone {
+		d.snapshot.Store(&x.Config)
+	}
+	d.Post(berylreducer.ConfigWritten{CallID: x.CallID, Result: result})
+}
+
+func (d *Daemon) rebootWorker(ctx context.Context, x berylreducer.RebootWorker) {
+	report, err := d.Tasks.ReportWorker(ctx, x.Address)
+	if err != nil || report.BootID != x.BootID {
+		return
+	}
+	if err := d.Tasks.RebootWorker(ctx, x.Address); err != nil {
+		d.Metrics.Count("reboot_failed", 1)
+	}
+}
