--- a/internal/decision/berylplan/wave_test.go
+++ b/internal/decision/berylplan/wave_test.go
@@ -8,7 +8,7 @@
 	"github.com/beryllatch/beryllatch"
 )
 
-// designFleet has the design size: 630 instances of 23 services in 6 data centres, with budgets of a twelfth.
+// designFleet has the design size: 630 instances of 23 services in 6 data centres, with budgets of 2.
 func designFleet() beryllatch.Config {
 	c := beryllatch.Config{Version: 1}
 	for n := range 23 {
