--- a/internal/decision/berylreducer/admission.go
+++ b/internal/decision/berylreducer/admission.go
@@ -20,6 +20,7 @@
 	RequestArrived
 	team     string
 	pool     *poolState
+	arrived  time.Duration
 	deadline Instant
 	// sequence orders requests by arrival.
 	sequence uint64
@@ -38,7 +39,7 @@
 	// The fields below belong to the local queue.
 	share       *queueTeam
 	cost        time.Duration
-	latestStart time.Duration
+	startBefore time.Duration
 	index       int
 	startIndex  int
 	boundIndex  int
@@ -75,7 +76,7 @@
 	r.sequence++
 	q := &request{
 		RequestArrived: e, team: team, pool: r.poolOf(queue.Pool), sequence: r.sequence,
-		deadline: r.now.Add(deadlineOf(e, queue)), index: notPlaced, startIndex: notPlaced, boundIndex: notPlaced,
+		arrived: r.now.Mono, deadline: r.now.Add(deadlineOf(e, queue)), index: notPlaced, startIndex: notPlaced, boundIndex: notPlaced,
 	}
 	q.share = q.pool.queue.team(team, r.weightOf(team))
 	r.requests[e.ID] = q
@@ -151,7 +152,7 @@
 		return x
 	}
 	wait := q.pool.expectedWait(q, r.now.Mono)
-	if r.now.Mono+wait+r.runTimeOf(q) > q.deadline.Mono {
+	if r.now.Mono+wait > r.latestStart(q) {
 		return &refusal{
 			reason: beryllatch.ReasonDeadline, detail: "the work that waits here leaves no time before the deadline",
 			after: wait,
@@ -174,7 +175,7 @@
 func (r *Reducer) enqueue(q *request) {
 	q.worker = nil
 	q.cost = r.runTimeOf(q)
-	q.latestStart = q.deadline.Mono - q.cost
+	q.startBefore = r.latestStart(q)
 	q.pool.queue.add(q)
 	if u := r.units[q.team]; u != nil {
 		u.waiting++
@@ -219,6 +220,12 @@
 	r.enqueue(q)
 }
 
+// allowed reports whether the present configuration still allows the request.
+func (r *Reducer) allowed(q *request) bool {
+	team, _, x := r.authorise(q.RequestArrived)
+	return x == nil && team == q.team
+}
+
 // withdrawn returns the refusal of work whose permission has ended.
 func withdrawn(x *refusal) refusal {
 	if x != nil {
@@ -237,8 +244,20 @@
 			t.weight = r.weightOf(name)
 		}
 	}
+	r.dropUnused()
+}
+
+// dropUnused forgets what belongs to pools, queues and teams that have left the configuration.
+func (r *Reducer) dropUnused() {
+	for name, p := range r.pools {
+		if _, ok := r.config.Pools[name]; !ok && p.active == 0 {
+			delete(r.pools, name)
+		}
+	}
 	for class := range r.runTimes {
-		if _, ok := r.config.Queues[class.queue]; !ok {
+		_, queue := r.config.Queues[class.queue]
+		_, team := r.config.Teams[class.team]
+		if !queue || !team && class.team != "" {
 			delete(r.runTimes, class)
 		}
 	}
@@ -274,8 +293,8 @@
 
 func (r *Reducer) shedLate(p *poolState) {
 	for {
-		q, ok := p.queue.byLatestStart.top()
-		if !ok || r.now.Mono < q.latestStart {
+		q, ok := p.queue.byStart.top()
+		if !ok || r.now.Mono < q.startBefore {
 			return
 		}
 		if r.late(q) {
@@ -283,13 +302,13 @@
 			continue
 		}
 		// The estimate has fallen since the request was queued.
-		q.latestStart = q.deadline.Mono - r.runTimeOf(q)
-		p.queue.byLatestStart.fix(q)
+		q.startBefore = r.latestStart(q)
+		p.queue.byStart.fix(q)
 	}
 }
 
-// late reports whether the deadline can no longer be met.
-func (r *Reducer) late(q *request) bool { return r.now.Mono+r.runTimeOf(q) >= q.deadline.Mono }
+// late reports whether a start would leave too little time before the deadline.
+func (r *Reducer) late(q *request) bool { return r.now.Mono >= r.latestStart(q) }
 
 func (r *Reducer) refuseLate(q *request) {
 	reason := r.waitReason(q)
--- a/internal/decision/berylreducer/claim.go
+++ b/internal/decision/berylreducer/claim.go
@@ -49,7 +49,9 @@
 	q *request
 	// doubtful is true once a write may have taken effect without an answer.
 	doubtful bool
-	writes   int
+	// takenOver is true once the claim replaces one whose request may have run.
+	takenOver bool
+	writes    int
 	// giveUpAt ends the request's wait for the claim.
 	giveUpAt time.Duration
 	// settlingSince is when the recording of the outcome began.
@@ -144,7 +146,7 @@
 func (r *Reducer) claimGained(c *claim) {
 	q := c.q
 	if q == nil {
-		r.settleClaim(c, ClaimReleased)
+		r.settleClaim(c, c.withoutRun())
 		return
 	}
 	c.step = claimOwned
@@ -210,7 +212,7 @@
 	case q.mayHaveRun:
 		r.settleClaim(c, ClaimUnknown)
 	default:
-		r.settleClaim(c, ClaimReleased)
+		r.settleClaim(c, c.withoutRun())
 	}
 }
 
@@ -242,7 +244,7 @@
 	row := &e.Row
 	switch {
 	case c.q == nil:
-		r.startSettling(c, ClaimReleased)
+		r.startSettling(c, c.withoutRun())
 		r.checkSettled(c, e)
 	case e.Version == 0:
 		r.writeClaim(c, 0)
@@ -270,6 +272,7 @@
 // idempotent.
 func (r *Reducer) repeatUnknown(c *claim, e ClaimRead) {
 	if e.Row.Idempotent && c.row.Idempotent {
+		c.takenOver = true
 		r.writeClaim(c, e.Version)
 		return
 	}
--- a/internal/decision/berylreducer/claim_settle.go
+++ b/internal/decision/berylreducer/claim_settle.go
@@ -25,6 +25,14 @@
 	r.writeSettled(c)
 }
 
+// withoutRun is the final state of a claim whose request did not run.
+func (c *claim) withoutRun() ClaimState {
+	if c.takenOver {
+		return ClaimUnknown
+	}
+	return ClaimReleased
+}
+
 func (r *Reducer) startSettling(c *claim, to ClaimState) {
 	c.row.State = to
 	c.settlingSince = r.now.Mono
@@ -33,7 +41,7 @@
 
 // abandonClaim releases a claim that may have been written. The row is read first, as it may be another's.
 func (r *Reducer) abandonClaim(c *claim) {
-	r.startSettling(c, ClaimReleased)
+	r.startSettling(c, c.withoutRun())
 	r.retryClaim(c)
 }
 
--- a/internal/decision/berylreducer/dispatch.go
+++ b/internal/decision/berylreducer/dispatch.go
@@ -124,20 +124,20 @@
 	}
 	q.mayHaveRun = q.mayHaveRun || started
 	if e.Outcome == beryllatch.OutcomeUnknown {
-		r.linger(q, w)
+		r.linger(q)
 	} else {
-		r.giveBack(q.team, q.pool, q.share, w)
+		r.giveBack(q.team, q.pool, q.share)
 	}
+	r.vacate(w)
 	r.scoreWorker(w, q, e)
 	r.scoreJob(q, w, e)
 	q.tried = append(q.tried, w.inst.ID)
 }
 
-// giveBack returns the unit and the place on the worker of an execution that surely runs no more.
-func (r *Reducer) giveBack(team string, p *poolState, t *queueTeam, w *workerState) {
+// giveBack returns the unit of an execution that surely runs no more.
+func (r *Reducer) giveBack(team string, p *poolState, t *queueTeam) {
 	p.queue.setRunning(t, t.running-1)
 	r.returnUnit(team)
-	r.vacate(w)
 }
 
 // settle answers the request or queues it for another attempt.
--- a/internal/decision/berylreducer/linger.go
+++ b/internal/decision/berylreducer/linger.go
@@ -5,13 +5,14 @@
 // skewAllowance is the largest difference between the clocks of a node and a worker that leases allow for.
 const skewAllowance = 500 * time.Millisecond
 
-// lingering is an execution that may still run at its worker although its answer is lost. It keeps its unit and its
-// place on the worker until its lease has surely expired, since otherwise the team could exceed its ceiling.
+// lingering is an execution that may still run at its worker although its answer is lost. It keeps its unit until its
+// lease has surely expired, since otherwise the team could exceed its ceiling. It keeps no place on the worker, which
+// refuses what exceeds its slots: places kept until the lease ends halved the capacity of an overloaded pool, which then
+// stayed overloaded.
 type lingering struct {
 	team     string
 	pool     *poolState
 	share    *queueTeam
-	worker   *workerState
 	until    time.Duration
 	sequence uint64
 	index    int
@@ -27,10 +28,10 @@
 	return newPriorityQueue(before, func(l *lingering) *int { return &l.index })
 }
 
-func (r *Reducer) linger(q *request, w *workerState) {
+func (r *Reducer) linger(q *request) {
 	r.sequence++
 	r.lingering.add(&lingering{
-		team: q.team, pool: q.pool, share: q.share, worker: w,
+		team: q.team, pool: q.pool, share: q.share,
 		until: q.deadline.Mono + skewAllowance, sequence: r.sequence,
 	})
 }
@@ -43,6 +44,6 @@
 			return
 		}
 		r.lingering.remove(l)
-		r.giveBack(l.team, l.pool, l.share, l.worker)
+		r.giveBack(l.team, l.pool, l.share)
 	}
 }
--- a/internal/decision/berylreducer/local_queue.go
+++ b/internal/decision/berylreducer/local_queue.go
@@ -18,10 +18,10 @@
 	teams map[string]*queueTeam
 	// ready holds the teams with waiting requests that are not blocked by their ceiling.
 	ready [urgencies]*priorityQueue[*queueTeam]
-	// byLatestStart holds all waiting requests.
-	byLatestStart *priorityQueue[*request]
-	bounds        map[string]*queueBound
-	forecast      [urgencies]workForecast
+	// byStart holds all waiting requests, the one that must start first on top.
+	byStart  *priorityQueue[*request]
+	bounds   map[string]*queueBound
+	forecast [urgencies]workForecast
 	// waitingWeight is the sum of the weights of the teams with waiting requests.
 	waitingWeight int
 }
@@ -42,9 +42,9 @@
 
 func newLocalQueue() localQueue {
 	q := localQueue{
-		teams:         map[string]*queueTeam{},
-		byLatestStart: newPriorityQueue(startsEarlier, func(q *request) *int { return &q.startIndex }),
-		bounds:        map[string]*queueBound{},
+		teams:   map[string]*queueTeam{},
+		byStart: newPriorityQueue(startsEarlier, func(q *request) *int { return &q.startIndex }),
+		bounds:  map[string]*queueBound{},
 	}
 	for u := range urgencies {
 		q.ready[u] = newPriorityQueue(runsLess, func(t *queueTeam) *int { return &t.index[u] })
@@ -62,8 +62,8 @@
 }
 
 func startsEarlier(a, b *request) bool {
-	if a.latestStart != b.latestStart {
-		return a.latestStart < b.latestStart
+	if a.startBefore != b.startBefore {
+		return a.startBefore < b.startBefore
 	}
 	return a.sequence < b.sequence
 }
@@ -75,7 +75,7 @@
 	return a.sequence < b.sequence
 }
 
-func (l *localQueue) len() int { return l.byLatestStart.len() }
+func (l *localQueue) len() int { return l.byStart.len() }
 
 // team returns the named team's part, which is created on first use.
 func (l *localQueue) team(name string, weight int) *queueTeam {
@@ -101,7 +101,7 @@
 	}
 	q.share.waiting[u].add(q)
 	q.share.work += q.cost
-	l.byLatestStart.add(q)
+	l.byStart.add(q)
 	l.bound(q.Queue).add(q)
 	l.forecast[u].add(q)
 	l.offer(q.share)
@@ -112,7 +112,7 @@
 	u := q.urgency()
 	q.share.waiting[u].remove(q)
 	q.share.work -= q.cost
-	l.byLatestStart.remove(q)
+	l.byStart.remove(q)
 	l.bound(q.Queue).remove(q)
 	l.forecast[u].remove(q)
 	if !q.share.waits() {
--- /dev/null
+++ b/internal/decision/berylreducer/platform_fake_test.go
@@ -0,0 +1,142 @@
+package berylreducer
+
+import (
+	"maps"
+	"strings"
+
+	"github.com/beryllatch/beryllatch"
+)
+
+// callResult is what a call to the fake platform does.
+type callResult int
+
+const (
+	callAnswered callResult = iota
+	// callLost takes effect, but its answer is lost.
+	callLost
+	// callDropped has no effect, and its answer is lost.
+	callDropped
+	// callDelayed takes effect later, after its answer is lost.
+	callDelayed
+	// callFailed surely has no effect.
+	callFailed
+)
+
+// fakePlatform holds claim rows and unit rows, and answers the effects on them.
+type fakePlatform struct {
+	claims map[beryllatch.RowKey]ClaimRead
+	units  map[string]UnitsRead
+	now    Instant
+	// delayed holds the writes that are still to take effect.
+	delayed []delayedWrite
+	// next holds the results of the next calls on claims; later calls are answered.
+	next []callResult
+}
+
+func newFakePlatform() *fakePlatform {
+	return &fakePlatform{claims: map[beryllatch.RowKey]ClaimRead{}, units: map[string]UnitsRead{}}
+}
+
+type delayedWrite struct {
+	write WriteClaim
+	at    Instant
+}
+
+// land applies the oldest delayed write, if its condition holds.
+func (p *fakePlatform) land() {
+	w := p.delayed[0].write
+	p.delayed = p.delayed[1:]
+	if p.claims[w.Key].Version == w.Expect {
+		p.claims[w.Key] = ClaimRead{Row: w.Row, Version: w.Expect + 1, Expires: w.Expires}
+	}
+}
+
+// answer returns the event that ends the effect, or nil if the effect is no call to the platform.
+func (p *fakePlatform) answer(e Effect) Event {
+	switch e := e.(type) {
+	case RenewTenure:
+		return Renewed{SentAt: p.now, HeadVersion: e.Row.ConfigVersion}
+	case ReadUnits:
+		read := p.units[e.Team]
+		read.Team = e.Team
+		read.Row.Holdings = maps.Clone(read.Row.Holdings)
+		return read
+	case WriteUnits:
+		if p.units[e.Row.Team].Version != e.Expect {
+			return UnitsWritten{Team: e.Row.Team, Result: WriteConflict}
+		}
+		p.units[e.Row.Team] = UnitsRead{Row: e.Row, Version: e.Expect + 1}
+		return UnitsWritten{Team: e.Row.Team, Row: e.Row, Version: e.Expect + 1, Result: WriteDone}
+	case ReadClaim:
+		if c := p.result(); c != callAnswered {
+			return ClaimRead{ID: e.ID, Failed: true}
+		}
+		read := p.claims[e.Key]
+		read.ID = e.ID
+		return read
+	case WriteClaim:
+		return p.write(e)
+	case FinishClaim:
+		if e.Row.State == ClaimDone {
+			e.Row.Status, e.Row.Answer = 200, []byte("ok")
+		}
+		return p.write(WriteClaim(e))
+	case ReleaseClaim:
+		return p.write(WriteClaim(e))
+	}
+	return nil
+}
+
+func (p *fakePlatform) result() callResult {
+	if len(p.next) == 0 {
+		return callAnswered
+	}
+	c := p.next[0]
+	p.next = p.next[1:]
+	return c
+}
+
+func (p *fakePlatform) write(e WriteClaim) Event {
+	c := p.result()
+	switch {
+	case c == callFailed:
+		return ClaimWritten{ID: e.ID, Result: WriteFailed}
+	case c == callDelayed:
+		p.delayed = append(p.delayed, delayedWrite{e, p.now})
+		return ClaimWritten{ID: e.ID, Result: WriteUnknown}
+	case c == callDropped:
+		return ClaimWritten{ID: e.ID, Result: WriteUnknown}
+	case p.claims[e.Key].Version != e.Expect:
+		return ClaimWritten{ID: e.ID, Result: WriteConflict}
+	}
+	p.claims[e.Key] = ClaimRead{Row: e.Row, Version: e.Expect + 1, Expires: e.Expires}
+	if c == callLost {
+		return ClaimWritten{ID: e.ID, Result: WriteUnknown}
+	}
+	return ClaimWritten{ID: e.ID, Result: WriteDone}
+}
+
+// run sends the event and answers the platform calls that follow from it.
+func (s *session) run(p *fakePlatform, e Event) {
+	p.now = s.now
+	s.send(e)
+	for pending := s.last; len(pending) > 0; pending = pending[1:] {
+		if a := p.answer(pending[0]); a != nil {
+			s.send(a)
+			pending = append(pending[:len(pending):len(pending)], s.last...)
+		}
+	}
+}
+
+// runTicks sends Ticked every 100 ms n times, and answers the platform calls. It records only what concerns requests.
+func (s *session) runTicks(p *fakePlatform, n int) {
+	for range n {
+		s.wait(tickInterval)
+		log := s.log.String()
+		s.run(p, Ticked{})
+		if !strings.Contains(s.log.String()[len(log):], "ID:q") {
+			s.log.Reset()
+			s.log.WriteString(log)
+		}
+	}
+}
--- /dev/null
+++ b/internal/decision/berylreducer/request_session_test.go
@@ -0,0 +1,285 @@
+package berylreducer
+
+import (
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/beryllatch/beryllatch"
+)
+
+// workerOf returns the instance of the request's Dispatch among the last effects of the session.
+func (s *session) workerOf(id string) string {
+	if q := s.r.requests[id]; q != nil && q.worker != nil {
+		return q.worker.inst.ID
+	}
+	return ""
+}
+
+// Guards against a retry on the same worker, and against a retry of work that another worker may have started.
+func TestRetryAfterRefusal(t *testing.T) {
+	s, p := newSession(), newFakePlatform()
+	s.start(sampleConfig())
+	s.run(p, arrival("q1"))
+	first := s.workerOf("q1")
+	s.run(p, refusedBy("q1", 1))
+	if s.workerOf("q1") == first {
+		t.Errorf("the retry went to %s again", first)
+	}
+	s.run(p, answered("q1", 2))
+	s.golden(t, "retry_refused")
+}
+
+// Guards against a second dispatch, a wrong not_run and a unit that returns while the execution may still run.
+func TestUnknownOutcome(t *testing.T) {
+	s, p := newSession(), newFakePlatform()
+	s.start(sampleConfig())
+	s.run(p, arrival("q1"))
+	s.run(p, lost("q1", 1))
+	s.runTicks(p, 54)
+	if n := s.r.units["red"].running; n != 1 {
+		t.Errorf("%d units in use before the lease has expired, want 1", n)
+	}
+	s.runTicks(p, 1)
+	if n := s.r.units["red"].running; n != 0 {
+		t.Errorf("%d units in use after the lease has expired, want 0", n)
+	}
+	s.golden(t, "unknown_outcome")
+}
+
+// Guards against a worker that fails everything and keeps its share of the work, and against one that never returns.
+func TestBreakerSession(t *testing.T) {
+	s, p := newSession(), newFakePlatform()
+	s.start(sampleConfig())
+	w := s.r.workers["w2"]
+	for n := 0; w.breaker.state == breakerClosed && n < 100; n++ {
+		e := arrival("q" + strconv.Itoa(n))
+		e.KeyHash = strings.Repeat(strconv.Itoa(1+n%2), 64)
+		s.run(p, e)
+		end := answered(e.ID, 1)
+		end.Failed = s.workerOf(e.ID) == "w2"
+		s.run(p, end)
+	}
+	s.runTicks(p, 101)
+	if w.breaker.state != breakerHalfOpen {
+		t.Fatalf("breaker is %s after its open time", w.breaker.state)
+	}
+	for n := 100; w.breaker.state == breakerHalfOpen && n < 200; n++ {
+		id := "q" + strconv.Itoa(n)
+		s.run(p, arrival(id))
+		s.run(p, answered(id, 1))
+	}
+	s.golden(t, "breaker")
+}
+
+// Guards against breakers that take more than a third of a pool out at once.
+func TestBreakerFloor(t *testing.T) {
+	s, p := newSession(), newFakePlatform()
+	s.start(sampleConfig())
+	for n := range 200 {
+		e := arrival("q" + strconv.Itoa(n))
+		e.KeyHash = strings.Repeat(strconv.Itoa(1+n%2), 64)
+		s.run(p, e)
+		end := answered(e.ID, 1)
+		end.Failed = true
+		s.run(p, end)
+	}
+	if open := s.r.pools["quotes"].open; open != 1 {
+		t.Errorf("%d breakers of 4 workers are open, want 1", open)
+	}
+}
+
+// fill starts requests until every slot of the pool is in use, and queues more.
+func (s *session) fill(p *fakePlatform, n int) {
+	for i := range n {
+		s.run(p, arrival("q"+strconv.Itoa(i)))
+	}
+}
+
+// Guards against a start in a data centre that was taken out while the request waited.
+func TestDataCentreOut(t *testing.T) {
+	s, p := newSession(), newFakePlatform()
+	c := sampleConfig().WithTeam(beryllatch.Team{Name: "red", Weight: 3, Ceiling: 100})
+	s.start(c)
+	s.fill(p, 10)
+	c = c.WithDataCentre(beryllatch.DataCentre{Name: "dc1", Out: true}).WithVersion(2)
+	s.run(p, ConfigRead{Config: c})
+	for i := range 8 {
+		s.run(p, answered("q"+strconv.Itoa(i), 1))
+	}
+	for _, id := range []string{"q8", "q9"} {
+		if w := s.workerOf(id); w != "w1" && w != "w3" {
+			t.Errorf("%s went to %q", id, w)
+		}
+	}
+	s.golden(t, "data_centre_out")
+}
+
+// Guards against the start of waiting work after its key was withdrawn.
+func TestKeyWithdrawn(t *testing.T) {
+	s, p := newSession(), newFakePlatform()
+	c := sampleConfig().WithTeam(beryllatch.Team{Name: "red", Weight: 3, Ceiling: 100})
+	s.start(c)
+	s.fill(p, 10)
+	k := c.APIKeys["k1"]
+	k.Withdrawn = true
+	s.run(p, ConfigRead{Config: c.WithAPIKey(k).WithVersion(2)})
+	s.run(p, refusedBy("q0", 1))
+	s.run(p, answered("q1", 1))
+	s.golden(t, "key_withdrawn")
+}
+
+// Guards against units or worker slots that stay in use after a wave of cancellations, and against their early return
+// while the executions still run.
+func TestCancellationWave(t *testing.T) {
+	for _, c := range []struct {
+		requests int
+		golden   bool
+	}{{12, true}, {250, false}} {
+		t.Run(strconv.Itoa(c.requests), func(t *testing.T) {
+			s, p := newSession(), newFakePlatform()
+			s.start(sampleConfig().WithTeam(beryllatch.Team{Name: "red", Weight: 3, Ceiling: 100}))
+			s.fill(p, c.requests)
+			for i := range c.requests {
+				s.run(p, RequestAbandoned{ID: "q" + strconv.Itoa(i)})
+			}
+			if n := s.r.units["red"].running; n != 8 {
+				t.Errorf("%d units in use while 8 abandoned requests run", n)
+			}
+			for i := range 8 {
+				s.run(p, lost("q"+strconv.Itoa(i), 1))
+			}
+			s.runTicks(p, 60)
+			if u := s.r.units["red"]; u.running != 0 || u.waiting != 0 {
+				t.Errorf("%d running and %d waiting after the wave", u.running, u.waiting)
+			}
+			for _, w := range s.r.workers {
+				if w.running != 0 || w.breaker.failures != 0 {
+					t.Errorf("worker %s has %d running and %d failures", w.inst.ID, w.running, w.breaker.failures)
+				}
+			}
+			if c.golden {
+				s.golden(t, "cancellations")
+			}
+		})
+	}
+}
+
+// Guards against a poison job that goes from worker to worker, and against its failures being held against them.
+func TestJobParked(t *testing.T) {
+	s, p := newSession(), newFakePlatform()
+	s.start(sampleConfig())
+	e := idempotent(arrival("q1"))
+	e.BodyHash = "poison"
+	s.run(p, e)
+	for n := 1; n <= 3; n++ {
+		s.run(p, lost("q1", n))
+	}
+	e.ID = "q2"
+	s.run(p, e)
+	s.wait(jobPark)
+	s.runTicks(p, 1)
+	e.ID = "q3"
+	s.run(p, e)
+	s.golden(t, "job_parked")
+	for _, w := range s.r.workers {
+		if w.breaker.state != breakerClosed {
+			t.Errorf("the breaker of %s is %s", w.inst.ID, w.breaker.state)
+		}
+	}
+}
+
+// Guards against a lost order of the local queue: urgent first, then least running per weight, then earliest deadline.
+func TestQueueOrder(t *testing.T) {
+	s, p := newSession(), newFakePlatform()
+	s.start(sampleConfig().
+		WithTeam(beryllatch.Team{Name: "red", Weight: 3, Ceiling: 100}).
+		WithTeam(beryllatch.Team{Name: "blue", Weight: 1, Ceiling: 100}))
+	s.fill(p, 8)
+	for _, c := range []struct {
+		id       string
+		team     string
+		deadline time.Duration
+		urgent   bool
+	}{
+		{"q-late", "2", 9 * time.Second, false},
+		{"q-soon", "2", 4 * time.Second, false},
+		{"q-red", "1", time.Second, false},
+		{"q-urgent", "1", 9 * time.Second, true},
+	} {
+		e := arrival(c.id)
+		e.KeyHash, e.Deadline, e.Urgent = strings.Repeat(c.team, 64), c.deadline, c.urgent
+		s.run(p, e)
+	}
+	s.runTicks(p, 1)
+	want := []string{"q-urgent", "q-soon", "q-late", "q-red"}
+	for i, id := range want {
+		s.run(p, answered("q"+strconv.Itoa(i), 1))
+		if s.workerOf(id) == "" {
+			t.Errorf("after %d answers %s still waits", i+1, id)
+		}
+	}
+}
+
+// Guards against a full queue that one team holds against the others, or that holds up urgent work.
+func TestQueueFull(t *testing.T) {
+	s, p := newSession(), newFakePlatform()
+	c := sampleConfig().WithTeam(beryllatch.Team{Name: "red", Weight: 3, Ceiling: 100})
+	s.start(c.WithQueue(beryllatch.Queue{Name: "price", Pool: "quotes", MaxQueued: 4}))
+	s.fill(p, 13)
+	blue := arrival("q-blue")
+	blue.KeyHash = strings.Repeat("2", 64)
+	s.run(p, blue)
+	hurry := arrival("q-urgent")
+	hurry.Urgent = true
+	s.run(p, hurry)
+	s.golden(t, "queue_full")
+	if n := s.r.pools["quotes"].queue.len(); n != 4 {
+		t.Errorf("%d requests wait, want 4", n)
+	}
+}
+
+// Guards against two choices that ignore the load or the distance of a worker.
+func TestChooseWorker(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		load  map[string]int
+		tried []string
+		want  []string
+	}{
+		{"near first", nil, nil, []string{"w2", "w4"}},
+		{"near ones loaded", map[string]int{"w2": 5, "w4": 5}, nil, []string{"w1", "w3"}},
+		{"tried ones last", nil, []string{"w1", "w2", "w4"}, []string{"w3"}},
+		{"all tried", nil, []string{"w1", "w2", "w3", "w4"}, []string{"w2", "w4"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSession()
+			s.start(sampleConfig())
+			for id, n := range c.load {
+				s.send(WorkerReported{Instance: id, Healthy: true, Running: n})
+			}
+			for range 20 {
+				w, ok := s.r.chooseWorker("quotes", c.tried)
+				if !ok || !strings.Contains(strings.Join(c.want, " "), w.ID) {
+					t.Fatalf("chose %q, want one of %v", w.ID, c.want)
+				}
+			}
+		})
+	}
+}
+
+// Guards against work for a worker that leaves, whichever source says so.
+func TestLeavingWorker(t *testing.T) {
+	s := newSession()
+	s.start(sampleConfig())
+	s.send(WorkerReported{Instance: "w2", Healthy: true, Leaving: true})
+	s.send(InstancesListed{Instances: map[string]beryllatch.InstanceStatus{
+		"127.0.0.1:9004": {Address: "127.0.0.1:9004", Leaving: true},
+	}})
+	for range 20 {
+		if w, _ := s.r.chooseWorker("quotes", nil); w.ID == "w2" || w.ID == "w4" {
+			t.Fatalf("chose the leaving worker %s", w.ID)
+		}
+	}
+}
--- a/internal/decision/berylreducer/retry.go
+++ b/internal/decision/berylreducer/retry.go
@@ -24,7 +24,8 @@
 	if !e.Replayable || q.abandoned || q.attempt >= maxAttempts || r.late(q) || q.jobFailures >= jobWorkers {
 		return false
 	}
-	return q.Idempotent || e.Outcome == beryllatch.OutcomeNotSent || e.Outcome == beryllatch.OutcomeRefused
+	safe := q.Idempotent || e.Outcome == beryllatch.OutcomeNotSent || e.Outcome == beryllatch.OutcomeRefused
+	return safe && r.allowed(q)
 }
 
 // retryReason names the cause of a retry in the counters.
--- a/internal/decision/berylreducer/routing.go
+++ b/internal/decision/berylreducer/routing.go
@@ -26,7 +26,7 @@
 	tier tier
 	// place is the position in the index of eligible workers.
 	place int
-	// running counts this node's executions on the worker, with those that may still run after a lost answer.
+	// running counts this node's executions on the worker that have not ended.
 	running   int
 	leaving   bool
 	listed    bool
@@ -68,19 +68,27 @@
 
 func (r *Reducer) dropWorkers() {
 	for id, w := range r.workers {
-		if _, ok := r.config.Instances[id]; !ok && w.running == 0 {
+		if _, ok := r.config.Instances[id]; ok {
+			continue
+		}
+		w.retire(r.poolOf(""))
+		if w.running == 0 {
 			delete(r.workers, id)
 		}
 	}
 }
 
+// retire takes a worker that has left the configuration out of every pool; its running executions still count.
+func (w *workerState) retire(p *poolState) {
+	w.inst = beryllatch.Instance{ID: w.inst.ID}
+	w.pool = p
+	w.breaker = breaker{}
+}
+
 func (r *Reducer) adoptWorker(w *workerState, id string) {
 	w.place = notPlaced
 	i, ok := r.config.Instances[id]
 	if !ok {
-		// The worker has left the configuration; its running executions still count.
-		w.inst = beryllatch.Instance{ID: id}
-		w.pool = r.poolOf("")
 		return
 	}
 	if w.inst.Address != i.Address {
--- a/internal/decision/berylreducer/run_time.go
+++ b/internal/decision/berylreducer/run_time.go
@@ -7,14 +7,20 @@
 )
 
 const (
-	runTimeQuantile = 50
-	// runTimeWindow is the number of samples after which the older half of the history is dropped.
+	// medianPercentile gives the work that waits, slowPercentile the time that a start must leave before its deadline.
+	// With the median for both, about half of the requests that start last miss their deadlines and waste their runs.
+	medianPercentile = 50
+	slowPercentile   = 90
+	// slowShare caps the time left for a slow run: a class with a few slow jobs must not shut out the others.
+	slowShare = 2
+	// runTimeWindow is the number of samples after which the older half of the history is dropped; runTimeFresh drops
+	// it too.
 	runTimeWindow = 128
 	// runTimeRefresh is the number of samples between two computations of the quantile.
 	runTimeRefresh = 16
 	// runTimeFresh ends the use of an estimate without new samples. Without it, one slow spell would shed every
 	// request of the class, and no sample could ever correct the estimate.
-	runTimeFresh = 10 * time.Second
+	runTimeFresh = 5 * time.Second
 	// runTimeDigits keeps a histogram under 2 KB, at an error of 10%.
 	runTimeDigits = 1
 	runTimeMaxMS  = int64(maxDeadline / time.Millisecond)
@@ -26,13 +32,16 @@
 	queue string
 }
 
-// runTime learns the median run time of one class from its most recent samples.
+// runTime learns the run time of one class from its most recent samples.
 type runTime struct {
-	recent   *hdrhistogram.Histogram
-	older    *hdrhistogram.Histogram
-	estimate time.Duration
-	samples  int
-	last     time.Duration
+	recent  *hdrhistogram.Histogram
+	older   *hdrhistogram.Histogram
+	median  time.Duration
+	slow    time.Duration
+	samples int
+	last    time.Duration
+	// rotated is when the older half was last dropped.
+	rotated time.Duration
 }
 
 func newRunTime() *runTime {
@@ -44,6 +53,12 @@
 
 // record adds a sample; a sample outside the range counts as the nearest value in it.
 func (t *runTime) record(now, d time.Duration) {
+	if now-t.last > runTimeFresh {
+		t.reset()
+	}
+	if t.recent.TotalCount() >= runTimeWindow || now-t.rotated >= runTimeFresh {
+		t.rotate(now)
+	}
 	ms := min(max(d.Milliseconds(), 1), runTimeMaxMS)
 	if err := t.recent.RecordValue(ms); err != nil {
 		return
@@ -53,10 +68,20 @@
 	if t.samples <= runTimeRefresh || t.samples%runTimeRefresh == 0 {
 		t.compute()
 	}
-	if t.recent.TotalCount() >= runTimeWindow {
-		t.recent, t.older = t.older, t.recent
-		t.recent.Reset()
-	}
+}
+
+// rotate drops the older half of the history.
+func (t *runTime) rotate(now time.Duration) {
+	t.recent, t.older = t.older, t.recent
+	t.recent.Reset()
+	t.rotated = now
+}
+
+// reset forgets all samples.
+func (t *runTime) reset() {
+	t.recent.Reset()
+	t.older.Reset()
+	t.samples = 0
 }
 
 func (t *runTime) compute() {
@@ -65,20 +90,28 @@
 		h = t.older.Clone()
 		h.Merge(t.recent)
 	}
-	t.estimate = time.Duration(h.ValueAtPercentile(runTimeQuantile)) * time.Millisecond
+	t.median = time.Duration(h.ValueAtPercentile(medianPercentile)) * time.Millisecond
+	t.slow = time.Duration(h.ValueAtPercentile(slowPercentile)) * time.Millisecond
 }
 
-// current returns the estimate, or 0 when it is out of date.
-func (t *runTime) current(now time.Duration) time.Duration {
+// current returns the estimates, or 0 when they are out of date.
+func (t *runTime) current(now time.Duration) (median, slow time.Duration) {
 	if t == nil || now-t.last > runTimeFresh {
-		return 0
+		return 0, 0
 	}
-	return t.estimate
+	return t.median, t.slow
 }
 
-// runTimeOf returns the learned run time of the request's class; 0 means unknown.
+// runTimeOf returns the learned median run time of the request's class; 0 means unknown.
 func (r *Reducer) runTimeOf(q *request) time.Duration {
-	return r.runTimes[runTimeClass{q.team, q.Queue}].current(r.now.Mono)
+	median, _ := r.runTimes[runTimeClass{q.team, q.Queue}].current(r.now.Mono)
+	return median
+}
+
+// latestStart returns the last moment at which a start leaves the request time enough before its deadline.
+func (r *Reducer) latestStart(q *request) time.Duration {
+	median, slow := r.runTimes[runTimeClass{q.team, q.Queue}].current(r.now.Mono)
+	return q.deadline.Mono - max(median, min(slow, (q.deadline.Mono-q.arrived)/slowShare))
 }
 
 // learnRunTime records an answered execution. One without an answer only raises the estimate: its duration is a lower
