--- a/internal/decision/berylreducer/admission_limit_test.go
+++ b/internal/decision/berylreducer/admission_limit_test.go
@@ -31,7 +31,7 @@
 			}
 			nodes[0].Incarnation = "n1-1"
 			s.send(Renewed{SentAt: s.now, HeadVersion: 1, Nodes: nodes})
-			s.send(Ticked{})
+			s.run(p, Ticked{})
 			s.fill(p, 20)
 			if s.r.active != c.want {
 				t.Errorf("%d executions run, want %d", s.r.active, c.want)
--- a/internal/decision/berylreducer/dispatch.go
+++ b/internal/decision/berylreducer/dispatch.go
@@ -16,7 +16,7 @@
 // dispatchWaiting starts every waiting request that has a unit and a worker.
 func (r *Reducer) dispatchWaiting() {
 	for _, team := range beryllatch.SortedKeys(r.blocked) {
-		if u := r.units[team]; u == nil || u.running < u.held {
+		if u := r.units[team]; u == nil || u.running < r.limit(u) {
 			r.unblock(team)
 		}
 	}
--- a/internal/decision/berylreducer/units.go
+++ b/internal/decision/berylreducer/units.go
@@ -306,6 +306,10 @@
 	before := u.row.Holdings
 	u.row, u.version, u.rowGeneration = e.Row, e.Version, r.tenure.generation
 	u.held = e.Row.Holdings[r.self.Incarnation]
+	if holdings(e.Row) < e.Row.Ceiling {
+		// Without contention a burst need not wait for the next interval.
+		u.nextAt = r.now.Mono
+	}
 	if moved := e.Row.Holdings[u.giveTo] - before[u.giveTo]; u.giving > 0 && moved > 0 {
 		u.giving = max(0, u.giving-moved)
 		u.moveAt = r.now.Mono + rebalanceInterval
