--- a/internal/decision/berylreducer/reducer.go
+++ b/internal/decision/berylreducer/reducer.go
@@ -2,10 +2,14 @@
 
 import (
 	"math/rand/v2"
+	"time"
 
 	"github.com/beryllatch/beryllatch"
 )
 
+// lameDuckTime is how long a stopping node still accepts requests, since a balancer sees its readiness late.
+const lameDuckTime = 5 * time.Second
+
 // Reducer holds the state of one node; a single goroutine owns it, and the zero value is ready for Started.
 type Reducer struct {
 	now  Instant
@@ -17,20 +21,31 @@
 	config  beryllatch.Config
 	keys    map[string]beryllatch.APIKey
 	tenure  tenureState
+	members map[string]*member
+	// selfListed is true once the platform's instance list has named this node.
+	selfListed bool
+	// beat is the place of the next peer to send a heartbeat to.
+	beat    int
+	watches []configWatch
+	// faults switches off single safety mechanisms; only tests set it.
+	faults  faults
 	units   map[string]*teamUnits
 	workers map[string]*workerState
-	// requests holds every request between its arrival and its end.
-	requests map[string]*request
-	// waiting holds the requests without a worker, by queue, in order of arrival.
-	waiting  map[string][]*request
+	requestState
 	tasks    taskState
+	operate  operateState
 	stopping bool
-	ready    bool
+	// stopAt ends the time in which a stopping node still accepts requests.
+	stopAt time.Duration
+	// idleAt is when a stopping node ended its last request.
+	idleAt time.Duration
+	ready  bool
 }
 
 // Reduce applies one event and returns the effects that the node must carry out, in order.
 func (r *Reducer) Reduce(now Instant, e Event) []Effect {
 	r.now, r.out = now, nil
+	r.observeClock()
 	switch e := e.(type) {
 	case Started:
 		r.start(e)
@@ -38,21 +53,19 @@
 		r.tick()
 	case Renewed:
 		r.renewed(e)
-		r.tasksRenewed(e)
 	case RenewalFailed:
 		r.renewalFailed(e)
-		r.tasks.outage = true
 	case ConfigRead:
 		r.configRead(e)
 	case PeerHeard:
 		r.peerHeard(e)
 	case GrantAsked:
-		r.emit(ReplyGrant{CallID: e.CallID})
+		r.grantAsked(e)
 	case InstancesListed:
+		r.observeList(e)
 		r.instancesListed(e)
 	case WorkerReported:
 		r.workerReported(e)
-		r.taskWorkerReported(e)
 	case RequestArrived:
 		r.requestArrived(e)
 	case RequestAbandoned:
@@ -61,17 +74,32 @@
 		r.executionEnded(e)
 	case UnitsRead:
 		r.unitsRead(e)
+	case UnitsReadFailed:
+		r.unitsReadFailed(e)
+	case UnitsMoved:
+		r.unitsMoved(e)
+	case Reincarnated:
+		r.reincarnated(e)
+	case NodeDeleted:
+		r.nodeDeleted(e)
+	case ConfigNotified:
+		r.configNotified(e)
+	case ConfigCommitted:
+		r.watchConfig(e.Version)
 	case UnitsWritten:
 		r.unitsWritten(e)
 	case UnitsAsked:
 		r.unitsAsked(e)
 	case StopRequested:
 		r.stopRequested()
+	case StatusAsked:
+		r.statusAsked(e)
 	default:
 		r.reduceClaim(e)
 		r.reduceTask(e)
 		r.reduceOperate(e)
 	}
+	r.operateAfter(e)
 	r.updateReady()
 	return r.out
 }
@@ -84,17 +112,20 @@
 	r.self = e.Self
 	r.rand = rand.New(rand.NewPCG(e.Seed, e.Seed))
 	r.keys = map[string]beryllatch.APIKey{}
+	r.members = map[string]*member{}
+	r.tenure.clock = r.now
 	r.units = map[string]*teamUnits{}
 	r.workers = map[string]*workerState{}
-	r.requests = map[string]*request{}
-	r.waiting = map[string][]*request{}
+	r.requestState = newRequestState(e.Slots)
 	r.startTasks()
 	r.renew()
 }
 
 func (r *Reducer) tick() {
 	r.tickTenure()
+	r.tickMembership()
 	r.tickUnits()
+	r.checkInForce()
 	r.tickRequests()
 	r.tickTasks()
 	r.tickOperate()
@@ -102,15 +133,23 @@
 }
 
 func (r *Reducer) stopRequested() {
+	if r.stopping {
+		return
+	}
 	r.stopping = true
+	r.stopAt = r.now.Mono + lameDuckTime
 	r.emit(LogState{Subject: "node", From: string(NodeLive), To: string(NodeLeaving)})
 	r.renew()
 	r.stopWhenIdle()
 }
 
+// refusesNew reports whether a stopping node has given the balancer time enough to take it out.
+func (r *Reducer) refusesNew() bool { return r.stopping && r.now.Mono >= r.stopAt }
+
 func (r *Reducer) stopWhenIdle() {
-	if r.stopping && len(r.requests) == 0 && r.tasksReleased() {
-		r.emit(Stop{})
+	idle := len(r.requests) == 0 && len(r.claims) == 0 && r.operateIdle() && r.tasksReleased()
+	if r.refusesNew() && idle {
+		r.leave()
 	}
 }
 
--- a/internal/decision/berylreducer/shard.go
+++ b/internal/decision/berylreducer/shard.go
@@ -50,17 +50,12 @@
 	return int(h.Sum64() % shardCount)
 }
 
-func registeredNodes(rows []NodeRow) map[string]bool {
-	out := make(map[string]bool, len(rows))
-	for _, n := range rows {
-		out[n.Incarnation] = true
-	}
-	return out
-}
+// owns reports whether the present incarnation may start the tasks of the shard.
+func (r *Reducer) owns(s *shard) bool { return s.state == shardOwned && s.Owner == r.self.Incarnation }
 
 func (r *Reducer) tickShards() {
 	t := &r.tasks
-	if t.outage {
+	if r.taskOutage() {
 		return
 	}
 	r.spreadShards()
@@ -142,10 +137,14 @@
 
 // planShard claims the shard, gives it away or leaves it.
 func (r *Reducer) planShard(s *shard) {
-	if !s.known || s.writing || r.now.Mono < s.next || r.tasks.outage {
+	if !s.known || s.writing || r.now.Mono < s.next || r.taskOutage() {
 		return
 	}
 	preferred := r.tasks.preferred[s.Shard] == r.self.Incarnation || r.tasks.off.lapse
+	if s.state != shardForeign && s.Owner != r.self.Incarnation {
+		// The shard belonged to an earlier incarnation of this process.
+		r.loseShard(s)
+	}
 	mine := !r.stopping && preferred
 	switch {
 	case s.state == shardOwned && !mine:
@@ -153,14 +152,23 @@
 		r.releaseShard(s)
 	case s.state == shardReleasing:
 		r.releaseShard(s)
-	case s.state == shardForeign && mine && r.mayStart() && r.ownerGone(s):
-		r.writeShard(s, ShardRow{Shard: s.Shard, Owner: r.self.Incarnation, Epoch: s.Epoch + 1})
+	case s.state == shardForeign && mine && r.mayTransfer() && r.ownerGone(s):
+		row := ShardRow{Shard: s.Shard, Owner: r.self.Incarnation, Epoch: s.Epoch + 1}
+		r.writeShard(s, row, r.ownerChecks(s)...)
 	}
 }
 
-func (r *Reducer) writeShard(s *shard, row ShardRow) {
+func (r *Reducer) writeShard(s *shard, row ShardRow, checks ...NodeCheck) {
 	s.writing = true
-	r.emit(WriteShard{Row: row, Expect: s.version})
+	r.emit(WriteShard{Row: row, Expect: s.version, Checks: checks})
+}
+
+// ownerChecks makes a takeover fail if the former owner has renewed its tenure in the meantime.
+func (r *Reducer) ownerChecks(s *shard) []NodeCheck {
+	if s.Owner == "" || r.tasks.off.lapse {
+		return nil
+	}
+	return []NodeCheck{r.lapsedCheck(s.Owner)}
 }
 
 // releaseShard gives the shard away once nothing that it started can still be under way.
@@ -179,16 +187,16 @@
 		return true
 	}
 	// A node row that a later read no longer finds was deleted at a graceful stop or after a lapse.
-	deleted := !r.tasks.registered[s.Owner] && r.tasks.nodesSent > s.seenAt
+	deleted := !slices.Contains(r.tenure.known, s.Owner) && r.tenure.renewedAt > s.seenAt
 	return deleted || r.knownLapsed(s.Owner)
 }
 
 // spreadShards picks the preferred owner of every shard if the set of live nodes has changed.
 func (r *Reducer) spreadShards() {
 	live := []Identity{r.self}
-	for _, x := range r.tasks.nodes {
-		if !r.knownLapsed(x.Incarnation) {
-			live = append(live, x)
+	for _, m := range r.registered() {
+		if !m.lapsed && m.row.State == NodeLive {
+			live = append(live, m.row.Identity)
 		}
 	}
 	if slices.Equal(live, r.tasks.spreadOver) {
@@ -241,7 +249,7 @@
 // tasksReleased reports whether the node owns no shard and answers no call.
 // In an outage no row can be written, and the shards are taken over later.
 func (r *Reducer) tasksReleased() bool {
-	if r.tasks.outage {
+	if r.taskOutage() {
 		return len(r.tasks.calls) == 0
 	}
 	for n := range r.tasks.shards {
--- a/internal/decision/berylreducer/task.go
+++ b/internal/decision/berylreducer/task.go
@@ -10,16 +10,9 @@
 type taskState struct {
 	// enabled is false on a node that owns no shards.
 	enabled bool
-	// outage is true from a failed renewal until the next one that succeeds.
-	outage bool
 	// freshAt is the last time at which the node was allowed to start work.
 	freshAt time.Duration
-	nodes   []Identity
-	// registered holds the incarnations whose rows the last completed renewal found.
-	registered map[string]bool
-	// nodesSent is when the renewal that read nodes was sent.
-	nodesSent time.Duration
-	shards    [shardCount]shard
+	shards  [shardCount]shard
 	// preferred is the owner that each shard should have, spread over the nodes in spreadOver.
 	preferred  [shardCount]string
 	spreadOver []Identity
@@ -32,11 +25,10 @@
 	active map[string]*queuedTask
 	ready  readyTasks
 	calls  map[string]*taskCall
-	// lingering holds units of tasks that may still run under a lease granted here.
-	lingering []lingeringUnit
+	// leftUnits holds units of tasks that may still run under a lease granted here.
+	leftUnits []leftUnit
 	demand    map[string]int
 	runTime   map[string]time.Duration
-	reported  map[string]int
 	late      map[string]bool
 	nextCheck time.Duration
 	stopsSent int
@@ -86,17 +78,16 @@
 	started  time.Duration
 }
 
-// lingeringUnit is a unit that stays taken until the worker has surely stopped.
-type lingeringUnit struct {
+// leftUnit is a unit that stays taken until the worker has surely stopped.
+type leftUnit struct {
 	team  string
 	until time.Duration
 }
 
 const (
-	taskLease     = 10 * time.Second
-	leaseRenewal  = 3 * time.Second
-	skewAllowance = 500 * time.Millisecond
-	taskRetry     = time.Second
+	taskLease    = 10 * time.Second
+	leaseRenewal = 3 * time.Second
+	taskRetry    = time.Second
 	// lapsedLease is how long after the end of its tenure a node's leases may last; units are reclaimed after it.
 	lapsedLease = 60 * time.Second
 	// workerSilence is the wait for a silent worker before a non-idempotent task counts as unknown.
@@ -112,7 +103,6 @@
 	t.calls = map[string]*taskCall{}
 	t.demand = map[string]int{}
 	t.runTime = map[string]time.Duration{}
-	t.reported = map[string]int{}
 	t.late = map[string]bool{}
 	for n := range t.shards {
 		t.shards[n].Shard = n
@@ -170,22 +160,6 @@
 	r.dispatchTasks()
 }
 
-// tasksRenewed notes the nodes among which the shards are spread.
-func (r *Reducer) tasksRenewed(e Renewed) {
-	t := &r.tasks
-	t.outage = false
-	t.nodesSent = e.SentAt.Mono
-	t.nodes = t.nodes[:0]
-	for _, n := range e.Nodes {
-		if n.State == NodeLive && n.Incarnation != r.self.Incarnation {
-			t.nodes = append(t.nodes, n.Identity)
-		}
-	}
-	t.registered = registeredNodes(e.Nodes)
-}
-
-func (r *Reducer) taskWorkerReported(e WorkerReported) { r.tasks.reported[e.Instance] = e.Running }
-
 func (r *Reducer) tickTasks() {
 	if !r.tasks.enabled {
 		return
@@ -195,7 +169,7 @@
 	}
 	r.tickCalls()
 	r.tickShards()
-	r.endLingering()
+	r.endLeftUnits()
 	r.countStops()
 	for _, id := range beryllatch.SortedKeys(r.tasks.active) {
 		if t := r.tasks.active[id]; t != nil {
@@ -256,7 +230,7 @@
 func (r *Reducer) dropTask(t *queuedTask) {
 	if t.holds && t.leaseEnd > r.now.Mono {
 		t.holds = false
-		r.tasks.lingering = append(r.tasks.lingering, lingeringUnit{t.Team, t.leaseEnd + skewAllowance})
+		r.tasks.leftUnits = append(r.tasks.leftUnits, leftUnit{t.Team, t.leaseEnd + skewAllowance})
 	}
 	r.releaseTask(t)
 	r.tasks.ready.remove(t)
@@ -272,19 +246,19 @@
 		t.holds = false
 	}
 	if w := r.workers[t.Instance]; w != nil && t.counted {
-		w.running--
+		r.vacate(w)
 	}
 	t.counted = false
 }
 
-func (r *Reducer) endLingering() {
-	kept := r.tasks.lingering[:0]
-	for _, l := range r.tasks.lingering {
+func (r *Reducer) endLeftUnits() {
+	kept := r.tasks.leftUnits[:0]
+	for _, l := range r.tasks.leftUnits {
 		if l.until <= r.now.Mono {
 			r.returnUnit(l.team)
 		} else {
 			kept = append(kept, l)
 		}
 	}
-	r.tasks.lingering = kept
+	r.tasks.leftUnits = kept
 }
--- a/internal/decision/berylreducer/task_dispatch.go
+++ b/internal/decision/berylreducer/task_dispatch.go
@@ -19,6 +19,9 @@
 	maxBackoff  = 30 * time.Second
 )
 
+// taskOutage reports whether rows of tasks cannot be expected to be written now.
+func (r *Reducer) taskOutage() bool { return r.tenure.failing || !r.mayClaim() }
+
 func (r *Reducer) makeReady(t *queuedTask) {
 	t.phase = phaseQueued
 	r.tasks.ready.add(t)
@@ -116,10 +119,10 @@
 // settled reports whether the row of a ready task is stored as it is in memory; in an outage an idempotent task goes on
 // without its row, and any other waits.
 func (r *Reducer) settled(t *queuedTask) bool {
-	if t.writing || t.reading || t.shard.state != shardOwned {
+	if t.writing || t.reading || !r.owns(t.shard) {
 		return false
 	}
-	if r.tasks.outage {
+	if r.taskOutage() {
 		return t.Idempotent
 	}
 	return !t.dirty && !t.uncertain
@@ -171,7 +174,7 @@
 		return false
 	}
 	t.holds, t.counted = true, true
-	r.workers[i.ID].running++
+	r.occupy(r.workers[i.ID])
 	r.tasks.ready.remove(t)
 	r.beginAttempt(t, i)
 	return true
@@ -182,8 +185,11 @@
 	tried := slices.Clone(t.FailedOn)
 	for {
 		i, ok := r.chooseWorker(pool, tried)
-		if !ok || r.workers[i.ID].bootID != "" {
-			return i, ok
+		if !ok || slices.Contains(tried, i.ID) {
+			return i, false
+		}
+		if r.workers[i.ID].bootID != "" {
+			return i, true
 		}
 		tried = append(tried, i.ID)
 	}
@@ -203,14 +209,14 @@
 		r.sendTask(t)
 		return
 	}
-	if r.tasks.outage {
+	if r.taskOutage() {
 		r.startWithoutRow(t)
 	}
 }
 
 // startWithoutRow sends an idempotent task whose row cannot be written in an outage.
 func (r *Reducer) startWithoutRow(t *queuedTask) {
-	if t.phase == phaseWriting && r.tasks.outage && t.Idempotent {
+	if t.phase == phaseWriting && r.taskOutage() && t.Idempotent {
 		r.sendTask(t)
 	}
 }
@@ -218,7 +224,7 @@
 // sendTask starts the attempt, unless it may no longer start.
 func (r *Reducer) sendTask(t *queuedTask) {
 	i := r.config.Instances[t.Instance]
-	if !r.mayStart() || !r.now.Wall.Before(t.StartBy) || t.shard.state != shardOwned || t.CancelRequested || !r.mayReceive(i) {
+	if !r.mayStart() || !r.now.Wall.Before(t.StartBy) || !r.owns(t.shard) || t.CancelRequested || !r.mayReceive(i) {
 		r.requeue(t, taskRetry)
 		return
 	}
@@ -234,7 +240,7 @@
 // mayReceive repeats the checks on the worker that may have changed since it was chosen.
 func (r *Reducer) mayReceive(i beryllatch.Instance) bool {
 	w := r.workers[i.ID]
-	return w != nil && !w.leaving && i.State == beryllatch.InstanceActive && i.MoveTo == "" &&
+	return w != nil && !w.leaving && !w.selfLeaving && i.State == beryllatch.InstanceActive && i.MoveTo == "" &&
 		!r.config.DataCentres[i.DataCentre].Out
 }
 
@@ -264,8 +270,8 @@
 			continue
 		}
 		slots += i.Slots
-		if r.eligible(i) {
-			free += max(0, i.Slots-max(r.workers[i.ID].running, r.tasks.reported[i.ID]))
+		if w := r.workers[i.ID]; w != nil && r.eligible(w) {
+			free += max(0, i.Slots-max(w.running, w.reported))
 		}
 	}
 	return free, slots
--- a/internal/decision/berylreducer/task_event.go
+++ b/internal/decision/berylreducer/task_event.go
@@ -33,6 +33,8 @@
 	State  string `json:"state"`
 	TaskID string `json:"task_id"`
 	Queue  string `json:"queue"`
+	// BodyHash differs from that of every request.
+	BodyHash string `json:"body_hash"`
 	// Key is the hash of the idempotency key; it is the sort key of the row.
 	Key string `json:"-"`
 }
@@ -249,6 +251,7 @@
 type WriteShard struct {
 	Row    ShardRow
 	Expect uint64
+	Checks []NodeCheck
 }
 
 // LoadTasks reads up to Limit unfinished tasks of a shard with ids greater than After.
--- a/internal/decision/berylreducer/task_load.go
+++ b/internal/decision/berylreducer/task_load.go
@@ -15,7 +15,7 @@
 
 // loadShard reads the next page of an owned shard; pages follow each other and start over at the end.
 func (r *Reducer) loadShard(s *shard) {
-	if s.state != shardOwned || s.loading || r.now.Mono < s.nextLoad || r.tasks.outage {
+	if s.state != shardOwned || s.loading || r.now.Mono < s.nextLoad || r.taskOutage() {
 		return
 	}
 	s.loading = true
--- a/internal/decision/berylreducer/task_property_test.go
+++ b/internal/decision/berylreducer/task_property_test.go
@@ -85,6 +85,7 @@
 		for _, n := range w.nodes {
 			w.deliver(n)
 			if !n.frozen {
+				w.listInstances(n)
 				w.apply(n, Ticked{})
 			}
 			w.performUpkeep(n)
@@ -126,6 +127,9 @@
 		n.frozen = false
 	}
 	w.addNode("n9")
+	w.pass(2 * time.Second)
+	// A node that has never seen a dead owner waits this long before it takes anything over.
+	w.now = w.now.Add(unlistedLapseWait)
 	for range 30 {
 		w.pass(2 * time.Second)
 		for _, id := range beryllatch.SortedKeys(w.starts) {
@@ -194,23 +198,37 @@
 	}
 }
 
-// Guards against a property that holds without the mechanism that is meant to ensure it.
-func TestTaskMechanisms(t *testing.T) {
-	const seeds = 100
-	for _, c := range []struct {
-		name string
-		off  func(*Reducer)
-	}{
-		{"dispatching row before the send", func(r *Reducer) { r.tasks.off.dispatchRow = true }},
-		{"wait for the lapse", func(r *Reducer) { r.tasks.off.lapse = true }},
-	} {
-		t.Run(c.name, func(t *testing.T) {
-			assert.Equal(t, firstViolation(seeds, nil), "")
-			v := firstViolation(seeds, c.off)
-			assert.Assert(t, v != "")
-			t.Log("without the mechanism: " + v)
-		})
+// Guards against a takeover of a task that the table shows as queued although its owner has sent it. The send precedes
+// the row only with the mechanism off.
+func TestTaskDispatchingRow(t *testing.T) {
+	assert.Equal(t, deadSender(nil), 1)
+	assert.Equal(t, deadSender(func(r *Reducer) { r.tasks.off.dispatchRow = true }), 2)
+}
+
+// deadSender returns the starts of a non-idempotent task whose first owner dies before a row of it is written.
+func deadSender(off func(*Reducer)) int {
+	w := newInterleavedWorld(false, off)
+	owner := w.owner("t1")
+	w.fault = func(n *fakeNode, e Effect) fault {
+		if _, ok := e.(WriteTask); n == owner && ok {
+			return faultHeld
+		}
+		return faultNone
 	}
+	w.submit(owner, "t1", false)
+	w.pass(200 * time.Millisecond)
+	w.kill(owner)
+	w.pass(12 * time.Second)
+	return w.starts["t1"]
+}
+
+// Guards against a takeover from an owner that may still start tasks.
+func TestTaskLapseWait(t *testing.T) {
+	const seeds = 60
+	assert.Equal(t, firstViolation(seeds, nil), "")
+	v := firstViolation(seeds, func(r *Reducer) { r.tasks.off.lapse = true })
+	assert.Assert(t, v != "")
+	t.Log("without the mechanism: " + v)
 }
 
 // Guards against a late send, at a worker with a slow clock, that runs a task which another owner has started again.
--- a/internal/decision/berylreducer/task_run.go
+++ b/internal/decision/berylreducer/task_run.go
@@ -10,8 +10,8 @@
 const (
 	// defaultRunTime is assumed until the first task of a queue has ended.
 	defaultRunTime = time.Minute
-	// runTimeWeight is the part that the newest run contributes to the learned run time.
-	runTimeWeight = 8
+	// taskRunWeight is the part that the newest run contributes to the learned run time.
+	taskRunWeight = 8
 )
 
 func (r *Reducer) taskStarted(e TaskStarted) {
@@ -28,6 +28,9 @@
 			t.Refusals++
 		}
 		t.leaseEnd = 0
+		if w := r.workers[t.Instance]; w != nil && e.Outcome == beryllatch.OutcomeRefused {
+			r.workerRefused(w)
+		}
 		r.count("task_retry." + string(e.Reason))
 		r.requeue(t, backoff(t))
 	default:
@@ -87,14 +90,14 @@
 	case e.Failed:
 		r.silent(t)
 	default:
-		r.judge(t, e.Report)
+		r.judgeReport(t, e.Report)
 	}
 }
 
 func (r *Reducer) pauseTask(t *queuedTask) { t.next = r.now.Mono + taskRetry }
 
-// judge continues with what the worker says about the task.
-func (r *Reducer) judge(t *queuedTask, report beryllatch.TaskReport) {
+// judgeReport continues with what the worker says about the task.
+func (r *Reducer) judgeReport(t *queuedTask, report beryllatch.TaskReport) {
 	state := report.State
 	t.Attempt = max(t.Attempt, int(uint32(report.Fence)))
 	if uint32(report.Fence) < uint32(t.Attempt) && !r.tasks.off.fence {
@@ -129,7 +132,10 @@
 }
 
 func (r *Reducer) reportedDone(t *queuedTask) {
-	r.learnRunTime(t)
+	r.learnTaskTime(t)
+	if w := r.workers[t.Instance]; w != nil {
+		r.workerSucceeded(w)
+	}
 	r.releaseTask(t)
 	t.leaseEnd = 0
 	t.phase = phaseCollecting
@@ -137,7 +143,7 @@
 	r.collectResult(t)
 }
 
-func (r *Reducer) learnRunTime(t *queuedTask) {
+func (r *Reducer) learnTaskTime(t *queuedTask) {
 	if t.started == 0 {
 		return
 	}
@@ -146,7 +152,7 @@
 	if !ok {
 		old = took
 	}
-	r.tasks.runTime[t.Queue] = old + (took-old)/runTimeWeight
+	r.tasks.runTime[t.Queue] = old + (took-old)/taskRunWeight
 }
 
 func (r *Reducer) expectedRunTime(queue string) time.Duration {
@@ -160,6 +166,9 @@
 func (r *Reducer) reportedFailed(t *queuedTask) {
 	t.leaseEnd = 0
 	r.count("task_failed_run")
+	if w := r.workers[t.Instance]; w != nil {
+		r.workerFailed(w, t.Team)
+	}
 	if !slices.Contains(t.FailedOn, t.Instance) {
 		t.FailedOn = append(slices.Clone(t.FailedOn), t.Instance)
 	}
@@ -193,7 +202,7 @@
 // collectResult reads the result while the table can store it; until then the worker keeps it.
 func (r *Reducer) collectResult(t *queuedTask) {
 	r.activate(t)
-	if r.tasks.outage || t.shard.state != shardOwned || t.uncertain || t.writing || t.reading {
+	if r.taskOutage() || !r.owns(t.shard) || t.uncertain || t.writing || t.reading {
 		return
 	}
 	r.call(t)
--- a/internal/decision/berylreducer/task_session_test.go
+++ b/internal/decision/berylreducer/task_session_test.go
@@ -50,9 +50,6 @@
 	return t.State
 }
 
-// replace kills a node and lets the others take over.
-func (w *world) kill(n *fakeNode) { n.dead = true }
-
 // failOnce applies the fault to the first effect that matches.
 func (w *world) failOnce(f fault, match func(Effect) bool) {
 	done := false
@@ -258,7 +255,7 @@
 	w.submit(owner, "t1", false)
 	w.pass(time.Second)
 	w.apply(owner, StopRequested{})
-	w.pass(4 * time.Second)
+	w.pass(12 * time.Second)
 	assert.Assert(t, owner.dead)
 	assert.Assert(t, w.owner("t1") != owner)
 	w.end("t1", beryllatch.TaskRunDone)
--- a/internal/decision/berylreducer/task_submit.go
+++ b/internal/decision/berylreducer/task_submit.go
@@ -71,8 +71,10 @@
 // admitCall refuses a call that the node cannot judge on a fresh configuration.
 func (r *Reducer) admitCall(id string) bool {
 	switch {
-	case r.stopping:
+	case r.refusesNew():
 		r.refuseTask(id, beryllatch.ReasonNodeStopping, "the node is shutting down")
+	case !r.mayClaim() && r.mayStart():
+		r.refuseTask(id, beryllatch.ReasonPlatformUnavailable, "the platform cannot be reached")
 	case !r.mayStart():
 		r.refuseTask(id, beryllatch.ReasonNodeStale, "the node cannot prove that its configuration is up to date")
 	case len(r.tasks.calls) >= maxTaskCalls:
@@ -98,7 +100,9 @@
 		Accepted: r.now.Wall, Deadline: r.now.Wall.Add(wait),
 	}}
 	if e.IdempotencyKey != "" {
-		c.claim = TaskClaim{State: taskClaimState, TaskID: e.TaskID, Queue: e.Queue, Key: e.IdempotencyKey}
+		c.claim = TaskClaim{
+			State: taskClaimState, BodyHash: taskClaimState, TaskID: e.TaskID, Queue: e.Queue, Key: e.IdempotencyKey,
+		}
 	}
 	r.tasks.calls[c.id] = c
 	r.emit(ReceivePayload{CallID: c.id, TaskID: e.TaskID})
--- a/internal/decision/berylreducer/task_takeover.go
+++ b/internal/decision/berylreducer/task_takeover.go
@@ -41,7 +41,7 @@
 func (r *Reducer) adoptTask(t *queuedTask) {
 	r.count("task_adopted")
 	if w := r.workers[t.Instance]; w != nil && !t.counted {
-		w.running++
+		r.occupy(w)
 		t.counted = true
 	}
 	started := t.started
--- a/internal/decision/berylreducer/task_write.go
+++ b/internal/decision/berylreducer/task_write.go
@@ -38,7 +38,7 @@
 
 // mayWrite is false in an outage and once the shard is being given away.
 func (r *Reducer) mayWrite(t *queuedTask) bool {
-	return !r.tasks.outage && t.shard.state == shardOwned
+	return !r.taskOutage() && r.owns(t.shard)
 }
 
 func (r *Reducer) writtenTask(id string, epoch uint32) *queuedTask {
--- a/internal/decision/berylreducer/world_test.go
+++ b/internal/decision/berylreducer/world_test.go
@@ -16,12 +16,11 @@
 type world struct {
 	*session
 	rows map[beryllatch.RowKey]beryllatch.Row
-	// renewed and leaving hold the last renewal of each registered incarnation and its state.
-	renewed map[string]time.Duration
-	leaving map[string]bool
-	workers map[string]*fakeWorker
-	nodes   []*fakeNode
-	config  beryllatch.Config
+	// registry holds the node rows by incarnation.
+	registry map[string]NodeRow
+	workers  map[string]*fakeWorker
+	nodes    []*fakeNode
+	config   beryllatch.Config
 	// starts counts the starts of each task on all workers, including those before a reboot.
 	starts map[string]int
 	// stale lists the starts with a fence below one that the table had already seen for the task's shard.
@@ -59,6 +58,8 @@
 	events []Event
 	frozen bool
 	dead   bool
+	// diedAt is the time of death; the instance list shows it late.
+	diedAt time.Duration
 	// answers holds the last answer of each call of the tasks API.
 	answers map[string]Effect
 }
@@ -80,8 +81,7 @@
 
 func newWorld(unsafe func(*Reducer)) *world {
 	w := &world{
-		session: newSession(), rows: map[beryllatch.RowKey]beryllatch.Row{}, renewed: map[string]time.Duration{},
-		leaving: map[string]bool{},
+		session: newSession(), rows: map[beryllatch.RowKey]beryllatch.Row{}, registry: map[string]NodeRow{},
 		workers: map[string]*fakeWorker{}, config: sampleConfig(), starts: map[string]int{}, unsafe: unsafe,
 	}
 	for _, id := range beryllatch.SortedKeys(w.config.Instances) {
@@ -93,7 +93,7 @@
 
 func (w *world) addNode(name string) *fakeNode {
 	incarnation := fmt.Sprintf("%s-%d", name, len(w.nodes)+1)
-	n := &fakeNode{id: Identity{Node: name, Incarnation: incarnation, DataCentre: "dc1"}, answers: map[string]Effect{}}
+	n := &fakeNode{id: Identity{Node: name, Incarnation: incarnation, DataCentre: "dc1", PeerAddress: incarnation}, answers: map[string]Effect{}}
 	w.nodes = append(w.nodes, n)
 	w.apply(n, Started{Self: n.id, Seed: uint64(len(w.nodes))})
 	if w.unsafe != nil {
@@ -112,6 +112,28 @@
 	}
 }
 
+func (w *world) kill(n *fakeNode) {
+	n.dead = true
+	n.diedAt = w.now.Mono
+}
+
+// listInstances delivers the instance list, which lags by three seconds.
+func (w *world) listInstances(n *fakeNode) {
+	if w.now.Mono%time.Second != 0 {
+		return
+	}
+	list := map[string]beryllatch.InstanceStatus{}
+	for _, i := range w.config.Instances {
+		list[i.Address] = beryllatch.InstanceStatus{Address: i.Address}
+	}
+	for _, x := range w.nodes {
+		if !x.dead || w.now.Mono-x.diedAt < 3*time.Second {
+			list[x.id.PeerAddress] = beryllatch.InstanceStatus{Address: x.id.PeerAddress}
+		}
+	}
+	w.apply(n, InstancesListed{Instances: list})
+}
+
 // apply gives an event to a node and queues its effects as calls.
 func (w *world) apply(n *fakeNode, e Event) {
 	if n.dead {
@@ -126,8 +148,8 @@
 		case RefuseTask:
 			n.answers[x.CallID] = x
 		case Stop:
-			n.dead = true
-		case Count, LogState, SetGauge, SetReady, SendHeartbeats, ReplyGrant:
+			w.kill(n)
+		case Count, LogState, SetGauge, SetReady, SendHeartbeats, ReplyGrant, NotifyConfig, NotifyUnits, ConfigInForce, AskUnits, Reincarnate:
 		default:
 			n.calls = append(n.calls, x)
 		}
@@ -186,6 +208,7 @@
 		w.endLeases()
 		for _, n := range w.nodes {
 			if !n.frozen {
+				w.listInstances(n)
 				w.apply(n, Ticked{})
 			}
 		}
@@ -201,6 +224,9 @@
 		return ConfigRead{Config: w.config}
 	case ReadUnits, WriteUnits:
 		return w.performUnits(e)
+	case DeleteNode:
+		delete(w.registry, e.Node.Incarnation)
+		return NodeDeleted{Incarnation: e.Node.Incarnation, Result: WriteDone}
 	case ReceivePayload:
 		return PayloadReceived{CallID: e.CallID, Payload: []byte("x")}
 	case StartTask, AskTask, RenewTask, StopTask, CollectResult:
@@ -210,31 +236,33 @@
 	}
 }
 
-// renew registers the node and deletes the rows of nodes whose tenure has lapsed.
+// renew writes the node's row and reads all of them.
 func (w *world) renew(n *fakeNode, e RenewTenure, f fault) Event {
 	if w.outage || f == faultFailed {
 		return RenewalFailed{SentAt: w.now}
 	}
-	last, ok := w.renewed[n.id.Incarnation]
+	row, ok := w.registry[n.id.Incarnation]
 	if e.Row.Renewal > 1 && !ok {
-		return RenewalFailed{SentAt: w.now, Replaced: true}
+		w.kill(n)
+		return nil
 	}
-	w.renewed[n.id.Incarnation] = max(last, w.now.Mono)
-	w.leaving[n.id.Incarnation] = e.Row.State == NodeLeaving
-	var rows []NodeRow
-	for _, x := range w.nodes {
-		at, ok := w.renewed[x.id.Incarnation]
-		if ok && w.now.Mono-at > 5500*time.Millisecond {
-			delete(w.renewed, x.id.Incarnation)
-		} else if ok {
-			row := NodeRow{Identity: x.id, State: NodeLive}
-			if w.leaving[x.id.Incarnation] {
-				row.State = NodeLeaving
-			}
-			rows = append(rows, row)
+	e.Row.Version = row.Version + 1
+	w.registry[n.id.Incarnation] = e.Row
+	renewed := Renewed{SentAt: w.now, HeadVersion: w.config.Version}
+	for _, id := range beryllatch.SortedKeys(w.registry) {
+		renewed.Nodes = append(renewed.Nodes, w.registry[id])
+	}
+	return renewed
+}
+
+// unchanged reports whether the conditions on node rows hold.
+func (w *world) unchanged(checks []NodeCheck) bool {
+	for _, c := range checks {
+		if w.registry[c.Incarnation].Version != c.Version {
+			return false
 		}
 	}
-	return Renewed{SentAt: w.now, HeadVersion: w.config.Version, Nodes: rows}
+	return true
 }
 
 func (w *world) performUnits(e Effect) Event {
@@ -263,10 +291,6 @@
 	return beryllatch.RowKey{Partition: fmt.Sprintf("done#%d", shard), Sort: id}
 }
 
-func claimKey(team, key string) beryllatch.RowKey {
-	return beryllatch.RowKey{Partition: "claim#" + team, Sort: key}
-}
-
 func shardKey(n int) beryllatch.RowKey {
 	return beryllatch.RowKey{Partition: "shard", Sort: fmt.Sprintf("%02d", n)}
 }
@@ -316,13 +340,13 @@
 	case SubmitTask:
 		writes := []beryllatch.RowWrite{{Row: rowOf(openKey(e.Shard, e.Task.ID), e.Task)}}
 		if e.Claim.Key != "" {
-			writes = append(writes, beryllatch.RowWrite{Row: rowOf(claimKey(e.Task.Team, e.Claim.Key), e.Claim)})
+			writes = append(writes, beryllatch.RowWrite{Row: rowOf(claimKey(e.Task.Team, "", e.Claim.Key), e.Claim)})
 		}
 		return SubmissionWritten{CallID: e.CallID, Result: w.write(f, writes...)}
 	case ReadSubmission:
 		_, found := w.stored(e.Shard, e.TaskID)
 		var claim TaskClaim
-		row := w.rows[claimKey(e.Team, e.ClaimKey)]
+		row := w.rows[claimKey(e.Team, "", e.ClaimKey)]
 		_ = json.Unmarshal(row.Value, &claim)
 		return SubmissionRead{CallID: e.CallID, Failed: failed, Found: found, Claimed: row.Version > 0, Claim: claim}
 	case LookUpTask:
@@ -333,7 +357,10 @@
 	case ReadShards:
 		return ShardsRead{SentAt: w.now, Failed: failed, Shards: w.shardRows()}
 	case WriteShard:
-		result := w.write(f, beryllatch.RowWrite{Row: rowOf(shardKey(e.Row.Shard), e.Row), Expect: e.Expect})
+		result := WriteConflict
+		if w.unchanged(e.Checks) {
+			result = w.write(f, beryllatch.RowWrite{Row: rowOf(shardKey(e.Row.Shard), e.Row), Expect: e.Expect})
+		}
 		return ShardWritten{Row: e.Row, Version: e.Expect + 1, Result: result}
 	case LoadTasks:
 		return TasksLoaded{Shard: e.Shard, Epoch: e.Epoch, After: e.After, Failed: failed, Tasks: w.page(e)}
--- a/refusal.go
+++ b/refusal.go
@@ -28,6 +28,7 @@
 	ReasonAnswerMismatch      Reason = "answer_mismatch"
 	ReasonJobFailing          Reason = "job_failing"
 	ReasonCallerGone          Reason = "caller_gone"
+	ReasonAnswerNotKept       Reason = "answer_not_kept"
 	ReasonUnknownTask         Reason = "unknown_task"
 	ReasonTaskNotFinished     Reason = "task_not_finished"
 )
@@ -39,6 +40,8 @@
 const (
 	RunStateNotRun  RunState = "not_run"
 	RunStateUnknown RunState = "unknown"
+	// RunStateRun means that the work has run, but that its answer is no longer available.
+	RunStateRun RunState = "run"
 )
 
 // Refusal tells a caller why there is no answer.
