--- a/internal/decision/berylreducer/task_submit.go
+++ b/internal/decision/berylreducer/task_submit.go
@@ -166,6 +166,10 @@
 	switch {
 	case e.Result == WriteDone:
 		r.acceptTask(c)
+		if s := &r.tasks.shards[ShardOf(c.task.ID)]; r.owns(s) {
+			r.loadTask(s, StoredTask{Task: c.task, Version: 1})
+		}
+		r.dispatchTasks()
 	case e.Result == WriteFailed && !c.uncertain:
 		r.endCall(c, beryllatch.RunStateNotRun, beryllatch.ReasonPlatformUnavailable, "the task could not be stored")
 	case e.Result == WriteFailed:
@@ -224,10 +228,6 @@
 	delete(r.tasks.calls, c.id)
 	r.count("task_accepted")
 	r.emit(AnswerTask{CallID: c.id, Accepted: true, Task: c.task})
-	if s := &r.tasks.shards[ShardOf(c.task.ID)]; s.state == shardOwned {
-		r.loadTask(s, StoredTask{Task: c.task, Version: 1})
-	}
-	r.dispatchTasks()
 }
 
 func (r *Reducer) tickCalls() {
