--- /dev/null
+++ b/internal/node/beryltask/doc.go
@@ -0,0 +1,2 @@
+// Package beryltask carries out the task effects of the reducer against the table, the object store and the workers.
+package beryltask
--- /dev/null
+++ b/internal/node/beryltask/executor_test.go
@@ -0,0 +1,330 @@
+package beryltask
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/beryllatch/beryllatch"
+	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
+	"gotest.tools/v3/assert"
+)
+
+// fakeTable stores rows; every call takes delay.
+type fakeTable struct {
+	mu    sync.Mutex
+	rows  map[beryllatch.RowKey]beryllatch.Row
+	sizes []int
+	delay time.Duration
+	err   error
+}
+
+func (f *fakeTable) Get(_ context.Context, k beryllatch.RowKey) (beryllatch.Row, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.rows[k], f.err
+}
+
+func (f *fakeTable) Query(_ context.Context, partition, after string, limit int) ([]beryllatch.Row, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []beryllatch.Row
+	for k, row := range f.rows {
+		if k.Partition == partition && k.Sort > after {
+			out = append(out, row)
+		}
+	}
+	slices.SortFunc(out, func(a, b beryllatch.Row) int { return strings.Compare(a.Key.Sort, b.Key.Sort) })
+	return out[:min(len(out), limit)], f.err
+}
+
+func (f *fakeTable) Transact(ctx context.Context, writes ...beryllatch.RowWrite) error {
+	select {
+	case <-time.After(f.delay):
+	case <-ctx.Done():
+		return &beryllatch.UnknownOutcomeError{Err: ctx.Err()}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sizes = append(f.sizes, len(writes))
+	if f.err != nil {
+		return f.err
+	}
+	for _, w := range writes {
+		if f.rows[w.Row.Key].Version != w.Expect {
+			return &beryllatch.ConditionFailedError{Key: w.Row.Key}
+		}
+	}
+	for _, w := range writes {
+		switch {
+		case w.CheckOnly:
+		case w.Delete:
+			delete(f.rows, w.Row.Key)
+		default:
+			w.Row.Version = w.Expect + 1
+			f.rows[w.Row.Key] = w.Row
+		}
+	}
+	return nil
+}
+
+type fakeStore struct {
+	mu      sync.Mutex
+	objects map[string][]byte
+	err     error
+}
+
+func (f *fakeStore) Put(_ context.Context, name string, r io.Reader, size int64) error {
+	b, err := io.ReadAll(r)
+	if err != nil || int64(len(b)) != size {
+		return errors.New("wrong size")
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.objects[name] = b
+	return f.err
+}
+
+func (f *fakeStore) Get(_ context.Context, name string) (io.ReadCloser, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return io.NopCloser(bytes.NewReader(f.objects[name])), f.err
+}
+
+// fakeRunner is a worker with one result; its zero value accepts everything.
+type fakeRunner struct {
+	beryllatch.TaskRunner
+	result io.Reader
+	body   []byte
+	err    error
+}
+
+func (f *fakeRunner) StartTask(_ context.Context, _ beryllatch.Execution, body io.Reader) error {
+	b, err := io.ReadAll(body)
+	if err != nil {
+		return err
+	}
+	f.body = b
+	return f.err
+}
+
+func (f *fakeRunner) RenewTask(context.Context, beryllatch.Execution) (beryllatch.TaskReport, error) {
+	return beryllatch.TaskReport{State: beryllatch.TaskRunRunning}, f.err
+}
+
+func (f *fakeRunner) TaskResult(context.Context, string, string) (io.ReadCloser, error) {
+	return io.NopCloser(f.result), f.err
+}
+
+// shell is an executor with its fakes and the events that it has posted.
+type shell struct {
+	*Executor
+	table  *fakeTable
+	store  *fakeStore
+	runner *fakeRunner
+	mu     sync.Mutex
+	events []berylreducer.Event
+}
+
+func newShell(ctx context.Context) *shell {
+	s := &shell{
+		table:  &fakeTable{rows: map[beryllatch.RowKey]beryllatch.Row{}, delay: time.Millisecond},
+		store:  &fakeStore{objects: map[string][]byte{}},
+		runner: &fakeRunner{},
+	}
+	now := func() berylreducer.Instant { return berylreducer.Instant{} }
+	s.Executor = New(ctx, s.table, s.store, s.runner, now, func(e berylreducer.Event) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.events = append(s.events, e)
+	})
+	return s
+}
+
+// inBubble runs the test with a virtual clock and ends the executor afterwards.
+func inBubble(t *testing.T, f func(t *testing.T, s *shell)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := newShell(ctx)
+		f(t, s)
+		cancel()
+		s.Wait()
+	})
+}
+
+func (s *shell) settle() {
+	time.Sleep(time.Second)
+	synctest.Wait()
+}
+
+func writeOf(id string, expect uint64) berylreducer.WriteTask {
+	return berylreducer.WriteTask{
+		Shard: 1, Epoch: 1, Task: beryllatch.Task{ID: id, State: beryllatch.TaskQueued}, Expect: expect,
+	}
+}
+
+// Guards against one transaction for each row, and against groups beyond the bound.
+func TestWritesAreGrouped(t *testing.T) {
+	inBubble(t, func(t *testing.T, s *shell) {
+		for n := range 60 {
+			s.Execute(writeOf(fmt.Sprintf("t%02d", n), 0))
+		}
+		s.settle()
+		assert.Equal(t, len(s.events), 60)
+		assert.DeepEqual(t, s.table.sizes, []int{25, 25, 10})
+	})
+}
+
+// Guards against a conflict that fails the other writes of its group.
+func TestConflictFailsAlone(t *testing.T) {
+	inBubble(t, func(t *testing.T, s *shell) {
+		s.Execute(writeOf("a", 0))
+		s.Execute(writeOf("b", 7))
+		s.Execute(writeOf("c", 0))
+		s.settle()
+		results := map[string]berylreducer.WriteResult{}
+		for _, e := range s.events {
+			w := e.(berylreducer.TaskWritten)
+			results[w.ID] = w.Result
+		}
+		assert.DeepEqual(t, results, map[string]berylreducer.WriteResult{
+			"a": berylreducer.WriteDone, "b": berylreducer.WriteConflict, "c": berylreducer.WriteDone,
+		})
+	})
+}
+
+// Guards against a transaction that names a row twice, which the table refuses as a whole.
+func TestSameRowIsNotGrouped(t *testing.T) {
+	g := newGroup()
+	a := write{rows: checkedRows(berylreducer.WriteTask{Shard: 1, ShardExpect: 3, Task: beryllatch.Task{ID: "a"}})}
+	b := write{rows: checkedRows(berylreducer.WriteTask{Shard: 1, ShardExpect: 3, Task: beryllatch.Task{ID: "b"}})}
+	stale := write{rows: checkedRows(berylreducer.WriteTask{Shard: 1, ShardExpect: 2, Task: beryllatch.Task{ID: "c"}})}
+	assert.Assert(t, g.add(a))
+	assert.Assert(t, g.add(b))
+	assert.Assert(t, !g.add(stale))
+	assert.Assert(t, !g.add(a))
+	assert.Equal(t, len(g.rows), 3)
+}
+
+// Guards against a wrong judgement of a write in an outage.
+func TestWriteResults(t *testing.T) {
+	for _, c := range []struct {
+		err   error
+		delay time.Duration
+		want  berylreducer.WriteResult
+	}{
+		{nil, 0, berylreducer.WriteDone},
+		{nil, time.Minute, berylreducer.WriteUnknown},
+		{&beryllatch.UnavailableError{Err: io.EOF}, 0, berylreducer.WriteFailed},
+		{&beryllatch.UnknownOutcomeError{Err: io.EOF}, 0, berylreducer.WriteUnknown},
+		{io.EOF, 0, berylreducer.WriteUnknown},
+	} {
+		inBubble(t, func(t *testing.T, s *shell) {
+			s.table.err, s.table.delay = c.err, c.delay
+			s.Execute(writeOf("a", 0))
+			time.Sleep(5 * time.Second)
+			s.settle()
+			assert.DeepEqual(t, s.events, []berylreducer.Event{
+				berylreducer.TaskWritten{ID: "a", Epoch: 1, Result: c.want},
+			})
+		})
+	}
+}
+
+// Guards against a submission without its claim or payload, and a finished task that stays among the unfinished ones.
+func TestTaskRowsMove(t *testing.T) {
+	inBubble(t, func(t *testing.T, s *shell) {
+		task := beryllatch.Task{ID: "a", Team: "red", Queue: "q", State: beryllatch.TaskQueued, PayloadRow: true}
+		claim := berylreducer.TaskClaim{State: "task", TaskID: "a", Queue: "q", Key: "k"}
+		s.Execute(berylreducer.SubmitTask{CallID: "c", Shard: 1, Task: task, Payload: []byte("body"), Claim: claim})
+		s.settle()
+		assert.Equal(t, len(s.table.rows), 3)
+		s.Execute(berylreducer.StartTask{ID: "a", Shard: 1, PayloadRow: true})
+		s.settle()
+		assert.Equal(t, string(s.runner.body), "body")
+		task.State = beryllatch.TaskDone
+		s.Execute(berylreducer.WriteTask{Shard: 1, Task: task, Expect: 1})
+		s.settle()
+		assert.Equal(t, s.table.rows[openKey(1, "a")].Version, uint64(0))
+		assert.Equal(t, s.table.rows[payloadKey(1, "a")].Version, uint64(0))
+		s.Execute(berylreducer.LookUpTask{CallID: "d", Shard: 1, TaskID: "a"})
+		s.Execute(berylreducer.ReadSubmission{CallID: "e", Shard: 1, TaskID: "a", Team: "red", ClaimKey: "k"})
+		s.settle()
+		found := s.events[len(s.events)-2:]
+		slices.SortFunc(found, func(a, b berylreducer.Event) int {
+			return strings.Compare(fmt.Sprintf("%T", a), fmt.Sprintf("%T", b))
+		})
+		assert.Equal(t, found[0].(berylreducer.SubmissionRead).Claim.TaskID, "a")
+		assert.Equal(t, found[1].(berylreducer.TaskLookedUp).Task.State, beryllatch.TaskDone)
+	})
+}
+
+// Guards against a result that is cut short but counts as whole, and against large results in the table.
+func TestCollectResult(t *testing.T) {
+	large := bytes.Repeat([]byte("0123456789"), 300_000)
+	cut := io.MultiReader(bytes.NewReader(large), &brokenReader{})
+	for _, c := range []struct {
+		name   string
+		result io.Reader
+		store  error
+		want   berylreducer.ResultCollected
+	}{
+		{"small", strings.NewReader("r"), nil, berylreducer.ResultCollected{Result: []byte("r")}},
+		{"large", bytes.NewReader(large), nil, berylreducer.ResultCollected{Object: "result/a.3", Parts: 3}},
+		{"cut", cut, nil, berylreducer.ResultCollected{Object: "result/a.3", WorkerFailed: true}},
+		{"no store", bytes.NewReader(large), io.EOF, berylreducer.ResultCollected{Object: "result/a.3", StoreFailed: true}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T, s *shell) {
+				s.runner.result, s.store.err = c.result, c.store
+				s.Execute(berylreducer.CollectResult{ID: "a", Fence: 3})
+				s.settle()
+				c.want.ID, c.want.Fence = "a", 3
+				assert.DeepEqual(t, s.events, []berylreducer.Event{c.want})
+				if c.want.Parts > 0 {
+					var out bytes.Buffer
+					done := beryllatch.Task{ResultObject: c.want.Object, ResultParts: c.want.Parts}
+					assert.NilError(t, CopyResult(t.Context(), s.store, done, &out))
+					assert.Assert(t, bytes.Equal(out.Bytes(), large))
+				}
+			})
+		})
+	}
+}
+
+// brokenReader ends as the body of a connection that was cut.
+type brokenReader struct{}
+
+func (*brokenReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+
+// Guards against a refusal by fence that looks like a silent worker, and against a send without its payload.
+func TestWorkerOutcomes(t *testing.T) {
+	inBubble(t, func(t *testing.T, s *shell) {
+		s.runner.err = &beryllatch.ExecutionError{Outcome: beryllatch.OutcomeRefused, Err: io.EOF}
+		s.Execute(berylreducer.RenewTask{Execution: beryllatch.Execution{ID: "a"}})
+		s.settle()
+		s.runner.err = &beryllatch.ExecutionError{Outcome: beryllatch.OutcomeUnknown, Err: io.EOF}
+		s.Execute(berylreducer.RenewTask{Execution: beryllatch.Execution{ID: "a"}})
+		s.settle()
+		s.table.err = &beryllatch.UnavailableError{Err: io.EOF}
+		s.Execute(berylreducer.StartTask{ID: "a", PayloadRow: true})
+		s.settle()
+		assert.DeepEqual(t, s.events, []berylreducer.Event{
+			berylreducer.TaskReported{ID: "a", Refused: true},
+			berylreducer.TaskReported{ID: "a", Failed: true},
+			berylreducer.TaskStarted{
+				ID: "a", Outcome: beryllatch.OutcomeNotSent, Reason: beryllatch.ReasonPlatformUnavailable,
+			},
+		})
+		assert.Assert(t, !s.Execute(berylreducer.SetReady{}))
+	})
+}
--- /dev/null
+++ b/internal/node/beryltask/rows.go
@@ -0,0 +1,116 @@
+package beryltask
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/beryllatch/beryllatch"
+	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
+)
+
+const (
+	// finishedKept is how long the row of a finished task is kept; parked and unknown tasks wait for an operator.
+	finishedKept = 24 * time.Hour
+	// claimKept is how long an idempotency claim outlives the task's deadline.
+	claimKept      = 24 * time.Hour
+	shardPartition = "shard"
+	// payloadVersion is the version of a payload row, which is written once.
+	payloadVersion = 1
+)
+
+func shardKey(shard int) beryllatch.RowKey {
+	return beryllatch.RowKey{Partition: shardPartition, Sort: fmt.Sprintf("%02d", shard)}
+}
+
+func taskPartition(shard int) string { return "task#" + strconv.Itoa(shard) }
+
+func openKey(shard int, id string) beryllatch.RowKey {
+	return beryllatch.RowKey{Partition: taskPartition(shard), Sort: id}
+}
+
+func doneKey(shard int, id string) beryllatch.RowKey {
+	return beryllatch.RowKey{Partition: "done#" + strconv.Itoa(shard), Sort: id}
+}
+
+func payloadKey(shard int, id string) beryllatch.RowKey {
+	return beryllatch.RowKey{Partition: "payload#" + strconv.Itoa(shard), Sort: id}
+}
+
+func claimKey(team, key string) beryllatch.RowKey {
+	return beryllatch.RowKey{Partition: "claim#" + team, Sort: key}
+}
+
+func nodeKey(incarnation string) beryllatch.RowKey {
+	return beryllatch.RowKey{Partition: "node", Sort: incarnation}
+}
+
+// encoded returns a row with the JSON form of v, which consists of plain values and always has one.
+func encoded(k beryllatch.RowKey, v any, expires int64) beryllatch.Row {
+	b, _ := json.Marshal(v)
+	return beryllatch.Row{Key: k, Value: b, Expires: expires}
+}
+
+// taskRows returns the writes that replace a task's row; a final state moves it and drops the payload.
+func taskRows(shard int, t beryllatch.Task, expect uint64) []beryllatch.RowWrite {
+	open := openKey(shard, t.ID)
+	if !t.State.Final() {
+		return []beryllatch.RowWrite{{Row: encoded(open, t, 0), Expect: expect}}
+	}
+	rows := []beryllatch.RowWrite{
+		{Row: beryllatch.Row{Key: open}, Expect: expect, Delete: true},
+		{Row: encoded(doneKey(shard, t.ID), t, finishedExpiry(t))},
+	}
+	if t.PayloadRow && !waitsForOperator(t.State) {
+		payload := beryllatch.Row{Key: payloadKey(shard, t.ID)}
+		rows = append(rows, beryllatch.RowWrite{Row: payload, Expect: payloadVersion, Delete: true})
+	}
+	return rows
+}
+
+func waitsForOperator(s beryllatch.TaskState) bool {
+	return s == beryllatch.TaskParked || s == beryllatch.TaskUnknown
+}
+
+func finishedExpiry(t beryllatch.Task) int64 {
+	if waitsForOperator(t.State) {
+		return 0
+	}
+	return t.Finished.Add(finishedKept).Unix()
+}
+
+// submissionRows returns the writes that make a task durable together with its claim and its payload.
+func submissionRows(e berylreducer.SubmitTask) []beryllatch.RowWrite {
+	rows := []beryllatch.RowWrite{{Row: encoded(openKey(e.Shard, e.Task.ID), e.Task, 0)}}
+	if e.Task.PayloadRow {
+		rows = append(rows, beryllatch.RowWrite{
+			Row: beryllatch.Row{Key: payloadKey(e.Shard, e.Task.ID), Value: e.Payload},
+		})
+	}
+	if e.Claim.Key != "" {
+		expires := e.Task.Deadline.Add(claimKept).Unix()
+		rows = append(rows, beryllatch.RowWrite{Row: encoded(claimKey(e.Task.Team, e.Claim.Key), e.Claim, expires)})
+	}
+	return rows
+}
+
+func shardRows(e berylreducer.WriteShard) []beryllatch.RowWrite {
+	rows := []beryllatch.RowWrite{{Row: encoded(shardKey(e.Row.Shard), e.Row, 0), Expect: e.Expect}}
+	for _, c := range e.Checks {
+		rows = append(rows, beryllatch.RowWrite{
+			Row: beryllatch.Row{Key: nodeKey(c.Incarnation)}, Expect: c.Version, CheckOnly: true,
+		})
+	}
+	return rows
+}
+
+// checkedRows adds the condition that the shard still belongs to the writer.
+func checkedRows(e berylreducer.WriteTask) []beryllatch.RowWrite {
+	rows := taskRows(e.Shard, e.Task, e.Expect)
+	if e.ShardExpect == 0 {
+		return rows
+	}
+	check := beryllatch.Row{Key: shardKey(e.Shard)}
+	return append(rows, beryllatch.RowWrite{Row: check, Expect: e.ShardExpect, CheckOnly: true})
+}
--- /dev/null
+++ b/internal/node/beryltask/table.go
@@ -0,0 +1,137 @@
+package beryltask
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/beryllatch/beryllatch"
+	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
+)
+
+// shardPage covers all shard rows in one query.
+const shardPage = 100
+
+func (x *Executor) submitTask(e berylreducer.SubmitTask) {
+	x.write(submissionRows(e), func(r berylreducer.WriteResult) berylreducer.Event {
+		return berylreducer.SubmissionWritten{CallID: e.CallID, Result: r}
+	})
+}
+
+func (x *Executor) writeCancel(e berylreducer.WriteCancel) {
+	x.write(taskRows(e.Shard, e.Task, e.Expect), func(r berylreducer.WriteResult) berylreducer.Event {
+		return berylreducer.CancelWritten{CallID: e.CallID, Result: r}
+	})
+}
+
+func (x *Executor) writeTask(e berylreducer.WriteTask) {
+	x.write(checkedRows(e), func(r berylreducer.WriteResult) berylreducer.Event {
+		return berylreducer.TaskWritten{ID: e.Task.ID, Epoch: e.Epoch, Result: r}
+	})
+}
+
+func (x *Executor) writeShard(e berylreducer.WriteShard) {
+	x.write(shardRows(e), func(r berylreducer.WriteResult) berylreducer.Event {
+		return berylreducer.ShardWritten{Row: e.Row, Version: e.Expect + 1, Result: r}
+	})
+}
+
+// write queues the rows; a full queue fails them without an effect.
+func (x *Executor) write(rows []beryllatch.RowWrite, event func(berylreducer.WriteResult) berylreducer.Event) {
+	w := write{rows: rows, done: func(r berylreducer.WriteResult) { x.post(event(r)) }}
+	if !x.writes.add(w) {
+		x.postLater(event(berylreducer.WriteFailed))
+	}
+}
+
+func (x *Executor) readSubmission(ctx context.Context, e berylreducer.ReadSubmission) berylreducer.Event {
+	out := berylreducer.SubmissionRead{CallID: e.CallID}
+	if e.ClaimKey != "" {
+		row, err := x.table.Get(ctx, claimKey(e.Team, e.ClaimKey))
+		if err != nil {
+			out.Failed = true
+			return out
+		}
+		out.Claimed = row.Version > 0
+		out.Claim = claimOf(row)
+	}
+	_, found, err := x.stored(ctx, e.Shard, e.TaskID)
+	out.Found, out.Failed = found, err != nil
+	return out
+}
+
+// claimOf returns the claim of a task, or an empty one if the row belongs to a request.
+func claimOf(row beryllatch.Row) berylreducer.TaskClaim {
+	var claim berylreducer.TaskClaim
+	if err := json.Unmarshal(row.Value, &claim); err != nil || claim.TaskID == "" {
+		return berylreducer.TaskClaim{}
+	}
+	return claim
+}
+
+func (x *Executor) lookUpTask(ctx context.Context, e berylreducer.LookUpTask) berylreducer.Event {
+	t, found, err := x.stored(ctx, e.Shard, e.TaskID)
+	return berylreducer.TaskLookedUp{CallID: e.CallID, Failed: err != nil, Found: found, Task: t}
+}
+
+// stored reads a task; the unfinished row comes first, since a task only ever moves to the finished ones.
+func (x *Executor) stored(ctx context.Context, shard int, id string) (berylreducer.StoredTask, bool, error) {
+	t, found, err := x.storedAt(ctx, openKey(shard, id))
+	if found || err != nil {
+		return t, found, err
+	}
+	return x.storedAt(ctx, doneKey(shard, id))
+}
+
+func (x *Executor) storedAt(ctx context.Context, k beryllatch.RowKey) (berylreducer.StoredTask, bool, error) {
+	row, err := x.table.Get(ctx, k)
+	if err != nil || row.Version == 0 {
+		return berylreducer.StoredTask{}, false, err
+	}
+	t, err := decodeTask(row)
+	return t, err == nil, err
+}
+
+func decodeTask(row beryllatch.Row) (berylreducer.StoredTask, error) {
+	t := berylreducer.StoredTask{Version: row.Version}
+	err := json.Unmarshal(row.Value, &t.Task)
+	return t, err
+}
+
+func (x *Executor) readShards(ctx context.Context) berylreducer.Event {
+	sent := x.now()
+	rows, err := x.table.Query(ctx, shardPartition, "", shardPage)
+	out := berylreducer.ShardsRead{SentAt: sent, Failed: err != nil}
+	for _, row := range rows {
+		s := berylreducer.StoredShard{Version: row.Version}
+		if err := json.Unmarshal(row.Value, &s.ShardRow); err != nil {
+			return berylreducer.ShardsRead{Failed: true}
+		}
+		out.Shards = append(out.Shards, s)
+	}
+	return out
+}
+
+func loadFailed(e berylreducer.LoadTasks) berylreducer.TasksLoaded {
+	return berylreducer.TasksLoaded{Shard: e.Shard, Epoch: e.Epoch, After: e.After, Failed: true}
+}
+
+func (x *Executor) loadTasks(ctx context.Context, e berylreducer.LoadTasks) berylreducer.Event {
+	rows, err := x.table.Query(ctx, taskPartition(e.Shard), e.After, e.Limit)
+	if err != nil {
+		return loadFailed(e)
+	}
+	out := berylreducer.TasksLoaded{Shard: e.Shard, Epoch: e.Epoch, After: e.After}
+	for _, row := range rows {
+		t, err := decodeTask(row)
+		if err != nil {
+			return loadFailed(e)
+		}
+		out.Tasks = append(out.Tasks, t)
+	}
+	return out
+}
+
+func (x *Executor) readTask(ctx context.Context, e berylreducer.ReadTask) berylreducer.Event {
+	t, found, err := x.storedAt(ctx, openKey(e.Shard, e.ID))
+	return berylreducer.TaskRowRead{ID: e.ID, Epoch: e.Epoch, Failed: err != nil, Found: found, Task: t}
+}
--- /dev/null
+++ b/internal/node/beryltask/worker.go
@@ -0,0 +1,68 @@
+package beryltask
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+
+	"github.com/beryllatch/beryllatch"
+	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
+)
+
+func notSent(e berylreducer.StartTask, reason beryllatch.Reason) berylreducer.TaskStarted {
+	return berylreducer.TaskStarted{
+		ID: e.ID, Fence: e.Execution.Fence, Outcome: beryllatch.OutcomeNotSent, Reason: reason,
+	}
+}
+
+func (x *Executor) startTask(ctx context.Context, e berylreducer.StartTask) berylreducer.Event {
+	body, err := x.openPayload(ctx, e)
+	if err != nil {
+		return notSent(e, beryllatch.ReasonPlatformUnavailable)
+	}
+	defer func() { _ = body.Close() }()
+	out := berylreducer.TaskStarted{ID: e.ID, Fence: e.Execution.Fence, Outcome: beryllatch.OutcomeAnswered}
+	if err := x.runner.StartTask(ctx, e.Execution, body); err != nil {
+		out.Outcome, out.Reason = outcomeOf(err)
+	}
+	return out
+}
+
+// openPayload streams the payload from where it is stored.
+func (x *Executor) openPayload(ctx context.Context, e berylreducer.StartTask) (io.ReadCloser, error) {
+	switch {
+	case e.PayloadObject != "":
+		return x.store.Get(ctx, e.PayloadObject)
+	case e.PayloadRow:
+		row, err := x.table.Get(ctx, payloadKey(e.Shard, e.ID))
+		if err != nil {
+			return nil, err
+		}
+		return io.NopCloser(bytes.NewReader(row.Value)), nil
+	default:
+		return io.NopCloser(bytes.NewReader(nil)), nil
+	}
+}
+
+func outcomeOf(err error) (beryllatch.ExecutionOutcome, beryllatch.Reason) {
+	var failed *beryllatch.ExecutionError
+	if errors.As(err, &failed) {
+		return failed.Outcome, failed.Reason
+	}
+	return beryllatch.OutcomeUnknown, beryllatch.ReasonAnswerLost
+}
+
+// report asks a worker about a task by the given call.
+func (x *Executor) report(id string, fence uint64, call func(context.Context) (beryllatch.TaskReport, error)) {
+	failed := berylreducer.TaskReported{ID: id, Fence: fence, Failed: true}
+	x.run(x.reports, reportTimeout, func(ctx context.Context) berylreducer.Event {
+		report, err := call(ctx)
+		if err == nil {
+			return berylreducer.TaskReported{ID: id, Fence: fence, Report: report}
+		}
+		outcome, _ := outcomeOf(err)
+		refused := outcome == beryllatch.OutcomeRefused
+		return berylreducer.TaskReported{ID: id, Fence: fence, Failed: !refused, Refused: refused}
+	}, failed)
+}
