--- a/internal/node/berylproblem/problem.go
+++ b/internal/node/berylproblem/problem.go
@@ -34,6 +34,8 @@
 	beryllatch.ReasonJobFailing:        http.StatusUnprocessableEntity,
 	beryllatch.ReasonAnswerLost:        http.StatusBadGateway,
 	beryllatch.ReasonAnswerMismatch:    http.StatusBadGateway,
+	beryllatch.ReasonUnknownTask:       http.StatusNotFound,
+	beryllatch.ReasonTaskNotFinished:   http.StatusConflict,
 }
 
 // Status returns the HTTP status code of a refusal.
--- /dev/null
+++ b/internal/node/beryltaskapi/doc.go
@@ -0,0 +1,2 @@
+// Package beryltaskapi serves the callers' HTTP API for queued tasks.
+package beryltaskapi
--- /dev/null
+++ b/internal/node/beryltaskapi/handler.go
@@ -0,0 +1,151 @@
+package beryltaskapi
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/beryllatch/beryllatch"
+	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
+	"github.com/beryllatch/beryllatch/internal/node/berylproblem"
+	"github.com/google/uuid"
+	"github.com/gorilla/mux"
+)
+
+// Handler serves the tasks API; Post and Store must be set.
+type Handler struct {
+	// Post hands an event to the reducer.
+	Post func(berylreducer.Event)
+	// Store holds large payloads and results.
+	Store beryllatch.ObjectStore
+
+	calls calls
+}
+
+// Register adds the routes of the handler to a router.
+func (h *Handler) Register(r *mux.Router) {
+	r.HandleFunc("/v1/queues/{queue}/tasks", h.submit).Methods(http.MethodPost)
+	r.HandleFunc("/v1/tasks/{id}", h.ask).Methods(http.MethodGet)
+	r.HandleFunc("/v1/tasks/{id}/result", h.result).Methods(http.MethodGet)
+	r.HandleFunc("/v1/tasks/{id}", h.cancel).Methods(http.MethodDelete)
+}
+
+// Deliver hands an effect to the call that waits for it, and returns false if it is no effect of the tasks API.
+func (h *Handler) Deliver(e berylreducer.Effect) bool {
+	switch x := e.(type) {
+	case berylreducer.ReceivePayload:
+		h.calls.deliver(x.CallID, x)
+	case berylreducer.AnswerTask:
+		h.calls.deliver(x.CallID, x)
+	case berylreducer.RefuseTask:
+		h.calls.deliver(x.CallID, x)
+	default:
+		return false
+	}
+	return true
+}
+
+// call is one call of the API and its answer.
+type call struct {
+	h       *Handler
+	w       http.ResponseWriter
+	id      string
+	effects <-chan berylreducer.Effect
+}
+
+func (h *Handler) begin(w http.ResponseWriter) *call {
+	id := uuid.NewString()
+	w.Header().Set(headerRequestID, id)
+	return &call{h: h, w: w, id: id, effects: h.calls.open(id)}
+}
+
+func (c *call) end() { c.h.calls.close(c.id) }
+
+func (c *call) refuse(r beryllatch.Refusal) { berylproblem.Write(c.w, c.id, r) }
+
+func (c *call) refuseInput(err error) {
+	c.refuse(beryllatch.Refusal{
+		Reason: beryllatch.ReasonBadRequest, RunState: beryllatch.RunStateNotRun, Detail: err.Error(),
+	})
+}
+
+// await returns the answer to the call after receive has handled the effect that asks for a body.
+// It returns false if the call was refused or its caller has gone.
+func (c *call) await(ctx context.Context, receive func()) (berylreducer.AnswerTask, bool) {
+	for {
+		select {
+		case <-ctx.Done():
+			return berylreducer.AnswerTask{}, false
+		case e := <-c.effects:
+			switch e := e.(type) {
+			case berylreducer.ReceivePayload:
+				receive()
+			case berylreducer.AnswerTask:
+				return e, true
+			case berylreducer.RefuseTask:
+				c.refuse(e.Refusal)
+				return berylreducer.AnswerTask{}, false
+			}
+		}
+	}
+}
+
+func (h *Handler) submit(w http.ResponseWriter, r *http.Request) {
+	c := h.begin(w)
+	defer c.end()
+	offer, err := parseOffer(r)
+	if err != nil {
+		c.refuseInput(err)
+		return
+	}
+	offer.CallID = c.id
+	offer.TaskID = uuid.NewString()
+	h.Post(offer)
+	a, ok := c.await(r.Context(), func() { h.Post(h.receive(r, offer)) })
+	if !ok {
+		return
+	}
+	w.Header().Set("Location", "/v1/tasks/"+a.Task.ID)
+	writeTask(w, http.StatusAccepted, a.Task)
+}
+
+// lookUp posts a question about a task and returns the answer.
+func (h *Handler) lookUp(c *call, r *http.Request, e berylreducer.TaskAsked) (berylreducer.AnswerTask, bool) {
+	key, id, err := parseAsk(r)
+	if err != nil {
+		c.refuseInput(err)
+		return berylreducer.AnswerTask{}, false
+	}
+	e.CallID, e.TaskID, e.KeyHash = c.id, id, key
+	h.Post(e)
+	return c.await(r.Context(), func() {})
+}
+
+func (h *Handler) ask(w http.ResponseWriter, r *http.Request) {
+	c := h.begin(w)
+	defer c.end()
+	if a, ok := h.lookUp(c, r, berylreducer.TaskAsked{}); ok {
+		writeTask(w, http.StatusOK, a.Task)
+	}
+}
+
+// cancel answers 202 when the task is or will be cancelled, and 200 with the state of a task that has ended before.
+func (h *Handler) cancel(w http.ResponseWriter, r *http.Request) {
+	c := h.begin(w)
+	defer c.end()
+	a, ok := h.lookUp(c, r, berylreducer.TaskAsked{Cancel: true})
+	if !ok {
+		return
+	}
+	status := http.StatusOK
+	if a.Accepted {
+		status = http.StatusAccepted
+	}
+	writeTask(w, status, a.Task)
+}
+
+func writeTask(w http.ResponseWriter, status int, t beryllatch.Task) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(viewOf(t))
+}
--- /dev/null
+++ b/internal/node/beryltaskapi/handler_test.go
@@ -0,0 +1,189 @@
+package beryltaskapi
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/beryllatch/beryllatch"
+	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
+	"github.com/gorilla/mux"
+	"gotest.tools/v3/assert"
+)
+
+// fakeStore holds objects; failAt names one that cannot be read.
+type fakeStore struct {
+	mu      sync.Mutex
+	objects map[string][]byte
+	failAt  string
+}
+
+func (f *fakeStore) Put(_ context.Context, name string, r io.Reader, _ int64) error {
+	b, err := io.ReadAll(r)
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.objects[name] = b
+	return nil
+}
+
+func (f *fakeStore) Get(_ context.Context, name string) (io.ReadCloser, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if name == f.failAt {
+		return nil, errors.New("store is out")
+	}
+	return io.NopCloser(bytes.NewReader(f.objects[name])), nil
+}
+
+// api is a handler whose reducer is replaced by a function.
+type api struct {
+	Handler
+	store  *fakeStore
+	mu     sync.Mutex
+	events []berylreducer.Event
+}
+
+func newAPI(t *testing.T, reduce func(berylreducer.Event) berylreducer.Effect) (*api, *httptest.Server) {
+	t.Helper()
+	a := &api{store: &fakeStore{objects: map[string][]byte{}}}
+	a.Store = a.store
+	a.Post = func(e berylreducer.Event) {
+		a.mu.Lock()
+		a.events = append(a.events, e)
+		a.mu.Unlock()
+		a.Deliver(reduce(e))
+	}
+	r := mux.NewRouter()
+	a.Register(r)
+	s := httptest.NewServer(r)
+	t.Cleanup(s.Close)
+	return a, s
+}
+
+// accept admits every submission and answers every question with the task.
+func accept(task beryllatch.Task) func(berylreducer.Event) berylreducer.Effect {
+	return func(e berylreducer.Event) berylreducer.Effect {
+		switch e := e.(type) {
+		case berylreducer.TaskOffered:
+			return berylreducer.ReceivePayload{CallID: e.CallID, TaskID: e.TaskID}
+		case berylreducer.PayloadReceived:
+			return berylreducer.AnswerTask{CallID: e.CallID, Task: task, Accepted: true}
+		case berylreducer.PayloadFailed:
+			return berylreducer.RefuseTask{CallID: e.CallID, Refusal: beryllatch.Refusal{Reason: e.Reason}}
+		case berylreducer.TaskAsked:
+			return berylreducer.AnswerTask{CallID: e.CallID, Task: task, Accepted: e.Cancel}
+		default:
+			return nil
+		}
+	}
+}
+
+func do(t *testing.T, method, url string, body io.Reader, header ...string) (int, string, error) {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), method, url, body)
+	assert.NilError(t, err)
+	for n := 0; n < len(header); n += 2 {
+		r.Header.Add(header[n], header[n+1])
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(b), err
+}
+
+// Guards against a secret that reaches the reducer unhashed, and against large bodies in memory.
+func TestSubmit(t *testing.T) {
+	a, s := newAPI(t, accept(beryllatch.Task{ID: "t1", Queue: "q", State: beryllatch.TaskQueued}))
+	large := bytes.Repeat([]byte("x"), 100_000)
+	for _, body := range [][]byte{[]byte("small"), large} {
+		status, answer, _ := do(t, http.MethodPost, s.URL+"/v1/queues/q/tasks", bytes.NewReader(body),
+			"Authorization", "Bearer secret", "Idempotency-Key", "k", "Beryllatch-Idempotent", "true")
+		assert.Equal(t, status, http.StatusAccepted)
+		assert.Equal(t, answer, `{"task_id":"t1","queue":"q","state":"queued"}`+"\n")
+	}
+	offer := a.events[0].(berylreducer.TaskOffered)
+	assert.Equal(t, offer.KeyHash, hash("secret"))
+	assert.Equal(t, offer.IdempotencyKey, hash("k"))
+	assert.Assert(t, offer.Idempotent)
+	assert.Equal(t, string(a.events[1].(berylreducer.PayloadReceived).Payload), "small")
+	stored := a.events[3].(berylreducer.PayloadReceived)
+	assert.Equal(t, len(stored.Payload), 0)
+	assert.Assert(t, bytes.Equal(a.store.objects[stored.Object], large))
+}
+
+// Guards against input that is accepted by guessing what it means.
+func TestSubmitBadInput(t *testing.T) {
+	a, s := newAPI(t, accept(beryllatch.Task{}))
+	for _, c := range []struct {
+		name   string
+		header []string
+		body   io.Reader
+		want   string
+	}{
+		{"repeated key", []string{"Authorization", "Bearer a", "Authorization", "Bearer b"}, nil, "must not be repeated"},
+		{"no scheme", []string{"Authorization", "a"}, nil, "must be Bearer and a key"},
+		{"bad flag", []string{headerIdempotent, "yes"}, nil, "must be true or false"},
+		{"urgent", []string{headerUrgent, "true"}, nil, "use a request"},
+		{"deadline", []string{headerDeadline, "0"}, nil, "must be between 1 and"},
+		{"long key", []string{headerIdempotencyKey, strings.Repeat("k", 256)}, nil, "at most 255 bytes"},
+		{"no length", nil, io.MultiReader(strings.NewReader("x")), "is required"},
+		{"too long", nil, bytes.NewReader(make([]byte, maxPayload+1)), "must be at most"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			status, answer, _ := do(t, http.MethodPost, s.URL+"/v1/queues/q/tasks", c.body, c.header...)
+			assert.Equal(t, status, http.StatusBadRequest)
+			assert.Assert(t, strings.Contains(answer, c.want), answer)
+			assert.Assert(t, strings.Contains(answer, `"run_state":"not_run"`))
+		})
+	}
+	assert.Equal(t, len(a.events), 0)
+}
+
+// Guards against a refusal that loses its reason on the way to the caller.
+func TestRefusal(t *testing.T) {
+	_, s := newAPI(t, func(e berylreducer.Event) berylreducer.Effect {
+		return berylreducer.RefuseTask{CallID: e.(berylreducer.TaskAsked).CallID, Refusal: beryllatch.Refusal{
+			Reason: beryllatch.ReasonUnknownTask, RunState: beryllatch.RunStateNotRun,
+		}}
+	})
+	status, answer, _ := do(t, http.MethodGet, s.URL+"/v1/tasks/t1", nil)
+	assert.Equal(t, status, http.StatusNotFound)
+	assert.Assert(t, strings.Contains(answer, `"reason":"unknown_task"`))
+	status, _, _ = do(t, http.MethodGet, s.URL+"/v1/tasks/a_b", nil)
+	assert.Equal(t, status, http.StatusBadRequest)
+}
+
+// Guards against a result that is cut short but looks whole, and against a wrong status of a cancellation.
+func TestAskCancelResult(t *testing.T) {
+	task := beryllatch.Task{ID: "t1", Queue: "q", State: beryllatch.TaskDone, ResultObject: "r", ResultParts: 2}
+	a, s := newAPI(t, accept(task))
+	a.store.objects["r/0"], a.store.objects["r/1"] = []byte("one,"), []byte("two")
+	status, answer, _ := do(t, http.MethodGet, s.URL+"/v1/tasks/t1", nil)
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, answer, `{"task_id":"t1","queue":"q","state":"done"}`+"\n")
+	status, _, _ = do(t, http.MethodDelete, s.URL+"/v1/tasks/t1", nil)
+	assert.Equal(t, status, http.StatusAccepted)
+	status, answer, err := do(t, http.MethodGet, s.URL+"/v1/tasks/t1/result", nil)
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, answer, "one,two")
+
+	a.store.failAt = "r/0"
+	status, _, _ = do(t, http.MethodGet, s.URL+"/v1/tasks/t1/result", nil)
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	a.store.failAt = "r/1"
+	_, _, err = do(t, http.MethodGet, s.URL+"/v1/tasks/t1/result", nil)
+	assert.Assert(t, err != nil)
+}
--- /dev/null
+++ b/internal/node/beryltaskapi/payload.go
@@ -0,0 +1,48 @@
+package beryltaskapi
+
+import (
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/beryllatch/beryllatch"
+	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
+	"github.com/beryllatch/beryllatch/internal/node/beryltask"
+)
+
+// receive reads the body of an admitted submission; a large one is streamed into the object store.
+func (h *Handler) receive(r *http.Request, o berylreducer.TaskOffered) berylreducer.Event {
+	if r.ContentLength <= beryltask.MaxInline {
+		payload := make([]byte, r.ContentLength)
+		if _, err := io.ReadFull(r.Body, payload); err != nil {
+			return berylreducer.PayloadFailed{CallID: o.CallID, Reason: beryllatch.ReasonBadRequest}
+		}
+		return berylreducer.PayloadReceived{CallID: o.CallID, Payload: payload}
+	}
+	name := "payload/" + o.TaskID
+	body := &countingReader{r: r.Body}
+	err := h.Store.Put(r.Context(), name, body, r.ContentLength)
+	switch {
+	case body.err != nil:
+		return berylreducer.PayloadFailed{CallID: o.CallID, Reason: beryllatch.ReasonBadRequest}
+	case err != nil || body.n != r.ContentLength:
+		return berylreducer.PayloadFailed{CallID: o.CallID, Reason: beryllatch.ReasonPlatformUnavailable}
+	}
+	return berylreducer.PayloadReceived{CallID: o.CallID, Object: name}
+}
+
+// countingReader counts the bytes of a body and keeps the error of its caller's connection.
+type countingReader struct {
+	r   io.Reader
+	n   int64
+	err error
+}
+
+func (c *countingReader) Read(p []byte) (int, error) {
+	n, err := c.r.Read(p)
+	c.n += int64(n)
+	if err != nil && !errors.Is(err, io.EOF) {
+		c.err = err
+	}
+	return n, err
+}
