--- /dev/null
+++ b/internal/decision/berylreducer/task_dispatch_test.go
@@ -0,0 +1,164 @@
+package berylreducer
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/beryllatch/beryllatch"
+	"gotest.tools/v3/assert"
+)
+
+var blueKey = strings.Repeat("2", 64)
+
+func (w *world) submitBy(key, id string, deadline time.Duration) {
+	w.apply(w.nodes[0], TaskOffered{CallID: w.callID(), TaskID: id, KeyHash: key, Queue: "price", Deadline: deadline})
+	w.settle()
+}
+
+// startOrder returns the ids of the tasks that were started, in order.
+func (w *world) startOrder() []string {
+	var out []string
+	for line := range strings.Lines(w.log.String()) {
+		if _, rest, ok := strings.Cut(line, "-> StartTask{ID:"); ok {
+			out = append(out, strings.Fields(rest)[0])
+		}
+	}
+	return out
+}
+
+// newSmallWorld has one node and one worker with the given slots.
+func newSmallWorld(slots int) *world {
+	w := newWorld(nil)
+	for _, id := range []string{"w1", "w2", "w3", "w4"} {
+		i := w.config.Instances[id]
+		i.Slots = slots
+		w.config = w.config.WithInstance(i)
+	}
+	for _, id := range []string{"w2", "w3", "w4"} {
+		w.config = w.config.WithoutInstance(id)
+	}
+	w.addNode("n1")
+	w.settle()
+	w.pass(5 * time.Second)
+	return w
+}
+
+func (w *world) endAll() {
+	for _, id := range beryllatch.SortedKeys(w.starts) {
+		w.end(id, beryllatch.TaskRunDone)
+	}
+}
+
+// Guards against a task that misses its deadline behind one with more time, and against a team that starves another.
+func TestTaskDispatchOrder(t *testing.T) {
+	w := newSmallWorld(2)
+	w.submitBy(redKey, "first", time.Minute)
+	w.submitBy(redKey, "second", time.Minute)
+	w.pass(time.Second)
+	w.submitBy(redKey, "late", 4*time.Minute)
+	w.submitBy(redKey, "soon", 2*time.Minute)
+	w.submitBy(blueKey, "other", 3*time.Minute)
+	w.end("first", beryllatch.TaskRunDone)
+	for range 4 {
+		w.pass(4 * time.Second)
+		w.endAll()
+	}
+	assert.DeepEqual(t, w.startOrder(), []string{"first", "second", "other", "soon", "late"})
+}
+
+// Guards against work that can wait taking the last slots, which requests need in a burst, and against waiting too long.
+func TestTaskWaitsForTrough(t *testing.T) {
+	w := newTaskWorld(1)
+	for n := range 8 {
+		w.submitBy(redKey, fmt.Sprintf("t%d", n), 20*time.Minute)
+	}
+	w.pass(2 * time.Second)
+	assert.Equal(t, len(w.startOrder()), 6)
+	for range 10 {
+		w.submitBy(blueKey, w.callID(), 3*time.Minute)
+	}
+	w.pass(time.Second)
+	assert.Equal(t, len(w.startOrder()), 8)
+	for range 12 {
+		w.pass(4 * time.Second)
+		w.endAll()
+	}
+	assert.Equal(t, len(w.startOrder()), 18)
+}
+
+// Guards against a forecast that warns only once deadlines are missed.
+func TestTaskForecast(t *testing.T) {
+	w := newSmallWorld(1)
+	for n := range 5 {
+		w.submitBy(redKey, fmt.Sprintf("t%d", n), 150*time.Second)
+	}
+	w.pass(3 * time.Second)
+	assert.Assert(t, w.nodes[0].r.tasks.late["price"])
+	for range 12 {
+		w.pass(4 * time.Second)
+		w.endAll()
+	}
+	w.pass(4 * time.Second)
+	assert.Assert(t, !w.nodes[0].r.tasks.late["price"])
+}
+
+// Guards against a node whose memory grows with the table, and against tasks beyond the bound that never run.
+func TestTaskLoadIsBounded(t *testing.T) {
+	w := newTaskWorld(1)
+	w.quiet = true
+	s := &w.nodes[0].r.tasks.shards[3]
+	for n := 0; len(w.rows) < 600; n++ {
+		id := fmt.Sprintf("x%04d", n)
+		if ShardOf(id) == s.Shard {
+			task := beryllatch.Task{
+				ID: id, Team: "red", Queue: "price", State: beryllatch.TaskQueued, Deadline: w.now.Wall.Add(time.Hour),
+			}
+			if n%2 == 1 {
+				task.Deadline = w.now.Wall.Add(3 * time.Minute)
+			}
+			row := rowOf(openKey(s.Shard, id), task)
+			row.Version = 1
+			w.rows[row.Key] = row
+		}
+	}
+	w.pass(5 * time.Second)
+	assert.Equal(t, len(s.tasks), maxLoaded)
+	for _, id := range beryllatch.SortedKeys(s.tasks) {
+		assert.Assert(t, s.tasks[id].Deadline.Before(w.now.Wall.Add(30*time.Minute)))
+	}
+}
+
+// Guards against refusing what a caller may do, and accepting what it may not.
+func TestTaskAdmission(t *testing.T) {
+	w := newTaskWorld(1)
+	w.config = w.config.WithVersion(2).
+		WithQueue(beryllatch.Queue{Name: "own", Pool: "quotes", Team: "blue"}).
+		WithQueue(beryllatch.Queue{Name: "empty", Pool: "spare"})
+	w.apply(w.nodes[0], ConfigRead{Config: w.config})
+	for _, c := range []struct {
+		offer TaskOffered
+		want  beryllatch.Reason
+	}{
+		{TaskOffered{Queue: "none", KeyHash: redKey}, beryllatch.ReasonUnknownQueue},
+		{TaskOffered{Queue: "price"}, beryllatch.ReasonUnauthorized},
+		{TaskOffered{Queue: "price", KeyHash: strings.Repeat("9", 64)}, beryllatch.ReasonUnauthorized},
+		{TaskOffered{Queue: "own", KeyHash: redKey}, beryllatch.ReasonForbiddenQueue},
+		{TaskOffered{Queue: "empty", KeyHash: redKey}, beryllatch.ReasonNoCapacity},
+		{TaskOffered{Queue: "public", IdempotencyKey: "k"}, beryllatch.ReasonBadRequest},
+		{TaskOffered{Queue: "public"}, ""},
+		{TaskOffered{Queue: "own", KeyHash: blueKey}, ""},
+	} {
+		c.offer.CallID = w.callID()
+		c.offer.TaskID = "a-" + c.offer.CallID
+		w.apply(w.nodes[0], c.offer)
+		w.settle()
+		refused, _ := w.nodes[0].answers[c.offer.CallID].(RefuseTask)
+		assert.Equal(t, refused.Refusal.Reason, c.want)
+	}
+	w.submitBy(redKey, "mine", time.Hour)
+	w.apply(w.nodes[0], TaskAsked{CallID: "ask", TaskID: "mine", KeyHash: blueKey})
+	w.settle()
+	assert.Equal(t, w.nodes[0].answers["ask"].(RefuseTask).Refusal.Reason, beryllatch.ReasonUnknownTask)
+}
