--- a/internal/node/beryltask/executor.go
+++ b/internal/node/beryltask/executor.go
@@ -40,12 +40,13 @@
 	post   func(berylreducer.Event)
 	done   <-chan struct{}
 
-	writes  *groupWriter
-	reads   *pool
-	reports *pool
-	starts  *pool
-	results *pool
-	running sync.WaitGroup
+	payloads payloadCache
+	writes   *groupWriter
+	reads    *pool
+	reports  *pool
+	starts   *pool
+	results  *pool
+	running  sync.WaitGroup
 }
 
 // New starts an executor that ends with ctx; results go to post, which may block, and now reads the node's clocks.
--- a/internal/node/beryltask/executor_test.go
+++ b/internal/node/beryltask/executor_test.go
@@ -268,6 +268,26 @@
 	})
 }
 
+// Guards against idempotent tasks that cannot start in an outage, and against a cache without a bound.
+func TestPayloadsAreKeptForAnOutage(t *testing.T) {
+	inBubble(t, func(t *testing.T, s *shell) {
+		for n := range 100 {
+			task := beryllatch.Task{
+				ID: fmt.Sprintf("t%02d", n), State: beryllatch.TaskQueued, PayloadRow: true, Idempotent: true,
+			}
+			s.table.rows[openKey(1, task.ID)] = encoded(openKey(1, task.ID), task, 0)
+			s.table.rows[payloadKey(1, task.ID)] = beryllatch.Row{Version: 1, Value: make([]byte, MaxInline)}
+		}
+		s.Execute(berylreducer.LoadTasks{Shard: 1, Limit: 100})
+		s.settle()
+		assert.Assert(t, s.payloads.size > cacheBytes/2 && s.payloads.size <= cacheBytes)
+		s.table.err = &beryllatch.UnavailableError{Err: io.EOF}
+		s.Execute(berylreducer.StartTask{ID: "t00", Shard: 1, PayloadRow: true})
+		s.settle()
+		assert.Equal(t, len(s.runner.body), MaxInline)
+	})
+}
+
 // Guards against a result that is cut short but counts as whole, and against large results in the table.
 func TestCollectResult(t *testing.T) {
 	large := bytes.Repeat([]byte("0123456789"), 300_000)
--- a/internal/node/beryltask/table.go
+++ b/internal/node/beryltask/table.go
@@ -13,6 +13,9 @@
 
 func (x *Executor) submitTask(e berylreducer.SubmitTask) {
 	x.write(submissionRows(e), func(r berylreducer.WriteResult) berylreducer.Event {
+		if r == berylreducer.WriteDone && e.Task.Idempotent && e.Task.PayloadRow {
+			x.payloads.put(e.Task.ID, e.Payload)
+		}
 		return berylreducer.SubmissionWritten{CallID: e.CallID, Result: r}
 	})
 }
@@ -24,6 +27,9 @@
 }
 
 func (x *Executor) writeTask(e berylreducer.WriteTask) {
+	if e.Task.State.Final() {
+		x.payloads.drop(e.Task.ID)
+	}
 	x.write(checkedRows(e), func(r berylreducer.WriteResult) berylreducer.Event {
 		return berylreducer.TaskWritten{ID: e.Task.ID, Epoch: e.Epoch, Result: r}
 	})
@@ -128,9 +134,29 @@
 		}
 		out.Tasks = append(out.Tasks, t)
 	}
+	x.prefetch(e.Shard, out.Tasks)
 	return out
 }
 
+// prefetch reads the payloads that idempotent tasks would need in an outage.
+func (x *Executor) prefetch(shard int, tasks []berylreducer.StoredTask) {
+	for _, t := range tasks {
+		if !t.Idempotent || !t.PayloadRow || t.State != beryllatch.TaskQueued || x.payloads.touch(t.ID) {
+			continue
+		}
+		if x.payloads.full() {
+			return
+		}
+		x.reads.add(func(ctx context.Context) {
+			ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+			defer cancel()
+			if row, err := x.table.Get(ctx, payloadKey(shard, t.ID)); err == nil && row.Version > 0 {
+				x.payloads.put(t.ID, row.Value)
+			}
+		})
+	}
+}
+
 func (x *Executor) readTask(ctx context.Context, e berylreducer.ReadTask) berylreducer.Event {
 	t, found, err := x.storedAt(ctx, openKey(e.Shard, e.ID))
 	return berylreducer.TaskRowRead{ID: e.ID, Epoch: e.Epoch, Failed: err != nil, Found: found, Task: t}
--- a/internal/node/beryltask/worker.go
+++ b/internal/node/beryltask/worker.go
@@ -35,6 +35,9 @@
 	case e.PayloadObject != "":
 		return x.store.Get(ctx, e.PayloadObject)
 	case e.PayloadRow:
+		if body, ok := x.payloads.get(e.ID); ok {
+			return io.NopCloser(bytes.NewReader(body)), nil
+		}
 		row, err := x.table.Get(ctx, payloadKey(e.Shard, e.ID))
 		if err != nil {
 			return nil, err
