--- /dev/null
+++ b/internal/decision/berylreducer/fleet_test.go
@@ -0,0 +1,81 @@
+package berylreducer
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/golden"
+)
+
+// load sends a request to each node every interval for the duration d.
+func (w *world) load(d, interval time.Duration) {
+	for end := w.now + d; w.now < end; w.run(interval) {
+		for _, n := range w.nodes {
+			w.requestBy(n, fmt.Sprintf("q%d", w.now.Milliseconds()), 5*time.Second)
+		}
+	}
+}
+
+// Guards against a change of the whole sessions of three nodes with their table: who works, who stops, who takes over.
+func TestFleetSessions(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		play func(w *world, n1 *simNode)
+	}{
+		{"outage", func(w *world, _ *simNode) {
+			for _, n := range w.nodes {
+				n.outage = true
+			}
+			w.load(10*time.Minute, 2*time.Minute)
+			for _, n := range w.nodes {
+				n.outage = false
+			}
+			w.load(5*time.Second, 2*time.Second)
+		}},
+		{"alone", func(w *world, n1 *simNode) {
+			for _, n := range w.nodes {
+				n.outage = n != n1
+			}
+			w.load(4*time.Second, 2*time.Second)
+			w.commit(n1, 5)
+			w.load(6*time.Second, 2*time.Second)
+			for _, n := range w.nodes {
+				n.outage = false
+			}
+			w.load(4*time.Second, 2*time.Second)
+		}},
+		{"freeze", func(w *world, n1 *simNode) {
+			w.freeze(n1, 10*time.Second, true)
+			w.load(14*time.Second, 2*time.Second)
+			w.freeze(n1, 100*time.Second, false)
+			w.load(104*time.Second, 20*time.Second)
+		}},
+		{"death", func(w *world, n1 *simNode) {
+			w.load(time.Second, 250*time.Millisecond)
+			n1.down = true
+			w.load(80*time.Second, 10*time.Second)
+		}},
+		{"ceiling", func(w *world, n1 *simNode) {
+			w.workTime = func() time.Duration { return 3 * time.Second }
+			w.load(time.Second, 250*time.Millisecond)
+			w.commit(n1, 2)
+			w.load(4*time.Second, 500*time.Millisecond)
+			w.run(5 * time.Second)
+		}},
+		{"stop", func(w *world, n1 *simNode) {
+			w.load(time.Second, 250*time.Millisecond)
+			w.deliver(n1, n1.process, StopRequested{})
+			w.load(4*time.Second, time.Second)
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(1, faults{})
+			w.run(3 * time.Second)
+			c.play(w, w.nodes[0])
+			log := strings.ReplaceAll(w.log.String(), "LogState", "State")
+			golden.Assert(t, log+"broken rule: "+w.broken+"\n", "fleet_"+c.name+".golden")
+		})
+	}
+}
--- a/internal/decision/berylreducer/heartbeat.go
+++ b/internal/decision/berylreducer/heartbeat.go
@@ -35,7 +35,10 @@
 		return
 	}
 	m.inForce = max(m.inForce, e.ConfigVersion)
-	r.noteDemand(m, e.Demand...)
+	if len(e.Demand) > 0 {
+		m.demand = nil
+		r.noteDemand(m, e.Demand...)
+	}
 	r.grantHeard(m, e)
 	r.checkInForce()
 }
--- a/internal/decision/berylreducer/leave.go
+++ b/internal/decision/berylreducer/leave.go
@@ -13,9 +13,10 @@
 	switch {
 	case r.idleAt == 0:
 		r.idleAt = r.now.Mono
-	case t.deleting && late, t.replaced, !r.mayTransfer() && late:
+	case late, t.replaced:
+		// The row stays while it may still have units: its peers know it, so that they can tell when it has lapsed.
 		r.emit(Stop{})
-	case t.deleting, !r.unitsReturned() && !late:
+	case t.deleting, !r.unitsReturned(), !r.mayTransfer():
 	default:
 		t.deleting = true
 		t.until, t.renewedUntil = min(t.until, r.now.Mono), min(t.renewedUntil, r.now.Mono)
--- a/internal/decision/berylreducer/membership.go
+++ b/internal/decision/berylreducer/membership.go
@@ -87,7 +87,7 @@
 	}
 	unchanged := readAt - m.changedAt
 	lapsed := unchanged >= unlistedLapseWait
-	if unchanged >= lapseWait && r.now.Mono >= m.grantedUntil {
+	if unchanged >= lapseWait && (r.now.Mono >= m.grantedUntil || r.faults.ignoreGrants) {
 		lapsed = lapsed || m.gone || slices.Contains(m.row.Known, r.self.Incarnation)
 	}
 	if r.faults.ignoreLapseWait {
--- a/internal/decision/berylreducer/units.go
+++ b/internal/decision/berylreducer/units.go
@@ -99,9 +99,6 @@
 
 // usable reports whether the last known row gives the node its units under the present ceiling.
 func (r *Reducer) usable(u *teamUnits) bool {
-	if r.faults.ignoreLapseWait && u.rowKnown {
-		return true
-	}
 	return u.rowKnown && u.rowGeneration == r.tenure.generation && u.row.ConfigVersion >= u.needVersion
 }
 
@@ -253,7 +250,7 @@
 	}
 	u.row, u.version, u.rowKnown, u.rowGeneration = row, e.Version, true, r.tenure.generation
 	u.readAt = u.calledAt
-	unresolved := u.lost && e.Version == u.lostExpect
+	unresolved := u.lost && e.Version == u.lostExpect && !r.faults.trustRead
 	if unresolved {
 		// The lost write may still arrive; only a further write at this version decides it.
 		u.held = min(u.held, row.Holdings[r.self.Incarnation])
--- a/internal/decision/berylreducer/unittransfer.go
+++ b/internal/decision/berylreducer/unittransfer.go
@@ -9,7 +9,7 @@
 
 const (
 	// giveTimeout bounds how long units promised to a peer are withheld from new work here.
-	giveTimeout = 2 * time.Second
+	giveTimeout = 3 * time.Second
 	// askAgain is how long a peer that has been asked for units is passed over in favour of others.
 	askAgain = 2 * time.Second
 )
@@ -27,7 +27,12 @@
 		if m == nil || m.absent || m.lapsed || r.askedRecently(u, id) {
 			continue
 		}
-		if n := row.Holdings[id] - share[id]; n > surplus {
+		n := row.Holdings[id] - share[id]
+		if row.Holdings[r.self.Incarnation] == 0 {
+			// A node without any unit takes turns with the others when the ceiling is below the number of nodes.
+			n = max(n, 1)
+		}
+		if n > surplus {
 			best, surplus = id, n
 		}
 	}
@@ -48,24 +53,24 @@
 	return ok && r.now.Mono-at < askAgain
 }
 
-// fairSplit divides the ceiling over the nodes that hold units, by demand; an unknown demand counts as none, and the
-// holder that is asked decides by its own.
+// fairSplit divides the ceiling over the nodes by demand; an unknown demand counts as none, and the holder that is asked
+// decides by its own.
 func (r *Reducer) fairSplit(team string, u *teamUnits, row UnitRow) map[string]int {
 	demand := map[string]int{r.self.Incarnation: u.running + u.waiting}
-	for id := range row.Holdings {
-		if id == r.self.Incarnation {
-			continue
+	for id, m := range r.members {
+		d := m.demand[team]
+		if r.now.Mono-m.demandAt >= demandAge || m.lapsed {
+			d = Demand{}
 		}
-		demand[id] = 0
-		if m := r.members[id]; m != nil && r.now.Mono-m.demandAt < demandAge {
-			d := m.demand[team]
-			demand[id] = d.Running + d.Waiting
+		if n := d.Running + d.Waiting; n > 0 || row.Holdings[id] > 0 {
+			demand[id] = n
 		}
 	}
 	return berylshare.Split(row.Ceiling, demand)
 }
 
-// unitsAsked withholds idle units, and units above this node's fair part, for the peer that asks.
+// unitsAsked withholds idle units, and units above this node's fair part, for the peer that asks; a peer without any
+// unit gets one in turn.
 func (r *Reducer) unitsAsked(e UnitsAsked) {
 	u, m := r.units[e.Team], r.members[e.Incarnation]
 	if u == nil || m == nil || m.lapsed || m.absent || !r.mayTransfer() || !r.usable(u) || u.lost {
@@ -77,6 +82,9 @@
 	}
 	idle := u.held - u.running - u.waiting
 	above := u.held - r.fairSplit(e.Team, u, u.row)[r.self.Incarnation]
+	if e.Demand.Units == 0 && e.Demand.Waiting > 0 {
+		above = max(above, min(1, u.held))
+	}
 	n := min(e.Units, max(idle, above))
 	if n <= 0 {
 		r.emit(SendHeartbeats{Peers: []Identity{m.row.Identity}, ConfigVersion: r.config.Version, Demand: r.demand()})
@@ -116,9 +124,6 @@
 }
 
 func (r *Reducer) noteDemand(m *member, list ...Demand) {
-	if len(list) == 0 {
-		return
-	}
 	if m.demand == nil {
 		m.demand = map[string]Demand{}
 	}
