--- a/internal/decision/berylreducer/membership.go
+++ b/internal/decision/berylreducer/membership.go
@@ -211,6 +211,7 @@
 	if m := r.members[e.Incarnation]; m != nil {
 		m.deleting = false
 		if e.Result == WriteDone {
+			m.absent, m.changedAt = true, r.now.Mono
 			r.emit(LogState{Subject: "peer " + e.Incarnation, From: "lapsed", To: "removed"})
 		}
 	}
--- a/internal/decision/berylreducer/units.go
+++ b/internal/decision/berylreducer/units.go
@@ -13,8 +13,9 @@
 	unitsRetry = 100 * time.Millisecond
 	// maxUnitCalls bounds the calls to the table that one tick starts for units.
 	maxUnitCalls = 8
-	// peakWindow is how long idle units stay after the demand that needed them.
-	peakWindow = 10 * time.Second
+	// peakWindow is how long idle units stay at least after the demand that needed them; peers that are short of units ask
+	// for them sooner. Shorter windows cost two writes for each single request of a quiet team.
+	peakWindow = 30 * time.Second
 	// maxReserve bounds the idle units that a node keeps for an urgent request.
 	maxReserve = 2
 )
--- /dev/null
+++ b/internal/node/berylpeer/client.go
@@ -0,0 +1,116 @@
+package berylpeer
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
+	"github.com/beryllatch/beryllatch/internal/rpc/berylwire"
+)
+
+// CallError reports a call to a peer without an answer; the call may have arrived.
+type CallError struct {
+	Peer   berylreducer.Identity
+	Method string
+	Err    error
+}
+
+// Error names the method and the peer.
+func (e *CallError) Error() string {
+	return e.Method + " to peer " + e.Peer.Node + " at " + e.Peer.PeerAddress + ": " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *CallError) Unwrap() error { return e.Err }
+
+// Client calls peers; it is safe for concurrent use, and every error is a *CallError.
+type Client struct{ http *http.Client }
+
+// Option changes a Client.
+type Option func(*Client)
+
+// WithTimeout sets the limit of one call; the default is 1 s.
+func WithTimeout(d time.Duration) Option { return func(c *Client) { c.http.Timeout = d } }
+
+// NewClient returns a client that keeps one connection to each peer.
+func NewClient(options ...Option) *Client {
+	p := new(http.Protocols)
+	p.SetUnencryptedHTTP2(true)
+	t := &http.Transport{
+		Protocols: p, IdleConnTimeout: idleTimeout, ResponseHeaderTimeout: callTimeout, DisableCompression: true,
+	}
+	c := &Client{http: &http.Client{Transport: limited{t}, Timeout: callTimeout}}
+	for _, o := range options {
+		o(c)
+	}
+	return c
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Heartbeat sends the report and returns the peer's answer.
+func (c *Client) Heartbeat(ctx context.Context, to berylreducer.Identity, h Heartbeat) (Answer, error) {
+	m, err := c.peer(to).Heartbeat(ctx, &berylwire.HeartbeatRequest{
+		Node: h.From.Node, Incarnation: h.From.Incarnation, ConfigVersion: h.ConfigVersion,
+		Demand: demandToWire(h.Demand), AskGrant: h.AskGrant,
+	})
+	if err != nil {
+		return Answer{}, &CallError{to, "Heartbeat", err}
+	}
+	return Answer{
+		From: identity(m.GetNode(), m.GetIncarnation()), ConfigVersion: m.GetConfigVersion(),
+		Granted: m.GetGranted(), Demand: demandFromWire(m.GetDemand()),
+	}, nil
+}
+
+// NotifyConfig tells the peer of a committed version and returns the version in force there.
+func (c *Client) NotifyConfig(ctx context.Context, to berylreducer.Identity, version uint64) (Answer, error) {
+	m, err := c.peer(to).NotifyConfig(ctx, &berylwire.NotifyConfigRequest{Version: version})
+	if err != nil {
+		return Answer{}, &CallError{to, "NotifyConfig", err}
+	}
+	return Answer{From: identity(m.GetNode(), m.GetIncarnation()), ConfigVersion: m.GetVersion()}, nil
+}
+
+// ReleaseUnits asks the peer for units.
+func (c *Client) ReleaseUnits(ctx context.Context, to berylreducer.Identity, u UnitRequest) error {
+	_, err := c.peer(to).ReleaseUnits(ctx, &berylwire.ReleaseUnitsRequest{
+		Team: u.Team, Incarnation: u.Incarnation, Units: int32(u.Units),
+		Demand: demandToWire([]berylreducer.Demand{u.Demand})[0],
+	})
+	if err != nil {
+		return &CallError{to, "ReleaseUnits", err}
+	}
+	return nil
+}
+
+// NotifyUnits tells the peer that units of the team have been moved to it.
+func (c *Client) NotifyUnits(ctx context.Context, to berylreducer.Identity, team string) error {
+	_, err := c.peer(to).NotifyUnits(ctx, &berylwire.NotifyUnitsRequest{Team: team})
+	if err != nil {
+		return &CallError{to, "NotifyUnits", err}
+	}
+	return nil
+}
+
+func (c *Client) peer(to berylreducer.Identity) berylwire.Peer {
+	return berylwire.NewPeerProtobufClient("http://"+to.PeerAddress, c.http)
+}
+
+// limited bounds the size of answers.
+type limited struct{ *http.Transport }
+
+// RoundTrip implements http.RoundTripper.
+func (l limited) RoundTrip(r *http.Request) (*http.Response, error) {
+	answer, err := l.Transport.RoundTrip(r)
+	if err == nil {
+		answer.Body = struct {
+			io.Reader
+			io.Closer
+		}{io.LimitReader(answer.Body, maxBody), answer.Body}
+	}
+	return answer, err
+}
