Call peers from the daemon and confirm changes at once

Cause of slow operator calls: after a commit the next node rows were read up to 1 s later, and peers were told nothing. Now the node renews at once and peers fetch a notified version. The confirmation counts only node rows that were read after the head, also when renewals skip them.

--- a/internal/decision/berylreducer/inforce.go
+++ b/internal/decision/berylreducer/inforce.go
@@ -41,6 +41,10 @@
 	if peers := r.unacknowledged(version); len(peers) > 0 {
 		r.emit(NotifyConfig{Peers: peers, Version: version})
 	}
+	if !r.tenure.inFlight {
+		// The operator waits for node rows that are read after the commit.
+		r.renew()
+	}
 }
 
 // unacknowledged returns the registered nodes that have neither shown the version nor surely lapsed.
--- a/internal/decision/berylreducer/operate.go
+++ b/internal/decision/berylreducer/operate.go
@@ -66,6 +66,8 @@
 	case Renewed:
 		r.bootstrap(e)
 		r.confirmOperations()
+	case PeerHeard:
+		r.confirmOperations()
 	case WorkerReported:
 		r.workerRunningReported(e)
 	}
--- a/internal/decision/berylreducer/reducer.go
+++ b/internal/decision/berylreducer/reducer.go
@@ -103,6 +103,12 @@
 	return r.out
 }
 
+// Config returns the configuration in force.
+func (r *Reducer) Config() beryllatch.Config { return r.config }
+
+// Self returns the node's present identity.
+func (r *Reducer) Self() Identity { return r.self }
+
 func (r *Reducer) emit(e ...Effect) { r.out = append(r.out, e...) }
 
 func (r *Reducer) count(name string) { r.emit(Count{Name: name, N: 1}) }
--- a/internal/decision/berylreducer/tenure.go
+++ b/internal/decision/berylreducer/tenure.go
@@ -59,6 +59,8 @@
 	// headKnown is the highest configuration version that the node has heard of.
 	headKnown  uint64
 	configRead time.Duration
+	// nodesHead is the head version that was read before the present node rows.
+	nodesHead uint64
 	// pending is a renewal that waits for the adoption of the configuration version it read.
 	pending Renewed
 	// clock is the instant of the last tick.
@@ -185,6 +187,7 @@
 	t.pending = e
 	if !e.NodesSkipped {
 		t.nodesAt = max(e.SentAt.Mono, 1)
+		t.nodesHead = e.HeadVersion
 		r.observeNodes(e)
 	}
 	if r.config.Version < e.HeadVersion {
--- a/internal/node/beryldaemon/daemon.go
+++ b/internal/node/beryldaemon/daemon.go
@@ -9,6 +9,7 @@
 	"github.com/beryllatch/beryllatch"
 	"github.com/beryllatch/beryllatch/internal/common/berylmetrics"
 	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
+	"github.com/beryllatch/beryllatch/internal/node/berylpeer"
 	"github.com/beryllatch/beryllatch/internal/platform/berylconfig"
 	"github.com/phuslu/log"
 )
@@ -30,6 +31,7 @@
 	Objects   beryllatch.ObjectStore
 	Instances beryllatch.InstanceList
 	Tasks     beryllatch.TaskRunner
+	Peers     *berylpeer.Client
 	Metrics   *berylmetrics.Registry
 	Log       *log.Logger
 	// Seed seeds the reducer's random choices.
@@ -47,7 +49,8 @@
 	requests map[string]chan berylreducer.Effect
 
 	node      nodeRow
-	snapshot  atomic.Pointer[beryllatch.Config]
+	state     published
+	grants    calls[bool]
 	claims    *grouper
 	answers   answers
 	operators calls[berylreducer.ReplyOperator]
@@ -75,6 +78,7 @@
 		for _, x := range r.Reduce(d.now(), e) {
 			d.execute(ctx, x)
 		}
+		d.state.set(&r)
 	}
 	reduce(berylreducer.Started{Self: d.Self, Seed: d.Seed})
 	d.work.Go(func() { d.claims.run(ctx, func(f func(context.Context)) { d.async(ctx, f) }) })
--- a/internal/node/beryldaemon/execute.go
+++ b/internal/node/beryldaemon/execute.go
@@ -8,7 +8,7 @@
 
 // execute carries out one effect; everything that may block runs outside the loop.
 func (d *Daemon) execute(ctx context.Context, x berylreducer.Effect) {
-	if d.executeClaim(ctx, x) || d.executeTenure(ctx, x) || d.executeUnits(ctx, x) {
+	if d.executeClaim(ctx, x) || d.executeTenure(ctx, x) || d.executeUnits(ctx, x) || d.executePeer(ctx, x) {
 		return
 	}
 	switch x := x.(type) {
--- a/internal/node/beryldaemon/execute_operate.go
+++ b/internal/node/beryldaemon/execute_operate.go
@@ -8,11 +8,7 @@
 
 func (d *Daemon) writeConfig(ctx context.Context, x berylreducer.WriteConfig) {
 	err := d.store().Write(ctx, x.Config, x.Expect)
-	result := writeResult(err)
-	if result == berylreducer.WriteDone {
-		d.snapshot.Store(&x.Config)
-	}
-	d.Post(berylreducer.ConfigWritten{CallID: x.CallID, Result: result})
+	d.Post(berylreducer.ConfigWritten{CallID: x.CallID, Result: writeResult(err)})
 }
 
 func (d *Daemon) rebootWorker(ctx context.Context, x berylreducer.RebootWorker) {
--- /dev/null
+++ b/internal/node/beryldaemon/execute_peer.go
@@ -0,0 +1,116 @@
+package beryldaemon
+
+import (
+	"context"
+
+	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
+	"github.com/beryllatch/beryllatch/internal/node/berylpeer"
+	"github.com/google/uuid"
+)
+
+// executePeer carries out the calls to peers and reports whether x is one.
+func (d *Daemon) executePeer(ctx context.Context, x berylreducer.Effect) bool {
+	switch x := x.(type) {
+	case berylreducer.SendHeartbeats:
+		d.sendHeartbeats(ctx, x)
+	case berylreducer.NotifyConfig:
+		for _, peer := range x.Peers {
+			d.async(ctx, func(ctx context.Context) { d.notifyConfig(ctx, peer, x.Version) })
+		}
+	case berylreducer.AskUnits:
+		d.async(ctx, func(ctx context.Context) { d.askUnits(ctx, x) })
+	case berylreducer.NotifyUnits:
+		d.async(ctx, func(ctx context.Context) { d.notifyUnits(ctx, x) })
+	case berylreducer.ReplyGrant:
+		d.grants.resolve(x.CallID, x.Granted)
+	default:
+		return false
+	}
+	return true
+}
+
+func (d *Daemon) sendHeartbeats(ctx context.Context, x berylreducer.SendHeartbeats) {
+	self, _ := d.state.get()
+	h := berylpeer.Heartbeat{From: self, ConfigVersion: x.ConfigVersion, Demand: x.Demand, AskGrant: x.AskGrant}
+	asked := d.now()
+	for _, peer := range x.Peers {
+		d.async(ctx, func(ctx context.Context) {
+			a, err := d.Peers.Heartbeat(ctx, peer, h)
+			if err != nil {
+				d.Metrics.Count("peer_failed.heartbeat", 1)
+				return
+			}
+			e := heard(a)
+			if x.AskGrant {
+				e.GrantAskedAt, e.Granted = asked, a.Granted
+			}
+			d.Post(e)
+		})
+	}
+}
+
+func heard(a berylpeer.Answer) berylreducer.PeerHeard {
+	return berylreducer.PeerHeard{From: a.From, ConfigVersion: a.ConfigVersion, Demand: a.Demand}
+}
+
+func (d *Daemon) notifyConfig(ctx context.Context, peer berylreducer.Identity, version uint64) {
+	a, err := d.Peers.NotifyConfig(ctx, peer, version)
+	if err != nil {
+		d.Metrics.Count("peer_failed.notify_config", 1)
+		return
+	}
+	d.Post(heard(a))
+}
+
+func (d *Daemon) askUnits(ctx context.Context, x berylreducer.AskUnits) {
+	self, _ := d.state.get()
+	err := d.Peers.ReleaseUnits(ctx, x.Peer, berylpeer.UnitRequest{
+		Incarnation: self.Incarnation, Team: x.Team, Units: x.Units, Demand: x.Demand,
+	})
+	if err != nil {
+		d.Metrics.Count("peer_failed.release_units", 1)
+	}
+}
+
+func (d *Daemon) notifyUnits(ctx context.Context, x berylreducer.NotifyUnits) {
+	if err := d.Peers.NotifyUnits(ctx, x.Peer, x.Team); err != nil {
+		d.Metrics.Count("peer_failed.notify_units", 1)
+	}
+}
+
+// Heartbeat answers a peer's report with this node's own.
+func (d *Daemon) Heartbeat(ctx context.Context, h berylpeer.Heartbeat) (berylpeer.Answer, error) {
+	d.Post(berylreducer.PeerHeard{From: h.From, ConfigVersion: h.ConfigVersion, Demand: h.Demand})
+	a := d.answer()
+	if !h.AskGrant {
+		return a, nil
+	}
+	id := uuid.NewString()
+	granted, err := d.grants.wait(ctx, id, func() { d.Post(berylreducer.GrantAsked{From: h.From, CallID: id}) })
+	a.Granted = granted
+	return a, err
+}
+
+// NotifyConfig fetches a version that a peer has committed and answers once it is in force here.
+func (d *Daemon) NotifyConfig(ctx context.Context, version uint64) (berylpeer.Answer, error) {
+	d.Post(berylreducer.ConfigNotified{Version: version})
+	err := d.state.wait(ctx, version)
+	return d.answer(), err
+}
+
+func (d *Daemon) answer() berylpeer.Answer {
+	self, c := d.state.get()
+	return berylpeer.Answer{From: self, ConfigVersion: c.Version}
+}
+
+// ReleaseUnits passes a peer's request for units on.
+func (d *Daemon) ReleaseUnits(_ context.Context, u berylpeer.UnitRequest) error {
+	d.Post(berylreducer.UnitsAsked{Team: u.Team, Incarnation: u.Incarnation, Units: u.Units, Demand: u.Demand})
+	return nil
+}
+
+// NotifyUnits passes a peer's notice of moved units on.
+func (d *Daemon) NotifyUnits(_ context.Context, team string) error {
+	d.Post(berylreducer.UnitsMoved{Team: team})
+	return nil
+}
--- a/internal/node/beryldaemon/execute_tenure.go
+++ b/internal/node/beryldaemon/execute_tenure.go
@@ -70,13 +70,13 @@
 		d.Post(berylreducer.RenewalFailed{SentAt: sent, Replaced: replaced})
 		return
 	}
-	head, nodes, err := d.readHead(ctx)
+	head, nodes, err := d.readHead(ctx, x.SkipNodes)
 	if err != nil {
 		d.Log.Debug().Err(err).Msg("renewal: head not read")
 		d.Post(berylreducer.RenewalFailed{SentAt: sent})
 		return
 	}
-	d.Post(berylreducer.Renewed{SentAt: sent, HeadVersion: head, Nodes: nodes})
+	d.Post(berylreducer.Renewed{SentAt: sent, HeadVersion: head, Nodes: nodes, NodesSkipped: x.SkipNodes})
 }
 
 // writeNode stores the row; after a lost answer it first reads back which write took effect.
@@ -137,12 +137,15 @@
 	d.Post(berylreducer.NodeDeleted{Incarnation: x.Node.Incarnation, Result: writeResult(err)})
 }
 
-func (d *Daemon) readHead(ctx context.Context) (uint64, []berylreducer.NodeRow, error) {
+func (d *Daemon) readHead(ctx context.Context, skipNodes bool) (uint64, []berylreducer.NodeRow, error) {
 	// The head comes first: a node that registers after it reads at least that version before it starts work.
 	head, err := d.store().HeadVersion(ctx)
 	if err != nil {
 		return 0, nil, err
 	}
+	if skipNodes {
+		return head, nil, nil
+	}
 	rows, err := d.Table.Query(ctx, nodePartition, "", maxNodes)
 	if err != nil {
 		return 0, nil, err
@@ -164,7 +167,6 @@
 		d.Metrics.Count("config_read_failed", 1)
 		return
 	}
-	d.snapshot.Store(&c)
 	d.Post(berylreducer.ConfigRead{Config: c})
 }
 
--- a/internal/node/beryldaemon/operator.go
+++ b/internal/node/beryldaemon/operator.go
@@ -22,11 +22,11 @@
 
 // Config returns the configuration in force at the node.
 func (d *Daemon) Config(context.Context) (beryllatch.Config, error) {
-	c := d.snapshot.Load()
-	if c == nil {
-		return beryllatch.Config{}, eris.New("the node has no configuration yet")
+	_, c := d.state.get()
+	if c.Version == 0 {
+		return c, eris.New("the node has no configuration yet")
 	}
-	return *c, nil
+	return c, nil
 }
 
 // Status returns the fleet as the node sees it.
--- /dev/null
+++ b/internal/node/beryldaemon/published.go
@@ -0,0 +1,59 @@
+package beryldaemon
+
+import (
+	"context"
+	"sync"
+
+	"github.com/beryllatch/beryllatch"
+	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
+)
+
+// published is what the other goroutines may see of the reducer's state; its zero value works.
+type published struct {
+	mu     sync.Mutex
+	self   berylreducer.Identity
+	config beryllatch.Config
+	// changed is closed when the configuration changes.
+	changed chan struct{}
+}
+
+// set publishes the state after an event.
+func (p *published) set(r *berylreducer.Reducer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.self = r.Self()
+	if c := r.Config(); c.Version != p.config.Version {
+		p.config = c
+		if p.changed != nil {
+			close(p.changed)
+			p.changed = nil
+		}
+	}
+}
+
+func (p *published) get() (berylreducer.Identity, beryllatch.Config) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.self, p.config
+}
+
+// wait returns once the configuration in force has at least the version, or with the context's error.
+func (p *published) wait(ctx context.Context, version uint64) error {
+	for {
+		p.mu.Lock()
+		if p.config.Version >= version {
+			p.mu.Unlock()
+			return nil
+		}
+		if p.changed == nil {
+			p.changed = make(chan struct{})
+		}
+		changed := p.changed
+		p.mu.Unlock()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
--- a/internal/node/beryldaemon/worker.go
+++ b/internal/node/beryldaemon/worker.go
@@ -21,10 +21,7 @@
 
 // readWorkers asks the workers for their state, a bounded number each second, in turn.
 func (d *Daemon) readWorkers(ctx context.Context) {
-	cfg := d.snapshot.Load()
-	if cfg == nil {
-		return
-	}
+	_, cfg := d.state.get()
 	ids := beryllatch.SortedKeys(cfg.Instances)
 	var g errgroup.Group
 	g.SetLimit(reportsAtOnce)
--- a/internal/node/berylpeer/client.go
+++ b/internal/node/berylpeer/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"io"
 	"net/http"
 	"time"
@@ -26,7 +27,10 @@
 func (e *CallError) Unwrap() error { return e.Err }
 
 // Client calls peers; it is safe for concurrent use, and every error is a *CallError.
-type Client struct{ http *http.Client }
+type Client struct {
+	http   *http.Client
+	scheme string
+}
 
 // Option changes a Client.
 type Option func(*Client)
@@ -34,20 +38,34 @@
 // WithTimeout sets the limit of one call; the default is 1 s.
 func WithTimeout(d time.Duration) Option { return func(c *Client) { c.http.Timeout = d } }
 
+// WithTLS makes the client speak TLS with the given settings instead of plain text.
+func WithTLS(cfg *tls.Config) Option {
+	return func(c *Client) {
+		t := transport()
+		t.TLSClientConfig = cfg
+		t.Protocols.SetHTTP2(true)
+		c.http.Transport = limited{t}
+		c.scheme = "https"
+	}
+}
+
 // NewClient returns a client that keeps one connection to each peer.
 func NewClient(options ...Option) *Client {
-	p := new(http.Protocols)
-	p.SetUnencryptedHTTP2(true)
-	t := &http.Transport{
-		Protocols: p, IdleConnTimeout: idleTimeout, ResponseHeaderTimeout: callTimeout, DisableCompression: true,
-	}
-	c := &Client{http: &http.Client{Transport: limited{t}, Timeout: callTimeout}}
+	c := &Client{http: &http.Client{Transport: limited{transport()}, Timeout: callTimeout}, scheme: "http"}
 	for _, o := range options {
 		o(c)
 	}
 	return c
 }
 
+func transport() *http.Transport {
+	p := new(http.Protocols)
+	p.SetUnencryptedHTTP2(true)
+	return &http.Transport{
+		Protocols: p, IdleConnTimeout: idleTimeout, ResponseHeaderTimeout: callTimeout, DisableCompression: true,
+	}
+}
+
 // Close closes the idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
@@ -97,7 +115,7 @@
 }
 
 func (c *Client) peer(to berylreducer.Identity) berylwire.Peer {
-	return berylwire.NewPeerProtobufClient("http://"+to.PeerAddress, c.http)
+	return berylwire.NewPeerProtobufClient(c.scheme+"://"+to.PeerAddress, c.http)
 }
 
 // limited bounds the size of answers.
--- a/internal/node/berylserver/build.go
+++ b/internal/node/berylserver/build.go
@@ -5,15 +5,18 @@
 	"time"
 
 	"github.com/beryllatch/beryllatch/internal/common/berylmetrics"
+	"github.com/beryllatch/beryllatch/internal/common/beryltls"
 	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
 	"github.com/beryllatch/beryllatch/internal/node/berylcaller"
 	"github.com/beryllatch/beryllatch/internal/node/beryldaemon"
 	"github.com/beryllatch/beryllatch/internal/node/beryloperator"
+	"github.com/beryllatch/beryllatch/internal/node/berylpeer"
 	"github.com/beryllatch/beryllatch/internal/platform/berylinstance"
 	"github.com/beryllatch/beryllatch/internal/platform/berylobject"
 	"github.com/beryllatch/beryllatch/internal/platform/beryltable"
 	"github.com/beryllatch/beryllatch/internal/upstream/berylworker"
 	"github.com/gorilla/mux"
+	"github.com/rotisserie/eris"
 )
 
 // handlers serve the four listeners.
@@ -28,6 +31,10 @@
 func (s *Server) build() (handlers, error) {
 	cfg := s.Settings
 	started := time.Now()
+	peers, err := s.peerClient()
+	if err != nil {
+		return handlers{}, err
+	}
 	workers := berylworker.New()
 	metrics := berylmetrics.New()
 	s.daemon = &beryldaemon.Daemon{
@@ -47,6 +54,7 @@
 		),
 		Instances: berylinstance.New(berylinstance.WithURL(cfg.InstanceList)),
 		Tasks:     workers,
+		Peers:     peers,
 		Metrics:   metrics,
 		Log:       s.Log,
 		Seed:      uint64(started.UnixNano()),
@@ -63,11 +71,23 @@
 		credentials = append(credentials, c)
 	}
 	return handlers{
-		callers: callers, operators: beryloperator.New(s.daemon, credentials), peers: http.NotFoundHandler(),
+		callers: callers, operators: beryloperator.New(s.daemon, credentials), peers: berylpeer.NewHandler(s.daemon),
 		admin: s.admin(metrics),
 	}, nil
 }
 
+// peerClient returns the client for calls to peers, with TLS if the peers' listener has it.
+func (s *Server) peerClient() (*berylpeer.Client, error) {
+	if !s.Settings.PeersTLS.Enabled() {
+		return berylpeer.NewClient(), nil
+	}
+	files, err := beryltls.Load(s.Settings.PeersTLS)
+	if err != nil {
+		return nil, eris.Wrap(err, "peers' certificate")
+	}
+	return berylpeer.NewClient(berylpeer.WithTLS(files.ClientConfig())), nil
+}
+
 // admin serves metrics, liveness and readiness.
 func (s *Server) admin(metrics http.Handler) http.Handler {
 	r := mux.NewRouter()
--- a/internal/node/berylserver/server.go
+++ b/internal/node/berylserver/server.go
@@ -90,8 +90,13 @@
 }
 
 func (s *Server) listen(l listener) error {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetHTTP2(true)
+	protocols.SetUnencryptedHTTP2(true)
 	h := &http.Server{
-		Handler: l.handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader, IdleTimeout: idleTimeout,
+		Protocols: protocols,
+		Handler:   l.handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader, IdleTimeout: idleTimeout,
 	}
 	if l.tls.Enabled() {
 		files, err := beryltls.Load(l.tls)
