--- a/internal/client/berylcommand/change.go
+++ b/internal/client/berylcommand/change.go
@@ -43,34 +43,69 @@
 	return &unknownError{operation: q.GetOperationId(), reason: reply.GetReason()}
 }
 
-// send makes the call and repeats it while its outcome is unknown.
+// send makes the call and repeats it while its outcome is unknown or its node is not able to judge it.
 func (s *session) send(q *berylwire.ApplyRequest) (*berylwire.ApplyResponse, error) {
 	clients, err := s.clients()
 	if err != nil {
 		return nil, err
 	}
-	doubt, sent := "", false
-	var last error
+	var t trial
 	for n := range max(maxAttempts, len(clients)) {
 		reply, err := clients[n%len(clients)].Apply(s.ctx, q)
-		reason, refused := refusal(err)
-		switch {
-		case err == nil && settled(reply, sent):
-			return reply, nil
-		case err == nil:
-			doubt, sent = reply.GetReason(), true
-		case refused && !sent:
-			return nil, &refusedError{reason: reason}
-		case unsent(err):
-			last = err
-		default:
-			doubt, sent = err.Error(), true
+		if t.ended(reply, err) {
+			break
 		}
 	}
-	if !sent {
-		return nil, &unreachableError{addresses: s.settings.Address, err: last}
+	return t.result(s.settings.Address)
+}
+
+// trial collects what the attempts of one call have shown.
+type trial struct {
+	reply *berylwire.ApplyResponse
+	// doubt is why an attempt may have taken effect; sent is true once there was such an attempt.
+	doubt string
+	sent  bool
+	last  error
+}
+
+// ended notes an attempt and reports whether further ones are of no use.
+func (t *trial) ended(reply *berylwire.ApplyResponse, err error) bool {
+	reason, refused := refusal(err)
+	switch {
+	case err == nil && settled(reply, t.sent):
+		t.reply = reply
+		return !unable(reply)
+	case err == nil:
+		t.doubt, t.sent = reply.GetReason(), true
+	case refused && !t.sent:
+		t.last = &refusedError{reason: reason}
+		return true
+	case unsent(err):
+		t.last = err
+	default:
+		t.doubt, t.sent = err.Error(), true
 	}
-	return &berylwire.ApplyResponse{Outcome: string(berylreducer.OutcomeUnknown), Reason: doubt}, nil
+	return false
+}
+
+// result returns the outcome of the call after its last attempt.
+func (t *trial) result(addresses []string) (*berylwire.ApplyResponse, error) {
+	var refused *refusedError
+	switch {
+	case t.reply != nil && (!t.sent || settled(t.reply, t.sent)):
+		return t.reply, nil
+	case t.sent:
+		return &berylwire.ApplyResponse{Outcome: string(berylreducer.OutcomeUnknown), Reason: t.doubt}, nil
+	case errors.As(t.last, &refused):
+		return nil, refused
+	}
+	return nil, &unreachableError{addresses: addresses, err: t.last}
+}
+
+// unable reports whether the node could not judge the call, so that another one may.
+func unable(reply *berylwire.ApplyResponse) bool {
+	return reply.GetOutcome() == string(berylreducer.OutcomeNotAccepted) && reply.GetVersion() == 0 &&
+		(reply.GetReason() == berylreducer.ReasonOperationStale || reply.GetReason() == berylreducer.ReasonStopping)
 }
 
 // settled reports whether the reply is the outcome of the operation. After a call of unknown outcome, a refusal counts
--- a/internal/client/berylcommand/cli.go
+++ b/internal/client/berylcommand/cli.go
@@ -13,7 +13,7 @@
 
 // settings are the flags of every command.
 type settings struct {
-	Address     []string      `env:"BERYLLATCH_ADDRESS" default:"http://127.0.0.1:7102" placeholder:"URL" help:"Operator addresses of nodes; the next one is tried when one cannot be reached."`
+	Address     []string      `env:"BERYLLATCH_ADDRESS" default:"http://127.0.0.1:8081" placeholder:"URL" help:"Operator addresses of nodes; the next one is tried when one cannot be reached."`
 	TokenFile   string        `env:"BERYLLATCH_TOKEN_FILE" type:"path" placeholder:"FILE" help:"File with the operator token."`
 	Output      string        `env:"BERYLLATCH_OUTPUT" enum:"table,json" default:"table" help:"Form of the output: ${enum}."`
 	OperationID string        `placeholder:"ID" help:"Operation id of the change; a repeat with the same id returns the first outcome."`
@@ -40,7 +40,7 @@
 
 const description = `Operators' client of beryllatch.
 
-Exit status: 0 done, 1 refused, 2 wrong usage, 3 outcome unknown (repeat with the same --operation-id), 4 no node reached.`
+Exit status: 0 done, 1 refused, 2 wrong usage, 3 outcome unknown (repeat with the same --operation-id), 4 no node answered.`
 
 // Run carries out one command line and returns the exit status.
 func Run(ctx context.Context, args []string, stdin io.Reader, stdout, stderr io.Writer) int {
--- a/internal/client/berylcommand/cli_test.go
+++ b/internal/client/berylcommand/cli_test.go
@@ -159,11 +159,37 @@
 	assert.Equal(t, status, exitUnknown)
 }
 
-// TestUnrecordedRefusalAfterLoss guards against "refused" while an earlier call may still take effect.
-func TestUnrecordedRefusalAfterLoss(t *testing.T) {
-	refused := &berylwire.ApplyResponse{Outcome: string(berylreducer.OutcomeNotAccepted)}
-	recorded := &berylwire.ApplyResponse{Outcome: string(berylreducer.OutcomeNotAccepted), Version: 3}
-	assert.Assert(t, settled(refused, false) && settled(recorded, true) && !settled(refused, true))
+// TestAttempts guards against "refused" while an earlier attempt may still take effect, and against a call that is given
+// up although another node could judge it.
+func TestAttempts(t *testing.T) {
+	stale := &berylwire.ApplyResponse{Outcome: "not_accepted", Reason: berylreducer.ReasonOperationStale}
+	recorded := &berylwire.ApplyResponse{Outcome: "not_accepted", Version: 3}
+	unknown := &berylwire.ApplyResponse{Outcome: "unknown"}
+	accepted := &berylwire.ApplyResponse{Outcome: "accepted", Version: 3}
+	for name, v := range map[string]struct {
+		replies []*berylwire.ApplyResponse
+		used    int
+		outcome string
+	}{
+		"refused":           {[]*berylwire.ApplyResponse{recorded, accepted}, 1, "not_accepted"},
+		"other node":        {[]*berylwire.ApplyResponse{stale, accepted}, 2, "accepted"},
+		"no node able":      {[]*berylwire.ApplyResponse{stale, stale}, 2, "not_accepted"},
+		"doubt stays":       {[]*berylwire.ApplyResponse{unknown, stale}, 2, "unknown"},
+		"doubt comes later": {[]*berylwire.ApplyResponse{stale, unknown}, 2, "unknown"},
+		"doubt settled":     {[]*berylwire.ApplyResponse{unknown, recorded, accepted}, 2, "not_accepted"},
+	} {
+		var tr trial
+		used := 0
+		for _, r := range v.replies {
+			used++
+			if tr.ended(r, nil) {
+				break
+			}
+		}
+		reply, err := tr.result(nil)
+		assert.NilError(t, err, name)
+		assert.Assert(t, used == v.used && reply.GetOutcome() == v.outcome, "%s: %d %s", name, used, reply.GetOutcome())
+	}
 }
 
 // TestUnreachable guards against an unknown outcome for a call that was never sent.
--- a/internal/client/berylcommand/exit.go
+++ b/internal/client/berylcommand/exit.go
@@ -40,14 +40,14 @@
 	return fmt.Sprintf("outcome unknown: %s; repeat with --operation-id=%s", e.reason, e.operation)
 }
 
-// unreachableError reports that no node could be reached.
+// unreachableError reports that no node could be reached, or none was ready.
 type unreachableError struct {
 	addresses []string
 	err       error
 }
 
 func (e *unreachableError) Error() string {
-	return fmt.Sprintf("no node reached at %v: %v", e.addresses, e.err)
+	return fmt.Sprintf("no node answered at %v: %v", e.addresses, e.err)
 }
 
 func (e *unreachableError) Unwrap() error { return e.err }
