--- a/internal/client/berylcommand/change.go
+++ b/internal/client/berylcommand/change.go
@@ -1,6 +1,7 @@
 package berylcommand
 
 import (
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -49,7 +50,7 @@
 	if err != nil {
 		return nil, err
 	}
-	var t trial
+	t := trial{repeat: s.settings.OperationID != ""}
 	for n := range max(maxAttempts, len(clients)) {
 		reply, err := clients[n%len(clients)].Apply(s.ctx, q)
 		if t.ended(reply, err) {
@@ -62,6 +63,8 @@
 // trial collects what the attempts of one call have shown.
 type trial struct {
 	reply *berylwire.ApplyResponse
+	// repeat is true if the call may have been made before with the same operation id.
+	repeat bool
 	// doubt is why an attempt may have taken effect; sent is true once there was such an attempt.
 	doubt string
 	sent  bool
@@ -72,7 +75,7 @@
 func (t *trial) ended(reply *berylwire.ApplyResponse, err error) bool {
 	reason, refused := refusal(err)
 	switch {
-	case err == nil && settled(reply, t.sent):
+	case err == nil && settled(reply, t.sent || t.repeat):
 		t.reply = reply
 		return !unable(reply)
 	case err == nil:
@@ -108,8 +111,8 @@
 		(reply.GetReason() == berylreducer.ReasonOperationStale || reply.GetReason() == berylreducer.ReasonStopping)
 }
 
-// settled reports whether the reply is the outcome of the operation. After a call of unknown outcome, a refusal counts
-// only if it is recorded with a version; otherwise the earlier call may still take effect.
+// settled reports whether the reply is the outcome of the operation. Once an earlier call may have been sent, a refusal
+// counts only if it is recorded with a version; otherwise that call may have taken effect, or may still do so.
 func settled(reply *berylwire.ApplyResponse, sent bool) bool {
 	switch berylreducer.OperatorOutcome(reply.GetOutcome()) {
 	case berylreducer.OutcomeAccepted:
@@ -133,10 +136,13 @@
 	return "", false
 }
 
-// unsent reports whether the connection was never made.
+// unsent reports whether the connection was never made, so that the call cannot have reached a node.
 func unsent(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
+	var (
+		op     *net.OpError
+		verify *tls.CertificateVerificationError
+	)
+	return errors.As(err, &op) && op.Op == "dial" || errors.As(err, &verify)
 }
 
 // outcome is the printed result of a change.
--- a/internal/client/berylcommand/cli.go
+++ b/internal/client/berylcommand/cli.go
@@ -18,6 +18,9 @@
 	Output      string        `env:"BERYLLATCH_OUTPUT" enum:"table,json" default:"table" help:"Form of the output: ${enum}."`
 	OperationID string        `placeholder:"ID" help:"Operation id of the change; a repeat with the same id returns the first outcome."`
 	Timeout     time.Duration `env:"BERYLLATCH_TIMEOUT" default:"30s" help:"Limit for one call to a node."`
+
+	TLS            tlsSettings `embed:"" prefix:"tls-"`
+	AllowPlainText bool        `env:"BERYLLATCH_ALLOW_PLAIN_TEXT" help:"Send the token in plain text to addresses other than loopback."`
 }
 
 // cli is the whole command line.
--- a/internal/client/berylcommand/cli_test.go
+++ b/internal/client/berylcommand/cli_test.go
@@ -5,7 +5,10 @@
 	"context"
 	"crypto/sha256"
 	"encoding/json"
+	"encoding/pem"
 	"fmt"
+	"io"
+	"log"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -171,6 +174,8 @@
 		used    int
 		outcome string
 	}{
+		"repeat refused":    {[]*berylwire.ApplyResponse{stale, stale}, 2, "unknown"},
+		"repeat recorded":   {[]*berylwire.ApplyResponse{stale, recorded}, 2, "not_accepted"},
 		"refused":           {[]*berylwire.ApplyResponse{recorded, accepted}, 1, "not_accepted"},
 		"other node":        {[]*berylwire.ApplyResponse{stale, accepted}, 2, "accepted"},
 		"no node able":      {[]*berylwire.ApplyResponse{stale, stale}, 2, "not_accepted"},
@@ -178,7 +183,7 @@
 		"doubt comes later": {[]*berylwire.ApplyResponse{stale, unknown}, 2, "unknown"},
 		"doubt settled":     {[]*berylwire.ApplyResponse{unknown, recorded, accepted}, 2, "not_accepted"},
 	} {
-		var tr trial
+		tr := trial{repeat: strings.HasPrefix(name, "repeat")}
 		used := 0
 		for _, r := range v.replies {
 			used++
@@ -205,6 +210,38 @@
 	assert.Equal(t, status, exitUsage)
 }
 
+// TestAddresses guards against a token that travels in plain text.
+func TestAddresses(t *testing.T) {
+	for address, ok := range map[string]bool{
+		"http://127.0.0.1:8081": true, "http://[::1]:8081": true, "https://10.0.0.1:8081": true,
+		"http://10.0.0.1:8081": false, "http://entry.example:8081": false, "ftp://127.0.0.1": false, "http://": false,
+	} {
+		assert.Equal(t, checkAddress(address, false) == nil, ok, address)
+	}
+	assert.NilError(t, checkAddress("http://10.0.0.1:8081", true))
+}
+
+// TestTLS guards against a client that trusts a node by another authority than the given one.
+func TestTLS(t *testing.T) {
+	c := newClient(t)
+	h := beryloperator.New(c.node, []beryloperator.Credential{{Name: "ada", Hash: sha256.Sum256([]byte("token"))}})
+	server := httptest.NewTLSServer(h)
+	t.Cleanup(server.Close)
+	server.Config.ErrorLog = log.New(io.Discard, "", 0)
+	c.url = server.URL
+	status, _ := c.run("team list")
+	assert.Equal(t, status, exitUnreachable)
+	status, _ = c.run("team create wheels --ceiling=4")
+	assert.Equal(t, status, exitUnreachable)
+	ca := filepath.Join(t.TempDir(), "ca.pem")
+	block := &pem.Block{Type: "CERTIFICATE", Bytes: server.Certificate().Raw}
+	assert.NilError(t, os.WriteFile(ca, pem.EncodeToMemory(block), 0o600))
+	status, _ = c.run("team list --tls-ca=" + ca)
+	assert.Equal(t, status, exitDone, "%s", c.log.String())
+	status, _ = c.run("team list --tls-ca=" + c.file)
+	assert.Equal(t, status, exitUsage)
+}
+
 // TestExamples guards against example answers that do not give a working configuration.
 func TestExamples(t *testing.T) {
 	for _, user := range []string{"rimwise", "papelera"} {
--- a/internal/client/berylcommand/session.go
+++ b/internal/client/berylcommand/session.go
@@ -30,12 +30,19 @@
 	if err != nil {
 		return nil, err
 	}
-	h := &http.Client{Transport: &bearer{token: token}, Timeout: s.settings.Timeout}
+	t, err := s.settings.TLS.transport()
+	if err != nil {
+		return nil, err
+	}
+	h := &http.Client{Transport: &bearer{token: token, next: t}, Timeout: s.settings.Timeout}
 	var out []berylwire.Operator
 	for _, a := range s.settings.Address {
 		if !strings.Contains(a, "://") {
 			a = "http://" + a
 		}
+		if err := checkAddress(a, s.settings.AllowPlainText); err != nil {
+			return nil, err
+		}
 		out = append(out, berylwire.NewOperatorProtobufClient(a, h))
 	}
 	return out, nil
@@ -53,13 +60,16 @@
 }
 
 // bearer adds the operator token to every call.
-type bearer struct{ token string }
+type bearer struct {
+	token string
+	next  http.RoundTripper
+}
 
 // RoundTrip sends the request with the token.
 func (b *bearer) RoundTrip(r *http.Request) (*http.Response, error) {
 	r = r.Clone(r.Context())
 	r.Header.Set("Authorization", "Bearer "+b.token)
-	return http.DefaultTransport.RoundTrip(r)
+	return b.next.RoundTrip(r)
 }
 
 // read makes a call that changes nothing at the first node that answers it.
--- a/internal/decision/berylreducer/operate_event.go
+++ b/internal/decision/berylreducer/operate_event.go
@@ -49,6 +49,8 @@
 	CallID  string
 	Outcome OperatorOutcome
 	Reason  string
+	// Version records the outcome; 0 with OutcomeNotAccepted means that this call changed nothing, which says nothing
+	// about earlier calls with the same operation id at other nodes.
 	Version uint64
 	// InForce is true when every registered node has the version in force or has lost its tenure for sure.
 	InForce bool
--- a/internal/decision/berylreducer/operate_test.go
+++ b/internal/decision/berylreducer/operate_test.go
@@ -21,6 +21,9 @@
 	nodes   map[string]*sceneNode
 	workers map[string]*sceneWorker
 	log     strings.Builder
+	// onReply and onWrite observe replies and writes that take effect; nil ones are not called.
+	onReply func(x ReplyOperator)
+	onWrite func(x WriteConfig)
 }
 
 // sceneNode is a node and the faults of its writes.
@@ -33,13 +36,17 @@
 	dieAfterWrite bool
 	// answers replaces the results of the next writes; applied says whether such a write takes effect.
 	answers []sceneAnswer
+	// late holds writes that were answered but have not taken effect yet.
+	late []WriteConfig
 	// cut stops renewals and reads.
 	cut bool
 }
 
+// sceneAnswer is the result of a write and whether the write takes effect, at once or by applyLate.
 type sceneAnswer struct {
 	result  WriteResult
 	applied bool
+	late    bool
 }
 
 type sceneWorker struct {
@@ -99,6 +106,9 @@
 		}
 		s.write(name, x)
 	case ReplyOperator:
+		if s.onReply != nil {
+			s.onReply(x)
+		}
 		s.note("%s ReplyOperator %s %s version=%d in_force=%t waiting=%v %s", name, x.CallID, x.Outcome, x.Version, x.InForce,
 			x.WaitingFor, x.Reason)
 	case RebootWorker:
@@ -140,13 +150,13 @@
 	applied := result == WriteDone
 	if len(n.answers) > 0 && applied {
 		result, applied = n.answers[0].result, n.answers[0].applied
+		if n.answers[0].late {
+			n.late = append(n.late, x)
+		}
 		n.answers = n.answers[1:]
 	}
 	if applied {
-		for _, l := range berylplan.DiffLines(s.head, x.Config) {
-			fmt.Fprintf(&s.log, "          %s\n", l)
-		}
-		s.head = x.Config
+		s.apply(x)
 	}
 	if n.dieAfterWrite && applied {
 		n.dead = true
@@ -156,6 +166,28 @@
 	s.send(name, ConfigWritten{CallID: x.CallID, Result: result})
 }
 
+func (s *scene) apply(x WriteConfig) {
+	for _, l := range berylplan.DiffLines(s.head, x.Config) {
+		fmt.Fprintf(&s.log, "          %s\n", l)
+	}
+	s.head = x.Config
+	if s.onWrite != nil {
+		s.onWrite(x)
+	}
+}
+
+// applyLate lets the delayed writes of a node reach the table.
+func (s *scene) applyLate(name string) {
+	n := s.nodes[name]
+	for _, x := range n.late {
+		if x.Expect == s.head.Version {
+			s.note("%s late write takes effect", name)
+			s.apply(x)
+		}
+	}
+	n.late = nil
+}
+
 func (s *scene) release(name string) {
 	n := s.nodes[name]
 	n.hold = false
