--- a/internal/decision/berylreducer/admission.go
+++ b/internal/decision/berylreducer/admission.go
@@ -30,6 +30,8 @@
 	tried  []string
 	// mayHaveRun is true once an attempt has ended without proof that the worker did not start it.
 	mayHaveRun bool
+	// failures counts the attempts without an answer that no worker has refused.
+	failures int
 	// jobFailures counts the distinct workers on which the job itself has failed.
 	jobFailures int
 	abandoned   bool
--- a/internal/decision/berylreducer/dispatch.go
+++ b/internal/decision/berylreducer/dispatch.go
@@ -46,7 +46,7 @@
 		r.readUnits(q.team)
 		return
 	}
-	w := q.pool.choose(r.rand, q.tried)
+	w := q.pool.choose(r.rand, r.now.Mono, q.tried)
 	r.dequeue(q)
 	r.dispatch(q, w)
 }
@@ -123,6 +123,9 @@
 		r.learnRunTime(q, e, e.Outcome == beryllatch.OutcomeAnswered && !e.Failed)
 	}
 	q.mayHaveRun = q.mayHaveRun || started
+	if e.Outcome != beryllatch.OutcomeRefused {
+		q.failures++
+	}
 	if e.Outcome == beryllatch.OutcomeUnknown {
 		r.linger(q)
 	} else {
--- a/internal/decision/berylreducer/pool.go
+++ b/internal/decision/berylreducer/pool.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"time"
 
 	"github.com/beryllatch/beryllatch"
 )
@@ -67,23 +68,23 @@
 }
 
 // choose picks an eligible worker, or nil; a worker tried before is taken only if there is no other.
-func (p *poolState) choose(rnd *rand.Rand, tried []string) *workerState {
-	if w := p.chooseOutside(rnd, tried); w != nil || len(tried) == 0 {
+func (p *poolState) choose(rnd *rand.Rand, now time.Duration, tried []string) *workerState {
+	if w := p.chooseOutside(rnd, now, tried); w != nil || len(tried) == 0 {
 		return w
 	}
-	return p.chooseOutside(rnd, nil)
+	return p.chooseOutside(rnd, now, nil)
 }
 
 // chooseOutside takes the better of two random workers in each tier; a farther tier wins only with a lower score.
-func (p *poolState) chooseOutside(rnd *rand.Rand, tried []string) *workerState {
+func (p *poolState) chooseOutside(rnd *rand.Rand, now time.Duration, tried []string) *workerState {
 	var best *workerState
 	for t := range p.tiers {
 		set := &p.tiers[t]
 		a, b := set.draw(rnd, tried), set.draw(rnd, tried)
-		if a != nil && b != nil && b.score() < a.score() {
+		if a != nil && b != nil && b.score(now) < a.score(now) {
 			a = b
 		}
-		if a != nil && (best == nil || a.score() < best.score()) {
+		if a != nil && (best == nil || a.score(now) < best.score(now)) {
 			best = a
 		}
 	}
--- a/internal/decision/berylreducer/retry.go
+++ b/internal/decision/berylreducer/retry.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// maxAttempts bounds the attempts of one request.
-	maxAttempts = 3
+	// maxFailures bounds the attempts of one request that a worker did not refuse.
+	maxFailures = 3
 	// retryShare is the part of recent requests that may be retried.
 	retryShare = 0.1
 	// retryFloor is the number of retries in each retryPeriod that is allowed whatever the traffic.
@@ -21,7 +21,7 @@
 
 // mayRetry reports whether another attempt cannot run the request twice against the caller's wish.
 func (r *Reducer) mayRetry(q *request, e ExecutionEnded) bool {
-	if !e.Replayable || q.abandoned || q.attempt >= maxAttempts || r.late(q) || q.jobFailures >= jobWorkers {
+	if !e.Replayable || q.abandoned || q.failures >= maxFailures || r.late(q) || q.jobFailures >= jobWorkers {
 		return false
 	}
 	safe := q.Idempotent || e.Outcome == beryllatch.OutcomeNotSent || e.Outcome == beryllatch.OutcomeRefused
--- a/internal/decision/berylreducer/routing.go
+++ b/internal/decision/berylreducer/routing.go
@@ -15,6 +15,12 @@
 	maxRefusalRest = 2 * time.Second
 	// runTimeWeight is the weight of the newest sample in a worker's mean run time.
 	runTimeWeight = 0.1
+	// reportLife is the age at which a worker's report no longer counts for the choice.
+	reportLife = 250 * time.Millisecond
+	// limitStep is added to a worker's limit for each answer while the limit is in use.
+	limitStep = 0.02
+	// limitCut multiplies the limit on a refusal.
+	limitCut = 0.5
 	// assumedRunTime stands for the run time of a worker without samples.
 	assumedRunTime = 100 * time.Millisecond
 )
@@ -35,8 +41,9 @@
 	// selfLeaving is true when the worker itself said that it leaves.
 	selfLeaving bool
 	// reported is the load from all nodes in the worker's last report.
-	reported int
-	runTime  time.Duration
+	reported   int
+	reportedAt time.Duration
+	runTime    time.Duration
 	// limit is the number of executions that this node places on the worker; refusals lower it.
 	limit    float64
 	refusals int
@@ -118,7 +125,8 @@
 		return
 	}
 	w.unhealthy, w.selfLeaving = !e.Healthy, e.Leaving
-	w.bootID, w.reported = e.BootID, e.Running
+	w.bootID = e.BootID
+	w.reported, w.reportedAt = e.Running, r.now.Mono
 	r.place(w)
 	r.dispatchPool(w.pool)
 }
@@ -144,19 +152,23 @@
 		r.now.Mono >= w.restUntil && w.running < r.workerLimit(w)
 }
 
-// workerLimit is the number of executions that this node may have on the worker at once: its slots, at most an equal
-// share of its connections, less after refusals.
+// workerLimit is the number of executions that this node may have on the worker at once.
 func (r *Reducer) workerLimit(w *workerState) int {
-	most := r.workerShare(w)
 	if w.limit < 1 {
-		return most
+		return r.fairLimit(w)
 	}
-	return min(most, int(w.limit))
+	return min(int(w.limit), r.maxLimit(w))
 }
 
-func (r *Reducer) workerShare(w *workerState) int {
-	share := max(1, w.inst.Connections/r.nodes())
-	return min(w.inst.Slots, share)
+// fairLimit is an equal part of the worker's slots; each node starts with it.
+func (r *Reducer) fairLimit(w *workerState) int {
+	part := (w.inst.Slots + r.nodes() - 1) / r.nodes()
+	return min(part, r.maxLimit(w))
+}
+
+// maxLimit is the number of the worker's slots, at most an equal part of its connections.
+func (r *Reducer) maxLimit(w *workerState) int {
+	return min(w.inst.Slots, max(1, w.inst.Connections/r.nodes()))
 }
 
 // nodes is the number of nodes that share the workers.
@@ -207,17 +219,21 @@
 		w.runTime = d
 	}
 	w.runTime += time.Duration(runTimeWeight * float64(d-w.runTime))
-	if w.limit >= 1 {
-		w.limit += 1 / w.limit
-	}
-	if w.limit > float64(r.workerShare(w)) {
-		w.limit = 0
+	r.raiseLimit(w)
+}
+
+// raiseLimit lets the node place more on a worker that answers while all that the limit allows is in use.
+func (r *Reducer) raiseLimit(w *workerState) {
+	limit := r.workerLimit(w)
+	if w.running+1 < limit {
+		return
 	}
+	w.limit = min(max(w.limit, float64(limit))+limitStep, float64(r.maxLimit(w)))
 }
 
 // workerRefused pauses the worker and places no more on it than it has just accepted.
 func (r *Reducer) workerRefused(w *workerState) {
-	w.limit = float64(max(1, min(w.running, r.workerShare(w))))
+	w.limit = max(1, min(float64(w.running), w.limit*limitCut))
 	pause := min(refusalRest<<min(w.refusals, 10), maxRefusalRest)
 	w.refusals++
 	w.restUntil = max(w.restUntil, r.now.Mono+pause)
@@ -254,18 +270,25 @@
 
 // chooseWorker picks an eligible worker of the pool, if possible outside the tried set.
 func (r *Reducer) chooseWorker(pool string, tried []string) (beryllatch.Instance, bool) {
-	w := r.poolOf(pool).choose(r.rand, tried)
+	w := r.poolOf(pool).choose(r.rand, r.now.Mono, tried)
 	if w == nil {
 		return beryllatch.Instance{}, false
 	}
 	return w.inst, true
 }
 
+// reportedLoad is the reported load, of which less counts as the report grows older: work ends and starts within
+// milliseconds, and an old report would send all nodes to the same workers.
+func (w *workerState) reportedLoad(now time.Duration) float64 {
+	left := 1 - float64(now-w.reportedAt)/float64(reportLife)
+	return max(0, left) * float64(w.reported)
+}
+
 // score estimates the wait on the worker; lower is better.
-func (w *workerState) score() float64 {
+func (w *workerState) score(now time.Duration) float64 {
 	d := w.runTime
 	if d <= 0 {
 		d = assumedRunTime
 	}
-	return float64(w.running+w.reported+1) * float64(d)
+	return (float64(w.running+1) + w.reportedLoad(now)) * float64(d)
 }
