--- a/internal/decision/berylreducer/claim.go
+++ b/internal/decision/berylreducer/claim.go
@@ -51,7 +51,9 @@
 	doubtful bool
 	// takenOver is true once the claim replaces one whose request may have run.
 	takenOver bool
-	writes    int
+	// checked is true once a row that this node has left behind was read a second time.
+	checked bool
+	writes  int
 	// giveUpAt ends the request's wait for the claim.
 	giveUpAt time.Duration
 	// settlingSince is when the recording of the outcome began.
@@ -261,6 +263,8 @@
 		r.replay(c, *row)
 	case row.State == ClaimUnknown || r.incarnationGone(row.Incarnation):
 		r.repeatUnknown(c, e)
+	case r.leftBehind(row):
+		r.judgeLeftBehind(c, e)
 	default:
 		r.loseClaim(c, beryllatch.RunStateUnknown, refusal{
 			reason: beryllatch.ReasonRequestInProgress, detail: "a request with this idempotency key is being run",
@@ -268,6 +272,25 @@
 	}
 }
 
+// leftBehind reports whether a row is one of this node's claims that it no longer works on.
+func (r *Reducer) leftBehind(row *ClaimRow) bool {
+	if row.Incarnation != r.self.Incarnation {
+		return false
+	}
+	c := r.claims[row.RequestID]
+	return c == nil || c.row.Nonce != row.Nonce
+}
+
+// judgeLeftBehind reads the row once more, since the claim may have been settled after the read.
+func (r *Reducer) judgeLeftBehind(c *claim, e ClaimRead) {
+	if !c.checked {
+		c.checked = true
+		r.readClaim(c, claimReading)
+		return
+	}
+	r.repeatUnknown(c, e)
+}
+
 // repeatUnknown handles a repeat of a request that may have run: it runs again only if both say that they are
 // idempotent.
 func (r *Reducer) repeatUnknown(c *claim, e ClaimRead) {
--- a/internal/decision/berylreducer/claim_test.go
+++ b/internal/decision/berylreducer/claim_test.go
@@ -165,3 +165,15 @@
 		t.Errorf("the other node's claim became %s", row.State)
 	}
 }
+
+// Guards against request_in_progress for a day after this node has given up recording an outcome.
+func TestClaimLeftBehind(t *testing.T) {
+	s, p := newSession(), newFakePlatform()
+	s.start(sampleConfig())
+	p.claims[claimKey("red", "price", "k")] = ClaimRead{Version: 1, Row: ClaimRow{
+		Team: "red", Queue: "price", BodyHash: "b", Nonce: "n1-1/0", Incarnation: "n1-1", RequestID: "q-earlier",
+		State: ClaimClaimed,
+	}}
+	s.run(p, keyed("q1"))
+	s.golden(t, "claim_left_behind")
+}
--- a/internal/decision/berylreducer/routing.go
+++ b/internal/decision/berylreducer/routing.go
@@ -17,7 +17,8 @@
 	runTimeWeight = 0.1
 	// reportLife is the age at which a worker's report no longer counts for the choice.
 	reportLife = 250 * time.Millisecond
-	// limitStep is added to a worker's limit for each answer while the limit is in use.
+	// limitStep is added to a worker's limit for each answer while the limit is in use, and at each tick while requests
+	// wait for it. Answers alone would raise it in hours where executions take a minute.
 	limitStep = 0.02
 	// limitCut multiplies the limit on a refusal.
 	limitCut = 0.5
@@ -219,15 +220,24 @@
 		w.runTime = d
 	}
 	w.runTime += time.Duration(runTimeWeight * float64(d-w.runTime))
-	r.raiseLimit(w)
+	if w.running+1 >= r.workerLimit(w) {
+		r.raiseLimit(w)
+	}
+}
+
+// raiseLimits lets the node place more on the workers whose limits keep requests waiting.
+func (r *Reducer) raiseLimits() {
+	for _, id := range r.workerOrder {
+		w := r.workers[id]
+		if w.pool.queue.len() > 0 && w.running >= r.workerLimit(w) {
+			r.raiseLimit(w)
+			r.place(w)
+		}
+	}
 }
 
-// raiseLimit lets the node place more on a worker that answers while all that the limit allows is in use.
 func (r *Reducer) raiseLimit(w *workerState) {
 	limit := r.workerLimit(w)
-	if w.running+1 < limit {
-		return
-	}
 	w.limit = min(max(w.limit, float64(limit))+limitStep, float64(r.maxLimit(w)))
 }
 
@@ -252,6 +262,7 @@
 // tickWorkers ends the pauses that are over.
 func (r *Reducer) tickWorkers() {
 	r.placeAll()
+	r.raiseLimits()
 	kept := r.resting[:0]
 	for _, w := range r.resting {
 		if w.breaker.state == breakerOpened && r.now.Mono >= w.breaker.until {
