--- a/internal/common/berylsettings/daemon.go
+++ b/internal/common/berylsettings/daemon.go
@@ -5,7 +5,6 @@
 	"net/netip"
 	"net/url"
 	"regexp"
-	"strings"
 	"time"
 )
 
@@ -140,13 +139,3 @@
 	}
 	return nil
 }
-
-// OperatorHashes returns the operators' names by the hash of their token.
-func (d *Daemon) OperatorHashes() map[string]string {
-	out := make(map[string]string, len(d.OperatorTokens))
-	for _, t := range d.OperatorTokens {
-		name, hash, _ := strings.Cut(t, ":")
-		out[hash] = name
-	}
-	return out
-}
--- a/internal/decision/berylreducer/claim_settle.go
+++ b/internal/decision/berylreducer/claim_settle.go
@@ -112,14 +112,14 @@
 	}
 }
 
-// incarnationGone reports whether the node row of an incarnation is surely deleted, which happens only after its
-// graceful stop or its known lapse. A node writes its row before it claims anything, so a row that is missing in a
+// incarnationGone reports whether the tenure of an incarnation is known to have lapsed, or its node row is surely
+// deleted, which happens only after its graceful stop or its known lapse. A node writes its row before it claims anything, so a row that is missing in a
 // renewal sent after the claim was read has been deleted.
 func (r *Reducer) incarnationGone(incarnation string) bool {
-	registered := func(p Identity) bool { return p.Incarnation == incarnation }
-	if incarnation == r.self.Incarnation || slices.ContainsFunc(r.tenure.peers, registered) {
+	m := r.members[incarnation]
+	if incarnation == r.self.Incarnation || (m != nil && !m.absent) {
 		delete(r.absent, incarnation)
-		return false
+		return r.knownLapsed(incarnation)
 	}
 	seen, ok := r.absent[incarnation]
 	if !ok {
--- a/internal/decision/berylreducer/reducer.go
+++ b/internal/decision/berylreducer/reducer.go
@@ -21,18 +21,30 @@
 	config  beryllatch.Config
 	keys    map[string]beryllatch.APIKey
 	tenure  tenureState
+	members map[string]*member
+	// selfListed is true once the platform's instance list has named this node.
+	selfListed bool
+	// beat is the place of the next peer to send a heartbeat to.
+	beat    int
+	watches []configWatch
+	// faults switches off single safety mechanisms; only tests set it.
+	faults  faults
 	units   map[string]*teamUnits
 	workers map[string]*workerState
 	requestState
+	operate  operateState
 	stopping bool
 	// stopAt ends the time in which a stopping node still accepts requests.
 	stopAt time.Duration
+	// idleAt is when a stopping node ended its last request.
+	idleAt time.Duration
 	ready  bool
 }
 
 // Reduce applies one event and returns the effects that the node must carry out, in order.
 func (r *Reducer) Reduce(now Instant, e Event) []Effect {
 	r.now, r.out = now, nil
+	r.observeClock()
 	switch e := e.(type) {
 	case Started:
 		r.start(e)
@@ -47,8 +59,9 @@
 	case PeerHeard:
 		r.peerHeard(e)
 	case GrantAsked:
-		r.emit(ReplyGrant{CallID: e.CallID})
+		r.grantAsked(e)
 	case InstancesListed:
+		r.observeList(e)
 		r.instancesListed(e)
 	case WorkerReported:
 		r.workerReported(e)
@@ -60,17 +73,32 @@
 		r.executionEnded(e)
 	case UnitsRead:
 		r.unitsRead(e)
+	case UnitsReadFailed:
+		r.unitsReadFailed(e)
+	case UnitsMoved:
+		r.unitsMoved(e)
+	case Reincarnated:
+		r.reincarnated(e)
+	case NodeDeleted:
+		r.nodeDeleted(e)
+	case ConfigNotified:
+		r.configNotified(e)
+	case ConfigCommitted:
+		r.watchConfig(e.Version)
 	case UnitsWritten:
 		r.unitsWritten(e)
 	case UnitsAsked:
 		r.unitsAsked(e)
 	case StopRequested:
 		r.stopRequested()
+	case StatusAsked:
+		r.statusAsked(e)
 	default:
 		r.reduceClaim(e)
 		r.reduceTask(e)
 		r.reduceOperate(e)
 	}
+	r.operateAfter(e)
 	r.updateReady()
 	return r.out
 }
@@ -83,6 +111,8 @@
 	r.self = e.Self
 	r.rand = rand.New(rand.NewPCG(e.Seed, e.Seed))
 	r.keys = map[string]beryllatch.APIKey{}
+	r.members = map[string]*member{}
+	r.tenure.clock = r.now
 	r.units = map[string]*teamUnits{}
 	r.workers = map[string]*workerState{}
 	r.requestState = newRequestState(e.Slots)
@@ -91,7 +121,9 @@
 
 func (r *Reducer) tick() {
 	r.tickTenure()
+	r.tickMembership()
 	r.tickUnits()
+	r.checkInForce()
 	r.tickRequests()
 	r.tickTasks()
 	r.tickOperate()
@@ -113,8 +145,8 @@
 func (r *Reducer) refusesNew() bool { return r.stopping && r.now.Mono >= r.stopAt }
 
 func (r *Reducer) stopWhenIdle() {
-	if r.refusesNew() && len(r.requests) == 0 && len(r.claims) == 0 {
-		r.emit(Stop{})
+	if r.refusesNew() && len(r.requests) == 0 && len(r.claims) == 0 && r.operateIdle() {
+		r.leave()
 	}
 }
 
--- a/internal/node/berylcaller/attempt.go
+++ b/internal/node/berylcaller/attempt.go
@@ -10,6 +10,7 @@
 
 	"github.com/beryllatch/beryllatch"
 	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
+	"github.com/beryllatch/beryllatch/internal/node/beryldaemon"
 )
 
 // answerLimit is the largest answer that is buffered; a larger one is streamed to the caller.
@@ -30,11 +31,11 @@
 }
 
 // attempt sends the request to the worker and returns the event that ends the attempt.
-func (x *exchange) attempt(e berylreducer.Dispatch) berylreducer.ExecutionEnded {
+func (x *exchange) attempt(ctx context.Context, e berylreducer.Dispatch) berylreducer.ExecutionEnded {
 	start := time.Now()
 	ended := berylreducer.ExecutionEnded{ID: e.ID, Attempt: e.Attempt, Outcome: beryllatch.OutcomeAnswered}
 	// The caller's departure must not cut an execution, whose outcome would then be unknown.
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(x.r.Context()), e.AnswerBy.Wall)
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), e.AnswerBy.Wall)
 	defer cancel()
 	err := x.execute(ctx, e.Execution)
 	ended.Duration = time.Since(start)
@@ -42,6 +43,7 @@
 	var failed *beryllatch.ExecutionError
 	switch {
 	case err == nil:
+		x.keep()
 		ended.Failed = x.answer != nil && x.answer.status >= http.StatusInternalServerError
 	case errors.As(err, &failed):
 		ended.Outcome, ended.Reason = failed.Outcome, failed.Reason
@@ -51,6 +53,19 @@
 	return ended
 }
 
+// keep hands the answer of a keyed request to the node, which stores it with the claim.
+func (x *exchange) keep() {
+	if x.in.idempotencyKey == "" {
+		return
+	}
+	a := beryldaemon.Answer{Omitted: true}
+	if x.answer != nil && len(x.answer.body) <= berylreducer.MaxStoredAnswer {
+		a = beryldaemon.Answer{Status: x.answer.status, Header: http.Header{}, Body: x.answer.body}
+		passAnswer(a.Header, x.answer.header)
+	}
+	x.h.Node.Keep(x.in.id, a)
+}
+
 func (x *exchange) execute(ctx context.Context, e beryllatch.Execution) error {
 	x.answer = nil
 	h := http.Header{}
--- a/internal/node/berylcaller/handler.go
+++ b/internal/node/berylcaller/handler.go
@@ -1,11 +1,13 @@
 package berylcaller
 
 import (
+	"context"
 	"net/http"
 	"time"
 
 	"github.com/beryllatch/beryllatch"
 	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
+	"github.com/beryllatch/beryllatch/internal/node/beryldaemon"
 	"github.com/beryllatch/beryllatch/internal/node/berylproblem"
 	"github.com/gorilla/mux"
 )
@@ -16,6 +18,8 @@
 	Submit(e berylreducer.RequestArrived) <-chan berylreducer.Effect
 	// Post hands an event to the reducer.
 	Post(e berylreducer.Event)
+	// Keep holds the whole answer of a keyed request until its claim is settled.
+	Keep(id string, a beryldaemon.Answer)
 	// Release forgets the channel of an answered request.
 	Release(id string)
 }
@@ -47,9 +51,9 @@
 		return
 	}
 	x := exchange{h: h, w: w, r: r, in: in}
-	effects := h.Node.Submit(in.arrival(r))
+	effects := h.Node.Submit(in.arrival())
 	defer h.Node.Release(in.id)
-	x.run(effects)
+	x.run(r.Context(), effects)
 }
 
 // exchange is one request and its answer.
@@ -64,19 +68,19 @@
 	committed bool
 }
 
-func (x *exchange) run(effects <-chan berylreducer.Effect) {
-	gone := x.r.Context().Done()
+func (x *exchange) run(ctx context.Context, effects <-chan berylreducer.Effect) {
+	gone := ctx.Done()
 	for {
 		select {
 		case e := <-effects:
-			if x.apply(e) {
+			if x.apply(ctx, e) {
 				return
 			}
 		case <-gone:
 			gone = nil
 			x.h.Node.Post(berylreducer.RequestAbandoned{ID: x.in.id})
 			// The reducer answers an abandoned request that still waits by dropping it.
-			if !x.dispatched(effects) {
+			if !x.dispatched(ctx, effects) {
 				return
 			}
 		}
@@ -84,25 +88,28 @@
 }
 
 // dispatched reports whether an effect of an abandoned request is still to be carried out.
-func (x *exchange) dispatched(effects <-chan berylreducer.Effect) bool {
+func (x *exchange) dispatched(ctx context.Context, effects <-chan berylreducer.Effect) bool {
 	const settle = time.Second
 	select {
 	case e := <-effects:
-		return !x.apply(e)
+		return !x.apply(ctx, e)
 	case <-time.After(settle):
 		return false
 	}
 }
 
 // apply carries out one effect and reports whether the exchange has ended.
-func (x *exchange) apply(e berylreducer.Effect) bool {
+func (x *exchange) apply(ctx context.Context, e berylreducer.Effect) bool {
 	switch e := e.(type) {
 	case berylreducer.Dispatch:
-		x.h.Node.Post(x.attempt(e))
+		x.h.Node.Post(x.attempt(ctx, e))
 		return false
 	case berylreducer.Finish:
 		x.finish()
 		return true
+	case berylreducer.ReplayAnswer:
+		x.replay(e.Row)
+		return true
 	case berylreducer.Refuse:
 		x.refuse(e.Refusal)
 		return true
@@ -116,6 +123,12 @@
 	}
 }
 
+// replay answers with the stored answer of the first request that had the idempotency key.
+func (x *exchange) replay(row berylreducer.ClaimRow) {
+	x.w.Header().Set(headerReplayed, "true")
+	(&answer{status: row.Status, header: row.Header, body: row.Answer}).write(x.w)
+}
+
 func (x *exchange) refuse(refusal beryllatch.Refusal) {
 	if x.committed {
 		// The caller must not take the part that it has received for a whole answer.
--- a/internal/node/beryldaemon/daemon.go
+++ b/internal/node/beryldaemon/daemon.go
@@ -46,9 +46,14 @@
 	mu       sync.Mutex
 	requests map[string]chan berylreducer.Effect
 
-	nodeVersion uint64
-	nodeMu      sync.Mutex
-	snapshot    atomic.Pointer[beryllatch.Config]
+	node      nodeRow
+	snapshot  atomic.Pointer[beryllatch.Config]
+	claims    *grouper
+	answers   answers
+	operators calls[berylreducer.ReplyOperator]
+	statuses  calls[berylreducer.Status]
+	// nextReport is the worker whose report was asked for last.
+	nextReport int
 }
 
 // Init prepares the daemon; the posting methods may be used from then on.
@@ -57,6 +62,7 @@
 	d.events = make(chan berylreducer.Event, eventBuffer)
 	d.stop = make(chan struct{})
 	d.requests = map[string]chan berylreducer.Effect{}
+	d.claims = newGrouper(d.Table)
 }
 
 // Run feeds events to the reducer until a graceful shutdown ends or ctx is cancelled.
@@ -71,7 +77,9 @@
 		}
 	}
 	reduce(berylreducer.Started{Self: d.Self, Seed: d.Seed})
+	d.work.Go(func() { d.claims.run(ctx, func(f func(context.Context)) { d.async(ctx, f) }) })
 	d.every(ctx, listInterval, d.readInstances)
+	d.every(ctx, reportInterval, d.readWorkers)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
@@ -99,9 +107,6 @@
 // Ready reports whether the balancer may send work to this node.
 func (d *Daemon) Ready() bool { return d.ready.Load() }
 
-// Config returns the configuration in force, nil before the first.
-func (d *Daemon) Config() *beryllatch.Config { return d.snapshot.Load() }
-
 func (d *Daemon) now() berylreducer.Instant {
 	return berylreducer.Instant{Mono: time.Since(d.started), Wall: time.Now().Round(0)}
 }
--- a/internal/node/beryldaemon/execute.go
+++ b/internal/node/beryldaemon/execute.go
@@ -8,21 +8,24 @@
 
 // execute carries out one effect; everything that may block runs outside the loop.
 func (d *Daemon) execute(ctx context.Context, x berylreducer.Effect) {
+	if d.executeClaim(ctx, x) || d.executeTenure(ctx, x) || d.executeUnits(ctx, x) {
+		return
+	}
 	switch x := x.(type) {
-	case berylreducer.RenewTenure:
-		d.async(ctx, func(ctx context.Context) { d.renew(ctx, x) })
-	case berylreducer.ReadConfig:
-		d.async(ctx, d.readConfig)
-	case berylreducer.ReadUnits:
-		d.async(ctx, func(ctx context.Context) { d.readUnits(ctx, x) })
-	case berylreducer.WriteUnits:
-		d.async(ctx, func(ctx context.Context) { d.writeUnits(ctx, x) })
 	case berylreducer.Dispatch:
 		d.deliver(x.ID, x)
 	case berylreducer.Refuse:
 		d.deliver(x.ID, x)
 	case berylreducer.Finish:
 		d.deliver(x.ID, x)
+	case berylreducer.WriteConfig:
+		d.async(ctx, func(ctx context.Context) { d.writeConfig(ctx, x) })
+	case berylreducer.ReplyOperator:
+		d.operators.resolve(x.CallID, x)
+	case berylreducer.ReplyStatus:
+		d.statuses.resolve(x.CallID, x.Status)
+	case berylreducer.RebootWorker:
+		d.async(ctx, func(ctx context.Context) { d.rebootWorker(ctx, x) })
 	case berylreducer.Count:
 		d.Metrics.Count(x.Name, x.N)
 	case berylreducer.LogState:
--- /dev/null
+++ b/internal/node/beryldaemon/worker.go
@@ -0,0 +1,53 @@
+package beryldaemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/beryllatch/beryllatch"
+	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	// reportInterval is how often a node asks every worker for its state, up to reportRate workers a second.
+	reportInterval = time.Second
+	// reportRate bounds the reports a second, since at the design size a report each second from each of 630 workers
+	// would alone use up the traffic that control may cause.
+	reportRate    = 50
+	reportTimeout = time.Second
+	reportsAtOnce = 16
+)
+
+// readWorkers asks the workers for their state, a bounded number each second, in turn.
+func (d *Daemon) readWorkers(ctx context.Context) {
+	cfg := d.snapshot.Load()
+	if cfg == nil {
+		return
+	}
+	ids := beryllatch.SortedKeys(cfg.Instances)
+	var g errgroup.Group
+	g.SetLimit(reportsAtOnce)
+	for range min(len(ids), reportRate) {
+		d.nextReport = (d.nextReport + 1) % len(ids)
+		i := cfg.Instances[ids[d.nextReport]]
+		g.Go(func() error {
+			d.readWorker(ctx, i)
+			return nil
+		})
+	}
+	_ = g.Wait()
+}
+
+func (d *Daemon) readWorker(ctx context.Context, i beryllatch.Instance) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	report, err := d.Tasks.ReportWorker(ctx, i.Address)
+	if err != nil {
+		d.Post(berylreducer.WorkerReported{Instance: i.ID})
+		return
+	}
+	d.Post(berylreducer.WorkerReported{
+		Instance: i.ID, Healthy: true, Leaving: report.Leaving, BootID: report.BootID, Running: report.Running,
+	})
+}
--- a/internal/platform/berylconfig/store.go
+++ b/internal/platform/berylconfig/store.go
@@ -5,7 +5,6 @@
 	"compress/gzip"
 	"context"
 	"encoding/json"
-	"errors"
 	"io"
 
 	"github.com/beryllatch/beryllatch"
@@ -62,16 +61,6 @@
 	)
 }
 
-// Create stores an empty first version; it is not an error if another node was first.
-func (s Store) Create(ctx context.Context) error {
-	err := s.Write(ctx, beryllatch.Config{}, 0)
-	var conflict *beryllatch.ConditionFailedError
-	if errors.As(err, &conflict) {
-		return nil
-	}
-	return err
-}
-
 func encode(c beryllatch.Config) ([]byte, error) {
 	var b bytes.Buffer
 	w := gzip.NewWriter(&b)
