--- a/internal/decision/berylreducer/claim.go
+++ b/internal/decision/berylreducer/claim.go
@@ -16,8 +16,8 @@
 	claimRetry = 500 * time.Millisecond
 	// claimLateWrite is how long a write without an answer may still take effect.
 	claimLateWrite = 10 * time.Second
-	// claimSettle bounds the attempts to record an outcome.
-	claimSettle = 15 * time.Minute
+	// claimSettle bounds the attempts to record an outcome; it outlasts an outage that nodes bridge by grants.
+	claimSettle = time.Hour
 	// maxClaimWrites bounds the writes of one claim under racing repeats.
 	maxClaimWrites = 5
 )
@@ -83,6 +83,10 @@
 
 // startClaim writes the claim of a request, which is dispatched only once the row is surely this node's.
 func (r *Reducer) startClaim(q *request) {
+	if !r.mayClaim() {
+		r.goUnclaimed(q)
+		return
+	}
 	r.claimCount++
 	c := &claim{
 		id: q.ID, number: r.claimCount, key: claimKey(q.team, q.Queue, q.IdempotencyKey), q: q,
@@ -172,17 +176,21 @@
 func (r *Reducer) leaveClaim(c *claim) {
 	q := c.q
 	r.detachClaim(c)
-	switch {
-	case q == nil:
-	case q.Idempotent:
-		r.count("claim_skipped")
-		r.readmit(q)
-		r.dispatchPool(q.pool)
-	default:
+	if q != nil {
+		r.goUnclaimed(q)
+	}
+}
+
+func (r *Reducer) goUnclaimed(q *request) {
+	if !q.Idempotent {
 		r.refuseRequest(q, refusal{
 			reason: beryllatch.ReasonClaimUnavailable, detail: "the claim of the idempotency key could not be written",
 		})
+		return
 	}
+	r.count("claim_skipped")
+	r.readmit(q)
+	r.dispatchPool(q.pool)
 }
 
 // detachClaim separates a claim that is not owned from its request.
--- a/internal/decision/berylreducer/claim_settle.go
+++ b/internal/decision/berylreducer/claim_settle.go
@@ -5,6 +5,10 @@
 	"time"
 )
 
+// claimStopWait bounds the wait of a stopping node for its claims. A row that is left as claimed becomes unknown to
+// the other nodes once this one has gone.
+const claimStopWait = 30 * time.Second
+
 // maxAbsent bounds the memory for incarnations without a node row.
 const maxAbsent = 256
 
@@ -101,7 +105,8 @@
 	for c, ok := r.acquiring.top(); ok && r.now.Mono >= c.giveUpAt; c, ok = r.acquiring.top() {
 		r.leaveClaim(c)
 	}
-	for len(r.claimRetries) > 0 && r.now.Mono >= r.claimRetries[0].retryAt {
+	// Without contact to the platform, the retries would only load the node and its network.
+	for r.mayClaim() && len(r.claimRetries) > 0 && r.now.Mono >= r.claimRetries[0].retryAt {
 		c := r.claimRetries[0]
 		r.claimRetries = slices.Delete(r.claimRetries, 0, 1)
 		if c.step == claimSettling {
@@ -112,9 +117,14 @@
 	}
 }
 
+// claimsIdle reports whether a stopping node need not wait for its claims any longer.
+func (r *Reducer) claimsIdle() bool {
+	return len(r.claims) == 0 || r.now.Mono-r.stopAt >= claimStopWait
+}
+
 // incarnationGone reports whether the tenure of an incarnation is known to have lapsed, or its node row is surely
-// deleted, which happens only after its graceful stop or its known lapse. A node writes its row before it claims anything, so a row that is missing in a
-// renewal sent after the claim was read has been deleted.
+// deleted, which happens only after its graceful stop or its known lapse. A node writes its row before it claims
+// anything, so a row that is missing in a renewal sent after the claim was read has been deleted.
 func (r *Reducer) incarnationGone(incarnation string) bool {
 	m := r.members[incarnation]
 	if incarnation == r.self.Incarnation || (m != nil && !m.absent) {
--- a/internal/decision/berylreducer/claim_test.go
+++ b/internal/decision/berylreducer/claim_test.go
@@ -146,6 +146,18 @@
 	s.golden(t, "claim_unavailable")
 }
 
+// Guards against a wait for the platform, or a claim behind its back, while the node goes on by its peers' grants.
+func TestClaimInOutage(t *testing.T) {
+	s, p := newSession(), newFakePlatform()
+	s.start(sampleConfig())
+	s.run(p, arrival("q-first"))
+	s.wait(time.Second)
+	s.r.tenure.renewedUntil = s.now.Mono
+	s.run(p, keyed("q-once"))
+	s.run(p, idempotent(keyed("q-idempotent")))
+	s.golden(t, "claim_outage")
+}
+
 // Guards against the release of a row that still is another node's, after a takeover whose answer was lost.
 func TestClaimTakeoverLost(t *testing.T) {
 	s, p := newSession(), newFakePlatform()
@@ -177,3 +189,20 @@
 	s.run(p, keyed("q1"))
 	s.golden(t, "claim_left_behind")
 }
+
+// Guards against a stop that loses an outcome which could be recorded, and against one that waits for it without end.
+func TestClaimAtStop(t *testing.T) {
+	s, p := newSession(), newFakePlatform()
+	s.start(sampleConfig())
+	s.run(p, keyed("q1"))
+	s.send(answered("q1", 1))
+	s.run(p, StopRequested{})
+	s.runTicks(p, int((lameDuckTime+claimStopWait)/tickInterval)-1)
+	if s.r.tenure.deleting {
+		t.Error("the node leaves while it could record an outcome")
+	}
+	s.runTicks(p, 100)
+	if !s.r.tenure.deleting {
+		t.Error("the node does not leave")
+	}
+}
--- a/internal/decision/berylreducer/overload_test.go
+++ b/internal/decision/berylreducer/overload_test.go
@@ -216,6 +216,7 @@
 		for _, deadline := range []time.Duration{500 * time.Millisecond, 10 * time.Second} {
 			for _, nodes := range []int{1, 9} {
 				t.Run(fmt.Sprintf("%s/deadline=%s/nodes=%d", c.name, deadline, nodes), func(t *testing.T) {
+					t.Parallel()
 					recoverFrom(t, newSimulation(nodes, deadline), c.cause)
 				})
 			}
--- a/internal/decision/berylreducer/reducer.go
+++ b/internal/decision/berylreducer/reducer.go
@@ -145,7 +145,7 @@
 func (r *Reducer) refusesNew() bool { return r.stopping && r.now.Mono >= r.stopAt }
 
 func (r *Reducer) stopWhenIdle() {
-	if r.refusesNew() && len(r.requests) == 0 && len(r.claims) == 0 && r.operateIdle() {
+	if r.refusesNew() && len(r.requests) == 0 && r.claimsIdle() && r.operateIdle() {
 		r.leave()
 	}
 }
