Measure a daemon's latency and throughput against direct calls to the workers

berylload starts a platform stand-in, workers and a daemon on loopback, runs closed loops on 1, 8 and 64 connections and prints the medians of repeated passes. The direct calls use the daemon's own worker client, so that the difference is the daemon's part alone.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 export PATH := $(shell $(GO) env GOPATH)/bin:$(PATH)
 GOLANGCI_LINT_VERSION := v2.15.0
 
-.PHONY: build test lint tools
+.PHONY: build test bench lint tools
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -10,6 +10,9 @@
 test:
 	$(GO) test -race ./...
 
+bench: build
+	bin/berylload request
+
 lint: tools
 	test -z "$$(golangci-lint fmt --diff)"
 	golangci-lint run ./...
--- /dev/null
+++ b/cmd/berylload/main.go
@@ -0,0 +1,52 @@
+// Command berylload measures running daemons on loopback; every measurement is bounded and stops by itself.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/beryllatch/beryllatch/internal/bench/berylload"
+)
+
+// cli lists the measurements.
+type cli struct {
+	Bin     string     `default:"bin" type:"existingdir" help:"Directory of the built programs."`
+	Request requestCmd `cmd:"" help:"Latency and throughput of requests, through a daemon and straight to the workers."`
+}
+
+type requestCmd struct {
+	Duration time.Duration `default:"3s" help:"Length of a pass."`
+	Repeats  int           `default:"5" help:"Passes of each kind; the medians are printed."`
+	Conns    []int         `default:"1,8,64" help:"Connections of the passes, at most 64."`
+}
+
+// Run measures requests.
+func (c *requestCmd) Run(ctx context.Context, all *cli) error {
+	return inDir(func(dir string) error {
+		return berylload.Requests{
+			Bin: all.Bin, Dir: dir, Duration: c.Duration, Repeats: c.Repeats, Conns: c.Conns, Out: os.Stdout,
+		}.Run(ctx)
+	})
+}
+
+// inDir runs f with a directory for logs, which is removed afterwards.
+func inDir(f func(dir string) error) error {
+	dir, err := os.MkdirTemp("", "berylload")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	return f(dir)
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	all := &cli{}
+	k := kong.Parse(all, kong.Name("berylload"), kong.BindTo(ctx, (*context.Context)(nil)), kong.Bind(all))
+	k.FatalIfErrorf(k.Run())
+}
--- /dev/null
+++ b/internal/bench/berylload/call.go
@@ -0,0 +1,85 @@
+package berylload
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/beryllatch/beryllatch"
+	"github.com/beryllatch/beryllatch/internal/bench/berylsample"
+	"github.com/beryllatch/beryllatch/internal/upstream/berylworker"
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// bodySize is the size of a request's body in bytes.
+	bodySize = 256
+	// lease is how long an execution that is sent straight to a worker may take.
+	lease = 30 * time.Second
+	// runHeader makes a stand-in worker run the work for so many milliseconds.
+	runHeader = "Beryllatch-Test-Run-Ms"
+)
+
+// direct returns a call that sends to the workers without a daemon, by the daemon's own client.
+func direct(addresses []string) call {
+	client := berylworker.New(berylworker.WithMaxIdleConns(maxConns))
+	body := make([]byte, bodySize)
+	return func(ctx context.Context, conn int) error {
+		now := time.Now()
+		resp, err := client.Execute(ctx, beryllatch.Execution{
+			ID: uuid.NewString(), Address: addresses[conn%len(addresses)], Team: berylsample.Team(0), Queue: berylsample.Queue(0),
+			StartBy: now.Add(time.Second), LeaseExpiry: now.Add(lease),
+		}, http.Header{runHeader: {"0"}}, bytes.NewReader(body))
+		if err != nil {
+			return err
+		}
+		defer func() { _ = resp.Body.Close() }()
+		return drain(resp)
+	}
+}
+
+// through returns a call that sends to the daemon's callers' address.
+func through(address string, header ...string) call {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxConns, DisableCompression: true}}
+	body := make([]byte, bodySize)
+	return func(ctx context.Context, _ int) error {
+		req, err := newRequest(ctx, address, bytes.NewReader(body))
+		if err != nil {
+			return err
+		}
+		for n := 0; n < len(header); n += 2 {
+			req.Header.Set(header[n], header[n+1])
+		}
+		resp, err := client.Do(req)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = resp.Body.Close() }()
+		return drain(resp)
+	}
+}
+
+func newRequest(ctx context.Context, address string, body io.Reader) (*http.Request, error) {
+	url := fmt.Sprintf("http://%s/v1/queues/%s/requests", address, berylsample.Queue(0))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, body)
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+berylsample.Secret(0))
+	req.Header.Set(runHeader, "0")
+	return req, nil
+}
+
+// drain reads the answer to its end.
+func drain(resp *http.Response) error {
+	if resp.StatusCode != http.StatusOK {
+		b, _ := io.ReadAll(io.LimitReader(resp.Body, 1<<10))
+		return eris.Errorf("status %d: %s", resp.StatusCode, b)
+	}
+	_, err := io.Copy(io.Discard, resp.Body)
+	return err
+}
--- /dev/null
+++ b/internal/bench/berylload/doc.go
@@ -0,0 +1,2 @@
+// Package berylload measures running daemons on loopback: latency, throughput, memory and what they use at rest.
+package berylload
--- /dev/null
+++ b/internal/bench/berylload/fleet.go
@@ -0,0 +1,108 @@
+package berylload
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"strconv"
+
+	"github.com/beryllatch/beryllatch/internal/bench/berylprocess"
+	"github.com/beryllatch/beryllatch/internal/bench/berylsample"
+	"github.com/beryllatch/beryllatch/internal/rpc/berylwire"
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/encoding/protojson"
+)
+
+// workersPerProcess is the number of worker addresses that one stand-in process serves.
+const workersPerProcess = 100
+
+// plan says which fleet a measurement needs.
+type plan struct {
+	daemons int
+	workers int
+	teams   int
+	// pools is the number of pools; 0 means that of the design size.
+	pools   int
+	ceiling int
+	// proxied puts a counting proxy in front of the table service.
+	proxied bool
+}
+
+// fleet is a running fleet with a configuration.
+type fleet struct {
+	berylprocess.Fleet
+	addresses []string
+	proxy     *tableProxy
+}
+
+// startFleet starts the processes and applies a configuration; the caller stops them in any case.
+func startFleet(ctx context.Context, bin, dir string, p plan) (*fleet, error) {
+	f := &fleet{Fleet: berylprocess.Fleet{Bin: bin, Dir: dir}}
+	if err := f.StartPlatform(p.daemons); err != nil {
+		return f, err
+	}
+	if p.proxied {
+		f.proxy = &tableProxy{target: f.Table}
+		address, err := f.proxy.start(ctx)
+		if err != nil {
+			return f, err
+		}
+		f.Table = address
+	}
+	if err := f.startWorkers(ctx, p.workers); err != nil {
+		return f, err
+	}
+	for _, d := range f.Daemons {
+		if err := f.StartDaemon(ctx, d); err != nil {
+			return f, err
+		}
+	}
+	return f, f.configure(ctx, berylsample.Size{
+		Workers: p.workers, Teams: p.teams, Pools: p.pools, Ceiling: p.ceiling, Addresses: f.addresses,
+	})
+}
+
+// stop ends every process of the fleet.
+func (f *fleet) stop() {
+	if f == nil {
+		return
+	}
+	f.Stop()
+	if f.proxy != nil {
+		f.proxy.stop()
+	}
+}
+
+func (f *fleet) startWorkers(ctx context.Context, n int) error {
+	for len(f.addresses) < n {
+		var flags, more []string
+		for range min(workersPerProcess, n-len(f.addresses)) - 1 {
+			address, err := berylprocess.FreeAddress()
+			if err != nil {
+				return err
+			}
+			more = append(more, address)
+			flags = append(flags, "--listen="+address)
+		}
+		id := "workers-" + strconv.Itoa(len(f.Workers))
+		w, err := f.StartWorker(ctx, id, "dc1", "rack", flags...)
+		if err != nil {
+			return err
+		}
+		f.addresses = append(append(f.addresses, w.Address), more...)
+	}
+	return nil
+}
+
+func (f *fleet) configure(ctx context.Context, s berylsample.Size) error {
+	doc, err := protojson.Marshal(&berylwire.ApplyRequest{Changes: berylsample.Changes(berylsample.Config(s))})
+	if err != nil {
+		return eris.Wrap(err, "encode changes")
+	}
+	name := filepath.Join(f.Dir, "changes.json")
+	if err := os.WriteFile(name, doc, 0o600); err != nil {
+		return eris.Wrap(err, "write changes")
+	}
+	_, err = f.Client(ctx, "apply", name)
+	return err
+}
--- /dev/null
+++ b/internal/bench/berylload/median.go
@@ -0,0 +1,28 @@
+package berylload
+
+import "slices"
+
+// median returns the middle value, the upper one of two.
+func median(v []float64) float64 {
+	s := slices.Sorted(slices.Values(v))
+	return s[len(s)/2]
+}
+
+func medianOf[T any](list []T, field func(T) float64) float64 {
+	var v []float64
+	for _, x := range list {
+		v = append(v, field(x))
+	}
+	return median(v)
+}
+
+func medians(list []requestFigures) requestFigures {
+	return requestFigures{
+		p50:        medianOf(list, func(r requestFigures) float64 { return r.p50 }),
+		p99:        medianOf(list, func(r requestFigures) float64 { return r.p99 }),
+		rate:       medianOf(list, func(r requestFigures) float64 { return r.rate }),
+		perCore:    medianOf(list, func(r requestFigures) float64 { return r.perCore }),
+		ownPerCall: medianOf(list, func(r requestFigures) float64 { return r.ownPerCall }),
+		failed:     medianOf(list, func(r requestFigures) float64 { return r.failed }),
+	}
+}
--- /dev/null
+++ b/internal/bench/berylload/proxy.go
@@ -0,0 +1,107 @@
+package berylload
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"net/url"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// tableProxy passes the calls to the table service on and counts them by operation, and the bytes on the connections.
+type tableProxy struct {
+	target string
+	server *http.Server
+
+	mu    sync.Mutex
+	calls map[string]int
+	// received and sent are the bytes from and to the daemons.
+	received atomic.Int64
+	sent     atomic.Int64
+}
+
+// tableCounts is what the proxy has counted so far.
+type tableCounts struct {
+	calls    map[string]int
+	received int64
+	sent     int64
+}
+
+func (p *tableProxy) start(ctx context.Context) (string, error) {
+	var cfg net.ListenConfig
+	ln, err := cfg.Listen(ctx, "tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", eris.Wrap(err, "table proxy")
+	}
+	p.calls = map[string]int{}
+	pass := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: p.target})
+	// The signature covers the host that the daemon addressed.
+	pass.Transport = &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}
+	p.server = &http.Server{
+		ReadHeaderTimeout: 10 * time.Second,
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			p.count(r)
+			pass.ServeHTTP(w, r)
+		}),
+	}
+	go func() { _ = p.server.Serve(&countedListener{Listener: ln, p: p}) }()
+	return ln.Addr().String(), nil
+}
+
+func (p *tableProxy) stop() { _ = p.server.Close() }
+
+func (p *tableProxy) count(r *http.Request) {
+	_, operation, _ := strings.Cut(r.Header.Get("X-Amz-Target"), ".")
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.calls[operation]++
+}
+
+func (p *tableProxy) counts() tableCounts {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := tableCounts{calls: map[string]int{}, received: p.received.Load(), sent: p.sent.Load()}
+	for k, n := range p.calls {
+		c.calls[k] = n
+	}
+	return c
+}
+
+type countedListener struct {
+	net.Listener
+	p *tableProxy
+}
+
+// Accept returns a connection whose bytes are counted.
+func (l *countedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{Conn: c, p: l.p}, nil
+}
+
+type countedConn struct {
+	net.Conn
+	p *tableProxy
+}
+
+// Read counts the bytes from a daemon.
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.p.received.Add(int64(n))
+	return n, err
+}
+
+// Write counts the bytes to a daemon.
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.p.sent.Add(int64(n))
+	return n, err
+}
--- a/internal/bench/berylprocess/fleet.go
+++ b/internal/bench/berylprocess/fleet.go
@@ -33,7 +33,10 @@
 	Daemons  []*Daemon
 	Workers  []*Worker
 
-	table     string
+	// Table is the address that daemons get for the table service; set it between StartPlatform and StartDaemon to
+	// put a proxy in front of it.
+	Table string
+
 	objects   string
 	instances string
 }
@@ -62,7 +65,7 @@
 func (f *Fleet) StartPlatform(daemons int) error {
 	var flags []string
 	for name, target := range map[string]*string{
-		"table": &f.table, "objects": &f.objects, "instances": &f.instances, "control": &f.Control, "balancer": &f.Balancer,
+		"table": &f.Table, "objects": &f.objects, "instances": &f.instances, "control": &f.Control, "balancer": &f.Balancer,
 	} {
 		addr, err := FreeAddress()
 		if err != nil {
@@ -105,7 +108,7 @@
 	p, err := Run(
 		f.Dir, d.node, filepath.Join(f.Bin, "beryllatchd"),
 		"--node="+d.node, "--data-centre="+d.dc, "--callers-address="+d.Callers, "--operators-address="+d.Operators,
-		"--peers-address="+d.peers, "--admin-address="+d.Admin, "--table-endpoint=http://"+f.table,
+		"--peers-address="+d.peers, "--admin-address="+d.Admin, "--table-endpoint=http://"+f.Table,
 		"--object-endpoint=http://"+f.objects, "--instance-list=http://"+f.instances+"/instances",
 		"--operator-tokens=harness:"+hex.EncodeToString(hash[:]),
 	)
--- a/internal/bench/berylprocess/process.go
+++ b/internal/bench/berylprocess/process.go
@@ -62,6 +62,9 @@
 // Thaw lets a frozen process go on.
 func (p *Process) Thaw() { _ = p.cmd.Process.Signal(syscall.SIGCONT) }
 
+// PID returns the id of the process.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
 // Running reports whether the process has not ended.
 func (p *Process) Running() bool {
 	select {
