--- a/cmd/berylload/main.go
+++ b/cmd/berylload/main.go
@@ -16,6 +16,8 @@
 type cli struct {
 	Bin     string     `default:"bin" type:"existingdir" help:"Directory of the built programs."`
 	Request requestCmd `cmd:"" help:"Latency and throughput of requests, through a daemon and straight to the workers."`
+	Stream  streamCmd  `cmd:"" help:"Peak resident memory of a daemon that streams large bodies."`
+	Idle    idleCmd    `cmd:"" help:"Processor time, memory and table calls of a daemon at rest."`
 }
 
 type requestCmd struct {
@@ -33,6 +35,39 @@
 	})
 }
 
+type streamCmd struct {
+	Bytes   int   `default:"67108864" help:"Size of a body, at most 64 MiB."`
+	AtOnce  []int `default:"1,4" help:"Requests at a time."`
+	Repeats int   `default:"5" help:"Requests of each kind on each connection; the peak of all counts."`
+}
+
+// Run measures large bodies.
+func (c *streamCmd) Run(ctx context.Context, all *cli) error {
+	return inDir(func(dir string) error {
+		return berylload.Streams{
+			Bin: all.Bin, Dir: dir, Bytes: c.Bytes, AtOnce: c.AtOnce, Repeats: c.Repeats, Out: os.Stdout,
+		}.Run(ctx)
+	})
+}
+
+type idleCmd struct {
+	Duration time.Duration `default:"10s" help:"Length of a window."`
+	Repeats  int           `default:"3" help:"Windows; the medians are printed."`
+	Workers  []int         `default:"50,200,630" help:"Configured workers, a fleet for each number."`
+	Teams    int           `default:"26" help:"Configured teams."`
+	Daemons  int           `default:"1" help:"Entry daemons."`
+}
+
+// Run measures daemons at rest.
+func (c *idleCmd) Run(ctx context.Context, all *cli) error {
+	return inDir(func(dir string) error {
+		return berylload.Idle{
+			Bin: all.Bin, Dir: dir, Duration: c.Duration, Repeats: c.Repeats, Workers: c.Workers, Teams: c.Teams,
+			Daemons: c.Daemons, Out: os.Stdout,
+		}.Run(ctx)
+	})
+}
+
 // inDir runs f with a directory for logs, which is removed afterwards.
 func inDir(f func(dir string) error) error {
 	dir, err := os.MkdirTemp("", "berylload")
--- a/internal/bench/berylload/fleet.go
+++ b/internal/bench/berylload/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -76,11 +77,8 @@
 func (f *fleet) startWorkers(ctx context.Context, n int) error {
 	for len(f.addresses) < n {
 		var flags, more []string
-		for range min(workersPerProcess, n-len(f.addresses)) - 1 {
-			address, err := berylprocess.FreeAddress()
-			if err != nil {
-				return err
-			}
+		for k := range min(workersPerProcess, n-len(f.addresses)) - 1 {
+			address := workerAddress(len(f.Workers), k)
 			more = append(more, address)
 			flags = append(flags, "--listen="+address)
 		}
@@ -94,6 +92,12 @@
 	return nil
 }
 
+// workerAddress returns an address of loopback that no outgoing connection uses, unlike a port that was free a moment
+// ago; the second byte keeps programs apart that run at the same time.
+func workerAddress(process, n int) string {
+	return fmt.Sprintf("127.%d.%d.%d:9000", 1+os.Getpid()%250, process, 1+n)
+}
+
 func (f *fleet) configure(ctx context.Context, s berylsample.Size) error {
 	doc, err := protojson.Marshal(&berylwire.ApplyRequest{Changes: berylsample.Changes(berylsample.Config(s))})
 	if err != nil {
--- /dev/null
+++ b/internal/bench/berylload/idle.go
@@ -0,0 +1,117 @@
+package berylload
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// settleTime lets a daemon adopt the configuration and ask every worker once before a measurement.
+const settleTime = 15 * time.Second
+
+// Idle measures what a daemon uses without requests.
+type Idle struct {
+	Bin      string
+	Dir      string
+	Duration time.Duration
+	Repeats  int
+	Workers  []int
+	Teams    int
+	Daemons  int
+	Out      io.Writer
+}
+
+// idleFigures are the figures of one window; rates are per second and node.
+type idleFigures struct {
+	cpuShare, residentMB, peakMB, writes, reads, received, sent float64
+}
+
+// Run measures each number of workers on a fleet of its own and prints the medians over the repeats.
+func (m Idle) Run(ctx context.Context) error {
+	_, _ = fmt.Fprintf(m.Out, "at rest: %d daemons, %d teams, medians of %d windows of %v, of the first daemon\n",
+		m.Daemons, m.Teams, m.Repeats, m.Duration)
+	_, _ = fmt.Fprintf(m.Out, "%7s %10s %11s %8s %22s %21s %21s %21s\n", "workers", "CPU %", "resident MB", "peak MB",
+		"table writes/s a node", "table reads/s a node", "table B/s from a node", "table B/s to a node")
+	for _, n := range m.Workers {
+		if err := m.measure(ctx, n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (m Idle) measure(ctx context.Context, workers int) error {
+	dir := filepath.Join(m.Dir, strconv.Itoa(workers))
+	if err := os.Mkdir(dir, 0o700); err != nil {
+		return eris.Wrap(err, "directory of logs")
+	}
+	f, err := startFleet(ctx, m.Bin, dir, plan{daemons: m.Daemons, workers: workers, teams: m.Teams, proxied: true})
+	defer f.stop()
+	if err != nil {
+		return err
+	}
+	if err := wait(ctx, settleTime); err != nil {
+		return err
+	}
+	var all []idleFigures
+	for range m.Repeats {
+		one, err := m.window(ctx, f)
+		if err != nil {
+			return err
+		}
+		all = append(all, one)
+	}
+	m.print(workers, all)
+	return nil
+}
+
+func (m Idle) window(ctx context.Context, f *fleet) (idleFigures, error) {
+	p := f.Daemons[0].Process
+	before, err := p.Usage()
+	if err != nil {
+		return idleFigures{}, err
+	}
+	counted := f.proxy.counts()
+	if err := wait(ctx, m.Duration); err != nil {
+		return idleFigures{}, err
+	}
+	after, err := p.Usage()
+	if err != nil {
+		return idleFigures{}, err
+	}
+	now, s := f.proxy.counts(), m.Duration.Seconds()
+	each := s * float64(m.Daemons)
+	return idleFigures{
+		cpuShare:   100 * (after.CPU - before.CPU).Seconds() / s,
+		residentMB: float64(after.ResidentKB) / 1024, peakMB: float64(after.PeakKB) / 1024,
+		writes:   float64(now.writes()-counted.writes()) / each,
+		reads:    float64(now.reads()-counted.reads()) / each,
+		received: float64(now.received-counted.received) / each,
+		sent:     float64(now.sent-counted.sent) / each,
+	}, nil
+}
+
+func (m Idle) print(workers int, all []idleFigures) {
+	of := func(field func(idleFigures) float64) float64 { return medianOf(all, field) }
+	_, _ = fmt.Fprintf(m.Out, "%7d %10.2f %11.1f %8.1f %22.2f %21.2f %21.0f %21.0f\n", workers,
+		of(func(r idleFigures) float64 { return r.cpuShare }), of(func(r idleFigures) float64 { return r.residentMB }),
+		of(func(r idleFigures) float64 { return r.peakMB }), of(func(r idleFigures) float64 { return r.writes }),
+		of(func(r idleFigures) float64 { return r.reads }), of(func(r idleFigures) float64 { return r.received }),
+		of(func(r idleFigures) float64 { return r.sent }))
+}
+
+// wait returns early with an error if the context ends.
+func wait(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- a/internal/bench/berylload/proxy.go
+++ b/internal/bench/berylload/proxy.go
@@ -105,3 +105,8 @@
 	c.p.sent.Add(int64(n))
 	return n, err
 }
+
+// writes counts the transactions and reads the other calls; a query counts once, whatever it returns.
+func (c tableCounts) writes() int { return c.calls["TransactWriteItems"] }
+
+func (c tableCounts) reads() int { return c.calls["GetItem"] + c.calls["Query"] }
--- /dev/null
+++ b/internal/bench/berylload/request_test.go
@@ -0,0 +1,88 @@
+package berylload
+
+import (
+	"context"
+	"io"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/beryllatch/beryllatch/internal/bench/berylprocess"
+	"github.com/beryllatch/beryllatch/internal/bench/berylsample"
+	"github.com/beryllatch/beryllatch/internal/common/berylsettings"
+	"github.com/beryllatch/beryllatch/internal/node/berylserver"
+	"github.com/beryllatch/beryllatch/internal/platform/berylconfig"
+	"github.com/beryllatch/beryllatch/internal/platform/beryltable"
+	"github.com/beryllatch/beryllatch/internal/standin/berylplatform"
+	"github.com/beryllatch/beryllatch/internal/standin/berylupstream"
+	"github.com/phuslu/log"
+	"gotest.tools/v3/assert"
+)
+
+// BenchmarkRequest runs daemon, platform and workers in this process, so that a profile shows the request path.
+func BenchmarkRequest(b *testing.B) {
+	ctx, cancel := context.WithCancel(b.Context())
+	defer cancel()
+	via := through(startServer(ctx, b))
+	b.ReportAllocs()
+	b.SetParallelism(8)
+	b.ResetTimer()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			if err := via(ctx, 0); err != nil {
+				b.Error(err)
+			}
+		}
+	})
+}
+
+// startServer returns the callers' address of a daemon that is ready.
+func startServer(ctx context.Context, b *testing.B) string {
+	b.Helper()
+	platform := berylplatform.New()
+	var endpoints [3]string
+	for n, name := range []string{
+		berylplatform.ServiceTable, berylplatform.ServiceObjects, berylplatform.ServiceInstances,
+	} {
+		g, err := platform.Listen(ctx, name, "127.0.0.1:0")
+		assert.NilError(b, err)
+		b.Cleanup(func() { _ = g.Close() })
+		endpoints[n] = "http://" + g.Address()
+	}
+	var addresses []string
+	for range requestWorkers {
+		k := berylupstream.New()
+		s := httptest.NewUnstartedServer(k.Handler())
+		k.Configure(s.Config)
+		s.Start()
+		b.Cleanup(s.Close)
+		addresses = append(addresses, s.Listener.Addr().String())
+	}
+	store := berylconfig.Store{Table: beryltable.New(beryltable.WithEndpoint(endpoints[0]))}
+	assert.NilError(b, store.Write(ctx, berylsample.Config(berylsample.Size{
+		Workers: requestWorkers, Teams: 1, Pools: 1, Ceiling: 1024, Addresses: addresses,
+	}), 0))
+	var listen [4]string
+	for n := range listen {
+		address, err := berylprocess.FreeAddress()
+		assert.NilError(b, err)
+		listen[n] = address
+	}
+	server := berylserver.Server{Log: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}, Settings: berylsettings.Daemon{
+		Node: "n1", DataCentre: "dc1", CallersAddress: listen[0], OperatorsAddress: listen[1], PeersAddress: listen[2],
+		AdminAddress: listen[3], AdvertiseAddress: listen[2], TableEndpoint: endpoints[0], TableName: "beryllatch",
+		ObjectEndpoint: endpoints[1], ObjectBucket: "beryllatch", InstanceList: endpoints[2] + "/instances",
+		PlatformRegion: "local", PlatformKeyID: "beryllatch", PlatformSecret: "beryllatch", ShutdownTimeout: time.Millisecond,
+	}}
+	done := make(chan struct{})
+	runCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
+	b.Cleanup(func() { stop(); <-done })
+	go func() {
+		defer close(done)
+		_ = server.Run(runCtx)
+	}()
+	ready, cancel := context.WithTimeout(ctx, 10*time.Second)
+	defer cancel()
+	assert.NilError(b, berylprocess.WaitFor(ready, "http://"+listen[3]+"/readyz"))
+	return listen[0]
+}
--- /dev/null
+++ b/internal/bench/berylload/stream.go
@@ -0,0 +1,138 @@
+package berylload
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+
+	"github.com/beryllatch/beryllatch/internal/bench/berylprocess"
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// streamWorkers have a slot for every stream.
+	streamWorkers = 4
+	// answerHeader makes a stand-in worker answer with so many bytes.
+	answerHeader = "Beryllatch-Test-Answer-Bytes"
+)
+
+// Streams measures the peak resident memory of a daemon that passes large bodies on.
+type Streams struct {
+	Bin     string
+	Dir     string
+	Bytes   int
+	AtOnce  []int
+	Repeats int
+	Out     io.Writer
+}
+
+// Run starts the fleet, measures and prints the peaks.
+func (m Streams) Run(ctx context.Context) error {
+	f, err := startFleet(ctx, m.Bin, m.Dir, plan{daemons: 1, workers: streamWorkers, teams: 1, pools: 1, ceiling: 64})
+	defer f.stop()
+	if err != nil {
+		return err
+	}
+	d := f.Daemons[0]
+	_ = pass(ctx, 1, warmUp, through(d.Callers))
+	u, err := d.Usage()
+	if err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintf(m.Out, "streams of %d MiB, peak resident memory of the daemon over %d of each kind and connection\n",
+		m.Bytes>>20, m.Repeats)
+	_, _ = fmt.Fprintf(m.Out, "%-8s %7s %12s %10s %7s\n", "body", "at once", "before MB", "peak MB", "failed")
+	_, _ = fmt.Fprintf(m.Out, "%-8s %7d %12.1f %10.1f %7d\n", "none", 1, mebibytes(u.ResidentKB), mebibytes(u.PeakKB), 0)
+	for _, n := range m.AtOnce {
+		if err := m.measure(ctx, d, "request", n, m.upload); err != nil {
+			return err
+		}
+		if err := m.measure(ctx, d, "answer", n, m.download); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (m Streams) measure(ctx context.Context, d *berylprocess.Daemon, kind string, atOnce int, f func(context.Context, string) error) error {
+	if err := d.ResetPeak(); err != nil {
+		return err
+	}
+	before, err := d.Usage()
+	if err != nil {
+		return err
+	}
+	failed, err := m.repeat(ctx, d.Callers, atOnce, f)
+	if failed == atOnce*m.Repeats {
+		return eris.Wrap(err, "no stream was answered")
+	}
+	after, err := d.Usage()
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(m.Out, "%-8s %7d %12.1f %10.1f %7d\n",
+		kind, atOnce, mebibytes(before.ResidentKB), mebibytes(after.PeakKB), failed)
+	return err
+}
+
+// repeat returns how many streams failed, and the last error.
+func (m Streams) repeat(
+	ctx context.Context, address string, atOnce int, f func(context.Context, string) error,
+) (failed int, last error) {
+	var mu sync.Mutex
+	var streams sync.WaitGroup
+	for range atOnce {
+		streams.Go(func() {
+			for range m.Repeats {
+				if err := f(ctx, address); err != nil {
+					mu.Lock()
+					failed, last = failed+1, err
+					mu.Unlock()
+				}
+			}
+		})
+	}
+	streams.Wait()
+	return failed, last
+}
+
+func (m Streams) upload(ctx context.Context, address string) error {
+	req, err := newRequest(ctx, address, io.LimitReader(zeros{}, int64(m.Bytes)))
+	if err != nil {
+		return err
+	}
+	req.ContentLength = int64(m.Bytes)
+	return exchange(req)
+}
+
+func (m Streams) download(ctx context.Context, address string) error {
+	req, err := newRequest(ctx, address, http.NoBody)
+	if err != nil {
+		return err
+	}
+	req.Header.Set(answerHeader, strconv.Itoa(m.Bytes))
+	return exchange(req)
+}
+
+func exchange(req *http.Request) error {
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return drain(resp)
+}
+
+// zeros is an endless body.
+type zeros struct{}
+
+// Read fills p with zeros.
+func (zeros) Read(p []byte) (int, error) {
+	clear(p)
+	return len(p), nil
+}
+
+func mebibytes(kb int64) float64 { return float64(kb) / 1024 }
