--- a/internal/bench/berylload/request_test.go
+++ b/internal/bench/berylload/request_test.go
@@ -23,7 +23,7 @@
 func BenchmarkRequest(b *testing.B) {
 	ctx, cancel := context.WithCancel(b.Context())
 	defer cancel()
-	via := through(startServer(ctx, b))
+	via := through(startServer(ctx, b, requestWorkers))
 	b.ReportAllocs()
 	b.SetParallelism(8)
 	b.ResetTimer()
@@ -36,8 +36,19 @@
 	})
 }
 
+// BenchmarkAtRest runs a daemon with 630 workers for 100 ms an iteration, for profiles of the control traffic.
+func BenchmarkAtRest(b *testing.B) {
+	ctx, cancel := context.WithCancel(b.Context())
+	defer cancel()
+	startServer(ctx, b, 630)
+	b.ResetTimer()
+	for b.Loop() {
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
 // startServer returns the callers' address of a daemon that is ready.
-func startServer(ctx context.Context, b *testing.B) string {
+func startServer(ctx context.Context, b *testing.B, workers int) string {
 	b.Helper()
 	platform := berylplatform.New()
 	var endpoints [3]string
@@ -50,7 +61,7 @@
 		endpoints[n] = "http://" + g.Address()
 	}
 	var addresses []string
-	for range requestWorkers {
+	for range workers {
 		k := berylupstream.New()
 		s := httptest.NewUnstartedServer(k.Handler())
 		k.Configure(s.Config)
@@ -60,7 +71,7 @@
 	}
 	store := berylconfig.Store{Table: beryltable.New(beryltable.WithEndpoint(endpoints[0]))}
 	assert.NilError(b, store.Write(ctx, berylsample.Config(berylsample.Size{
-		Workers: requestWorkers, Teams: 1, Pools: 1, Ceiling: 1024, Addresses: addresses,
+		Workers: workers, Teams: 1, Pools: 1, Ceiling: 1024, Addresses: addresses,
 	}), 0))
 	var listen [4]string
 	for n := range listen {
