--- a/internal/decision/berylreducer/reducer.go
+++ b/internal/decision/berylreducer/reducer.go
@@ -32,6 +32,7 @@
 	units   map[string]*teamUnits
 	workers map[string]*workerState
 	requestState
+	tasks    taskState
 	operate  operateState
 	stopping bool
 	// stopAt ends the time in which a stopping node still accepts requests.
@@ -122,6 +123,7 @@
 	r.units = map[string]*teamUnits{}
 	r.workers = map[string]*workerState{}
 	r.requestState = newRequestState(e.Slots)
+	r.startTasks()
 	r.renew()
 }
 
@@ -151,7 +153,8 @@
 func (r *Reducer) refusesNew() bool { return r.stopping && r.now.Mono >= r.stopAt }
 
 func (r *Reducer) stopWhenIdle() {
-	if r.refusesNew() && len(r.requests) == 0 && r.claimsIdle() && r.operateIdle() {
+	idle := len(r.requests) == 0 && r.claimsIdle() && r.operateIdle() && r.tasksReleased()
+	if r.refusesNew() && idle {
 		r.leave()
 	}
 }
