--- a/internal/node/beryldaemon/daemon.go
+++ b/internal/node/beryldaemon/daemon.go
@@ -10,6 +10,7 @@
 	"github.com/beryllatch/beryllatch/internal/common/berylmetrics"
 	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
 	"github.com/beryllatch/beryllatch/internal/node/berylpeer"
+	"github.com/beryllatch/beryllatch/internal/node/beryltask"
 	"github.com/beryllatch/beryllatch/internal/platform/berylconfig"
 	"github.com/phuslu/log"
 )
@@ -32,8 +33,10 @@
 	Instances beryllatch.InstanceList
 	Tasks     beryllatch.TaskRunner
 	Peers     *berylpeer.Client
-	Metrics   *berylmetrics.Registry
-	Log       *log.Logger
+	// TaskAnswers takes the effects that answer calls of the tasks API, and returns false for any other.
+	TaskAnswers func(berylreducer.Effect) bool
+	Metrics     *berylmetrics.Registry
+	Log         *log.Logger
 	// Seed seeds the reducer's random choices.
 	Seed uint64
 
@@ -53,6 +56,7 @@
 	grants    calls[bool]
 	claims    *grouper
 	answers   answers
+	tasks     *beryltask.Executor
 	operators calls[berylreducer.ReplyOperator]
 	statuses  calls[berylreducer.Status]
 	// nextReport is the worker whose report was asked for last.
@@ -73,6 +77,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer d.work.Wait()
 	defer cancel()
+	d.tasks = beryltask.New(ctx, d.Table, d.Objects, d.Tasks, d.now, d.Post)
+	defer d.tasks.Wait()
 	var r berylreducer.Reducer
 	reduce := func(e berylreducer.Event) {
 		for _, x := range r.Reduce(d.now(), e) {
@@ -81,6 +87,7 @@
 		d.state.set(&r)
 	}
 	reduce(berylreducer.Started{Self: d.Self, Seed: d.Seed})
+	reduce(berylreducer.ShardsEnabled{})
 	d.work.Go(func() { d.claims.run(ctx, func(f func(context.Context)) { d.async(ctx, f) }) })
 	d.every(ctx, listInterval, d.readInstances)
 	d.every(ctx, reportInterval, d.readWorkers)
--- a/internal/node/beryldaemon/execute.go
+++ b/internal/node/beryldaemon/execute.go
@@ -11,6 +11,9 @@
 	if d.executeClaim(ctx, x) || d.executeTenure(ctx, x) || d.executeUnits(ctx, x) || d.executePeer(ctx, x) {
 		return
 	}
+	if d.tasks.Execute(x) || d.TaskAnswers(x) {
+		return
+	}
 	switch x := x.(type) {
 	case berylreducer.Dispatch:
 		d.deliver(x.ID, x)
@@ -28,6 +31,8 @@
 		d.async(ctx, func(ctx context.Context) { d.rebootWorker(ctx, x) })
 	case berylreducer.Count:
 		d.Metrics.Count(x.Name, x.N)
+	case berylreducer.SetGauge:
+		d.Metrics.Gauge(x.Name, int64(x.Value))
 	case berylreducer.LogState:
 		d.logState(x)
 	case berylreducer.SetReady:
--- a/internal/node/beryldaemon/operator.go
+++ b/internal/node/beryldaemon/operator.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
 
 	"github.com/beryllatch/beryllatch"
 	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
-	"github.com/beryllatch/beryllatch/internal/node/beryloperator"
+	"github.com/beryllatch/beryllatch/internal/node/beryltask"
 	"github.com/beryllatch/beryllatch/internal/rpc/berylwire"
 	"github.com/google/uuid"
 	"github.com/rotisserie/eris"
@@ -85,29 +83,5 @@
 
 // Task returns a task as its row holds it.
 func (d *Daemon) Task(ctx context.Context, id string) (beryllatch.Task, error) {
-	key, ok := taskKey(id)
-	if !ok {
-		return beryllatch.Task{}, &beryloperator.TaskNotFoundError{ID: id}
-	}
-	row, err := d.Table.Get(ctx, key)
-	if err != nil {
-		return beryllatch.Task{}, eris.Wrap(err, "read task")
-	}
-	if row.Version == 0 {
-		return beryllatch.Task{}, &beryloperator.TaskNotFoundError{ID: id}
-	}
-	var t beryllatch.Task
-	if err := json.Unmarshal(row.Value, &t); err != nil {
-		return beryllatch.Task{}, eris.Wrap(err, "decode task")
-	}
-	return t, nil
-}
-
-// taskKey returns the row of a task; the id starts with the number of its shard.
-func taskKey(id string) (beryllatch.RowKey, bool) {
-	var shard int
-	if _, err := fmt.Sscanf(id, "%d-", &shard); err != nil {
-		return beryllatch.RowKey{}, false
-	}
-	return beryllatch.RowKey{Partition: fmt.Sprintf("task#%d", shard), Sort: id}, true
+	return beryltask.Find(ctx, d.Table, id)
 }
