--- a/internal/decision/berylreducer/claim.go
+++ b/internal/decision/berylreducer/claim.go
@@ -16,8 +16,8 @@
 	claimRetry = 500 * time.Millisecond
 	// claimLateWrite is how long a write without an answer may still take effect.
 	claimLateWrite = 10 * time.Second
-	// claimSettle bounds the attempts to record an outcome.
-	claimSettle = 15 * time.Minute
+	// claimSettle bounds the attempts to record an outcome; it outlasts an outage that nodes bridge by grants.
+	claimSettle = time.Hour
 	// maxClaimWrites bounds the writes of one claim under racing repeats.
 	maxClaimWrites = 5
 )
@@ -51,7 +51,9 @@
 	doubtful bool
 	// takenOver is true once the claim replaces one whose request may have run.
 	takenOver bool
-	writes    int
+	// checked is true once a row that this node has left behind was read a second time.
+	checked bool
+	writes  int
 	// giveUpAt ends the request's wait for the claim.
 	giveUpAt time.Duration
 	// settlingSince is when the recording of the outcome began.
@@ -81,6 +83,10 @@
 
 // startClaim writes the claim of a request, which is dispatched only once the row is surely this node's.
 func (r *Reducer) startClaim(q *request) {
+	if !r.mayClaim() {
+		r.goUnclaimed(q)
+		return
+	}
 	r.claimCount++
 	c := &claim{
 		id: q.ID, number: r.claimCount, key: claimKey(q.team, q.Queue, q.IdempotencyKey), q: q,
@@ -170,17 +176,21 @@
 func (r *Reducer) leaveClaim(c *claim) {
 	q := c.q
 	r.detachClaim(c)
-	switch {
-	case q == nil:
-	case q.Idempotent:
-		r.count("claim_skipped")
-		r.readmit(q)
-		r.dispatchPool(q.pool)
-	default:
+	if q != nil {
+		r.goUnclaimed(q)
+	}
+}
+
+func (r *Reducer) goUnclaimed(q *request) {
+	if !q.Idempotent {
 		r.refuseRequest(q, refusal{
 			reason: beryllatch.ReasonClaimUnavailable, detail: "the claim of the idempotency key could not be written",
 		})
+		return
 	}
+	r.count("claim_skipped")
+	r.readmit(q)
+	r.dispatchPool(q.pool)
 }
 
 // detachClaim separates a claim that is not owned from its request.
@@ -261,6 +271,8 @@
 		r.replay(c, *row)
 	case row.State == ClaimUnknown || r.incarnationGone(row.Incarnation):
 		r.repeatUnknown(c, e)
+	case r.leftBehind(row):
+		r.judgeLeftBehind(c, e)
 	default:
 		r.loseClaim(c, beryllatch.RunStateUnknown, refusal{
 			reason: beryllatch.ReasonRequestInProgress, detail: "a request with this idempotency key is being run",
@@ -268,6 +280,25 @@
 	}
 }
 
+// leftBehind reports whether a row is one of this node's claims that it no longer works on.
+func (r *Reducer) leftBehind(row *ClaimRow) bool {
+	if row.Incarnation != r.self.Incarnation {
+		return false
+	}
+	c := r.claims[row.RequestID]
+	return c == nil || c.row.Nonce != row.Nonce
+}
+
+// judgeLeftBehind reads the row once more, since the claim may have been settled after the read.
+func (r *Reducer) judgeLeftBehind(c *claim, e ClaimRead) {
+	if !c.checked {
+		c.checked = true
+		r.readClaim(c, claimReading)
+		return
+	}
+	r.repeatUnknown(c, e)
+}
+
 // repeatUnknown handles a repeat of a request that may have run: it runs again only if both say that they are
 // idempotent.
 func (r *Reducer) repeatUnknown(c *claim, e ClaimRead) {
--- a/internal/decision/berylreducer/inforce.go
+++ b/internal/decision/berylreducer/inforce.go
@@ -41,6 +41,10 @@
 	if peers := r.unacknowledged(version); len(peers) > 0 {
 		r.emit(NotifyConfig{Peers: peers, Version: version})
 	}
+	if !r.tenure.inFlight {
+		// The operator waits for node rows that are read after the commit.
+		r.renew()
+	}
 }
 
 // unacknowledged returns the registered nodes that have neither shown the version nor surely lapsed.
@@ -69,7 +73,7 @@
 // have registered until then.
 func (r *Reducer) follow(w *configWatch) bool {
 	waiting := r.unacknowledged(w.version)
-	fresh := r.tenure.pending.SentAt.Mono > w.since
+	fresh := r.tenure.nodesAt > w.since
 	if fresh && len(waiting) == 0 && r.config.Version >= w.version {
 		r.emit(ConfigInForce{Version: w.version, InForce: true})
 		r.emit(LogState{Subject: "config " + strconv.FormatUint(w.version, 10), From: "committed", To: "in_force"})
--- a/internal/decision/berylreducer/reducer.go
+++ b/internal/decision/berylreducer/reducer.go
@@ -104,6 +104,12 @@
 	return r.out
 }
 
+// Config returns the configuration in force.
+func (r *Reducer) Config() beryllatch.Config { return r.config }
+
+// Self returns the node's present identity.
+func (r *Reducer) Self() Identity { return r.self }
+
 func (r *Reducer) emit(e ...Effect) { r.out = append(r.out, e...) }
 
 func (r *Reducer) count(name string) { r.emit(Count{Name: name, N: 1}) }
@@ -147,7 +153,7 @@
 func (r *Reducer) refusesNew() bool { return r.stopping && r.now.Mono >= r.stopAt }
 
 func (r *Reducer) stopWhenIdle() {
-	idle := len(r.requests) == 0 && len(r.claims) == 0 && r.operateIdle() && r.tasksReleased()
+	idle := len(r.requests) == 0 && r.claimsIdle() && r.operateIdle() && r.tasksReleased()
 	if r.refusesNew() && idle {
 		r.leave()
 	}
--- a/internal/decision/berylreducer/task_property_test.go
+++ b/internal/decision/berylreducer/task_property_test.go
@@ -18,7 +18,7 @@
 type picker func(n int) int
 
 // interleave takes random steps with two nodes at a time, and lets the faults stop at the end.
-func (w *world) interleave(pick picker) {
+func (w *taskWorld) interleave(pick picker) {
 	for range interleavedSteps {
 		w.randomStep(pick)
 		if w.violation() != "" {
@@ -27,7 +27,7 @@
 	}
 }
 
-func (w *world) randomStep(pick picker) {
+func (w *taskWorld) randomStep(pick picker) {
 	n := w.nodes[pick(len(w.nodes))]
 	id := fmt.Sprintf("t%d", pick(4))
 	switch pick(24) {
@@ -57,7 +57,7 @@
 	}
 }
 
-func (w *world) submitOnly(n *fakeNode, id string, idempotent bool) {
+func (w *taskWorld) submitOnly(n *fakeNode, id string, idempotent bool) {
 	if !n.frozen {
 		call := w.callID()
 		taskID := id
@@ -72,20 +72,20 @@
 	}
 }
 
-func (w *world) callID() string {
+func (w *taskWorld) callID() string {
 	w.callCount++
 	return fmt.Sprintf("c%d", w.callCount)
 }
 
 // replace kills a node and starts another one, at most four times.
-func (w *world) replace(n *fakeNode) {
+func (w *taskWorld) replace(n *fakeNode) {
 	if len(w.nodes) < 6 {
 		w.kill(n)
 		w.addNode(n.id.Node)
 	}
 }
 
-func (w *world) passOnly(d time.Duration) {
+func (w *taskWorld) passOnly(d time.Duration) {
 	for range int(d / (100 * time.Millisecond)) {
 		w.now = w.now.Add(100 * time.Millisecond)
 		w.endLeases()
@@ -101,7 +101,7 @@
 }
 
 // performUpkeep answers the calls that keep a node alive, so that random steps go to tasks.
-func (w *world) performUpkeep(n *fakeNode) {
+func (w *taskWorld) performUpkeep(n *fakeNode) {
 	for i := 0; i < len(n.calls) && !n.frozen && !n.dead; {
 		if x := n.calls[i]; upkeep(x) {
 			w.step(n, i, faultNone)
@@ -113,7 +113,7 @@
 }
 
 // performSome performs up to four pending calls; those of a frozen or dead node were sent before.
-func (w *world) performSome(n *fakeNode, pick picker) {
+func (w *taskWorld) performSome(n *fakeNode, pick picker) {
 	for range 1 + pick(4) {
 		if len(n.calls) == 0 {
 			return
@@ -128,7 +128,7 @@
 }
 
 // recover ends all faults and lets every task that runs end.
-func (w *world) recover() {
+func (w *taskWorld) recover() {
 	w.outage, w.slowClock = false, false
 	for _, n := range w.nodes {
 		n.frozen = false
@@ -146,7 +146,7 @@
 }
 
 // violation names the first rule of task safety that does not hold.
-func (w *world) violation() string {
+func (w *taskWorld) violation() string {
 	for _, id := range beryllatch.SortedKeys(w.starts) {
 		t, _ := w.stored(ShardOf(id), id)
 		if w.starts[id] > 1 && !t.Idempotent {
@@ -160,7 +160,7 @@
 }
 
 // unfinished names an accepted task that has no row in exactly one final state.
-func (w *world) unfinished() string {
+func (w *taskWorld) unfinished() string {
 	for _, n := range w.nodes {
 		for _, call := range beryllatch.SortedKeys(n.answers) {
 			a, ok := n.answers[call].(AnswerTask)
@@ -178,8 +178,8 @@
 	return ""
 }
 
-func newInterleavedWorld(slowClock bool, unsafe func(*Reducer)) *world {
-	w := newWorld(unsafe)
+func newInterleavedWorld(slowClock bool, unsafe func(*Reducer)) *taskWorld {
+	w := newBareTaskWorld(unsafe)
 	w.quiet = true
 	// The ceiling leaves room for the units of killed nodes, which are reclaimed elsewhere.
 	w.config = w.config.WithTeam(beryllatch.Team{Name: "red", Weight: 3, Ceiling: 100})
--- a/internal/decision/berylreducer/task_session_test.go
+++ b/internal/decision/berylreducer/task_session_test.go
@@ -13,8 +13,8 @@
 var redKey = strings.Repeat("1", 64)
 
 // newTaskWorld has the given number of nodes, which own all shards.
-func newTaskWorld(nodes int) *world {
-	w := newWorld(nil)
+func newTaskWorld(nodes int) *taskWorld {
+	w := newBareTaskWorld(nil)
 	for n := range nodes {
 		w.addNode(fmt.Sprintf("n%d", n+1))
 	}
@@ -23,20 +23,20 @@
 	return w
 }
 
-func (w *world) submit(n *fakeNode, id string, idempotent bool) {
+func (w *taskWorld) submit(n *fakeNode, id string, idempotent bool) {
 	w.apply(n, TaskOffered{
 		CallID: "c-" + id, TaskID: id, KeyHash: redKey, Queue: "price", Idempotent: idempotent, IdempotencyKey: "k-" + id,
 	})
 	w.settle()
 }
 
-func (w *world) cancel(n *fakeNode, id string) {
+func (w *taskWorld) cancel(n *fakeNode, id string) {
 	w.apply(n, TaskAsked{CallID: "x-" + id, TaskID: id, KeyHash: redKey, Cancel: true})
 	w.settle()
 }
 
 // owner returns the node that owns the shard of task t1.
-func (w *world) owner() *fakeNode {
+func (w *taskWorld) owner() *fakeNode {
 	for _, n := range w.nodes {
 		if !n.dead && n.r.tasks.shards[ShardOf("t1")].state == shardOwned {
 			return n
@@ -45,13 +45,13 @@
 	panic("the shard has no owner")
 }
 
-func (w *world) state(id string) beryllatch.TaskState {
+func (w *taskWorld) state(id string) beryllatch.TaskState {
 	t, _ := w.stored(ShardOf(id), id)
 	return t.State
 }
 
 // failOnce applies the fault to the first effect that matches.
-func (w *world) failOnce(f fault, match func(Effect) bool) {
+func (w *taskWorld) failOnce(f fault, match func(Effect) bool) {
 	done := false
 	w.fault = func(_ *fakeNode, e Effect) fault {
 		if done || !match(e) {
--- a/internal/decision/berylreducer/units.go
+++ b/internal/decision/berylreducer/units.go
@@ -13,8 +13,9 @@
 	unitsRetry = 100 * time.Millisecond
 	// maxUnitCalls bounds the calls to the table that one tick starts for units.
 	maxUnitCalls = 8
-	// peakWindow is how long idle units stay after the demand that needed them.
-	peakWindow = 10 * time.Second
+	// peakWindow is how long idle units stay at least after the demand that needed them; peers that are short of units ask
+	// for them sooner. Shorter windows cost two writes for each single request of a quiet team.
+	peakWindow = 30 * time.Second
 	// maxReserve bounds the idle units that a node keeps for an urgent request.
 	maxReserve = 2
 )
@@ -99,9 +100,6 @@
 
 // usable reports whether the last known row gives the node its units under the present ceiling.
 func (r *Reducer) usable(u *teamUnits) bool {
-	if r.faults.ignoreLapseWait && u.rowKnown {
-		return true
-	}
 	return u.rowKnown && u.rowGeneration == r.tenure.generation && u.row.ConfigVersion >= u.needVersion
 }
 
@@ -253,7 +251,7 @@
 	}
 	u.row, u.version, u.rowKnown, u.rowGeneration = row, e.Version, true, r.tenure.generation
 	u.readAt = u.calledAt
-	unresolved := u.lost && e.Version == u.lostExpect
+	unresolved := u.lost && e.Version == u.lostExpect && !r.faults.trustRead
 	if unresolved {
 		// The lost write may still arrive; only a further write at this version decides it.
 		u.held = min(u.held, row.Holdings[r.self.Incarnation])
--- a/internal/decision/berylreducer/world_test.go
+++ b/internal/decision/berylreducer/world_test.go
@@ -1,597 +1,429 @@
 package berylreducer
 
 import (
-	"encoding/json"
+	"container/heap"
 	"fmt"
+	"maps"
+	"math/rand/v2"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 
 	"github.com/beryllatch/beryllatch"
 )
 
-// world is an in-memory platform with workers and nodes on one virtual clock; every effect is a call that a test
-// performs, fails or cuts off.
+const callTimeout = 900 * time.Millisecond
+
+// world runs real reducers against a table in memory and a network that loses, repeats and reorders messages.
 type world struct {
-	*session
-	rows map[beryllatch.RowKey]beryllatch.Row
-	// registry holds the node rows by incarnation.
-	registry map[string]NodeRow
-	workers  map[string]*fakeWorker
-	nodes    []*fakeNode
-	config   beryllatch.Config
-	// starts counts the starts of each task on all workers, including those before a reboot.
-	starts map[string]int
-	// stale lists the starts with a fence below one that the table had already seen for the task's shard.
-	stale  []string
+	now     time.Duration
+	rand    *rand.Rand
+	lossy   bool
+	seq     int
+	agenda  agenda
+	nodes   []*simNode
+	rows    map[string]NodeRow
+	units   map[string]UnitsRead
+	configs []beryllatch.Config
+	inForce uint64
+	runs    map[string]*simRun
+	calls   map[string]grantCall
+	// workTime draws how long an execution runs.
+	workTime func() time.Duration
+	log      strings.Builder
+	broken   string
+}
+
+// simNode is one process; process counts its restarts, and events for an earlier process are dropped.
+type simNode struct {
+	r       *Reducer
+	name    string
+	process int
+	started time.Duration
+	// suspended is the time during which the monotonic clock stood still.
+	suspended time.Duration
+	down      bool
+	frozen    bool
+	freezes   int
+	held      []Event
+	// outage cuts the platform off, cut the peers.
 	outage bool
-	// submitted holds the task ids that have been used.
-	submitted map[string]bool
-	// shards holds the decoded shard rows until the next write of one.
-	shards []StoredShard
-	// callCount numbers the calls of the tasks API.
-	callCount int
-	// slowClock lets workers start tasks after their start-by time.
-	slowClock bool
-	// skewed is true when slowClock was ever set, so that stale starts prove nothing.
-	skewed bool
-	// fault decides what happens to a call; nil means that all succeed.
-	fault  func(n *fakeNode, e Effect) fault
-	quiet  bool
-	unsafe func(r *Reducer)
+	cut    bool
+	// slowConfig delays the answers to reads of the configuration.
+	slowConfig bool
+	faults     faults
+	wrote      bool
 }
 
-// fault is what happens to a call.
-type fault int
-
-const (
-	faultNone fault = iota
-	// faultFailed has no effect, and the caller knows it.
-	faultFailed
-	// faultLost takes effect, but the answer is lost.
-	faultLost
-	// faultHeld leaves the call pending.
-	faultHeld
-)
+type simRun struct {
+	team string
+	end  time.Duration
+}
 
-type fakeNode struct {
-	id     Identity
-	r      Reducer
-	calls  []Effect
-	events []Event
-	frozen bool
-	dead   bool
-	// diedAt is the time of death; the instance list shows it late.
-	diedAt time.Duration
-	// answers holds the last answer of each call of the tasks API.
-	answers map[string]Effect
+type grantCall struct {
+	from    *simNode
+	process int
+	sentAt  Instant
 }
 
-type fakeWorker struct {
-	address string
-	boot    int
-	runs    map[string]*fakeRun
-	fences  map[string]uint64
-	// refused holds the fence up to which a task that was never seen will not be started.
-	refused map[string]uint64
+type job struct {
+	at  time.Duration
+	seq int
+	do  func()
 }
 
-type fakeRun struct {
-	state beryllatch.TaskRunState
-	fence uint64
-	lease time.Time
+type agenda []job
+
+func (a agenda) Len() int { return len(a) }
+func (a agenda) Less(i, j int) bool {
+	return a[i].at < a[j].at || a[i].at == a[j].at && a[i].seq < a[j].seq
+}
+func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a *agenda) Push(x any)   { *a = append(*a, x.(job)) }
+func (a *agenda) Pop() any {
+	last := (*a)[len(*a)-1]
+	*a = (*a)[:len(*a)-1]
+	return last
 }
 
-func newWorld(unsafe func(*Reducer)) *world {
+func newWorld(seed uint64, f faults) *world {
 	w := &world{
-		session: newSession(), rows: map[beryllatch.RowKey]beryllatch.Row{}, registry: map[string]NodeRow{}, submitted: map[string]bool{},
-		workers: map[string]*fakeWorker{}, config: sampleConfig(), starts: map[string]int{}, unsafe: unsafe,
+		rand: rand.New(rand.NewPCG(seed, 1)), rows: map[string]NodeRow{}, units: map[string]UnitsRead{},
+		runs: map[string]*simRun{}, calls: map[string]grantCall{}, configs: []beryllatch.Config{sampleConfig()},
 	}
-	for _, id := range beryllatch.SortedKeys(w.config.Instances) {
-		a := w.config.Instances[id].Address
-		w.workers[a] = &fakeWorker{address: a, runs: map[string]*fakeRun{}, fences: map[string]uint64{}, refused: map[string]uint64{}}
+	w.workTime = func() time.Duration { return time.Second }
+	for _, name := range []string{"n1", "n2", "n3"} {
+		n := &simNode{name: name, faults: f, down: true}
+		w.nodes = append(w.nodes, n)
+		w.boot(n)
 	}
 	return w
 }
 
-func (w *world) addNode(name string) {
-	incarnation := fmt.Sprintf("%s-%d", name, len(w.nodes)+1)
-	n := &fakeNode{id: Identity{Node: name, Incarnation: incarnation, DataCentre: "dc1", PeerAddress: incarnation}, answers: map[string]Effect{}}
-	w.nodes = append(w.nodes, n)
-	w.apply(n, Started{Self: n.id, Seed: uint64(len(w.nodes))})
-	if w.unsafe != nil {
-		w.unsafe(&n.r)
-	}
-	w.apply(n, ShardsEnabled{})
-	w.apply(n, ConfigRead{Config: w.config})
-	w.reportWorkers(n)
-}
-
-func (w *world) reportWorkers(n *fakeNode) {
-	for _, id := range beryllatch.SortedKeys(w.config.Instances) {
-		worker := w.workers[w.config.Instances[id].Address]
-		w.apply(n, WorkerReported{Instance: id, Healthy: true, BootID: worker.bootID()})
-	}
+func (w *world) boot(n *simNode) {
+	n.process++
+	n.r = &Reducer{faults: n.faults}
+	n.down, n.frozen, n.held, n.wrote = false, false, nil, false
+	n.started, n.suspended = w.now, 0
+	w.reduce(n, Started{Self: w.identity(n), Seed: uint64(n.process)})
+	w.tick(n, n.process)
 }
 
-func (w *world) kill(n *fakeNode) {
-	n.dead = true
-	n.diedAt = w.now.Mono
+func (w *world) identity(n *simNode) Identity {
+	return Identity{Node: n.name, Incarnation: fmt.Sprintf("%s-%d", n.name, n.process), PeerAddress: n.name + ":1"}
 }
 
-// listInstances delivers the instance list, which lags by three seconds.
-func (w *world) listInstances(n *fakeNode) {
-	if w.now.Mono%time.Second != 0 {
-		return
-	}
-	list := map[string]beryllatch.InstanceStatus{}
-	for _, i := range w.config.Instances {
-		list[i.Address] = beryllatch.InstanceStatus{Address: i.Address}
-	}
-	for _, x := range w.nodes {
-		if !x.dead || w.now.Mono-x.diedAt < 3*time.Second {
-			list[x.id.PeerAddress] = beryllatch.InstanceStatus{Address: x.id.PeerAddress}
+func (w *world) tick(n *simNode, process int) {
+	if n.process == process && !n.down {
+		if !n.frozen {
+			w.reduce(n, Ticked{})
 		}
+		w.after(100*time.Millisecond, func() { w.tick(n, process) })
 	}
-	w.apply(n, InstancesListed{Instances: list})
 }
 
-// apply gives an event to a node and queues its effects as calls.
-func (w *world) apply(n *fakeNode, e Event) {
-	if n.dead {
-		return
-	}
-	effects := n.r.Reduce(w.now, e)
-	w.record(n, e, effects)
-	for _, x := range effects {
-		switch x := x.(type) {
-		case AnswerTask:
-			n.answers[x.CallID] = x
-		case RefuseTask:
-			n.answers[x.CallID] = x
-		case Stop:
-			w.kill(n)
-		case Count, LogState, SetGauge, SetReady, SendHeartbeats, ReplyGrant, NotifyConfig, NotifyUnits, ConfigInForce, AskUnits, Reincarnate:
-		default:
-			n.calls = append(n.calls, x)
-		}
-	}
+func (w *world) after(d time.Duration, do func()) {
+	w.seq++
+	heap.Push(&w.agenda, job{at: w.now + d, seq: w.seq, do: do})
 }
 
-// step performs one pending call and delivers its answer, if any.
-func (w *world) step(n *fakeNode, i int, f fault) {
-	call := n.calls[i]
-	n.calls = slices.Delete(n.calls, i, i+1)
-	if e := w.perform(n, call, f); e != nil {
-		n.events = append(n.events, e)
+// run carries out everything that is due within d.
+func (w *world) run(d time.Duration) {
+	end := w.now + d
+	for len(w.agenda) > 0 && w.agenda[0].at <= end {
+		j := heap.Pop(&w.agenda).(job)
+		w.now = j.at
+		j.do()
 	}
+	w.now = end
 }
 
-// deliver hands over the answers that a node has received.
-func (w *world) deliver(n *fakeNode) {
-	for !n.frozen && !n.dead && len(n.events) > 0 {
-		e := n.events[0]
-		n.events = n.events[1:]
-		w.apply(n, e)
-	}
-}
-
-// settle performs calls until none is left but held ones.
-func (w *world) settle() {
-	for range 10_000 {
-		if !w.settleOnce() {
-			return
-		}
-	}
-	panic("the calls do not come to an end")
+func (w *world) instant(n *simNode) Instant {
+	return Instant{Mono: w.now - n.started - n.suspended, Wall: sessionStart.Add(w.now)}
 }
 
-func (w *world) settleOnce() bool {
-	for _, n := range w.nodes {
-		w.deliver(n)
-		for i := range n.calls {
-			f := faultNone
-			if w.fault != nil {
-				f = w.fault(n, n.calls[i])
-			}
-			if f != faultHeld && !n.frozen && !n.dead {
-				w.step(n, i, f)
-				return true
-			}
-		}
-	}
-	return false
-}
-
-// pass lets the time d go by with ticks of 100 ms.
-func (w *world) pass(d time.Duration) {
-	for range int(d / (100 * time.Millisecond)) {
-		w.now = w.now.Add(100 * time.Millisecond)
-		w.endLeases()
-		for _, n := range w.nodes {
-			if !n.frozen {
-				w.listInstances(n)
-				w.apply(n, Ticked{})
-			}
-		}
-		w.settle()
-	}
-}
-
-func (w *world) perform(n *fakeNode, e Effect, f fault) Event {
-	switch e := e.(type) {
-	case RenewTenure:
-		return w.renew(n, e, f)
-	case ReadConfig:
-		return ConfigRead{Config: w.config}
-	case ReadUnits, WriteUnits:
-		return w.performUnits(e)
-	case DeleteNode:
-		delete(w.registry, e.Node.Incarnation)
-		return NodeDeleted{Incarnation: e.Node.Incarnation, Result: WriteDone}
-	case ReceivePayload:
-		return PayloadReceived{CallID: e.CallID, Payload: []byte("x")}
-	case StartTask, AskTask, RenewTask, StopTask, CollectResult:
-		return w.performWorker(e, f)
+// deliver hands an event to the process that it is meant for.
+func (w *world) deliver(n *simNode, process int, e Event) {
+	switch {
+	case n.process != process || n.down:
+	case n.frozen:
+		n.held = append(n.held, e)
 	default:
-		return w.performTable(e, f)
+		w.reduce(n, e)
 	}
 }
 
-// renew writes the node's row and reads all of them.
-func (w *world) renew(n *fakeNode, e RenewTenure, f fault) Event {
-	if w.outage || f == faultFailed {
-		return RenewalFailed{SentAt: w.now}
+func (w *world) reduce(n *simNode, e Event) {
+	before := n.r.config.Version
+	for _, x := range n.r.Reduce(w.instant(n), e) {
+		w.record(n, x)
+		w.carryOut(n, x)
 	}
-	row, ok := w.registry[n.id.Incarnation]
-	if e.Row.Renewal > 1 && !ok {
-		w.kill(n)
-		return nil
+	if n.r.config.Version < before {
+		w.fail("%s reverts from version %d to %d", n.name, before, n.r.config.Version)
 	}
-	e.Row.Version = row.Version + 1
-	w.registry[n.id.Incarnation] = e.Row
-	renewed := Renewed{SentAt: w.now, HeadVersion: w.config.Version}
-	for _, id := range beryllatch.SortedKeys(w.registry) {
-		renewed.Nodes = append(renewed.Nodes, w.registry[id])
-	}
-	return renewed
 }
 
-// unchanged reports whether the conditions on node rows hold.
-func (w *world) unchanged(checks []NodeCheck) bool {
-	for _, c := range checks {
-		if w.registry[c.Incarnation].Version != c.Version {
-			return false
-		}
+func (w *world) fail(format string, args ...any) {
+	if w.broken == "" {
+		w.broken = fmt.Sprintf("%.3f ", w.now.Seconds()) + fmt.Sprintf(format, args...)
 	}
-	return true
 }
 
-func (w *world) performUnits(e Effect) Event {
-	switch e := e.(type) {
-	case ReadUnits:
-		row := w.rows[unitKey(e.Team)]
-		var value UnitRow
-		_ = json.Unmarshal(row.Value, &value)
-		return UnitsRead{Team: e.Team, Row: value, Version: row.Version}
+// record logs the effects that change what a user or an operator sees.
+func (w *world) record(n *simNode, x Effect) {
+	switch x := x.(type) {
+	case LogState, SetReady, ConfigInForce, Reincarnate, DeleteNode, Stop:
+		fmt.Fprintf(&w.log, "%8.3f %s %s\n", w.now.Seconds(), n.name, text(x))
+	case Dispatch:
+		fmt.Fprintf(&w.log, "%8.3f %s Dispatch %s\n", w.now.Seconds(), n.name, x.Execution.ID)
+	case Refuse:
+		fmt.Fprintf(&w.log, "%8.3f %s Refuse %s %s %s\n", w.now.Seconds(), n.name, x.ID, x.Refusal.RunState, x.Refusal.Reason)
 	case WriteUnits:
-		result := w.transact(beryllatch.RowWrite{Row: rowOf(unitKey(e.Row.Team), e.Row), Expect: e.Expect})
-		return UnitsWritten{Team: e.Row.Team, Row: e.Row, Version: e.Expect + 1, Result: result}
+		fmt.Fprintf(&w.log, "%8.3f %s WriteUnits %s v%d %d %v\n",
+			w.now.Seconds(), n.name, x.Row.Team, x.Row.ConfigVersion, x.Row.Ceiling, x.Row.Holdings)
 	}
-	return nil
-}
-
-func unitKey(team string) beryllatch.RowKey {
-	return beryllatch.RowKey{Partition: "unit", Sort: team}
-}
-
-func openKey(shard int, id string) beryllatch.RowKey {
-	return beryllatch.RowKey{Partition: fmt.Sprintf("task#%d", shard), Sort: id}
-}
-
-func doneKey(shard int, id string) beryllatch.RowKey {
-	return beryllatch.RowKey{Partition: fmt.Sprintf("done#%d", shard), Sort: id}
 }
 
-func shardKey(n int) beryllatch.RowKey {
-	return beryllatch.RowKey{Partition: "shard", Sort: fmt.Sprintf("%02d", n)}
-}
-
-func rowOf(k beryllatch.RowKey, v any) beryllatch.Row {
-	b, err := json.Marshal(v)
-	if err != nil {
-		panic(err)
+// latency draws a delay; a lossy world has slow calls.
+func (w *world) latency() time.Duration {
+	d := time.Millisecond + time.Duration(w.rand.IntN(10))*time.Millisecond
+	if w.lossy && w.rand.IntN(15) == 0 {
+		d += time.Duration(w.rand.IntN(3000)) * time.Millisecond
 	}
-	return beryllatch.Row{Key: k, Value: b}
+	return d
 }
 
-// transact applies all writes or none.
-func (w *world) transact(writes ...beryllatch.RowWrite) WriteResult {
-	for _, x := range writes {
-		if w.rows[x.Row.Key].Version != x.Expect {
-			return WriteConflict
-		}
-	}
-	for _, x := range writes {
-		switch {
-		case x.CheckOnly:
-		case x.Delete:
-			delete(w.rows, x.Row.Key)
-		default:
-			x.Row.Version = x.Expect + 1
-			w.rows[x.Row.Key] = x.Row
-		}
-	}
-	return WriteDone
-}
+func (w *world) lost() bool { return w.lossy && w.rand.IntN(30) == 0 }
 
-func (w *world) write(f fault, writes ...beryllatch.RowWrite) WriteResult {
-	if w.outage || f == faultFailed {
-		return WriteFailed
+// call sends a request to the table: apply runs there and returns the answer, failed stands for a call that surely had no
+// effect and unknown for one without an answer; a late request may still take effect.
+func (w *world) call(n *simNode, apply func() Event, failed, unknown Event) {
+	process := n.process
+	if n.outage {
+		w.after(w.latency(), func() { w.deliver(n, process, failed) })
+		return
 	}
-	result := w.transact(writes...)
-	if f == faultLost {
-		return WriteUnknown
+	there, back := w.latency(), w.latency()
+	answered := there+back < callTimeout && !w.lost()
+	w.after(there, func() {
+		if e := apply(); answered {
+			w.after(back, func() { w.deliver(n, process, e) })
+		}
+	})
+	if !answered {
+		w.after(callTimeout, func() { w.deliver(n, process, unknown) })
 	}
-	return result
 }
 
-func (w *world) performTable(e Effect, f fault) Event {
-	failed := w.outage || f != faultNone
-	switch e := e.(type) {
-	case SubmitTask:
-		writes := []beryllatch.RowWrite{{Row: rowOf(openKey(e.Shard, e.Task.ID), e.Task)}}
-		if e.Claim.Key != "" {
-			writes = append(writes, beryllatch.RowWrite{Row: rowOf(claimKey(e.Task.Team, "", e.Claim.Key), e.Claim)})
-		}
-		return SubmissionWritten{CallID: e.CallID, Result: w.write(f, writes...)}
-	case ReadSubmission:
-		_, found := w.stored(e.Shard, e.TaskID)
-		var claim TaskClaim
-		row := w.rows[claimKey(e.Team, "", e.ClaimKey)]
-		_ = json.Unmarshal(row.Value, &claim)
-		return SubmissionRead{CallID: e.CallID, Failed: failed, Found: found, Claimed: row.Version > 0, Claim: claim}
-	case LookUpTask:
-		t, found := w.stored(e.Shard, e.TaskID)
-		return TaskLookedUp{CallID: e.CallID, Failed: failed, Found: found, Task: t}
-	case WriteCancel:
-		return CancelWritten{CallID: e.CallID, Result: w.write(f, w.taskWrites(e.Shard, e.Task, e.Expect)...)}
-	case ReadShards:
-		return ShardsRead{SentAt: w.now, Failed: failed, Shards: w.shardRows()}
-	case WriteShard:
-		w.shards = nil
-		result := WriteConflict
-		if w.unchanged(e.Checks) {
-			result = w.write(f, beryllatch.RowWrite{Row: rowOf(shardKey(e.Row.Shard), e.Row), Expect: e.Expect})
-		}
-		return ShardWritten{Row: e.Row, Version: e.Expect + 1, Result: result}
-	case LoadTasks:
-		return TasksLoaded{Shard: e.Shard, Epoch: e.Epoch, After: e.After, Failed: failed, Tasks: w.page(e)}
-	case WriteTask:
-		writes := w.taskWrites(e.Shard, e.Task, e.Expect)
-		if e.ShardExpect > 0 {
-			writes = append(writes, beryllatch.RowWrite{
-				Row: beryllatch.Row{Key: shardKey(e.Shard)}, Expect: e.ShardExpect, CheckOnly: true,
-			})
+// message sends do to a peer once, twice or not at all.
+func (w *world) message(from *simNode, to Identity, do func(*simNode)) {
+	i := slices.IndexFunc(w.nodes, func(n *simNode) bool { return n.name == to.Node })
+	n := w.nodes[i]
+	process := n.process
+	for times := 1 + w.rand.IntN(8)/7; times > 0; times-- {
+		if from.cut || n.cut || w.lost() || n.down || n.r.self.Incarnation != to.Incarnation {
+			return
 		}
-		return TaskWritten{ID: e.Task.ID, Epoch: e.Epoch, Result: w.write(f, writes...)}
-	case ReadTask:
-		t, found := w.storedAt(openKey(e.Shard, e.ID))
-		return TaskRowRead{ID: e.ID, Epoch: e.Epoch, Failed: failed, Found: found, Task: t}
+		w.after(w.latency(), func() {
+			if n.process == process {
+				do(n)
+			}
+		})
 	}
-	panic(fmt.Sprintf("unexpected effect %T", e))
 }
 
-func (w *world) taskWrites(shard int, t beryllatch.Task, expect uint64) []beryllatch.RowWrite {
-	k := openKey(shard, t.ID)
-	if !t.State.Final() {
-		return []beryllatch.RowWrite{{Row: rowOf(k, t), Expect: expect}}
-	}
-	return []beryllatch.RowWrite{
-		{Row: beryllatch.Row{Key: k}, Expect: expect, Delete: true}, {Row: rowOf(doneKey(shard, t.ID), t)},
+func (w *world) carryOut(n *simNode, x Effect) {
+	process := n.process
+	switch x := x.(type) {
+	case RenewTenure:
+		w.renew(n, x)
+	case ReadConfig:
+		w.readConfig(n)
+	case ReadUnits:
+		failed := UnitsReadFailed(x)
+		w.call(n, func() Event { return w.readUnits(x.Team) }, failed, failed)
+	case WriteUnits:
+		result := UnitsWritten{Team: x.Row.Team, Row: x.Row, Version: x.Expect + 1}
+		unknown, failed := result, result
+		unknown.Result, failed.Result = WriteUnknown, WriteFailed
+		w.call(n, func() Event { result.Result = w.writeUnits(x); return result }, failed, unknown)
+	case DeleteNode:
+		done := NodeDeleted{Incarnation: x.Node.Incarnation, Result: WriteDone}
+		unknown := NodeDeleted{Incarnation: x.Node.Incarnation, Result: WriteUnknown}
+		w.call(n, func() Event {
+			if v := w.rows[x.Node.Incarnation].Version; v == x.Node.Version || n.r.self.Incarnation == x.Node.Incarnation {
+				delete(w.rows, x.Node.Incarnation)
+			}
+			return done
+		}, unknown, unknown)
+	case Reincarnate:
+		w.after(time.Millisecond, func() {
+			if n.process == process {
+				n.process++
+				n.wrote = false
+				w.tick(n, n.process)
+				w.deliver(n, n.process, Reincarnated{Self: w.identity(n)})
+			}
+		})
+	case Stop:
+		n.down = true
+	case Dispatch:
+		w.dispatch(n, x)
+	default:
+		w.carryOutMessage(n, x)
 	}
 }
 
-func (w *world) storedAt(k beryllatch.RowKey) (StoredTask, bool) {
-	row, ok := w.rows[k]
-	var t StoredTask
-	_ = json.Unmarshal(row.Value, &t.Task)
-	t.Version = row.Version
-	return t, ok
-}
-
-func (w *world) stored(shard int, id string) (StoredTask, bool) {
-	if t, ok := w.storedAt(openKey(shard, id)); ok {
-		return t, true
+// readConfig may deliver a document long after it was read, and after a later one.
+func (w *world) readConfig(n *simNode) {
+	process := n.process
+	if n.outage || w.lost() {
+		return
 	}
-	return w.storedAt(doneKey(shard, id))
-}
-
-func (w *world) page(e LoadTasks) []StoredTask {
-	var out []StoredTask
-	partition := openKey(e.Shard, "").Partition
-	for k := range w.rows {
-		if k.Partition == partition && k.Sort > e.After {
-			t, _ := w.storedAt(k)
-			out = append(out, t)
+	w.after(w.latency(), func() {
+		c := w.configs[len(w.configs)-1]
+		back := w.latency()
+		if n.slowConfig || w.lossy && w.rand.IntN(3) == 0 {
+			back += time.Duration(w.rand.IntN(4000)) * time.Millisecond
 		}
-	}
-	slices.SortFunc(out, func(a, b StoredTask) int { return strings.Compare(a.ID, b.ID) })
-	return out[:min(len(out), e.Limit)]
+		w.after(back, func() { w.deliver(n, process, ConfigRead{Config: c}) })
+	})
 }
 
-func (w *world) shardRows() []StoredShard {
-	if w.shards != nil {
-		return w.shards
+func (w *world) carryOutMessage(n *simNode, x Effect) {
+	self, process := n.r.self, n.process
+	answer := func(to *simNode) {
+		w.message(to, self, func(n *simNode) {
+			w.deliver(n, process, PeerHeard{From: to.r.self, ConfigVersion: to.r.config.Version, Demand: to.r.demand()})
+		})
 	}
-	var out []StoredShard
-	for n := range shardCount {
-		if row, ok := w.rows[shardKey(n)]; ok {
-			s := StoredShard{Version: row.Version}
-			_ = json.Unmarshal(row.Value, &s.ShardRow)
-			out = append(out, s)
+	switch x := x.(type) {
+	case SendHeartbeats:
+		sent := w.instant(n)
+		for _, p := range x.Peers {
+			w.message(n, p, func(to *simNode) {
+				w.deliver(to, to.process, PeerHeard{From: self, ConfigVersion: x.ConfigVersion, Demand: x.Demand})
+				if !x.AskGrant {
+					answer(to)
+					return
+				}
+				w.seq++
+				id := fmt.Sprint(w.seq)
+				w.calls[id] = grantCall{from: n, process: process, sentAt: sent}
+				w.deliver(to, to.process, GrantAsked{From: self, CallID: id})
+			})
 		}
-	}
-	w.shards = out
-	return out
-}
-
-func (w *world) performWorker(e Effect, f fault) Event {
-	switch e := e.(type) {
-	case StartTask:
-		return w.start(e, f)
-	case AskTask:
-		return w.ask(e, f)
-	case RenewTask:
-		x := e.Execution
-		return w.report(x.ID, x.Fence, x.Address, f, func(run *fakeRun) { run.lease = x.LeaseExpiry })
-	case StopTask:
-		x := e.Execution
-		if f == faultNone && w.workers[x.Address].runs[x.ID] == nil {
-			w.workers[x.Address].refused[x.ID] = x.Fence
+	case ReplyGrant:
+		c := w.calls[x.CallID]
+		heard := PeerHeard{From: self, ConfigVersion: n.r.config.Version, GrantAskedAt: c.sentAt, Granted: x.Granted}
+		w.message(n, c.from.r.self, func(to *simNode) { w.deliver(to, c.process, heard) })
+	case NotifyConfig:
+		for _, p := range x.Peers {
+			w.message(n, p, func(to *simNode) {
+				w.deliver(to, to.process, ConfigNotified{Version: x.Version})
+				answer(to)
+			})
 		}
-		return w.report(x.ID, x.Fence, x.Address, f, func(run *fakeRun) {
-			if run.state == beryllatch.TaskRunRunning {
-				run.state = beryllatch.TaskRunStopped
-			}
+	case AskUnits:
+		w.message(n, x.Peer, func(to *simNode) {
+			asked := UnitsAsked{Team: x.Team, Incarnation: self.Incarnation, Units: x.Units, Demand: x.Demand}
+			w.deliver(to, to.process, asked)
 		})
-	case CollectResult:
-		run := w.workers[e.Address].runs[e.ID]
-		if f != faultNone || run == nil || run.state != beryllatch.TaskRunDone {
-			return ResultCollected{ID: e.ID, Fence: e.Fence, WorkerFailed: true}
+	case NotifyUnits:
+		w.message(n, x.Peer, func(to *simNode) { w.deliver(to, to.process, UnitsMoved{Team: x.Team}) })
+	case ConfigInForce:
+		if x.InForce {
+			w.inForce = max(w.inForce, x.Version)
 		}
-		return ResultCollected{ID: e.ID, Fence: e.Fence, Result: []byte("r")}
 	}
-	return nil
 }
 
-// start runs a task unless the worker may refuse it.
-func (w *world) start(e StartTask, f fault) Event {
-	x := e.Execution
-	worker := w.workers[x.Address]
-	run := worker.runs[x.ID]
-	busy := run != nil && run.state == beryllatch.TaskRunRunning
-	answer := TaskStarted{ID: e.ID, Fence: x.Fence, Outcome: beryllatch.OutcomeAnswered}
-	switch {
-	case f == faultFailed:
-		answer.Outcome, answer.Reason = beryllatch.OutcomeNotSent, beryllatch.ReasonWorkerUnreachable
-		return answer
-	case w.now.Wall.After(x.StartBy) && !w.slowClock, x.Fence < worker.fences[x.ID], x.Fence <= worker.refused[x.ID], busy:
-		answer.Outcome, answer.Reason = beryllatch.OutcomeRefused, beryllatch.ReasonWorkerRefused
-	default:
-		worker.fences[x.ID] = x.Fence
-		worker.runs[x.ID] = &fakeRun{state: beryllatch.TaskRunRunning, fence: x.Fence, lease: x.LeaseExpiry}
-		w.started(x)
-	}
-	if f == faultLost {
-		answer.Outcome, answer.Reason = beryllatch.OutcomeUnknown, beryllatch.ReasonAnswerLost
-	}
-	return answer
-}
-
-func (w *world) started(x beryllatch.Execution) {
-	w.starts[x.ID]++
-	var s ShardRow
-	_ = json.Unmarshal(w.rows[shardKey(ShardOf(x.ID))].Value, &s)
-	if uint32(x.Fence>>32) < s.Epoch {
-		w.stale = append(w.stale, x.ID)
-	}
-}
-
-// ask reports a task without a look at fences.
-func (w *world) ask(e AskTask, f fault) Event {
-	worker := w.workers[e.Address]
-	answer := TaskReported{ID: e.ID, Fence: e.Fence, Failed: f != faultNone}
-	answer.Report = beryllatch.TaskReport{State: beryllatch.TaskRunUnseen, BootID: worker.bootID()}
-	if run := worker.runs[e.ID]; run != nil {
-		answer.Report.State, answer.Report.Fence = run.state, run.fence
-	}
-	return answer
-}
-
-func (w *world) report(id string, fence uint64, address string, f fault, change func(*fakeRun)) Event {
-	worker := w.workers[address]
-	answer := TaskReported{ID: id, Fence: fence, Failed: f != faultNone}
-	answer.Report = beryllatch.TaskReport{State: beryllatch.TaskRunUnseen, BootID: worker.bootID()}
-	if fence < worker.fences[id] {
-		answer.Refused = true
-		return answer
-	}
-	if run := worker.runs[id]; run != nil && f != faultFailed {
-		worker.fences[id] = fence
-		change(run)
-		answer.Report.State, answer.Report.Fence = run.state, run.fence
-	}
-	return answer
+// renew follows the shell's contract: only a row that is missing after a completed first write is a replaced one.
+func (w *world) renew(n *simNode, x RenewTenure) {
+	sent := w.instant(n)
+	failed := RenewalFailed{SentAt: sent}
+	w.call(n, func() Event {
+		old := w.rows[x.Row.Incarnation]
+		switch {
+		case old.Version == 0 && n.wrote:
+			return RenewalFailed{SentAt: sent, Replaced: true}
+		case old.Renewal >= x.Row.Renewal:
+			return failed
+		}
+		n.wrote = n.wrote || x.Row.Incarnation == n.r.self.Incarnation
+		row := x.Row
+		row.Version = old.Version + 1
+		w.rows[row.Incarnation] = row
+		e := Renewed{SentAt: sent, HeadVersion: w.configs[len(w.configs)-1].Version, NodesSkipped: x.SkipNodes}
+		if !x.SkipNodes {
+			for _, id := range beryllatch.SortedKeys(w.rows) {
+				e.Nodes = append(e.Nodes, w.rows[id])
+			}
+		}
+		return e
+	}, failed, failed)
 }
 
-func (f *fakeWorker) bootID() string { return f.address + "/" + strconv.Itoa(f.boot) }
-
-func (f *fakeWorker) reboot() {
-	f.boot++
-	f.runs, f.fences, f.refused = map[string]*fakeRun{}, map[string]uint64{}, map[string]uint64{}
+func (w *world) readUnits(team string) UnitsRead {
+	e := w.units[team]
+	e.Team = team
+	e.Row.Holdings = maps.Clone(e.Row.Holdings)
+	return e
 }
 
-// end finishes a running task.
-func (w *world) end(id string, state beryllatch.TaskRunState) {
-	for _, worker := range w.workers {
-		if run := worker.runs[id]; run != nil && run.state == beryllatch.TaskRunRunning {
-			run.state = state
+func (w *world) writeUnits(x WriteUnits) WriteResult {
+	for _, c := range x.Checks {
+		if w.rows[c.Incarnation].Version != c.Version {
+			return WriteConflict
 		}
 	}
+	if w.units[x.Row.Team].Version != x.Expect {
+		return WriteConflict
+	}
+	row := x.Row
+	row.Holdings = maps.Clone(row.Holdings)
+	w.units[row.Team] = UnitsRead{Row: row, Version: x.Expect + 1}
+	return WriteDone
 }
 
-// endLeases stops the tasks whose lease has expired.
-func (w *world) endLeases() {
-	for _, worker := range w.workers {
-		for _, run := range worker.runs {
-			if run.state == beryllatch.TaskRunRunning && w.now.Wall.After(run.lease) {
-				run.state = beryllatch.TaskRunStopped
-			}
+// dispatch sends an execution to a worker, which refuses a late start and stops at the end of the lease.
+func (w *world) dispatch(n *simNode, x Dispatch) {
+	process, team := n.process, x.Execution.Team
+	id := fmt.Sprintf("%s.%d.%s", n.name, process, x.Execution.ID)
+	run := &simRun{team: team, end: x.Execution.LeaseExpiry.Sub(sessionStart)}
+	w.runs[id] = run
+	w.checkStart(n, team)
+	w.after(w.latency(), func() {
+		e := ExecutionEnded{ID: x.ID, Attempt: x.Attempt, Outcome: beryllatch.OutcomeRefused}
+		if sessionStart.Add(w.now).After(x.Execution.StartBy) {
+			run.end = w.now
+			w.after(w.latency(), func() { w.deliver(n, process, e) })
+			return
 		}
-	}
+		run.end = min(run.end, w.now+w.workTime())
+		e.Outcome = beryllatch.OutcomeAnswered
+		w.after(max(0, run.end-w.now)+w.latency(), func() { w.deliver(n, process, e) })
+	})
 }
 
-// record writes the events and effects of tasks to the session's log; the platform's own upkeep is left out.
-func (w *world) record(n *fakeNode, e Event, effects []Effect) {
-	if w.quiet {
-		return
+// checkStart applies the two checks that concern a start of work.
+func (w *world) checkStart(n *simNode, team string) {
+	if v := n.r.config.Version; v < w.inForce {
+		w.fail("%s starts work under version %d while %d is in force", n.name, v, w.inForce)
 	}
-	var lines []string
-	for _, x := range effects {
-		if !upkeep(x) {
-			lines = append(lines, "         -> "+text(x))
+	ceiling, running := 0, 0
+	for _, c := range w.configs {
+		if c.Version >= w.inForce {
+			ceiling = max(ceiling, c.Teams[team].Ceiling)
 		}
 	}
-	if upkeep(e) && len(lines) == 0 {
-		return
-	}
-	fmt.Fprintf(&w.log, "%8.3f %s %s\n", w.now.Mono.Seconds(), n.id.Incarnation, eventText(e))
-	for _, l := range lines {
-		fmt.Fprintln(&w.log, l)
-	}
-}
-
-func eventText(e Event) string {
-	if upkeep(e) {
-		return strings.TrimPrefix(fmt.Sprintf("%T", e), "berylreducer.")
+	for _, run := range w.runs {
+		if run.team == team && run.end > w.now {
+			running++
+		}
 	}
-	return text(e)
-}
-
-func upkeep(v any) bool {
-	switch v := v.(type) {
-	case TaskOffered, PayloadReceived, SubmissionWritten, SubmissionRead, TaskAsked, TaskLookedUp, CancelWritten,
-		TaskWritten, TaskRowRead, TaskStarted, TaskReported, ResultCollected,
-		ReceivePayload, SubmitTask, ReadSubmission, AnswerTask, RefuseTask, LookUpTask, WriteCancel, WriteTask, ReadTask,
-		StartTask, AskTask, RenewTask, StopTask, CollectResult:
-		return false
-	case Count:
-		return !strings.HasPrefix(v.Name, "task") && !strings.HasPrefix(v.Name, "refusal")
-	case LogState:
-		return !strings.HasPrefix(v.Subject, "task")
-	default:
-		return true
+	if running > ceiling {
+		w.fail("%s starts work %d of team %s above the ceiling %d", n.name, running, team, ceiling)
 	}
 }
--- a/internal/node/beryldaemon/execute.go
+++ b/internal/node/beryldaemon/execute.go
@@ -8,7 +8,10 @@
 
 // execute carries out one effect; everything that may block runs outside the loop.
 func (d *Daemon) execute(ctx context.Context, x berylreducer.Effect) {
-	if d.executeClaim(ctx, x) || d.executeTenure(ctx, x) || d.executeUnits(ctx, x) {
+	if d.executeClaim(ctx, x) || d.executeTenure(ctx, x) || d.executeUnits(ctx, x) || d.executePeer(ctx, x) {
+		return
+	}
+	if d.tasks.Execute(x) || d.TaskAnswers(x) {
 		return
 	}
 	switch x := x.(type) {
@@ -28,6 +31,8 @@
 		d.async(ctx, func(ctx context.Context) { d.rebootWorker(ctx, x) })
 	case berylreducer.Count:
 		d.Metrics.Count(x.Name, x.N)
+	case berylreducer.SetGauge:
+		d.Metrics.Gauge(x.Name, int64(x.Value))
 	case berylreducer.LogState:
 		d.logState(x)
 	case berylreducer.SetReady:
