--- a/internal/decision/berylreducer/task_dispatch_test.go
+++ b/internal/decision/berylreducer/task_dispatch_test.go
@@ -12,13 +12,13 @@
 
 var blueKey = strings.Repeat("2", 64)
 
-func (w *world) submitBy(key, id string, deadline time.Duration) {
+func (w *taskWorld) submitBy(key, id string, deadline time.Duration) {
 	w.apply(w.nodes[0], TaskOffered{CallID: w.callID(), TaskID: id, KeyHash: key, Queue: "price", Deadline: deadline})
 	w.settle()
 }
 
 // startOrder returns the ids of the tasks that were started, in order.
-func (w *world) startOrder() []string {
+func (w *taskWorld) startOrder() []string {
 	var out []string
 	for line := range strings.Lines(w.log.String()) {
 		if _, rest, ok := strings.Cut(line, "-> StartTask{ID:"); ok {
@@ -29,8 +29,8 @@
 }
 
 // newSmallWorld has one node and one worker with the given slots.
-func newSmallWorld(slots int) *world {
-	w := newWorld(nil)
+func newSmallWorld(slots int) *taskWorld {
+	w := newBareTaskWorld(nil)
 	for _, id := range []string{"w1", "w2", "w3", "w4"} {
 		i := w.config.Instances[id]
 		i.Slots = slots
@@ -45,7 +45,7 @@
 	return w
 }
 
-func (w *world) endAll() {
+func (w *taskWorld) endAll() {
 	for _, id := range beryllatch.SortedKeys(w.starts) {
 		w.end(id, beryllatch.TaskRunDone)
 	}
