--- a/internal/decision/berylreducer/shard.go
+++ b/internal/decision/berylreducer/shard.go
@@ -41,6 +41,10 @@
 	after    string
 	loading  bool
 	nextLoad time.Duration
+	// loaded is true once the first pass over the shard has ended; polling marks a PollShard effect in flight.
+	loaded   bool
+	polling  bool
+	nextPoll time.Duration
 }
 
 // ShardOf returns the shard of a task id.
@@ -68,6 +72,7 @@
 	for n := range t.shards {
 		r.planShard(&t.shards[n])
 		r.loadShard(&t.shards[n])
+		r.pollShard(&t.shards[n])
 	}
 }
 
@@ -114,7 +119,8 @@
 
 func (r *Reducer) gainShard(s *shard) {
 	s.state = shardOwned
-	s.after, s.loading, s.nextLoad = "", false, 0
+	s.after, s.loading, s.nextLoad, s.loaded = "", false, 0, false
+	s.polling, s.nextPoll = false, 0
 	r.count("shard_gained")
 	r.logShard(s, "foreign", "owned")
 }
--- a/internal/decision/berylreducer/task.go
+++ b/internal/decision/berylreducer/task.go
@@ -144,6 +144,8 @@
 		r.shardWritten(e)
 	case TasksLoaded:
 		r.tasksLoaded(e)
+	case ShardPolled:
+		r.shardPolled(e)
 	case TaskWritten:
 		r.taskWritten(e)
 	case TaskRowRead:
--- a/internal/decision/berylreducer/task_dispatch_test.go
+++ b/internal/decision/berylreducer/task_dispatch_test.go
@@ -123,7 +123,7 @@
 			w.rows[row.Key] = row
 		}
 	}
-	w.pass(5 * time.Second)
+	w.pass(time.Minute + loadPage*loadPace)
 	assert.Equal(t, len(s.tasks), maxLoaded)
 	for _, id := range beryllatch.SortedKeys(s.tasks) {
 		assert.Assert(t, s.tasks[id].Deadline.Before(w.now.Wall.Add(30*time.Minute)))
--- a/internal/decision/berylreducer/task_event.go
+++ b/internal/decision/berylreducer/task_event.go
@@ -42,7 +42,7 @@
 // TaskOffered is a caller's submission whose headers have been read.
 type TaskOffered struct {
 	CallID string
-	// TaskID is a new random id.
+	// TaskID is a new UUID of version 7; its time lets the owner of the shard find new tasks by a short read.
 	TaskID string
 	// KeyHash is the SHA-256 of the presented secret in hexadecimal digits; empty without a key.
 	KeyHash string
@@ -140,6 +140,17 @@
 	Tasks []StoredTask
 }
 
+// ShardPolled reports the end of a PollShard effect.
+type ShardPolled struct {
+	Shard  int
+	Epoch  uint32
+	Failed bool
+	// Tasks holds the newest rows in ascending order of their ids.
+	Tasks []StoredTask
+	// Cancelled holds the ids of unfinished tasks whose cancellation was asked for after they had been dispatched.
+	Cancelled []string
+}
+
 // TaskWritten reports the end of a WriteTask effect.
 type TaskWritten struct {
 	ID     string
@@ -236,7 +247,8 @@
 	TaskID string
 }
 
-// WriteCancel stores a task's cancellation if its row has the version Expect.
+// WriteCancel stores a task's cancellation if its row has the version Expect. A task that is not final after it gets a
+// row among the cancellations of its shard, which the final WriteTask deletes.
 type WriteCancel struct {
 	CallID string
 	Shard  int
@@ -262,6 +274,14 @@
 	Limit int
 }
 
+// PollShard reads the newest tasks of a shard, with ids greater than After, and its open cancellations.
+type PollShard struct {
+	Shard int
+	Epoch uint32
+	After string
+	Limit int
+}
+
 // WriteTask replaces the row of an unfinished task if it and the shard row have the expected versions.
 // A task in a final state moves to the partition of finished tasks, and its payload row is deleted.
 type WriteTask struct {
@@ -327,6 +347,7 @@
 func (ShardsRead) event()        {}
 func (ShardWritten) event()      {}
 func (TasksLoaded) event()       {}
+func (ShardPolled) event()       {}
 func (TaskWritten) event()       {}
 func (TaskRowRead) event()       {}
 func (TaskStarted) event()       {}
@@ -343,6 +364,7 @@
 func (ReadShards) effect()     {}
 func (WriteShard) effect()     {}
 func (LoadTasks) effect()      {}
+func (PollShard) effect()      {}
 func (WriteTask) effect()      {}
 func (ReadTask) effect()       {}
 func (StartTask) effect()      {}
--- a/internal/decision/berylreducer/task_load.go
+++ b/internal/decision/berylreducer/task_load.go
@@ -1,6 +1,7 @@
 package berylreducer
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/beryllatch/beryllatch"
@@ -8,7 +9,12 @@
 
 const (
 	loadPage     = 100
-	loadInterval = time.Second
+	pollInterval = time.Second
+	// loadPace spaces the repeated passes over a shard. They only find what polls cannot: rows that did not fit into
+	// memory, and submissions slower than pollWindow. A row takes about 0.5 KB of the node's traffic.
+	loadPace = 100 * time.Millisecond
+	// pollWindow covers the time from the making of a task id to the end of its write, and the difference of clocks.
+	pollWindow = 30 * time.Second
 	// maxLoaded bounds the loaded tasks of a shard; a loaded task takes about 1 KB.
 	maxLoaded = 256
 )
@@ -28,20 +34,57 @@
 		return
 	}
 	s.loading = false
-	s.nextLoad = r.now.Mono + loadInterval
+	s.nextLoad = r.now.Mono + pollInterval
 	if e.Failed {
 		return
 	}
 	for _, row := range e.Tasks {
 		r.loadTask(s, row)
 	}
-	s.after = ""
-	if len(e.Tasks) >= loadPage {
-		s.after = e.Tasks[len(e.Tasks)-1].ID
+	s.nextLoad = r.now.Mono + max(pollInterval, time.Duration(len(e.Tasks))*loadPace)
+	if len(e.Tasks) < loadPage {
+		s.after, s.loaded = "", true
+		return
+	}
+	s.after = e.Tasks[len(e.Tasks)-1].ID
+	if !s.loaded {
 		s.nextLoad = r.now.Mono
 	}
 }
 
+// pollShard looks for new tasks and cancellations of an owned shard.
+func (r *Reducer) pollShard(s *shard) {
+	if !r.owns(s) || s.polling || r.now.Mono < s.nextPoll || r.taskOutage() {
+		return
+	}
+	s.polling = true
+	after := firstIDAt(r.now.Wall.Add(-pollWindow))
+	r.emit(PollShard{Shard: s.Shard, Epoch: s.Epoch, After: after, Limit: loadPage})
+}
+
+// firstIDAt returns a text that sorts before the ids made from the given time on.
+func firstIDAt(t time.Time) string {
+	ms := uint64(t.UnixMilli())
+	return fmt.Sprintf("%08x-%04x", ms>>16, ms&0xffff)
+}
+
+func (r *Reducer) shardPolled(e ShardPolled) {
+	s := &r.tasks.shards[e.Shard]
+	if s.state == shardForeign || s.Epoch != e.Epoch {
+		return
+	}
+	s.polling = false
+	s.nextPoll = r.now.Mono + pollInterval
+	for _, row := range e.Tasks {
+		r.loadTask(s, row)
+	}
+	for _, id := range e.Cancelled {
+		if t := r.tasks.tasks[id]; t != nil && !t.CancelRequested {
+			r.readRow(t)
+		}
+	}
+}
+
 // loadTask takes a stored row over, unless memory is full of tasks with earlier deadlines.
 func (r *Reducer) loadTask(s *shard, row StoredTask) {
 	if t := r.tasks.tasks[row.ID]; t != nil {
--- a/internal/decision/berylreducer/task_lookup.go
+++ b/internal/decision/berylreducer/task_lookup.go
@@ -68,10 +68,22 @@
 		t.State = beryllatch.TaskCancelled
 		t.Finished = r.now.Wall
 	}
-	c.task = t.Task
+	c.task, c.expect = t.Task, t.Version
 	r.emit(WriteCancel{CallID: c.id, Shard: ShardOf(t.ID), Task: t.Task, Expect: t.Version})
 }
 
+// cancelSeen tells the loaded task of an owned shard about a stored cancellation.
+func (r *Reducer) cancelSeen(c *taskCall) {
+	t := r.tasks.tasks[c.task.ID]
+	switch {
+	case t == nil || t.writing || t.reading:
+	case c.task.State.Final():
+		r.dropTask(t)
+	default:
+		r.rowSeen(t, StoredTask{Task: c.task, Version: c.expect + 1})
+	}
+}
+
 func (r *Reducer) cancelWritten(e CancelWritten) {
 	c := r.tasks.calls[e.CallID]
 	if c == nil {
@@ -81,9 +93,7 @@
 	case WriteDone:
 		r.count("task_cancel_accepted")
 		r.answerCall(c, c.task, true)
-		if t := r.tasks.tasks[c.task.ID]; t != nil && c.task.State.Final() && !t.writing && !t.reading {
-			r.dropTask(t)
-		}
+		r.cancelSeen(c)
 	case WriteFailed:
 		r.endCall(c, beryllatch.RunStateNotRun, beryllatch.ReasonPlatformUnavailable, "the cancellation could not be stored")
 	default:
--- a/internal/decision/berylreducer/task_session_test.go
+++ b/internal/decision/berylreducer/task_session_test.go
@@ -193,6 +193,23 @@
 	w.golden(t, "task_cancellations")
 }
 
+// Guards against a cancellation that does not reach the owner of a running task.
+func TestTaskCancelledThroughAnotherNode(t *testing.T) {
+	w := newTaskWorld(2)
+	owner := w.owner()
+	other := w.nodes[0]
+	if other == owner {
+		other = w.nodes[1]
+	}
+	w.submit(other, "t1", false)
+	w.pass(3 * time.Second)
+	assert.Equal(t, w.state("t1"), beryllatch.TaskRunning)
+	w.cancel(other, "t1")
+	w.pass(2 * time.Second)
+	assert.Equal(t, w.state("t1"), beryllatch.TaskCancelled)
+	w.golden(t, "task_cancelled_elsewhere")
+}
+
 // Guards against losing a result when the platform is out as the task ends.
 func TestTaskDoneInOutage(t *testing.T) {
 	w := newTaskWorld(1)
--- a/internal/decision/berylreducer/task_submit.go
+++ b/internal/decision/berylreducer/task_submit.go
@@ -40,6 +40,8 @@
 	task    beryllatch.Task
 	payload []byte
 	claim   TaskClaim
+	// expect is the version of the task's row that a cancellation replaces.
+	expect uint64
 	// uncertain is true once a write may have taken effect.
 	uncertain bool
 	asked     TaskAsked
--- a/internal/decision/berylreducer/task_world_test.go
+++ b/internal/decision/berylreducer/task_world_test.go
@@ -356,7 +356,11 @@
 		t, found := w.stored(e.Shard, e.TaskID)
 		return TaskLookedUp{CallID: e.CallID, Failed: failed, Found: found, Task: t}
 	case WriteCancel:
-		return CancelWritten{CallID: e.CallID, Result: w.write(f, w.taskWrites(e.Shard, e.Task, e.Expect)...)}
+		writes := w.taskWrites(e.Shard, e.Task, e.Expect)
+		if !e.Task.State.Final() {
+			writes = append(writes, beryllatch.RowWrite{Row: rowOf(cancelKey(e.Shard, e.Task.ID), "")})
+		}
+		return CancelWritten{CallID: e.CallID, Result: w.write(f, writes...)}
 	case ReadShards:
 		return ShardsRead{SentAt: w.now, Failed: failed, Shards: w.shardRows()}
 	case WriteShard:
@@ -366,10 +370,17 @@
 			result = w.write(f, beryllatch.RowWrite{Row: rowOf(shardKey(e.Row.Shard), e.Row), Expect: e.Expect})
 		}
 		return ShardWritten{Row: e.Row, Version: e.Expect + 1, Result: result}
+	case PollShard:
+		tasks := w.page(LoadTasks{Shard: e.Shard, After: e.After, Limit: e.Limit})
+		return ShardPolled{Shard: e.Shard, Epoch: e.Epoch, Failed: failed, Tasks: tasks, Cancelled: w.cancelled(e.Shard)}
 	case LoadTasks:
 		return TasksLoaded{Shard: e.Shard, Epoch: e.Epoch, After: e.After, Failed: failed, Tasks: w.page(e)}
 	case WriteTask:
 		writes := w.taskWrites(e.Shard, e.Task, e.Expect)
+		if e.Task.State.Final() && e.Task.CancelRequested {
+			marker := beryllatch.Row{Key: cancelKey(e.Shard, e.Task.ID)}
+			writes = append(writes, beryllatch.RowWrite{Row: marker, Expect: 1, Delete: true})
+		}
 		if e.ShardExpect > 0 {
 			writes = append(writes, beryllatch.RowWrite{
 				Row: beryllatch.Row{Key: shardKey(e.Shard)}, Expect: e.ShardExpect, CheckOnly: true,
@@ -408,6 +419,22 @@
 	return w.storedAt(doneKey(shard, id))
 }
 
+func cancelKey(shard int, id string) beryllatch.RowKey {
+	return beryllatch.RowKey{Partition: fmt.Sprintf("cancel#%d", shard), Sort: id}
+}
+
+func (w *taskWorld) cancelled(shard int) []string {
+	var out []string
+	partition := cancelKey(shard, "").Partition
+	for k := range w.rows {
+		if k.Partition == partition {
+			out = append(out, k.Sort)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 func (w *taskWorld) page(e LoadTasks) []StoredTask {
 	var out []StoredTask
 	partition := openKey(e.Shard, "").Partition
--- a/internal/decision/berylreducer/task_write.go
+++ b/internal/decision/berylreducer/task_write.go
@@ -22,8 +22,7 @@
 		return
 	}
 	if t.uncertain {
-		t.reading = true
-		r.emit(ReadTask{Shard: t.shard.Shard, Epoch: t.shard.Epoch, ID: t.ID})
+		r.readRow(t)
 		return
 	}
 	t.writing, t.dirty = true, false
@@ -36,6 +35,16 @@
 	r.emit(e)
 }
 
+// readRow reads the stored row unless a call on it is in flight.
+func (r *Reducer) readRow(t *queuedTask) {
+	if t.writing || t.reading || !r.mayWrite(t) {
+		return
+	}
+	t.reading = true
+	r.activate(t)
+	r.emit(ReadTask{Shard: t.shard.Shard, Epoch: t.shard.Epoch, ID: t.ID})
+}
+
 // mayWrite is false in an outage and once the shard is being given away.
 func (r *Reducer) mayWrite(t *queuedTask) bool {
 	return !r.taskOutage() && r.owns(t.shard)
@@ -109,25 +118,29 @@
 		r.startWithoutRow(t)
 		return
 	}
+	wasUncertain := t.uncertain
 	t.uncertain = false
 	if !e.Found {
 		r.rowGone(t)
 		return
 	}
-	if e.Task.Version == t.version {
+	if e.Task.Version == t.version && wasUncertain {
 		t.nextWrite = r.now.Mono + conflictPause
 	}
 	stored := e.Task.Version > t.version && e.Task.Fence == t.Fence && e.Task.State == t.State
+	unchanged := e.Task.Version == t.version && !wasUncertain
 	t.version = e.Task.Version
-	if stored {
+	if e.Task.CancelRequested {
+		r.cancelLoaded(t)
+	}
+	switch {
+	case t.writing || unchanged:
+	case stored:
 		r.rowStored(t)
-	} else {
+	default:
 		t.dirty = true
 		r.flushTask(t)
 	}
-	if e.Task.CancelRequested {
-		r.cancelLoaded(t)
-	}
 }
 
 // rowGone ends a task whose row has moved to the finished ones.
--- a/internal/node/beryltask/executor.go
+++ b/internal/node/beryltask/executor.go
@@ -87,6 +87,9 @@
 		x.read(x.readShards, berylreducer.ShardsRead{Failed: true})
 	case berylreducer.LoadTasks:
 		x.read(func(ctx context.Context) berylreducer.Event { return x.loadTasks(ctx, e) }, loadFailed(e))
+	case berylreducer.PollShard:
+		x.read(func(ctx context.Context) berylreducer.Event { return x.pollShard(ctx, e) },
+			berylreducer.ShardPolled{Shard: e.Shard, Epoch: e.Epoch, Failed: true})
 	case berylreducer.ReadTask:
 		x.read(func(ctx context.Context) berylreducer.Event { return x.readTask(ctx, e) },
 			berylreducer.TaskRowRead{ID: e.ID, Epoch: e.Epoch, Failed: true})
--- a/internal/node/beryltask/executor_test.go
+++ b/internal/node/beryltask/executor_test.go
@@ -290,6 +290,26 @@
 	})
 }
 
+// Guards against a cancellation that the owner of the shard does not find, or finds for ever.
+func TestCancellationRows(t *testing.T) {
+	inBubble(t, func(t *testing.T, s *shell) {
+		task := beryllatch.Task{ID: "a", State: beryllatch.TaskRunning, CancelRequested: true}
+		s.table.rows[openKey(1, "a")] = beryllatch.Row{Key: openKey(1, "a"), Version: 2}
+		s.Execute(berylreducer.WriteCancel{CallID: "c", Shard: 1, Task: task, Expect: 2})
+		s.settle()
+		s.Execute(berylreducer.PollShard{Shard: 1, Epoch: 4, Limit: 100})
+		s.settle()
+		polled := s.events[1].(berylreducer.ShardPolled)
+		assert.DeepEqual(t, polled.Cancelled, []string{"a"})
+		assert.Equal(t, polled.Tasks[0].Version, uint64(3))
+		task.State = beryllatch.TaskCancelled
+		s.Execute(berylreducer.WriteTask{Shard: 1, Task: task, Expect: 3})
+		s.settle()
+		assert.Equal(t, s.events[2].(berylreducer.TaskWritten).Result, berylreducer.WriteDone)
+		assert.Equal(t, len(s.table.rows), 1)
+	})
+}
+
 // Guards against a result that is cut short but counts as whole, and against large results in the table.
 func TestCollectResult(t *testing.T) {
 	large := bytes.Repeat([]byte("0123456789"), 300_000)
--- a/internal/node/beryltask/rows.go
+++ b/internal/node/beryltask/rows.go
@@ -16,8 +16,8 @@
 	// claimKept is how long an idempotency claim outlives the task's deadline.
 	claimKept      = 24 * time.Hour
 	shardPartition = "shard"
-	// payloadVersion is the version of a payload row, which is written once.
-	payloadVersion = 1
+	// onceVersion is the version of payload and cancellation rows, which are written once.
+	onceVersion = 1
 )
 
 func shardKey(shard int) beryllatch.RowKey {
@@ -38,6 +38,12 @@
 	return beryllatch.RowKey{Partition: "payload#" + strconv.Itoa(shard), Sort: id}
 }
 
+func cancelPartition(shard int) string { return "cancel#" + strconv.Itoa(shard) }
+
+func cancelKey(shard int, id string) beryllatch.RowKey {
+	return beryllatch.RowKey{Partition: cancelPartition(shard), Sort: id}
+}
+
 func claimKey(team, key string) beryllatch.RowKey {
 	return beryllatch.RowKey{Partition: "claim#" + team, Sort: key}
 }
@@ -64,7 +70,7 @@
 	}
 	if t.PayloadRow && !waitsForOperator(t.State) {
 		payload := beryllatch.Row{Key: payloadKey(shard, t.ID)}
-		rows = append(rows, beryllatch.RowWrite{Row: payload, Expect: payloadVersion, Delete: true})
+		rows = append(rows, beryllatch.RowWrite{Row: payload, Expect: onceVersion, Delete: true})
 	}
 	return rows
 }
@@ -105,9 +111,22 @@
 	return rows
 }
 
+// cancelRows returns the writes of a cancellation; the owner finds that of a dispatched task by a row of its own.
+func cancelRows(e berylreducer.WriteCancel) []beryllatch.RowWrite {
+	rows := taskRows(e.Shard, e.Task, e.Expect)
+	if e.Task.State.Final() {
+		return rows
+	}
+	return append(rows, beryllatch.RowWrite{Row: beryllatch.Row{Key: cancelKey(e.Shard, e.Task.ID)}})
+}
+
 // checkedRows adds the condition that the shard still belongs to the writer.
 func checkedRows(e berylreducer.WriteTask) []beryllatch.RowWrite {
 	rows := taskRows(e.Shard, e.Task, e.Expect)
+	if e.Task.State.Final() && e.Task.CancelRequested {
+		cancelled := beryllatch.Row{Key: cancelKey(e.Shard, e.Task.ID)}
+		rows = append(rows, beryllatch.RowWrite{Row: cancelled, Expect: onceVersion, Delete: true})
+	}
 	if e.ShardExpect == 0 {
 		return rows
 	}
--- a/internal/node/beryltask/table.go
+++ b/internal/node/beryltask/table.go
@@ -21,7 +21,7 @@
 }
 
 func (x *Executor) writeCancel(e berylreducer.WriteCancel) {
-	x.write(taskRows(e.Shard, e.Task, e.Expect), func(r berylreducer.WriteResult) berylreducer.Event {
+	x.write(cancelRows(e), func(r berylreducer.WriteResult) berylreducer.Event {
 		return berylreducer.CancelWritten{CallID: e.CallID, Result: r}
 	})
 }
@@ -138,6 +138,20 @@
 	return out
 }
 
+// pollShard reads the newest tasks and the open cancellations of a shard.
+func (x *Executor) pollShard(ctx context.Context, e berylreducer.PollShard) berylreducer.Event {
+	load := berylreducer.LoadTasks{Shard: e.Shard, Epoch: e.Epoch, After: e.After, Limit: e.Limit}
+	newest, _ := x.loadTasks(ctx, load).(berylreducer.TasksLoaded)
+	rows, err := x.table.Query(ctx, cancelPartition(e.Shard), "", e.Limit)
+	out := berylreducer.ShardPolled{
+		Shard: e.Shard, Epoch: e.Epoch, Tasks: newest.Tasks, Failed: newest.Failed || err != nil,
+	}
+	for _, row := range rows {
+		out.Cancelled = append(out.Cancelled, row.Key.Sort)
+	}
+	return out
+}
+
 // prefetch reads the payloads that idempotent tasks would need in an outage.
 func (x *Executor) prefetch(shard int, tasks []berylreducer.StoredTask) {
 	for _, t := range tasks {
--- a/internal/node/beryltaskapi/handler.go
+++ b/internal/node/beryltaskapi/handler.go
@@ -99,7 +99,7 @@
 		return
 	}
 	offer.CallID = c.id
-	offer.TaskID = uuid.NewString()
+	offer.TaskID = newTaskID()
 	h.Post(offer)
 	a, ok := c.await(r.Context(), func() { h.Post(h.receive(r, offer)) })
 	if !ok {
@@ -109,6 +109,15 @@
 	writeTask(w, http.StatusAccepted, a.Task)
 }
 
+// newTaskID returns an id that sorts by time, by which the owner of its shard finds new tasks.
+func newTaskID() string {
+	id, err := uuid.NewV7()
+	if err != nil {
+		return uuid.NewString()
+	}
+	return id.String()
+}
+
 // lookUp posts a question about a task and returns the answer.
 func (h *Handler) lookUp(c *call, r *http.Request, e berylreducer.TaskAsked) (berylreducer.AnswerTask, bool) {
 	key, id, err := parseAsk(r)
