Serve the tasks API and prove a task's path through the death of its node

Seen: 20 tasks with idempotency keys, each submitted through two nodes, the first node killed at once; each key gave one id, each task ended done and started once on the workers.

--- a/internal/bench/berylproof/fleet_test.go
+++ b/internal/bench/berylproof/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -159,3 +160,63 @@
 		assert.Equal(t, len(f.starts(ctx)[id]), 1)
 	}
 }
+
+// Guards against a queued task that is accepted and not run, run twice, or whose result is lost when a node dies.
+func TestTask(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	f := startFleet(ctx, t, 3, 2)
+	var ids []string
+	for n := range 20 {
+		key := fmt.Sprintf("task-%d", n)
+		first := f.submit(ctx, f.Daemons[0], key)
+		again := f.submit(ctx, f.Daemons[1], key)
+		assert.Equal(t, first, again)
+		ids = append(ids, first)
+	}
+	f.Daemons[0].Kill()
+	for _, id := range ids {
+		f.awaitTask(ctx, f.Daemons[1], id, "done")
+	}
+	starts, err := f.Starts(ctx)
+	assert.NilError(t, err)
+	count := map[string]int{}
+	for _, s := range starts {
+		count[s.ID]++
+	}
+	for _, id := range ids {
+		assert.Equal(t, count[id], 1, "task %s", id)
+	}
+}
+
+// taskView is the state of a task as a caller sees it.
+type taskView struct {
+	ID    string `json:"task_id"`
+	State string `json:"state"`
+}
+
+func (f *fleet) submit(ctx context.Context, d *berylprocess.Daemon, key string) string {
+	f.t.Helper()
+	r := f.caller(d.Callers).Do(
+		ctx, http.MethodPost, "/v1/queues/price/tasks", `{"test_run_ms":100}`, "Idempotency-Key", key,
+	)
+	assert.Equal(f.t, r.Status, http.StatusAccepted, "%s", r.Body)
+	var v taskView
+	assert.NilError(f.t, json.Unmarshal(r.Body, &v))
+	assert.Assert(f.t, v.ID != "", "%s", r.Body)
+	return v.ID
+}
+
+// awaitTask polls until the task has the state or the test times out.
+func (f *fleet) awaitTask(ctx context.Context, d *berylprocess.Daemon, id, state string) {
+	f.t.Helper()
+	var v taskView
+	for v.State != state {
+		assert.NilError(f.t, ctx.Err(), "task %s is %s", id, v.State)
+		r := f.caller(d.Callers).Do(ctx, http.MethodGet, "/v1/tasks/"+id, "")
+		if r.Err == nil {
+			assert.NilError(f.t, json.Unmarshal(r.Body, &v))
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
--- a/internal/node/berylserver/build.go
+++ b/internal/node/berylserver/build.go
@@ -11,6 +11,7 @@
 	"github.com/beryllatch/beryllatch/internal/node/beryldaemon"
 	"github.com/beryllatch/beryllatch/internal/node/beryloperator"
 	"github.com/beryllatch/beryllatch/internal/node/berylpeer"
+	"github.com/beryllatch/beryllatch/internal/node/beryltaskapi"
 	"github.com/beryllatch/beryllatch/internal/platform/berylinstance"
 	"github.com/beryllatch/beryllatch/internal/platform/berylobject"
 	"github.com/beryllatch/beryllatch/internal/platform/beryltable"
@@ -60,8 +61,11 @@
 		Seed:      uint64(started.UnixNano()),
 	}
 	s.daemon.Init()
+	tasks := &beryltaskapi.Handler{Post: s.daemon.Post, Store: s.daemon.Objects}
+	s.daemon.TaskAnswers = tasks.Deliver
 	callers := mux.NewRouter()
 	(&berylcaller.Handler{Node: s.daemon, Upstream: workers}).Register(callers)
+	tasks.Register(callers)
 	var credentials []beryloperator.Credential
 	for _, t := range cfg.OperatorTokens {
 		c, err := beryloperator.ParseCredential(t)
