--- a/internal/node/beryltask/executor.go
+++ b/internal/node/beryltask/executor.go
@@ -38,6 +38,7 @@
 	runner beryllatch.TaskRunner
 	now    func() berylreducer.Instant
 	post   func(berylreducer.Event)
+	cancel context.CancelFunc
 	done   <-chan struct{}
 
 	payloads payloadCache
@@ -54,7 +55,8 @@
 	ctx context.Context, t beryllatch.Table, s beryllatch.ObjectStore, r beryllatch.TaskRunner,
 	now func() berylreducer.Instant, post func(berylreducer.Event),
 ) *Executor {
-	x := &Executor{table: t, store: s, runner: r, now: now, post: post, done: ctx.Done()}
+	ctx, cancel := context.WithCancel(ctx)
+	x := &Executor{table: t, store: s, runner: r, now: now, post: post, cancel: cancel, done: ctx.Done()}
 	x.writes = newGroupWriter(ctx, &x.running, t)
 	x.reads = newPool(ctx, &x.running, readers)
 	x.reports = newPool(ctx, &x.running, reporters)
@@ -63,8 +65,11 @@
 	return x
 }
 
-// Wait returns once every call has ended after the end of the context given to New.
-func (x *Executor) Wait() { x.running.Wait() }
+// Wait ends the executor and returns once every call has ended.
+func (x *Executor) Wait() {
+	x.cancel()
+	x.running.Wait()
+}
 
 // Execute starts an effect without blocking, and returns false if it is no effect for an executor.
 func (x *Executor) Execute(e berylreducer.Effect) bool {
--- a/internal/node/beryltask/executor_test.go
+++ b/internal/node/beryltask/executor_test.go
@@ -153,10 +153,9 @@
 func inBubble(t *testing.T, f func(t *testing.T, s *shell)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		s := newShell(ctx)
+		s := newShell(t.Context())
 		f(t, s)
-		cancel()
+		// Guards against an end of the node that waits for idle calls.
 		s.Wait()
 	})
 }
--- a/internal/node/beryltask/table.go
+++ b/internal/node/beryltask/table.go
@@ -140,7 +140,7 @@
 
 // pollShard reads the newest tasks and the open cancellations of a shard.
 func (x *Executor) pollShard(ctx context.Context, e berylreducer.PollShard) berylreducer.Event {
-	load := berylreducer.LoadTasks{Shard: e.Shard, Epoch: e.Epoch, After: e.After, Limit: e.Limit}
+	load := berylreducer.LoadTasks(e)
 	newest, _ := x.loadTasks(ctx, load).(berylreducer.TasksLoaded)
 	rows, err := x.table.Query(ctx, cancelPartition(e.Shard), "", e.Limit)
 	out := berylreducer.ShardPolled{
