--- a/internal/decision/berylreducer/operate_test.go
+++ b/internal/decision/berylreducer/operate_test.go
@@ -21,9 +21,10 @@
 	nodes   map[string]*sceneNode
 	workers map[string]*sceneWorker
 	log     strings.Builder
-	// onReply and onWrite observe replies and writes that take effect; nil ones are not called.
-	onReply func(x ReplyOperator)
-	onWrite func(x WriteConfig)
+	// onReply, onWrite and onReboot observe replies, writes that take effect and reboots; nil ones are not called.
+	onReply  func(x ReplyOperator)
+	onWrite  func(x WriteConfig)
+	onReboot func(x RebootWorker)
 }
 
 // sceneNode is a node and the faults of its writes.
@@ -113,6 +114,9 @@
 			x.WaitingFor, x.Reason)
 	case RebootWorker:
 		s.note("%s RebootWorker %s %s", name, x.Instance, x.BootID)
+		if s.onReboot != nil {
+			s.onReboot(x)
+		}
 		if w := s.workers[x.Instance]; x.BootID == fmt.Sprint(w.boot) && !w.ignores && !n.dead {
 			w.boot++
 		}
