--- a/internal/decision/berylreducer/request_bench_test.go
+++ b/internal/decision/berylreducer/request_bench_test.go
@@ -58,9 +58,13 @@
 	b.r.Reduce(b.now, Started{Self: Identity{Node: "n1", Incarnation: "n1-1", DataCentre: "dc0"}, Seed: 1, Slots: 1 << 20})
 	b.r.Reduce(b.now, ConfigRead{Config: size.config()})
 	b.r.Reduce(b.now, Renewed{SentAt: b.now, HeadVersion: 1})
-	b.r.tenure.until = time.Hour
-	for _, u := range b.r.units {
-		u.held = 100000
+	for team, u := range b.r.units {
+		held := map[string]int{}
+		for n := range 9 {
+			held["n"+strconv.Itoa(n)+"-1"] = 10000
+		}
+		u.held, u.rowKnown = 10000, true
+		u.row = UnitRow{Team: team, ConfigVersion: 1, Ceiling: 100000, Holdings: held}
 	}
 	return b
 }
--- a/internal/decision/berylreducer/request_state.go
+++ b/internal/decision/berylreducer/request_state.go
@@ -11,8 +11,9 @@
 	requests map[string]*request
 	pools    map[string]*poolState
 	// blocked holds, by team, where requests wait for a unit.
-	blocked     map[string][]blockedTeam
-	workerOrder []string
+	blocked map[string][]blockedTeam
+	// workerOrder holds the workers by id.
+	workerOrder []*workerState
 	// resting holds the workers whose pause or open breaker is to end.
 	resting []*workerState
 	// placedFor is the number of nodes for which the workers' limits hold.
--- a/internal/decision/berylreducer/routing.go
+++ b/internal/decision/berylreducer/routing.go
@@ -1,7 +1,6 @@
 package berylreducer
 
 import (
-	"slices"
 	"time"
 
 	"github.com/beryllatch/beryllatch"
@@ -61,16 +60,15 @@
 		p.tiers = [tiers]workerSet{}
 		p.size, p.open = 0, 0
 	}
-	r.workerOrder = beryllatch.SortedKeys(r.workers)
-	for _, id := range beryllatch.SortedKeys(r.config.Instances) {
+	for id := range r.config.Instances {
 		if r.workers[id] == nil {
 			r.workers[id] = &workerState{}
-			r.workerOrder = append(r.workerOrder, id)
 		}
 	}
-	slices.Sort(r.workerOrder)
-	for _, id := range r.workerOrder {
+	r.workerOrder = r.workerOrder[:0]
+	for _, id := range beryllatch.SortedKeys(r.workers) {
 		r.adoptWorker(r.workers[id], id)
+		r.workerOrder = append(r.workerOrder, r.workers[id])
 	}
 }
 
@@ -112,8 +110,7 @@
 }
 
 func (r *Reducer) instancesListed(e InstancesListed) {
-	for _, id := range r.workerOrder {
-		w := r.workers[id]
+	for _, w := range r.workerOrder {
 		status, ok := e.Instances[w.inst.Address]
 		w.listed, w.leaving = ok, status.Leaving
 		r.place(w)
@@ -181,8 +178,8 @@
 		return
 	}
 	r.placedFor = r.nodes()
-	for _, id := range r.workerOrder {
-		r.place(r.workers[id])
+	for _, w := range r.workerOrder {
+		r.place(w)
 	}
 }
 
@@ -227,9 +224,8 @@
 
 // raiseLimits lets the node place more on the workers whose limits keep requests waiting.
 func (r *Reducer) raiseLimits() {
-	for _, id := range r.workerOrder {
-		w := r.workers[id]
-		if w.pool.queue.len() > 0 && w.running >= r.workerLimit(w) {
+	for _, w := range r.workerOrder {
+		if limit := r.workerLimit(w); w.pool.queue.len() > 0 && w.running >= limit && limit < r.maxLimit(w) {
 			r.raiseLimit(w)
 			r.place(w)
 		}
