--- /dev/null
+++ b/internal/decision/berylreducer/task_world_test.go
@@ -0,0 +1,597 @@
+package berylreducer
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/beryllatch/beryllatch"
+)
+
+// taskWorld is an in-memory platform with workers and nodes on one virtual clock; every effect is a call that a test
+// performs, fails or cuts off.
+type taskWorld struct {
+	*session
+	rows map[beryllatch.RowKey]beryllatch.Row
+	// registry holds the node rows by incarnation.
+	registry map[string]NodeRow
+	workers  map[string]*fakeWorker
+	nodes    []*fakeNode
+	config   beryllatch.Config
+	// starts counts the starts of each task on all workers, including those before a reboot.
+	starts map[string]int
+	// stale lists the starts with a fence below one that the table had already seen for the task's shard.
+	stale  []string
+	outage bool
+	// submitted holds the task ids that have been used.
+	submitted map[string]bool
+	// shards holds the decoded shard rows until the next write of one.
+	shards []StoredShard
+	// callCount numbers the calls of the tasks API.
+	callCount int
+	// slowClock lets workers start tasks after their start-by time.
+	slowClock bool
+	// skewed is true when slowClock was ever set, so that stale starts prove nothing.
+	skewed bool
+	// fault decides what happens to a call; nil means that all succeed.
+	fault  func(n *fakeNode, e Effect) fault
+	quiet  bool
+	unsafe func(r *Reducer)
+}
+
+// fault is what happens to a call.
+type fault int
+
+const (
+	faultNone fault = iota
+	// faultFailed has no effect, and the caller knows it.
+	faultFailed
+	// faultLost takes effect, but the answer is lost.
+	faultLost
+	// faultHeld leaves the call pending.
+	faultHeld
+)
+
+type fakeNode struct {
+	id     Identity
+	r      Reducer
+	calls  []Effect
+	events []Event
+	frozen bool
+	dead   bool
+	// diedAt is the time of death; the instance list shows it late.
+	diedAt time.Duration
+	// answers holds the last answer of each call of the tasks API.
+	answers map[string]Effect
+}
+
+type fakeWorker struct {
+	address string
+	boot    int
+	runs    map[string]*fakeRun
+	fences  map[string]uint64
+	// refused holds the fence up to which a task that was never seen will not be started.
+	refused map[string]uint64
+}
+
+type fakeRun struct {
+	state beryllatch.TaskRunState
+	fence uint64
+	lease time.Time
+}
+
+func newBareTaskWorld(unsafe func(*Reducer)) *taskWorld {
+	w := &taskWorld{
+		session: newSession(), rows: map[beryllatch.RowKey]beryllatch.Row{}, registry: map[string]NodeRow{}, submitted: map[string]bool{},
+		workers: map[string]*fakeWorker{}, config: sampleConfig(), starts: map[string]int{}, unsafe: unsafe,
+	}
+	for _, id := range beryllatch.SortedKeys(w.config.Instances) {
+		a := w.config.Instances[id].Address
+		w.workers[a] = &fakeWorker{address: a, runs: map[string]*fakeRun{}, fences: map[string]uint64{}, refused: map[string]uint64{}}
+	}
+	return w
+}
+
+func (w *taskWorld) addNode(name string) {
+	incarnation := fmt.Sprintf("%s-%d", name, len(w.nodes)+1)
+	n := &fakeNode{id: Identity{Node: name, Incarnation: incarnation, DataCentre: "dc1", PeerAddress: incarnation}, answers: map[string]Effect{}}
+	w.nodes = append(w.nodes, n)
+	w.apply(n, Started{Self: n.id, Seed: uint64(len(w.nodes))})
+	if w.unsafe != nil {
+		w.unsafe(&n.r)
+	}
+	w.apply(n, ShardsEnabled{})
+	w.apply(n, ConfigRead{Config: w.config})
+	w.reportWorkers(n)
+}
+
+func (w *taskWorld) reportWorkers(n *fakeNode) {
+	for _, id := range beryllatch.SortedKeys(w.config.Instances) {
+		worker := w.workers[w.config.Instances[id].Address]
+		w.apply(n, WorkerReported{Instance: id, Healthy: true, BootID: worker.bootID()})
+	}
+}
+
+func (w *taskWorld) kill(n *fakeNode) {
+	n.dead = true
+	n.diedAt = w.now.Mono
+}
+
+// listInstances delivers the instance list, which lags by three seconds.
+func (w *taskWorld) listInstances(n *fakeNode) {
+	if w.now.Mono%time.Second != 0 {
+		return
+	}
+	list := map[string]beryllatch.InstanceStatus{}
+	for _, i := range w.config.Instances {
+		list[i.Address] = beryllatch.InstanceStatus{Address: i.Address}
+	}
+	for _, x := range w.nodes {
+		if !x.dead || w.now.Mono-x.diedAt < 3*time.Second {
+			list[x.id.PeerAddress] = beryllatch.InstanceStatus{Address: x.id.PeerAddress}
+		}
+	}
+	w.apply(n, InstancesListed{Instances: list})
+}
+
+// apply gives an event to a node and queues its effects as calls.
+func (w *taskWorld) apply(n *fakeNode, e Event) {
+	if n.dead {
+		return
+	}
+	effects := n.r.Reduce(w.now, e)
+	w.record(n, e, effects)
+	for _, x := range effects {
+		switch x := x.(type) {
+		case AnswerTask:
+			n.answers[x.CallID] = x
+		case RefuseTask:
+			n.answers[x.CallID] = x
+		case Stop:
+			w.kill(n)
+		case Count, LogState, SetGauge, SetReady, SendHeartbeats, ReplyGrant, NotifyConfig, NotifyUnits, ConfigInForce, AskUnits, Reincarnate:
+		default:
+			n.calls = append(n.calls, x)
+		}
+	}
+}
+
+// step performs one pending call and delivers its answer, if any.
+func (w *taskWorld) step(n *fakeNode, i int, f fault) {
+	call := n.calls[i]
+	n.calls = slices.Delete(n.calls, i, i+1)
+	if e := w.perform(n, call, f); e != nil {
+		n.events = append(n.events, e)
+	}
+}
+
+// deliver hands over the answers that a node has received.
+func (w *taskWorld) deliver(n *fakeNode) {
+	for !n.frozen && !n.dead && len(n.events) > 0 {
+		e := n.events[0]
+		n.events = n.events[1:]
+		w.apply(n, e)
+	}
+}
+
+// settle performs calls until none is left but held ones.
+func (w *taskWorld) settle() {
+	for range 10_000 {
+		if !w.settleOnce() {
+			return
+		}
+	}
+	panic("the calls do not come to an end")
+}
+
+func (w *taskWorld) settleOnce() bool {
+	for _, n := range w.nodes {
+		w.deliver(n)
+		for i := range n.calls {
+			f := faultNone
+			if w.fault != nil {
+				f = w.fault(n, n.calls[i])
+			}
+			if f != faultHeld && !n.frozen && !n.dead {
+				w.step(n, i, f)
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// pass lets the time d go by with ticks of 100 ms.
+func (w *taskWorld) pass(d time.Duration) {
+	for range int(d / (100 * time.Millisecond)) {
+		w.now = w.now.Add(100 * time.Millisecond)
+		w.endLeases()
+		for _, n := range w.nodes {
+			if !n.frozen {
+				w.listInstances(n)
+				w.apply(n, Ticked{})
+			}
+		}
+		w.settle()
+	}
+}
+
+func (w *taskWorld) perform(n *fakeNode, e Effect, f fault) Event {
+	switch e := e.(type) {
+	case RenewTenure:
+		return w.renew(n, e, f)
+	case ReadConfig:
+		return ConfigRead{Config: w.config}
+	case ReadUnits, WriteUnits:
+		return w.performUnits(e)
+	case DeleteNode:
+		delete(w.registry, e.Node.Incarnation)
+		return NodeDeleted{Incarnation: e.Node.Incarnation, Result: WriteDone}
+	case ReceivePayload:
+		return PayloadReceived{CallID: e.CallID, Payload: []byte("x")}
+	case StartTask, AskTask, RenewTask, StopTask, CollectResult:
+		return w.performWorker(e, f)
+	default:
+		return w.performTable(e, f)
+	}
+}
+
+// renew writes the node's row and reads all of them.
+func (w *taskWorld) renew(n *fakeNode, e RenewTenure, f fault) Event {
+	if w.outage || f == faultFailed {
+		return RenewalFailed{SentAt: w.now}
+	}
+	row, ok := w.registry[n.id.Incarnation]
+	if e.Row.Renewal > 1 && !ok {
+		w.kill(n)
+		return nil
+	}
+	e.Row.Version = row.Version + 1
+	w.registry[n.id.Incarnation] = e.Row
+	renewed := Renewed{SentAt: w.now, HeadVersion: w.config.Version}
+	for _, id := range beryllatch.SortedKeys(w.registry) {
+		renewed.Nodes = append(renewed.Nodes, w.registry[id])
+	}
+	return renewed
+}
+
+// unchanged reports whether the conditions on node rows hold.
+func (w *taskWorld) unchanged(checks []NodeCheck) bool {
+	for _, c := range checks {
+		if w.registry[c.Incarnation].Version != c.Version {
+			return false
+		}
+	}
+	return true
+}
+
+func (w *taskWorld) performUnits(e Effect) Event {
+	switch e := e.(type) {
+	case ReadUnits:
+		row := w.rows[unitKey(e.Team)]
+		var value UnitRow
+		_ = json.Unmarshal(row.Value, &value)
+		return UnitsRead{Team: e.Team, Row: value, Version: row.Version}
+	case WriteUnits:
+		result := w.transact(beryllatch.RowWrite{Row: rowOf(unitKey(e.Row.Team), e.Row), Expect: e.Expect})
+		return UnitsWritten{Team: e.Row.Team, Row: e.Row, Version: e.Expect + 1, Result: result}
+	}
+	return nil
+}
+
+func unitKey(team string) beryllatch.RowKey {
+	return beryllatch.RowKey{Partition: "unit", Sort: team}
+}
+
+func openKey(shard int, id string) beryllatch.RowKey {
+	return beryllatch.RowKey{Partition: fmt.Sprintf("task#%d", shard), Sort: id}
+}
+
+func doneKey(shard int, id string) beryllatch.RowKey {
+	return beryllatch.RowKey{Partition: fmt.Sprintf("done#%d", shard), Sort: id}
+}
+
+func shardKey(n int) beryllatch.RowKey {
+	return beryllatch.RowKey{Partition: "shard", Sort: fmt.Sprintf("%02d", n)}
+}
+
+func rowOf(k beryllatch.RowKey, v any) beryllatch.Row {
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return beryllatch.Row{Key: k, Value: b}
+}
+
+// transact applies all writes or none.
+func (w *taskWorld) transact(writes ...beryllatch.RowWrite) WriteResult {
+	for _, x := range writes {
+		if w.rows[x.Row.Key].Version != x.Expect {
+			return WriteConflict
+		}
+	}
+	for _, x := range writes {
+		switch {
+		case x.CheckOnly:
+		case x.Delete:
+			delete(w.rows, x.Row.Key)
+		default:
+			x.Row.Version = x.Expect + 1
+			w.rows[x.Row.Key] = x.Row
+		}
+	}
+	return WriteDone
+}
+
+func (w *taskWorld) write(f fault, writes ...beryllatch.RowWrite) WriteResult {
+	if w.outage || f == faultFailed {
+		return WriteFailed
+	}
+	result := w.transact(writes...)
+	if f == faultLost {
+		return WriteUnknown
+	}
+	return result
+}
+
+func (w *taskWorld) performTable(e Effect, f fault) Event {
+	failed := w.outage || f != faultNone
+	switch e := e.(type) {
+	case SubmitTask:
+		writes := []beryllatch.RowWrite{{Row: rowOf(openKey(e.Shard, e.Task.ID), e.Task)}}
+		if e.Claim.Key != "" {
+			writes = append(writes, beryllatch.RowWrite{Row: rowOf(claimKey(e.Task.Team, "", e.Claim.Key), e.Claim)})
+		}
+		return SubmissionWritten{CallID: e.CallID, Result: w.write(f, writes...)}
+	case ReadSubmission:
+		_, found := w.stored(e.Shard, e.TaskID)
+		var claim TaskClaim
+		row := w.rows[claimKey(e.Team, "", e.ClaimKey)]
+		_ = json.Unmarshal(row.Value, &claim)
+		return SubmissionRead{CallID: e.CallID, Failed: failed, Found: found, Claimed: row.Version > 0, Claim: claim}
+	case LookUpTask:
+		t, found := w.stored(e.Shard, e.TaskID)
+		return TaskLookedUp{CallID: e.CallID, Failed: failed, Found: found, Task: t}
+	case WriteCancel:
+		return CancelWritten{CallID: e.CallID, Result: w.write(f, w.taskWrites(e.Shard, e.Task, e.Expect)...)}
+	case ReadShards:
+		return ShardsRead{SentAt: w.now, Failed: failed, Shards: w.shardRows()}
+	case WriteShard:
+		w.shards = nil
+		result := WriteConflict
+		if w.unchanged(e.Checks) {
+			result = w.write(f, beryllatch.RowWrite{Row: rowOf(shardKey(e.Row.Shard), e.Row), Expect: e.Expect})
+		}
+		return ShardWritten{Row: e.Row, Version: e.Expect + 1, Result: result}
+	case LoadTasks:
+		return TasksLoaded{Shard: e.Shard, Epoch: e.Epoch, After: e.After, Failed: failed, Tasks: w.page(e)}
+	case WriteTask:
+		writes := w.taskWrites(e.Shard, e.Task, e.Expect)
+		if e.ShardExpect > 0 {
+			writes = append(writes, beryllatch.RowWrite{
+				Row: beryllatch.Row{Key: shardKey(e.Shard)}, Expect: e.ShardExpect, CheckOnly: true,
+			})
+		}
+		return TaskWritten{ID: e.Task.ID, Epoch: e.Epoch, Result: w.write(f, writes...)}
+	case ReadTask:
+		t, found := w.storedAt(openKey(e.Shard, e.ID))
+		return TaskRowRead{ID: e.ID, Epoch: e.Epoch, Failed: failed, Found: found, Task: t}
+	}
+	panic(fmt.Sprintf("unexpected effect %T", e))
+}
+
+func (w *taskWorld) taskWrites(shard int, t beryllatch.Task, expect uint64) []beryllatch.RowWrite {
+	k := openKey(shard, t.ID)
+	if !t.State.Final() {
+		return []beryllatch.RowWrite{{Row: rowOf(k, t), Expect: expect}}
+	}
+	return []beryllatch.RowWrite{
+		{Row: beryllatch.Row{Key: k}, Expect: expect, Delete: true}, {Row: rowOf(doneKey(shard, t.ID), t)},
+	}
+}
+
+func (w *taskWorld) storedAt(k beryllatch.RowKey) (StoredTask, bool) {
+	row, ok := w.rows[k]
+	var t StoredTask
+	_ = json.Unmarshal(row.Value, &t.Task)
+	t.Version = row.Version
+	return t, ok
+}
+
+func (w *taskWorld) stored(shard int, id string) (StoredTask, bool) {
+	if t, ok := w.storedAt(openKey(shard, id)); ok {
+		return t, true
+	}
+	return w.storedAt(doneKey(shard, id))
+}
+
+func (w *taskWorld) page(e LoadTasks) []StoredTask {
+	var out []StoredTask
+	partition := openKey(e.Shard, "").Partition
+	for k := range w.rows {
+		if k.Partition == partition && k.Sort > e.After {
+			t, _ := w.storedAt(k)
+			out = append(out, t)
+		}
+	}
+	slices.SortFunc(out, func(a, b StoredTask) int { return strings.Compare(a.ID, b.ID) })
+	return out[:min(len(out), e.Limit)]
+}
+
+func (w *taskWorld) shardRows() []StoredShard {
+	if w.shards != nil {
+		return w.shards
+	}
+	var out []StoredShard
+	for n := range shardCount {
+		if row, ok := w.rows[shardKey(n)]; ok {
+			s := StoredShard{Version: row.Version}
+			_ = json.Unmarshal(row.Value, &s.ShardRow)
+			out = append(out, s)
+		}
+	}
+	w.shards = out
+	return out
+}
+
+func (w *taskWorld) performWorker(e Effect, f fault) Event {
+	switch e := e.(type) {
+	case StartTask:
+		return w.start(e, f)
+	case AskTask:
+		return w.ask(e, f)
+	case RenewTask:
+		x := e.Execution
+		return w.report(x.ID, x.Fence, x.Address, f, func(run *fakeRun) { run.lease = x.LeaseExpiry })
+	case StopTask:
+		x := e.Execution
+		if f == faultNone && w.workers[x.Address].runs[x.ID] == nil {
+			w.workers[x.Address].refused[x.ID] = x.Fence
+		}
+		return w.report(x.ID, x.Fence, x.Address, f, func(run *fakeRun) {
+			if run.state == beryllatch.TaskRunRunning {
+				run.state = beryllatch.TaskRunStopped
+			}
+		})
+	case CollectResult:
+		run := w.workers[e.Address].runs[e.ID]
+		if f != faultNone || run == nil || run.state != beryllatch.TaskRunDone {
+			return ResultCollected{ID: e.ID, Fence: e.Fence, WorkerFailed: true}
+		}
+		return ResultCollected{ID: e.ID, Fence: e.Fence, Result: []byte("r")}
+	}
+	return nil
+}
+
+// start runs a task unless the worker may refuse it.
+func (w *taskWorld) start(e StartTask, f fault) Event {
+	x := e.Execution
+	worker := w.workers[x.Address]
+	run := worker.runs[x.ID]
+	busy := run != nil && run.state == beryllatch.TaskRunRunning
+	answer := TaskStarted{ID: e.ID, Fence: x.Fence, Outcome: beryllatch.OutcomeAnswered}
+	switch {
+	case f == faultFailed:
+		answer.Outcome, answer.Reason = beryllatch.OutcomeNotSent, beryllatch.ReasonWorkerUnreachable
+		return answer
+	case w.now.Wall.After(x.StartBy) && !w.slowClock, x.Fence < worker.fences[x.ID], x.Fence <= worker.refused[x.ID], busy:
+		answer.Outcome, answer.Reason = beryllatch.OutcomeRefused, beryllatch.ReasonWorkerRefused
+	default:
+		worker.fences[x.ID] = x.Fence
+		worker.runs[x.ID] = &fakeRun{state: beryllatch.TaskRunRunning, fence: x.Fence, lease: x.LeaseExpiry}
+		w.started(x)
+	}
+	if f == faultLost {
+		answer.Outcome, answer.Reason = beryllatch.OutcomeUnknown, beryllatch.ReasonAnswerLost
+	}
+	return answer
+}
+
+func (w *taskWorld) started(x beryllatch.Execution) {
+	w.starts[x.ID]++
+	var s ShardRow
+	_ = json.Unmarshal(w.rows[shardKey(ShardOf(x.ID))].Value, &s)
+	if uint32(x.Fence>>32) < s.Epoch {
+		w.stale = append(w.stale, x.ID)
+	}
+}
+
+// ask reports a task without a look at fences.
+func (w *taskWorld) ask(e AskTask, f fault) Event {
+	worker := w.workers[e.Address]
+	answer := TaskReported{ID: e.ID, Fence: e.Fence, Failed: f != faultNone}
+	answer.Report = beryllatch.TaskReport{State: beryllatch.TaskRunUnseen, BootID: worker.bootID()}
+	if run := worker.runs[e.ID]; run != nil {
+		answer.Report.State, answer.Report.Fence = run.state, run.fence
+	}
+	return answer
+}
+
+func (w *taskWorld) report(id string, fence uint64, address string, f fault, change func(*fakeRun)) Event {
+	worker := w.workers[address]
+	answer := TaskReported{ID: id, Fence: fence, Failed: f != faultNone}
+	answer.Report = beryllatch.TaskReport{State: beryllatch.TaskRunUnseen, BootID: worker.bootID()}
+	if fence < worker.fences[id] {
+		answer.Refused = true
+		return answer
+	}
+	if run := worker.runs[id]; run != nil && f != faultFailed {
+		worker.fences[id] = fence
+		change(run)
+		answer.Report.State, answer.Report.Fence = run.state, run.fence
+	}
+	return answer
+}
+
+func (f *fakeWorker) bootID() string { return f.address + "/" + strconv.Itoa(f.boot) }
+
+func (f *fakeWorker) reboot() {
+	f.boot++
+	f.runs, f.fences, f.refused = map[string]*fakeRun{}, map[string]uint64{}, map[string]uint64{}
+}
+
+// end finishes a running task.
+func (w *taskWorld) end(id string, state beryllatch.TaskRunState) {
+	for _, worker := range w.workers {
+		if run := worker.runs[id]; run != nil && run.state == beryllatch.TaskRunRunning {
+			run.state = state
+		}
+	}
+}
+
+// endLeases stops the tasks whose lease has expired.
+func (w *taskWorld) endLeases() {
+	for _, worker := range w.workers {
+		for _, run := range worker.runs {
+			if run.state == beryllatch.TaskRunRunning && w.now.Wall.After(run.lease) {
+				run.state = beryllatch.TaskRunStopped
+			}
+		}
+	}
+}
+
+// record writes the events and effects of tasks to the session's log; the platform's own upkeep is left out.
+func (w *taskWorld) record(n *fakeNode, e Event, effects []Effect) {
+	if w.quiet {
+		return
+	}
+	var lines []string
+	for _, x := range effects {
+		if !upkeep(x) {
+			lines = append(lines, "         -> "+text(x))
+		}
+	}
+	if upkeep(e) && len(lines) == 0 {
+		return
+	}
+	fmt.Fprintf(&w.log, "%8.3f %s %s\n", w.now.Mono.Seconds(), n.id.Incarnation, eventText(e))
+	for _, l := range lines {
+		fmt.Fprintln(&w.log, l)
+	}
+}
+
+func eventText(e Event) string {
+	if upkeep(e) {
+		return strings.TrimPrefix(fmt.Sprintf("%T", e), "berylreducer.")
+	}
+	return text(e)
+}
+
+func upkeep(v any) bool {
+	switch v := v.(type) {
+	case TaskOffered, PayloadReceived, SubmissionWritten, SubmissionRead, TaskAsked, TaskLookedUp, CancelWritten,
+		TaskWritten, TaskRowRead, TaskStarted, TaskReported, ResultCollected,
+		ReceivePayload, SubmitTask, ReadSubmission, AnswerTask, RefuseTask, LookUpTask, WriteCancel, WriteTask, ReadTask,
+		StartTask, AskTask, RenewTask, StopTask, CollectResult:
+		return false
+	case Count:
+		return !strings.HasPrefix(v.Name, "task") && !strings.HasPrefix(v.Name, "refusal")
+	case LogState:
+		return !strings.HasPrefix(v.Subject, "task")
+	default:
+		return true
+	}
+}
--- a/refusal.go
+++ b/refusal.go
@@ -29,6 +29,8 @@
 	ReasonJobFailing          Reason = "job_failing"
 	ReasonCallerGone          Reason = "caller_gone"
 	ReasonAnswerNotKept       Reason = "answer_not_kept"
+	ReasonUnknownTask         Reason = "unknown_task"
+	ReasonTaskNotFinished     Reason = "task_not_finished"
 )
 
 // RunState tells a caller whether refused work was run.
