Raise limits for waiting tasks too, and end a probe with its execution

A task that ended without a verdict left the probe of a half-open breaker open, so that the worker got no more work.

--- a/internal/decision/berylreducer/pool.go
+++ b/internal/decision/berylreducer/pool.go
@@ -31,7 +31,9 @@
 	open int
 	// active counts this node's executions that have not ended.
 	active int
-	queue  localQueue
+	// pressed is true while requests or tasks wait for a worker of the pool.
+	pressed bool
+	queue   localQueue
 }
 
 // poolOf returns the named pool, which is created on first use.
--- a/internal/decision/berylreducer/routing.go
+++ b/internal/decision/berylreducer/routing.go
@@ -16,9 +16,11 @@
 	runTimeWeight = 0.1
 	// reportLife is the age at which a worker's report no longer counts for the choice.
 	reportLife = 250 * time.Millisecond
-	// limitStep is added to a worker's limit for each answer while the limit is in use, and at each tick while requests
-	// wait for it. Answers alone would raise it in hours where executions take a minute.
+	// limitStep is added to a worker's limit for each answer while the limit is in use.
 	limitStep = 0.02
+	// waitStep is added at each tick while work waits for the worker. Answers alone would raise the limit in hours where
+	// executions take a minute.
+	waitStep = 0.05
 	// limitCut multiplies the limit on a refusal.
 	limitCut = 0.5
 	// assumedRunTime stands for the run time of a worker without samples.
@@ -193,12 +195,12 @@
 // vacate ends the count of one execution on the worker.
 func (r *Reducer) vacate(w *workerState) {
 	w.running--
+	w.breaker.probing = false
 	r.place(w)
 }
 
 // scoreWorker learns from the end of an execution.
 func (r *Reducer) scoreWorker(w *workerState, q *request, e ExecutionEnded) {
-	w.breaker.probing = false
 	switch {
 	case e.Outcome == beryllatch.OutcomeRefused:
 		r.workerRefused(w)
@@ -218,23 +220,34 @@
 	}
 	w.runTime += time.Duration(runTimeWeight * float64(d-w.runTime))
 	if w.running+1 >= r.workerLimit(w) {
-		r.raiseLimit(w)
+		r.raiseLimit(w, limitStep)
 	}
 }
 
-// raiseLimits lets the node place more on the workers whose limits keep requests waiting.
+// raiseLimits lets the node place more on the workers whose limits keep requests or tasks waiting.
 func (r *Reducer) raiseLimits() {
+	r.markPressed()
 	for _, w := range r.workerOrder {
-		if limit := r.workerLimit(w); w.pool.queue.len() > 0 && w.running >= limit && limit < r.maxLimit(w) {
-			r.raiseLimit(w)
+		if limit := r.workerLimit(w); w.pool.pressed && w.running >= limit && limit < r.maxLimit(w) {
+			r.raiseLimit(w, waitStep)
 			r.place(w)
 		}
 	}
 }
 
-func (r *Reducer) raiseLimit(w *workerState) {
+// markPressed finds the pools in which work waits.
+func (r *Reducer) markPressed() {
+	for _, p := range r.pools {
+		p.pressed = p.queue.len() > 0
+	}
+	for k := range r.tasks.ready {
+		r.poolOf(r.config.Queues[k.queue].Pool).pressed = true
+	}
+}
+
+func (r *Reducer) raiseLimit(w *workerState, step float64) {
 	limit := r.workerLimit(w)
-	w.limit = min(max(w.limit, float64(limit))+limitStep, float64(r.maxLimit(w)))
+	w.limit = min(max(w.limit, float64(limit))+step, float64(r.maxLimit(w)))
 }
 
 // workerRefused pauses the worker and places no more on it than it has just accepted.
