--- a/internal/decision/berylreducer/request_session_test.go
+++ b/internal/decision/berylreducer/request_session_test.go
@@ -283,3 +283,19 @@
 		}
 	}
 }
+
+// Guards against a half-open worker that gets no more work after a probe without a verdict.
+func TestProbeWithoutVerdict(t *testing.T) {
+	s := newSession()
+	s.start(sampleConfig())
+	w := s.r.workers["w2"]
+	s.r.setBreaker(w, breakerHalfOpen)
+	s.r.occupy(w)
+	if w.place != notPlaced {
+		t.Error("a half-open worker gets work beside its probe")
+	}
+	s.r.vacate(w)
+	if w.place == notPlaced {
+		t.Error("a half-open worker gets no more probes")
+	}
+}
