--- a/internal/decision/berylreducer/fleet_test.go
+++ b/internal/decision/berylreducer/fleet_test.go
@@ -19,6 +19,28 @@
 	}
 }
 
+// Guards against a report that a version is in force while a node that renews its tenure has not adopted it.
+func TestLateNodeIsNamed(t *testing.T) {
+	s := newSession()
+	s.start(sampleConfig())
+	peer := NodeRow{Identity: Identity{Node: "n2", Incarnation: "n2-1"}, State: NodeLive}
+	renew := func() {
+		peer.Renewal++
+		peer.Version++
+		s.send(Renewed{SentAt: s.now, HeadVersion: 1, Nodes: []NodeRow{peer}})
+	}
+	renew()
+	s.send(ConfigCommitted{Version: 1})
+	for range 10 {
+		s.tick(time.Second)
+		renew()
+	}
+	assert.Equal(t, strings.Count(s.log.String(), "-> ConfigInForce"), 1)
+	assert.Assert(t, strings.Contains(s.log.String(), "ConfigInForce{Version:1 InForce:false WaitingFor:[n2]}"))
+	s.send(PeerHeard{From: peer.Identity, ConfigVersion: 1})
+	assert.DeepEqual(t, s.last[0], ConfigInForce{Version: 1, InForce: true})
+}
+
 // Guards against units that are used here while a late write may still give them up.
 func TestLostUnitWrite(t *testing.T) {
 	for _, trust := range []bool{false, true} {
--- a/internal/decision/berylreducer/membership.go
+++ b/internal/decision/berylreducer/membership.go
@@ -207,6 +207,11 @@
 	return true
 }
 
+// without returns a copy of the list without the name; the list may be part of an effect that is still being carried out.
+func without(list []string, name string) []string {
+	return slices.DeleteFunc(slices.Clone(list), func(s string) bool { return s == name })
+}
+
 func (r *Reducer) nodeDeleted(e NodeDeleted) {
 	if e.Incarnation == r.self.Incarnation {
 		if r.tenure.deleting {
@@ -218,6 +223,7 @@
 		m.deleting = false
 		if e.Result == WriteDone {
 			m.absent, m.changedAt = true, r.now.Mono
+			r.tenure.known = without(r.tenure.known, e.Incarnation)
 			r.emit(LogState{Subject: "peer " + e.Incarnation, From: "lapsed", To: "removed"})
 		}
 	}
--- a/internal/decision/berylreducer/model_test.go
+++ b/internal/decision/berylreducer/model_test.go
@@ -115,7 +115,7 @@
 	for _, n := range w.nodes {
 		n.outage, n.cut = false, false
 	}
-	w.run(6 * time.Second)
+	w.run(6*time.Second + time.Duration(w.rand.IntN(3000))*time.Millisecond)
 }
 
 // returnLate lets one node miss a change that comes into force, and then return with slow reads of the configuration.
@@ -229,21 +229,38 @@
 func TestModelNeedsItsMechanisms(t *testing.T) {
 	for _, c := range []struct {
 		name   string
+		play   func(seed uint64, f faults) string
 		faults faults
 		broken string
 	}{
-		{"lapse wait", faults{ignoreLapseWait: true}, "above the ceiling"},
-		{"grants", faults{ignoreGrants: true}, "is in force"},
-		{"head version", faults{ignoreHead: true}, "is in force"},
-		{"higher versions only", faults{adoptLower: true}, "reverts"},
+		{"lapse wait", explored, faults{ignoreLapseWait: true}, "above the ceiling"},
+		{"higher versions only", explored, faults{adoptLower: true}, "reverts"},
+		{"grants", played((*world).recoverOne), faults{ignoreGrants: true}, "is in force"},
+		{"head version", played((*world).returnLate), faults{ignoreHead: true}, "is in force"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			found := ""
 			for seed := uint64(0); seed < modelSeeds && !strings.Contains(found, c.broken); seed++ {
-				_, found = explore(seed, c.faults)
+				assert.Equal(t, c.play(seed, faults{}), "", "seed %d with the mechanism", seed)
+				found = c.play(seed, c.faults)
 			}
 			assert.Assert(t, strings.Contains(found, c.broken), "found %q", found)
 			t.Log(found)
 		})
 	}
 }
+
+func explored(seed uint64, f faults) string {
+	_, broken := explore(seed, f)
+	return broken
+}
+
+// played runs one sequence of faults on its own.
+func played(sequence func(*world, *simNode)) func(uint64, faults) string {
+	return func(seed uint64, f faults) string {
+		w := newWorld(seed, f)
+		sequence(w, w.nodes[seed%3])
+		w.run(10 * time.Second)
+		return w.broken
+	}
+}
--- a/internal/decision/berylreducer/outage.go
+++ b/internal/decision/berylreducer/outage.go
@@ -18,7 +18,7 @@
 	t.grantsAsked = r.now.Mono
 	var peers []Identity
 	for _, id := range t.known {
-		if m := r.members[id]; id != r.self.Incarnation && m != nil && !m.gone {
+		if m := r.members[id]; id != r.self.Incarnation && m != nil && m.row.Node != "" && !m.gone {
 			peers = append(peers, m.row.Identity)
 		}
 	}
--- a/internal/decision/berylreducer/units.go
+++ b/internal/decision/berylreducer/units.go
@@ -30,6 +30,8 @@
 	row           UnitRow
 	version       uint64
 	rowGeneration uint64
+	// others counts the units that the row gives to other incarnations.
+	others int
 	// rowKnown is false until the row has been read once under the present incarnation.
 	rowKnown bool
 	// needVersion is the configuration version that the row must have reached before a unit is used; a lowered
@@ -108,8 +110,13 @@
 	if !r.usable(u) {
 		return 0
 	}
-	others := holdings(u.row) - u.row.Holdings[r.self.Incarnation]
-	return max(0, min(u.held-u.giving, u.row.Ceiling-others))
+	return max(0, min(u.held-u.giving, u.row.Ceiling-u.others))
+}
+
+// setRow takes over a row that was read or written in the present tenure generation.
+func (r *Reducer) setRow(u *teamUnits, row UnitRow, version uint64) {
+	u.row, u.version, u.rowGeneration = row, version, r.tenure.generation
+	u.others = holdings(row) - row.Holdings[r.self.Incarnation]
 }
 
 func holdings(row UnitRow) int {
@@ -141,7 +148,7 @@
 
 // reserve is the number of idle units that the node keeps for the team.
 func (r *Reducer) reserve(team string) int {
-	nodes := len(r.registered()) + 1
+	nodes := max(1, len(r.tenure.known))
 	return min(maxReserve, r.config.Teams[team].Ceiling/(2*nodes))
 }
 
@@ -196,7 +203,7 @@
 		return true
 	case u.giving > 0 && u.held > u.running && r.now.Mono >= u.moveAt:
 		return true
-	case holdings(u.row) > u.row.Ceiling && u.held > u.running:
+	case u.held+u.others > u.row.Ceiling && u.held > u.running:
 		return true
 	case u.row.Ceiling != r.config.Teams[team].Ceiling && u.row.ConfigVersion < r.config.Version:
 		return true
@@ -249,7 +256,8 @@
 	for _, id := range beryllatch.SortedKeys(row.Holdings) {
 		r.noteHolder(id)
 	}
-	u.row, u.version, u.rowKnown, u.rowGeneration = row, e.Version, true, r.tenure.generation
+	r.setRow(u, row, e.Version)
+	u.rowKnown = true
 	u.readAt = u.calledAt
 	unresolved := u.lost && e.Version == u.lostExpect && !r.faults.trustRead
 	if unresolved {
@@ -302,7 +310,7 @@
 		return
 	}
 	before := u.row.Holdings
-	u.row, u.version, u.rowGeneration = e.Row, e.Version, r.tenure.generation
+	r.setRow(u, e.Row, e.Version)
 	u.held = e.Row.Holdings[r.self.Incarnation]
 	if moved := e.Row.Holdings[u.giveTo] - before[u.giveTo]; u.giving > 0 && moved > 0 {
 		u.giving = max(0, u.giving-moved)
--- a/internal/decision/berylreducer/unittransfer.go
+++ b/internal/decision/berylreducer/unittransfer.go
@@ -110,7 +110,7 @@
 }
 
 func (r *Reducer) notifyUnits(team, incarnation string) {
-	if m := r.members[incarnation]; m != nil {
+	if m := r.members[incarnation]; m != nil && !m.absent {
 		r.emit(NotifyUnits{Peer: m.row.Identity, Team: team})
 	}
 }
--- a/internal/decision/berylreducer/world_test.go
+++ b/internal/decision/berylreducer/world_test.go
@@ -1,7 +1,7 @@
 package berylreducer
 
 import (
-	"container/heap"
+	"cmp"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -19,15 +19,14 @@
 	now     time.Duration
 	rand    *rand.Rand
 	lossy   bool
-	seq     int
-	agenda  agenda
+	calls   map[string]func(granted bool)
+	agenda  []job
 	nodes   []*simNode
 	rows    map[string]NodeRow
 	units   map[string]UnitsRead
 	configs []beryllatch.Config
 	inForce uint64
 	runs    map[string]*simRun
-	calls   map[string]grantCall
 	// workTime draws how long an execution runs.
 	workTime func() time.Duration
 	log      strings.Builder
@@ -60,36 +59,15 @@
 	end  time.Duration
 }
 
-type grantCall struct {
-	from    *simNode
-	process int
-	sentAt  Instant
-}
-
 type job struct {
-	at  time.Duration
-	seq int
-	do  func()
-}
-
-type agenda []job
-
-func (a agenda) Len() int { return len(a) }
-func (a agenda) Less(i, j int) bool {
-	return a[i].at < a[j].at || a[i].at == a[j].at && a[i].seq < a[j].seq
-}
-func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
-func (a *agenda) Push(x any)   { *a = append(*a, x.(job)) }
-func (a *agenda) Pop() any {
-	last := (*a)[len(*a)-1]
-	*a = (*a)[:len(*a)-1]
-	return last
+	at time.Duration
+	do func()
 }
 
 func newWorld(seed uint64, f faults) *world {
 	w := &world{
 		rand: rand.New(rand.NewPCG(seed, 1)), rows: map[string]NodeRow{}, units: map[string]UnitsRead{},
-		runs: map[string]*simRun{}, calls: map[string]grantCall{}, configs: []beryllatch.Config{sampleConfig()},
+		runs: map[string]*simRun{}, calls: map[string]func(bool){}, configs: []beryllatch.Config{sampleConfig()},
 	}
 	w.workTime = func() time.Duration { return time.Second }
 	for _, name := range []string{"n1", "n2", "n3"} {
@@ -123,15 +101,17 @@
 }
 
 func (w *world) after(d time.Duration, do func()) {
-	w.seq++
-	heap.Push(&w.agenda, job{at: w.now + d, seq: w.seq, do: do})
+	at := w.now + d
+	i, _ := slices.BinarySearchFunc(w.agenda, at, func(j job, at time.Duration) int { return cmp.Or(cmp.Compare(j.at, at), -1) })
+	w.agenda = slices.Insert(w.agenda, i, job{at, do})
 }
 
 // run carries out everything that is due within d.
 func (w *world) run(d time.Duration) {
 	end := w.now + d
 	for len(w.agenda) > 0 && w.agenda[0].at <= end {
-		j := heap.Pop(&w.agenda).(job)
+		j := w.agenda[0]
+		w.agenda = w.agenda[1:]
 		w.now = j.at
 		j.do()
 	}
@@ -308,16 +288,16 @@
 					answer(to)
 					return
 				}
-				w.seq++
-				id := fmt.Sprint(w.seq)
-				w.calls[id] = grantCall{from: n, process: process, sentAt: sent}
+				id := fmt.Sprint(len(w.calls))
+				w.calls[id] = func(granted bool) {
+					heard := PeerHeard{From: to.r.self, ConfigVersion: to.r.config.Version, GrantAskedAt: sent, Granted: granted}
+					w.message(to, self, func(n *simNode) { w.deliver(n, process, heard) })
+				}
 				w.deliver(to, to.process, GrantAsked{From: self, CallID: id})
 			})
 		}
 	case ReplyGrant:
-		c := w.calls[x.CallID]
-		heard := PeerHeard{From: self, ConfigVersion: n.r.config.Version, GrantAskedAt: c.sentAt, Granted: x.Granted}
-		w.message(n, c.from.r.self, func(to *simNode) { w.deliver(to, c.process, heard) })
+		w.calls[x.CallID](x.Granted)
 	case NotifyConfig:
 		for _, p := range x.Peers {
 			w.message(n, p, func(to *simNode) {
