--- a/internal/decision/berylreducer/fleet_test.go
+++ b/internal/decision/berylreducer/fleet_test.go
@@ -47,20 +47,23 @@
 		s := newSession()
 		s.r.faults.trustRead = trust
 		s.start(sampleConfig())
-		s.tick(100 * time.Millisecond)
+		arrive := func(id string) {
+			s.send(RequestArrived{ID: id, KeyHash: strings.Repeat("1", 64), Queue: "price"})
+		}
+		arrive("q1")
 		row := UnitRow{Team: "red", ConfigVersion: 1, Ceiling: 6, Holdings: map[string]int{"n1-1": 5, "n2-1": 1}}
 		s.send(UnitsRead{Team: "red", Row: row, Version: 5})
 		s.send(UnitsWritten{Team: "red", Result: WriteUnknown})
-		for _, id := range []string{"q1", "q2", "q3", "q4"} {
-			s.send(RequestArrived{ID: id, KeyHash: strings.Repeat("1", 64), Queue: "price"})
+		for _, id := range []string{"q2", "q3", "q4", "q5"} {
+			arrive(id)
 		}
 		s.send(UnitsRead{Team: "red", Row: row, Version: 5})
 		starts := strings.Count(s.log.String(), "-> Dispatch")
 		if trust {
-			assert.Equal(t, starts, 4, "the check needs no mechanism")
+			assert.Equal(t, starts, 5, "the check needs no mechanism")
 			continue
 		}
-		assert.Equal(t, starts, 2)
+		assert.Equal(t, starts, 3)
 		s.golden(t, "lost_write")
 	}
 }
@@ -119,10 +122,9 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			w := newWorld(1, faults{})
-			w.run(3 * time.Second)
+			w.run(2 * reserveSpread)
 			c.play(w, w.nodes[0])
-			log := strings.ReplaceAll(w.log.String(), "LogState", "State")
-			golden.Assert(t, log+"broken rule: "+w.broken+"\n", "fleet_"+c.name+".golden")
+			golden.Assert(t, w.log.String()+"broken rule: "+w.broken+"\n", "fleet_"+c.name+".golden")
 		})
 	}
 }
--- a/internal/decision/berylreducer/model_test.go
+++ b/internal/decision/berylreducer/model_test.go
@@ -27,7 +27,7 @@
 		}
 		return time.Duration(w.rand.IntN(2000)) * time.Millisecond
 	}
-	w.run(2 * time.Second)
+	w.run(reserveSpread)
 	for step := 0; step < modelSteps && w.broken == ""; step++ {
 		w.step(step)
 		w.run(time.Duration(w.rand.IntN(3000)) * time.Millisecond)
@@ -57,7 +57,7 @@
 	w.run(time.Minute)
 	var stuck []string
 	for _, n := range w.nodes {
-		if !strings.Contains(w.log.String(), n.name+" Dispatch last.1") {
+		if !strings.Contains(w.log.String(), n.name+" Dispatch{ID:last Attempt:1") {
 			stuck = append(stuck, n.name)
 		}
 	}
@@ -218,7 +218,7 @@
 		if seed < settleSeeds {
 			assert.Equal(t, strings.Join(w.settle(), " "), "", "seed %d: stuck after the faults", seed)
 		}
-		dispatched += strings.Count(w.log.String(), "Dispatch")
+		dispatched += strings.Count(w.log.String(), "Dispatch{")
 		inForce += strings.Count(w.log.String(), "InForce:true")
 	}
 	assert.Assert(t, dispatched > 10*modelSeeds, "only %d executions", dispatched)
@@ -259,6 +259,7 @@
 func played(sequence func(*world, *simNode)) func(uint64, faults) string {
 	return func(seed uint64, f faults) string {
 		w := newWorld(seed, f)
+		w.run(2 * reserveSpread)
 		sequence(w, w.nodes[seed%3])
 		w.run(10 * time.Second)
 		return w.broken
--- a/internal/decision/berylreducer/unitplan.go
+++ b/internal/decision/berylreducer/unitplan.go
@@ -92,6 +92,7 @@
 func (r *Reducer) writeUnits(u *teamUnits, row UnitRow, checks []NodeCheck) {
 	u.held = min(u.held, row.Holdings[r.self.Incarnation])
 	u.call, u.callGeneration, u.calledAt = unitCallWrite, r.tenure.generation, r.now.Mono
+	u.checked = len(checks) > 0
 	r.emit(WriteUnits{Row: row, Expect: u.version, Checks: checks})
 }
 
--- a/internal/decision/berylreducer/units.go
+++ b/internal/decision/berylreducer/units.go
@@ -11,11 +11,16 @@
 	rebalanceInterval = 500 * time.Millisecond
 	// unitsRetry spaces the reads after conflicts and failed calls.
 	unitsRetry = 100 * time.Millisecond
+	// maxConflicts bounds the growth of the delay after conflicts, to 1.7 s.
+	maxConflicts = 4
 	// maxUnitCalls bounds the calls to the table that one tick starts for units.
 	maxUnitCalls = 8
 	// peakWindow is how long idle units stay at least after the demand that needed them; peers that are short of units ask
 	// for them sooner. Shorter windows cost two writes for each single request of a quiet team.
 	peakWindow = 30 * time.Second
+	// reserveSpread spreads the first reads of nodes that start together; 36 nodes with 26 teams would otherwise write
+	// more than two thousand rows in a second.
+	reserveSpread = 10 * time.Second
 	// maxReserve bounds the idle units that a node keeps for an urgent request.
 	maxReserve = 2
 )
@@ -46,9 +51,15 @@
 	// nextAt is the earliest time of the next read; askAt and moveAt space the transfers between peers.
 	nextAt time.Duration
 	askAt  time.Duration
-	moveAt time.Duration
+	// reserveAt is when the node first takes its reserve.
+	reserveAt time.Duration
+	moveAt    time.Duration
 	// wanted asks for a read as soon as no call is outstanding.
 	wanted bool
+	// checked is true while the outstanding write has conditions on node rows.
+	checked bool
+	// conflicts counts the writes in a row that lost against another node.
+	conflicts int
 	// lost is true after a write without an answer, which expected the version lostExpect.
 	lost       bool
 	lostExpect uint64
@@ -77,7 +88,7 @@
 func (r *Reducer) adoptTeams(previous beryllatch.Config) {
 	for _, name := range beryllatch.SortedKeys(r.config.Teams) {
 		if r.units[name] == nil {
-			r.units[name] = &teamUnits{}
+			r.units[name] = &teamUnits{reserveAt: r.now.Mono + time.Duration(r.rand.Int64N(int64(reserveSpread)))}
 		}
 	}
 	skipped := r.config.Version > previous.Version+1
@@ -197,7 +208,7 @@
 	switch {
 	case u.wanted, u.lost:
 		return true
-	case need == 0 && u.held == 0:
+	case need == 0 && u.held == 0, u.waiting == 0 && !u.rowKnown && r.now.Mono < u.reserveAt:
 		return false
 	case !r.usable(u), u.waiting > 0 && r.limit(u) <= u.running:
 		return true
@@ -293,7 +304,7 @@
 		u.giving = 0
 		u.wanted, u.nextAt = true, r.now.Mono
 	case WriteConflict:
-		u.wanted, u.nextAt = true, r.now.Mono+unitsRetry
+		u.wanted, u.nextAt = true, r.now.Mono+r.conflictDelay(u)
 	case WriteFailed:
 		u.wanted = true
 	}
@@ -302,9 +313,20 @@
 	}
 }
 
+// conflictDelay spreads the nodes that compete for one row; a conflict of a write with checks may mean that a lapsed
+// incarnation has come back, which only a new read of the node rows shows.
+func (r *Reducer) conflictDelay(u *teamUnits) time.Duration {
+	if u.checked {
+		r.tenure.steady = false
+		return renewInterval
+	}
+	u.conflicts = min(u.conflicts+1, maxConflicts)
+	return unitsRetry + time.Duration(r.rand.Int64N(int64(unitsRetry)<<u.conflicts))
+}
+
 // unitsStored takes over a written row, unless the tenure has lapsed since the write was sent.
 func (r *Reducer) unitsStored(u *teamUnits, e UnitsWritten) {
-	u.lost = false
+	u.lost, u.conflicts = false, 0
 	if u.callGeneration != r.tenure.generation {
 		u.wanted = true
 		return
--- a/internal/decision/berylreducer/world_test.go
+++ b/internal/decision/berylreducer/world_test.go
@@ -152,16 +152,9 @@
 
 // record logs the effects that change what a user or an operator sees.
 func (w *world) record(n *simNode, x Effect) {
-	switch x := x.(type) {
-	case LogState, SetReady, ConfigInForce, Reincarnate, DeleteNode, Stop:
+	switch x.(type) {
+	case LogState, SetReady, ConfigInForce, Reincarnate, DeleteNode, Stop, Dispatch, Refuse, WriteUnits:
 		fmt.Fprintf(&w.log, "%8.3f %s %s\n", w.now.Seconds(), n.name, text(x))
-	case Dispatch:
-		fmt.Fprintf(&w.log, "%8.3f %s Dispatch %s\n", w.now.Seconds(), n.name, x.Execution.ID)
-	case Refuse:
-		fmt.Fprintf(&w.log, "%8.3f %s Refuse %s %s %s\n", w.now.Seconds(), n.name, x.ID, x.Refusal.RunState, x.Refusal.Reason)
-	case WriteUnits:
-		fmt.Fprintf(&w.log, "%8.3f %s WriteUnits %s v%d %d %v\n",
-			w.now.Seconds(), n.name, x.Row.Team, x.Row.ConfigVersion, x.Row.Ceiling, x.Row.Holdings)
 	}
 }
 
