--- a/internal/decision/berylreducer/reducer.go
+++ b/internal/decision/berylreducer/reducer.go
@@ -12,6 +12,8 @@
 	now  Instant
 	self Identity
 	rand *rand.Rand
+	// jitter spreads calls over time; it is apart from rand so that it does not change the choice of workers.
+	jitter *rand.Rand
 	// out collects the effects of the event at hand.
 	out []Effect
 
@@ -104,6 +106,7 @@
 func (r *Reducer) start(e Started) {
 	r.self = e.Self
 	r.rand = rand.New(rand.NewPCG(e.Seed, e.Seed))
+	r.jitter = rand.New(rand.NewPCG(e.Seed, 1))
 	r.keys = map[string]beryllatch.APIKey{}
 	r.members = map[string]*member{}
 	r.tenure.clock = r.now
--- a/internal/decision/berylreducer/units.go
+++ b/internal/decision/berylreducer/units.go
@@ -88,7 +88,7 @@
 func (r *Reducer) adoptTeams(previous beryllatch.Config) {
 	for _, name := range beryllatch.SortedKeys(r.config.Teams) {
 		if r.units[name] == nil {
-			r.units[name] = &teamUnits{reserveAt: r.now.Mono + time.Duration(r.rand.Int64N(int64(reserveSpread)))}
+			r.units[name] = &teamUnits{reserveAt: r.now.Mono + time.Duration(r.jitter.Int64N(int64(reserveSpread)))}
 		}
 	}
 	skipped := r.config.Version > previous.Version+1
@@ -321,7 +321,7 @@
 		return renewInterval
 	}
 	u.conflicts = min(u.conflicts+1, maxConflicts)
-	return unitsRetry + time.Duration(r.rand.Int64N(int64(unitsRetry)<<u.conflicts))
+	return unitsRetry + time.Duration(r.jitter.Int64N(int64(unitsRetry)<<u.conflicts))
 }
 
 // unitsStored takes over a written row, unless the tenure has lapsed since the write was sent.
