--- a/internal/decision/berylreducer/config.go
+++ b/internal/decision/berylreducer/config.go
@@ -29,4 +29,5 @@
 	}
 	r.adoptWorkers()
 	r.adoptTeams(previous)
+	r.adoptRequests()
 }
--- /dev/null
+++ b/internal/decision/berylreducer/operate_step.go
@@ -0,0 +1,135 @@
+package berylreducer
+
+import (
+	"time"
+
+	"github.com/beryllatch/beryllatch"
+	"github.com/beryllatch/beryllatch/internal/decision/berylplan"
+)
+
+const (
+	// stepInterval bounds how often the node looks for due steps; a look takes about 2 ms at 630 instances, and a node
+	// may use 1.6% of a core in all.
+	stepInterval = time.Second
+	// stepStagger delays each further node, so that a step of the first is usually in force before the next one tries.
+	stepStagger = 1500 * time.Millisecond
+	// rebootRetry repeats a reboot request that had no effect, or that a dead node never sent.
+	rebootRetry = 10 * time.Second
+	stepCall    = "step"
+)
+
+// steppingState says since when steps have been due under the present configuration.
+type steppingState struct {
+	looked  time.Duration
+	version uint64
+	due     bool
+	since   time.Duration
+}
+
+// tickSteps takes the due steps of waves and moves, if the node has tenure and it is its turn.
+func (r *Reducer) tickSteps() {
+	r.trackPlanned()
+	s := &r.operate.stepping
+	if r.stopping || !r.mayTransfer() || r.operate.write != nil || len(r.operate.queue) > 0 ||
+		r.now.Mono-s.looked < stepInterval {
+		return
+	}
+	s.looked = r.now.Mono
+	if s.version != r.config.Version {
+		s.version, s.due = r.config.Version, false
+	}
+	if !r.mayHaveSteps() || !r.heardOfAll() {
+		return
+	}
+	r.takeSteps()
+	r.repeatReboots()
+}
+
+// mayHaveSteps spares the search when nothing is planned.
+func (r *Reducer) mayHaveSteps() bool {
+	if len(r.operate.planned) > 0 {
+		return true
+	}
+	for _, w := range r.config.Waves {
+		if w.State == beryllatch.WaveRunning {
+			return true
+		}
+	}
+	return false
+}
+
+// heardOfAll reports whether every instance has been probed since the node started; until then a node that has just
+// started would take the fleet for dead, and stop its waves.
+func (r *Reducer) heardOfAll() bool {
+	for id := range r.config.Instances {
+		if _, ok := r.operate.reports[id]; !ok {
+			return false
+		}
+	}
+	return true
+}
+
+func (r *Reducer) takeSteps() {
+	s := &r.operate.stepping
+	steps, next := berylplan.NextSteps(r.config, r.health())
+	if len(steps) == 0 {
+		s.due = false
+		return
+	}
+	if !s.due {
+		s.due, s.since = true, r.now.Mono
+	}
+	if r.now.Mono-s.since < time.Duration(r.rank())*stepStagger {
+		return
+	}
+	w := r.writeConfig(stepCall, next)
+	w.steps = steps
+}
+
+// stepsWritten follows up on a write of steps; whoever lost the race reads the winner's document and does nothing.
+func (r *Reducer) stepsWritten(w *configWrite, result WriteResult) {
+	if result != WriteDone {
+		r.count("step_" + string(result))
+		r.emit(ReadConfig{})
+		return
+	}
+	for _, s := range w.steps {
+		r.count("step_" + string(s.Kind))
+		r.logStep(s)
+		if s.Kind == berylplan.StepReboot {
+			r.rebootWorker(s.Instance)
+		}
+	}
+}
+
+func (r *Reducer) logStep(s berylplan.Step) {
+	subject := "instance " + s.Instance
+	if s.Instance == "" {
+		subject = "wave " + s.Wave
+	}
+	r.emit(LogState{Subject: subject, To: string(s.Kind), Detail: s.Reason})
+}
+
+// rebootWorker requests the reboot of an instance that is recorded as rebooting; if the node cannot prove that its
+// document is up to date, another node will ask.
+func (r *Reducer) rebootWorker(id string) {
+	i := r.config.Instances[id]
+	if i.State != beryllatch.InstanceRebooting || !r.mayTransfer() {
+		return
+	}
+	r.emit(RebootWorker{Instance: id, Address: i.Address, BootID: i.BootID})
+}
+
+// repeatReboots asks again where an instance is still on its old boot; a node further down the order waits longer.
+func (r *Reducer) repeatReboots() {
+	wait := rebootRetry + time.Duration(r.rank())*stepStagger
+	for _, id := range beryllatch.SortedKeys(r.operate.planned) {
+		p, i := r.operate.planned[id], r.config.Instances[id]
+		if i.State != beryllatch.InstanceRebooting || r.now.Mono-p.asked < wait || r.workers[id].bootID != i.BootID {
+			continue
+		}
+		p.asked = r.now.Mono
+		r.operate.planned[id] = p
+		r.rebootWorker(id)
+	}
+}
--- /dev/null
+++ b/internal/node/beryldaemon/execute_tenure.go
@@ -0,0 +1,180 @@
+package beryldaemon
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/beryllatch/beryllatch"
+	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
+)
+
+const (
+	nodePartition = "node"
+	// maxNodes bounds the node rows that one renewal reads.
+	maxNodes = 256
+)
+
+// nodeRow is this node's own row in the table.
+type nodeRow struct {
+	mu          sync.Mutex
+	incarnation string
+	// version is the version that this incarnation wrote last; 0 before its first write.
+	version uint64
+	// doubtful is true after a write without an answer; the row must be read back first.
+	doubtful bool
+}
+
+// executeTenure carries out the effects of the tenure and the membership, and reports whether x is one.
+func (d *Daemon) executeTenure(ctx context.Context, x berylreducer.Effect) bool {
+	switch x := x.(type) {
+	case berylreducer.RenewTenure:
+		sent := d.now()
+		d.async(ctx, func(ctx context.Context) { d.renew(ctx, x, sent) })
+	case berylreducer.ReadConfig:
+		d.async(ctx, d.readConfig)
+	case berylreducer.Reincarnate:
+		d.reincarnate()
+	case berylreducer.DeleteNode:
+		d.async(ctx, func(ctx context.Context) { d.deleteNode(ctx, x) })
+	default:
+		return false
+	}
+	return true
+}
+
+func nodeKey(incarnation string) beryllatch.RowKey {
+	return beryllatch.RowKey{Partition: nodePartition, Sort: incarnation}
+}
+
+// reincarnate gives the node a new incarnation, since its row has been removed by a peer.
+func (d *Daemon) reincarnate() {
+	self := d.Self
+	self.Incarnation = NewIncarnation(self.Node, time.Now())
+	d.Post(berylreducer.Reincarnated{Self: self})
+}
+
+// NewIncarnation returns a name for a process of the node that starts at t.
+func NewIncarnation(node string, t time.Time) string {
+	return fmt.Sprintf("%s-%x", node, t.UnixNano())
+}
+
+// renew writes the node's row, then reads the head version, then all node rows.
+func (d *Daemon) renew(ctx context.Context, x berylreducer.RenewTenure, sent berylreducer.Instant) {
+	replaced, err := d.writeNode(ctx, x.Row)
+	if err != nil || replaced {
+		d.Log.Debug().Err(err).Msg("renewal: node row not written")
+		d.Post(berylreducer.RenewalFailed{SentAt: sent, Replaced: replaced})
+		return
+	}
+	head, nodes, err := d.readHead(ctx, x.SkipNodes)
+	if err != nil {
+		d.Log.Debug().Err(err).Msg("renewal: head not read")
+		d.Post(berylreducer.RenewalFailed{SentAt: sent})
+		return
+	}
+	d.Post(berylreducer.Renewed{SentAt: sent, HeadVersion: head, Nodes: nodes, NodesSkipped: x.SkipNodes})
+}
+
+// writeNode stores the row; after a lost answer it first reads back which write took effect.
+func (d *Daemon) writeNode(ctx context.Context, row berylreducer.NodeRow) (replaced bool, err error) {
+	n := &d.node
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.incarnation != row.Incarnation {
+		n.incarnation, n.version, n.doubtful = row.Incarnation, 0, false
+	}
+	if n.doubtful {
+		if replaced, err = d.readBack(ctx, n); err != nil || replaced {
+			return replaced, err
+		}
+	}
+	value, err := json.Marshal(row)
+	if err != nil {
+		return false, err
+	}
+	err = d.Table.Transact(ctx, beryllatch.RowWrite{
+		Row: beryllatch.Row{Key: nodeKey(row.Incarnation), Value: value}, Expect: n.version,
+	})
+	var unavailable *beryllatch.UnavailableError
+	switch {
+	case err == nil:
+		n.version++
+	case !errors.As(err, &unavailable):
+		n.doubtful = true
+	}
+	return false, err
+}
+
+// readBack learns the row's version after a write without an answer; a row that was written and is missing has been
+// removed by a peer.
+func (d *Daemon) readBack(ctx context.Context, n *nodeRow) (replaced bool, err error) {
+	stored, err := d.Table.Get(ctx, nodeKey(n.incarnation))
+	if err != nil {
+		return false, err
+	}
+	if stored.Version < n.version {
+		return true, nil
+	}
+	n.version, n.doubtful = stored.Version, false
+	return false, nil
+}
+
+// deleteNode removes a row; the node's own row is removed at the version that it wrote last.
+func (d *Daemon) deleteNode(ctx context.Context, x berylreducer.DeleteNode) {
+	version := x.Node.Version
+	d.node.mu.Lock()
+	if d.node.incarnation == x.Node.Incarnation {
+		version = d.node.version
+	}
+	d.node.mu.Unlock()
+	err := d.Table.Transact(ctx, beryllatch.RowWrite{
+		Row: beryllatch.Row{Key: nodeKey(x.Node.Incarnation)}, Expect: version, Delete: true,
+	})
+	d.Post(berylreducer.NodeDeleted{Incarnation: x.Node.Incarnation, Result: writeResult(err)})
+}
+
+func (d *Daemon) readHead(ctx context.Context, skipNodes bool) (uint64, []berylreducer.NodeRow, error) {
+	// The head comes first: a node that registers after it reads at least that version before it starts work.
+	head, err := d.store().HeadVersion(ctx)
+	if err != nil {
+		return 0, nil, err
+	}
+	if skipNodes {
+		return head, nil, nil
+	}
+	rows, err := d.Table.Query(ctx, nodePartition, "", maxNodes)
+	if err != nil {
+		return 0, nil, err
+	}
+	nodes := make([]berylreducer.NodeRow, 0, len(rows))
+	for _, row := range rows {
+		var n berylreducer.NodeRow
+		if json.Unmarshal(row.Value, &n) == nil {
+			n.Version = row.Version
+			nodes = append(nodes, n)
+		}
+	}
+	return head, nodes, nil
+}
+
+func (d *Daemon) readConfig(ctx context.Context) {
+	c, err := d.store().Read(ctx)
+	if err != nil {
+		d.Metrics.Count("config_read_failed", 1)
+		return
+	}
+	d.Post(berylreducer.ConfigRead{Config: c})
+}
+
+func (d *Daemon) readInstances(ctx context.Context) {
+	list, err := d.Instances.Instances(ctx)
+	if err != nil {
+		d.Metrics.Count("instance_list_failed", 1)
+		return
+	}
+	d.Post(berylreducer.InstancesListed{Instances: list})
+}
--- /dev/null
+++ b/internal/node/berylserver/build.go
@@ -0,0 +1,113 @@
+package berylserver
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/beryllatch/beryllatch/internal/common/berylmetrics"
+	"github.com/beryllatch/beryllatch/internal/common/beryltls"
+	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
+	"github.com/beryllatch/beryllatch/internal/node/berylcaller"
+	"github.com/beryllatch/beryllatch/internal/node/beryldaemon"
+	"github.com/beryllatch/beryllatch/internal/node/beryloperator"
+	"github.com/beryllatch/beryllatch/internal/node/berylpeer"
+	"github.com/beryllatch/beryllatch/internal/platform/berylinstance"
+	"github.com/beryllatch/beryllatch/internal/platform/berylobject"
+	"github.com/beryllatch/beryllatch/internal/platform/beryltable"
+	"github.com/beryllatch/beryllatch/internal/upstream/berylworker"
+	"github.com/gorilla/mux"
+	"github.com/rotisserie/eris"
+)
+
+// handlers serve the four listeners.
+type handlers struct {
+	callers   http.Handler
+	operators http.Handler
+	peers     http.Handler
+	admin     http.Handler
+}
+
+// build makes the daemon, its clients and its handlers.
+func (s *Server) build() (handlers, error) {
+	cfg := s.Settings
+	started := time.Now()
+	peers, err := s.peerClient()
+	if err != nil {
+		return handlers{}, err
+	}
+	workers := berylworker.New()
+	metrics := berylmetrics.New()
+	s.daemon = &beryldaemon.Daemon{
+		Self: berylreducer.Identity{
+			Node:        cfg.Node,
+			Incarnation: beryldaemon.NewIncarnation(cfg.Node, started),
+			DataCentre:  cfg.DataCentre,
+			PeerAddress: cfg.AdvertiseAddress,
+		},
+		Table: beryltable.New(
+			beryltable.WithEndpoint(cfg.TableEndpoint), beryltable.WithTable(cfg.TableName),
+			beryltable.WithRegion(cfg.PlatformRegion), beryltable.WithCredentials(cfg.PlatformKeyID, cfg.PlatformSecret),
+		),
+		Objects: berylobject.New(
+			berylobject.WithEndpoint(cfg.ObjectEndpoint), berylobject.WithBucket(cfg.ObjectBucket),
+			berylobject.WithRegion(cfg.PlatformRegion), berylobject.WithCredentials(cfg.PlatformKeyID, cfg.PlatformSecret),
+		),
+		Instances: berylinstance.New(berylinstance.WithURL(cfg.InstanceList)),
+		Tasks:     workers,
+		Peers:     peers,
+		Metrics:   metrics,
+		Log:       s.Log,
+		Seed:      uint64(started.UnixNano()),
+	}
+	s.daemon.Init()
+	callers := mux.NewRouter()
+	(&berylcaller.Handler{Node: s.daemon, Upstream: workers}).Register(callers)
+	var credentials []beryloperator.Credential
+	for _, t := range cfg.OperatorTokens {
+		c, err := beryloperator.ParseCredential(t)
+		if err != nil {
+			return handlers{}, err
+		}
+		credentials = append(credentials, c)
+	}
+	return handlers{
+		callers: callers, operators: beryloperator.New(s.daemon, credentials), peers: berylpeer.NewHandler(s.daemon),
+		admin: s.admin(metrics),
+	}, nil
+}
+
+// peerClient returns the client for calls to peers, with TLS if the peers' listener has it.
+func (s *Server) peerClient() (*berylpeer.Client, error) {
+	if !s.Settings.PeersTLS.Enabled() {
+		return berylpeer.NewClient(), nil
+	}
+	files, err := beryltls.Load(s.Settings.PeersTLS)
+	if err != nil {
+		return nil, eris.Wrap(err, "peers' certificate")
+	}
+	return berylpeer.NewClient(berylpeer.WithTLS(files.ClientConfig())), nil
+}
+
+// admin serves metrics, liveness and readiness.
+func (s *Server) admin(metrics http.Handler) http.Handler {
+	r := mux.NewRouter()
+	r.Handle("/metrics", metrics).Methods(http.MethodGet)
+	r.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	r.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !s.daemon.Ready() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+		}
+	})
+	return r
+}
+
+func (s *Server) listeners(h handlers) []listener {
+	cfg := s.Settings
+	all := []listener{
+		{name: "callers", address: cfg.CallersAddress, tls: cfg.CallersTLS, handler: h.callers},
+		{name: "operators", address: cfg.OperatorsAddress, tls: cfg.OperatorsTLS, handler: h.operators},
+		{name: "peers", address: cfg.PeersAddress, tls: cfg.PeersTLS, handler: h.peers},
+		{name: "admin", address: cfg.AdminAddress, handler: h.admin},
+	}
+	return all
+}
