--- a/internal/decision/berylreducer/fleet_test.go
+++ b/internal/decision/berylreducer/fleet_test.go
@@ -19,6 +19,21 @@
 	}
 }
 
+// Guards against requests that a stopping node accepts, and that then wait in vain for a unit.
+func TestStoppingNodeTakesUnits(t *testing.T) {
+	w := newWorld(1, faults{})
+	w.run(2 * reserveSpread)
+	n := w.nodes[0]
+	w.deliver(n, n.process, StopRequested{})
+	w.run(lameDuckTime - time.Second)
+	for _, id := range []string{"a", "b", "c", "d"} {
+		w.requestBy(n, id, 30*time.Second)
+	}
+	w.run(40 * time.Second)
+	assert.Equal(t, strings.Count(w.log.String(), "n1 Dispatch{"), 4)
+	assert.Assert(t, n.down && w.units["red"].Row.Holdings["n1-1"] == 0)
+}
+
 // Guards against a report that a version is in force while a node that renews its tenure has not adopted it.
 func TestLateNodeIsNamed(t *testing.T) {
 	s := newSession()
--- a/internal/decision/berylreducer/units.go
+++ b/internal/decision/berylreducer/units.go
@@ -165,8 +165,11 @@
 
 // need is the number of units that the node wants to hold for the team.
 func (r *Reducer) need(team string, u *teamUnits) int {
-	if r.stopping || r.config.Teams[team].Ceiling == 0 {
+	switch {
+	case r.config.Teams[team].Ceiling == 0:
 		return u.running
+	case r.refusesNew():
+		return u.running + u.waiting
 	}
 	return u.running + u.waiting + r.reserve(team)
 }
@@ -226,8 +229,8 @@
 
 // excess is the number of idle units that the demand of the last window did not need.
 func (r *Reducer) excess(team string, u *teamUnits) int {
-	if r.stopping || r.config.Teams[team].Ceiling == 0 {
-		return max(0, u.held-u.running)
+	if r.refusesNew() || r.config.Teams[team].Ceiling == 0 {
+		return max(0, u.held-r.need(team, u))
 	}
 	return max(0, u.held-max(u.peak, u.lastPeak, u.running+u.waiting)-r.reserve(team))
 }
--- a/internal/decision/berylreducer/unittransfer.go
+++ b/internal/decision/berylreducer/unittransfer.go
@@ -17,7 +17,7 @@
 // askForUnits asks the peer with the largest surplus when the free units did not suffice.
 func (r *Reducer) askForUnits(team string, u *teamUnits, row UnitRow) {
 	short := u.running + u.waiting - row.Holdings[r.self.Incarnation]
-	if short <= 0 || r.stopping || holdings(row) > row.Ceiling || r.now.Mono < u.askAt {
+	if short <= 0 || holdings(row) > row.Ceiling || r.now.Mono < u.askAt {
 		return
 	}
 	share := r.fairSplit(team, u, row)
