--- a/internal/decision/berylreducer/task_dispatch_test.go
+++ b/internal/decision/berylreducer/task_dispatch_test.go
@@ -60,6 +60,8 @@
 	w.submitBy(redKey, "late", 4*time.Minute)
 	w.submitBy(redKey, "soon", 2*time.Minute)
 	w.submitBy(blueKey, "other", 3*time.Minute)
+	// The first read of a team's units is delayed, so that the nodes do not all read at once.
+	w.pass(2 * time.Second)
 	w.end("first", beryllatch.TaskRunDone)
 	for range 4 {
 		w.pass(4 * time.Second)
