--- a/Makefile
+++ b/Makefile
@@ -2,11 +2,15 @@
 export PATH := $(shell $(GO) env GOPATH)/bin:$(PATH)
 GOLANGCI_LINT_VERSION := v2.15.0
 
-.PHONY: build test bench lint tools
+.PHONY: build demo test bench lint tools
 
 build:
 	$(GO) build -o bin/ ./cmd/...
 
+# Runs the fleets of both example users on loopback and compares callers with workers.
+demo: build
+	bin/beryldemo
+
 test:
 	$(GO) test -race ./...
 
--- /dev/null
+++ b/internal/bench/beryldemo/task.go
@@ -0,0 +1,89 @@
+package beryldemo
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/beryllatch/beryllatch/internal/bench/berylprocess"
+	"github.com/rotisserie/eris"
+)
+
+// pollInterval is how often an unfinished task is asked for.
+const pollInterval = 200 * time.Millisecond
+
+// taskView is the state of a task as its caller sees it.
+type taskView struct {
+	TaskID string `json:"task_id"`
+	State  string `json:"state"`
+}
+
+func (d *demo) taskCaller() berylprocess.Caller {
+	return berylprocess.Caller{Address: d.fleet.Balancer, Secret: d.secrets[0]}
+}
+
+// submitTasks hands in each task twice with the same idempotency key, through whichever nodes the balancer picks.
+func (d *demo) submitTasks(ctx context.Context) error {
+	for n := range taskCount {
+		key := fmt.Sprintf("task-%d", n)
+		first, err := d.submit(ctx, key)
+		if err != nil {
+			return err
+		}
+		second, err := d.submit(ctx, key)
+		if err != nil {
+			return err
+		}
+		if first != second {
+			return eris.Errorf("one idempotency key made the tasks %s and %s", first, second)
+		}
+		d.tasks = append(d.tasks, first)
+	}
+	d.say("%d queued tasks accepted, each handed in twice", len(d.tasks))
+	return nil
+}
+
+func (d *demo) submit(ctx context.Context, key string) (string, error) {
+	r := d.taskCaller().Do(
+		ctx, http.MethodPost, "/v1/queues/"+d.u.TaskQueue+"/tasks", `{"test_run_ms":300}`, "Idempotency-Key", key,
+	)
+	if r.Err != nil || r.Status != http.StatusAccepted {
+		return "", eris.Errorf("task not accepted: status %d, %s %v", r.Status, r.Body, r.Err)
+	}
+	var v taskView
+	return v.TaskID, eris.Wrap(json.Unmarshal(r.Body, &v), "decode task")
+}
+
+// awaitTasks returns the final state of each task.
+func (d *demo) awaitTasks(ctx context.Context) (map[string]string, error) {
+	out := map[string]string{}
+	for _, id := range d.tasks {
+		for out[id] == "" {
+			if err := ctx.Err(); err != nil {
+				return nil, eris.Wrapf(err, "task %s has not ended", id)
+			}
+			out[id] = d.finalState(ctx, id)
+			if out[id] == "" {
+				time.Sleep(pollInterval)
+			}
+		}
+	}
+	return out, nil
+}
+
+// finalState returns the state of a task that has ended, and nothing for any other.
+func (d *demo) finalState(ctx context.Context, id string) string {
+	r := d.taskCaller().Do(ctx, http.MethodGet, "/v1/tasks/"+id, "")
+	var v taskView
+	if r.Err != nil || json.Unmarshal(r.Body, &v) != nil {
+		return ""
+	}
+	switch v.State {
+	case "done", "failed", "cancelled", "parked", "unknown":
+		return v.State
+	default:
+		return ""
+	}
+}
--- a/internal/bench/berylprocess/fleet.go
+++ b/internal/bench/berylprocess/fleet.go
@@ -26,6 +26,8 @@
 	// Bin holds the built programs; Dir takes logs and files.
 	Bin string
 	Dir string
+	// DataCentres holds the data centres of the entry daemons in turn; empty means dc1 and dc2.
+	DataCentres []string
 
 	Platform *Process
 	Control  string
@@ -75,7 +77,7 @@
 		flags = append(flags, "--"+name+"-addr="+addr)
 	}
 	for n := range daemons {
-		d, err := newDaemon(n)
+		d, err := f.newDaemon(n)
 		if err != nil {
 			return err
 		}
@@ -90,8 +92,12 @@
 	return nil
 }
 
-func newDaemon(n int) (*Daemon, error) {
-	d := &Daemon{node: fmt.Sprintf("entry-%d", n+1), dc: fmt.Sprintf("dc%d", 1+n%2)}
+func (f *Fleet) newDaemon(n int) (*Daemon, error) {
+	dcs := f.DataCentres
+	if len(dcs) == 0 {
+		dcs = []string{"dc1", "dc2"}
+	}
+	d := &Daemon{node: fmt.Sprintf("entry-%d", n+1), dc: dcs[n%len(dcs)]}
 	for _, target := range []*string{&d.Callers, &d.Operators, &d.peers, &d.Admin} {
 		addr, err := FreeAddress()
 		if err != nil {
