--- a/internal/bench/beryldemo/report.go
+++ b/internal/bench/beryldemo/report.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 
 	"github.com/beryllatch/beryllatch/internal/bench/berylprocess"
 )
@@ -20,8 +21,7 @@
 	d.say("%-28s %8d", "  refused, unknown", s.Unknown)
 	d.say("%-28s %8d", "  connection broke", s.NoAnswer)
 	d.say("%-28s %8d", "requests: seen by workers", s.Starts)
-	violations := append(s.Violations, d.judgeTasks(states, starts)...)
-	violations = append(violations, d.judgeDataCentre(starts)...)
+	violations := slices.Concat(s.Violations, d.judgeTasks(states, starts), d.judgeDataCentre(starts))
 	if len(violations) > 0 {
 		return &ContradictionError{User: d.u.Name, Violations: violations}
 	}
--- a/internal/bench/berylproof/fault_test.go
+++ b/internal/bench/berylproof/fault_test.go
@@ -47,7 +47,7 @@
 func TestKill(t *testing.T) {
 	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
 	defer cancel()
-	f := startFleet(ctx, t, 3, 2)
+	f := startFleet(ctx, t, 2)
 	load := berylprocess.StartLoad(ctx, "kill", "price", f.callersOf(), "Beryllatch-Test-Run-Ms", "20")
 	time.Sleep(loadTime)
 	f.Daemons[0].Kill()
@@ -59,7 +59,7 @@
 func TestFreeze(t *testing.T) {
 	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
 	defer cancel()
-	f := startFleet(ctx, t, 3, 1)
+	f := startFleet(ctx, t, 1)
 	frozen := f.Daemons[2]
 	load := berylprocess.StartLoad(ctx, "before", "price", f.callersOf()[:4])
 	frozen.Freeze()
@@ -82,7 +82,7 @@
 func TestRollingReplacement(t *testing.T) {
 	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
 	defer cancel()
-	f := startFleet(ctx, t, 3, 2)
+	f := startFleet(ctx, t, 2)
 	load := berylprocess.StartLoad(ctx, "roll", "price", f.balanced(6), "Beryllatch-Test-Run-Ms", "50")
 	for _, d := range f.Daemons {
 		assert.NilError(t, d.Terminate())
--- a/internal/bench/berylproof/fleet_test.go
+++ b/internal/bench/berylproof/fleet_test.go
@@ -43,12 +43,12 @@
 	secret string
 }
 
-// startFleet starts the daemons and, in each of two data centres, the workers.
-func startFleet(ctx context.Context, t *testing.T, daemons, workersPerDC int) *fleet {
+// startFleet starts three daemons and, in each of two data centres, the workers.
+func startFleet(ctx context.Context, t *testing.T, workersPerDC int) *fleet {
 	t.Helper()
 	f := &fleet{Fleet: berylprocess.Fleet{Bin: bin, Dir: t.TempDir()}, t: t}
 	t.Cleanup(f.finish)
-	assert.NilError(t, f.StartPlatform(daemons))
+	assert.NilError(t, f.StartPlatform(3))
 	for n := range 2 * workersPerDC {
 		dc := fmt.Sprintf("dc%d", 1+n%2)
 		_, err := f.StartWorker(ctx, fmt.Sprintf("w%d", n+1), dc, fmt.Sprintf("%s-r%d", dc, 1+n/4))
@@ -152,7 +152,7 @@
 func TestOnePath(t *testing.T) {
 	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
 	defer cancel()
-	f := startFleet(ctx, t, 3, 1)
+	f := startFleet(ctx, t, 1)
 	for n, d := range f.Daemons {
 		id := fmt.Sprintf("path-%d", n)
 		got := f.caller(d.Callers).Request(ctx, "price", id, "order")
@@ -165,7 +165,7 @@
 func TestTask(t *testing.T) {
 	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
 	defer cancel()
-	f := startFleet(ctx, t, 3, 2)
+	f := startFleet(ctx, t, 2)
 	var ids []string
 	for n := range 20 {
 		key := fmt.Sprintf("task-%d", n)
