--- a/internal/bench/berylproof/fault_test.go
+++ b/internal/bench/berylproof/fault_test.go
@@ -9,6 +9,9 @@
 	"gotest.tools/v3/assert"
 )
 
+// teamCeiling is the ceiling of the team red.
+const teamCeiling = 8
+
 // loadTime is how long load runs before and after a fault; no assertion depends on its length.
 const loadTime = 2 * time.Second
 
@@ -40,6 +43,7 @@
 		s.Answered, s.NotRun, s.Unknown, s.NoAnswer, s.Starts, s.Reasons)
 	assert.Equal(f.t, len(s.Violations), 0, "%v", s.Violations)
 	assert.Assert(f.t, s.Answered > 0)
+	assert.Assert(f.t, berylprocess.Peak("red", starts, time.Now()) <= teamCeiling)
 	return s
 }
 
@@ -91,3 +95,68 @@
 	s := f.judge(ctx, load.Stop())
 	assert.Equal(t, s.NoAnswer+s.NotRun+s.Unknown, 0, "%+v", s)
 }
+
+// Guards against an outage of the table that stops safe work, and against keyed work that runs without its claim.
+func TestOutage(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	f := startFleet(ctx, t, 2)
+	load := berylprocess.StartLoad(ctx, "outage", "price", f.callersOf())
+	time.Sleep(loadTime)
+	assert.NilError(t, berylprocess.SetFaults(ctx, f.Control, `{"table":{"outage":"refuse"}}`))
+	time.Sleep(tenure + 2*loadTime)
+	during := f.caller(f.Daemons[0].Callers).Request(ctx, "price", "during", "during")
+	keyed := f.caller(f.Daemons[0].Callers).Request(ctx, "price", "keyed", "keyed", "Idempotency-Key", "k1")
+	task := f.caller(f.Daemons[0].Callers).Do(ctx, "POST", "/v1/queues/price/tasks", `{}`)
+	assert.NilError(t, berylprocess.SetFaults(ctx, f.Control, `{}`))
+	assert.Assert(t, during.Answered(), "%+v", during)
+	assert.Assert(t, keyed.NotRun() && keyed.Reason == "claim_unavailable", "%+v", keyed)
+	assert.Assert(t, task.NotRun() && task.Reason == "platform_unavailable", "%+v", task)
+	// Changes are accepted again once the nodes have renewed.
+	for _, err := f.Client(ctx, "team", "change", "red", "--ceiling=7"); err != nil; {
+		assert.NilError(t, ctx.Err(), "%v", err)
+		_, err = f.Client(ctx, "team", "change", "red", "--ceiling=7")
+	}
+	f.judge(ctx, load.Stop())
+}
+
+// tenure is how long a node may start work after its last renewal.
+const tenure = 4 * time.Second
+
+// Guards against a caller that gets a part of an answer, another caller's answer, or a false "not run", while workers
+// answer late, crossed, cut and twice.
+func TestWorkerAnswers(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	f := startFleet(ctx, t, 2)
+	faults := `{"crossed":{"share":0.05},"truncated":{"share":0.05},"doubled":{"share":0.05},"answer_late":{"share":0.05},` +
+		`"answer_late_ms":200,"cut_before_start":{"share":0.05},"cut_after_start":{"share":0.05}}`
+	for _, w := range f.Workers {
+		assert.NilError(t, berylprocess.SetFaults(ctx, w.Address, faults))
+	}
+	load := berylprocess.StartLoad(
+		ctx, "answers", "price", f.callersOf(), "Beryllatch-Test-Run-Ms", "10", "Beryllatch-Deadline-Ms", "2000",
+	)
+	time.Sleep(4 * loadTime)
+	s := f.judge(ctx, load.Stop())
+	assert.Assert(t, s.Unknown > 0, "the faults did not show")
+}
+
+// Guards against a data centre taken out while one node is frozen, and against starts there after its bound.
+func TestDataCentreOut(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	f := startFleet(ctx, t, 2)
+	load := berylprocess.StartLoad(ctx, "out", "price", f.callersOf())
+	f.Daemons[1].Freeze()
+	f.client(ctx, "dc", "out", "dc1")
+	out := time.Now()
+	f.Daemons[1].Thaw()
+	time.Sleep(tenure + loadTime)
+	f.judge(ctx, load.Stop())
+	starts, err := f.Starts(ctx)
+	assert.NilError(t, err)
+	for _, s := range starts {
+		assert.Assert(t, s.Worker.DataCentre != "dc1" || s.Time.Before(out), "%s started in dc1 after it was out", s.RequestID)
+	}
+}
