--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 export PATH := $(shell $(GO) env GOPATH)/bin:$(PATH)
 GOLANGCI_LINT_VERSION := v2.15.0
 
-.PHONY: build demo test bench lint tools
+.PHONY: build demo prove test bench lint tools
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -11,6 +11,10 @@
 demo: build
 	bin/beryldemo
 
+# Prints one row for each promise with what its tests prove.
+prove:
+	$(GO) run ./cmd/berylprove
+
 test:
 	$(GO) test -race ./...
 
--- /dev/null
+++ b/internal/bench/berylprove/doc.go
@@ -0,0 +1,2 @@
+// Package berylprove runs the tests behind each promise of the system and prints what they prove.
+package berylprove
--- /dev/null
+++ b/internal/bench/berylprove/promise.go
@@ -0,0 +1,167 @@
+package berylprove
+
+// Package paths of the tests, below the module's root.
+const (
+	pkgReducer  = "./internal/decision/berylreducer"
+	pkgPlan     = "./internal/decision/berylplan"
+	pkgProof    = "./internal/bench/berylproof"
+	pkgWorker   = "./internal/upstream/berylworker"
+	pkgCaller   = "./internal/node/berylcaller"
+	pkgOperator = "./internal/node/beryloperator"
+)
+
+// Test names one test.
+type Test struct {
+	Package string
+	Name    string
+}
+
+// Promise is one point that must always hold, with its tests.
+type Promise struct {
+	Text   string
+	Faults string
+	// Seeds tells where the seeds of random tests come from; empty for scripted tests.
+	Seeds string
+	// Holds are the tests that show the promise under the faults.
+	Holds []Test
+	// Breaks are the tests that show the promise broken with its mechanism switched off.
+	Breaks []Test
+	// Gap is what no test shows yet.
+	Gap string
+}
+
+func tests(pkg string, names ...string) []Test {
+	var out []Test
+	for _, n := range names {
+		out = append(out, Test{Package: pkg, Name: n})
+	}
+	return out
+}
+
+func join(lists ...[]Test) []Test {
+	var out []Test
+	for _, l := range lists {
+		out = append(out, l...)
+	}
+	return out
+}
+
+const (
+	modelSeeds = "0-11 in model_test.go"
+	rapidSeeds = "fixed in the test"
+)
+
+// Promises lists every point of "What must always hold" of docs/design.md, in its order.
+func Promises() []Promise {
+	return []Promise{
+		{
+			Text:   "availability budgets hold",
+			Faults: "two operators and two nodes race, answers lost, a rack lost in a wave, a node dies in a wave",
+			Seeds:  rapidSeeds,
+			Holds: join(
+				tests(pkgPlan, "TestRaces"),
+				tests(pkgReducer, "TestOperateSessions", "TestOperatorOutcomes", "TestWaveUnderFaults"),
+			),
+			Breaks: tests(pkgPlan, "TestRacesPlainWay"),
+			Gap:    "no process-level race",
+		},
+		{
+			Text:   "an instance is in exactly one pool",
+			Faults: "two operators move one instance, answers lost, the mover frozen in between",
+			Seeds:  rapidSeeds,
+			Holds:  join(tests(pkgPlan, "TestRaces"), tests(pkgReducer, "TestOperatorOutcomes")),
+			Breaks: tests(pkgPlan, "TestRacesPlainWay"),
+			Gap:    "no process-level race",
+		},
+		{
+			Text:   "keys: only the team's own work, a withdrawn key stops within seconds",
+			Faults: "withdrawn while a node is frozen, cut off or behind; unknown and malformed keys",
+			Seeds:  modelSeeds,
+			Holds: join(
+				tests(pkgProof, "TestFreeze"), tests(pkgReducer, "TestKeyWithdrawn", "TestModel", "TestTaskAdmission"),
+				tests(pkgCaller, "TestBadHeaders"),
+			),
+			Breaks: tests(pkgReducer, "TestModelNeedsItsMechanisms"),
+		},
+		{
+			Text:   "no team above its ceiling",
+			Faults: "kill, crash, freeze past the tenure, cuts, lost and reordered messages, outage, one node alone reaches the platform",
+			Seeds:  modelSeeds,
+			Holds: join(
+				tests(pkgReducer, "TestModel", "TestFleetSessions", "TestRequestProperties"),
+				tests(pkgProof, "TestKill", "TestOutage"),
+			),
+			Breaks: tests(pkgReducer, "TestModelNeedsItsMechanisms"),
+			Gap:    "eight processes behind a skewed balancer; the model has three nodes",
+		},
+		{
+			Text:   "no start in a data centre that is out",
+			Faults: "a frozen node, a killed node, requests and tasks waiting",
+			Seeds:  rapidSeeds,
+			Holds: join(
+				tests(pkgProof, "TestDataCentreOut"), tests(pkgReducer, "TestDataCentreOut", "TestRequestProperties", "TestModel"),
+			),
+			Breaks: tests(pkgReducer, "TestModelNeedsItsMechanisms"),
+		},
+		{
+			Text:   "the whole answer to the caller's own request",
+			Faults: "answers late, crossed, cut and doubled, on buffered and streamed answers",
+			Seeds:  "1 of the stand-ins",
+			Holds: join(
+				tests(pkgCaller, "TestCutAnswer"),
+				tests(pkgWorker, "TestExecuteCrossedAnswers", "TestExecuteAfterDoubledAnswer", "TestExecuteUnderWorkerFaults"),
+				tests(pkgProof, "TestWorkerAnswers"),
+			),
+			Gap: "not shown failing without the check of the execution id",
+		},
+		{
+			Text:   "a refusal that says \"not run\" is true",
+			Faults: "an error at each step from connecting to the last byte, six worker faults at once",
+			Seeds:  "1 of the stand-ins; " + rapidSeeds,
+			Holds: join(
+				tests(pkgWorker, "TestOutcomesAgreeWithRecord", "TestExecuteNotSent", "TestExecuteRefused"),
+				tests(pkgReducer, "TestRequestProperties", "TestUnknownOutcome"), tests(pkgProof, "TestWorkerAnswers", "TestKill"),
+			),
+			Gap: "not shown failing without the evidence rule",
+		},
+		{
+			Text:   "a non-idempotent request runs at most once",
+			Faults: "repeat through another node, death between claim and dispatch and between dispatch and record, frozen owner, rebooted worker",
+			Seeds:  rapidSeeds,
+			Holds: join(
+				tests(pkgWorker, "TestExecuteIsNeverReplayed"),
+				tests(pkgReducer, "TestClaimRepeat", "TestClaimAnswerLost", "TestClaimOfLapsedNode", "TestClaimTakeoverLost",
+					"TestRequestProperties", "TestTaskInterleavings", "TestTaskAllNodesReplaced"),
+				tests(pkgProof, "TestKill", "TestTask"),
+			),
+			Breaks: tests(pkgReducer, "TestTaskFence", "TestTaskDispatchingRow", "TestTaskLapseWait"),
+			Gap:    "claims are not shown failing with their mechanism off",
+		},
+		{
+			Text:   "a leaving upstream gets no new work",
+			Faults: "leaving in the list, leaving by the worker's own report, a lagging list",
+			Holds:  tests(pkgReducer, "TestLeavingWorker"),
+			Gap:    "no process-level test; not shown failing first",
+		},
+		{
+			Text:   "planned stops cut no request",
+			Faults: "every node replaced in turn under load; drained workers; stopping nodes with units and tasks",
+			Seeds:  modelSeeds,
+			Holds: join(
+				tests(pkgProof, "TestRollingReplacement"),
+				tests(pkgReducer, "TestFleetSessions", "TestTaskGracefulStop", "TestClaimAtStop", "TestOperateSessions"),
+			),
+			Gap: "not shown failing first; no process-level worker reboot under load",
+		},
+		{
+			Text:   "an accepted configuration is in force everywhere within seconds and never reverts",
+			Faults: "lost answers, racing writers, a node registering meanwhile, an old node returning, outage",
+			Seeds:  modelSeeds,
+			Holds: join(
+				tests(pkgReducer, "TestModel", "TestInForceWaitsForNewNode", "TestOperatorOutcomes", "TestFleetSessions"),
+				tests(pkgProof, "TestFreeze"), tests(pkgOperator, "TestLostReplyIsUnknown"),
+			),
+			Breaks: tests(pkgReducer, "TestModelNeedsItsMechanisms"),
+		},
+	}
+}
