--- a/Makefile
+++ b/Makefile
@@ -2,11 +2,19 @@
 export PATH := $(shell $(GO) env GOPATH)/bin:$(PATH)
 GOLANGCI_LINT_VERSION := v2.15.0
 
-.PHONY: build test bench lint tools
+.PHONY: build demo prove test bench lint tools
 
 build:
 	$(GO) build -o bin/ ./cmd/...
 
+# Runs the fleets of both example users on loopback and compares callers with workers.
+demo: build
+	bin/beryldemo
+
+# Prints one row for each promise with what its tests prove.
+prove:
+	$(GO) run ./cmd/berylprove
+
 test:
 	$(GO) test -race ./...
 
--- a/internal/decision/berylreducer/model_test.go
+++ b/internal/decision/berylreducer/model_test.go
@@ -13,8 +13,6 @@
 const (
 	modelSeeds = 12
 	modelSteps = 200
-	// searchSeeds bounds the search for a run that needs a mechanism; without grants the first is seed 33.
-	searchSeeds = 48
 	// settleSeeds bounds the runs that go on for the longest wait for a lapse.
 	settleSeeds = 2
 )
@@ -29,7 +27,7 @@
 		}
 		return time.Duration(w.rand.IntN(2000)) * time.Millisecond
 	}
-	w.run(2 * time.Second)
+	w.run(reserveSpread)
 	for step := 0; step < modelSteps && w.broken == ""; step++ {
 		w.step(step)
 		w.run(time.Duration(w.rand.IntN(3000)) * time.Millisecond)
@@ -59,7 +57,7 @@
 	w.run(time.Minute)
 	var stuck []string
 	for _, n := range w.nodes {
-		if !strings.Contains(w.log.String(), n.name+" Dispatch last.1") {
+		if !strings.Contains(w.log.String(), n.name+" Dispatch{ID:last Attempt:1") {
 			stuck = append(stuck, n.name)
 		}
 	}
@@ -117,7 +115,7 @@
 	for _, n := range w.nodes {
 		n.outage, n.cut = false, false
 	}
-	w.run(6 * time.Second)
+	w.run(6*time.Second + time.Duration(w.rand.IntN(3000))*time.Millisecond)
 }
 
 // returnLate lets one node miss a change that comes into force, and then return with slow reads of the configuration.
@@ -220,7 +218,7 @@
 		if seed < settleSeeds {
 			assert.Equal(t, strings.Join(w.settle(), " "), "", "seed %d: stuck after the faults", seed)
 		}
-		dispatched += strings.Count(w.log.String(), "Dispatch")
+		dispatched += strings.Count(w.log.String(), "Dispatch{")
 		inForce += strings.Count(w.log.String(), "InForce:true")
 	}
 	assert.Assert(t, dispatched > 10*modelSeeds, "only %d executions", dispatched)
@@ -231,21 +229,39 @@
 func TestModelNeedsItsMechanisms(t *testing.T) {
 	for _, c := range []struct {
 		name   string
+		play   func(seed uint64, f faults) string
 		faults faults
 		broken string
 	}{
-		{"lapse wait", faults{ignoreLapseWait: true}, "above the ceiling"},
-		{"grants", faults{ignoreGrants: true}, "is in force"},
-		{"head version", faults{ignoreHead: true}, "is in force"},
-		{"higher versions only", faults{adoptLower: true}, "reverts"},
+		{"lapse wait", explored, faults{ignoreLapseWait: true}, "above the ceiling"},
+		{"higher versions only", explored, faults{adoptLower: true}, "reverts"},
+		{"grants", played((*world).recoverOne), faults{ignoreGrants: true}, "is in force"},
+		{"head version", played((*world).returnLate), faults{ignoreHead: true}, "is in force"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			found := ""
-			for seed := uint64(0); seed < searchSeeds && !strings.Contains(found, c.broken); seed++ {
-				_, found = explore(seed, c.faults)
+			for seed := uint64(0); seed < modelSeeds && !strings.Contains(found, c.broken); seed++ {
+				assert.Equal(t, c.play(seed, faults{}), "", "seed %d with the mechanism", seed)
+				found = c.play(seed, c.faults)
 			}
 			assert.Assert(t, strings.Contains(found, c.broken), "found %q", found)
 			t.Log(found)
 		})
 	}
 }
+
+func explored(seed uint64, f faults) string {
+	_, broken := explore(seed, f)
+	return broken
+}
+
+// played runs one sequence of faults on its own.
+func played(sequence func(*world, *simNode)) func(uint64, faults) string {
+	return func(seed uint64, f faults) string {
+		w := newWorld(seed, f)
+		w.run(2 * reserveSpread)
+		sequence(w, w.nodes[seed%3])
+		w.run(10 * time.Second)
+		return w.broken
+	}
+}
--- a/internal/decision/berylreducer/units.go
+++ b/internal/decision/berylreducer/units.go
@@ -11,11 +11,16 @@
 	rebalanceInterval = 500 * time.Millisecond
 	// unitsRetry spaces the reads after conflicts and failed calls.
 	unitsRetry = 100 * time.Millisecond
+	// maxConflicts bounds the growth of the delay after conflicts, to 1.7 s.
+	maxConflicts = 4
 	// maxUnitCalls bounds the calls to the table that one tick starts for units.
 	maxUnitCalls = 8
 	// peakWindow is how long idle units stay at least after the demand that needed them; peers that are short of units ask
 	// for them sooner. Shorter windows cost two writes for each single request of a quiet team.
 	peakWindow = 30 * time.Second
+	// reserveSpread spreads the first reads of nodes that start together; 36 nodes with 26 teams would otherwise write
+	// more than two thousand rows in a second.
+	reserveSpread = 10 * time.Second
 	// maxReserve bounds the idle units that a node keeps for an urgent request.
 	maxReserve = 2
 )
@@ -30,6 +35,8 @@
 	row           UnitRow
 	version       uint64
 	rowGeneration uint64
+	// others counts the units that the row gives to other incarnations.
+	others int
 	// rowKnown is false until the row has been read once under the present incarnation.
 	rowKnown bool
 	// needVersion is the configuration version that the row must have reached before a unit is used; a lowered
@@ -44,9 +51,15 @@
 	// nextAt is the earliest time of the next read; askAt and moveAt space the transfers between peers.
 	nextAt time.Duration
 	askAt  time.Duration
-	moveAt time.Duration
+	// reserveAt is when the node first takes its reserve.
+	reserveAt time.Duration
+	moveAt    time.Duration
 	// wanted asks for a read as soon as no call is outstanding.
 	wanted bool
+	// checked is true while the outstanding write has conditions on node rows.
+	checked bool
+	// conflicts counts the writes in a row that lost against another node.
+	conflicts int
 	// lost is true after a write without an answer, which expected the version lostExpect.
 	lost       bool
 	lostExpect uint64
@@ -75,7 +88,7 @@
 func (r *Reducer) adoptTeams(previous beryllatch.Config) {
 	for _, name := range beryllatch.SortedKeys(r.config.Teams) {
 		if r.units[name] == nil {
-			r.units[name] = &teamUnits{}
+			r.units[name] = &teamUnits{reserveAt: r.now.Mono + time.Duration(r.jitter.Int64N(int64(reserveSpread)))}
 		}
 	}
 	skipped := r.config.Version > previous.Version+1
@@ -108,8 +121,13 @@
 	if !r.usable(u) {
 		return 0
 	}
-	others := holdings(u.row) - u.row.Holdings[r.self.Incarnation]
-	return max(0, min(u.held-u.giving, u.row.Ceiling-others))
+	return max(0, min(u.held-u.giving, u.row.Ceiling-u.others))
+}
+
+// setRow takes over a row that was read or written in the present tenure generation.
+func (r *Reducer) setRow(u *teamUnits, row UnitRow, version uint64) {
+	u.row, u.version, u.rowGeneration = row, version, r.tenure.generation
+	u.others = holdings(row) - row.Holdings[r.self.Incarnation]
 }
 
 func holdings(row UnitRow) int {
@@ -141,14 +159,17 @@
 
 // reserve is the number of idle units that the node keeps for the team.
 func (r *Reducer) reserve(team string) int {
-	nodes := len(r.registered()) + 1
+	nodes := max(1, len(r.tenure.known))
 	return min(maxReserve, r.config.Teams[team].Ceiling/(2*nodes))
 }
 
 // need is the number of units that the node wants to hold for the team.
 func (r *Reducer) need(team string, u *teamUnits) int {
-	if r.stopping || r.config.Teams[team].Ceiling == 0 {
+	switch {
+	case r.config.Teams[team].Ceiling == 0:
 		return u.running
+	case r.refusesNew():
+		return u.running + u.waiting
 	}
 	return u.running + u.waiting + r.reserve(team)
 }
@@ -190,13 +211,13 @@
 	switch {
 	case u.wanted, u.lost:
 		return true
-	case need == 0 && u.held == 0:
+	case need == 0 && u.held == 0, u.waiting == 0 && !u.rowKnown && r.now.Mono < u.reserveAt:
 		return false
 	case !r.usable(u), u.waiting > 0 && r.limit(u) <= u.running:
 		return true
 	case u.giving > 0 && u.held > u.running && r.now.Mono >= u.moveAt:
 		return true
-	case holdings(u.row) > u.row.Ceiling && u.held > u.running:
+	case u.held+u.others > u.row.Ceiling && u.held > u.running:
 		return true
 	case u.row.Ceiling != r.config.Teams[team].Ceiling && u.row.ConfigVersion < r.config.Version:
 		return true
@@ -208,8 +229,8 @@
 
 // excess is the number of idle units that the demand of the last window did not need.
 func (r *Reducer) excess(team string, u *teamUnits) int {
-	if r.stopping || r.config.Teams[team].Ceiling == 0 {
-		return max(0, u.held-u.running)
+	if r.refusesNew() || r.config.Teams[team].Ceiling == 0 {
+		return max(0, u.held-r.need(team, u))
 	}
 	return max(0, u.held-max(u.peak, u.lastPeak, u.running+u.waiting)-r.reserve(team))
 }
@@ -249,7 +270,8 @@
 	for _, id := range beryllatch.SortedKeys(row.Holdings) {
 		r.noteHolder(id)
 	}
-	u.row, u.version, u.rowKnown, u.rowGeneration = row, e.Version, true, r.tenure.generation
+	r.setRow(u, row, e.Version)
+	u.rowKnown = true
 	u.readAt = u.calledAt
 	unresolved := u.lost && e.Version == u.lostExpect && !r.faults.trustRead
 	if unresolved {
@@ -285,7 +307,7 @@
 		u.giving = 0
 		u.wanted, u.nextAt = true, r.now.Mono
 	case WriteConflict:
-		u.wanted, u.nextAt = true, r.now.Mono+unitsRetry
+		u.wanted, u.nextAt = true, r.now.Mono+r.conflictDelay(u)
 	case WriteFailed:
 		u.wanted = true
 	}
@@ -294,15 +316,26 @@
 	}
 }
 
+// conflictDelay spreads the nodes that compete for one row; a conflict of a write with checks may mean that a lapsed
+// incarnation has come back, which only a new read of the node rows shows.
+func (r *Reducer) conflictDelay(u *teamUnits) time.Duration {
+	if u.checked {
+		r.tenure.steady = false
+		return renewInterval
+	}
+	u.conflicts = min(u.conflicts+1, maxConflicts)
+	return unitsRetry + time.Duration(r.jitter.Int64N(int64(unitsRetry)<<u.conflicts))
+}
+
 // unitsStored takes over a written row, unless the tenure has lapsed since the write was sent.
 func (r *Reducer) unitsStored(u *teamUnits, e UnitsWritten) {
-	u.lost = false
+	u.lost, u.conflicts = false, 0
 	if u.callGeneration != r.tenure.generation {
 		u.wanted = true
 		return
 	}
 	before := u.row.Holdings
-	u.row, u.version, u.rowGeneration = e.Row, e.Version, r.tenure.generation
+	r.setRow(u, e.Row, e.Version)
 	u.held = e.Row.Holdings[r.self.Incarnation]
 	if holdings(e.Row) < e.Row.Ceiling {
 		// Without contention a burst need not wait for the next interval.
