--- a/internal/decision/berylreducer/units.go
+++ b/internal/decision/berylreducer/units.go
@@ -20,7 +20,7 @@
 	peakWindow = 30 * time.Second
 	// reserveSpread spreads the first reads of nodes that start together; 36 nodes with 26 teams would otherwise write
 	// more than two thousand rows in a second.
-	reserveSpread = 10 * time.Second
+	reserveSpread = 4 * time.Second
 	// maxReserve bounds the idle units that a node keeps for an urgent request.
 	maxReserve = 2
 )
