--- a/internal/decision/berylreducer/leave.go
+++ b/internal/decision/berylreducer/leave.go
@@ -16,7 +16,8 @@
 	case late, t.replaced:
 		// The row stays while it may still have units: its peers know it, so that they can tell when it has lapsed.
 		r.emit(Stop{})
-	case t.deleting, !r.unitsReturned(), !r.mayTransfer():
+	case t.deleting, t.inFlight, !r.unitsReturned(), !r.mayTransfer():
+		// The deletion expects the version of the last renewal, so that renewal must have ended.
 	default:
 		t.deleting = true
 		t.until, t.renewedUntil = min(t.until, r.now.Mono), min(t.renewedUntil, r.now.Mono)
