--- a/internal/decision/berylreducer/operate_wave_random_test.go
+++ b/internal/decision/berylreducer/operate_wave_random_test.go
@@ -88,7 +88,7 @@
 	t.arriving = later
 }
 
-// settle ends the faults and the work.
+// settle ends the faults and the work, and waits for the wave.
 func (t *waveTrial) settle() {
 	for _, name := range []string{"n1", "n2", "n3"} {
 		n := t.nodes[name]
@@ -97,6 +97,9 @@
 		t.applyLate(name)
 	}
 	for range 200 {
+		if t.head.Waves["w"].State == beryllatch.WaveDone {
+			return
+		}
 		t.run(time.Second)
 		t.arrive()
 		for _, w := range t.workers {
