--- a/internal/node/beryltask/table.go
+++ b/internal/node/beryltask/table.go
@@ -13,17 +13,23 @@
 
 func (x *Executor) submitTask(e berylreducer.SubmitTask) {
 	x.write(submissionRows(e), func(r berylreducer.WriteResult) berylreducer.Event {
+		if r == berylreducer.WriteDone && e.Task.Idempotent && e.Task.PayloadRow {
+			x.payloads.put(e.Task.ID, e.Payload)
+		}
 		return berylreducer.SubmissionWritten{CallID: e.CallID, Result: r}
 	})
 }
 
 func (x *Executor) writeCancel(e berylreducer.WriteCancel) {
-	x.write(taskRows(e.Shard, e.Task, e.Expect), func(r berylreducer.WriteResult) berylreducer.Event {
+	x.write(cancelRows(e), func(r berylreducer.WriteResult) berylreducer.Event {
 		return berylreducer.CancelWritten{CallID: e.CallID, Result: r}
 	})
 }
 
 func (x *Executor) writeTask(e berylreducer.WriteTask) {
+	if e.Task.State.Final() {
+		x.payloads.drop(e.Task.ID)
+	}
 	x.write(checkedRows(e), func(r berylreducer.WriteResult) berylreducer.Event {
 		return berylreducer.TaskWritten{ID: e.Task.ID, Epoch: e.Epoch, Result: r}
 	})
@@ -128,9 +134,43 @@
 		}
 		out.Tasks = append(out.Tasks, t)
 	}
+	x.prefetch(e.Shard, out.Tasks)
 	return out
 }
 
+// pollShard reads the newest tasks and the open cancellations of a shard.
+func (x *Executor) pollShard(ctx context.Context, e berylreducer.PollShard) berylreducer.Event {
+	load := berylreducer.LoadTasks{Shard: e.Shard, Epoch: e.Epoch, After: e.After, Limit: e.Limit}
+	newest, _ := x.loadTasks(ctx, load).(berylreducer.TasksLoaded)
+	rows, err := x.table.Query(ctx, cancelPartition(e.Shard), "", e.Limit)
+	out := berylreducer.ShardPolled{
+		Shard: e.Shard, Epoch: e.Epoch, Tasks: newest.Tasks, Failed: newest.Failed || err != nil,
+	}
+	for _, row := range rows {
+		out.Cancelled = append(out.Cancelled, row.Key.Sort)
+	}
+	return out
+}
+
+// prefetch reads the payloads that idempotent tasks would need in an outage.
+func (x *Executor) prefetch(shard int, tasks []berylreducer.StoredTask) {
+	for _, t := range tasks {
+		if !t.Idempotent || !t.PayloadRow || t.State != beryllatch.TaskQueued || x.payloads.touch(t.ID) {
+			continue
+		}
+		if x.payloads.full() {
+			return
+		}
+		x.reads.add(func(ctx context.Context) {
+			ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+			defer cancel()
+			if row, err := x.table.Get(ctx, payloadKey(shard, t.ID)); err == nil && row.Version > 0 {
+				x.payloads.put(t.ID, row.Value)
+			}
+		})
+	}
+}
+
 func (x *Executor) readTask(ctx context.Context, e berylreducer.ReadTask) berylreducer.Event {
 	t, found, err := x.storedAt(ctx, openKey(e.Shard, e.ID))
 	return berylreducer.TaskRowRead{ID: e.ID, Epoch: e.Epoch, Failed: err != nil, Found: found, Task: t}
