--- /dev/null
+++ b/internal/bench/berylmeasure/deployment.go
@@ -0,0 +1,168 @@
+package berylmeasure
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/beryllatch/beryllatch"
+	"github.com/beryllatch/beryllatch/internal/decision/berylplan"
+)
+
+// Deployment is a fleet, its teams and its work.
+type Deployment struct {
+	Name        string
+	Title       string
+	Nodes       int
+	DataCentres []berylplan.DataCentreAnswer
+	Work        []Work
+	Teams       []TeamLoad
+	Spares      int
+	Slots       int
+	Connections int
+	// WorkersPerRack is the number of workers that one rack takes down.
+	WorkersPerRack int
+	// OutAtOncePercent is the disruption budget of each service in percent of its workers.
+	OutAtOncePercent int
+	// DataCentreLoad is the load of the runs with a data centre out, relative to the mean.
+	DataCentreLoad float64
+	Weights        Weights
+}
+
+// Work is one kind of work with a service, a pool and a queue of its own.
+type Work struct {
+	Name    string
+	Workers int
+	RunTime time.Duration
+	// Deadline of work that must not be late; 0 for work that may wait.
+	Deadline time.Duration
+}
+
+// TeamLoad is a team with its part of the requests.
+type TeamLoad struct {
+	Name string
+	Size berylplan.SizeAnswer
+	// Part is the team's part of the requests, relative to the other teams.
+	Part float64
+}
+
+// meanLoad is the part of a pool's slots that its mean load keeps busy. A burst of five times the mean is then beyond
+// what the pool holds.
+const meanLoad = 0.35
+
+// rate is the mean number of requests a second.
+func (d Deployment) rate(w Work) float64 {
+	return meanLoad * float64(w.Workers*d.Slots) / w.RunTime.Seconds()
+}
+
+// declaration distorts what the questionnaire and the instances declare.
+type declaration struct {
+	// runTime and rate multiply the declared values; 0 means 1.
+	runTime float64
+	rate    float64
+	// slots multiplies the declared slots of every third instance and divides those of the next.
+	slots int
+}
+
+// answers fills in the questionnaire.
+func (d Deployment) answers(x declaration) berylplan.Answers {
+	a := berylplan.Answers{User: d.Name, DataCentres: d.DataCentres, Limits: berylplan.LimitsAnswer{
+		SlotsPerWorker: d.Slots, WorkersPerRack: d.WorkersPerRack, SpareWorkers: d.Spares,
+		OutAtOncePercent: d.OutAtOncePercent,
+	}}
+	for _, t := range d.Teams {
+		a.Customers = append(a.Customers, berylplan.CustomerAnswer{Name: t.Name, Size: t.Size})
+	}
+	for _, w := range d.Work {
+		a.Work = append(a.Work, d.workAnswer(w, x))
+	}
+	return a
+}
+
+func (d Deployment) workAnswer(w Work, x declaration) berylplan.WorkAnswer {
+	runTime := float64(w.RunTime.Milliseconds()) * factor(x.runTime)
+	a := berylplan.WorkAnswer{
+		Name: w.Name, Workers: w.Workers, PerMinute: 60 * d.rate(w) * factor(x.rate), RunTimeMS: int(runTime),
+		Late: berylplan.LateLostSale, AnswerWithinMS: int(w.Deadline.Milliseconds()),
+	}
+	if w.Deadline == 0 {
+		a.Late, a.AnswerWithinMS = berylplan.LateMayWait, 0
+		a.LastHandedIn, a.WaitUntil = "04:00", "06:30"
+	}
+	return a
+}
+
+func factor(x float64) float64 {
+	if x == 0 {
+		return 1
+	}
+	return x
+}
+
+// config returns the first configuration: the plan from the answers, the teams' keys and the instances.
+func (d Deployment) config(x declaration, spread bool) (beryllatch.Config, error) {
+	plan, err := berylplan.PlanAnswers(d.answers(x))
+	if err != nil {
+		return beryllatch.Config{}, err
+	}
+	c, err := plan.Apply(beryllatch.Config{})
+	if err != nil {
+		return c, err
+	}
+	var changes []berylplan.Change
+	for n, t := range d.Teams {
+		changes = append(changes, berylplan.PutAPIKey{Key: beryllatch.APIKey{
+			ID: "key-" + t.Name, Team: t.Name, Hash: keyHash(n),
+		}})
+	}
+	for _, i := range d.instances(x, spread) {
+		changes = append(changes, berylplan.PutInstance{Instance: i})
+	}
+	c, err = berylplan.Apply(c, nil, changes...)
+	return c.WithVersion(1), err
+}
+
+// keyHash stands for the hash of a team's secret.
+func keyHash(team int) string { return fmt.Sprintf("%064x", team+1) }
+
+// sparePool is the pool of that name in a generated configuration.
+const sparePool = "spare"
+
+// instances spreads every pool over the data centres in turn; spread adds the spares to the pools of the work.
+func (d Deployment) instances(x declaration, spread bool) []beryllatch.Instance {
+	var out []beryllatch.Instance
+	perDataCentre := make([]int, len(d.DataCentres))
+	add := func(pool string) {
+		n := len(out)
+		dc := n % len(d.DataCentres)
+		out = append(out, beryllatch.Instance{
+			ID: fmt.Sprintf("w%03d", n), Pool: pool, DataCentre: d.DataCentres[dc].Name,
+			Rack:    fmt.Sprintf("rack%d", perDataCentre[dc]/d.WorkersPerRack),
+			Address: fmt.Sprintf("127.0.0.1:%d", 20000+n), Slots: declaredSlots(d.Slots, n, x.slots),
+			Connections: d.Connections, Cores: 16, MemoryMB: 64 << 10,
+		})
+		perDataCentre[dc]++
+	}
+	for _, w := range d.Work {
+		for range w.Workers {
+			add(w.Name)
+		}
+	}
+	for n := range d.Spares {
+		if spread {
+			add(d.Work[n%len(d.Work)].Name)
+			continue
+		}
+		add(sparePool)
+	}
+	return out
+}
+
+func declaredSlots(slots, n, wrong int) int {
+	switch {
+	case wrong > 1 && n%3 == 0:
+		return slots * wrong
+	case wrong > 1 && n%3 == 1:
+		return max(1, slots/wrong)
+	}
+	return slots
+}
--- /dev/null
+++ b/internal/bench/berylmeasure/node_platform.go
@@ -0,0 +1,140 @@
+package berylmeasure
+
+import (
+	"github.com/beryllatch/beryllatch"
+	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
+)
+
+// executePlatform carries out the effects on the table. A write takes effect after one delay, and its answer arrives
+// after another.
+func (n *node) executePlatform(x berylreducer.Effect) {
+	f := n.fleet
+	switch x := x.(type) {
+	case berylreducer.RenewTenure:
+		sent := f.instant()
+		f.after(tableDelay, func() { n.renew(x, sent) })
+	case berylreducer.ReadConfig:
+		f.after(tableDelay, func() {
+			c := f.config()
+			f.after(tableDelay, func() { n.adopt(c) })
+		})
+	case berylreducer.WriteConfig:
+		f.after(tableDelay, func() { n.writeConfig(x) })
+	case berylreducer.ReadUnits:
+		f.after(tableDelay, func() { n.readUnits(x.Team) })
+	case berylreducer.WriteUnits:
+		f.after(tableDelay, func() { n.writeUnits(x) })
+	default:
+		n.executeClaim(x)
+	}
+}
+
+// reply delivers the answer of the table.
+func (n *node) reply(e berylreducer.Event) { n.fleet.after(tableDelay, func() { n.post(e) }) }
+
+func (n *node) renew(x berylreducer.RenewTenure, sent berylreducer.Instant) {
+	f := n.fleet
+	k := beryllatch.RowKey{Partition: nodesPrefix, Sort: x.Row.Incarnation}
+	if !f.table.compareAndSet(k, n.rowVersion, x.Row) {
+		n.reply(berylreducer.RenewalFailed{SentAt: sent})
+		return
+	}
+	n.rowVersion++
+	var rows []berylreducer.NodeRow
+	for _, other := range f.nodes {
+		stored := f.table[beryllatch.RowKey{Partition: nodesPrefix, Sort: other.self.Incarnation}]
+		if row, ok := stored.value.(berylreducer.NodeRow); ok {
+			row.Version = stored.version
+			rows = append(rows, row)
+		}
+	}
+	n.reply(berylreducer.Renewed{SentAt: sent, HeadVersion: f.config().Version, Nodes: rows})
+}
+
+func (n *node) writeConfig(x berylreducer.WriteConfig) {
+	f := n.fleet
+	before := f.config()
+	if !f.table.compareAndSet(headKey, x.Expect, x.Config) {
+		n.reply(berylreducer.ConfigWritten{CallID: x.CallID, Result: berylreducer.WriteConflict})
+		return
+	}
+	f.audit.committed(before, x.Config)
+	f.meter.committed(before, x.Config)
+	f.after(tableDelay, func() {
+		n.config = x.Config
+		n.post(berylreducer.ConfigWritten{CallID: x.CallID, Result: berylreducer.WriteDone})
+	})
+}
+
+func (n *node) readUnits(team string) {
+	f := n.fleet
+	if f.policy.equalSplit {
+		n.reply(berylreducer.UnitsRead{Team: team, Row: f.equalRow(team), Version: 1})
+		return
+	}
+	stored := f.table[beryllatch.RowKey{Partition: unitsPrefix, Sort: team}]
+	row, _ := stored.value.(berylreducer.UnitRow)
+	n.reply(berylreducer.UnitsRead{Team: team, Row: row, Version: stored.version})
+}
+
+func (n *node) writeUnits(x berylreducer.WriteUnits) {
+	f := n.fleet
+	result := berylreducer.WriteConflict
+	k := beryllatch.RowKey{Partition: unitsPrefix, Sort: x.Row.Team}
+	if !f.policy.equalSplit && f.checksHold(x.Checks) && f.table.compareAndSet(k, x.Expect, x.Row) {
+		result = berylreducer.WriteDone
+	}
+	n.reply(berylreducer.UnitsWritten{Team: x.Row.Team, Row: x.Row, Version: x.Expect + 1, Result: result})
+}
+
+func (f *fleet) checksHold(checks []berylreducer.NodeCheck) bool {
+	for _, c := range checks {
+		if f.table[beryllatch.RowKey{Partition: nodesPrefix, Sort: c.Incarnation}].version != c.Version {
+			return false
+		}
+	}
+	return true
+}
+
+// equalRow is the fixed unit row of the equal split; no write of it succeeds.
+func (f *fleet) equalRow(team string) berylreducer.UnitRow {
+	c := f.config()
+	row := berylreducer.UnitRow{
+		Team: team, ConfigVersion: c.Version, Ceiling: c.Teams[team].Ceiling, Holdings: map[string]int{},
+	}
+	for n, x := range f.nodes {
+		row.Holdings[x.self.Incarnation] = row.Ceiling / len(f.nodes)
+		if n < row.Ceiling%len(f.nodes) {
+			row.Holdings[x.self.Incarnation]++
+		}
+	}
+	return row
+}
+
+func (n *node) executeClaim(x berylreducer.Effect) {
+	f := n.fleet
+	switch x := x.(type) {
+	case berylreducer.WriteClaim:
+		f.after(tableDelay, func() { n.writeClaim(x.ID, x.Key, x.Expect, x.Row) })
+	case berylreducer.FinishClaim:
+		f.after(tableDelay, func() { n.writeClaim(x.ID, x.Key, x.Expect, x.Row) })
+	case berylreducer.ReleaseClaim:
+		f.after(tableDelay, func() { n.writeClaim(x.ID, x.Key, x.Expect, x.Row) })
+	case berylreducer.ReadClaim:
+		f.after(tableDelay, func() { n.readClaim(x) })
+	}
+}
+
+func (n *node) writeClaim(id string, k beryllatch.RowKey, expect uint64, row berylreducer.ClaimRow) {
+	result := berylreducer.WriteConflict
+	if n.fleet.table.compareAndSet(k, expect, row) {
+		result = berylreducer.WriteDone
+	}
+	n.reply(berylreducer.ClaimWritten{ID: id, Result: result})
+}
+
+func (n *node) readClaim(x berylreducer.ReadClaim) {
+	stored := n.fleet.table[x.Key]
+	row, _ := stored.value.(berylreducer.ClaimRow)
+	n.reply(berylreducer.ClaimRead{ID: x.ID, Row: row, Version: stored.version})
+}
--- /dev/null
+++ b/internal/bench/berylmeasure/plan.go
@@ -0,0 +1,118 @@
+package berylmeasure
+
+import (
+	"context"
+	"slices"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+)
+
+// Plan is the set of runs to make.
+type Plan struct {
+	Seed uint64
+	Pace Pace
+	// Parallel is the number of runs at once; it does not change the results.
+	Parallel    int
+	Deployments []Selection
+}
+
+// Selection names the policies and runs of one deployment; empty lists mean all.
+type Selection struct {
+	Deployment Deployment
+	Policies   []string
+	Runs       []string
+}
+
+// Report holds the results in the order of the plan.
+type Report struct {
+	Seed    uint64   `json:"seed"`
+	Results []Result `json:"results"`
+	Scores  []Score  `json:"scores"`
+}
+
+// job is one run of the plan.
+type job struct {
+	deployment Deployment
+	policy     Policy
+	script     script
+}
+
+// Measure makes the runs of the plan.
+func Measure(ctx context.Context, p Plan) (Report, error) {
+	jobs := p.jobs()
+	results := make([]Result, len(jobs))
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(max(1, p.Parallel))
+	for n, j := range jobs {
+		g.Go(func() error {
+			if err := ctx.Err(); err != nil {
+				return err
+			}
+			r, err := j.run(p.Seed)
+			results[n] = r
+			return err
+		})
+	}
+	if err := g.Wait(); err != nil {
+		return Report{}, eris.Wrap(err, "measure")
+	}
+	return Report{Seed: p.Seed, Results: results, Scores: p.scores(results)}, nil
+}
+
+func (p Plan) jobs() []job {
+	var jobs []job
+	for _, s := range p.Deployments {
+		for _, script := range scripts(s.Deployment, p.Pace) {
+			for _, policy := range Policies() {
+				if selected(s.Runs, script.name) && selected(s.Policies, policy.Name) {
+					jobs = append(jobs, job{deployment: s.Deployment, policy: policy, script: script})
+				}
+			}
+		}
+	}
+	return jobs
+}
+
+func selected(names []string, name string) bool {
+	return len(names) == 0 || slices.Contains(names, name)
+}
+
+// run makes one run, and the run that it is compared with.
+func (j job) run(seed uint64) (Result, error) {
+	f, err := newFleet(j.deployment, j.policy, j.script, seed)
+	if err != nil {
+		return Result{}, err
+	}
+	f.run()
+	r := f.result()
+	if j.script.reference == nil {
+		return r, nil
+	}
+	other, err := newFleet(j.deployment, j.policy, *j.script.reference, seed)
+	if err != nil {
+		return Result{}, err
+	}
+	other.run()
+	part := percent * float64(f.meter.compared) / float64(max(1, other.meter.compared))
+	r.DataCentreWork = &part
+	return r, nil
+}
+
+func (p Plan) scores(results []Result) []Score {
+	var out []Score
+	for _, s := range p.Deployments {
+		for _, policy := range Policies() {
+			var own []Result
+			for _, r := range results {
+				if r.Deployment == s.Deployment.Name && r.Policy == policy.Name {
+					own = append(own, r)
+				}
+			}
+			if len(own) > 0 {
+				out = append(out, newScore(s.Deployment, policy.Name, own))
+			}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/bench/berylmeasure/print.go
@@ -0,0 +1,59 @@
+package berylmeasure
+
+import (
+	"fmt"
+	"io"
+	"strconv"
+	"text/tabwriter"
+
+	"github.com/rotisserie/eris"
+)
+
+// Print writes the scores and one table a deployment and run, with a line for each policy.
+func (r Report) Print(w io.Writer) error {
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	r.printScores(tw)
+	r.printResults(tw)
+	r.printRefusals(tw)
+	return eris.Wrap(tw.Flush(), "print report")
+}
+
+func (r Report) printScores(w io.Writer) {
+	deployment := ""
+	for _, s := range r.Scores {
+		if s.Deployment != deployment {
+			deployment = s.Deployment
+			printf(w, "\n%s: score and what it is made of, seed %d\n", deployment, r.Seed)
+			printf(w, "policy\tscore\tbuffer cost\troll-out\tmoves\tshare distance\tdata-centre work\tmissed\turgent p99\tbroken\t\n")
+			printf(w, "\t0-100\tinstance-h/day\tmin\t\t%%\t%%\t%%\tms\t\t\n")
+		}
+		printf(w, "%s\t%.1f\t%.0f\t%s\t%d\t%s\t%s\t%.2f\t%.0f\t%d\t\n", s.Policy, s.Score, s.BufferCost, optional(s.RollOut),
+			s.Moves, optional(s.Share), optional(s.DataCentre), s.Missed, s.Urgent, s.Broken)
+	}
+}
+
+func (r Report) printResults(w io.Writer) {
+	run := ""
+	for _, x := range r.Results {
+		if name := x.Deployment + ", " + x.Run; name != run {
+			run = name
+			printf(w, "\n%s\n", run)
+			printf(w, "policy\trequests\tdone\tbuffer cost\troll-out\tmoves\tshare distance\tdata-centre work\tmissed\turgent p99\tbroken\t\n")
+		}
+		printf(w, "%s\t%d\t%d\t%.0f\t%s\t%d\t%s\t%s\t%.2f\t%.0f\t%d\t\n", x.Policy, x.Requests, x.Done, x.BufferCost,
+			optional(x.RollOut), x.Moves, optional(x.ShareDistance), optional(x.DataCentreWork), x.Missed, x.UrgentStartP99,
+			x.broken())
+	}
+}
+
+// printRefusals lists the requests without an answer in time, by reason, and the broken promises by name.
+func (r Report) printRefusals(w io.Writer) {
+	printf(w, "\nrefused by reason, failed answers, cancelled by callers, promises broken\n")
+	for _, x := range r.Results {
+		printf(w, "%s\t%s\t%s\t%s\tfailed:%s\tcancelled:%s\tbroken:%s\t\n", x.Deployment, x.Run, x.Policy, counts(x.Refused),
+			strconv.Itoa(x.Failed), strconv.Itoa(x.Cancelled), counts(x.Broken))
+	}
+}
+
+// printf writes to a tabwriter, which keeps everything until Flush reports the first error.
+func printf(w io.Writer, format string, args ...any) { _, _ = fmt.Fprintf(w, format, args...) }
--- /dev/null
+++ b/internal/bench/berylmeasure/result.go
@@ -0,0 +1,105 @@
+package berylmeasure
+
+import (
+	"fmt"
+	"maps"
+	"strings"
+	"time"
+
+	"github.com/beryllatch/beryllatch"
+)
+
+// Result holds the measures of one run; docs/MEASURES.md defines them. A measure that a run does not have is nil.
+type Result struct {
+	Deployment string `json:"deployment"`
+	Policy     string `json:"policy"`
+	Run        string `json:"run"`
+	Seed       uint64 `json:"seed"`
+	Requests   int    `json:"requests"`
+	Done       int    `json:"done"`
+	Cancelled  int    `json:"cancelled"`
+	Failed     int    `json:"failed"`
+	// BufferCost is in instance-hours a day.
+	BufferCost float64 `json:"buffer_cost_instance_hours_per_day"`
+	// RollOut is in virtual minutes.
+	RollOut *float64 `json:"roll_out_minutes,omitempty"`
+	Moves   int      `json:"moves"`
+	// ShareDistance is the mean absolute distance in percent of the share.
+	ShareDistance *float64 `json:"share_distance_percent,omitempty"`
+	// DataCentreWork is in percent of the same run without the removal.
+	DataCentreWork *float64 `json:"data_centre_work_percent,omitempty"`
+	// Missed is in percent of the requests that were not cancelled.
+	Missed float64 `json:"deadlines_missed_percent"`
+	// UrgentStartP99 is in milliseconds.
+	UrgentStartP99 float64        `json:"urgent_start_p99_ms"`
+	Refused        map[string]int `json:"refused,omitempty"`
+	// Broken counts broken promises by name.
+	Broken map[string]int `json:"promises_broken,omitempty"`
+}
+
+const percent = 100
+
+func (f *fleet) result() Result {
+	m := &f.meter
+	r := Result{
+		Deployment: f.deployment.Name, Policy: f.policy.Name, Run: f.script.name, Seed: f.seed,
+		Requests: m.requests, Done: m.done, Cancelled: m.abandoned, Failed: m.failed, Moves: m.moves,
+		BufferCost:     24 * m.spare / float64(max(1, m.samples)),
+		UrgentStartP99: float64(m.urgent.ValueAtPercentile(99)) / float64(time.Millisecond/time.Microsecond),
+		Refused:        map[string]int{}, Broken: maps.Clone(f.audit.broken),
+	}
+	for reason, n := range m.refused {
+		r.Refused[string(reason)] = n
+	}
+	if kept := m.requests - m.abandoned; kept > 0 {
+		r.Missed = percent * float64(kept-m.done) / float64(kept)
+	}
+	if m.waveEnded > m.waveStarted {
+		minutes := (m.waveEnded - m.waveStarted).Minutes()
+		r.RollOut = &minutes
+	}
+	if m.distance.n > 0 {
+		distance := m.distance.value()
+		r.ShareDistance = &distance
+	}
+	return r
+}
+
+// broken returns the number of broken promises.
+func (r Result) broken() int {
+	n := 0
+	for _, x := range r.Broken {
+		n += x
+	}
+	return n
+}
+
+// Summary returns the result as one line.
+func (r Result) Summary() string {
+	return fmt.Sprintf(
+		"%s/%s/%s seed=%d requests=%d done=%d cancelled=%d failed=%d buffer=%.1f roll_out=%s moves=%d share=%s dc_work=%s "+
+			"missed=%.2f urgent_p99=%.1f refused=%s broken=%s",
+		r.Deployment, r.Policy, r.Run, r.Seed, r.Requests, r.Done, r.Cancelled, r.Failed, r.BufferCost, optional(r.RollOut),
+		r.Moves, optional(r.ShareDistance), optional(r.DataCentreWork), r.Missed, r.UrgentStartP99, counts(r.Refused),
+		counts(r.Broken),
+	)
+}
+
+func optional(x *float64) string {
+	if x == nil {
+		return "-"
+	}
+	return fmt.Sprintf("%.1f", *x)
+}
+
+// counts prints a map in ascending order of its keys.
+func counts(m map[string]int) string {
+	if len(m) == 0 {
+		return "0"
+	}
+	var parts []string
+	for _, k := range beryllatch.SortedKeys(m) {
+		parts = append(parts, fmt.Sprintf("%s:%d", k, m[k]))
+	}
+	return strings.Join(parts, ",")
+}
