--- a/internal/bench/berylmeasure/meter.go
+++ b/internal/bench/berylmeasure/meter.go
@@ -20,6 +20,8 @@
 	waiting  [][]int
 	running  [][]int
 	counters map[string]int64
+	// lost is what the requests refused since the last sample would have kept busy, in slots.
+	lost [][]float64
 
 	requests  int
 	done      int
@@ -47,6 +49,7 @@
 	for range f.deployment.Work {
 		m.waiting = append(m.waiting, make([]int, len(f.deployment.Teams)))
 		m.running = append(m.running, make([]int, len(f.deployment.Teams)))
+		m.lost = append(m.lost, make([]float64, len(f.deployment.Teams)))
 	}
 	return m
 }
@@ -90,6 +93,9 @@
 	if e.done && !q.abandoned && m.fleet.now >= s.from && m.fleet.now < s.to {
 		m.compared++
 	}
+	if e.reason != "" && !q.abandoned {
+		m.lost[q.work][q.team] += float64(q.runTime) / float64(sampleInterval)
+	}
 	switch {
 	case !q.counted:
 	case q.abandoned:
--- a/internal/bench/berylmeasure/script.go
+++ b/internal/bench/berylmeasure/script.go
@@ -19,6 +19,8 @@
 	// equalTeams lets every team send the same part of the requests.
 	equalTeams  bool
 	declaration declaration
+	// maintenance is true for a run with a maintenance wave.
+	maintenance bool
 	// events schedules what operators, workers and callers do; nil means nothing.
 	events func(f *fleet)
 	// from and to bound the time in which done work is counted for a comparison with the reference.
@@ -27,6 +29,12 @@
 	reference *script
 }
 
+// untilCompared returns the reference of the script as it is: the same run, until the end of the comparison.
+func (s script) untilCompared() *script {
+	s.length = s.to
+	return &s
+}
+
 func (s script) play(f *fleet) {
 	if s.events != nil {
 		s.events(f)
