--- /dev/null
+++ b/internal/bench/berylmeasure/golden_test.go
@@ -0,0 +1,35 @@
+package berylmeasure
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+)
+
+// Guards against a change of policy that goes unnoticed, and against a run that depends on anything but its seed. Run
+// with -update after a wanted change.
+func TestSummaries(t *testing.T) {
+	cases := map[string]Selection{
+		"chosen":    {Policies: []string{Chosen}},
+		"baselines": {Runs: []string{"bursts", runFull}},
+		"waves":     {Policies: []string{"one_at_a_time"}, Runs: []string{runWave}},
+	}
+	for name, s := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s.Deployment, s.Pace = tiny(), tinyPace()
+			report, err := Measure(t.Context(), Plan{Seed: 7, Parallel: 2, Deployments: []Selection{s}})
+			assert.NilError(t, err)
+			var out strings.Builder
+			for _, r := range report.Results {
+				assert.Equal(t, r.broken(), 0, r.Summary())
+				out.WriteString(r.Summary() + "\n")
+			}
+			assert.NilError(t, report.Print(&out))
+			assert.NilError(t, report.WriteCharts(t.TempDir()))
+			golden.Assert(t, out.String(), name+".golden")
+		})
+	}
+}
--- /dev/null
+++ b/internal/bench/berylmeasure/policy_test.go
@@ -0,0 +1,43 @@
+package berylmeasure
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a baseline that is the chosen policy under another name, and against requests that depend on it.
+func TestBaselinesDiffer(t *testing.T) {
+	chosen := summary(t, Policies()[0])
+	for _, p := range Policies()[1:] {
+		if p.oneAtATime {
+			continue
+		}
+		other := summary(t, p)
+		assert.Equal(t, other.Requests, chosen.Requests, p.Name)
+		other.Policy = chosen.Policy
+		assert.Assert(t, other.Summary() != chosen.Summary(), p.Name)
+	}
+}
+
+func summary(t *testing.T, p Policy) Result {
+	t.Helper()
+	r, err := job{deployment: tiny(), policy: p, script: bursts(tiny(), tinyPace())}.run(3)
+	assert.NilError(t, err)
+	return r
+}
+
+// Guards against events of one time that run in an order of their own.
+func TestScheduleOrder(t *testing.T) {
+	var s schedule
+	var got []int
+	s.after(2*time.Second, func() { got = append(got, 3) })
+	s.after(time.Second, func() {
+		got = append(got, 1)
+		s.after(0, func() { got = append(got, 2) })
+	})
+	s.after(2*time.Second, func() { got = append(got, 4) })
+	s.runUntil(time.Minute, func() bool { return false })
+	assert.DeepEqual(t, got, []int{1, 2, 3, 4})
+}
--- /dev/null
+++ b/internal/bench/berylmeasure/tiny_test.go
@@ -0,0 +1,28 @@
+package berylmeasure
+
+import (
+	"time"
+
+	"github.com/beryllatch/beryllatch/internal/decision/berylplan"
+)
+
+// tiny is a deployment that keeps the runs of the tests short.
+func tiny() Deployment {
+	return Deployment{
+		Name: "tiny", Title: "Tiny", Nodes: 3, Spares: 1, Slots: 4, Connections: 16, WorkersPerRack: 2,
+		OutAtOncePercent: 20, DataCentreLoad: 1.2, DataCentres: dataCentres("dc1", "dc2"),
+		Weights: Weights{BufferCost: 1, RollOut: 1, Moves: 1, Share: 1, DataCentre: 1, Missed: 1, Urgent: 1},
+		Work: []Work{
+			{Name: "price", Workers: 4, RunTime: 600 * time.Millisecond, Deadline: 3 * time.Second},
+			{Name: "reconcile", Workers: 4, RunTime: 2 * time.Second},
+		},
+		Teams: []TeamLoad{
+			{Name: "large", Size: berylplan.SizeLarge, Part: 2},
+			{Name: "small", Size: berylplan.SizeSmall, Part: 1},
+		},
+	}
+}
+
+func tinyPace() Pace {
+	return Pace{Hour: 2 * time.Second, Burst: 5 * time.Second, Event: 20 * time.Second, Wave: 20 * time.Minute}
+}
