--- a/internal/bench/berylmeasure/print.go
+++ b/internal/bench/berylmeasure/print.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"strconv"
 	"text/tabwriter"
 
 	"github.com/rotisserie/eris"
@@ -14,8 +13,11 @@
 	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	r.printScores(tw)
 	r.printResults(tw)
-	r.printRefusals(tw)
-	return eris.Wrap(tw.Flush(), "print report")
+	if err := tw.Flush(); err != nil {
+		return eris.Wrap(err, "print report")
+	}
+	r.printRefusals(w)
+	return nil
 }
 
 func (r Report) printScores(w io.Writer) {
@@ -48,12 +50,12 @@
 
 // printRefusals lists the requests without an answer in time, by reason, and the broken promises by name.
 func (r Report) printRefusals(w io.Writer) {
-	printf(w, "\nrefused by reason, failed answers, cancelled by callers, promises broken\n")
+	printf(w, "\nrefused by reason; failed answers; cancelled by callers; promises broken\n")
 	for _, x := range r.Results {
-		printf(w, "%s\t%s\t%s\t%s\tfailed:%s\tcancelled:%s\tbroken:%s\t\n", x.Deployment, x.Run, x.Policy, counts(x.Refused),
-			strconv.Itoa(x.Failed), strconv.Itoa(x.Cancelled), counts(x.Broken))
+		printf(w, "%s, %s, %s: refused %s; failed %d; cancelled %d; broken %s\n", x.Deployment, x.Run, x.Policy,
+			counts(x.Refused), x.Failed, x.Cancelled, counts(x.Broken))
 	}
 }
 
-// printf writes to a tabwriter, which keeps everything until Flush reports the first error.
+// printf drops the error of a failed write, as fmt.Print does; there is nothing else to print it to.
 func printf(w io.Writer, format string, args ...any) { _, _ = fmt.Fprintf(w, format, args...) }
