--- a/internal/bench/berylmeasure/meter.go
+++ b/internal/bench/berylmeasure/meter.go
@@ -20,8 +20,6 @@
 	waiting  [][]int
 	running  [][]int
 	counters map[string]int64
-	// lost is what the requests refused since the last sample would have kept busy, in slots.
-	lost [][]float64
 
 	requests  int
 	done      int
@@ -44,12 +42,12 @@
 func newMeter(f *fleet) meter {
 	m := meter{
 		fleet: f, counters: map[string]int64{}, refused: map[beryllatch.Reason]int{},
-		urgent: hdrhistogram.New(1, startMax, startDigits), shares: make([]shareWindow, len(f.deployment.Work)),
+		urgent: hdrhistogram.New(1, startMax, startDigits),
 	}
 	for range f.deployment.Work {
 		m.waiting = append(m.waiting, make([]int, len(f.deployment.Teams)))
 		m.running = append(m.running, make([]int, len(f.deployment.Teams)))
-		m.lost = append(m.lost, make([]float64, len(f.deployment.Teams)))
+		m.shares = append(m.shares, newShareWindow(len(f.deployment.Teams)))
 	}
 	return m
 }
@@ -72,6 +70,7 @@
 
 func (m *meter) arrived(q *request) {
 	if q.counted {
+		m.shares[q.work].offered[q.team] += q.runTime.Seconds()
 		m.requests++
 	}
 }
@@ -93,9 +92,6 @@
 	if e.done && !q.abandoned && m.fleet.now >= s.from && m.fleet.now < s.to {
 		m.compared++
 	}
-	if e.reason != "" && !q.abandoned {
-		m.lost[q.work][q.team] += float64(q.runTime) / float64(sampleInterval)
-	}
 	switch {
 	case !q.counted:
 	case q.abandoned:
--- a/internal/bench/berylmeasure/share.go
+++ b/internal/bench/berylmeasure/share.go
@@ -8,19 +8,27 @@
 )
 
 const (
-	// shareSamples are averaged, as single samples of a small share are coarse; a shorter full time than
-	// minShareSamples is left out.
-	shareSamples    = 5
-	minShareSamples = 3
+	// shareSamples make a window, since single samples of a small share are coarse.
+	shareSamples = 5
 	// minShare in slots leaves out teams that want next to nothing.
 	minShare = 1.0
 )
 
-// shareWindow sums the running slots and the max-min shares of each team in a full pool.
+// shareWindow sums by team what a pool has been asked for and what has run there.
 type shareWindow struct {
-	samples int
-	running map[string]float64
-	share   map[string]float64
+	samples  int
+	capacity int
+	// offered is the run time of the requests that have arrived, in seconds.
+	offered []float64
+	running []float64
+	// elsewhere is what the teams ran in other pools.
+	elsewhere []float64
+}
+
+func newShareWindow(teams int) shareWindow {
+	return shareWindow{
+		offered: make([]float64, teams), running: make([]float64, teams), elsewhere: make([]float64, teams),
+	}
 }
 
 // mean is a running mean.
@@ -36,67 +44,60 @@
 
 func (m *mean) value() float64 { return m.sum / float64(max(1, m.n)) }
 
-// sampleShare compares the teams in the pool with their max-min shares, if more is wanted than the pool holds.
+// sampleShare adds a sample of a pool to its window, and compares the teams with their shares at the end of it.
 func (m *meter) sampleShare(c beryllatch.Config, work int, pool string) {
-	capacity := m.fleet.poolSlots(c, pool)
-	claims := m.claims(c, work)
 	w := &m.shares[work]
-	if wanted(claims) < capacity {
-		m.flushShare(w)
-		return
-	}
-	if w.samples == 0 {
-		w.running, w.share = map[string]float64{}, map[string]float64{}
-	}
 	w.samples++
-	shares := berylshare.MaxMin(capacity, claims)
-	for n, t := range m.fleet.deployment.Teams {
-		w.running[t.Name] += float64(m.running[work][n])
-		w.share[t.Name] += shares[t.Name]
+	w.capacity += m.fleet.poolSlots(c, pool)
+	for n := range m.fleet.deployment.Teams {
+		w.running[n] += float64(m.running[work][n])
+		for other := range m.running {
+			if other != work {
+				w.elsewhere[n] += float64(m.running[other][n])
+			}
+		}
 	}
 	if w.samples == shareSamples {
-		m.flushShare(w)
+		m.compareShares(c, w)
+		*w = newShareWindow(len(m.fleet.deployment.Teams))
 	}
 }
 
-// claims returns the teams' claims on a pool; what a team runs elsewhere counts against its ceiling.
-func (m *meter) claims(c beryllatch.Config, work int) []berylshare.Claim {
+// compareShares counts the teams' distances from their max-min shares, if more was wanted than the pool held.
+func (m *meter) compareShares(c beryllatch.Config, w *shareWindow) {
+	capacity := w.capacity / w.samples
+	claims := m.claims(c, w)
+	wanted := 0
+	for _, claim := range claims {
+		wanted += claim.Demand
+	}
+	if wanted < capacity {
+		return
+	}
+	shares := berylshare.MaxMin(capacity, claims)
+	for n, claim := range claims {
+		if share := shares[claim.Name]; share >= minShare {
+			running := w.running[n] / float64(w.samples)
+			m.distance.add(percent * math.Abs(running-share) / share)
+		}
+	}
+}
+
+// claims returns the teams' claims on a pool. The demand is what the arrived requests would keep busy, or what runs if
+// that is more; what a team runs elsewhere counts against its ceiling.
+func (m *meter) claims(c beryllatch.Config, w *shareWindow) []berylshare.Claim {
 	var out []berylshare.Claim
+	samples := float64(w.samples)
 	for n, t := range m.fleet.deployment.Teams {
-		elsewhere := -m.running[work][n]
-		for w := range m.running {
-			elsewhere += m.running[w][n]
-		}
 		team := c.Teams[t.Name]
 		out = append(out, berylshare.Claim{
-			Name: t.Name, Weight: team.Weight, Ceiling: team.Ceiling - elsewhere,
-			Demand: m.running[work][n] + m.waiting[work][n] + int(m.lost[work][n]),
+			Name: t.Name, Weight: team.Weight, Ceiling: team.Ceiling - int(w.elsewhere[n]/samples),
+			Demand: int(max(w.offered[n]/(samples*sampleInterval.Seconds()), w.running[n]/samples)),
 		})
-		m.lost[work][n] = 0
 	}
 	return out
 }
 
-// wanted is the sum of the demands in slots.
-func wanted(claims []berylshare.Claim) int {
-	n := 0
-	for _, c := range claims {
-		n += c.Demand
-	}
-	return n
-}
-
-func (m *meter) flushShare(w *shareWindow) {
-	if w.samples >= minShareSamples {
-		for _, t := range m.fleet.deployment.Teams {
-			if share := w.share[t.Name]; share >= minShare*float64(w.samples) {
-				m.distance.add(100 * math.Abs(w.running[t.Name]-share) / share)
-			}
-		}
-	}
-	*w = shareWindow{}
-}
-
 // poolSlots counts the slots of the workers that serve the pool.
 func (f *fleet) poolSlots(c beryllatch.Config, pool string) int {
 	n := 0
