--- a/internal/bench/berylprocess/fleet.go
+++ b/internal/bench/berylprocess/fleet.go
@@ -26,6 +26,8 @@
 	// Bin holds the built programs; Dir takes logs and files.
 	Bin string
 	Dir string
+	// DataCentres holds the data centres of the entry daemons in turn; empty means dc1 and dc2.
+	DataCentres []string
 
 	Platform *Process
 	Control  string
@@ -33,7 +35,10 @@
 	Daemons  []*Daemon
 	Workers  []*Worker
 
-	table     string
+	// Table is the address that daemons get for the table service; set it between StartPlatform and StartDaemon to
+	// put a proxy in front of it.
+	Table string
+
 	objects   string
 	instances string
 }
@@ -62,7 +67,7 @@
 func (f *Fleet) StartPlatform(daemons int) error {
 	var flags []string
 	for name, target := range map[string]*string{
-		"table": &f.table, "objects": &f.objects, "instances": &f.instances, "control": &f.Control, "balancer": &f.Balancer,
+		"table": &f.Table, "objects": &f.objects, "instances": &f.instances, "control": &f.Control, "balancer": &f.Balancer,
 	} {
 		addr, err := FreeAddress()
 		if err != nil {
@@ -72,7 +77,7 @@
 		flags = append(flags, "--"+name+"-addr="+addr)
 	}
 	for n := range daemons {
-		d, err := newDaemon(n)
+		d, err := f.newDaemon(n)
 		if err != nil {
 			return err
 		}
@@ -87,8 +92,12 @@
 	return nil
 }
 
-func newDaemon(n int) (*Daemon, error) {
-	d := &Daemon{node: fmt.Sprintf("entry-%d", n+1), dc: fmt.Sprintf("dc%d", 1+n%2)}
+func (f *Fleet) newDaemon(n int) (*Daemon, error) {
+	dcs := f.DataCentres
+	if len(dcs) == 0 {
+		dcs = []string{"dc1", "dc2"}
+	}
+	d := &Daemon{node: fmt.Sprintf("entry-%d", n+1), dc: dcs[n%len(dcs)]}
 	for _, target := range []*string{&d.Callers, &d.Operators, &d.peers, &d.Admin} {
 		addr, err := FreeAddress()
 		if err != nil {
@@ -105,7 +114,7 @@
 	p, err := Run(
 		f.Dir, d.node, filepath.Join(f.Bin, "beryllatchd"),
 		"--node="+d.node, "--data-centre="+d.dc, "--callers-address="+d.Callers, "--operators-address="+d.Operators,
-		"--peers-address="+d.peers, "--admin-address="+d.Admin, "--table-endpoint=http://"+f.table,
+		"--peers-address="+d.peers, "--admin-address="+d.Admin, "--table-endpoint=http://"+f.Table,
 		"--object-endpoint=http://"+f.objects, "--instance-list=http://"+f.instances+"/instances",
 		"--operator-tokens=harness:"+hex.EncodeToString(hash[:]),
 	)
--- a/internal/decision/berylreducer/outage.go
+++ b/internal/decision/berylreducer/outage.go
@@ -18,7 +18,7 @@
 	t.grantsAsked = r.now.Mono
 	var peers []Identity
 	for _, id := range t.known {
-		if m := r.members[id]; id != r.self.Incarnation && m != nil && !m.gone {
+		if m := r.members[id]; id != r.self.Incarnation && m != nil && m.row.Node != "" && !m.gone {
 			peers = append(peers, m.row.Identity)
 		}
 	}
@@ -32,6 +32,7 @@
 func (r *Reducer) grantAsked(e GrantAsked) {
 	t := &r.tenure
 	granted := t.failing && !t.replaced && !t.deleting
+	r.noteHolder(e.From.Incarnation)
 	m := r.members[e.From.Incarnation]
 	if m == nil || m.lapsed {
 		granted = false
--- a/internal/decision/berylreducer/reducer.go
+++ b/internal/decision/berylreducer/reducer.go
@@ -15,6 +15,8 @@
 	now  Instant
 	self Identity
 	rand *rand.Rand
+	// jitter spreads calls over time; it is apart from rand so that it does not change the choice of workers.
+	jitter *rand.Rand
 	// out collects the effects of the event at hand.
 	out []Effect
 
@@ -32,6 +34,7 @@
 	units   map[string]*teamUnits
 	workers map[string]*workerState
 	requestState
+	tasks    taskState
 	operate  operateState
 	stopping bool
 	// stopAt ends the time in which a stopping node still accepts requests.
@@ -103,6 +106,12 @@
 	return r.out
 }
 
+// Config returns the configuration in force.
+func (r *Reducer) Config() beryllatch.Config { return r.config }
+
+// Self returns the node's present identity.
+func (r *Reducer) Self() Identity { return r.self }
+
 func (r *Reducer) emit(e ...Effect) { r.out = append(r.out, e...) }
 
 func (r *Reducer) count(name string) { r.emit(Count{Name: name, N: 1}) }
@@ -110,12 +119,14 @@
 func (r *Reducer) start(e Started) {
 	r.self = e.Self
 	r.rand = rand.New(rand.NewPCG(e.Seed, e.Seed))
+	r.jitter = rand.New(rand.NewPCG(e.Seed, 1))
 	r.keys = map[string]beryllatch.APIKey{}
 	r.members = map[string]*member{}
 	r.tenure.clock = r.now
 	r.units = map[string]*teamUnits{}
 	r.workers = map[string]*workerState{}
 	r.requestState = newRequestState(e.Slots)
+	r.startTasks()
 	r.renew()
 }
 
@@ -145,7 +156,8 @@
 func (r *Reducer) refusesNew() bool { return r.stopping && r.now.Mono >= r.stopAt }
 
 func (r *Reducer) stopWhenIdle() {
-	if r.refusesNew() && len(r.requests) == 0 && len(r.claims) == 0 && r.operateIdle() {
+	idle := len(r.requests) == 0 && r.claimsIdle() && r.operateIdle() && r.tasksReleased()
+	if r.refusesNew() && idle {
 		r.leave()
 	}
 }
--- a/internal/decision/berylreducer/routing.go
+++ b/internal/decision/berylreducer/routing.go
@@ -1,7 +1,6 @@
 package berylreducer
 
 import (
-	"slices"
 	"time"
 
 	"github.com/beryllatch/beryllatch"
@@ -15,6 +14,15 @@
 	maxRefusalRest = 2 * time.Second
 	// runTimeWeight is the weight of the newest sample in a worker's mean run time.
 	runTimeWeight = 0.1
+	// reportLife is the age at which a worker's report no longer counts for the choice.
+	reportLife = 250 * time.Millisecond
+	// limitStep is added to a worker's limit for each answer while the limit is in use.
+	limitStep = 0.02
+	// waitStep is added at each tick while work waits for the worker. Answers alone would raise the limit in hours where
+	// executions take a minute.
+	waitStep = 0.05
+	// limitCut multiplies the limit on a refusal.
+	limitCut = 0.5
 	// assumedRunTime stands for the run time of a worker without samples.
 	assumedRunTime = 100 * time.Millisecond
 )
@@ -35,8 +43,9 @@
 	// selfLeaving is true when the worker itself said that it leaves.
 	selfLeaving bool
 	// reported is the load from all nodes in the worker's last report.
-	reported int
-	runTime  time.Duration
+	reported   int
+	reportedAt time.Duration
+	runTime    time.Duration
 	// limit is the number of executions that this node places on the worker; refusals lower it.
 	limit    float64
 	refusals int
@@ -53,16 +62,15 @@
 		p.tiers = [tiers]workerSet{}
 		p.size, p.open = 0, 0
 	}
-	r.workerOrder = beryllatch.SortedKeys(r.workers)
-	for _, id := range beryllatch.SortedKeys(r.config.Instances) {
+	for id := range r.config.Instances {
 		if r.workers[id] == nil {
 			r.workers[id] = &workerState{}
-			r.workerOrder = append(r.workerOrder, id)
 		}
 	}
-	slices.Sort(r.workerOrder)
-	for _, id := range r.workerOrder {
+	r.workerOrder = r.workerOrder[:0]
+	for _, id := range beryllatch.SortedKeys(r.workers) {
 		r.adoptWorker(r.workers[id], id)
+		r.workerOrder = append(r.workerOrder, r.workers[id])
 	}
 }
 
@@ -104,8 +112,7 @@
 }
 
 func (r *Reducer) instancesListed(e InstancesListed) {
-	for _, id := range r.workerOrder {
-		w := r.workers[id]
+	for _, w := range r.workerOrder {
 		status, ok := e.Instances[w.inst.Address]
 		w.listed, w.leaving = ok, status.Leaving
 		r.place(w)
@@ -118,7 +125,8 @@
 		return
 	}
 	w.unhealthy, w.selfLeaving = !e.Healthy, e.Leaving
-	w.bootID, w.reported = e.BootID, e.Running
+	w.bootID = e.BootID
+	w.reported, w.reportedAt = e.Running, r.now.Mono
 	r.place(w)
 	r.dispatchPool(w.pool)
 }
@@ -144,19 +152,23 @@
 		r.now.Mono >= w.restUntil && w.running < r.workerLimit(w)
 }
 
-// workerLimit is the number of executions that this node may have on the worker at once: its slots, at most an equal
-// share of its connections, less after refusals.
+// workerLimit is the number of executions that this node may have on the worker at once.
 func (r *Reducer) workerLimit(w *workerState) int {
-	most := r.workerShare(w)
 	if w.limit < 1 {
-		return most
+		return r.fairLimit(w)
 	}
-	return min(most, int(w.limit))
+	return min(int(w.limit), r.maxLimit(w))
 }
 
-func (r *Reducer) workerShare(w *workerState) int {
-	share := max(1, w.inst.Connections/r.nodes())
-	return min(w.inst.Slots, share)
+// fairLimit is an equal part of the worker's slots; each node starts with it.
+func (r *Reducer) fairLimit(w *workerState) int {
+	part := (w.inst.Slots + r.nodes() - 1) / r.nodes()
+	return min(part, r.maxLimit(w))
+}
+
+// maxLimit is the number of the worker's slots, at most an equal part of its connections.
+func (r *Reducer) maxLimit(w *workerState) int {
+	return min(w.inst.Slots, max(1, w.inst.Connections/r.nodes()))
 }
 
 // nodes is the number of nodes that share the workers.
@@ -168,8 +180,8 @@
 		return
 	}
 	r.placedFor = r.nodes()
-	for _, id := range r.workerOrder {
-		r.place(r.workers[id])
+	for _, w := range r.workerOrder {
+		r.place(w)
 	}
 }
 
@@ -183,12 +195,12 @@
 // vacate ends the count of one execution on the worker.
 func (r *Reducer) vacate(w *workerState) {
 	w.running--
+	w.breaker.probing = false
 	r.place(w)
 }
 
 // scoreWorker learns from the end of an execution.
 func (r *Reducer) scoreWorker(w *workerState, q *request, e ExecutionEnded) {
-	w.breaker.probing = false
 	switch {
 	case e.Outcome == beryllatch.OutcomeRefused:
 		r.workerRefused(w)
@@ -207,17 +219,40 @@
 		w.runTime = d
 	}
 	w.runTime += time.Duration(runTimeWeight * float64(d-w.runTime))
-	if w.limit >= 1 {
-		w.limit += 1 / w.limit
+	if w.running+1 >= r.workerLimit(w) {
+		r.raiseLimit(w, limitStep)
 	}
-	if w.limit > float64(r.workerShare(w)) {
-		w.limit = 0
+}
+
+// raiseLimits lets the node place more on the workers whose limits keep requests or tasks waiting.
+func (r *Reducer) raiseLimits() {
+	r.markPressed()
+	for _, w := range r.workerOrder {
+		if limit := r.workerLimit(w); w.pool.pressed && w.running >= limit && limit < r.maxLimit(w) {
+			r.raiseLimit(w, waitStep)
+			r.place(w)
+		}
 	}
 }
 
+// markPressed finds the pools in which work waits.
+func (r *Reducer) markPressed() {
+	for _, p := range r.pools {
+		p.pressed = p.queue.len() > 0
+	}
+	for k := range r.tasks.ready {
+		r.poolOf(r.config.Queues[k.queue].Pool).pressed = true
+	}
+}
+
+func (r *Reducer) raiseLimit(w *workerState, step float64) {
+	limit := r.workerLimit(w)
+	w.limit = min(max(w.limit, float64(limit))+step, float64(r.maxLimit(w)))
+}
+
 // workerRefused pauses the worker and places no more on it than it has just accepted.
 func (r *Reducer) workerRefused(w *workerState) {
-	w.limit = float64(max(1, min(w.running, r.workerShare(w))))
+	w.limit = max(1, min(float64(w.running), w.limit*limitCut))
 	pause := min(refusalRest<<min(w.refusals, 10), maxRefusalRest)
 	w.refusals++
 	w.restUntil = max(w.restUntil, r.now.Mono+pause)
@@ -236,6 +271,7 @@
 // tickWorkers ends the pauses that are over.
 func (r *Reducer) tickWorkers() {
 	r.placeAll()
+	r.raiseLimits()
 	kept := r.resting[:0]
 	for _, w := range r.resting {
 		if w.breaker.state == breakerOpened && r.now.Mono >= w.breaker.until {
@@ -254,18 +290,25 @@
 
 // chooseWorker picks an eligible worker of the pool, if possible outside the tried set.
 func (r *Reducer) chooseWorker(pool string, tried []string) (beryllatch.Instance, bool) {
-	w := r.poolOf(pool).choose(r.rand, tried)
+	w := r.poolOf(pool).choose(r.rand, r.now.Mono, tried)
 	if w == nil {
 		return beryllatch.Instance{}, false
 	}
 	return w.inst, true
 }
 
+// reportedLoad is the reported load, of which less counts as the report grows older: work ends and starts within
+// milliseconds, and an old report would send all nodes to the same workers.
+func (w *workerState) reportedLoad(now time.Duration) float64 {
+	left := 1 - float64(now-w.reportedAt)/float64(reportLife)
+	return max(0, left) * float64(w.reported)
+}
+
 // score estimates the wait on the worker; lower is better.
-func (w *workerState) score() float64 {
+func (w *workerState) score(now time.Duration) float64 {
 	d := w.runTime
 	if d <= 0 {
 		d = assumedRunTime
 	}
-	return float64(w.running+w.reported+1) * float64(d)
+	return (float64(w.running+1) + w.reportedLoad(now)) * float64(d)
 }
