--- a/internal/bench/berylload/fleet.go
+++ b/internal/bench/berylload/fleet.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"os"
 	"path/filepath"
 	"strconv"
+	"strings"
 
 	"github.com/beryllatch/beryllatch/internal/bench/berylprocess"
 	"github.com/beryllatch/beryllatch/internal/bench/berylsample"
@@ -98,6 +100,27 @@
 	return fmt.Sprintf("127.%d.%d.%d:9000", 1+os.Getpid()%250, process, 1+n)
 }
 
+// listWorkers puts the workers on the platform's instance list.
+func (f *fleet) listWorkers(ctx context.Context) error {
+	for _, address := range f.addresses {
+		req, err := http.NewRequestWithContext(
+			ctx, http.MethodPut, "http://"+f.Control+"/instances/"+address, strings.NewReader(`{"state": "live"}`),
+		)
+		if err != nil {
+			return eris.Wrap(err, "list workers")
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			return eris.Wrap(err, "list workers")
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode != http.StatusNoContent {
+			return eris.Errorf("list workers: status %d", resp.StatusCode)
+		}
+	}
+	return nil
+}
+
 func (f *fleet) configure(ctx context.Context, s berylsample.Size) error {
 	doc, err := protojson.Marshal(&berylwire.ApplyRequest{Changes: berylsample.Changes(berylsample.Config(s))})
 	if err != nil {
--- a/internal/bench/berylload/idle.go
+++ b/internal/bench/berylload/idle.go
@@ -29,15 +29,15 @@
 
 // idleFigures are the figures of one window; rates are per second and node.
 type idleFigures struct {
-	cpuShare, residentMB, peakMB, writes, reads, received, sent float64
+	cpuShare, residentMB, privateMB, peakMB, writes, reads, in, out float64
 }
 
 // Run measures each number of workers on a fleet of its own and prints the medians over the repeats.
 func (m Idle) Run(ctx context.Context) error {
 	_, _ = fmt.Fprintf(m.Out, "at rest: %d daemons, %d teams, medians of %d windows of %v, of the first daemon\n",
 		m.Daemons, m.Teams, m.Repeats, m.Duration)
-	_, _ = fmt.Fprintf(m.Out, "%7s %10s %11s %8s %22s %21s %21s %21s\n", "workers", "CPU %", "resident MB", "peak MB",
-		"table writes/s a node", "table reads/s a node", "table B/s from a node", "table B/s to a node")
+	_, _ = fmt.Fprintf(m.Out, "%7s %10s %11s %10s %8s %14s %13s %8s %8s\n", "workers", "CPU %", "resident MB", "private MB", "peak MB",
+		"table writes/s", "table reads/s", "B/s in", "B/s out")
 	for _, n := range m.Workers {
 		if err := m.measure(ctx, n); err != nil {
 			return err
@@ -56,6 +56,9 @@
 	if err != nil {
 		return err
 	}
+	if err := f.listWorkers(ctx); err != nil {
+		return err
+	}
 	if err := wait(ctx, settleTime); err != nil {
 		return err
 	}
@@ -89,21 +92,22 @@
 	each := s * float64(m.Daemons)
 	return idleFigures{
 		cpuShare:   100 * (after.CPU - before.CPU).Seconds() / s,
-		residentMB: float64(after.ResidentKB) / 1024, peakMB: float64(after.PeakKB) / 1024,
-		writes:   float64(now.writes()-counted.writes()) / each,
-		reads:    float64(now.reads()-counted.reads()) / each,
-		received: float64(now.received-counted.received) / each,
-		sent:     float64(now.sent-counted.sent) / each,
+		residentMB: mebibytes(after.ResidentKB), privateMB: mebibytes(after.PrivateKB), peakMB: mebibytes(after.PeakKB),
+		writes: float64(now.writes()-counted.writes()) / each,
+		reads:  float64(now.reads()-counted.reads()) / each,
+		in:     float64(after.BytesIn-before.BytesIn) / s,
+		out:    float64(after.BytesOut-before.BytesOut) / s,
 	}, nil
 }
 
 func (m Idle) print(workers int, all []idleFigures) {
 	of := func(field func(idleFigures) float64) float64 { return medianOf(all, field) }
-	_, _ = fmt.Fprintf(m.Out, "%7d %10.2f %11.1f %8.1f %22.2f %21.2f %21.0f %21.0f\n", workers,
+	_, _ = fmt.Fprintf(m.Out, "%7d %10.2f %11.1f %10.1f %8.1f %14.2f %13.2f %8.0f %8.0f\n", workers,
 		of(func(r idleFigures) float64 { return r.cpuShare }), of(func(r idleFigures) float64 { return r.residentMB }),
+		of(func(r idleFigures) float64 { return r.privateMB }),
 		of(func(r idleFigures) float64 { return r.peakMB }), of(func(r idleFigures) float64 { return r.writes }),
-		of(func(r idleFigures) float64 { return r.reads }), of(func(r idleFigures) float64 { return r.received }),
-		of(func(r idleFigures) float64 { return r.sent }))
+		of(func(r idleFigures) float64 { return r.reads }), of(func(r idleFigures) float64 { return r.in }),
+		of(func(r idleFigures) float64 { return r.out }))
 }
 
 // wait returns early with an error if the context ends.
--- a/internal/bench/berylload/proxy.go
+++ b/internal/bench/berylload/proxy.go
@@ -8,29 +8,23 @@
 	"net/url"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
 )
 
-// tableProxy passes the calls to the table service on and counts them by operation, and the bytes on the connections.
+// tableProxy passes the calls to the table service on and counts them by operation.
 type tableProxy struct {
 	target string
 	server *http.Server
 
 	mu    sync.Mutex
 	calls map[string]int
-	// received and sent are the bytes from and to the daemons.
-	received atomic.Int64
-	sent     atomic.Int64
 }
 
 // tableCounts is what the proxy has counted so far.
 type tableCounts struct {
-	calls    map[string]int
-	received int64
-	sent     int64
+	calls map[string]int
 }
 
 func (p *tableProxy) start(ctx context.Context) (string, error) {
@@ -50,7 +44,7 @@
 			pass.ServeHTTP(w, r)
 		}),
 	}
-	go func() { _ = p.server.Serve(&countedListener{Listener: ln, p: p}) }()
+	go func() { _ = p.server.Serve(ln) }()
 	return ln.Addr().String(), nil
 }
 
@@ -66,46 +60,13 @@
 func (p *tableProxy) counts() tableCounts {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	c := tableCounts{calls: map[string]int{}, received: p.received.Load(), sent: p.sent.Load()}
+	c := tableCounts{calls: map[string]int{}}
 	for k, n := range p.calls {
 		c.calls[k] = n
 	}
 	return c
 }
 
-type countedListener struct {
-	net.Listener
-	p *tableProxy
-}
-
-// Accept returns a connection whose bytes are counted.
-func (l *countedListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &countedConn{Conn: c, p: l.p}, nil
-}
-
-type countedConn struct {
-	net.Conn
-	p *tableProxy
-}
-
-// Read counts the bytes from a daemon.
-func (c *countedConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.p.received.Add(int64(n))
-	return n, err
-}
-
-// Write counts the bytes to a daemon.
-func (c *countedConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.p.sent.Add(int64(n))
-	return n, err
-}
-
 // writes counts the transactions and reads the other calls; a query counts once, whatever it returns.
 func (c tableCounts) writes() int { return c.calls["TransactWriteItems"] }
 
--- a/internal/bench/berylprocess/usage.go
+++ b/internal/bench/berylprocess/usage.go
@@ -26,6 +26,11 @@
 	// ResidentKB and PeakKB are the present and the highest resident memory in KiB.
 	ResidentKB int64
 	PeakKB     int64
+	// PrivateKB is the part of the resident memory that is not backed by files such as the program itself.
+	PrivateKB int64
+	// BytesIn and BytesOut count what the process has read and written, over connections and files.
+	BytesIn  int64
+	BytesOut int64
 }
 
 // Usage reads what the process has used from /proc.
@@ -42,7 +47,13 @@
 	if err != nil {
 		return u, eris.Wrapf(err, "usage of %s", p.Name)
 	}
-	u.ResidentKB, u.PeakKB = statusKB(status, "VmRSS:"), statusKB(status, "VmHWM:")
+	u.ResidentKB, u.PeakKB = field(status, "VmRSS:"), field(status, "VmHWM:")
+	u.PrivateKB = field(status, "RssAnon:")
+	io, err := os.ReadFile(p.proc("io"))
+	if err != nil {
+		return u, eris.Wrapf(err, "usage of %s", p.Name)
+	}
+	u.BytesIn, u.BytesOut = field(io, "rchar:"), field(io, "wchar:")
 	return u, nil
 }
 
@@ -71,8 +82,9 @@
 	return time.Duration(ticks) * clockTick, nil
 }
 
-func statusKB(status []byte, name string) int64 {
-	for line := range strings.Lines(string(status)) {
+// field returns the number after the name at the start of a line.
+func field(text []byte, name string) int64 {
+	for line := range strings.Lines(string(text)) {
 		if v, ok := strings.CutPrefix(line, name); ok {
 			n, _ := strconv.ParseInt(strings.Fields(v)[0], 10, 64)
 			return n
