Keep the table's answers when the SDK touches a sent request's body

Cause: once an answer's header had arrived, the AWS SDK touched the request's body again; if the transport had not seen its end yet, the transport's write failed and it closed the connection, so that the rest of an answer longer than the read buffer was lost ("use of closed network connection"). Each such read of the node rows failed a renewal. Ruled out: the client's time limits and the probe's closing of connections (the stack of the closing call is the transport's write loop; the same happens with a plain transport). Change: the transport gets a copy of the body that nobody else closes.

--- /dev/null
+++ b/internal/platform/berylcall/body_test.go
@@ -0,0 +1,56 @@
+package berylcall
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// closable is a body that cannot be read once it is closed.
+type closable struct {
+	io.Reader
+	closed bool
+}
+
+// Read fails on a closed body.
+func (c *closable) Read(p []byte) (int, error) {
+	if c.closed {
+		return 0, errors.New("read after close")
+	}
+	return c.Reader.Read(p)
+}
+
+// Close closes the body.
+func (c *closable) Close() error {
+	c.closed = true
+	return nil
+}
+
+// roundTrip is a http.RoundTripper.
+type roundTrip func(r *http.Request) (*http.Response, error)
+
+// RoundTrip calls the function.
+func (f roundTrip) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
+
+// Guards against answers that are lost since the sender of a request closes its body while the transport still reads it.
+func TestOwnBodyOutlivesClose(t *testing.T) {
+	body := &closable{Reader: strings.NewReader("request")}
+	next := roundTrip(func(r *http.Request) (*http.Response, error) {
+		assert.NilError(t, body.Close())
+		b, err := io.ReadAll(r.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, string(b), "request")
+		assert.Equal(t, r.ContentLength, int64(len(b)))
+		assert.Assert(t, r.GetBody == nil, "the transport could send the body again")
+		return &http.Response{StatusCode: http.StatusOK, Body: http.NoBody}, nil
+	})
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://127.0.0.1/", body)
+	assert.NilError(t, err)
+	resp, err := OwnBody{Next: next}.RoundTrip(req)
+	assert.NilError(t, err)
+	assert.NilError(t, resp.Body.Close())
+}
--- a/internal/platform/beryltable/options.go
+++ b/internal/platform/beryltable/options.go
@@ -9,6 +9,7 @@
 	"github.com/aws/aws-sdk-go-v2/credentials"
 
 	"github.com/beryllatch/beryllatch/internal/common/berylconn"
+	"github.com/beryllatch/beryllatch/internal/platform/berylcall"
 )
 
 // Option changes a setting of a Client.
@@ -57,11 +58,11 @@
 
 func newHTTPClient() *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: berylcall.OwnBody{Next: &http.Transport{
 			DialContext:         berylconn.Counted((&net.Dialer{}).DialContext),
 			MaxIdleConnsPerHost: 32,
 			IdleConnTimeout:     30 * time.Second,
-		},
+		}},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
