Compress the node rows

Cause: each node reads the rows of all nodes every 3 s, and each row lists all incarnations, so that the traffic grows with the square of the nodes. Ruled out: longer intervals, since a lapse must be seen within seconds; a set digest instead of the list, since a false match would let a node take over from one that still works.

--- a/internal/node/beryldaemon/execute_tenure.go
+++ b/internal/node/beryldaemon/execute_tenure.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"sync"
@@ -92,7 +91,7 @@
 			return replaced, err
 		}
 	}
-	value, err := json.Marshal(row)
+	value, err := EncodeNodeRow(row)
 	if err != nil {
 		return false, err
 	}
@@ -152,8 +151,7 @@
 	}
 	nodes := make([]berylreducer.NodeRow, 0, len(rows))
 	for _, row := range rows {
-		var n berylreducer.NodeRow
-		if json.Unmarshal(row.Value, &n) == nil {
+		if n, err := DecodeNodeRow(row.Value); err == nil {
 			n.Version = row.Version
 			nodes = append(nodes, n)
 		}
--- /dev/null
+++ b/internal/node/beryldaemon/node_row_test.go
@@ -0,0 +1,23 @@
+package beryldaemon
+
+import (
+	"testing"
+
+	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
+	"gotest.tools/v3/assert"
+)
+
+// Guards against node rows that come back changed, and against damaged ones that pass for a node.
+func TestNodeRow(t *testing.T) {
+	row := berylreducer.NodeRow{
+		Identity: berylreducer.Identity{Node: "n1", Incarnation: "n1-1"}, Renewal: 7, State: berylreducer.NodeLive,
+		Known: []string{"n1-1", "n2-1"},
+	}
+	value, err := EncodeNodeRow(row)
+	assert.NilError(t, err)
+	got, err := DecodeNodeRow(value)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, row)
+	_, err = DecodeNodeRow(value[:len(value)/2])
+	assert.ErrorContains(t, err, "decode node row")
+}
