--- a/internal/bench/berylload/proxy.go
+++ b/internal/bench/berylload/proxy.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/beryllatch/beryllatch/internal/platform/berylcall"
 	"github.com/rotisserie/eris"
 )
 
@@ -36,7 +37,7 @@
 	p.calls = map[string]int{}
 	pass := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: p.target})
 	// The signature covers the host that the daemon addressed.
-	pass.Transport = &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}
+	pass.Transport = berylcall.OwnBody{Next: &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}}
 	p.server = &http.Server{
 		ReadHeaderTimeout: 10 * time.Second,
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/bench/berylslope/reducer_test.go
+++ b/internal/bench/berylslope/reducer_test.go
@@ -9,6 +9,7 @@
 	"github.com/beryllatch/beryllatch"
 	"github.com/beryllatch/beryllatch/internal/bench/berylsample"
 	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
+	"github.com/beryllatch/beryllatch/internal/node/beryldaemon"
 )
 
 // size is one point of a slope.
@@ -37,9 +38,11 @@
 	renewal uint64
 }
 
+// identity gives each process a start time of its own, as real ones have.
 func identity(n int) berylreducer.Identity {
+	started := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC).Add(time.Duration(n) * 829_337_551 * time.Microsecond)
 	return berylreducer.Identity{
-		Node: fmt.Sprintf("entry-%03d", n), Incarnation: fmt.Sprintf("entry-%03d-18c5d2f3a4b5c6d7", n),
+		Node: fmt.Sprintf("entry-%03d", n), Incarnation: beryldaemon.NewIncarnation(fmt.Sprintf("entry-%03d", n), started),
 		DataCentre: fmt.Sprintf("dc%d", 1+n%6), PeerAddress: fmt.Sprintf("10.0.%d.%d:8082", n/200, 1+n%200),
 	}
 }
@@ -217,13 +220,14 @@
 			k++
 			id := fmt.Sprintf("request-%d", k)
 			var sent *berylreducer.Dispatch
-			for _, x := range n.send(berylreducer.RequestArrived{ID: id, KeyHash: hash, Queue: queue}) {
+			out := n.send(berylreducer.RequestArrived{ID: id, KeyHash: hash, Queue: queue})
+			for _, x := range out {
 				if d, ok := x.(berylreducer.Dispatch); ok {
 					sent = &d
 				}
 			}
 			if sent == nil {
-				b.Fatal("the request was not dispatched")
+				b.Fatalf("the request was not dispatched: %+v", out)
 			}
 			n.send(berylreducer.ExecutionEnded{
 				ID: id, Attempt: sent.Attempt, Outcome: beryllatch.OutcomeAnswered, Duration: time.Millisecond,
--- a/internal/platform/berylinstance/client_test.go
+++ b/internal/platform/berylinstance/client_test.go
@@ -61,7 +61,7 @@
 		_, _ = w.Write(rec.Body.Bytes())
 	}))
 	defer s.Close()
-	c := berylinstance.New(berylinstance.WithURL(s.URL))
+	c := berylinstance.New(berylinstance.WithURL(s.URL + "/instances"))
 	for n, want := range []bool{false, false, true} {
 		if n == 2 {
 			assert.NilError(t, p.SetInstance("10.0.0.1:80", berylinstance.StateLeaving, nil))
