--- a/internal/decision/berylreducer/fleet_test.go
+++ b/internal/decision/berylreducer/fleet_test.go
@@ -19,26 +19,66 @@
 	}
 }
 
+// Guards against requests that a stopping node accepts, and that then wait in vain for a unit.
+func TestStoppingNodeTakesUnits(t *testing.T) {
+	w := newWorld(1, faults{})
+	w.run(2 * reserveSpread)
+	n := w.nodes[0]
+	w.deliver(n, n.process, StopRequested{})
+	w.run(lameDuckTime - time.Second)
+	for _, id := range []string{"a", "b", "c", "d"} {
+		w.requestBy(n, id, 30*time.Second)
+	}
+	w.run(40 * time.Second)
+	assert.Equal(t, strings.Count(w.log.String(), "n1 Dispatch{"), 4)
+	assert.Assert(t, n.down && w.units["red"].Row.Holdings["n1-1"] == 0)
+}
+
+// Guards against a report that a version is in force while a node that renews its tenure has not adopted it.
+func TestLateNodeIsNamed(t *testing.T) {
+	s := newSession()
+	s.start(sampleConfig())
+	peer := NodeRow{Identity: Identity{Node: "n2", Incarnation: "n2-1"}, State: NodeLive}
+	renew := func() {
+		peer.Renewal++
+		peer.Version++
+		s.send(Renewed{SentAt: s.now, HeadVersion: 1, Nodes: []NodeRow{peer}})
+	}
+	renew()
+	s.send(ConfigCommitted{Version: 1})
+	for range 10 {
+		s.tick(time.Second)
+		renew()
+	}
+	assert.Equal(t, strings.Count(s.log.String(), "-> ConfigInForce"), 1)
+	assert.Assert(t, strings.Contains(s.log.String(), "ConfigInForce{Version:1 InForce:false WaitingFor:[n2]}"))
+	s.send(PeerHeard{From: peer.Identity, ConfigVersion: 1})
+	assert.DeepEqual(t, s.last[0], ConfigInForce{Version: 1, InForce: true})
+}
+
 // Guards against units that are used here while a late write may still give them up.
 func TestLostUnitWrite(t *testing.T) {
 	for _, trust := range []bool{false, true} {
 		s := newSession()
 		s.r.faults.trustRead = trust
 		s.start(sampleConfig())
-		s.tick(100 * time.Millisecond)
+		arrive := func(id string) {
+			s.send(RequestArrived{ID: id, KeyHash: strings.Repeat("1", 64), Queue: "price"})
+		}
+		arrive("q1")
 		row := UnitRow{Team: "red", ConfigVersion: 1, Ceiling: 6, Holdings: map[string]int{"n1-1": 5, "n2-1": 1}}
 		s.send(UnitsRead{Team: "red", Row: row, Version: 5})
 		s.send(UnitsWritten{Team: "red", Result: WriteUnknown})
-		for _, id := range []string{"q1", "q2", "q3", "q4"} {
-			s.send(RequestArrived{ID: id, KeyHash: strings.Repeat("1", 64), Queue: "price"})
+		for _, id := range []string{"q2", "q3", "q4", "q5"} {
+			arrive(id)
 		}
 		s.send(UnitsRead{Team: "red", Row: row, Version: 5})
 		starts := strings.Count(s.log.String(), "-> Dispatch")
 		if trust {
-			assert.Equal(t, starts, 4, "the check needs no mechanism")
+			assert.Equal(t, starts, 5, "the check needs no mechanism")
 			continue
 		}
-		assert.Equal(t, starts, 2)
+		assert.Equal(t, starts, 3)
 		s.golden(t, "lost_write")
 	}
 }
@@ -97,10 +137,9 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			w := newWorld(1, faults{})
-			w.run(3 * time.Second)
+			w.run(2 * reserveSpread)
 			c.play(w, w.nodes[0])
-			log := strings.ReplaceAll(w.log.String(), "LogState", "State")
-			golden.Assert(t, log+"broken rule: "+w.broken+"\n", "fleet_"+c.name+".golden")
+			golden.Assert(t, w.log.String()+"broken rule: "+w.broken+"\n", "fleet_"+c.name+".golden")
 		})
 	}
 }
