--- a/internal/bench/berylload/idle.go
+++ b/internal/bench/berylload/idle.go
@@ -37,7 +37,7 @@
 	_, _ = fmt.Fprintf(m.Out, "at rest: %d daemons, %d teams, medians of %d windows of %v, of the first daemon\n",
 		m.Daemons, m.Teams, m.Repeats, m.Duration)
 	_, _ = fmt.Fprintf(m.Out, "%7s %10s %11s %10s %8s %14s %13s %8s %8s\n", "workers", "CPU %", "resident MB", "private MB", "peak MB",
-		"table writes/s", "table reads/s", "B/s in", "B/s out")
+		"rows written/s", "rows read/s", "B/s in", "B/s out")
 	for _, n := range m.Workers {
 		if err := m.measure(ctx, n); err != nil {
 			return err
@@ -80,7 +80,7 @@
 	if err != nil {
 		return idleFigures{}, err
 	}
-	counted := f.proxy.counts()
+	counted := f.proxy.read()
 	if err := wait(ctx, m.Duration); err != nil {
 		return idleFigures{}, err
 	}
@@ -88,13 +88,13 @@
 	if err != nil {
 		return idleFigures{}, err
 	}
-	now, s := f.proxy.counts(), m.Duration.Seconds()
+	now, s := f.proxy.read(), m.Duration.Seconds()
 	each := s * float64(m.Daemons)
 	return idleFigures{
 		cpuShare:   100 * (after.CPU - before.CPU).Seconds() / s,
 		residentMB: mebibytes(after.ResidentKB), privateMB: mebibytes(after.PrivateKB), peakMB: mebibytes(after.PeakKB),
-		writes: float64(now.writes()-counted.writes()) / each,
-		reads:  float64(now.reads()-counted.reads()) / each,
+		writes: float64(now.writes-counted.writes) / each,
+		reads:  float64(now.reads-counted.reads) / each,
 		in:     float64(after.BytesIn-before.BytesIn) / s,
 		out:    float64(after.BytesOut-before.BytesOut) / s,
 	}, nil
--- a/internal/bench/berylload/proxy.go
+++ b/internal/bench/berylload/proxy.go
@@ -1,74 +1,116 @@
 package berylload
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httputil"
 	"net/url"
+	"regexp"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
 
-	"github.com/beryllatch/beryllatch/internal/platform/berylcall"
 	"github.com/rotisserie/eris"
 )
 
-// tableProxy passes the calls to the table service on and counts them by operation.
+// tableProxy passes the calls to the table service on and counts the items that they write and read.
 type tableProxy struct {
 	target string
 	server *http.Server
 
-	mu    sync.Mutex
-	calls map[string]int
+	mu     sync.Mutex
+	counts tableCounts
 }
 
-// tableCounts is what the proxy has counted so far.
+// tableCounts counts as the platform's limits do: each item of a transaction or of a query's answer is one.
 type tableCounts struct {
-	calls map[string]int
+	writes int
+	reads  int
 }
 
+// countPattern finds the number of items in the answer to a query.
+var countPattern = regexp.MustCompile(`"Count":\s*(\d+)`)
+
 func (p *tableProxy) start(ctx context.Context) (string, error) {
 	var cfg net.ListenConfig
 	ln, err := cfg.Listen(ctx, "tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", eris.Wrap(err, "table proxy")
 	}
-	p.calls = map[string]int{}
 	pass := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: p.target})
-	// The signature covers the host that the daemon addressed.
-	pass.Transport = berylcall.OwnBody{Next: &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}}
-	p.server = &http.Server{
-		ReadHeaderTimeout: 10 * time.Second,
-		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			p.count(r)
-			pass.ServeHTTP(w, r)
-		}),
+	pass.Transport = &countingTransport{
+		p: p, next: &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true},
 	}
+	p.server = &http.Server{ReadHeaderTimeout: 10 * time.Second, Handler: pass}
 	go func() { _ = p.server.Serve(ln) }()
 	return ln.Addr().String(), nil
 }
 
 func (p *tableProxy) stop() { _ = p.server.Close() }
 
-func (p *tableProxy) count(r *http.Request) {
-	_, operation, _ := strings.Cut(r.Header.Get("X-Amz-Target"), ".")
+func (p *tableProxy) read() tableCounts {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.calls[operation]++
+	return p.counts
 }
 
-func (p *tableProxy) counts() tableCounts {
+func (p *tableProxy) add(writes, reads int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	c := tableCounts{calls: map[string]int{}}
-	for k, n := range p.calls {
-		c.calls[k] = n
-	}
-	return c
+	p.counts.writes += writes
+	p.counts.reads += reads
+}
+
+// countingTransport reads requests and answers whole, which also keeps a body from being closed under the transport.
+type countingTransport struct {
+	p    *tableProxy
+	next http.RoundTripper
 }
 
-// writes counts the transactions and reads the other calls; a query counts once, whatever it returns.
-func (c tableCounts) writes() int { return c.calls["TransactWriteItems"] }
+// RoundTrip counts the items of a call that was answered with success.
+func (t *countingTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	sent, err := io.ReadAll(r.Body)
+	if err != nil {
+		return nil, eris.Wrap(err, "table proxy")
+	}
+	own := r.Clone(r.Context())
+	own.Body = io.NopCloser(bytes.NewReader(sent))
+	resp, err := t.next.RoundTrip(own)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	got, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return nil, eris.Wrap(err, "table proxy")
+	}
+	resp.Body = io.NopCloser(bytes.NewReader(got))
+	if resp.StatusCode == http.StatusOK {
+		_, operation, _ := strings.Cut(r.Header.Get("X-Amz-Target"), ".")
+		t.p.add(items(operation, sent, got))
+	}
+	return resp, nil
+}
 
-func (c tableCounts) reads() int { return c.calls["GetItem"] + c.calls["Query"] }
+// items returns how many items a call has written and read.
+func items(operation string, sent, got []byte) (writes, reads int) {
+	switch operation {
+	case "TransactWriteItems":
+		writes = bytes.Count(sent, []byte(`{"Put":`)) + bytes.Count(sent, []byte(`{"Delete":`))
+		return writes, bytes.Count(sent, []byte(`{"ConditionCheck":`))
+	case "Query":
+		// A query without a result counts as one read.
+		reads = 1
+		if m := countPattern.FindSubmatch(got); m != nil {
+			n, _ := strconv.Atoi(string(m[1]))
+			reads = max(reads, n)
+		}
+		return 0, reads
+	default:
+		return 0, 1
+	}
+}
--- a/internal/bench/berylslope/reducer_test.go
+++ b/internal/bench/berylslope/reducer_test.go
@@ -34,7 +34,7 @@
 	cfg     beryllatch.Config
 	rows    []berylreducer.NodeRow
 	listed  map[string]beryllatch.InstanceStatus
-	held    map[string]uint64
+	units   map[string]berylreducer.UnitsRead
 	renewal uint64
 }
 
@@ -50,9 +50,9 @@
 // newNode returns a reducer that is ready, knows all other nodes and has heard each worker and each peer once.
 func newNode(s size) *node {
 	n := &node{
-		now:  berylreducer.Instant{Wall: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)},
-		cfg:  berylsample.Config(berylsample.Size{Workers: s.workers, Teams: s.teams}),
-		held: map[string]uint64{}, listed: map[string]beryllatch.InstanceStatus{}, rows: nodeRows(s.nodes),
+		now:   berylreducer.Instant{Wall: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)},
+		cfg:   berylsample.Config(berylsample.Size{Workers: s.workers, Teams: s.teams}),
+		units: map[string]berylreducer.UnitsRead{}, listed: map[string]beryllatch.InstanceStatus{}, rows: nodeRows(s.nodes),
 	}
 	for _, i := range n.cfg.Instances {
 		n.listed[i.Address] = beryllatch.InstanceStatus{Address: i.Address}
@@ -61,6 +61,7 @@
 		n.listed[row.PeerAddress] = beryllatch.InstanceStatus{Address: row.PeerAddress}
 	}
 	n.send(berylreducer.Started{Self: identity(0), Seed: 1})
+	n.send(berylreducer.ShardsEnabled{})
 	n.send(berylreducer.ConfigRead{Config: n.cfg})
 	n.renewed()
 	n.send(berylreducer.InstancesListed{Instances: n.listed})
@@ -117,25 +118,38 @@
 	n.send(berylreducer.Ticked{})
 }
 
-// send applies an event and answers the table calls that it causes.
+// send applies an event, answers the table calls that it causes and returns all effects.
 func (n *node) send(e berylreducer.Event) []berylreducer.Effect {
 	out := n.r.Reduce(n.now, e)
+	all := out
 	for _, x := range out {
 		switch x := x.(type) {
 		case berylreducer.RenewTenure:
 			n.renewed()
 		case berylreducer.ReadUnits:
-			row := berylreducer.UnitRow{
-				Team: x.Team, ConfigVersion: 1, Ceiling: 64, Holdings: map[string]int{identity(0).Incarnation: 4},
-			}
-			n.send(berylreducer.UnitsRead{Team: x.Team, Row: row, Version: 1 + n.held[x.Team]})
+			stored := n.units[x.Team]
+			stored.Team = x.Team
+			all = append(all, n.send(stored)...)
+		case berylreducer.ReadShards:
+			all = append(all, n.send(n.shards())...)
 		case berylreducer.WriteUnits:
-			n.held[x.Row.Team] = x.Expect
-			n.send(berylreducer.UnitsWritten{
+			n.units[x.Row.Team] = berylreducer.UnitsRead{Row: x.Row, Version: x.Expect + 1}
+			all = append(all, n.send(berylreducer.UnitsWritten{
 				Team: x.Row.Team, Row: x.Row, Version: x.Expect + 1, Result: berylreducer.WriteDone,
-			})
+			})...)
 		}
 	}
+	return all
+}
+
+// shards returns the rows of all shards, which belong to a peer.
+func (n *node) shards() berylreducer.ShardsRead {
+	out := berylreducer.ShardsRead{SentAt: n.now}
+	for k := range 64 {
+		out.Shards = append(out.Shards, berylreducer.StoredShard{
+			ShardRow: berylreducer.ShardRow{Shard: k, Owner: identity(1).Incarnation, Epoch: 1}, Version: 1,
+		})
+	}
 	return out
 }
 
--- a/internal/decision/berylreducer/shard.go
+++ b/internal/decision/berylreducer/shard.go
@@ -14,6 +14,9 @@
 const (
 	shardCount        = 64
 	shardReadInterval = 2 * time.Second
+	// shardReadSpacing stretches the interval with the number of nodes. Every 2 s, 36 nodes would read 1152 shard rows a
+	// second, and with the node rows more than the 2000 that the platform serves whenever a node comes or goes.
+	shardReadSpacing = 250 * time.Millisecond
 )
 
 // shardState is what this node does with a shard.
@@ -82,7 +85,7 @@
 func (r *Reducer) shardsRead(e ShardsRead) {
 	t := &r.tasks
 	t.readingShards = false
-	t.nextShardRead = r.now.Mono + shardReadInterval
+	t.nextShardRead = r.now.Mono + max(shardReadInterval, time.Duration(r.nodes())*shardReadSpacing)
 	if e.Failed {
 		return
 	}
