Measure the table rows of each kind of work; give each process of a test fleet an IP address of its own

A port of 127.0.0.1 that was free a moment ago was often taken by an outgoing connection before the daemon used it: with 36 daemons the start failed in 4 of 4 runs ("address already in use").

--- a/cmd/berylload/main.go
+++ b/cmd/berylload/main.go
@@ -17,6 +17,7 @@
 	Bin     string     `default:"bin" type:"existingdir" help:"Directory of the built programs."`
 	Request requestCmd `cmd:"" help:"Latency and throughput of requests, through a daemon and straight to the workers."`
 	Stream  streamCmd  `cmd:"" help:"Peak resident memory of a daemon that streams large bodies."`
+	Kind    kindCmd    `cmd:"" help:"Table rows that each kind of work reads and writes."`
 	Idle    idleCmd    `cmd:"" help:"Processor time, memory and table calls of a daemon at rest."`
 }
 
@@ -50,6 +51,20 @@
 	})
 }
 
+type kindCmd struct {
+	Duration time.Duration `default:"4s" help:"Length of a pass."`
+	Repeats  int           `default:"3" help:"Passes of each kind; the medians are printed."`
+}
+
+// Run measures the kinds of work.
+func (c *kindCmd) Run(ctx context.Context, all *cli) error {
+	return inDir(func(dir string) error {
+		return berylload.Kinds{
+			Bin: all.Bin, Dir: dir, Duration: c.Duration, Repeats: c.Repeats, Out: os.Stdout,
+		}.Run(ctx)
+	})
+}
+
 type idleCmd struct {
 	Duration time.Duration `default:"10s" help:"Length of a window."`
 	Repeats  int           `default:"3" help:"Windows; the medians are printed."`
--- a/internal/bench/berylload/fleet.go
+++ b/internal/bench/berylload/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -79,8 +78,11 @@
 func (f *fleet) startWorkers(ctx context.Context, n int) error {
 	for len(f.addresses) < n {
 		var flags, more []string
-		for k := range min(workersPerProcess, n-len(f.addresses)) - 1 {
-			address := workerAddress(len(f.Workers), k)
+		for range min(workersPerProcess, n-len(f.addresses)) - 1 {
+			address, err := berylprocess.FreeAddress()
+			if err != nil {
+				return err
+			}
 			more = append(more, address)
 			flags = append(flags, "--listen="+address)
 		}
@@ -94,12 +96,6 @@
 	return nil
 }
 
-// workerAddress returns an address of loopback that no outgoing connection uses, unlike a port that was free a moment
-// ago; the second byte keeps programs apart that run at the same time.
-func workerAddress(process, n int) string {
-	return fmt.Sprintf("127.%d.%d.%d:9000", 1+os.Getpid()%250, process, 1+n)
-}
-
 // listWorkers puts the workers on the platform's instance list.
 func (f *fleet) listWorkers(ctx context.Context) error {
 	for _, address := range f.addresses {
--- a/internal/bench/berylprocess/process.go
+++ b/internal/bench/berylprocess/process.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -75,10 +76,17 @@
 	}
 }
 
-// FreeAddress returns a loopback address whose port was free a moment ago.
+// addresses counts the addresses that this program has handed out.
+var addresses atomic.Uint32
+
+// FreeAddress returns a loopback address that nothing listens on. Each one has an IP address of its own, since outgoing
+// connections take ports of 127.0.0.1 between the choice and the use of an address.
 func FreeAddress() (string, error) {
+	const perByte = 250
+	n := int(addresses.Add(1))
+	ip := net.IPv4(127, byte(1+os.Getpid()%perByte), byte(1+n/perByte%perByte), byte(1+n%perByte))
 	var cfg net.ListenConfig
-	ln, err := cfg.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	ln, err := cfg.Listen(context.Background(), "tcp", net.JoinHostPort(ip.String(), "0"))
 	if err != nil {
 		return "", eris.Wrap(err, "find a free port")
 	}
