--- a/internal/bench/berylload/call.go
+++ b/internal/bench/berylload/call.go
@@ -43,7 +43,7 @@
 }
 
 // through returns a call that sends to the daemon's callers' address.
-func through(address string, header ...string) call {
+func through(address string) call {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxConns, DisableCompression: true}}
 	body := make([]byte, bodySize)
 	return func(ctx context.Context, _ int) error {
@@ -51,9 +51,6 @@
 		if err != nil {
 			return err
 		}
-		for n := 0; n < len(header); n += 2 {
-			req.Header.Set(header[n], header[n+1])
-		}
 		resp, err := client.Do(req)
 		if err != nil {
 			return err
--- a/internal/bench/berylslope/message_test.go
+++ b/internal/bench/berylslope/message_test.go
@@ -35,8 +35,13 @@
 		name string
 		size func(b *testing.B, s size) int
 	}{
-		{"heartbeat", heartbeat}, {"notify", notify}, {"node-row", nodeRow}, {"unit-row", unitRow},
-		{"config-json", configJSON}, {"config-stored", configStored}, {"instance-list", instanceList},
+		{"heartbeat", heartbeat},
+		{"notify", notify},
+		{"node-row", nodeRow},
+		{"unit-row", unitRow},
+		{"config-json", configJSON},
+		{"config-stored", configStored},
+		{"instance-list", instanceList},
 	} {
 		for _, s := range sizes {
 			b.Run(m.name+"/"+s.String(), func(b *testing.B) { report(b, m.size(b, s)) })
@@ -130,7 +135,7 @@
 		assert.NilError(b, p.SetInstance(row.PeerAddress, berylinstance.StateLive, nil))
 	}
 	rec := httptest.NewRecorder()
-	p.Instances().ServeHTTP(rec, httptest.NewRequest(http.MethodGet, "/instances", http.NoBody))
+	p.Instances().ServeHTTP(rec, httptest.NewRequestWithContext(b.Context(), http.MethodGet, "/instances", http.NoBody))
 	return rec.Body.Len()
 }
 
--- a/internal/bench/berylslope/reducer_test.go
+++ b/internal/bench/berylslope/reducer_test.go
@@ -17,10 +17,15 @@
 
 // sizes vary one number at a time around the design size, and then all at once.
 var sizes = []size{
-	{50, 26, 36}, {630, 26, 36}, {2520, 26, 36},
-	{630, 6, 36}, {630, 104, 36},
-	{630, 26, 9}, {630, 26, 144},
-	{50, 6, 9}, {2520, 104, 144},
+	{50, 26, 36},
+	{630, 26, 36},
+	{2520, 26, 36},
+	{630, 6, 36},
+	{630, 104, 36},
+	{630, 26, 9},
+	{630, 26, 144},
+	{50, 6, 9},
+	{2520, 104, 144},
 }
 
 func (s size) String() string {
