--- a/internal/bench/berylload/idle.go
+++ b/internal/bench/berylload/idle.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"github.com/beryllatch/beryllatch/internal/bench/berylsample"
 	"github.com/rotisserie/eris"
 )
 
@@ -36,8 +37,8 @@
 func (m Idle) Run(ctx context.Context) error {
 	_, _ = fmt.Fprintf(m.Out, "at rest: %d daemons, %d teams, medians of %d windows of %v, of the first daemon\n",
 		m.Daemons, m.Teams, m.Repeats, m.Duration)
-	_, _ = fmt.Fprintf(m.Out, "%7s %10s %11s %10s %8s %14s %13s %8s %8s\n", "workers", "CPU %", "resident MB", "private MB", "peak MB",
-		"rows written/s", "rows read/s", "B/s in", "B/s out")
+	_, _ = fmt.Fprintf(m.Out, "%7s %10s %11s %10s %8s %14s %13s %8s %8s %19s\n", "workers", "CPU %", "resident MB", "private MB", "peak MB",
+		"rows written/s", "rows read/s", "B/s in", "B/s out", "change in force s")
 	for _, n := range m.Workers {
 		if err := m.measure(ctx, n); err != nil {
 			return err
@@ -70,10 +71,29 @@
 		}
 		all = append(all, one)
 	}
-	m.print(workers, all)
+	seconds, err := f.changes(ctx, m.Repeats)
+	if err != nil {
+		return err
+	}
+	m.print(workers, all, seconds)
 	return nil
 }
 
+// changes returns the median time in seconds until a change of a team is in force at every node.
+func (f *fleet) changes(ctx context.Context, repeats int) (float64, error) {
+	var all []float64
+	for n := range repeats {
+		begun := time.Now()
+		// The client fails unless the change is in force everywhere.
+		_, err := f.Client(ctx, "team", "change", berylsample.Team(0), "--weight="+strconv.Itoa(10+n))
+		if err != nil {
+			return 0, err
+		}
+		all = append(all, time.Since(begun).Seconds())
+	}
+	return median(all), nil
+}
+
 func (m Idle) window(ctx context.Context, f *fleet) (idleFigures, error) {
 	p := f.Daemons[0].Process
 	before, err := p.Usage()
@@ -100,14 +120,14 @@
 	}, nil
 }
 
-func (m Idle) print(workers int, all []idleFigures) {
+func (m Idle) print(workers int, all []idleFigures, change float64) {
 	of := func(field func(idleFigures) float64) float64 { return medianOf(all, field) }
-	_, _ = fmt.Fprintf(m.Out, "%7d %10.2f %11.1f %10.1f %8.1f %14.2f %13.2f %8.0f %8.0f\n", workers,
+	_, _ = fmt.Fprintf(m.Out, "%7d %10.2f %11.1f %10.1f %8.1f %14.2f %13.2f %8.0f %8.0f %19.2f\n", workers,
 		of(func(r idleFigures) float64 { return r.cpuShare }), of(func(r idleFigures) float64 { return r.residentMB }),
 		of(func(r idleFigures) float64 { return r.privateMB }),
 		of(func(r idleFigures) float64 { return r.peakMB }), of(func(r idleFigures) float64 { return r.writes }),
 		of(func(r idleFigures) float64 { return r.reads }), of(func(r idleFigures) float64 { return r.in }),
-		of(func(r idleFigures) float64 { return r.out }))
+		of(func(r idleFigures) float64 { return r.out }), change)
 }
 
 // wait returns early with an error if the context ends.
