--- a/internal/bench/berylload/pass.go
+++ b/internal/bench/berylload/pass.go
@@ -56,7 +56,7 @@
 
 func send(ctx context.Context, conn int, end time.Time, f call) passResult {
 	r := passResult{latency: hdrhistogram.New(minLatency, maxLatency, precision)}
-	for begun := time.Now(); begun.Before(end); begun = time.Now() {
+	for begun := time.Now(); begun.Before(end) && ctx.Err() == nil; begun = time.Now() {
 		if err := f(ctx, conn); err != nil {
 			r.failed++
 			r.lastErr = err
