--- a/internal/bench/berylload/fleet.go
+++ b/internal/bench/berylload/fleet.go
@@ -2,10 +2,11 @@
 
 import (
 	"context"
-	"fmt"
+	"net/http"
 	"os"
 	"path/filepath"
 	"strconv"
+	"strings"
 
 	"github.com/beryllatch/beryllatch/internal/bench/berylprocess"
 	"github.com/beryllatch/beryllatch/internal/bench/berylsample"
@@ -77,8 +78,11 @@
 func (f *fleet) startWorkers(ctx context.Context, n int) error {
 	for len(f.addresses) < n {
 		var flags, more []string
-		for k := range min(workersPerProcess, n-len(f.addresses)) - 1 {
-			address := workerAddress(len(f.Workers), k)
+		for range min(workersPerProcess, n-len(f.addresses)) - 1 {
+			address, err := berylprocess.FreeAddress()
+			if err != nil {
+				return err
+			}
 			more = append(more, address)
 			flags = append(flags, "--listen="+address)
 		}
@@ -92,10 +96,25 @@
 	return nil
 }
 
-// workerAddress returns an address of loopback that no outgoing connection uses, unlike a port that was free a moment
-// ago; the second byte keeps programs apart that run at the same time.
-func workerAddress(process, n int) string {
-	return fmt.Sprintf("127.%d.%d.%d:9000", 1+os.Getpid()%250, process, 1+n)
+// listWorkers puts the workers on the platform's instance list.
+func (f *fleet) listWorkers(ctx context.Context) error {
+	for _, address := range f.addresses {
+		req, err := http.NewRequestWithContext(
+			ctx, http.MethodPut, "http://"+f.Control+"/instances/"+address, strings.NewReader(`{"state": "live"}`),
+		)
+		if err != nil {
+			return eris.Wrap(err, "list workers")
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			return eris.Wrap(err, "list workers")
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode != http.StatusNoContent {
+			return eris.Errorf("list workers: status %d", resp.StatusCode)
+		}
+	}
+	return nil
 }
 
 func (f *fleet) configure(ctx context.Context, s berylsample.Size) error {
