--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 export PATH := $(shell $(GO) env GOPATH)/bin:$(PATH)
 GOLANGCI_LINT_VERSION := v2.15.0
 
-.PHONY: build demo prove test bench lint tools
+.PHONY: build demo prove test bench measure lint tools
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -25,6 +25,9 @@
 	test -z "$$(golangci-lint fmt --diff)"
 	golangci-lint run ./...
 
+measure:
+	$(GO) run ./cmd/berylmeasure $(MEASURE_FLAGS)
+
 tools:
 	@golangci-lint version 2>/dev/null | grep -q "$(GOLANGCI_LINT_VERSION:v%=%)" || \
 		$(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_LINT_VERSION)
