Retry a worker's refusal without a token, and avoid workers that have just failed

Cause: at the design size 36 nodes send to the same workers; each surplus request was refused by its worker, needed a token of the retry budget, and was refused to the caller without one although it had not run. A worker that fails at once looked the least loaded until its breaker opened. Property tests now run with seed 1, so that each run has the same verdict.

--- a/internal/bench/berylprove/promise.go
+++ b/internal/bench/berylprove/promise.go
@@ -48,7 +48,7 @@
 
 const (
 	modelSeeds = "0-11 in model_test.go"
-	rapidSeeds = "fixed in the test"
+	rapidSeeds = "1 in main_test.go"
 )
 
 // Promises lists every point of "What must always hold" of docs/design.md, in its order.
--- /dev/null
+++ b/internal/decision/berylplan/main_test.go
@@ -0,0 +1,15 @@
+package berylplan
+
+import (
+	goflag "flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed of the property tests, so that every run has the same verdict; -rapid.seed searches further.
+func TestMain(m *testing.M) {
+	if err := goflag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
--- a/internal/decision/berylreducer/admission.go
+++ b/internal/decision/berylreducer/admission.go
@@ -32,6 +32,8 @@
 	mayHaveRun bool
 	// failures counts the attempts without an answer that no worker has refused.
 	failures int
+	// refusals counts the attempts that a worker has refused.
+	refusals int
 	// jobFailures counts the distinct workers on which the job itself has failed.
 	jobFailures int
 	abandoned   bool
--- a/internal/decision/berylreducer/dispatch.go
+++ b/internal/decision/berylreducer/dispatch.go
@@ -147,7 +147,7 @@
 func (r *Reducer) settle(q *request, w *workerState, e ExecutionEnded) {
 	wanted := e.Outcome != beryllatch.OutcomeAnswered || e.Failed
 	if wanted && r.mayRetry(q, e) {
-		if r.budget.take(r.now.Mono) {
+		if r.freeRetry(q, e) || r.budget.take(r.now.Mono) {
 			r.count("retry." + string(retryReason(e)))
 			r.readmit(q)
 			return
--- a/internal/decision/berylreducer/request_session_test.go
+++ b/internal/decision/berylreducer/request_session_test.go
@@ -60,6 +60,10 @@
 		end := answered(e.ID, 1)
 		end.Failed = s.workerOf(e.ID) == "w2"
 		s.run(p, end)
+		if end.Failed {
+			// A worker that has just failed is avoided for a while.
+			s.runTicks(p, 100)
+		}
 	}
 	s.runTicks(p, 101)
 	if w.breaker.state != breakerHalfOpen {
--- a/internal/decision/berylreducer/retry.go
+++ b/internal/decision/berylreducer/retry.go
@@ -11,6 +11,8 @@
 const (
 	// maxFailures bounds the attempts of one request that a worker did not refuse.
 	maxFailures = 3
+	// freeRefusals is the number of workers that may refuse a request before its retries use the budget.
+	freeRefusals = 4
 	// retryShare is the part of recent requests that may be retried.
 	retryShare = 0.1
 	// retryFloor is the number of retries in each retryPeriod that is allowed whatever the traffic.
@@ -28,6 +30,16 @@
 	return safe && r.allowed(q)
 }
 
+// freeRetry reports whether the retry needs no token: a refusal costs a worker almost nothing, and the refusing worker
+// rests before it is asked again.
+func (r *Reducer) freeRetry(q *request, e ExecutionEnded) bool {
+	if e.Outcome != beryllatch.OutcomeRefused {
+		return false
+	}
+	q.refusals++
+	return q.refusals <= freeRefusals
+}
+
 // retryReason names the cause of a retry in the counters.
 func retryReason(e ExecutionEnded) beryllatch.Reason {
 	if e.Outcome == beryllatch.OutcomeAnswered {
--- a/internal/decision/berylreducer/routing.go
+++ b/internal/decision/berylreducer/routing.go
@@ -310,5 +310,5 @@
 	if d <= 0 {
 		d = assumedRunTime
 	}
-	return (float64(w.running+1) + w.reportedLoad(now)) * float64(d)
+	return (float64(w.running+1) + w.reportedLoad(now)) * float64(d) * w.breaker.penalty(now)
 }
