Ask for short tasks before their lease needs it

Ruled out: the start of the learned value, which is replaced by the first task. Change: the next report comes after half of the learned run time, 200 ms at least and 3 s at most.

--- a/internal/decision/berylreducer/task_dispatch_test.go
+++ b/internal/decision/berylreducer/task_dispatch_test.go
@@ -164,3 +164,17 @@
 	w.settle()
 	assert.Equal(t, w.nodes[0].answers["ask"].(RefuseTask).Refusal.Reason, beryllatch.ReasonUnknownTask)
 }
+
+// Guards against a learned run time that never falls below the interval of the lease renewals: a queue whose deadline is
+// shorter than that interval would then refuse every task.
+func TestTaskLearnsShortRunTime(t *testing.T) {
+	w := newTaskWorld(1)
+	for n := range 30 {
+		id := fmt.Sprintf("t%d", n)
+		w.submitBy(redKey, id, 20*time.Minute)
+		w.pass(200 * time.Millisecond)
+		w.end(id, beryllatch.TaskRunDone)
+		w.pass(4 * time.Second)
+	}
+	assert.Assert(t, w.nodes[0].r.expectedRunTime("price") < time.Second, "%s", w.nodes[0].r.expectedRunTime("price"))
+}
--- a/internal/decision/berylreducer/task_run.go
+++ b/internal/decision/berylreducer/task_run.go
@@ -8,6 +8,8 @@
 )
 
 const (
+	// minReportInterval bounds the reports of short tasks.
+	minReportInterval = 200 * time.Millisecond
 	// defaultRunTime is assumed until the first task of a queue has ended.
 	defaultRunTime = time.Minute
 	// taskRunWeight is the part that the newest run contributes to the learned run time.
@@ -42,7 +44,7 @@
 func (r *Reducer) taskRuns(t *queuedTask) {
 	t.phase = phaseRunning
 	t.started = r.now.Mono
-	t.next = r.now.Mono + leaseRenewal
+	t.next = r.now.Mono + r.reportInterval(t)
 	t.Refusals = 0
 	r.activate(t)
 	if t.State != beryllatch.TaskRunning {
@@ -54,10 +56,16 @@
 	}
 }
 
+// reportInterval is the time until the next renewal. A short task is asked for sooner than its lease needs, since its end
+// is only noticed by a report, and its learned run time would otherwise never fall below the interval.
+func (r *Reducer) reportInterval(t *queuedTask) time.Duration {
+	return min(max(r.expectedRunTime(t.Queue)/2, minReportInterval), leaseRenewal)
+}
+
 // renewTask extends the lease; a node without tenure stops doing so before others count its units as free.
 func (r *Reducer) renewTask(t *queuedTask) {
 	r.holdUnit(t)
-	t.next = r.now.Mono + leaseRenewal
+	t.next = r.now.Mono + r.reportInterval(t)
 	if r.now.Mono+taskLease > r.tasks.freshAt+lapsedLease {
 		r.giveUpSilent(t)
 		return
