Group table writes in one package for claims and tasks

The daemon's claims and the tasks had a group writer each. The tasks' one stays, as berylgroup; it also shares checks of one row.

--- a/internal/node/beryldaemon/daemon.go
+++ b/internal/node/beryldaemon/daemon.go
@@ -12,6 +12,7 @@
 	"github.com/beryllatch/beryllatch/internal/node/berylpeer"
 	"github.com/beryllatch/beryllatch/internal/node/beryltask"
 	"github.com/beryllatch/beryllatch/internal/platform/berylconfig"
+	"github.com/beryllatch/beryllatch/internal/platform/berylgroup"
 	"github.com/phuslu/log"
 )
 
@@ -21,6 +22,8 @@
 	platformTimeout = 1500 * time.Millisecond
 	// listInterval is how often the instance list is read.
 	listInterval = time.Second
+	// claimWait is how long a claim waits for others; it is well below the latency of the table.
+	claimWait = 2 * time.Millisecond
 	// eventBuffer holds the events that wait for the loop; a full buffer slows the posters down.
 	eventBuffer = 4096
 )
@@ -54,7 +57,7 @@
 	node      nodeRow
 	state     published
 	grants    calls[bool]
-	claims    *grouper
+	claims    *berylgroup.Writer
 	answers   answers
 	tasks     *beryltask.Executor
 	operators calls[berylreducer.ReplyOperator]
@@ -69,7 +72,6 @@
 	d.events = make(chan berylreducer.Event, eventBuffer)
 	d.stop = make(chan struct{})
 	d.requests = map[string]chan berylreducer.Effect{}
-	d.claims = newGrouper(d.Table)
 }
 
 // Run feeds events to the reducer until a graceful shutdown ends or ctx is cancelled.
@@ -77,6 +79,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer d.work.Wait()
 	defer cancel()
+	d.claims = berylgroup.New(ctx, &d.work, d.Table, claimWait)
 	d.tasks = beryltask.New(ctx, d.Table, d.Objects, d.Tasks, d.now, d.Post)
 	defer d.tasks.Wait()
 	var r berylreducer.Reducer
@@ -88,7 +91,6 @@
 	}
 	reduce(berylreducer.Started{Self: d.Self, Seed: d.Seed})
 	reduce(berylreducer.ShardsEnabled{})
-	d.work.Go(func() { d.claims.run(ctx, func(f func(context.Context)) { d.async(ctx, f) }) })
 	d.every(ctx, listInterval, d.readInstances)
 	d.every(ctx, reportInterval, d.readWorkers)
 	ticker := time.NewTicker(tickInterval)
--- a/internal/node/beryldaemon/execute_claim.go
+++ b/internal/node/beryldaemon/execute_claim.go
@@ -8,6 +8,7 @@
 
 	"github.com/beryllatch/beryllatch"
 	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
+	"github.com/beryllatch/beryllatch/internal/platform/berylgroup"
 )
 
 // Answer is a worker's whole answer to a keyed request, kept until its claim is settled.
@@ -70,15 +71,11 @@
 func (d *Daemon) executeClaim(ctx context.Context, x berylreducer.Effect) bool {
 	switch x := x.(type) {
 	case berylreducer.WriteClaim:
-		d.async(ctx, func(ctx context.Context) {
-			d.writeClaim(ctx, x.ID, claimWrite(x.Key, x.Row, x.Expect, x.Expires))
-		})
+		d.writeClaim(x.ID, claimWrite(x.Key, x.Row, x.Expect, x.Expires), nil)
 	case berylreducer.ReleaseClaim:
-		d.async(ctx, func(ctx context.Context) {
-			d.writeClaim(ctx, x.ID, claimWrite(x.Key, x.Row, x.Expect, x.Expires))
-		})
+		d.writeClaim(x.ID, claimWrite(x.Key, x.Row, x.Expect, x.Expires), nil)
 	case berylreducer.FinishClaim:
-		d.finishClaim(ctx, x)
+		d.finishClaim(x)
 	case berylreducer.ReadClaim:
 		d.async(ctx, func(ctx context.Context) { d.readClaim(ctx, x) })
 	case berylreducer.ReplayAnswer:
@@ -95,26 +92,29 @@
 	return beryllatch.RowWrite{Row: beryllatch.Row{Key: key, Value: value, Expires: expires}, Expect: expect}
 }
 
-func (d *Daemon) writeClaim(ctx context.Context, id string, w beryllatch.RowWrite) berylreducer.WriteResult {
-	result := writeResult(d.claims.write(ctx, w))
-	d.Post(berylreducer.ClaimWritten{ID: id, Result: result})
-	return result
+// writeClaim groups the write with others; settled, if set, is called once the outcome is decided.
+func (d *Daemon) writeClaim(id string, w beryllatch.RowWrite, settled func()) {
+	done := func(r berylreducer.WriteResult) {
+		if settled != nil && (r == berylreducer.WriteDone || r == berylreducer.WriteConflict) {
+			settled()
+		}
+		d.Post(berylreducer.ClaimWritten{ID: id, Result: r})
+	}
+	if !d.claims.Add(berylgroup.Write{Rows: []beryllatch.RowWrite{w}, Done: done}) {
+		// The loop reads the events, so that it must not wait for room among them.
+		go done(berylreducer.WriteFailed)
+	}
 }
 
 // finishClaim stores the outcome with the answer that this node holds.
-func (d *Daemon) finishClaim(ctx context.Context, x berylreducer.FinishClaim) {
+func (d *Daemon) finishClaim(x berylreducer.FinishClaim) {
 	row := x.Row
 	if row.State == berylreducer.ClaimDone {
 		a, ok := d.answers.take(x.ID)
 		row.Status, row.Header, row.Answer = a.Status, a.Header, a.Body
 		row.AnswerOmitted = a.Omitted || !ok
 	}
-	d.async(ctx, func(ctx context.Context) {
-		result := d.writeClaim(ctx, x.ID, claimWrite(x.Key, row, x.Expect, x.Expires))
-		if result == berylreducer.WriteDone || result == berylreducer.WriteConflict {
-			d.answers.drop(x.ID)
-		}
-	})
+	d.writeClaim(x.ID, claimWrite(x.Key, row, x.Expect, x.Expires), func() { d.answers.drop(x.ID) })
 }
 
 func (d *Daemon) readClaim(ctx context.Context, x berylreducer.ReadClaim) {
--- a/internal/node/beryldaemon/execute_operate.go
+++ b/internal/node/beryldaemon/execute_operate.go
@@ -4,11 +4,12 @@
 	"context"
 
 	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
+	"github.com/beryllatch/beryllatch/internal/platform/berylgroup"
 )
 
 func (d *Daemon) writeConfig(ctx context.Context, x berylreducer.WriteConfig) {
 	err := d.store().Write(ctx, x.Config, x.Expect)
-	d.Post(berylreducer.ConfigWritten{CallID: x.CallID, Result: writeResult(err)})
+	d.Post(berylreducer.ConfigWritten{CallID: x.CallID, Result: berylgroup.ResultOf(err)})
 }
 
 func (d *Daemon) rebootWorker(ctx context.Context, x berylreducer.RebootWorker) {
--- a/internal/node/beryldaemon/execute_tenure.go
+++ b/internal/node/beryldaemon/execute_tenure.go
@@ -9,6 +9,7 @@
 
 	"github.com/beryllatch/beryllatch"
 	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
+	"github.com/beryllatch/beryllatch/internal/platform/berylgroup"
 )
 
 const (
@@ -133,7 +134,7 @@
 	err := d.Table.Transact(ctx, beryllatch.RowWrite{
 		Row: beryllatch.Row{Key: nodeKey(x.Node.Incarnation)}, Expect: version, Delete: true,
 	})
-	d.Post(berylreducer.NodeDeleted{Incarnation: x.Node.Incarnation, Result: writeResult(err)})
+	d.Post(berylreducer.NodeDeleted{Incarnation: x.Node.Incarnation, Result: berylgroup.ResultOf(err)})
 }
 
 func (d *Daemon) readHead(ctx context.Context, skipNodes bool) (uint64, []berylreducer.NodeRow, error) {
--- a/internal/node/beryldaemon/execute_units.go
+++ b/internal/node/beryldaemon/execute_units.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 
 	"github.com/beryllatch/beryllatch"
 	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
+	"github.com/beryllatch/beryllatch/internal/platform/berylgroup"
 )
 
 func unitKey(team string) beryllatch.RowKey { return beryllatch.RowKey{Partition: "unit", Sort: team} }
@@ -53,22 +53,6 @@
 	}
 	err = d.Table.Transact(ctx, writes...)
 	d.Post(berylreducer.UnitsWritten{
-		Team: x.Row.Team, Row: x.Row, Version: x.Expect + 1, Result: writeResult(err),
+		Team: x.Row.Team, Row: x.Row, Version: x.Expect + 1, Result: berylgroup.ResultOf(err),
 	})
 }
-
-// writeResult classifies the error of a transaction.
-func writeResult(err error) berylreducer.WriteResult {
-	var conflict *beryllatch.ConditionFailedError
-	var unavailable *beryllatch.UnavailableError
-	switch {
-	case err == nil:
-		return berylreducer.WriteDone
-	case errors.As(err, &conflict):
-		return berylreducer.WriteConflict
-	case errors.As(err, &unavailable):
-		return berylreducer.WriteFailed
-	default:
-		return berylreducer.WriteUnknown
-	}
-}
--- a/internal/node/beryltask/executor.go
+++ b/internal/node/beryltask/executor.go
@@ -7,6 +7,7 @@
 
 	"github.com/beryllatch/beryllatch"
 	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
+	"github.com/beryllatch/beryllatch/internal/platform/berylgroup"
 )
 
 const (
@@ -14,6 +15,8 @@
 	MaxInline = 64 << 10
 	// tableTimeout bounds one call to the table; the reducer decides about a repeat.
 	tableTimeout = 2 * time.Second
+	// groupWait bounds how long a write waits for others.
+	groupWait = 20 * time.Millisecond
 	// reportTimeout is short, since a lease is renewed at a third of its length.
 	reportTimeout = 2 * time.Second
 	// startTimeout ends before the lease that the start grants.
@@ -42,7 +45,7 @@
 	done   <-chan struct{}
 
 	payloads payloadCache
-	writes   *groupWriter
+	writes   *berylgroup.Writer
 	reads    *pool
 	reports  *pool
 	starts   *pool
@@ -57,7 +60,7 @@
 ) *Executor {
 	ctx, cancel := context.WithCancel(ctx)
 	x := &Executor{table: t, store: s, runner: r, now: now, post: post, cancel: cancel, done: ctx.Done()}
-	x.writes = newGroupWriter(ctx, &x.running, t)
+	x.writes = berylgroup.New(ctx, &x.running, t, groupWait)
 	x.reads = newPool(ctx, &x.running, readers)
 	x.reports = newPool(ctx, &x.running, reporters)
 	x.starts = newPool(ctx, &x.running, starters)
--- a/internal/node/beryltask/table.go
+++ b/internal/node/beryltask/table.go
@@ -6,6 +6,7 @@
 
 	"github.com/beryllatch/beryllatch"
 	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
+	"github.com/beryllatch/beryllatch/internal/platform/berylgroup"
 )
 
 // shardPage covers all shard rows in one query.
@@ -43,8 +44,8 @@
 
 // write queues the rows; a full queue fails them without an effect.
 func (x *Executor) write(rows []beryllatch.RowWrite, event func(berylreducer.WriteResult) berylreducer.Event) {
-	w := write{rows: rows, done: func(r berylreducer.WriteResult) { x.post(event(r)) }}
-	if !x.writes.add(w) {
+	w := berylgroup.Write{Rows: rows, Done: func(r berylreducer.WriteResult) { x.post(event(r)) }}
+	if !x.writes.Add(w) {
 		x.postLater(event(berylreducer.WriteFailed))
 	}
 }
--- a/internal/node/beryltask/group.go
+++ b/internal/platform/berylgroup/writer.go
@@ -1,4 +1,4 @@
-package beryltask
+package berylgroup
 
 import (
 	"context"
@@ -13,31 +13,36 @@
 const (
 	// groupRows bounds the rows of one transaction.
 	groupRows = 25
-	// groupWait bounds how long a write waits for others.
-	groupWait = 20 * time.Millisecond
+	// queueLength bounds the writes that wait.
+	queueLength = 4096
+	// callTimeout bounds one transaction; the reducer decides about a repeat.
+	callTimeout = 2 * time.Second
 )
 
-// write is a set of conditions and rows that take effect together.
-type write struct {
-	rows []beryllatch.RowWrite
-	done func(berylreducer.WriteResult)
+// Write is a set of conditions and rows that take effect together.
+type Write struct {
+	Rows []beryllatch.RowWrite
+	// Done takes the result; it is called once, unless the writer ends first.
+	Done func(berylreducer.WriteResult)
 }
 
-// groupWriter puts independent writes into shared transactions.
-type groupWriter struct {
+// Writer puts independent writes into shared transactions; New returns a ready one.
+type Writer struct {
 	table beryllatch.Table
-	queue chan write
+	wait  time.Duration
+	queue chan Write
 	done  <-chan struct{}
 }
 
-func newGroupWriter(ctx context.Context, running *sync.WaitGroup, t beryllatch.Table) *groupWriter {
-	g := &groupWriter{table: t, queue: make(chan write, queueLength), done: ctx.Done()}
+// New starts a writer that ends with ctx; a write waits at most the given time for others, and running counts its work.
+func New(ctx context.Context, running *sync.WaitGroup, t beryllatch.Table, wait time.Duration) *Writer {
+	g := &Writer{table: t, wait: wait, queue: make(chan Write, queueLength), done: ctx.Done()}
 	running.Go(func() { g.work(ctx) })
 	return g
 }
 
-// add queues a write, or reports that the queue is full or the writer has ended.
-func (g *groupWriter) add(w write) bool {
+// Add queues a write, or reports that the queue is full or the writer has ended.
+func (g *Writer) Add(w Write) bool {
 	select {
 	case <-g.done:
 		return false
@@ -51,8 +56,8 @@
 	}
 }
 
-func (g *groupWriter) work(ctx context.Context) {
-	var next *write
+func (g *Writer) work(ctx context.Context) {
+	var next *Write
 	for {
 		if next == nil {
 			select {
@@ -67,10 +72,10 @@
 }
 
 // fill collects a group that starts with the given write, stores it and returns the write that did not fit.
-func (g *groupWriter) fill(ctx context.Context, first *write) *write {
+func (g *Writer) fill(ctx context.Context, first *Write) *Write {
 	b := newGroup()
 	b.add(*first)
-	timer := time.NewTimer(groupWait)
+	timer := time.NewTimer(g.wait)
 	defer timer.Stop()
 	for {
 		select {
@@ -90,29 +95,29 @@
 }
 
 // store writes the group; after a conflict every write is tried alone, so that one does not fail the others.
-func (g *groupWriter) store(ctx context.Context, b *group) {
+func (g *Writer) store(ctx context.Context, b *group) {
 	result := g.transact(ctx, b.rows)
 	if result != berylreducer.WriteConflict || len(b.writes) == 1 {
 		for _, w := range b.writes {
-			w.done(result)
+			w.Done(result)
 		}
 		return
 	}
 	var alone sync.WaitGroup
 	for _, w := range b.writes {
-		alone.Go(func() { w.done(g.transact(ctx, w.rows)) })
+		alone.Go(func() { w.Done(g.transact(ctx, w.Rows)) })
 	}
 	alone.Wait()
 }
 
-func (g *groupWriter) transact(ctx context.Context, rows []beryllatch.RowWrite) berylreducer.WriteResult {
-	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+func (g *Writer) transact(ctx context.Context, rows []beryllatch.RowWrite) berylreducer.WriteResult {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return resultOf(g.table.Transact(ctx, rows...))
+	return ResultOf(g.table.Transact(ctx, rows...))
 }
 
-// resultOf treats every error without a clear meaning as a write that may have taken effect.
-func resultOf(err error) berylreducer.WriteResult {
+// ResultOf treats every error without a clear meaning as a write that may have taken effect.
+func ResultOf(err error) berylreducer.WriteResult {
 	var conflict *beryllatch.ConditionFailedError
 	var unavailable *beryllatch.UnavailableError
 	switch {
@@ -129,7 +134,7 @@
 
 // group is a transaction of several writes; checks of the same row are shared.
 type group struct {
-	writes []write
+	writes []Write
 	rows   []beryllatch.RowWrite
 	byKey  map[beryllatch.RowKey]beryllatch.RowWrite
 }
@@ -137,9 +142,9 @@
 func newGroup() *group { return &group{byKey: map[beryllatch.RowKey]beryllatch.RowWrite{}} }
 
 // add takes the write into the group unless it has no room or touches a row of another one.
-func (b *group) add(w write) bool {
-	fresh := make([]beryllatch.RowWrite, 0, len(w.rows))
-	for _, row := range w.rows {
+func (b *group) add(w Write) bool {
+	fresh := make([]beryllatch.RowWrite, 0, len(w.Rows))
+	for _, row := range w.Rows {
 		old, found := b.byKey[row.Row.Key]
 		shared := old.CheckOnly && row.CheckOnly && old.Expect == row.Expect
 		if found && !shared {
