Name the boot that a reboot is meant for; show outage mode and lapsed nodes in the status

The daemon read the boot id and then asked for the reboot; a node paused in between could reboot a worker that had rebooted since. The call now carries the boot id and the worker refuses another. The status said serving in outage mode and showed lapsed nodes as live.

--- /dev/null
+++ b/cmd/beryllatch/doc.go
@@ -0,0 +1,2 @@
+// Command beryllatch is the operators' client.
+package main
--- a/cmd/beryllatch/main.go
+++ b/cmd/beryllatch/main.go
@@ -1,4 +1,3 @@
-// Command beryllatch is the operators' client.
 package main
 
 import (
--- a/cmd/berylload/main.go
+++ b/cmd/berylload/main.go
@@ -1,4 +1,3 @@
-// Command berylload measures running daemons on loopback; every measurement is bounded and stops by itself.
 package main
 
 import (
--- a/internal/common/berylmetrics/doc.go
+++ b/internal/common/berylmetrics/doc.go
@@ -1,2 +1,2 @@
-// Package berylmetrics keeps the counters, gauges and histograms of a process and serves them over HTTP.
+// Package berylmetrics keeps the counters and gauges of a process and serves them over HTTP.
 package berylmetrics
--- a/internal/common/berylmetrics/registry.go
+++ b/internal/common/berylmetrics/registry.go
@@ -2,14 +2,10 @@
 
 import (
 	"net/http"
-	"time"
 
 	"github.com/rcrowley/go-metrics"
 )
 
-// histogramReservoir is the number of samples kept per histogram.
-const histogramReservoir = 1028
-
 // Registry holds the metrics of a process; New makes one.
 type Registry struct{ r metrics.Registry }
 
@@ -26,16 +22,6 @@
 	metrics.GetOrRegisterGauge(name, m.r).Update(v)
 }
 
-// Observe adds a duration, in microseconds, to the named histogram.
-func (m *Registry) Observe(name string, d time.Duration) {
-	h := m.r.GetOrRegister(name, func() metrics.Histogram {
-		return metrics.NewHistogram(metrics.NewExpDecaySample(histogramReservoir, 0.015))
-	})
-	if h, ok := h.(metrics.Histogram); ok {
-		h.Update(d.Microseconds())
-	}
-}
-
 // Counter returns the value of the named counter, 0 if it was never counted.
 func (m *Registry) Counter(name string) int64 {
 	if c, ok := m.r.Get(name).(metrics.Counter); ok {
--- a/internal/decision/berylreducer/event.go
+++ b/internal/decision/berylreducer/event.go
@@ -25,6 +25,8 @@
 const (
 	NodeLive    NodeState = "live"
 	NodeLeaving NodeState = "leaving"
+	// NodeLapsed is never published; it is how another node shows one whose tenure is known to have lapsed.
+	NodeLapsed NodeState = "lapsed"
 )
 
 // NodeRow is the value of a node's row in the platform's table.
--- a/internal/decision/berylreducer/status.go
+++ b/internal/decision/berylreducer/status.go
@@ -18,9 +18,33 @@
 
 func (ReplyStatus) effect() {}
 
+// Mode tells what a node may do.
+type Mode string
+
+// The modes of a node.
+const (
+	// ModeServing means that the node holds a tenure of its own.
+	ModeServing Mode = "serving"
+	// ModeOutage means that the node goes on by the grants of its peers.
+	ModeOutage Mode = "outage"
+	// ModeStale means that the node starts nothing.
+	ModeStale Mode = "stale"
+)
+
+func (r *Reducer) mode() Mode {
+	switch {
+	case r.outage():
+		return ModeOutage
+	case r.mayStart():
+		return ModeServing
+	default:
+		return ModeStale
+	}
+}
+
 // Status is the state of the fleet as one node sees it; its lists are sorted.
 type Status struct {
-	MayStart      bool
+	Mode          Mode
 	ConfigVersion uint64
 	Nodes         []NodeRow
 	Teams         []Demand
@@ -37,9 +61,14 @@
 }
 
 func (r *Reducer) statusAsked(e StatusAsked) {
-	s := Status{MayStart: r.mayStart(), ConfigVersion: r.config.Version, Teams: r.demand()}
+	s := Status{Mode: r.mode(), ConfigVersion: r.config.Version, Teams: r.demand()}
+	s.Nodes = append(s.Nodes, NodeRow{Identity: r.self, ConfigVersion: r.config.Version, State: r.publishedState()})
 	for _, m := range r.registered() {
-		s.Nodes = append(s.Nodes, m.row)
+		row := m.row
+		if m.lapsed {
+			row.State = NodeLapsed
+		}
+		s.Nodes = append(s.Nodes, row)
 	}
 	for _, id := range beryllatch.SortedKeys(r.config.Instances) {
 		w := r.workers[id]
--- a/internal/decision/berylreducer/tenure.go
+++ b/internal/decision/berylreducer/tenure.go
@@ -120,13 +120,9 @@
 	t.renewal++
 	t.inFlight = true
 	t.lastSent = r.now.Mono
-	state := NodeLive
-	if r.stopping {
-		state = NodeLeaving
-	}
 	r.emit(RenewTenure{
 		Row: NodeRow{
-			Identity: r.self, Renewal: t.renewal, ConfigVersion: r.config.Version, State: state, Known: t.known,
+			Identity: r.self, Renewal: t.renewal, ConfigVersion: r.config.Version, State: r.publishedState(), Known: t.known,
 		},
 		SkipNodes: r.skipNodes(),
 	})
@@ -138,6 +134,13 @@
 	return t.steady && !t.failing && len(r.watches) == 0 && r.now.Mono-t.nodesAt < nodesInterval
 }
 
+func (r *Reducer) publishedState() NodeState {
+	if r.stopping {
+		return NodeLeaving
+	}
+	return NodeLive
+}
+
 func (r *Reducer) tickTenure() {
 	t := &r.tenure
 	t.clock = r.now
--- a/internal/node/beryldaemon/execute_operate.go
+++ b/internal/node/beryldaemon/execute_operate.go
@@ -13,11 +13,7 @@
 }
 
 func (d *Daemon) rebootWorker(ctx context.Context, x berylreducer.RebootWorker) {
-	report, err := d.Tasks.ReportWorker(ctx, x.Address)
-	if err != nil || report.BootID != x.BootID {
-		return
-	}
-	if err := d.Tasks.RebootWorker(ctx, x.Address); err != nil {
+	if err := d.Tasks.RebootWorker(ctx, x.Address, x.BootID); err != nil {
 		d.Metrics.Count("reboot_failed", 1)
 	}
 }
--- a/internal/node/beryldaemon/execute_tenure.go
+++ b/internal/node/beryldaemon/execute_tenure.go
@@ -54,7 +54,8 @@
 func (d *Daemon) reincarnate() {
 	self := d.Self
 	self.Incarnation = NewIncarnation(self.Node, time.Now())
-	d.Post(berylreducer.Reincarnated{Self: self})
+	// The loop reads the events, so that it must not wait for room among them.
+	d.work.Go(func() { d.Post(berylreducer.Reincarnated{Self: self}) })
 }
 
 // NewIncarnation returns a name for a process of the node that starts at t.
--- a/internal/node/beryldaemon/operator.go
+++ b/internal/node/beryldaemon/operator.go
@@ -42,7 +42,7 @@
 }
 
 func statusMessage(node string, s berylreducer.Status, cfg beryllatch.Config) *berylwire.GetStatusResponse {
-	out := &berylwire.GetStatusResponse{Node: node, Mode: mode(s), ConfigVersion: s.ConfigVersion}
+	out := &berylwire.GetStatusResponse{Node: node, Mode: string(s.Mode), ConfigVersion: s.ConfigVersion}
 	for _, n := range s.Nodes {
 		out.Nodes = append(out.Nodes, &berylwire.NodeStatus{
 			Id: n.Node, DataCentre: n.DataCentre, State: string(n.State), ConfigVersion: n.ConfigVersion,
@@ -63,13 +63,6 @@
 	return out
 }
 
-func mode(s berylreducer.Status) string {
-	if s.MayStart {
-		return "serving"
-	}
-	return "stale"
-}
-
 func health(i berylreducer.InstanceView) string {
 	switch {
 	case i.Leaving:
--- a/internal/standin/berylupstream/worker.go
+++ b/internal/standin/berylupstream/worker.go
@@ -129,8 +129,13 @@
 	writeJSON(w, http.StatusOK, k.Report())
 }
 
-func (k *Worker) reboot(w http.ResponseWriter, _ *http.Request) {
+func (k *Worker) reboot(w http.ResponseWriter, r *http.Request) {
 	k.mu.Lock()
+	if boot := r.Header.Get(berylworker.HeaderBootID); boot != "" && boot != k.bootID {
+		k.mu.Unlock()
+		refuse(w, http.StatusPreconditionFailed, "other_boot", "the worker has rebooted since")
+		return
+	}
 	if k.running > 0 || k.rebooting {
 		k.mu.Unlock()
 		refuse(w, http.StatusConflict, "busy", "work is running")
--- a/internal/upstream/berylworker/protocol.go
+++ b/internal/upstream/berylworker/protocol.go
@@ -10,6 +10,7 @@
 	HeaderFence       = "Beryllatch-Fence"
 	HeaderRequestID   = "Beryllatch-Request-Id"
 	HeaderRunState    = "Beryllatch-Run-State"
+	HeaderBootID      = "Beryllatch-Boot-Id"
 )
 
 // The paths of the worker protocol.
--- a/internal/upstream/berylworker/task.go
+++ b/internal/upstream/berylworker/task.go
@@ -86,10 +86,11 @@
 	})
 }
 
-// RebootWorker asks a drained worker to reboot.
-func (c *Client) RebootWorker(ctx context.Context, address string) error {
+// RebootWorker asks a drained worker to reboot, provided that it still runs the given boot.
+func (c *Client) RebootWorker(ctx context.Context, address, bootID string) error {
 	_, err := call[beryllatch.WorkerReport](ctx, c, exchange{
 		method: http.MethodPost, address: address, path: PathReboot, id: "reboot", answerBy: c.callLimit(),
+		header: http.Header{HeaderBootID: {bootID}},
 	})
 	return err
 }
--- a/internal/upstream/berylworker/task_test.go
+++ b/internal/upstream/berylworker/task_test.go
@@ -166,15 +166,18 @@
 	c := berylworker.New()
 	e := execution(address, "t1")
 	assert.NilError(t, c.StartTask(t.Context(), e, strings.NewReader(longTask)))
-	got := failed(t, c.RebootWorker(t.Context(), address))
+	boot := k.Report().BootID
+	got := failed(t, c.RebootWorker(t.Context(), address, boot))
 	assert.Equal(t, got.Outcome, beryllatch.OutcomeRefused)
 	_, err := c.StopTask(t.Context(), e)
 	assert.NilError(t, err)
 	for k.Report().Running > 0 {
 		time.Sleep(time.Millisecond)
 	}
-	assert.NilError(t, c.RebootWorker(t.Context(), address))
-	assert.Equal(t, failed(t, c.RebootWorker(t.Context(), address)).Outcome, beryllatch.OutcomeUnknown)
+	// A node that was paused must not reboot a worker that has rebooted since.
+	assert.Equal(t, failed(t, c.RebootWorker(t.Context(), address, "earlier")).Outcome, beryllatch.OutcomeRefused)
+	assert.NilError(t, c.RebootWorker(t.Context(), address, boot))
+	assert.Equal(t, failed(t, c.RebootWorker(t.Context(), address, boot)).Outcome, beryllatch.OutcomeUnknown)
 	_, err = c.ReportTask(t.Context(), address, "t1")
 	assert.Equal(t, failed(t, err).Outcome, beryllatch.OutcomeUnknown)
 	e = execution(address, "t2")
--- a/task.go
+++ b/task.go
@@ -106,6 +106,6 @@
 	TaskResult(ctx context.Context, address, id string) (io.ReadCloser, error)
 	// ReportWorker asks for the state of a worker.
 	ReportWorker(ctx context.Context, address string) (WorkerReport, error)
-	// RebootWorker asks a drained worker to reboot.
-	RebootWorker(ctx context.Context, address string) error
+	// RebootWorker asks a drained worker to reboot, provided that it still runs the given boot.
+	RebootWorker(ctx context.Context, address, bootID string) error
 }
