--- a/internal/bench/berylprocess/fleet.go
+++ b/internal/bench/berylprocess/fleet.go
@@ -28,6 +28,8 @@
 	Dir string
 	// DataCentres holds the data centres of the entry daemons in turn; empty means dc1 and dc2.
 	DataCentres []string
+	// DaemonArgs holds further arguments of every entry daemon.
+	DaemonArgs []string
 
 	Platform *Process
 	Control  string
@@ -54,6 +56,9 @@
 	dc        string
 }
 
+// Peers returns the address of the peers' listener.
+func (d *Daemon) Peers() string { return d.peers }
+
 // Worker is one running stand-in worker.
 type Worker struct {
 	*Process
@@ -111,13 +116,13 @@
 // StartDaemon starts or restarts the daemon and waits until it is ready.
 func (f *Fleet) StartDaemon(ctx context.Context, d *Daemon) error {
 	hash := sha256.Sum256([]byte(operatorToken))
-	p, err := Run(
-		f.Dir, d.node, filepath.Join(f.Bin, "beryllatchd"),
-		"--node="+d.node, "--data-centre="+d.dc, "--callers-address="+d.Callers, "--operators-address="+d.Operators,
-		"--peers-address="+d.peers, "--admin-address="+d.Admin, "--table-endpoint=http://"+f.Table,
-		"--object-endpoint=http://"+f.objects, "--instance-list=http://"+f.instances+"/instances",
-		"--operator-tokens=harness:"+hex.EncodeToString(hash[:]),
-	)
+	args := append([]string{
+		"--node=" + d.node, "--data-centre=" + d.dc, "--callers-address=" + d.Callers, "--operators-address=" + d.Operators,
+		"--peers-address=" + d.peers, "--admin-address=" + d.Admin, "--table-endpoint=http://" + f.Table,
+		"--object-endpoint=http://" + f.objects, "--instance-list=http://" + f.instances + "/instances",
+		"--operator-tokens=harness:" + hex.EncodeToString(hash[:]),
+	}, f.DaemonArgs...)
+	p, err := Run(f.Dir, d.node, filepath.Join(f.Bin, "beryllatchd"), args...)
 	if err != nil {
 		return err
 	}
--- a/internal/bench/berylproof/fleet_test.go
+++ b/internal/bench/berylproof/fleet_test.go
@@ -46,19 +46,29 @@
 // startFleet starts three daemons and, in each of two data centres, the workers.
 func startFleet(ctx context.Context, t *testing.T, workersPerDC int) *fleet {
 	t.Helper()
+	f := newFleet(t)
+	f.start(ctx, workersPerDC)
+	return f
+}
+
+func newFleet(t *testing.T) *fleet {
 	f := &fleet{Fleet: berylprocess.Fleet{Bin: bin, Dir: t.TempDir()}, t: t}
 	t.Cleanup(f.finish)
 	assert.NilError(t, f.StartPlatform(3))
+	return f
+}
+
+func (f *fleet) start(ctx context.Context, workersPerDC int) {
+	f.t.Helper()
 	for n := range 2 * workersPerDC {
 		dc := fmt.Sprintf("dc%d", 1+n%2)
 		_, err := f.StartWorker(ctx, fmt.Sprintf("w%d", n+1), dc, fmt.Sprintf("%s-r%d", dc, 1+n/4))
-		assert.NilError(t, err)
+		assert.NilError(f.t, err)
 	}
 	for _, d := range f.Daemons {
-		assert.NilError(t, f.StartDaemon(ctx, d))
+		assert.NilError(f.t, f.StartDaemon(ctx, d))
 	}
 	f.configure(ctx)
-	return f
 }
 
 func (f *fleet) finish() {
