--- /dev/null
+++ b/internal/node/beryltaskapi/input_test.go
@@ -0,0 +1,23 @@
+package beryltaskapi
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+)
+
+// Guards against a panic on headers, and against an accepted deadline below zero.
+func FuzzParseOffer(f *testing.F) {
+	f.Add("Bearer x", "k", "true", "100", "5")
+	f.Fuzz(func(t *testing.T, auth, key, mark, deadline, length string) {
+		r := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/", nil)
+		r.Header = http.Header{
+			"Authorization": {auth}, "Idempotency-Key": {key}, "Beryllatch-Idempotent": {mark},
+			"Beryllatch-Deadline-Ms": {deadline}, "Content-Length": {length},
+		}
+		offer, err := parseOffer(r)
+		if err == nil && offer.Deadline < 0 {
+			t.Fatalf("accepted %+v", offer)
+		}
+	})
+}
