Return the caller's own request id, and end abandoned requests by the reducer's last effect

The API page promises that the caller's id comes back; the header and the refusal held the internal one. The handler waited up to a second for an effect of an abandoned request; the reducer now ends each with a refusal, so that no wait is needed.

--- a/internal/node/berylcaller/attempt.go
+++ b/internal/node/berylcaller/attempt.go
@@ -70,11 +70,7 @@
 	x.answer = nil
 	h := http.Header{}
 	passRequest(h, x.r.Header)
-	id := x.in.callerID
-	if id == "" {
-		id = x.in.id
-	}
-	h.Set(headerRequestID, id)
+	h.Set(headerRequestID, x.in.publicID())
 	if n := x.in.body.length(); n >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(n, 10))
 	}
--- a/internal/node/berylcaller/handler.go
+++ b/internal/node/berylcaller/handler.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
 	"github.com/beryllatch/beryllatch"
 	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
@@ -37,15 +36,15 @@
 
 func (h *Handler) serveRequest(w http.ResponseWriter, r *http.Request) {
 	in, err := parse(r)
-	w.Header().Set(headerRequestID, in.id)
+	w.Header().Set(headerRequestID, in.publicID())
 	if err != nil {
-		berylproblem.Write(w, in.id, beryllatch.Refusal{
+		berylproblem.Write(w, in.publicID(), beryllatch.Refusal{
 			Reason: beryllatch.ReasonBadRequest, RunState: beryllatch.RunStateNotRun, Detail: err.Error(),
 		})
 		return
 	}
 	if err := in.body.prefetch(w); err != nil {
-		berylproblem.Write(w, in.id, beryllatch.Refusal{
+		berylproblem.Write(w, in.publicID(), beryllatch.Refusal{
 			Reason: beryllatch.ReasonBadRequest, RunState: beryllatch.RunStateNotRun, Detail: err.Error(),
 		})
 		return
@@ -77,27 +76,13 @@
 				return
 			}
 		case <-gone:
+			// The reducer ends an abandoned request like any other, with one last effect.
 			gone = nil
 			x.h.Node.Post(berylreducer.RequestAbandoned{ID: x.in.id})
-			// The reducer answers an abandoned request that still waits by dropping it.
-			if !x.dispatched(ctx, effects) {
-				return
-			}
 		}
 	}
 }
 
-// dispatched reports whether an effect of an abandoned request is still to be carried out.
-func (x *exchange) dispatched(ctx context.Context, effects <-chan berylreducer.Effect) bool {
-	const settle = time.Second
-	select {
-	case e := <-effects:
-		return !x.apply(ctx, e)
-	case <-time.After(settle):
-		return false
-	}
-}
-
 // apply carries out one effect and reports whether the exchange has ended.
 func (x *exchange) apply(ctx context.Context, e berylreducer.Effect) bool {
 	switch e := e.(type) {
@@ -134,5 +119,5 @@
 		// The caller must not take the part that it has received for a whole answer.
 		panic(http.ErrAbortHandler)
 	}
-	berylproblem.Write(x.w, x.in.id, refusal)
+	berylproblem.Write(x.w, x.in.publicID(), refusal)
 }
--- a/internal/node/berylcaller/handler_test.go
+++ b/internal/node/berylcaller/handler_test.go
@@ -212,6 +212,16 @@
 	}
 }
 
+// Guards against a caller that cannot match a refusal with its own request id.
+func TestRequestIDInRefusal(t *testing.T) {
+	srv := serve(t, &fakeNode{}, func([]byte) (*http.Response, error) { return respond(&cutReader{n: 1}, 2), nil })
+	_, b, err := post(t, srv, nil, headerRequestID, "order-7")
+	assert.NilError(t, err)
+	var p berylproblem.Problem
+	assert.NilError(t, json.Unmarshal(b, &p))
+	assert.Equal(t, p.RequestID, "order-7")
+}
+
 // Guards against secrets and control headers reaching a worker.
 func TestPassRequest(t *testing.T) {
 	dst := http.Header{}
--- a/internal/node/berylcaller/input.go
+++ b/internal/node/berylcaller/input.go
@@ -67,6 +67,14 @@
 	return in, nil
 }
 
+// publicID is the request id that the caller and the worker see.
+func (in *input) publicID() string {
+	if in.callerID != "" {
+		return in.callerID
+	}
+	return in.id
+}
+
 func (in *input) arrival() berylreducer.RequestArrived {
 	return berylreducer.RequestArrived{
 		ID: in.id, KeyHash: in.keyHash, Queue: in.queue, Idempotent: in.idempotent,
