Hash secrets and address node rows in one place each

The hash of a key stood in the callers' API, the tasks API and the client, which must agree on it; it is now HashSecret. The key of a node row and the check that guards a takeover stood in the daemon and in the tasks' executor; both now use NodeKey and NodeCheck.RowWrite. Behaviour is unchanged.

--- a/internal/client/berylcommand/key_create.go
+++ b/internal/client/berylcommand/key_create.go
@@ -1,13 +1,13 @@
 package berylcommand
 
 import (
-	"crypto/sha256"
 	"encoding/base64"
-	"encoding/hex"
 	"fmt"
 	"io"
 	"strings"
 
+	"github.com/beryllatch/beryllatch"
+
 	"github.com/beryllatch/beryllatch/internal/rpc/berylwire"
 )
 
@@ -59,7 +59,7 @@
 	if len(secret) < base64.RawURLEncoding.EncodedLen(secretSize) {
 		return "", "", usagef("%s: the secret is too short", cmd.SecretFile)
 	}
-	return secret, hashOf(secret), nil
+	return secret, beryllatch.HashSecret(secret), nil
 }
 
 // createdKey is what is shown of a new key, once.
@@ -88,10 +88,5 @@
 		return "", "", err
 	}
 	secret = base64.RawURLEncoding.EncodeToString(b)
-	return secret, hashOf(secret), nil
-}
-
-func hashOf(secret string) string {
-	sum := sha256.Sum256([]byte(secret))
-	return hex.EncodeToString(sum[:])
+	return secret, beryllatch.HashSecret(secret), nil
 }
--- a/internal/decision/berylreducer/effect.go
+++ b/internal/decision/berylreducer/effect.go
@@ -64,6 +64,9 @@
 	Checks []NodeCheck
 }
 
+// NodePartition is the partition of the node rows.
+const NodePartition = "node"
+
 // NodeCheck is the condition that an incarnation's row still has the version, so that its tenure has not been renewed
 // since; version 0 means that the row is missing.
 type NodeCheck struct {
@@ -71,6 +74,16 @@
 	Version     uint64
 }
 
+// NodeKey returns the row of an incarnation's node.
+func NodeKey(incarnation string) beryllatch.RowKey {
+	return beryllatch.RowKey{Partition: NodePartition, Sort: incarnation}
+}
+
+// RowWrite returns the check as a part of a transaction.
+func (c NodeCheck) RowWrite() beryllatch.RowWrite {
+	return beryllatch.RowWrite{Row: beryllatch.Row{Key: NodeKey(c.Incarnation)}, Expect: c.Version, CheckOnly: true}
+}
+
 // NotifyUnits tells a peer that units of a team have been moved to it in the row.
 type NotifyUnits struct {
 	Peer Identity
--- a/internal/node/berylcaller/body.go
+++ b/internal/node/berylcaller/body.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/beryllatch/beryllatch"
+
 	"github.com/rotisserie/eris"
 )
 
@@ -58,7 +60,7 @@
 	if !b.whole {
 		return ""
 	}
-	return hash(string(b.buffered))
+	return beryllatch.HashSecret(string(b.buffered))
 }
 
 // length returns the length of the body in bytes, -1 if it is not known.
--- a/internal/node/berylcaller/input.go
+++ b/internal/node/berylcaller/input.go
@@ -1,8 +1,6 @@
 package berylcaller
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"fmt"
 	"net/http"
 	"regexp"
@@ -10,6 +8,8 @@
 	"strings"
 	"time"
 
+	"github.com/beryllatch/beryllatch"
+
 	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
 	"github.com/google/uuid"
 	"github.com/gorilla/mux"
@@ -114,7 +114,7 @@
 	if !ok || !strings.EqualFold(scheme, "Bearer") || secret == "" || len(secret) > maxKeyLength {
 		return &HeaderError{Header: "Authorization", Reason: "must be Bearer and a key"}
 	}
-	in.keyHash = hash(secret)
+	in.keyHash = beryllatch.HashSecret(secret)
 	return nil
 }
 
@@ -126,7 +126,7 @@
 	if len(v) > maxKeyLength {
 		return &HeaderError{Header: headerIdempotencyKey, Reason: "must have at most 255 bytes"}
 	}
-	in.idempotencyKey = hash(v)
+	in.idempotencyKey = beryllatch.HashSecret(v)
 	return nil
 }
 
@@ -166,8 +166,3 @@
 	}
 	return nil
 }
-
-func hash(s string) string {
-	sum := sha256.Sum256([]byte(s))
-	return hex.EncodeToString(sum[:])
-}
--- a/internal/node/beryldaemon/execute_tenure.go
+++ b/internal/node/beryldaemon/execute_tenure.go
@@ -13,7 +13,6 @@
 )
 
 const (
-	nodePartition = "node"
 	// maxNodes bounds the node rows that one renewal reads.
 	maxNodes = 256
 )
@@ -46,10 +45,6 @@
 	return true
 }
 
-func nodeKey(incarnation string) beryllatch.RowKey {
-	return beryllatch.RowKey{Partition: nodePartition, Sort: incarnation}
-}
-
 // reincarnate gives the node a new incarnation, since its row has been removed by a peer.
 func (d *Daemon) reincarnate() {
 	self := d.Self
@@ -98,7 +93,7 @@
 		return false, err
 	}
 	err = d.Table.Transact(ctx, beryllatch.RowWrite{
-		Row: beryllatch.Row{Key: nodeKey(row.Incarnation), Value: value}, Expect: n.version,
+		Row: beryllatch.Row{Key: berylreducer.NodeKey(row.Incarnation), Value: value}, Expect: n.version,
 	})
 	var unavailable *beryllatch.UnavailableError
 	switch {
@@ -113,7 +108,7 @@
 // readBack learns the row's version after a write without an answer; a row that was written and is missing has been
 // removed by a peer.
 func (d *Daemon) readBack(ctx context.Context, n *nodeRow) (replaced bool, err error) {
-	stored, err := d.Table.Get(ctx, nodeKey(n.incarnation))
+	stored, err := d.Table.Get(ctx, berylreducer.NodeKey(n.incarnation))
 	if err != nil {
 		return false, err
 	}
@@ -133,7 +128,7 @@
 	}
 	d.node.mu.Unlock()
 	err := d.Table.Transact(ctx, beryllatch.RowWrite{
-		Row: beryllatch.Row{Key: nodeKey(x.Node.Incarnation)}, Expect: version, Delete: true,
+		Row: beryllatch.Row{Key: berylreducer.NodeKey(x.Node.Incarnation)}, Expect: version, Delete: true,
 	})
 	d.Post(berylreducer.NodeDeleted{Incarnation: x.Node.Incarnation, Result: berylgroup.ResultOf(err)})
 }
@@ -147,7 +142,7 @@
 	if skipNodes {
 		return head, nil, nil
 	}
-	rows, err := d.Table.Query(ctx, nodePartition, "", maxNodes)
+	rows, err := d.Table.Query(ctx, berylreducer.NodePartition, "", maxNodes)
 	if err != nil {
 		return 0, nil, err
 	}
--- a/internal/node/beryldaemon/execute_units.go
+++ b/internal/node/beryldaemon/execute_units.go
@@ -47,9 +47,7 @@
 		Row: beryllatch.Row{Key: unitKey(x.Row.Team), Value: value}, Expect: x.Expect,
 	}}
 	for _, c := range x.Checks {
-		writes = append(writes, beryllatch.RowWrite{
-			Row: beryllatch.Row{Key: nodeKey(c.Incarnation)}, Expect: c.Version, CheckOnly: true,
-		})
+		writes = append(writes, c.RowWrite())
 	}
 	err = d.Table.Transact(ctx, writes...)
 	d.Post(berylreducer.UnitsWritten{
--- a/internal/node/beryltask/rows.go
+++ b/internal/node/beryltask/rows.go
@@ -48,10 +48,6 @@
 	return beryllatch.RowKey{Partition: "claim#" + team, Sort: key}
 }
 
-func nodeKey(incarnation string) beryllatch.RowKey {
-	return beryllatch.RowKey{Partition: "node", Sort: incarnation}
-}
-
 // encoded returns a row with the JSON form of v, which consists of plain values and always has one.
 func encoded(k beryllatch.RowKey, v any, expires int64) beryllatch.Row {
 	b, _ := json.Marshal(v)
@@ -104,9 +100,7 @@
 func shardRows(e berylreducer.WriteShard) []beryllatch.RowWrite {
 	rows := []beryllatch.RowWrite{{Row: encoded(shardKey(e.Row.Shard), e.Row, 0), Expect: e.Expect}}
 	for _, c := range e.Checks {
-		rows = append(rows, beryllatch.RowWrite{
-			Row: beryllatch.Row{Key: nodeKey(c.Incarnation)}, Expect: c.Version, CheckOnly: true,
-		})
+		rows = append(rows, c.RowWrite())
 	}
 	return rows
 }
--- a/internal/node/beryltaskapi/handler_test.go
+++ b/internal/node/beryltaskapi/handler_test.go
@@ -114,8 +114,8 @@
 		assert.Equal(t, answer, `{"task_id":"t1","queue":"q","state":"queued"}`+"\n")
 	}
 	offer := a.events[0].(berylreducer.TaskOffered)
-	assert.Equal(t, offer.KeyHash, hash("secret"))
-	assert.Equal(t, offer.IdempotencyKey, hash("k"))
+	assert.Equal(t, offer.KeyHash, beryllatch.HashSecret("secret"))
+	assert.Equal(t, offer.IdempotencyKey, beryllatch.HashSecret("k"))
 	assert.Assert(t, offer.Idempotent)
 	assert.Equal(t, string(a.events[1].(berylreducer.PayloadReceived).Payload), "small")
 	stored := a.events[3].(berylreducer.PayloadReceived)
--- a/internal/node/beryltaskapi/input.go
+++ b/internal/node/beryltaskapi/input.go
@@ -1,8 +1,6 @@
 package beryltaskapi
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"fmt"
 	"net/http"
 	"regexp"
@@ -10,6 +8,8 @@
 	"strings"
 	"time"
 
+	"github.com/beryllatch/beryllatch"
+
 	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
 	"github.com/gorilla/mux"
 )
@@ -81,7 +81,7 @@
 	if !ok || !strings.EqualFold(scheme, "Bearer") || secret == "" || len(secret) > maxHeader {
 		return "", &InputError{Field: "Authorization", Reason: "must be Bearer and a key"}
 	}
-	return hash(secret), nil
+	return beryllatch.HashSecret(secret), nil
 }
 
 func parseKeys(r *http.Request, o *berylreducer.TaskOffered) error {
@@ -96,7 +96,7 @@
 	case len(v) > maxHeader:
 		return &InputError{Field: headerIdempotencyKey, Reason: fmt.Sprintf("must have at most %d bytes", maxHeader)}
 	case v != "":
-		o.IdempotencyKey = hash(v)
+		o.IdempotencyKey = beryllatch.HashSecret(v)
 	}
 	return nil
 }
@@ -152,8 +152,3 @@
 	}
 	return nil
 }
-
-func hash(s string) string {
-	sum := sha256.Sum256([]byte(s))
-	return hex.EncodeToString(sum[:])
-}
--- /dev/null
+++ b/secret.go
@@ -0,0 +1,12 @@
+package beryllatch
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+)
+
+// HashSecret returns the SHA-256 of a secret in hexadecimal digits, the form in which keys are stored and compared.
+func HashSecret(secret string) string {
+	sum := sha256.Sum256([]byte(secret))
+	return hex.EncodeToString(sum[:])
+}
