Keep idle connections open during a planned stop

Cause: a stop began with http.Server.SetKeepAlivesEnabled(false), which also closes idle connections at once. A request that was on its way on such a connection was cut, and the caller's client may not repeat a POST.

Ruled out: a worker or the reducer (the daemon never read the request, and 1506 starts match 1506 answers); the load balancer (it passes bytes on and dials ready daemons only).

Change: a stopping daemon answers what still comes on its connections for 5 s, as before, and marks each of these answers as the last one of its connection. Connections that stay without a request are closed at the end of the stop.

Before: TestIdleConnectionAtStop, which sends on an idle connection during a stop, fails with "unexpected EOF".

Conclusion: a connection that a caller used within the 5 s is no longer cut. One that was silent for longer can still be closed in the instant in which the caller sends on it, as HTTP/1.1 has it.

--- a/internal/bench/berylprocess/process.go
+++ b/internal/bench/berylprocess/process.go
@@ -98,9 +98,12 @@
 const pollInterval = 50 * time.Millisecond
 
 // WaitFor polls the URL until it answers 200 or ctx ends.
-func WaitFor(ctx context.Context, url string) error {
+func WaitFor(ctx context.Context, url string) error { return WaitForStatus(ctx, url, http.StatusOK) }
+
+// WaitForStatus polls the URL until it answers with the status or ctx ends.
+func WaitForStatus(ctx context.Context, url string, status int) error {
 	for {
-		if get(ctx, url) {
+		if get(ctx, url) == status {
 			return nil
 		}
 		select {
@@ -111,15 +114,16 @@
 	}
 }
 
-func get(ctx context.Context, url string) bool {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+// get returns the status of the answer, 0 if there is none.
+func get(ctx context.Context, url string) int {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
 	if err != nil {
-		return false
+		return 0
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return false
+		return 0
 	}
-	defer func() { _ = resp.Body.Close() }()
-	return resp.StatusCode == http.StatusOK
+	_ = resp.Body.Close()
+	return resp.StatusCode
 }
--- a/internal/bench/berylproof/fault_test.go
+++ b/internal/bench/berylproof/fault_test.go
@@ -1,7 +1,12 @@
 package berylproof
 
 import (
+	"bufio"
 	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -98,6 +103,44 @@
 	assert.Equal(t, s.NoAnswer+s.NotRun+s.Unknown, 0, "%+v", s)
 }
 
+// Guards against a planned stop that closes the callers' idle connections, which cuts a request that is on its way.
+func TestIdleConnectionAtStop(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	f := startFleet(ctx, t, 1)
+	d := f.Daemons[0]
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", d.Callers)
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	assert.Assert(t, !f.send(ctx, conn, reader, "before"), "the connection must stay open before the stop")
+	stopped := make(chan error, 1)
+	go func() { stopped <- d.Terminate() }()
+	assert.NilError(t, berylprocess.WaitForStatus(ctx, "http://"+d.Admin+"/readyz", http.StatusServiceUnavailable))
+	assert.Assert(t, f.send(ctx, conn, reader, "during"), "the connection must end with this answer")
+	assert.NilError(t, <-stopped)
+	assert.Equal(t, len(f.starts(ctx)["during"]), 1)
+}
+
+// send sends one request on the connection, requires an answer from a worker and reports whether the connection ends
+// with it.
+func (f *fleet) send(ctx context.Context, conn net.Conn, reader *bufio.Reader, id string) bool {
+	f.t.Helper()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://entry/v1/queues/price/requests", strings.NewReader(id))
+	assert.NilError(f.t, err)
+	req.Header.Set("Authorization", "Bearer "+f.secret)
+	req.Header.Set("Beryllatch-Request-Id", id)
+	assert.NilError(f.t, req.Write(conn))
+	resp, err := http.ReadResponse(reader, req)
+	assert.NilError(f.t, err)
+	defer func() { _ = resp.Body.Close() }()
+	_, err = io.Copy(io.Discard, resp.Body)
+	assert.NilError(f.t, err)
+	assert.Equal(f.t, resp.StatusCode, http.StatusOK)
+	return resp.Close
+}
+
 // Guards against an outage of the table that stops safe work, and against keyed work that runs without its claim.
 func TestOutage(t *testing.T) {
 	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
--- a/internal/node/berylserver/server.go
+++ b/internal/node/berylserver/server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/beryllatch/beryllatch/internal/common/berylsettings"
@@ -26,8 +27,9 @@
 	Settings berylsettings.Daemon
 	Log      *log.Logger
 
-	daemon  *beryldaemon.Daemon
-	servers []*http.Server
+	daemon   *beryldaemon.Daemon
+	servers  []*http.Server
+	stopping atomic.Bool
 }
 
 // Run serves until ctx is cancelled, then shuts down gracefully; it returns an error if a listener cannot start.
@@ -59,9 +61,7 @@
 
 // stop finishes the running requests, for at most the shutdown timeout.
 func (s *Server) stop(ctx context.Context, done <-chan struct{}) {
-	for _, h := range s.servers {
-		h.SetKeepAlivesEnabled(false)
-	}
+	s.stopping.Store(true)
 	s.daemon.Stop()
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.Settings.ShutdownTimeout)
 	defer cancel()
@@ -75,6 +75,17 @@
 	}
 }
 
+// closeAfterAnswer ends each connection of a stopping daemon with the answer that it carries. Connections without a
+// request stay open until the end of the stop: closing them at its start cut requests that were on their way.
+func (s *Server) closeAfterAnswer(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
 func (s *Server) close() {
 	for _, h := range s.servers {
 		_ = h.Close()
@@ -96,7 +107,7 @@
 	protocols.SetUnencryptedHTTP2(true)
 	h := &http.Server{
 		Protocols: protocols,
-		Handler:   l.handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader, IdleTimeout: idleTimeout,
+		Handler:   s.closeAfterAnswer(l.handler), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader, IdleTimeout: idleTimeout,
 	}
 	if l.tls.Enabled() {
 		files, err := beryltls.Load(l.tls)
