Let operators settle tasks that are parked or of unknown outcome

Cause: such tasks kept their rows for ever, and no command listed them, decided about them or started them again.

Ruled out: a scan of the finished tasks for listings, which reads every result of the last 24 h; and a row left behind by a requeued task to keep versions apart, since every final write would have to carry its version.

Change: ListTasks and ResolveTask in the operators' service, and the commands task list, task show and task resolve. Any node changes the row of the finished task by compare-and-set; a requeued task moves back to the unfinished ones, where the owner of the shard finds it. The node asks the last worker before a requeue. Decisions are kept in the task's row by operation id. RowWrite can set the version of the stored row, so that versions never repeat over a requeue: with repeated versions a delayed write of the first decision requeued the task once more (TestTaskDecisionAnswerLost), and an owner that didn't know that its final row was stored kept the requeued task from running (TestTaskRequeuedBeforeOwnerKnows). The result of a task that an operator settled as done is refused as answer_not_kept, not answered as empty.

--- a/internal/client/berylcommand/change.go
+++ b/internal/client/berylcommand/change.go
@@ -35,24 +35,35 @@
 	if err := s.printOutcome(q.GetOperationId(), reply); err != nil {
 		return err
 	}
+	return outcomeError(q.GetOperationId(), reply)
+}
+
+// outcomeError returns the error for a call that is not known to have taken effect.
+func outcomeError(operation string, reply *berylwire.ApplyResponse) error {
 	switch berylreducer.OperatorOutcome(reply.GetOutcome()) {
 	case berylreducer.OutcomeAccepted:
 		return nil
 	case berylreducer.OutcomeNotAccepted:
 		return &refusedError{reason: reply.GetReason()}
 	}
-	return &unknownError{operation: q.GetOperationId(), reason: reply.GetReason()}
+	return &unknownError{operation: operation, reason: reply.GetReason()}
 }
 
-// send makes the call and repeats it while its outcome is unknown or its node is not able to judge it.
 func (s *session) send(q *berylwire.ApplyRequest) (*berylwire.ApplyResponse, error) {
+	return s.attempt(func(c berylwire.Operator) (*berylwire.ApplyResponse, error) { return c.Apply(s.ctx, q) })
+}
+
+// attempt makes the call and repeats it while its outcome is unknown or its node is not able to judge it.
+func (s *session) attempt(
+	call func(berylwire.Operator) (*berylwire.ApplyResponse, error),
+) (*berylwire.ApplyResponse, error) {
 	clients, err := s.clients()
 	if err != nil {
 		return nil, err
 	}
 	t := trial{repeat: s.settings.OperationID != ""}
 	for n := range max(maxAttempts, len(clients)) {
-		reply, err := clients[n%len(clients)].Apply(s.ctx, q)
+		reply, err := call(clients[n%len(clients)])
 		if t.ended(reply, err) {
 			break
 		}
--- a/internal/client/berylcommand/cli.go
+++ b/internal/client/berylcommand/cli.go
@@ -36,6 +36,7 @@
 	DC         dataCentreCommand `cmd:"" name:"dc" help:"Data centres: failure domains that go out and in as a whole."`
 	Instance   instanceCommand   `cmd:"" help:"Instances: the workers of the fleet."`
 	Wave       waveCommand       `cmd:"" help:"Maintenance waves."`
+	Task       taskCommand       `cmd:"" help:"Tasks that wait for an operator."`
 	Status     statusCommand     `cmd:"" help:"State of the fleet, a team or a task."`
 	Completion completionCommand `cmd:"" help:"Print a completion script for bash."`
 	Docs       docsCommand       `cmd:"" hidden:"" help:"Print the reference page of the client."`
--- a/internal/client/berylcommand/cli_test.go
+++ b/internal/client/berylcommand/cli_test.go
@@ -12,8 +12,10 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/beryllatch/beryllatch"
 	"github.com/beryllatch/beryllatch/internal/decision/berylplan"
@@ -28,6 +30,7 @@
 type fakeNode struct {
 	config   beryllatch.Config
 	outcomes map[string]berylreducer.ReplyOperator
+	tasks    map[string]beryllatch.Task
 	// lost is the number of replies that get lost after they took effect.
 	lost  int
 	calls int
@@ -68,7 +71,58 @@
 }
 
 func (f *fakeNode) Task(_ context.Context, id string) (beryllatch.Task, error) {
-	return beryllatch.Task{}, &beryloperator.TaskNotFoundError{ID: id}
+	t, ok := f.tasks[id]
+	if !ok {
+		return t, &beryloperator.TaskNotFoundError{ID: id}
+	}
+	return t, nil
+}
+
+func (f *fakeNode) WaitingTasks(
+	_ context.Context, states []beryllatch.TaskState, after string, limit int,
+) ([]beryllatch.Task, error) {
+	var out []beryllatch.Task
+	for _, id := range beryllatch.SortedKeys(f.tasks) {
+		t := f.tasks[id]
+		wanted := t.State.WaitsForOperator() && (len(states) == 0 || slices.Contains(states, t.State))
+		if wanted && id > after && len(out) < limit {
+			out = append(out, t)
+		}
+	}
+	return out, nil
+}
+
+// ResolveTask stores a decision once for each operation id, as a node does.
+func (f *fakeNode) ResolveTask(
+	_ context.Context, e berylreducer.TaskResolveAsked,
+) (berylreducer.ReplyTaskResolve, error) {
+	t := f.tasks[e.TaskID]
+	stored := slices.ContainsFunc(t.Decisions, func(d beryllatch.TaskDecision) bool { return d.OperationID == e.OperationID })
+	switch {
+	case !stored && !t.State.WaitsForOperator():
+		return berylreducer.ReplyTaskResolve{
+			Outcome: berylreducer.OutcomeNotAccepted, Reason: berylreducer.ReasonTaskNotWaiting, Settled: true,
+		}, nil
+	case !stored && e.As == beryllatch.VerdictRequeue && !e.NotRun:
+		return berylreducer.ReplyTaskResolve{
+			Outcome: berylreducer.OutcomeNotAccepted, Reason: berylreducer.ReasonNotRunUnconfirmed, Settled: true,
+		}, nil
+	case !stored:
+		t.State = map[beryllatch.TaskVerdict]beryllatch.TaskState{
+			beryllatch.VerdictDone: beryllatch.TaskDone, beryllatch.VerdictFailed: beryllatch.TaskFailed,
+			beryllatch.VerdictRequeue: beryllatch.TaskQueued,
+		}[e.As]
+		t.Decisions = append(t.Decisions, beryllatch.TaskDecision{
+			OperationID: e.OperationID, Operator: e.Operator, As: e.As, Reason: e.Reason, NotRun: e.NotRun,
+			At: time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC),
+		})
+		f.tasks[e.TaskID] = t
+	}
+	if f.lost > 0 {
+		f.lost--
+		return berylreducer.ReplyTaskResolve{}, context.DeadlineExceeded
+	}
+	return berylreducer.ReplyTaskResolve{Outcome: berylreducer.OutcomeAccepted, Settled: true, Task: t}, nil
 }
 
 // client runs command lines against a fake node.
@@ -129,6 +183,37 @@
 	golden.Assert(t, c.log.String(), "commands.golden")
 }
 
+// TestTaskCommands guards against tasks that an operator doesn't find, a requeue without the statement that it needs, a
+// decision that is stored twice, and one that is shown without its author.
+func TestTaskCommands(t *testing.T) {
+	c := newClient(t)
+	c.node.tasks = map[string]beryllatch.Task{
+		"t1": {ID: "t1", Team: "wheels", Queue: "plans", State: beryllatch.TaskUnknown, Instance: "w1", Attempt: 1, Reason: beryllatch.ReasonAnswerLost},
+		"t2": {ID: "t2", Team: "wheels", Queue: "plans", State: beryllatch.TaskParked, Reason: beryllatch.ReasonJobFailing},
+		"t3": {ID: "t3", Team: "wheels", Queue: "plans", State: beryllatch.TaskUnknown},
+		"t4": {ID: "t4", Team: "wheels", Queue: "plans", State: beryllatch.TaskRunning},
+	}
+	for _, line := range []string{
+		"task list", "task list --state=unknown --limit=1", "task list --state=unknown --limit=1 --after=t1",
+		"task list --state=parked --output=json", "task list --state=done", "task show t1", "task resolve t1 --as=done",
+		"task resolve t1 --as=requeue --reason=checked --operation-id=op1",
+	} {
+		c.run(line)
+	}
+	c.node.lost = 1
+	for _, line := range []string{
+		"task resolve t1 --as=requeue --not-run --reason=checked --operation-id=op1",
+		"task resolve t1 --as=requeue --not-run --reason=checked --operation-id=op1",
+		"task show t1", "task show t1 --output=json", "task resolve t4 --as=failed --reason=lost",
+		"task resolve t2 --as=failed --reason=obsolete --operation-id=op2 --output=json", "task list",
+	} {
+		c.run(line)
+	}
+	c.node.lost = 100
+	c.run("task resolve t3 --as=done --reason=delivered --operation-id=op3")
+	golden.Assert(t, c.log.String(), "task_commands.golden")
+}
+
 // TestKeySecret guards against a secret that is sent, stored or lost, and a key that is granted again.
 func TestKeySecret(t *testing.T) {
 	c := newClient(t)
--- a/internal/decision/berylreducer/task.go
+++ b/internal/decision/berylreducer/task.go
@@ -129,6 +129,12 @@
 		r.taskLookedUp(e)
 	case CancelWritten:
 		r.cancelWritten(e)
+	case TaskResolveAsked:
+		r.taskResolveAsked(e)
+	case AttemptReported:
+		r.attemptReported(e)
+	case DecisionWritten:
+		r.decisionWritten(e)
 	default:
 		r.reduceOwnedTask(e)
 	}
--- a/internal/decision/berylreducer/task_lookup.go
+++ b/internal/decision/berylreducer/task_lookup.go
@@ -31,6 +31,10 @@
 	if c == nil {
 		return
 	}
+	if c.resolve != nil {
+		r.resolveLookedUp(c, e)
+		return
+	}
 	switch {
 	case e.Failed && c.uncertain:
 		r.readLater(c)
@@ -42,6 +46,8 @@
 		r.cancelStored(c, e.Task)
 	case c.asked.Result && e.Task.State != beryllatch.TaskDone:
 		r.endCall(c, beryllatch.RunStateNotRun, beryllatch.ReasonTaskNotFinished, "the task is "+string(e.Task.State))
+	case c.asked.Result && !e.Task.ResultKept():
+		r.endCall(c, beryllatch.RunStateRun, beryllatch.ReasonAnswerNotKept, "an operator settled the task without its result")
 	default:
 		r.answerCall(c, e.Task.Task, false)
 	}
--- a/internal/decision/berylreducer/task_submit.go
+++ b/internal/decision/berylreducer/task_submit.go
@@ -46,6 +46,8 @@
 	uncertain bool
 	asked     TaskAsked
 	tries     int
+	// resolve is an operator's decision; nil for a caller's call.
+	resolve *TaskResolveAsked
 }
 
 func (r *Reducer) taskOffered(e TaskOffered) {
@@ -218,6 +220,10 @@
 }
 
 func (r *Reducer) giveUpCall(c *taskCall) {
+	if c.resolve != nil {
+		r.endResolve(c, ReasonTaskPlatform, false)
+		return
+	}
 	state := beryllatch.RunStateNotRun
 	if c.uncertain {
 		state = beryllatch.RunStateUnknown
--- a/internal/decision/berylreducer/task_world_test.go
+++ b/internal/decision/berylreducer/task_world_test.go
@@ -150,6 +150,8 @@
 			n.answers[x.CallID] = x
 		case RefuseTask:
 			n.answers[x.CallID] = x
+		case ReplyTaskResolve:
+			n.answers[x.CallID] = x
 		case Stop:
 			w.kill(n)
 		case Count, LogState, SetGauge, SetReady, SendHeartbeats, ReplyGrant, NotifyConfig, NotifyUnits, ConfigInForce, AskUnits, Reincarnate:
@@ -232,7 +234,7 @@
 		return NodeDeleted{Incarnation: e.Node.Incarnation, Result: WriteDone}
 	case ReceivePayload:
 		return PayloadReceived{CallID: e.CallID, Payload: []byte("x")}
-	case StartTask, AskTask, RenewTask, StopTask, CollectResult:
+	case StartTask, AskTask, AskAttempt, RenewTask, StopTask, CollectResult:
 		return w.performWorker(e, f)
 	default:
 		return w.performTable(e, f)
@@ -319,8 +321,7 @@
 		case x.Delete:
 			delete(w.rows, x.Row.Key)
 		default:
-			x.Row.Version = x.Expect + 1
-			w.rows[x.Row.Key] = x.Row
+			w.rows[x.Row.Key] = x.Stored()
 		}
 	}
 	return WriteDone
@@ -375,6 +376,14 @@
 		return ShardPolled{Shard: e.Shard, Epoch: e.Epoch, Failed: failed, Tasks: tasks, Cancelled: w.cancelled(e.Shard)}
 	case LoadTasks:
 		return TasksLoaded{Shard: e.Shard, Epoch: e.Epoch, After: e.After, Failed: failed, Tasks: w.page(e)}
+	case WriteDecision:
+		done, open := doneKey(e.Shard, e.Task.ID), openKey(e.Shard, e.Task.ID)
+		writes := []beryllatch.RowWrite{{Row: rowOf(done, e.Task), Expect: e.Expect}}
+		if !e.Task.State.Final() {
+			writes[0].Delete = true
+			writes = append(writes, beryllatch.RowWrite{Row: rowOf(open, e.Task), Version: e.Task.FirstVersion()})
+		}
+		return DecisionWritten{CallID: e.CallID, Result: w.write(f, writes...)}
 	case WriteTask:
 		writes := w.taskWrites(e.Shard, e.Task, e.Expect)
 		if e.Task.State.Final() && e.Task.CancelRequested {
@@ -400,7 +409,7 @@
 		return []beryllatch.RowWrite{{Row: rowOf(k, t), Expect: expect}}
 	}
 	return []beryllatch.RowWrite{
-		{Row: beryllatch.Row{Key: k}, Expect: expect, Delete: true}, {Row: rowOf(doneKey(shard, t.ID), t)},
+		{Row: beryllatch.Row{Key: k}, Expect: expect, Delete: true}, {Row: rowOf(doneKey(shard, t.ID), t), Version: t.FirstVersion()},
 	}
 }
 
@@ -470,6 +479,9 @@
 		return w.start(e, f)
 	case AskTask:
 		return w.ask(e, f)
+	case AskAttempt:
+		answer := w.ask(AskTask{ID: e.TaskID, Address: e.Address}, f).(TaskReported)
+		return AttemptReported{CallID: e.CallID, Failed: answer.Failed, Report: answer.Report}
 	case RenewTask:
 		x := e.Execution
 		return w.report(x.ID, x.Fence, x.Address, f, func(run *fakeRun) { run.lease = x.LeaseExpiry })
@@ -612,7 +624,8 @@
 	case TaskOffered, PayloadReceived, SubmissionWritten, SubmissionRead, TaskAsked, TaskLookedUp, CancelWritten,
 		TaskWritten, TaskRowRead, TaskStarted, TaskReported, ResultCollected,
 		ReceivePayload, SubmitTask, ReadSubmission, AnswerTask, RefuseTask, LookUpTask, WriteCancel, WriteTask, ReadTask,
-		StartTask, AskTask, RenewTask, StopTask, CollectResult:
+		StartTask, AskTask, RenewTask, StopTask, CollectResult,
+		TaskResolveAsked, AttemptReported, DecisionWritten, AskAttempt, WriteDecision, ReplyTaskResolve:
 		return false
 	case Count:
 		return !strings.HasPrefix(v.Name, "task") && !strings.HasPrefix(v.Name, "refusal")
--- a/internal/decision/berylreducer/task_write.go
+++ b/internal/decision/berylreducer/task_write.go
@@ -124,6 +124,13 @@
 		r.rowGone(t)
 		return
 	}
+	if len(e.Task.Decisions) != len(t.Decisions) {
+		// The final row was stored, and an operator has requeued the task since.
+		s := t.shard
+		r.dropTask(t)
+		r.loadTask(s, e.Task)
+		return
+	}
 	if e.Task.Version == t.version && wasUncertain {
 		t.nextWrite = r.now.Mono + conflictPause
 	}
@@ -160,6 +167,7 @@
 	r.releaseTask(t)
 	r.tasks.ready.remove(t)
 	t.State, t.Reason = state, reason
+	t.Listed = state.WaitsForOperator()
 	t.Finished = r.now.Wall
 	t.phase = phaseFinishing
 	r.writeTask(t)
@@ -170,7 +178,7 @@
 	if t.State == beryllatch.TaskDone && t.Finished.After(t.Deadline) {
 		r.count("task_late")
 	}
-	if t.State == beryllatch.TaskParked || t.State == beryllatch.TaskUnknown {
+	if t.State.WaitsForOperator() {
 		r.emit(LogState{Subject: "task/" + t.ID, From: string(beryllatch.TaskRunning), To: string(t.State), Detail: string(t.Reason)})
 	}
 	r.dropTask(t)
--- a/internal/node/beryldaemon/daemon.go
+++ b/internal/node/beryldaemon/daemon.go
@@ -62,6 +62,8 @@
 	tasks     *beryltask.Executor
 	operators calls[berylreducer.ReplyOperator]
 	statuses  calls[berylreducer.Status]
+	// resolutions holds the operators that wait for the outcome of a decision about a task.
+	resolutions calls[berylreducer.ReplyTaskResolve]
 	// nextReport is the worker whose report was asked for last.
 	nextReport int
 }
--- a/internal/node/beryldaemon/execute.go
+++ b/internal/node/beryldaemon/execute.go
@@ -25,6 +25,8 @@
 		d.async(ctx, func(ctx context.Context) { d.writeConfig(ctx, x) })
 	case berylreducer.ReplyOperator:
 		d.operators.resolve(x.CallID, x)
+	case berylreducer.ReplyTaskResolve:
+		d.resolutions.resolve(x.CallID, x)
 	case berylreducer.ReplyStatus:
 		d.statuses.resolve(x.CallID, x.Status)
 	case berylreducer.RebootWorker:
--- a/internal/node/beryldaemon/operator.go
+++ b/internal/node/beryldaemon/operator.go
@@ -78,3 +78,17 @@
 func (d *Daemon) Task(ctx context.Context, id string) (beryllatch.Task, error) {
 	return beryltask.Find(ctx, d.Table, id)
 }
+
+// WaitingTasks returns up to limit tasks in the given states that wait for an operator, with ids greater than after.
+func (d *Daemon) WaitingTasks(
+	ctx context.Context, states []beryllatch.TaskState, after string, limit int,
+) ([]beryllatch.Task, error) {
+	return beryltask.List(ctx, d.Table, states, after, limit)
+}
+
+// ResolveTask posts an operator's decision about a task and waits for its reply.
+func (d *Daemon) ResolveTask(
+	ctx context.Context, e berylreducer.TaskResolveAsked,
+) (berylreducer.ReplyTaskResolve, error) {
+	return d.resolutions.wait(ctx, e.CallID, func() { d.Post(e) })
+}
--- a/internal/node/beryloperator/node.go
+++ b/internal/node/beryloperator/node.go
@@ -20,6 +20,11 @@
 	Status(ctx context.Context) (*berylwire.GetStatusResponse, error)
 	// Task returns a task as its row holds it, or a *TaskNotFoundError.
 	Task(ctx context.Context, id string) (beryllatch.Task, error)
+	// WaitingTasks returns up to limit tasks in the given states that wait for an operator, with ids greater than after.
+	WaitingTasks(ctx context.Context, states []beryllatch.TaskState, after string, limit int) ([]beryllatch.Task, error)
+	// ResolveTask posts the decision to the node's event loop and waits for its reply; it returns the context's error if
+	// the context ends first.
+	ResolveTask(ctx context.Context, e berylreducer.TaskResolveAsked) (berylreducer.ReplyTaskResolve, error)
 }
 
 // TaskNotFoundError reports a task id without a task.
--- a/internal/node/beryloperator/server_test.go
+++ b/internal/node/beryloperator/server_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 
@@ -20,9 +21,10 @@
 
 // fakeNode records the calls and returns what it is told to.
 type fakeNode struct {
-	asked []berylreducer.OperatorAsked
-	reply berylreducer.ReplyOperator
-	err   error
+	asked    []berylreducer.OperatorAsked
+	resolved []berylreducer.TaskResolveAsked
+	reply    berylreducer.ReplyOperator
+	err      error
 }
 
 func (f *fakeNode) ApplyChanges(
@@ -45,6 +47,23 @@
 	return beryllatch.Task{}, &TaskNotFoundError{ID: id}
 }
 
+func (f *fakeNode) WaitingTasks(
+	_ context.Context, _ []beryllatch.TaskState, after string, limit int,
+) ([]beryllatch.Task, error) {
+	all := []beryllatch.Task{{ID: "t1"}, {ID: "t2"}, {ID: "t3"}}
+	all = slices.DeleteFunc(all, func(t beryllatch.Task) bool { return t.ID <= after })
+	return all[:min(len(all), limit)], f.err
+}
+
+func (f *fakeNode) ResolveTask(
+	_ context.Context, e berylreducer.TaskResolveAsked,
+) (berylreducer.ReplyTaskResolve, error) {
+	f.resolved = append(f.resolved, e)
+	return berylreducer.ReplyTaskResolve{
+		Outcome: berylreducer.OutcomeAccepted, Settled: true, Task: beryllatch.Task{ID: e.TaskID},
+	}, f.err
+}
+
 func (f *fakeNode) serve(t *testing.T, token string) berylwire.Operator {
 	t.Helper()
 	h := New(f, []Credential{
@@ -150,3 +169,48 @@
 		assert.Assert(t, !strings.Contains(err.Error(), "abab"))
 	}
 }
+
+// TestTaskCalls guards against decisions that reach the node although they cannot be right, against one recorded under
+// another name, and against a listing without a bound or with a gap.
+func TestTaskCalls(t *testing.T) {
+	f := &fakeNode{}
+	o := f.serve(t, "Bearer token-b")
+	for name, q := range map[string]*berylwire.ResolveTaskRequest{
+		"no operation": {Id: "t1", As: "done", Reason: "r"},
+		"no id":        {OperationId: "op1", As: "done", Reason: "r"},
+		"no reason":    {OperationId: "op1", Id: "t1", As: "done"},
+		"long reason":  {OperationId: "op1", Id: "t1", As: "done", Reason: strings.Repeat("r", maxReason+1)},
+		"no verdict":   {OperationId: "op1", Id: "t1", Reason: "r"},
+		"not run":      {OperationId: "op1", Id: "t1", As: "failed", Reason: "r", NotRun: true},
+	} {
+		_, err := o.ResolveTask(t.Context(), q)
+		assert.Equal(t, code(t, err), twirp.InvalidArgument, name)
+	}
+	q := &berylwire.ResolveTaskRequest{OperationId: "op1", Id: "t1", As: "requeue", Reason: "r", NotRun: true}
+	reply, err := o.ResolveTask(t.Context(), q)
+	assert.NilError(t, err)
+	assert.Assert(t, reply.GetOutcome() == "accepted" && reply.GetSettled() && reply.GetTask().GetId() == "t1")
+	assert.DeepEqual(t, f.resolved, []berylreducer.TaskResolveAsked{{
+		CallID: "operator-task-1", TaskID: "t1", OperationID: "op1", Operator: "bob", As: beryllatch.VerdictRequeue,
+		Reason: "r", NotRun: true,
+	}})
+	for _, q := range []*berylwire.ListTasksRequest{{States: []string{"done"}}, {Limit: -1}, {Limit: maxListLimit + 1}} {
+		_, err := o.ListTasks(t.Context(), q)
+		assert.Equal(t, code(t, err), twirp.InvalidArgument)
+	}
+	var ids []string
+	for after := ""; ; {
+		page, err := o.ListTasks(t.Context(), &berylwire.ListTasksRequest{States: []string{"parked"}, After: after, Limit: 2})
+		assert.NilError(t, err)
+		for _, x := range page.GetTasks() {
+			ids = append(ids, x.GetId())
+		}
+		if after = page.GetNext(); after == "" {
+			break
+		}
+	}
+	assert.DeepEqual(t, ids, []string{"t1", "t2", "t3"})
+	f.err = context.DeadlineExceeded
+	reply, err = o.ResolveTask(t.Context(), q)
+	assert.Assert(t, err == nil && reply.GetOutcome() == "unknown" && !reply.GetSettled())
+}
--- a/internal/node/beryloperator/service.go
+++ b/internal/node/beryloperator/service.go
@@ -95,8 +95,5 @@
 	case err != nil:
 		return nil, twirp.Unavailable.Error(err.Error())
 	}
-	return &berylwire.GetTaskResponse{
-		Id: t.ID, Team: t.Team, Queue: t.Queue, State: string(t.State), Attempt: int32(t.Attempt),
-		Instance: t.Instance, Reason: string(t.Reason),
-	}, nil
+	return encodeTask(t), nil
 }
--- a/internal/node/beryltask/executor.go
+++ b/internal/node/beryltask/executor.go
@@ -81,6 +81,8 @@
 		x.submitTask(e)
 	case berylreducer.WriteCancel:
 		x.writeCancel(e)
+	case berylreducer.WriteDecision:
+		x.writeDecision(e)
 	case berylreducer.WriteTask:
 		x.writeTask(e)
 	case berylreducer.WriteShard:
@@ -116,6 +118,9 @@
 		x.report(e.ID, e.Fence, func(ctx context.Context) (beryllatch.TaskReport, error) {
 			return x.runner.ReportTask(ctx, e.Address, e.ID)
 		})
+	case berylreducer.AskAttempt:
+		x.run(x.reports, reportTimeout, func(ctx context.Context) berylreducer.Event { return x.askAttempt(ctx, e) },
+			berylreducer.AttemptReported{CallID: e.CallID, Failed: true})
 	case berylreducer.RenewTask:
 		x.report(e.Execution.ID, e.Execution.Fence, func(ctx context.Context) (beryllatch.TaskReport, error) {
 			return x.runner.RenewTask(ctx, e.Execution)
--- a/internal/node/beryltask/executor_test.go
+++ b/internal/node/beryltask/executor_test.go
@@ -69,8 +69,7 @@
 		case w.Delete:
 			delete(f.rows, w.Row.Key)
 		default:
-			w.Row.Version = w.Expect + 1
-			f.rows[w.Row.Key] = w.Row
+			f.rows[w.Row.Key] = w.Stored()
 		}
 	}
 	return nil
@@ -296,6 +295,44 @@
 	})
 }
 
+// Guards against a task that operators don't find, against a requeued task without its payload, and against rows that a
+// decision leaves behind.
+func TestDecisionRows(t *testing.T) {
+	inBubble(t, func(t *testing.T, s *shell) {
+		task := beryllatch.Task{ID: "a", State: beryllatch.TaskUnknown, PayloadRow: true, Listed: true}
+		s.table.rows[openKey(1, "a")] = beryllatch.Row{Key: openKey(1, "a"), Version: 3}
+		s.table.rows[payloadKey(1, "a")] = beryllatch.Row{Key: payloadKey(1, "a"), Version: 1}
+		s.Execute(berylreducer.WriteTask{Shard: 1, Task: task, Expect: 3})
+		s.settle()
+		for states, want := range map[beryllatch.TaskState]int{beryllatch.TaskUnknown: 1, beryllatch.TaskParked: 0} {
+			found, err := List(t.Context(), s.table, []beryllatch.TaskState{states}, "", 10)
+			assert.Assert(t, err == nil && len(found) == want)
+		}
+		queued := task
+		queued.State, queued.Listed = beryllatch.TaskQueued, false
+		queued.Decisions = []beryllatch.TaskDecision{{OperationID: "op1", As: beryllatch.VerdictRequeue}}
+		s.Execute(berylreducer.WriteDecision{CallID: "c", Shard: 1, Task: queued, Expect: 1, Unlist: true})
+		s.settle()
+		assert.Assert(t, len(s.table.rows) == 2 && s.table.rows[payloadKey(1, "a")].Version == 1)
+		open := s.table.rows[openKey(1, "a")].Version
+		assert.Assert(t, open > 3)
+		task.Decisions = queued.Decisions
+		s.Execute(berylreducer.WriteTask{Shard: 1, Task: task, Expect: open})
+		s.settle()
+		// A delayed write of the first decision meets a version that it doesn't expect.
+		s.Execute(berylreducer.WriteDecision{CallID: "d", Shard: 1, Task: queued, Expect: 1, Unlist: true})
+		s.settle()
+		last := s.events[len(s.events)-1].(berylreducer.DecisionWritten)
+		assert.Assert(t, last.CallID == "d" && last.Result == berylreducer.WriteConflict)
+		task.State, task.Listed = beryllatch.TaskFailed, false
+		s.Execute(berylreducer.WriteDecision{
+			CallID: "e", Shard: 1, Task: task, Expect: s.table.rows[doneKey(1, "a")].Version, Unlist: true,
+		})
+		s.settle()
+		assert.Assert(t, len(s.table.rows) == 1 && s.table.rows[doneKey(1, "a")].Expires != 0)
+	})
+}
+
 // Guards against a result that is cut short but counts as whole, and against large results in the table.
 func TestCollectResult(t *testing.T) {
 	large := bytes.Repeat([]byte("0123456789"), 300_000)
--- a/internal/node/beryltask/find.go
+++ b/internal/node/beryltask/find.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 
 	"github.com/beryllatch/beryllatch"
 	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
@@ -30,3 +31,36 @@
 	}
 	return beryllatch.Task{}, &beryloperator.TaskNotFoundError{ID: id}
 }
+
+// listPage is the number of rows that one query of a listing reads.
+const listPage = 100
+
+// List returns up to limit tasks that wait for an operator, in the order of their ids from after on. A task is in one of
+// the given states; none given means all of them.
+func List(
+	ctx context.Context, t beryllatch.Table, states []beryllatch.TaskState, after string, limit int,
+) ([]beryllatch.Task, error) {
+	var out []beryllatch.Task
+	for {
+		rows, err := t.Query(ctx, waitingPartition, after, listPage)
+		if err != nil {
+			return nil, eris.Wrap(err, "list tasks")
+		}
+		for _, row := range rows {
+			var task beryllatch.Task
+			if err := json.Unmarshal(row.Value, &task); err != nil {
+				return nil, eris.Wrap(err, "decode task")
+			}
+			if len(states) > 0 && !slices.Contains(states, task.State) {
+				continue
+			}
+			if out = append(out, task); len(out) == limit {
+				return out, nil
+			}
+		}
+		if len(rows) < listPage {
+			return out, nil
+		}
+		after = rows[len(rows)-1].Key.Sort
+	}
+}
--- a/internal/node/beryltask/rows.go
+++ b/internal/node/beryltask/rows.go
@@ -16,7 +16,9 @@
 	// claimKept is how long an idempotency claim outlives the task's deadline.
 	claimKept      = 24 * time.Hour
 	shardPartition = "shard"
-	// onceVersion is the version of payload and cancellation rows, which are written once.
+	// waitingPartition lists the tasks that wait for an operator.
+	waitingPartition = "waiting"
+	// onceVersion is the version of payload, cancellation and waiting rows, which are written once.
 	onceVersion = 1
 )
 
@@ -44,6 +46,10 @@
 	return beryllatch.RowKey{Partition: cancelPartition(shard), Sort: id}
 }
 
+func waitingKey(id string) beryllatch.RowKey {
+	return beryllatch.RowKey{Partition: waitingPartition, Sort: id}
+}
+
 func claimKey(team, key string) beryllatch.RowKey {
 	return beryllatch.RowKey{Partition: "claim#" + team, Sort: key}
 }
@@ -62,21 +68,43 @@
 	}
 	rows := []beryllatch.RowWrite{
 		{Row: beryllatch.Row{Key: open}, Expect: expect, Delete: true},
-		{Row: encoded(doneKey(shard, t.ID), t, finishedExpiry(t))},
+		{Row: encoded(doneKey(shard, t.ID), t, finishedExpiry(t)), Version: t.FirstVersion()},
 	}
-	if t.PayloadRow && !waitsForOperator(t.State) {
-		payload := beryllatch.Row{Key: payloadKey(shard, t.ID)}
-		rows = append(rows, beryllatch.RowWrite{Row: payload, Expect: onceVersion, Delete: true})
+	if t.Listed {
+		rows = append(rows, beryllatch.RowWrite{Row: encoded(waitingKey(t.ID), t, 0)})
 	}
-	return rows
+	return append(rows, payloadRows(shard, t)...)
+}
+
+// payloadRows returns the write that drops the payload of a task that never runs again.
+func payloadRows(shard int, t beryllatch.Task) []beryllatch.RowWrite {
+	if !t.PayloadRow || t.State.WaitsForOperator() {
+		return nil
+	}
+	payload := beryllatch.Row{Key: payloadKey(shard, t.ID)}
+	return []beryllatch.RowWrite{{Row: payload, Expect: onceVersion, Delete: true}}
 }
 
-func waitsForOperator(s beryllatch.TaskState) bool {
-	return s == beryllatch.TaskParked || s == beryllatch.TaskUnknown
+// decisionRows returns the writes of an operator's decision; a requeued task moves back to the unfinished ones.
+func decisionRows(e berylreducer.WriteDecision) []beryllatch.RowWrite {
+	done := beryllatch.RowWrite{Row: encoded(doneKey(e.Shard, e.Task.ID), e.Task, finishedExpiry(e.Task)), Expect: e.Expect}
+	rows := []beryllatch.RowWrite{done}
+	if e.Task.State.Final() {
+		rows = append(rows, payloadRows(e.Shard, e.Task)...)
+	} else {
+		rows[0].Delete = true
+		open := encoded(openKey(e.Shard, e.Task.ID), e.Task, 0)
+		rows = append(rows, beryllatch.RowWrite{Row: open, Version: e.Task.FirstVersion()})
+	}
+	if e.Unlist {
+		listed := beryllatch.Row{Key: waitingKey(e.Task.ID)}
+		rows = append(rows, beryllatch.RowWrite{Row: listed, Expect: onceVersion, Delete: true})
+	}
+	return rows
 }
 
 func finishedExpiry(t beryllatch.Task) int64 {
-	if waitsForOperator(t.State) {
+	if t.State.WaitsForOperator() {
 		return 0
 	}
 	return t.Finished.Add(finishedKept).Unix()
--- a/internal/node/beryltask/table.go
+++ b/internal/node/beryltask/table.go
@@ -27,6 +27,12 @@
 	})
 }
 
+func (x *Executor) writeDecision(e berylreducer.WriteDecision) {
+	x.write(decisionRows(e), func(r berylreducer.WriteResult) berylreducer.Event {
+		return berylreducer.DecisionWritten{CallID: e.CallID, Result: r}
+	})
+}
+
 func (x *Executor) writeTask(e berylreducer.WriteTask) {
 	if e.Task.State.Final() {
 		x.payloads.drop(e.Task.ID)
--- a/internal/node/beryltask/worker.go
+++ b/internal/node/beryltask/worker.go
@@ -69,3 +69,8 @@
 		return berylreducer.TaskReported{ID: id, Fence: fence, Failed: !refused, Refused: refused}
 	}, failed)
 }
+
+func (x *Executor) askAttempt(ctx context.Context, e berylreducer.AskAttempt) berylreducer.Event {
+	report, err := x.runner.ReportTask(ctx, e.Address, e.TaskID)
+	return berylreducer.AttemptReported{CallID: e.CallID, Failed: err != nil, Report: report}
+}
--- a/internal/platform/beryltable/client.go
+++ b/internal/platform/beryltable/client.go
@@ -133,10 +133,8 @@
 			TableName: table, Key: encodeKey(w.Row.Key), ConditionExpression: cond, ExpressionAttributeValues: values,
 		}}
 	}
-	row := w.Row
-	row.Version = w.Expect + 1
 	return types.TransactWriteItem{Put: &types.Put{
-		TableName: table, Item: encodeRow(row), ConditionExpression: cond, ExpressionAttributeValues: values,
+		TableName: table, Item: encodeRow(w.Stored()), ConditionExpression: cond, ExpressionAttributeValues: values,
 	}}
 }
 
--- a/internal/platform/beryltable/client_test.go
+++ b/internal/platform/beryltable/client_test.go
@@ -37,6 +37,8 @@
 	check := func(sort string, expect uint64) beryllatch.RowWrite {
 		return beryllatch.RowWrite{Row: beryllatch.Row{Key: key(sort)}, Expect: expect, CheckOnly: true}
 	}
+	versioned := write("a", "new", 1)
+	versioned.Version = 1<<32 + 1
 	for _, tc := range []struct {
 		name   string
 		writes []beryllatch.RowWrite
@@ -48,6 +50,7 @@
 		{"create", []beryllatch.RowWrite{write("b", "x", 0)}, "", "1:old 1"},
 		{"create an existing row", []beryllatch.RowWrite{write("a", "x", 0)}, "a", "1:old 0"},
 		{"update", []beryllatch.RowWrite{write("a", "new", 1)}, "", "2:new 0"},
+		{"update with a version", []beryllatch.RowWrite{versioned}, "", "4294967297:new 0"},
 		{"update an older version", []beryllatch.RowWrite{write("a", "x", 2)}, "a", "1:old 0"},
 		{"update a missing row", []beryllatch.RowWrite{write("b", "x", 1)}, "b", "1:old 0"},
 		{"delete", []beryllatch.RowWrite{remove("a", 1)}, "", "0: 0"},
--- a/platform.go
+++ b/platform.go
@@ -26,19 +26,31 @@
 	Row Row
 	// Expect is the version that the stored row must have; 0 means that the row must not exist.
 	Expect uint64
+	// Version is the version that the stored row gets; 0 means Expect+1.
+	Version uint64
 	// Delete removes the row instead of storing it.
 	Delete bool
 	// CheckOnly verifies the version without writing.
 	CheckOnly bool
 }
 
+// Stored returns the row as it is stored, with its new version.
+func (w RowWrite) Stored() Row {
+	row := w.Row
+	row.Version = w.Version
+	if row.Version == 0 {
+		row.Version = w.Expect + 1
+	}
+	return row
+}
+
 // Table is the platform's transactional table service.
 type Table interface {
 	// Get returns the row by a consistent read; a missing row has Version 0.
 	Get(ctx context.Context, k RowKey) (Row, error)
 	// Query returns up to limit rows of a partition whose sort key is greater than after, in ascending order.
 	Query(ctx context.Context, partition, after string, limit int) ([]Row, error)
-	// Transact applies all writes or none; a stored row gets version Expect+1.
+	// Transact applies all writes or none; a stored row gets the write's version, or Expect+1.
 	// It returns *ConditionFailedError, *UnavailableError or *UnknownOutcomeError.
 	Transact(ctx context.Context, writes ...RowWrite) error
 }
--- a/task.go
+++ b/task.go
@@ -53,6 +53,42 @@
 	Reason       Reason `json:"reason,omitempty"`
 	// CancelRequested asks the owner to stop the task.
 	CancelRequested bool `json:"cancel_requested,omitempty"`
+	// Decisions lists what operators decided about the task, the latest last.
+	Decisions []TaskDecision `json:"decisions,omitempty"`
+	// Listed marks a task with a row among those that wait for an operator.
+	Listed bool `json:"listed,omitempty"`
+}
+
+// TaskVerdict is an operator's decision about a parked task or one of unknown outcome.
+type TaskVerdict string
+
+// The decisions of operators.
+const (
+	VerdictDone    TaskVerdict = "done"
+	VerdictFailed  TaskVerdict = "failed"
+	VerdictRequeue TaskVerdict = "requeue"
+)
+
+// TaskDecision records who decided what about a task, when and why.
+type TaskDecision struct {
+	// OperationID identifies the operator's call.
+	OperationID string      `json:"operation_id"`
+	Operator    string      `json:"operator"`
+	As          TaskVerdict `json:"as"`
+	Reason      string      `json:"reason"`
+	// NotRun is true when the operator stated that the task has not run.
+	NotRun bool      `json:"not_run,omitempty"`
+	At     time.Time `json:"at"`
+}
+
+// FirstVersion returns the version of the first row that the task gets after its latest decision, among the unfinished
+// tasks or the finished ones. Versions never repeat, so that a delayed write of the time before meets none it expects.
+func (t Task) FirstVersion() uint64 { return uint64(len(t.Decisions))<<32 + 1 }
+
+// ResultKept reports whether the result of a finished task is stored; that of a task that an operator settled is not.
+func (t Task) ResultKept() bool {
+	n := len(t.Decisions)
+	return t.State == TaskDone && (n == 0 || t.Decisions[n-1].As != VerdictDone)
 }
 
 // Final reports whether a task in this state is never started again without an operator.
@@ -65,6 +101,9 @@
 	}
 }
 
+// WaitsForOperator reports whether only an operator can settle a task in this state.
+func (s TaskState) WaitsForOperator() bool { return s == TaskParked || s == TaskUnknown }
+
 // TaskRunState is the state of a task as its worker reports it.
 type TaskRunState string
 
