Delete objects of tasks that have ended or were never accepted

Cause: payloads above 64 KB and large results stayed in the object store for ever.

Ruled out: deletion right after the final write, which a crash between the two forgets; and a listing of the bucket, which reads every object and can't tell a payload that is being submitted from one left behind.

Change: a row lists an object for deletion. It is written before the object (due after 1 h; the object stays if a row of the task names it) and with the final row (payload at once, result after the row's 24 h). The owner of a shard deletes what is due: the expired row of the finished task, the objects from the last part on, then the listing row. A large payload or result costs two or three more row writes.

They fail if a result goes without its row, if an object that a row names or that may still be collected goes, and if the first part goes before the last.

--- a/internal/decision/berylreducer/shard.go
+++ b/internal/decision/berylreducer/shard.go
@@ -48,6 +48,9 @@
 	loaded   bool
 	polling  bool
 	nextPoll time.Duration
+	// sweeping marks a SweepObjects effect in flight.
+	sweeping  bool
+	nextSweep time.Duration
 }
 
 // ShardOf returns the shard of a task id.
@@ -76,6 +79,7 @@
 		r.planShard(&t.shards[n])
 		r.loadShard(&t.shards[n])
 		r.pollShard(&t.shards[n])
+		r.sweepShard(&t.shards[n])
 	}
 }
 
@@ -124,6 +128,7 @@
 	s.state = shardOwned
 	s.after, s.loading, s.nextLoad, s.loaded = "", false, 0, false
 	s.polling, s.nextPoll = false, 0
+	s.sweeping, s.nextSweep = false, r.now.Mono+sweepInterval*time.Duration(s.Shard+1)/shardCount
 	r.count("shard_gained")
 	r.logShard(s, "foreign", "owned")
 }
--- a/internal/decision/berylreducer/task.go
+++ b/internal/decision/berylreducer/task.go
@@ -152,6 +152,9 @@
 		r.tasksLoaded(e)
 	case ShardPolled:
 		r.shardPolled(e)
+	case ObjectsSwept:
+		r.objectsSwept(e)
+		return
 	case TaskWritten:
 		r.taskWritten(e)
 	case TaskRowRead:
--- a/internal/decision/berylreducer/task_world_test.go
+++ b/internal/decision/berylreducer/task_world_test.go
@@ -374,6 +374,8 @@
 	case PollShard:
 		tasks := w.page(LoadTasks{Shard: e.Shard, After: e.After, Limit: e.Limit})
 		return ShardPolled{Shard: e.Shard, Epoch: e.Epoch, Failed: failed, Tasks: tasks, Cancelled: w.cancelled(e.Shard)}
+	case SweepObjects:
+		return ObjectsSwept{Shard: e.Shard, Epoch: e.Epoch}
 	case LoadTasks:
 		return TasksLoaded{Shard: e.Shard, Epoch: e.Epoch, After: e.After, Failed: failed, Tasks: w.page(e)}
 	case WriteDecision:
--- a/internal/node/berylserver/build.go
+++ b/internal/node/berylserver/build.go
@@ -61,7 +61,7 @@
 		Seed:      uint64(started.UnixNano()),
 	}
 	s.daemon.Init()
-	tasks := &beryltaskapi.Handler{Post: s.daemon.Post, Store: s.daemon.Objects}
+	tasks := &beryltaskapi.Handler{Post: s.daemon.Post, Table: s.daemon.Table, Store: s.daemon.Objects}
 	s.daemon.TaskAnswers = tasks.Deliver
 	callers := mux.NewRouter()
 	(&berylcaller.Handler{Node: s.daemon, Upstream: workers}).Register(callers)
--- a/internal/node/beryltask/executor.go
+++ b/internal/node/beryltask/executor.go
@@ -31,6 +31,7 @@
 	reporters   = 64
 	starters    = 32
 	collectors  = 4
+	sweepers    = 1
 	queueLength = 4096
 )
 
@@ -50,6 +51,7 @@
 	reports  *pool
 	starts   *pool
 	results  *pool
+	sweeps   *pool
 	running  sync.WaitGroup
 }
 
@@ -65,6 +67,7 @@
 	x.reports = newPool(ctx, &x.running, reporters)
 	x.starts = newPool(ctx, &x.running, starters)
 	x.results = newPool(ctx, &x.running, collectors)
+	x.sweeps = newPool(ctx, &x.running, sweepers)
 	return x
 }
 
@@ -100,6 +103,9 @@
 	case berylreducer.PollShard:
 		x.read(func(ctx context.Context) berylreducer.Event { return x.pollShard(ctx, e) },
 			berylreducer.ShardPolled{Shard: e.Shard, Epoch: e.Epoch, Failed: true})
+	case berylreducer.SweepObjects:
+		x.run(x.sweeps, sweepTimeout, func(ctx context.Context) berylreducer.Event { return x.sweep(ctx, e) },
+			berylreducer.ObjectsSwept{Shard: e.Shard, Epoch: e.Epoch})
 	case berylreducer.ReadTask:
 		x.read(func(ctx context.Context) berylreducer.Event { return x.readTask(ctx, e) },
 			berylreducer.TaskRowRead{ID: e.ID, Epoch: e.Epoch, Failed: true})
--- a/internal/node/beryltask/executor_test.go
+++ b/internal/node/beryltask/executor_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/beryllatch/beryllatch"
 	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
+	"github.com/beryllatch/beryllatch/internal/platform/berylobject"
 	"gotest.tools/v3/assert"
 )
 
@@ -95,7 +96,20 @@
 func (f *fakeStore) Get(_ context.Context, name string) (io.ReadCloser, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return io.NopCloser(bytes.NewReader(f.objects[name])), f.err
+	b, ok := f.objects[name]
+	if !ok && f.err == nil {
+		return nil, &berylobject.NotFoundError{Name: name}
+	}
+	return io.NopCloser(bytes.NewReader(b)), f.err
+}
+
+func (f *fakeStore) Delete(_ context.Context, name string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.err == nil {
+		delete(f.objects, name)
+	}
+	return f.err
 }
 
 // fakeRunner is a worker with one result; its zero value accepts everything.
@@ -139,7 +153,7 @@
 		store:  &fakeStore{objects: map[string][]byte{}},
 		runner: &fakeRunner{},
 	}
-	now := func() berylreducer.Instant { return berylreducer.Instant{} }
+	now := func() berylreducer.Instant { return berylreducer.Instant{Wall: time.Now()} }
 	s.Executor = New(ctx, s.table, s.store, s.runner, now, func(e berylreducer.Event) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
--- /dev/null
+++ b/internal/node/beryltask/objects_test.go
@@ -0,0 +1,165 @@
+package beryltask
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/beryllatch/beryllatch"
+	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
+	"gotest.tools/v3/assert"
+)
+
+// crashTable and crashStore fail every call once the common budget of calls is used up.
+type crashTable struct {
+	*fakeTable
+	budget *int
+}
+
+type crashStore struct {
+	*fakeStore
+	budget *int
+}
+
+func spend(budget *int) error {
+	*budget--
+	if *budget < 0 {
+		return &beryllatch.UnavailableError{Err: errors.New("crashed")}
+	}
+	return nil
+}
+
+func (c crashTable) Get(ctx context.Context, k beryllatch.RowKey) (beryllatch.Row, error) {
+	if err := spend(c.budget); err != nil {
+		return beryllatch.Row{}, err
+	}
+	return c.fakeTable.Get(ctx, k)
+}
+
+func (c crashTable) Transact(ctx context.Context, writes ...beryllatch.RowWrite) error {
+	if err := spend(c.budget); err != nil {
+		return err
+	}
+	return c.fakeTable.Transact(ctx, writes...)
+}
+
+func (c crashStore) Delete(ctx context.Context, name string) error {
+	if err := spend(c.budget); err != nil {
+		return err
+	}
+	return c.fakeStore.Delete(ctx, name)
+}
+
+func (s *shell) sweepAt(t *testing.T, now time.Time) berylreducer.ObjectsSwept {
+	t.Helper()
+	s.Execute(berylreducer.SweepObjects{Shard: berylreducer.ShardOf("a"), Epoch: 1, Now: now, Limit: 20})
+	s.settle()
+	return s.events[len(s.events)-1].(berylreducer.ObjectsSwept)
+}
+
+// finishLarge runs task a, with a large payload and a result of three parts, up to its final row.
+func (s *shell) finishLarge(t *testing.T) beryllatch.Task {
+	t.Helper()
+	shard, now := berylreducer.ShardOf("a"), time.Now()
+	assert.NilError(t, AnnouncePayload(t.Context(), s.table, now, "a", "payload/a"))
+	s.store.objects["payload/a"] = []byte("p")
+	task := beryllatch.Task{ID: "a", State: beryllatch.TaskQueued, PayloadObject: "payload/a"}
+	s.Execute(berylreducer.SubmitTask{CallID: "c", Shard: shard, Task: task})
+	s.settle()
+	s.runner.result = bytes.NewReader(make([]byte, 2*partSize+1))
+	s.Execute(berylreducer.CollectResult{ID: "a", Fence: 3})
+	s.settle()
+	collected := s.events[len(s.events)-1].(berylreducer.ResultCollected)
+	task.State, task.Finished = beryllatch.TaskDone, now
+	task.ResultObject, task.ResultParts = collected.Object, collected.Parts
+	s.Execute(berylreducer.WriteTask{Shard: shard, Task: task, Expect: 1})
+	s.settle()
+	assert.Assert(t, collected.Parts == 3 && len(s.store.objects) == 4)
+	return task
+}
+
+// Guards against objects that stay for ever, and against a result that goes before its row does. After a crash at any
+// call no row may name an object that is gone, and a later sweep must find the rest.
+func TestObjectsOfFinishedTask(t *testing.T) {
+	for crash := range 12 {
+		inBubble(t, func(t *testing.T, s *shell) {
+			task := s.finishLarge(t)
+			done := doneKey(berylreducer.ShardOf("a"), "a")
+			assert.Equal(t, s.sweepAt(t, task.Finished.Add(time.Second)).Deleted, 1)
+			assert.Assert(t, s.store.objects["payload/a"] == nil)
+			s.sweepAt(t, task.Finished.Add(finishedKept))
+			assert.Assert(t, len(s.store.objects) == 3 && s.table.rows[done].Version > 0)
+
+			budget := crash
+			s.Executor.table, s.Executor.store = crashTable{s.table, &budget}, crashStore{s.store, &budget}
+			expired := task.Finished.Add(finishedKept + 2*expiredFor)
+			s.sweepAt(t, expired)
+			assert.Assert(t, len(s.store.objects) == 3 || s.table.rows[done].Version == 0)
+			budget = 1000
+			s.sweepAt(t, expired)
+			assert.Assert(t, len(s.store.objects) == 0 && len(s.table.rows) == 0, "%v", s.table.rows)
+		})
+	}
+}
+
+// Guards against an object without a task that stays, and against the loss of one that a waiting task needs.
+func TestAnnouncedObjects(t *testing.T) {
+	inBubble(t, func(t *testing.T, s *shell) {
+		shard, now := berylreducer.ShardOf("a"), time.Now()
+		assert.NilError(t, AnnouncePayload(t.Context(), s.table, now, "a", "payload/a"))
+		assert.NilError(t, AnnouncePayload(t.Context(), s.table, now, "a", "payload/a"))
+		s.store.objects["payload/a"] = []byte("p")
+		s.sweepAt(t, now.Add(announcedFor-time.Second))
+		assert.Equal(t, len(s.store.objects), 1)
+		s.sweepAt(t, now.Add(announcedFor+time.Second))
+		assert.Assert(t, len(s.store.objects) == 0 && len(s.table.rows) == 0)
+
+		task := beryllatch.Task{ID: "a", State: beryllatch.TaskParked, PayloadObject: "payload/a"}
+		assert.NilError(t, AnnouncePayload(t.Context(), s.table, now, "a", "payload/a"))
+		s.store.objects["payload/a"] = []byte("p")
+		s.table.rows[openKey(shard, "a")] = encodedAt(openKey(shard, "a"), task)
+		s.Execute(berylreducer.WriteTask{Shard: shard, Task: task, Expect: 1})
+		s.settle()
+		s.sweepAt(t, now.Add(2*announcedFor))
+		assert.Assert(t, len(s.store.objects) == 1 && len(s.table.rows) == 1)
+		task.State, task.Finished = beryllatch.TaskFailed, now
+		s.Execute(berylreducer.WriteDecision{CallID: "d", Shard: shard, Task: task, Expect: 1})
+		s.settle()
+		s.sweepAt(t, now.Add(2*announcedFor))
+		assert.Assert(t, len(s.store.objects) == 0 && len(s.table.rows) == 1)
+	})
+}
+
+// Guards against parts of a result that stay since the collection was given up, or after a crash between two of them, and
+// against their loss while the collection may go on.
+func TestResultLeftBehind(t *testing.T) {
+	for crash := range 6 {
+		inBubble(t, func(t *testing.T, s *shell) {
+			shard, now := berylreducer.ShardOf("a"), time.Now()
+			running := beryllatch.Task{ID: "a", State: beryllatch.TaskRunning}
+			s.table.rows[openKey(shard, "a")] = encodedAt(openKey(shard, "a"), running)
+			s.runner.result = bytes.NewReader(make([]byte, 2*partSize+1))
+			s.Execute(berylreducer.CollectResult{ID: "a", Fence: 3})
+			s.settle()
+			s.sweepAt(t, now.Add(2*announcedFor))
+			assert.Equal(t, len(s.store.objects), 3)
+			running.State, running.Finished = beryllatch.TaskCancelled, now
+			s.Execute(berylreducer.WriteTask{Shard: shard, Task: running, Expect: 1})
+			s.settle()
+			budget := crash
+			s.Executor.store = crashStore{s.store, &budget}
+			first := s.sweepAt(t, now.Add(4*announcedFor)).Deleted
+			budget = 1000
+			assert.Equal(t, first+s.sweepAt(t, now.Add(4*announcedFor)).Deleted, 3)
+			assert.Assert(t, len(s.store.objects) == 0 && len(s.table.rows) == 1)
+		})
+	}
+}
+
+func encodedAt(k beryllatch.RowKey, t beryllatch.Task) beryllatch.Row {
+	row := encoded(k, t, 0)
+	row.Version = 1
+	return row
+}
--- a/internal/node/beryltask/result.go
+++ b/internal/node/beryltask/result.go
@@ -31,6 +31,10 @@
 		out.Result = head
 	default:
 		out.Object = "result/" + e.ID + "." + strconv.FormatUint(e.Fence, 10)
+		if err := announce(ctx, x.table, x.now().Wall, doomed{Task: e.ID, Object: out.Object, Split: true}); err != nil {
+			out.StoreFailed = true
+			return out
+		}
 		out.Parts, err = x.storeParts(ctx, out.Object, io.MultiReader(bytes.NewReader(head), body))
 		var store *storeError
 		out.StoreFailed = errors.As(err, &store)
--- a/internal/node/beryltaskapi/handler.go
+++ b/internal/node/beryltaskapi/handler.go
@@ -12,10 +12,12 @@
 	"github.com/gorilla/mux"
 )
 
-// Handler serves the tasks API; Post and Store must be set.
+// Handler serves the tasks API; Post, Table and Store must be set.
 type Handler struct {
 	// Post hands an event to the reducer.
 	Post func(berylreducer.Event)
+	// Table lists large payloads before they are stored, so that one without a task is deleted.
+	Table beryllatch.Table
 	// Store holds large payloads and results.
 	Store beryllatch.ObjectStore
 
--- a/internal/node/beryltaskapi/handler_test.go
+++ b/internal/node/beryltaskapi/handler_test.go
@@ -44,6 +44,22 @@
 	return io.NopCloser(bytes.NewReader(f.objects[name])), nil
 }
 
+func (f *fakeStore) Delete(context.Context, string) error { return nil }
+
+// fakeTable records the keys that are written.
+type fakeTable struct {
+	beryllatch.Table
+	keys []beryllatch.RowKey
+	err  error
+}
+
+func (f *fakeTable) Transact(_ context.Context, writes ...beryllatch.RowWrite) error {
+	for _, w := range writes {
+		f.keys = append(f.keys, w.Row.Key)
+	}
+	return f.err
+}
+
 // api is a handler whose reducer is replaced by a function.
 type api struct {
 	Handler
@@ -55,7 +71,7 @@
 func newAPI(t *testing.T, reduce func(berylreducer.Event) berylreducer.Effect) (*api, *httptest.Server) {
 	t.Helper()
 	a := &api{store: &fakeStore{objects: map[string][]byte{}}}
-	a.Store = a.store
+	a.Store, a.Table = a.store, &fakeTable{}
 	a.Post = func(e berylreducer.Event) {
 		a.mu.Lock()
 		a.events = append(a.events, e)
@@ -121,6 +137,13 @@
 	stored := a.events[3].(berylreducer.PayloadReceived)
 	assert.Equal(t, len(stored.Payload), 0)
 	assert.Assert(t, bytes.Equal(a.store.objects[stored.Object], large))
+	// A payload that is stored without being listed before would stay for ever if its task is never accepted.
+	table := a.Table.(*fakeTable)
+	assert.Assert(t, len(table.keys) == 1 && strings.HasSuffix(table.keys[0].Sort, stored.Object))
+	table.err = &beryllatch.UnavailableError{Err: io.EOF}
+	_, _, _ = do(t, http.MethodPost, s.URL+"/v1/queues/q/tasks", bytes.NewReader(large))
+	assert.Equal(t, a.events[5].(berylreducer.PayloadFailed).Reason, beryllatch.ReasonPlatformUnavailable)
+	assert.Equal(t, len(a.store.objects), 1)
 }
 
 // Guards against input that is accepted by guessing what it means.
--- a/internal/node/beryltaskapi/payload.go
+++ b/internal/node/beryltaskapi/payload.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/beryllatch/beryllatch"
 	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
@@ -20,6 +21,9 @@
 		return berylreducer.PayloadReceived{CallID: o.CallID, Payload: payload}
 	}
 	name := "payload/" + o.TaskID
+	if err := beryltask.AnnouncePayload(r.Context(), h.Table, time.Now(), o.TaskID, name); err != nil {
+		return berylreducer.PayloadFailed{CallID: o.CallID, Reason: beryllatch.ReasonPlatformUnavailable}
+	}
 	body := &countingReader{r: r.Body}
 	err := h.Store.Put(r.Context(), name, body, r.ContentLength)
 	switch {
--- a/internal/platform/berylobject/client.go
+++ b/internal/platform/berylobject/client.go
@@ -78,6 +78,19 @@
 	return &body{ReadCloser: out.Body, cancel: cancel}, nil
 }
 
+// Delete removes the named object, and succeeds for a missing one. An error is *beryllatch.UnavailableError or
+// *beryllatch.UnknownOutcomeError.
+func (c *Client) Delete(ctx context.Context, name string) error {
+	probe := &berylconn.Probe{}
+	ctx, cancel := context.WithTimeout(probe.Attach(ctx), c.cfg.timeout)
+	defer cancel()
+	_, err := c.api.DeleteObject(ctx, &s3.DeleteObjectInput{Bucket: aws.String(c.cfg.bucket), Key: aws.String(name)})
+	if err == nil || berylcall.Status(err) == http.StatusNotFound {
+		return nil
+	}
+	return berylcall.Outcome(err, probe)
+}
+
 // body ends the call's time limit when the object is closed.
 type body struct {
 	io.ReadCloser
--- a/internal/platform/berylobject/client_test.go
+++ b/internal/platform/berylobject/client_test.go
@@ -84,3 +84,23 @@
 		})
 	}
 }
+
+// Guards against an object that stays after its deletion, against a repeated deletion that looks like an outage, and
+// against one that is reported as done while the store is out.
+func TestDelete(t *testing.T) {
+	p := berylplatform.New()
+	c := newStore(t, p)
+	assert.NilError(t, c.Put(t.Context(), "tasks/a b", strings.NewReader("x"), 1))
+	assert.NilError(t, p.SetFaults(t.Context(), berylplatform.Faults{
+		Objects: berylplatform.ServiceFaults{Outage: berylplatform.OutageUnavailable},
+	}))
+	_, unavailable := errors.AsType[*beryllatch.UnavailableError](c.Delete(t.Context(), "tasks/a b"))
+	assert.Assert(t, unavailable)
+	assert.NilError(t, p.SetFaults(t.Context(), berylplatform.Faults{}))
+	for range 2 {
+		assert.NilError(t, c.Delete(t.Context(), "tasks/a b"))
+	}
+	_, err := c.Get(t.Context(), "tasks/a b")
+	_, missing := errors.AsType[*berylobject.NotFoundError](err)
+	assert.Assert(t, missing, "got %v", err)
+}
--- a/platform.go
+++ b/platform.go
@@ -61,6 +61,8 @@
 	Put(ctx context.Context, name string, r io.Reader, size int64) error
 	// Get opens the named object; the caller closes it.
 	Get(ctx context.Context, name string) (io.ReadCloser, error)
+	// Delete removes the named object; a missing one is no error.
+	Delete(ctx context.Context, name string) error
 }
 
 // InstanceStatus is one entry of the platform's instance list.
