Keep adopted tasks within their team's ceiling

Cause: a task whose shard moves runs on its former owner's unit. The new owner renewed its lease for as long as it found no free unit, while the former owner used its unit again after the lease that it had granted, or the unit of a dead owner returned to free after 60 s. On virtual time, with all units in use: 5 tasks ran under a ceiling of 4 after a node joined, 9 under 6 after a node died and 9 under 6 after a graceful stop (TestCeilingWhenNode*).

Ruled out: stopping adopted tasks without a unit, which turns those that aren't idempotent into unknown ones; and handing the unit over by the former owner, which may be dead.

Change: the new owner writes a unit for the adopted task into the row, if need be beyond the ceiling, as after a lowered ceiling: nothing new starts until the holdings are down again. Without a unit it renews the lease once only. A living former owner keeps its unit idle for that lease, and until a later read of the row. A stale node stops renewals 10.5 s sooner, so that this lease ends before its units are reclaimed.

After: 4, 6 and 6 run at most, and no task is started again.

Left: a task that is adopted twice within 20 s, each time by a node that gets no unit, can still run beyond the ceiling until its lease ends.

--- a/internal/decision/berylreducer/task.go
+++ b/internal/decision/berylreducer/task.go
@@ -71,8 +71,10 @@
 	calling bool
 	// holds marks a unit of the team, counted a slot of the worker.
 	holds, counted bool
-	next           time.Duration
-	nextWrite      time.Duration
+	// lent marks an adopted task whose lease was renewed once under the unit of its former owner.
+	lent      bool
+	next      time.Duration
+	nextWrite time.Duration
 	// leaseEnd is the latest time at which the worker may still run the task.
 	leaseEnd time.Duration
 	started  time.Duration
@@ -90,6 +92,9 @@
 	taskRetry    = time.Second
 	// lapsedLease is how long after the end of its tenure a node's leases may last; units are reclaimed after it.
 	lapsedLease = 60 * time.Second
+	// adoptionLease is how long a task may run on its former owner's unit after that owner's last lease: the one lease
+	// that an adopter grants before it holds a unit itself.
+	adoptionLease = taskLease + skewAllowance
 	// workerSilence is the wait for a silent worker before a non-idempotent task counts as unknown.
 	workerSilence = 5 * time.Minute
 	finishedKept  = 24 * time.Hour
@@ -237,11 +242,11 @@
 
 func (r *Reducer) activate(t *queuedTask) { r.tasks.active[t.ID] = t }
 
-// dropTask forgets a task; its unit stays taken while the worker may still run it.
+// dropTask forgets a task; its unit stays taken while the worker may still run it on this unit.
 func (r *Reducer) dropTask(t *queuedTask) {
 	if t.holds && t.leaseEnd > r.now.Mono {
 		t.holds = false
-		r.tasks.leftUnits = append(r.tasks.leftUnits, leftUnit{t.Team, t.leaseEnd + skewAllowance})
+		r.tasks.leftUnits = append(r.tasks.leftUnits, leftUnit{t.Team, t.leaseEnd + skewAllowance + adoptionLease})
 	}
 	r.releaseTask(t)
 	r.tasks.ready.remove(t)
@@ -262,14 +267,17 @@
 	t.counted = false
 }
 
+// endLeftUnits returns the units once a later read of the row shows what adopters hold beyond the ceiling.
 func (r *Reducer) endLeftUnits() {
 	kept := r.tasks.leftUnits[:0]
 	for _, l := range r.tasks.leftUnits {
-		if l.until <= r.now.Mono {
-			r.returnUnit(l.team)
-		} else {
+		u := r.units[l.team]
+		if u != nil && (r.now.Mono < l.until || u.readAt < l.until) {
+			u.wanted = u.wanted || r.now.Mono >= l.until
 			kept = append(kept, l)
+			continue
 		}
+		r.returnUnit(l.team)
 	}
 	r.tasks.leftUnits = kept
 }
--- /dev/null
+++ b/internal/decision/berylreducer/task_ceiling_test.go
@@ -0,0 +1,107 @@
+package berylreducer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/beryllatch/beryllatch"
+	"gotest.tools/v3/assert"
+)
+
+// runningTasks counts the tasks that run on all workers.
+func (w *taskWorld) runningTasks() int {
+	n := 0
+	for _, worker := range w.workers {
+		for _, run := range worker.runs {
+			if run.state == beryllatch.TaskRunRunning {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// busyWorld has nodes whose team has more endless tasks than its ceiling allows.
+func busyWorld(nodes, ceiling, tasks int) *taskWorld {
+	w := newBareTaskWorld(nil)
+	w.quiet = true
+	w.config = w.config.WithTeam(beryllatch.Team{Name: "red", Weight: 3, Ceiling: ceiling})
+	for n := range nodes {
+		w.addNode(fmt.Sprintf("n%d", n+1))
+	}
+	w.settle()
+	w.pass(5 * time.Second)
+	for n := range tasks {
+		w.submit(w.nodes[n%nodes], fmt.Sprintf("t%d", n), true)
+	}
+	w.pass(20 * time.Second)
+	return w
+}
+
+// mostRunning lets the time pass and returns the most tasks that ran at a time.
+func (w *taskWorld) mostRunning(d time.Duration) int {
+	most := 0
+	for range int(d / (100 * time.Millisecond)) {
+		w.pass(100 * time.Millisecond)
+		most = max(most, w.runningTasks())
+	}
+	return most
+}
+
+// Guards against tasks above the ceiling when shards move to a node that joins, while the former owner, which holds all
+// units, goes on with other tasks.
+func TestCeilingWhenNodeJoins(t *testing.T) {
+	w := busyWorld(1, 4, 16)
+	assert.Equal(t, w.runningTasks(), 4)
+	w.addNode("n2")
+	assert.Equal(t, w.mostRunning(90*time.Second), 4)
+	assert.Equal(t, w.runningTasks(), 4)
+	total := 0
+	for _, n := range w.starts {
+		total += n
+	}
+	assert.Equal(t, total, 4, "a task that runs must go on")
+}
+
+// Guards against tasks above the ceiling when a node dies, and its units return before the nodes that have adopted its
+// tasks hold units for them.
+func TestCeilingWhenNodeDies(t *testing.T) {
+	w := busyWorld(3, 6, 24)
+	assert.Equal(t, w.runningTasks(), 6)
+	w.kill(w.nodes[0])
+	assert.Equal(t, w.mostRunning(120*time.Second), 6)
+	assert.Equal(t, w.runningTasks(), 6)
+	total := 0
+	for _, n := range w.starts {
+		total += n
+	}
+	assert.Equal(t, total, 6, "a task that runs must go on")
+}
+
+// Guards against tasks above the ceiling after a graceful stop.
+func TestCeilingWhenNodeStops(t *testing.T) {
+	w := busyWorld(3, 6, 24)
+	w.apply(w.nodes[0], StopRequested{})
+	assert.Equal(t, w.mostRunning(120*time.Second), 6)
+	assert.Equal(t, w.runningTasks(), 6)
+}
+
+// Guards against a lease that an adopter goes on renewing without a unit, and against a former owner that uses its units
+// again while that lease lasts, or before it knows of the adopter's unit. Either node can't read the unit row for a while.
+func TestCeilingWithoutUnitRow(t *testing.T) {
+	for cut := range 2 {
+		w := busyWorld(1, 4, 16)
+		w.addNode("n2")
+		w.fault = func(n *fakeNode, e Effect) fault {
+			if _, ok := e.(ReadUnits); ok && n == w.nodes[cut] {
+				return faultHeld
+			}
+			return faultNone
+		}
+		assert.Equal(t, w.mostRunning(60*time.Second), 4, w.nodes[cut].id.Node)
+		w.fault = nil
+		assert.Equal(t, w.mostRunning(30*time.Second), 4, w.nodes[cut].id.Node)
+		assert.Equal(t, w.runningTasks(), 4)
+	}
+}
--- a/internal/decision/berylreducer/task_run.go
+++ b/internal/decision/berylreducer/task_run.go
@@ -62,24 +62,42 @@
 	return min(max(r.expectedRunTime(t.Queue)/2, minReportInterval), leaseRenewal)
 }
 
-// renewTask extends the lease; a node without tenure stops doing so before others count its units as free.
+// renewTask extends the lease; a node without tenure stops doing so before others count its units as free, and an adopter
+// without a unit before the former owner uses its own again.
 func (r *Reducer) renewTask(t *queuedTask) {
-	r.holdUnit(t)
+	held := r.holdUnit(t)
 	t.next = r.now.Mono + r.reportInterval(t)
-	if r.now.Mono+taskLease > r.tasks.freshAt+lapsedLease {
+	if r.now.Mono+taskLease+adoptionLease > r.tasks.freshAt+lapsedLease {
 		r.giveUpSilent(t)
 		return
 	}
+	if !held && t.lent {
+		t.next = r.now.Mono + minReportInterval
+		if r.now.Mono >= t.leaseEnd+skewAllowance {
+			r.ask(t)
+		}
+		return
+	}
+	t.lent = !held
 	r.call(t)
 	r.emit(RenewTask{Execution: r.execution(t)})
 	t.leaseEnd = r.now.Mono + taskLease
 }
 
-// holdUnit takes a unit for an adopted task, which runs on the unit of its former owner until then.
-func (r *Reducer) holdUnit(t *queuedTask) {
-	if !t.holds {
-		t.holds = r.takeUnit(t.Team)
+// holdUnit takes a unit for an adopted task, which runs on the unit of its former owner until then. The unit may lie
+// beyond the ceiling: the former owner's stays idle until it knows of this one. A team that was removed has no units.
+func (r *Reducer) holdUnit(t *queuedTask) bool {
+	u := r.units[t.Team]
+	if t.holds || t.Team == "" || u == nil {
+		return true
+	}
+	if r.usable(u) && u.running < u.held-u.giving {
+		u.running++
+		t.holds = true
+		return true
 	}
+	u.wanted = true
+	return false
 }
 
 func (r *Reducer) call(t *queuedTask) { t.calling = true }
--- a/internal/decision/berylreducer/unitplan.go
+++ b/internal/decision/berylreducer/unitplan.go
@@ -23,6 +23,7 @@
 	given := r.give(u, &row)
 	r.lower(team, u, &row)
 	r.take(team, u, &row)
+	r.takeAdopted(team, u, &row)
 	if force || changed(u.row, row) || u.row.ConfigVersion < u.needVersion {
 		r.writeUnits(u, row, checks)
 	}
@@ -80,6 +81,14 @@
 	}
 }
 
+// takeAdopted adds units for adopted tasks that hold none, even beyond the ceiling: the tasks run already, and nothing new
+// starts until the holdings are down to the ceiling again.
+func (r *Reducer) takeAdopted(team string, u *teamUnits, row *UnitRow) {
+	if n := r.adoptedWithoutUnit(team); n > 0 {
+		r.setOwn(row, max(row.Holdings[r.self.Incarnation], u.running+u.giving+n))
+	}
+}
+
 func (r *Reducer) setOwn(row *UnitRow, n int) {
 	if n > 0 {
 		row.Holdings[r.self.Incarnation] = n
