Print one JSON document for a change that creates keys; refuse lasting errors without Retry-After

Ruled out: 200 or 409 for answer_not_kept: the answer is neither there nor in conflict with anything; it existed and is gone for good.

The secret is left out if the key was surely not created, and shown with an unknown outcome. answer_not_kept is 410. Both reasons come without Retry-After and retry_after_ms. The demo and the proofs read the one document.

--- a/internal/bench/beryldemo/setup.go
+++ b/internal/bench/beryldemo/setup.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
-	"io"
 	"os"
 	"path/filepath"
 	"strings"
@@ -39,21 +37,16 @@
 	if err != nil {
 		return err
 	}
-	dec := json.NewDecoder(strings.NewReader(out))
-	for {
-		var key struct {
+	var reply struct {
+		Keys []struct {
 			Secret string `json:"secret"`
-		}
-		err := dec.Decode(&key)
-		if errors.Is(err, io.EOF) {
-			break
-		}
-		if err != nil {
-			return eris.Wrap(err, "decode keys")
-		}
-		if key.Secret != "" {
-			d.secrets = append(d.secrets, key.Secret)
-		}
+		} `json:"keys"`
+	}
+	if err := json.Unmarshal([]byte(out), &reply); err != nil {
+		return eris.Wrap(err, "decode keys")
+	}
+	for _, key := range reply.Keys {
+		d.secrets = append(d.secrets, key.Secret)
 	}
 	d.say("the questionnaire made %d teams", len(d.secrets))
 	return nil
--- a/internal/bench/berylproof/fleet_test.go
+++ b/internal/bench/berylproof/fleet_test.go
@@ -8,7 +8,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"testing"
 	"time"
 
@@ -131,14 +130,14 @@
 func (f *fleet) createKey(ctx context.Context, id, team string) string {
 	f.t.Helper()
 	var reply struct {
-		Secret string `json:"secret"`
+		Keys []struct {
+			Secret string `json:"secret"`
+		} `json:"keys"`
 	}
 	out := f.client(ctx, "key", "create", id, "--team="+team, "--output=json")
-	dec := json.NewDecoder(strings.NewReader(out))
-	for reply.Secret == "" {
-		assert.NilError(f.t, dec.Decode(&reply), out)
-	}
-	return reply.Secret
+	assert.NilError(f.t, json.Unmarshal([]byte(out), &reply), out)
+	assert.Equal(f.t, len(reply.Keys), 1, out)
+	return reply.Keys[0].Secret
 }
 
 // caller sends with the team's key to an address.
--- a/internal/client/berylcommand/apply.go
+++ b/internal/client/berylcommand/apply.go
@@ -44,7 +44,7 @@
 	if cmd.ExpectedVersion != 0 {
 		q.ExpectedVersion = cmd.ExpectedVersion
 	}
-	return s.apply(q)
+	return s.apply(q, attached{})
 }
 
 // readFile reads a file, or the standard input for the name -.
--- a/internal/client/berylcommand/change.go
+++ b/internal/client/berylcommand/change.go
@@ -18,11 +18,22 @@
 
 // change makes the changes in one configuration version and prints the outcome.
 func (s *session) change(changes ...*berylwire.Change) error {
-	q := &berylwire.ApplyRequest{OperationId: s.settings.OperationID, Changes: changes}
-	return s.apply(q)
+	return s.changeWith(attached{}, changes...)
 }
 
-func (s *session) apply(q *berylwire.ApplyRequest) error {
+// attached is printed with the outcome of a change, so that the output is one document.
+type attached struct {
+	// Plan is the generated configuration; as a table it has been printed before.
+	Plan *planOutput `json:"plan,omitempty"`
+	// Keys holds created keys with their secrets; it is left out if they were surely not created.
+	Keys []createdKey `json:"keys,omitempty"`
+}
+
+func (s *session) changeWith(a attached, changes ...*berylwire.Change) error {
+	return s.apply(&berylwire.ApplyRequest{OperationId: s.settings.OperationID, Changes: changes}, a)
+}
+
+func (s *session) apply(q *berylwire.ApplyRequest, a attached) error {
 	if q.GetOperationId() == "" {
 		q.OperationId = uuid.NewString()
 	}
@@ -32,7 +43,10 @@
 	if err != nil {
 		return err
 	}
-	if err := s.printOutcome(q.GetOperationId(), reply); err != nil {
+	if berylreducer.OperatorOutcome(reply.GetOutcome()) == berylreducer.OutcomeNotAccepted {
+		a.Keys = nil
+	}
+	if err := s.printOutcome(q.GetOperationId(), reply, a); err != nil {
 		return err
 	}
 	return outcomeError(q.GetOperationId(), reply)
@@ -164,23 +178,30 @@
 	Version     uint64   `json:"version,omitempty"`
 	InForce     bool     `json:"in_force"`
 	WaitingFor  []string `json:"waiting_for,omitempty"`
+	attached
 }
 
-func (s *session) printOutcome(id string, r *berylwire.ApplyResponse) error {
+func (s *session) printOutcome(id string, r *berylwire.ApplyResponse, a attached) error {
 	o := outcome{
 		OperationID: id, Outcome: r.GetOutcome(), Reason: r.GetReason(), Version: r.GetVersion(),
-		InForce: r.GetInForce(), WaitingFor: r.GetWaitingFor(),
+		InForce: r.GetInForce(), WaitingFor: r.GetWaitingFor(), attached: a,
 	}
 	if s.settings.Output == "json" {
 		return s.printJSON(o)
 	}
-	if o.Outcome != string(berylreducer.OutcomeAccepted) {
-		return nil
+	if o.Outcome == string(berylreducer.OutcomeAccepted) {
+		force := "in force everywhere"
+		if !o.InForce {
+			force = "not yet confirmed by " + strings.Join(o.WaitingFor, ", ")
+		}
+		if _, err := fmt.Fprintf(s.stdout, "accepted as version %d, %s\n", o.Version, force); err != nil {
+			return err
+		}
 	}
-	force := "in force everywhere"
-	if !o.InForce {
-		force = "not yet confirmed by " + strings.Join(o.WaitingFor, ", ")
+	for _, k := range a.Keys {
+		if _, err := fmt.Fprintf(s.stdout, "key %s of team %s, shown once: %s\n", k.ID, k.Team, k.Secret); err != nil {
+			return err
+		}
 	}
-	_, err := fmt.Fprintf(s.stdout, "accepted as version %d, %s\n", o.Version, force)
-	return err
+	return nil
 }
--- a/internal/client/berylcommand/cli_test.go
+++ b/internal/client/berylcommand/cli_test.go
@@ -234,6 +234,29 @@
 	assert.Equal(t, status, exitUsage)
 }
 
+// TestKeySecretJSON guards against an output that is no single JSON document, against a secret that is lost with an unknown
+// outcome, and against one that is shown although the key was not created.
+func TestKeySecretJSON(t *testing.T) {
+	c := newClient(t)
+	c.run("team create wheels --ceiling=4")
+	for n, want := range []string{"accepted", "not_accepted", "unknown"} {
+		if want == "unknown" {
+			c.node.lost = 100
+		}
+		_, out := c.run(fmt.Sprintf("key create k%d --team=wheels --output=json", n/2))
+		var o outcome
+		assert.NilError(t, decodeStrict([]byte(out), &o), out)
+		assert.Equal(t, o.Outcome, want)
+		shown := len(o.Keys) == 1 && len(o.Keys[0].Secret) >= secretSize
+		assert.Equal(t, shown, want != "not_accepted", out)
+	}
+	c.node.lost = 0
+	_, out := c.run("team questionnaire --apply --output=json --answers=../../../examples/rimwise.json")
+	var o outcome
+	assert.NilError(t, decodeStrict([]byte(out), &o), out)
+	assert.Assert(t, len(o.Keys) == 6 && len(o.Plan.Lines) > 0)
+}
+
 // TestLostReplies guards against a change that is made twice, or is called refused after its reply was lost.
 func TestLostReplies(t *testing.T) {
 	c := newClient(t)
--- a/internal/client/berylcommand/key_create.go
+++ b/internal/client/berylcommand/key_create.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/base64"
-	"fmt"
 	"io"
 	"strings"
 
@@ -24,7 +23,7 @@
 
 // Help gives an example.
 func (*keyCreate) Help() string {
-	return "Example:\n  beryllatch key create wheels-2026 --team=wheels\nThe secret is made here and shown once; only its hash is sent."
+	return "Example:\n  beryllatch key create wheels-2026 --team=wheels\nThe secret is made here and shown once, with --output=json in the list keys of the outcome; only its hash is sent."
 }
 
 // Run sends the hash of a new secret, and shows the secret unless the key was surely not created.
@@ -34,13 +33,7 @@
 		return err
 	}
 	key := createdKey{ID: cmd.ID, Team: cmd.Team, Secret: secret}
-	changed := s.change(putKey(cmd.ID, cmd.Team, hash))
-	if status := exitStatus(changed); status == exitDone || status == exitUnknown {
-		if err := s.printSecret(key); err != nil {
-			return err
-		}
-	}
-	return changed
+	return s.changeWith(attached{Keys: []createdKey{key}}, putKey(cmd.ID, cmd.Team, hash))
 }
 
 // secret returns a new secret, or the one shown by the call that is repeated.
@@ -69,14 +62,6 @@
 	Secret string `json:"secret"`
 }
 
-func (s *session) printSecret(k createdKey) error {
-	if s.settings.Output == "json" {
-		return s.printJSON(k)
-	}
-	_, err := fmt.Fprintf(s.stdout, "key %s of team %s, shown once: %s\n", k.ID, k.Team, k.Secret)
-	return err
-}
-
 func putKey(id, team, hash string) *berylwire.Change {
 	return &berylwire.Change{Change: &berylwire.Change_PutApiKey{PutApiKey: &berylwire.ApiKey{Id: id, Team: team, Hash: hash}}}
 }
--- a/internal/client/berylcommand/team_questionnaire.go
+++ b/internal/client/berylcommand/team_questionnaire.go
@@ -38,13 +38,16 @@
 	if _, err := p.Apply(beryllatch.Config{}); err != nil {
 		return &usageError{err: err}
 	}
-	if err := s.printPlan(p); err != nil {
-		return err
+	out := planOutputOf(p)
+	if !cmd.Apply || s.settings.Output != "json" {
+		if err := s.printPlan(out); err != nil {
+			return err
+		}
 	}
 	if !cmd.Apply {
 		return nil
 	}
-	return s.applyPlan(p)
+	return s.applyPlan(p, out)
 }
 
 func (cmd *teamQuestionnaire) answers(s *session) (berylplan.Answers, error) {
@@ -83,11 +86,15 @@
 	Notes []string   `json:"notes"`
 }
 
-func (s *session) printPlan(p berylplan.Plan) error {
+func planOutputOf(p berylplan.Plan) planOutput {
 	out := planOutput{Notes: p.Notes}
 	for _, e := range p.Changes {
 		out.Lines = append(out.Lines, planLine{Line: e.Line(), Why: e.Why})
 	}
+	return out
+}
+
+func (s *session) printPlan(out planOutput) error {
 	if s.settings.Output == "json" {
 		return s.printJSON(out)
 	}
@@ -102,7 +109,7 @@
 }
 
 // applyPlan makes the changes and a key for each customer in one configuration version.
-func (s *session) applyPlan(p berylplan.Plan) error {
+func (s *session) applyPlan(p berylplan.Plan, out planOutput) error {
 	changes, err := encodePlan(p)
 	if err != nil {
 		return err
@@ -116,14 +123,5 @@
 		keys = append(keys, createdKey{ID: team + "-1", Team: team, Secret: secret})
 		changes = append(changes, putKey(team+"-1", team, hash))
 	}
-	changed := s.change(changes...)
-	if status := exitStatus(changed); status != exitDone && status != exitUnknown {
-		return changed
-	}
-	for _, k := range keys {
-		if err := s.printSecret(k); err != nil {
-			return err
-		}
-	}
-	return changed
+	return s.changeWith(attached{Plan: &out, Keys: keys}, changes...)
 }
--- a/internal/node/berylproblem/problem.go
+++ b/internal/node/berylproblem/problem.go
@@ -36,6 +36,7 @@
 	beryllatch.ReasonAnswerMismatch:    http.StatusBadGateway,
 	beryllatch.ReasonUnknownTask:       http.StatusNotFound,
 	beryllatch.ReasonTaskNotFinished:   http.StatusConflict,
+	beryllatch.ReasonAnswerNotKept:     http.StatusGone,
 }
 
 // Status returns the HTTP status code of a refusal.
@@ -49,8 +50,11 @@
 	return http.StatusServiceUnavailable
 }
 
-// Write answers the request with the refusal; id is the request id.
+// Write answers the request with the refusal; id is the request id. A lasting refusal carries no time for a repeat.
 func Write(w http.ResponseWriter, id string, r beryllatch.Refusal) {
+	if r.Reason.Lasting() {
+		r.RetryAfter = 0
+	}
 	status := Status(r)
 	body := Problem{
 		Type: "about:blank", Title: http.StatusText(status), Status: status, Detail: r.Detail,
--- a/refusal.go
+++ b/refusal.go
@@ -33,6 +33,9 @@
 	ReasonTaskNotFinished     Reason = "task_not_finished"
 )
 
+// Lasting reports whether a repeat of the same call gets the same refusal.
+func (r Reason) Lasting() bool { return r == ReasonKeyReused || r == ReasonAnswerNotKept }
+
 // RunState tells a caller whether refused work was run.
 type RunState string
 
