Check callers' headers in one package

Cause: the requests API and the tasks API had the same checks twice.

Change: package berylheader with the names and checks that both use. No check became weaker.

--- a/internal/node/berylcaller/attempt.go
+++ b/internal/node/berylcaller/attempt.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"time"
 
+	"github.com/beryllatch/beryllatch/internal/node/berylheader"
+
 	"github.com/beryllatch/beryllatch"
 	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
 	"github.com/beryllatch/beryllatch/internal/node/beryldaemon"
@@ -70,7 +72,7 @@
 	x.answer = nil
 	h := http.Header{}
 	passRequest(h, x.r.Header)
-	h.Set(headerRequestID, x.in.publicID())
+	h.Set(berylheader.RequestID, x.in.publicID())
 	if n := x.in.body.length(); n >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(n, 10))
 	}
--- a/internal/node/berylcaller/handler.go
+++ b/internal/node/berylcaller/handler.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http"
 
+	"github.com/beryllatch/beryllatch/internal/node/berylheader"
+
 	"github.com/beryllatch/beryllatch"
 	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
 	"github.com/beryllatch/beryllatch/internal/node/beryldaemon"
@@ -36,7 +38,7 @@
 
 func (h *Handler) serveRequest(w http.ResponseWriter, r *http.Request) {
 	in, err := parse(r)
-	w.Header().Set(headerRequestID, in.publicID())
+	w.Header().Set(berylheader.RequestID, in.publicID())
 	if err != nil {
 		berylproblem.Write(w, in.publicID(), beryllatch.Refusal{
 			Reason: beryllatch.ReasonBadRequest, RunState: beryllatch.RunStateNotRun, Detail: err.Error(),
--- a/internal/node/berylcaller/handler_test.go
+++ b/internal/node/berylcaller/handler_test.go
@@ -13,6 +13,8 @@
 	"testing"
 	"time"
 
+	"github.com/beryllatch/beryllatch/internal/node/berylheader"
+
 	"github.com/beryllatch/beryllatch"
 	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
 	"github.com/beryllatch/beryllatch/internal/node/beryldaemon"
@@ -190,12 +192,12 @@
 // Guards against ambiguous or malformed control headers being guessed at.
 func TestBadHeaders(t *testing.T) {
 	tests := map[string][]string{
-		"repeated key":        {headerIdempotencyKey, "a", headerIdempotencyKey, "b"},
-		"long key":            {headerIdempotencyKey, strings.Repeat("a", maxKeyLength+1)},
-		"idempotent mark":     {headerIdempotent, "yes"},
-		"negative deadline":   {headerDeadline, "-1"},
-		"deadline not number": {headerDeadline, "soon"},
-		"request id":          {headerRequestID, "a b"},
+		"repeated key":        {berylheader.IdempotencyKey, "a", berylheader.IdempotencyKey, "b"},
+		"long key":            {berylheader.IdempotencyKey, strings.Repeat("a", berylheader.MaxKeyLength+1)},
+		"idempotent mark":     {berylheader.Idempotent, "yes"},
+		"negative deadline":   {berylheader.Deadline, "-1"},
+		"deadline not number": {berylheader.Deadline, "soon"},
+		"request id":          {berylheader.RequestID, "a b"},
 		"no bearer":           {"Authorization", "Basic abc"},
 		"empty bearer":        {"Authorization", "Bearer "},
 	}
@@ -215,7 +217,7 @@
 // Guards against a caller that cannot match a refusal with its own request id.
 func TestRequestIDInRefusal(t *testing.T) {
 	srv := serve(t, &fakeNode{}, func([]byte) (*http.Response, error) { return respond(&cutReader{n: 1}, 2), nil })
-	_, b, err := post(t, srv, nil, headerRequestID, "order-7")
+	_, b, err := post(t, srv, nil, berylheader.RequestID, "order-7")
 	assert.NilError(t, err)
 	var p berylproblem.Problem
 	assert.NilError(t, json.Unmarshal(b, &p))
@@ -226,7 +228,7 @@
 func TestPassRequest(t *testing.T) {
 	dst := http.Header{}
 	passRequest(dst, http.Header{
-		"Authorization": {"Bearer x"}, headerIdempotencyKey: {"k"}, headerUrgent: {"true"}, "Connection": {"close"},
+		"Authorization": {"Bearer x"}, berylheader.IdempotencyKey: {"k"}, berylheader.Urgent: {"true"}, "Connection": {"close"},
 		"X-Order": {"1", "2"}, "Content-Type": {"text/plain"},
 	})
 	assert.DeepEqual(t, dst, http.Header{"X-Order": {"1", "2"}, "Content-Type": {"text/plain"}})
@@ -237,8 +239,8 @@
 	f.Fuzz(func(t *testing.T, auth, key, mark, deadline, id string) {
 		r := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/", nil)
 		r.Header = http.Header{
-			"Authorization": {auth}, headerIdempotencyKey: {key}, headerIdempotent: {mark}, headerDeadline: {deadline},
-			headerRequestID: {id},
+			"Authorization": {auth}, berylheader.IdempotencyKey: {key}, berylheader.Idempotent: {mark}, berylheader.Deadline: {deadline},
+			berylheader.RequestID: {id},
 		}
 		in, err := parse(r)
 		if in.id == "" {
--- a/internal/node/berylcaller/header.go
+++ b/internal/node/berylcaller/header.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"strings"
+
+	"github.com/beryllatch/beryllatch/internal/node/berylheader"
 )
 
 // connectionHeaders concern a single connection and never cross the system.
@@ -19,7 +21,7 @@
 func passRequest(dst, src http.Header) {
 	for name, values := range src {
 		own := strings.HasPrefix(name, "Beryllatch-") && !strings.HasPrefix(name, testPrefix)
-		if own || connectionHeaders[name] || name == "Authorization" || name == headerIdempotencyKey {
+		if own || connectionHeaders[name] || name == "Authorization" || name == berylheader.IdempotencyKey {
 			continue
 		}
 		dst[name] = append([]string(nil), values...)
--- a/internal/node/beryltaskapi/handler.go
+++ b/internal/node/beryltaskapi/handler.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"net/http"
 
+	"github.com/beryllatch/beryllatch/internal/node/berylheader"
+
 	"github.com/beryllatch/beryllatch"
 	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
 	"github.com/beryllatch/beryllatch/internal/node/berylproblem"
@@ -57,7 +59,7 @@
 
 func (h *Handler) begin(w http.ResponseWriter) *call {
 	id := uuid.NewString()
-	w.Header().Set(headerRequestID, id)
+	w.Header().Set(berylheader.RequestID, id)
 	return &call{h: h, w: w, id: id, effects: h.calls.open(id)}
 }
 
--- a/internal/node/beryltaskapi/handler_test.go
+++ b/internal/node/beryltaskapi/handler_test.go
@@ -11,6 +11,8 @@
 	"sync"
 	"testing"
 
+	"github.com/beryllatch/beryllatch/internal/node/berylheader"
+
 	"github.com/beryllatch/beryllatch"
 	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
 	"github.com/gorilla/mux"
@@ -157,10 +159,10 @@
 	}{
 		{"repeated key", []string{"Authorization", "Bearer a", "Authorization", "Bearer b"}, nil, "must not be repeated"},
 		{"no scheme", []string{"Authorization", "a"}, nil, "must be Bearer and a key"},
-		{"bad flag", []string{headerIdempotent, "yes"}, nil, "must be true or false"},
-		{"urgent", []string{headerUrgent, "true"}, nil, "use a request"},
-		{"deadline", []string{headerDeadline, "0"}, nil, "must be between 1 and"},
-		{"long key", []string{headerIdempotencyKey, strings.Repeat("k", 256)}, nil, "at most 255 bytes"},
+		{"bad flag", []string{berylheader.Idempotent, "yes"}, nil, "must be true or false"},
+		{"urgent", []string{berylheader.Urgent, "true"}, nil, "use a request"},
+		{"deadline", []string{berylheader.Deadline, "0"}, nil, "must be between 1 and"},
+		{"long key", []string{berylheader.IdempotencyKey, strings.Repeat("k", 256)}, nil, "at most 255 bytes"},
 		{"no length", nil, io.MultiReader(strings.NewReader("x")), "is required"},
 		{"too long", nil, bytes.NewReader(make([]byte, maxPayload+1)), "must be at most"},
 	} {
--- a/internal/node/beryltaskapi/input.go
+++ b/internal/node/beryltaskapi/input.go
@@ -4,151 +4,65 @@
 	"fmt"
 	"net/http"
 	"regexp"
-	"strconv"
-	"strings"
 	"time"
 
-	"github.com/beryllatch/beryllatch"
-
 	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
+	"github.com/beryllatch/beryllatch/internal/node/berylheader"
 	"github.com/gorilla/mux"
 )
 
 const (
-	headerRequestID      = "Beryllatch-Request-Id"
-	headerIdempotent     = "Beryllatch-Idempotent"
-	headerDeadline       = "Beryllatch-Deadline-Ms"
-	headerUrgent         = "Beryllatch-Urgent"
-	headerIdempotencyKey = "Idempotency-Key"
-
 	// maxPayload bounds a task's body in bytes.
-	maxPayload = 64 << 20
-	// maxHeader bounds a key in bytes.
-	maxHeader   = 255
+	maxPayload  = 64 << 20
 	maxDeadline = 30 * 24 * time.Hour
 )
 
 var taskIDPattern = regexp.MustCompile(`^[A-Za-z0-9-]{1,64}$`)
 
-// InputError reports a part of a call that cannot be used.
-type InputError struct {
-	Field  string
-	Reason string
-}
+// TaskIDError reports a path that cannot name a task.
+type TaskIDError struct{ ID string }
 
-// Error names the field and the reason.
-func (e *InputError) Error() string { return fmt.Sprintf("%s: %s", e.Field, e.Reason) }
+// Error names the pattern of task ids.
+func (e *TaskIDError) Error() string {
+	return fmt.Sprintf("task id %q: must match %s", e.ID, taskIDPattern)
+}
 
 // parseOffer checks the headers of a submission.
 func parseOffer(r *http.Request) (berylreducer.TaskOffered, error) {
-	offer := berylreducer.TaskOffered{Queue: mux.Vars(r)["queue"]}
-	steps := []func(*http.Request, *berylreducer.TaskOffered) error{
-		parseKeys, parseFlags, parseDeadline, parseLength,
-	}
-	for _, step := range steps {
-		if err := step(r, &offer); err != nil {
-			return offer, err
-		}
-	}
-	return offer, nil
-}
-
-// parseAsk returns the key hash and the task id of a question about a task.
-func parseAsk(r *http.Request) (key, id string, err error) {
-	id = mux.Vars(r)["id"]
-	if !taskIDPattern.MatchString(id) {
-		return "", "", &InputError{Field: "task id", Reason: "must match " + taskIDPattern.String()}
-	}
-	key, err = bearer(r)
-	return key, id, err
-}
-
-func single(r *http.Request, name string) (string, error) {
-	v := r.Header.Values(name)
-	if len(v) > 1 {
-		return "", &InputError{Field: name, Reason: "must not be repeated"}
-	}
-	return r.Header.Get(name), nil
-}
-
-// bearer returns the hash of the presented secret; empty without one.
-func bearer(r *http.Request) (string, error) {
-	v, err := single(r, "Authorization")
-	if err != nil || v == "" {
-		return "", err
-	}
-	scheme, secret, ok := strings.Cut(v, " ")
-	if !ok || !strings.EqualFold(scheme, "Bearer") || secret == "" || len(secret) > maxHeader {
-		return "", &InputError{Field: "Authorization", Reason: "must be Bearer and a key"}
-	}
-	return beryllatch.HashSecret(secret), nil
-}
-
-func parseKeys(r *http.Request, o *berylreducer.TaskOffered) error {
+	o := berylreducer.TaskOffered{Queue: mux.Vars(r)["queue"]}
 	var err error
-	if o.KeyHash, err = bearer(r); err != nil {
-		return err
+	if o.KeyHash, err = berylheader.KeyHash(r); err != nil {
+		return o, err
 	}
-	v, err := single(r, headerIdempotencyKey)
-	switch {
-	case err != nil:
-		return err
-	case len(v) > maxHeader:
-		return &InputError{Field: headerIdempotencyKey, Reason: fmt.Sprintf("must have at most %d bytes", maxHeader)}
-	case v != "":
-		o.IdempotencyKey = beryllatch.HashSecret(v)
+	if o.IdempotencyKey, err = berylheader.IdempotencyKeyHash(r); err != nil {
+		return o, err
 	}
-	return nil
-}
-
-func parseFlags(r *http.Request, o *berylreducer.TaskOffered) error {
-	urgent, err := flag(r, headerUrgent)
+	urgent, err := berylheader.Flag(r, berylheader.Urgent)
 	if err != nil {
-		return err
+		return o, err
 	}
 	if urgent {
-		return &InputError{Field: headerUrgent, Reason: "a task can wait; use a request for urgent work"}
+		return o, &berylheader.Error{Header: berylheader.Urgent, Reason: "a task can wait; use a request for urgent work"}
 	}
-	o.Idempotent, err = flag(r, headerIdempotent)
-	return err
-}
-
-func flag(r *http.Request, name string) (bool, error) {
-	v, err := single(r, name)
-	if err != nil {
-		return false, err
+	if o.Idempotent, err = berylheader.Flag(r, berylheader.Idempotent); err != nil {
+		return o, err
 	}
-	switch v {
-	case "", "false":
-		return false, nil
-	case "true":
-		return true, nil
-	default:
-		return false, &InputError{Field: name, Reason: "must be true or false"}
+	if o.Deadline, err = berylheader.DeadlineWithin(r, maxDeadline); err != nil {
+		return o, err
 	}
-}
-
-func parseDeadline(r *http.Request, o *berylreducer.TaskOffered) error {
-	v, err := single(r, headerDeadline)
-	if err != nil || v == "" {
-		return err
-	}
-	n, err := strconv.ParseInt(v, 10, 64)
-	if err != nil || n < 1 || n > maxDeadline.Milliseconds() {
-		reason := fmt.Sprintf("must be between 1 and %d milliseconds", maxDeadline.Milliseconds())
-		return &InputError{Field: headerDeadline, Reason: reason}
+	if r.ContentLength < 0 {
+		// An object is stored with its size.
+		return o, &berylheader.Error{Header: "Content-Length", Reason: "is required"}
 	}
-	o.Deadline = time.Duration(n) * time.Millisecond
-	return nil
+	return o, berylheader.CheckLength(r, maxPayload)
 }
 
-// parseLength requires a length, since an object is stored with its size.
-func parseLength(r *http.Request, _ *berylreducer.TaskOffered) error {
-	if r.ContentLength < 0 {
-		return &InputError{Field: "Content-Length", Reason: "is required"}
-	}
-	if r.ContentLength > maxPayload {
-		return &InputError{Field: "Content-Length", Reason: fmt.Sprintf("must be at most %d bytes", maxPayload)}
+// parseAsk returns the key hash and the task id of a question about a task.
+func parseAsk(r *http.Request) (key, id string, err error) {
+	id = mux.Vars(r)["id"]
+	if !taskIDPattern.MatchString(id) {
+		return "", "", &TaskIDError{ID: id}
 	}
-	return nil
+	key, err = berylheader.KeyHash(r)
+	return key, id, err
 }
