Keep the settings of the platform's clients in one package

Cause: beryltable and berylobject had the same options and the same HTTP client twice.

Change: berylcall holds both. The number of idle connections, the default endpoints and time limits, and the copied bodies of the table's calls stay as they were, in each client.

--- a/internal/bench/berylload/proxy_test.go
+++ b/internal/bench/berylload/proxy_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"testing"
 
+	"github.com/beryllatch/beryllatch/internal/platform/berylcall"
+
 	"github.com/beryllatch/beryllatch"
 	"github.com/beryllatch/beryllatch/internal/platform/beryltable"
 	"github.com/beryllatch/beryllatch/internal/standin/berylplatform"
@@ -19,7 +21,7 @@
 	address, err := p.start(t.Context())
 	assert.NilError(t, err)
 	defer p.stop()
-	table := beryltable.New(beryltable.WithEndpoint("http://" + address))
+	table := beryltable.New(berylcall.WithEndpoint("http://" + address))
 	key := func(sort string) beryllatch.RowKey { return beryllatch.RowKey{Partition: "p", Sort: sort} }
 	for _, step := range []struct {
 		call func(ctx context.Context) error
--- a/internal/bench/berylload/request_test.go
+++ b/internal/bench/berylload/request_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/beryllatch/beryllatch/internal/platform/berylcall"
+
 	"github.com/beryllatch/beryllatch/internal/bench/berylprocess"
 	"github.com/beryllatch/beryllatch/internal/bench/berylsample"
 	"github.com/beryllatch/beryllatch/internal/common/berylsettings"
@@ -69,7 +71,7 @@
 		b.Cleanup(s.Close)
 		addresses = append(addresses, s.Listener.Addr().String())
 	}
-	store := berylconfig.Store{Table: beryltable.New(beryltable.WithEndpoint(endpoints[0]))}
+	store := berylconfig.Store{Table: beryltable.New(berylcall.WithEndpoint(endpoints[0]))}
 	assert.NilError(b, store.Write(ctx, berylsample.Config(berylsample.Size{
 		Workers: workers, Teams: 1, Pools: 1, Ceiling: 1024, Addresses: addresses,
 	}), 0))
--- a/internal/bench/berylslope/message_test.go
+++ b/internal/bench/berylslope/message_test.go
@@ -243,7 +243,7 @@
 	s := httptest.NewServer(berylplatform.New(berylplatform.WithRates(unlimited, unlimited)).Table())
 	defer s.Close()
 	var w wire
-	t := beryltable.New(beryltable.WithEndpoint(s.URL), beryltable.WithHTTPClient(
+	t := beryltable.New(berylcall.WithEndpoint(s.URL), berylcall.WithHTTPClient(
 		&http.Client{Transport: berylcall.OwnBody{Next: &http.Transport{DialContext: w.dial}}},
 	))
 	for _, row := range rows {
--- a/internal/node/berylserver/build.go
+++ b/internal/node/berylserver/build.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"time"
 
+	"github.com/beryllatch/beryllatch/internal/platform/berylcall"
+
 	"github.com/beryllatch/beryllatch/internal/common/berylmetrics"
 	"github.com/beryllatch/beryllatch/internal/common/beryltls"
 	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
@@ -46,12 +48,12 @@
 			PeerAddress: cfg.AdvertiseAddress,
 		},
 		Table: beryltable.New(
-			beryltable.WithEndpoint(cfg.TableEndpoint), beryltable.WithTable(cfg.TableName),
-			beryltable.WithRegion(cfg.PlatformRegion), beryltable.WithCredentials(cfg.PlatformKeyID, cfg.PlatformSecret),
+			berylcall.WithEndpoint(cfg.TableEndpoint), berylcall.WithName(cfg.TableName),
+			berylcall.WithRegion(cfg.PlatformRegion), berylcall.WithCredentials(cfg.PlatformKeyID, cfg.PlatformSecret),
 		),
 		Objects: berylobject.New(
-			berylobject.WithEndpoint(cfg.ObjectEndpoint), berylobject.WithBucket(cfg.ObjectBucket),
-			berylobject.WithRegion(cfg.PlatformRegion), berylobject.WithCredentials(cfg.PlatformKeyID, cfg.PlatformSecret),
+			berylcall.WithEndpoint(cfg.ObjectEndpoint), berylcall.WithName(cfg.ObjectBucket),
+			berylcall.WithRegion(cfg.PlatformRegion), berylcall.WithCredentials(cfg.PlatformKeyID, cfg.PlatformSecret),
 		),
 		Instances: berylinstance.New(berylinstance.WithURL(cfg.InstanceList)),
 		Tasks:     workers,
--- a/internal/platform/berylobject/client.go
+++ b/internal/platform/berylobject/client.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/aws/aws-sdk-go-v2/aws"
 	v4 "github.com/aws/aws-sdk-go-v2/aws/signer/v4"
@@ -18,22 +19,19 @@
 // Client is a beryllatch.ObjectStore; it never repeats a call by itself.
 type Client struct {
 	api *s3.Client
-	cfg settings
+	cfg berylcall.Settings
 }
 
 var _ beryllatch.ObjectStore = (*Client)(nil)
 
-// New returns a client of the object store.
-func New(opts ...Option) *Client {
-	cfg := defaults()
-	for _, o := range opts {
-		o(&cfg)
-	}
+// New returns a client of the object store; the default endpoint is http://127.0.0.1:8001, and the default time limit 10 s.
+func New(opts ...berylcall.Option) *Client {
+	cfg := berylcall.NewSettings("http://127.0.0.1:8001", 10*time.Second, transport, opts...)
 	return &Client{cfg: cfg, api: s3.New(s3.Options{
-		BaseEndpoint:               aws.String(cfg.endpoint),
-		Region:                     cfg.region,
-		Credentials:                cfg.credentials,
-		HTTPClient:                 cfg.client,
+		BaseEndpoint:               aws.String(cfg.Endpoint),
+		Region:                     cfg.Region,
+		Credentials:                cfg.Credentials,
+		HTTPClient:                 cfg.HTTPClient,
 		Retryer:                    aws.NopRetryer{},
 		UsePathStyle:               true,
 		RequestChecksumCalculation: aws.RequestChecksumCalculationWhenRequired,
@@ -41,6 +39,11 @@
 	})}
 }
 
+func transport(t *http.Transport) http.RoundTripper {
+	t.MaxIdleConnsPerHost = 16
+	return t
+}
+
 // NotFoundError reports an object that the store doesn't have.
 type NotFoundError struct{ Name string }
 
@@ -50,10 +53,10 @@
 // Put stores size bytes under the name; an error is *beryllatch.UnavailableError or *beryllatch.UnknownOutcomeError.
 func (c *Client) Put(ctx context.Context, name string, r io.Reader, size int64) error {
 	probe := &berylconn.Probe{}
-	ctx, cancel := context.WithTimeout(probe.Attach(ctx), c.cfg.timeout)
+	ctx, cancel := context.WithTimeout(probe.Attach(ctx), c.cfg.Timeout)
 	defer cancel()
 	_, err := c.api.PutObject(ctx, &s3.PutObjectInput{
-		Bucket:        aws.String(c.cfg.bucket),
+		Bucket:        aws.String(c.cfg.Name),
 		Key:           aws.String(name),
 		Body:          r,
 		ContentLength: aws.Int64(size),
@@ -66,8 +69,8 @@
 
 // Get opens the named object; the caller closes it. An error is *NotFoundError or *beryllatch.UnavailableError.
 func (c *Client) Get(ctx context.Context, name string) (io.ReadCloser, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.cfg.timeout)
-	out, err := c.api.GetObject(ctx, &s3.GetObjectInput{Bucket: aws.String(c.cfg.bucket), Key: aws.String(name)})
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
+	out, err := c.api.GetObject(ctx, &s3.GetObjectInput{Bucket: aws.String(c.cfg.Name), Key: aws.String(name)})
 	if err != nil {
 		cancel()
 		if berylcall.Status(err) == http.StatusNotFound {
@@ -82,9 +85,9 @@
 // *beryllatch.UnknownOutcomeError.
 func (c *Client) Delete(ctx context.Context, name string) error {
 	probe := &berylconn.Probe{}
-	ctx, cancel := context.WithTimeout(probe.Attach(ctx), c.cfg.timeout)
+	ctx, cancel := context.WithTimeout(probe.Attach(ctx), c.cfg.Timeout)
 	defer cancel()
-	_, err := c.api.DeleteObject(ctx, &s3.DeleteObjectInput{Bucket: aws.String(c.cfg.bucket), Key: aws.String(name)})
+	_, err := c.api.DeleteObject(ctx, &s3.DeleteObjectInput{Bucket: aws.String(c.cfg.Name), Key: aws.String(name)})
 	if err == nil || berylcall.Status(err) == http.StatusNotFound {
 		return nil
 	}
--- a/internal/platform/berylobject/client_test.go
+++ b/internal/platform/berylobject/client_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"testing"
 
+	"github.com/beryllatch/beryllatch/internal/platform/berylcall"
+
 	"gotest.tools/v3/assert"
 
 	"github.com/beryllatch/beryllatch"
@@ -19,7 +21,7 @@
 	g, err := p.Listen(t.Context(), berylplatform.ServiceObjects, "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = g.Close() })
-	return berylobject.New(berylobject.WithEndpoint("http://" + g.Address()))
+	return berylobject.New(berylcall.WithEndpoint("http://" + g.Address()))
 }
 
 // Guards against a payload that comes back changed, and against a stream that is refused since it cannot be rewound.
--- a/internal/platform/beryltable/client.go
+++ b/internal/platform/beryltable/client.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
+	"time"
 
 	"github.com/aws/aws-sdk-go-v2/aws"
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb"
@@ -10,37 +12,40 @@
 
 	"github.com/beryllatch/beryllatch"
 	"github.com/beryllatch/beryllatch/internal/common/berylconn"
+	"github.com/beryllatch/beryllatch/internal/platform/berylcall"
 )
 
 // Client is a beryllatch.Table; it never repeats a call by itself.
 type Client struct {
 	api *dynamodb.Client
-	cfg settings
+	cfg berylcall.Settings
 }
 
 var _ beryllatch.Table = (*Client)(nil)
 
-// New returns a client of the table service.
-func New(opts ...Option) *Client {
-	cfg := defaults()
-	for _, o := range opts {
-		o(&cfg)
-	}
+// New returns a client of the table service; the default endpoint is http://127.0.0.1:8000, and the default time limit 2 s.
+func New(opts ...berylcall.Option) *Client {
+	cfg := berylcall.NewSettings("http://127.0.0.1:8000", 2*time.Second, transport, opts...)
 	return &Client{cfg: cfg, api: dynamodb.New(dynamodb.Options{
-		BaseEndpoint: aws.String(cfg.endpoint),
-		Region:       cfg.region,
-		Credentials:  cfg.credentials,
-		HTTPClient:   cfg.client,
+		BaseEndpoint: aws.String(cfg.Endpoint),
+		Region:       cfg.Region,
+		Credentials:  cfg.Credentials,
+		HTTPClient:   cfg.HTTPClient,
 		Retryer:      aws.NopRetryer{},
 	})}
 }
 
+func transport(t *http.Transport) http.RoundTripper {
+	t.MaxIdleConnsPerHost = 32
+	return berylcall.OwnBody{Next: t}
+}
+
 // Get returns the row by a consistent read; a missing row has Version 0.
 func (c *Client) Get(ctx context.Context, k beryllatch.RowKey) (beryllatch.Row, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.cfg.timeout)
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
 	defer cancel()
 	out, err := c.api.GetItem(ctx, &dynamodb.GetItemInput{
-		TableName:      aws.String(c.cfg.table),
+		TableName:      aws.String(c.cfg.Name),
 		Key:            encodeKey(k),
 		ConsistentRead: aws.Bool(true),
 	})
@@ -55,10 +60,10 @@
 
 // Query returns up to limit rows of a partition whose sort key is greater than after; limit 0 means all of them.
 func (c *Client) Query(ctx context.Context, partition, after string, limit int) ([]beryllatch.Row, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.cfg.timeout)
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
 	defer cancel()
 	in := &dynamodb.QueryInput{
-		TableName:                 aws.String(c.cfg.table),
+		TableName:                 aws.String(c.cfg.Name),
 		ConsistentRead:            aws.Bool(true),
 		KeyConditionExpression:    aws.String("pk = :p"),
 		ExpressionAttributeValues: map[string]types.AttributeValue{":p": &types.AttributeValueMemberS{Value: partition}},
@@ -108,7 +113,7 @@
 		items[i] = c.encodeWrite(w)
 	}
 	probe := &berylconn.Probe{}
-	ctx, cancel := context.WithTimeout(probe.Attach(ctx), c.cfg.timeout)
+	ctx, cancel := context.WithTimeout(probe.Attach(ctx), c.cfg.Timeout)
 	defer cancel()
 	_, err := c.api.TransactWriteItems(ctx, &dynamodb.TransactWriteItemsInput{TransactItems: items})
 	if err != nil {
@@ -118,7 +123,7 @@
 }
 
 func (c *Client) encodeWrite(w beryllatch.RowWrite) types.TransactWriteItem {
-	table, cond, values := aws.String(c.cfg.table), aws.String("attribute_not_exists(pk)"), map[string]types.AttributeValue(nil)
+	table, cond, values := aws.String(c.cfg.Name), aws.String("attribute_not_exists(pk)"), map[string]types.AttributeValue(nil)
 	if w.Expect > 0 {
 		cond = aws.String("ver = :v")
 		values = map[string]types.AttributeValue{":v": number(w.Expect)}
--- a/internal/platform/beryltable/client_test.go
+++ b/internal/platform/beryltable/client_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/beryllatch/beryllatch/internal/platform/berylcall"
+
 	"gotest.tools/v3/assert"
 
 	"github.com/beryllatch/beryllatch"
@@ -20,7 +22,7 @@
 	g, err := p.Listen(t.Context(), berylplatform.ServiceTable, "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = g.Close() })
-	return beryltable.New(beryltable.WithEndpoint("http://" + g.Address()))
+	return beryltable.New(berylcall.WithEndpoint("http://" + g.Address()))
 }
 
 func key(sort string) beryllatch.RowKey { return beryllatch.RowKey{Partition: "p", Sort: sort} }
@@ -122,7 +124,7 @@
 
 // Guards against a call that the service would refuse only after a transfer, or with an unclear error.
 func TestTransactLimits(t *testing.T) {
-	c := beryltable.New(beryltable.WithEndpoint("http://127.0.0.1:1"))
+	c := beryltable.New(berylcall.WithEndpoint("http://127.0.0.1:1"))
 	err := c.Transact(t.Context(), write("a", strings.Repeat("x", beryltable.MaxItemBytes), 0))
 	large, ok := errors.AsType[*beryltable.ItemTooLargeError](err)
 	assert.Assert(t, ok, "got %v", err)
--- a/internal/platform/beryltable/errors_test.go
+++ b/internal/platform/beryltable/errors_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"github.com/beryllatch/beryllatch/internal/platform/berylcall"
+
 	"gotest.tools/v3/assert"
 
 	"github.com/beryllatch/beryllatch"
@@ -73,7 +75,7 @@
 		_, _ = io.WriteString(w, `{}`)
 	}))
 	defer srv.Close()
-	c := beryltable.New(beryltable.WithEndpoint(srv.URL))
+	c := beryltable.New(berylcall.WithEndpoint(srv.URL))
 	assert.NilError(t, c.Transact(t.Context(), write("a", "v", 0)))
 	assert.Equal(t, outcome(c.Transact(t.Context(), write("b", "v", 0))), "unknown")
 }
@@ -136,7 +138,7 @@
 				tc.handler(w, r)
 			}))
 			defer srv.Close()
-			c := beryltable.New(beryltable.WithEndpoint(srv.URL))
+			c := beryltable.New(berylcall.WithEndpoint(srv.URL))
 			assert.Equal(t, outcome(c.Transact(t.Context(), write("a", "v", 0))), tc.want)
 			// The client itself repeats nothing.
 			assert.Equal(t, calls.Load(), int32(1))
@@ -154,7 +156,7 @@
 	}))
 	defer srv.Close()
 	defer close(release)
-	c := beryltable.New(beryltable.WithEndpoint(srv.URL))
+	c := beryltable.New(berylcall.WithEndpoint(srv.URL))
 	assert.Equal(t, outcome(c.Transact(ctx, write("a", "v", 0))), "unknown")
 }
 
@@ -164,7 +166,7 @@
 	srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release }))
 	defer srv.Close()
 	defer close(release)
-	c := beryltable.New(beryltable.WithEndpoint(srv.URL), beryltable.WithTimeout(20*time.Millisecond))
+	c := beryltable.New(berylcall.WithEndpoint(srv.URL), berylcall.WithTimeout(20*time.Millisecond))
 	_, err := c.Get(t.Context(), key("a"))
 	assert.Equal(t, outcome(err), "unavailable")
 	_, err = c.Query(t.Context(), "p", "", 1)
@@ -175,6 +177,6 @@
 func TestUncountedClient(t *testing.T) {
 	srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
 	defer srv.Close()
-	c := beryltable.New(beryltable.WithEndpoint(srv.URL), beryltable.WithHTTPClient(&http.Client{}))
+	c := beryltable.New(berylcall.WithEndpoint(srv.URL), berylcall.WithHTTPClient(&http.Client{}))
 	assert.Equal(t, outcome(c.Transact(t.Context(), write("a", "v", 0))), "unknown")
 }
