Show parts of answers taken for whole ones without the checks

Cause: the tests of cut answers had no counterpart without the checks, and did not go from a worker to a caller.

Test-only switches of the worker client and of the callers' handler take a cut for the end.

Conclusion: no fault found in the product.

--- a/internal/bench/berylprove/promise.go
+++ b/internal/bench/berylprove/promise.go
@@ -109,11 +109,14 @@
 			Seeds:  "1 of the stand-ins",
 			Holds: join(
 				tests(pkgCaller, "TestCutAnswer"),
-				tests(pkgWorker, "TestExecuteCrossedAnswers", "TestExecuteAfterDoubledAnswer", "TestExecuteUnderWorkerFaults"),
+				tests(pkgWorker, "TestCutAnswerIsNoAnswer", "TestExecuteCrossedAnswers", "TestExecuteAfterDoubledAnswer",
+					"TestExecuteUnderWorkerFaults"),
 				tests(pkgProof, "TestWorkerAnswers"),
 			),
-			Breaks: tests(pkgWorker, "TestCrossedAnswersNeedTheCheck"),
-			Gap:    "cut answers are not shown failing first",
+			Breaks: join(
+				tests(pkgWorker, "TestCrossedAnswersNeedTheCheck", "TestCutAnswersNeedTheCheck"),
+				tests(pkgCaller, "TestCutAnswerNeedsTheCheck"),
+			),
 		},
 		{
 			Text:   "a refusal that says \"not run\" is true",
--- a/internal/node/berylcaller/attempt.go
+++ b/internal/node/berylcaller/attempt.go
@@ -85,7 +85,7 @@
 // receive buffers a small answer whole; a larger one is passed on as it arrives.
 func (x *exchange) receive(resp *http.Response) error {
 	head, err := io.ReadAll(io.LimitReader(resp.Body, answerLimit+1))
-	if err != nil {
+	if err != nil && !x.h.ignoreCuts {
 		return err
 	}
 	if len(head) <= answerLimit {
@@ -101,6 +101,9 @@
 	// A failed write means that the caller has gone; the answer is read to its end all the same.
 	_, _ = x.w.Write(head)
 	_, err = io.Copy(&lenientWriter{w: x.w}, resp.Body)
+	if x.h.ignoreCuts {
+		return nil
+	}
 	return err
 }
 
--- a/internal/node/berylcaller/handler.go
+++ b/internal/node/berylcaller/handler.go
@@ -27,6 +27,8 @@
 type Handler struct {
 	Node     Node
 	Upstream beryllatch.Upstream
+	// ignoreCuts takes an answer that breaks off for a whole one; only tests set it.
+	ignoreCuts bool
 }
 
 // Register adds the routes of the handler to a router.
--- a/internal/node/berylcaller/handler_test.go
+++ b/internal/node/berylcaller/handler_test.go
@@ -102,10 +102,15 @@
 }
 
 func serve(t *testing.T, n *fakeNode, u fakeUpstream) *httptest.Server {
+	t.Helper()
+	return serveBy(t, n, &Handler{Node: n, Upstream: u})
+}
+
+func serveBy(t *testing.T, n *fakeNode, h *Handler) *httptest.Server {
 	t.Helper()
 	n.effects = map[string]chan berylreducer.Effect{}
 	r := mux.NewRouter()
-	(&Handler{Node: n, Upstream: u}).Register(r)
+	h.Register(r)
 	srv := httptest.NewServer(r)
 	t.Cleanup(srv.Close)
 	return srv
@@ -150,6 +155,20 @@
 	})
 }
 
+// Guards against a test of cut answers that holds without the handler's regard to the error of a cut.
+func TestCutAnswerNeedsTheCheck(t *testing.T) {
+	for _, size := range []int{100, 2 << 20} {
+		n := &fakeNode{}
+		srv := serveBy(t, n, &Handler{Node: n, ignoreCuts: true, Upstream: fakeUpstream(func([]byte) (*http.Response, error) {
+			return respond(&cutReader{n: size}, -1), nil
+		})})
+		status, b, err := post(t, srv, nil)
+		assert.NilError(t, err)
+		assert.Equal(t, status, http.StatusOK)
+		assert.Equal(t, len(b), size, "the part looks whole to the caller")
+	}
+}
+
 // Guards against a second attempt that sends an empty or partial body.
 func TestRetrySendsWholeBody(t *testing.T) {
 	body := bytes.Repeat([]byte("x"), replayLimit)
--- a/internal/upstream/berylworker/exchange.go
+++ b/internal/upstream/berylworker/exchange.go
@@ -59,7 +59,7 @@
 		end()
 		return nil, err
 	}
-	if err := check(resp, x.id); err != nil && !c.cfg.anyAnswer {
+	if err := c.check(resp, x.id); err != nil && !c.cfg.anyAnswer {
 		// The connection may still carry the answer of another execution.
 		probe.Close()
 		_ = resp.Body.Close()
@@ -72,7 +72,7 @@
 			Outcome: beryllatch.OutcomeRefused, Reason: beryllatch.ReasonWorkerRefused, Err: statusError(resp),
 		}
 	}
-	resp.Body = &answer{ReadCloser: resp.Body, end: end}
+	resp.Body = &answer{ReadCloser: resp.Body, end: end, cutIsEnd: c.cfg.cutIsEnd}
 	return resp, nil
 }
 
@@ -142,14 +142,14 @@
 	return e
 }
 
-func check(resp *http.Response, id string) error {
+func (c *Client) check(resp *http.Response, id string) error {
 	if got := resp.Header.Get(HeaderExecutionID); got != id {
 		return &beryllatch.ExecutionError{
 			Outcome: beryllatch.OutcomeUnknown, Reason: beryllatch.ReasonAnswerMismatch,
 			Err: &MismatchError{Want: id, Got: got},
 		}
 	}
-	framed := resp.ContentLength >= 0 || slices.Contains(resp.TransferEncoding, "chunked")
+	framed := resp.ContentLength >= 0 || slices.Contains(resp.TransferEncoding, "chunked") || c.cfg.cutIsEnd
 	if !framed || resp.StatusCode < http.StatusOK {
 		return &beryllatch.ExecutionError{
 			Outcome: beryllatch.OutcomeUnknown, Reason: beryllatch.ReasonAnswerLost, Err: ErrUnframed,
@@ -161,7 +161,8 @@
 // answer reports a body that was cut short as an unknown outcome.
 type answer struct {
 	io.ReadCloser
-	end func()
+	end      func()
+	cutIsEnd bool
 }
 
 // Read returns an *beryllatch.ExecutionError for anything but the end of the answer.
@@ -170,6 +171,9 @@
 	if err == nil || err == io.EOF { //nolint:errorlint // A reader's end is io.EOF itself; a wrapped one is a failure.
 		return n, err
 	}
+	if a.cutIsEnd {
+		return n, io.EOF
+	}
 	return n, &beryllatch.ExecutionError{
 		Outcome: beryllatch.OutcomeUnknown, Reason: beryllatch.ReasonAnswerLost, Err: err,
 	}
--- a/internal/upstream/berylworker/options.go
+++ b/internal/upstream/berylworker/options.go
@@ -22,6 +22,8 @@
 	anyAnswer bool
 	// errorsNotSent takes every failed exchange for one that sent nothing; only tests set it.
 	errorsNotSent bool
+	// cutIsEnd takes an answer that breaks off for a whole one; only tests set it.
+	cutIsEnd bool
 }
 
 // WithMaxConns bounds the connections to one worker; 0, the default, means no bound.
