Ask workers about executions whose answers are lost

Cause: an execution whose answer was lost held its unit of the team's ceiling until its lease expired. Under workers that lose, cut or cross a third of their answers, a ceiling of 8 was soon used up by executions that had long ended, and nearly every later request was refused as deadline_unreachable.

Ruled out: shorter leases (they would stop work that takes long); giving the unit back at once (the execution may still run, and the ceiling could break); taking the worker's reported number of running executions (it lags, and doesn't say which).

Change: a new call of the worker protocol, settle. The worker says whether the execution runs or has ended; one that it has not started it refuses from then on. The daemon gives the unit back when the execution has ended, and treats one that won't start as not run: it is retried within the budget or refused as not_run. A worker that may have forgotten the execution, by a boot or past its lease, says so, and nothing is concluded.

Conclusion: lost answers no longer take capacity away for longer than the work itself.

--- a/internal/decision/berylreducer/event.go
+++ b/internal/decision/berylreducer/event.go
@@ -216,6 +216,12 @@
 // ConfigCommitted reports that this node has committed a configuration version and must learn when it is in force.
 type ConfigCommitted struct{ Version uint64 }
 
+// ExecutionStopped reports that an execution whose outcome is unknown surely runs no more.
+type ExecutionStopped struct {
+	ID      string
+	Attempt int
+}
+
 // StopRequested starts a graceful shutdown.
 type StopRequested struct{}
 
@@ -231,6 +237,7 @@
 func (RequestArrived) event()   {}
 func (RequestAbandoned) event() {}
 func (ExecutionEnded) event()   {}
+func (ExecutionStopped) event() {}
 func (UnitsRead) event()        {}
 func (UnitsWritten) event()     {}
 func (UnitsAsked) event()       {}
--- a/internal/decision/berylreducer/linger.go
+++ b/internal/decision/berylreducer/linger.go
@@ -5,11 +5,18 @@
 // skewAllowance is the largest difference between the clocks of a node and a worker that leases allow for.
 const skewAllowance = 500 * time.Millisecond
 
-// lingering is an execution that may still run at its worker although its answer is lost. It keeps its unit until its
-// lease has surely expired, since otherwise the team could exceed its ceiling. It keeps no place on the worker, which
+// attemptID names one attempt of a request.
+type attemptID struct {
+	request string
+	attempt int
+}
+
+// lingering is an execution that may still run at its worker although its answer is lost. It keeps its unit until the
+// worker says that it runs no more or its lease has surely expired, since otherwise the team could exceed its ceiling. It keeps no place on the worker, which
 // refuses what exceeds its slots: places kept until the lease ends halved the capacity of an overloaded pool, which then
 // stayed overloaded.
 type lingering struct {
+	id       attemptID
 	team     string
 	pool     *poolState
 	share    *queueTeam
@@ -30,10 +37,12 @@
 
 func (r *Reducer) linger(q *request) {
 	r.sequence++
-	r.lingering.add(&lingering{
-		team: q.team, pool: q.pool, share: q.share,
+	l := &lingering{
+		id: attemptID{q.ID, q.attempt}, team: q.team, pool: q.pool, share: q.share,
 		until: q.deadline.Mono + skewAllowance, sequence: r.sequence,
-	})
+	}
+	r.lingering.add(l)
+	r.lingeringByID[l.id] = l
 }
 
 // tickLingering gives back what executions held whose leases have expired.
@@ -43,7 +52,20 @@
 		if !ok || r.now.Mono < l.until {
 			return
 		}
-		r.lingering.remove(l)
-		r.giveBack(l.team, l.pool, l.share)
+		r.endLingering(l)
+	}
+}
+
+// executionStopped gives back what an execution held, ahead of its lease's expiry.
+func (r *Reducer) executionStopped(e ExecutionStopped) {
+	if l := r.lingeringByID[attemptID{e.ID, e.Attempt}]; l != nil {
+		r.endLingering(l)
+		r.dispatchWaiting()
 	}
 }
+
+func (r *Reducer) endLingering(l *lingering) {
+	r.lingering.remove(l)
+	delete(r.lingeringByID, l.id)
+	r.giveBack(l.team, l.pool, l.share)
+}
--- a/internal/decision/berylreducer/reducer.go
+++ b/internal/decision/berylreducer/reducer.go
@@ -74,6 +74,8 @@
 		r.requestAbandoned(e)
 	case ExecutionEnded:
 		r.executionEnded(e)
+	case ExecutionStopped:
+		r.executionStopped(e)
 	case UnitsRead:
 		r.unitsRead(e)
 	case UnitsReadFailed:
--- a/internal/decision/berylreducer/request_property_test.go
+++ b/internal/decision/berylreducer/request_property_test.go
@@ -86,7 +86,7 @@
 		m.t.Errorf("%s started on %s, which is out of service", d.ID, d.Instance)
 	}
 	for _, a := range q.attempts {
-		safe := a.outcome == beryllatch.OutcomeNotSent || a.outcome == beryllatch.OutcomeRefused
+		safe := a.hasNotRun()
 		if !a.ended || !safe && !q.e.Idempotent {
 			m.t.Errorf("%s was sent again after an attempt with outcome %q", d.ID, a.outcome)
 		}
@@ -140,7 +140,7 @@
 	q := m.byID[x.ID]
 	q.answers++
 	for _, a := range q.attempts {
-		safe := a.ended && (a.outcome == beryllatch.OutcomeNotSent || a.outcome == beryllatch.OutcomeRefused)
+		safe := a.ended && a.hasNotRun()
 		if x.Refusal.RunState == beryllatch.RunStateNotRun && !safe {
 			m.t.Errorf("%s is not_run after an attempt with outcome %q", x.ID, a.outcome)
 		}
@@ -202,6 +202,34 @@
 	return out
 }
 
+// hasNotRun reports whether nothing of the attempt has reached a worker or the worker said that it has not run.
+func (a *modelAttempt) hasNotRun() bool {
+	switch a.outcome {
+	case beryllatch.OutcomeNotSent, beryllatch.OutcomeRefused, beryllatch.OutcomeWithdrawn:
+		return true
+	default:
+		return false
+	}
+}
+
+// stopLost ends one execution whose answer was lost, ahead of its lease.
+func (m *requestModel) stopLost(t *rapid.T) {
+	var running []*modelAttempt
+	for _, q := range m.requests {
+		for _, a := range q.attempts {
+			if a.ended && m.now.Mono < a.busyUntil {
+				running = append(running, a)
+			}
+		}
+	}
+	if len(running) == 0 {
+		t.Skip("no lost execution runs")
+	}
+	a := rapid.SampledFrom(running).Draw(t, "lost")
+	a.busyUntil = m.now.Mono
+	m.reduce(ExecutionStopped{ID: a.d.ID, Attempt: a.d.Attempt})
+}
+
 func (m *requestModel) end(a *modelAttempt, outcome beryllatch.ExecutionOutcome, failed, replayable bool) {
 	a.ended, a.outcome = true, outcome
 	e := ExecutionEnded{
@@ -214,6 +242,8 @@
 		a.busyUntil = a.d.AnswerBy.Mono
 	case beryllatch.OutcomeRefused:
 		e.Reason = beryllatch.ReasonWorkerRefused
+	case beryllatch.OutcomeWithdrawn:
+		e.Reason = beryllatch.ReasonAnswerLost
 	case beryllatch.OutcomeNotSent:
 		e.Reason = beryllatch.ReasonWorkerUnreachable
 	case beryllatch.OutcomeAnswered:
@@ -253,7 +283,7 @@
 	m.end(open[rapid.IntRange(0, len(open)-1).Draw(t, "attempt")],
 		rapid.SampledFrom([]beryllatch.ExecutionOutcome{
 			beryllatch.OutcomeAnswered, beryllatch.OutcomeAnswered, beryllatch.OutcomeUnknown,
-			beryllatch.OutcomeRefused, beryllatch.OutcomeNotSent,
+			beryllatch.OutcomeRefused, beryllatch.OutcomeNotSent, beryllatch.OutcomeWithdrawn,
 		}).Draw(t, "outcome"), rapid.Bool().Draw(t, "failed"), rapid.Bool().Draw(t, "replayable"))
 }
 
@@ -315,6 +345,7 @@
 			"arrive":      m.arrive,
 			"arrive more": m.arrive,
 			"end":         m.endOne,
+			"stop lost":   m.stopLost,
 			"abandon": func(t *rapid.T) {
 				if len(m.requests) == 0 {
 					t.Skip("no request")
--- a/internal/decision/berylreducer/request_session_test.go
+++ b/internal/decision/berylreducer/request_session_test.go
@@ -48,6 +48,38 @@
 	s.golden(t, "unknown_outcome")
 }
 
+// Guards against units that stay in use until the lease ends although the worker has said what became of the execution,
+// against a second return of such a unit, and against a caller that is told "unknown" about work that won't start.
+func TestSettledOutcome(t *testing.T) {
+	s, p := newSession(), newFakePlatform()
+	s.start(sampleConfig())
+	inUse := func(want int) {
+		t.Helper()
+		if n := s.r.units["red"].running; n != want {
+			t.Errorf("%d units in use, want %d", n, want)
+		}
+	}
+	s.run(p, arrival("running"))
+	s.run(p, lost("running", 1))
+	inUse(1)
+	s.run(p, ExecutionStopped{ID: "running", Attempt: 2})
+	inUse(1)
+	s.run(p, ExecutionStopped{ID: "running", Attempt: 1})
+	inUse(0)
+	s.run(p, ExecutionStopped{ID: "running", Attempt: 1})
+	inUse(0)
+	s.run(p, arrival("unseen"))
+	e := lost("unseen", 1)
+	e.Outcome = beryllatch.OutcomeWithdrawn
+	s.run(p, e)
+	s.run(p, refusedBy("unseen", 2))
+	s.run(p, answered("unseen", 3))
+	inUse(0)
+	s.runTicks(p, 60)
+	inUse(0)
+	s.golden(t, "settled_outcome")
+}
+
 // Guards against a worker that fails everything and keeps its share of the work, and against one that never returns.
 func TestBreakerSession(t *testing.T) {
 	s, p := newSession(), newFakePlatform()
--- a/internal/decision/berylreducer/request_state.go
+++ b/internal/decision/berylreducer/request_state.go
@@ -19,9 +19,11 @@
 	// placedFor is the number of nodes for which the workers' limits hold.
 	placedFor int
 	lingering *priorityQueue[*lingering]
-	runTimes  map[runTimeClass]*runTime
-	budget    retryBudget
-	jobs      jobScores
+	// lingeringByID holds the same executions.
+	lingeringByID map[attemptID]*lingering
+	runTimes      map[runTimeClass]*runTime
+	budget        retryBudget
+	jobs          jobScores
 	// claims holds the claims that this node wants or owns, by request.
 	claims map[string]*claim
 	// acquiring holds the claims that requests wait for.
@@ -42,18 +44,19 @@
 		slots = defaultSlots
 	}
 	return requestState{
-		requests:  map[string]*request{},
-		pools:     map[string]*poolState{},
-		blocked:   map[string][]blockedTeam{},
-		lingering: newLingerQueue(),
-		runTimes:  map[runTimeClass]*runTime{},
-		budget:    newRetryBudget(),
-		jobs:      jobScores{byFingerprint: map[string]*jobScore{}},
-		claims:    map[string]*claim{},
-		acquiring: newAcquiringQueue(),
-		claiming:  map[string]int{},
-		absent:    map[string]time.Duration{},
-		placedFor: 1,
-		slots:     slots,
+		requests:      map[string]*request{},
+		pools:         map[string]*poolState{},
+		blocked:       map[string][]blockedTeam{},
+		lingering:     newLingerQueue(),
+		lingeringByID: map[attemptID]*lingering{},
+		runTimes:      map[runTimeClass]*runTime{},
+		budget:        newRetryBudget(),
+		jobs:          jobScores{byFingerprint: map[string]*jobScore{}},
+		claims:        map[string]*claim{},
+		acquiring:     newAcquiringQueue(),
+		claiming:      map[string]int{},
+		absent:        map[string]time.Duration{},
+		placedFor:     1,
+		slots:         slots,
 	}
 }
--- a/internal/decision/berylreducer/retry.go
+++ b/internal/decision/berylreducer/retry.go
@@ -26,8 +26,17 @@
 	if !e.Replayable || q.abandoned || q.failures >= maxFailures || r.late(q) || q.jobFailures >= jobWorkers {
 		return false
 	}
-	safe := q.Idempotent || e.Outcome == beryllatch.OutcomeNotSent || e.Outcome == beryllatch.OutcomeRefused
-	return safe && r.allowed(q)
+	return (q.Idempotent || notRun(e.Outcome)) && r.allowed(q)
+}
+
+// notRun reports whether the attempt surely has not run and will not.
+func notRun(o beryllatch.ExecutionOutcome) bool {
+	switch o {
+	case beryllatch.OutcomeNotSent, beryllatch.OutcomeRefused, beryllatch.OutcomeWithdrawn:
+		return true
+	default:
+		return false
+	}
 }
 
 // freeRetry reports whether the retry needs no token: a refusal costs a worker almost nothing, and the refusing worker
--- a/internal/node/berylcaller/attempt.go
+++ b/internal/node/berylcaller/attempt.go
@@ -30,13 +30,22 @@
 	_, _ = w.Write(a.body)
 }
 
-// attempt sends the request to the worker and returns the event that ends the attempt.
-func (x *exchange) attempt(ctx context.Context, e berylreducer.Dispatch) berylreducer.ExecutionEnded {
-	start := time.Now()
-	ended := berylreducer.ExecutionEnded{ID: e.ID, Attempt: e.Attempt, Outcome: beryllatch.OutcomeAnswered}
+// attempt sends the request to the worker and posts the end of the attempt.
+func (x *exchange) attempt(ctx context.Context, e berylreducer.Dispatch) {
 	// The caller's departure must not cut an execution, whose outcome would then be unknown.
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), e.AnswerBy.Wall)
 	defer cancel()
+	start := time.Now()
+	ended := x.send(ctx, e, start)
+	if ended.Outcome != beryllatch.OutcomeUnknown {
+		x.h.Node.Post(ended)
+		return
+	}
+	x.h.settle(ctx, e.Execution, start, ended)
+}
+
+func (x *exchange) send(ctx context.Context, e berylreducer.Dispatch, start time.Time) berylreducer.ExecutionEnded {
+	ended := berylreducer.ExecutionEnded{ID: e.ID, Attempt: e.Attempt, Outcome: beryllatch.OutcomeAnswered}
 	err := x.execute(ctx, e.Execution)
 	ended.Duration = time.Since(start)
 	ended.Replayable = x.in.body.replayable() && !x.committed
--- a/internal/node/berylcaller/handler.go
+++ b/internal/node/berylcaller/handler.go
@@ -87,7 +87,7 @@
 func (x *exchange) apply(ctx context.Context, e berylreducer.Effect) bool {
 	switch e := e.(type) {
 	case berylreducer.Dispatch:
-		x.h.Node.Post(x.attempt(ctx, e))
+		x.attempt(ctx, e)
 		return false
 	case berylreducer.Finish:
 		x.finish()
--- a/internal/node/berylcaller/handler_test.go
+++ b/internal/node/berylcaller/handler_test.go
@@ -26,6 +26,7 @@
 	mu      sync.Mutex
 	effects map[string]chan berylreducer.Effect
 	ended   []berylreducer.ExecutionEnded
+	stopped []berylreducer.ExecutionStopped
 	retries int
 }
 
@@ -41,6 +42,9 @@
 func (n *fakeNode) Post(e berylreducer.Event) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if x, ok := e.(berylreducer.ExecutionStopped); ok {
+		n.stopped = append(n.stopped, x)
+	}
 	x, ok := e.(berylreducer.ExecutionEnded)
 	if !ok {
 		return
@@ -83,6 +87,10 @@
 	return f(b)
 }
 
+func (f fakeUpstream) Settle(context.Context, beryllatch.Execution, time.Time) (beryllatch.ExecutionState, error) {
+	return beryllatch.ExecutionEnded, nil
+}
+
 func respond(body io.Reader, length int64) *http.Response {
 	return &http.Response{
 		StatusCode: http.StatusOK, ContentLength: length, Body: io.NopCloser(body), Header: http.Header{},
--- a/internal/standin/berylupstream/execution.go
+++ b/internal/standin/berylupstream/execution.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/beryllatch/beryllatch"
 	"github.com/beryllatch/beryllatch/internal/upstream/berylworker"
 )
 
@@ -19,7 +20,14 @@
 	sum := sha256.Sum256(body)
 	digest := hex.EncodeToString(sum[:])
 	k.mu.Lock()
+	if fail := k.settledLocked(o); fail != nil {
+		k.running--
+		k.mu.Unlock()
+		fail.write(w)
+		return
+	}
 	start := k.startLocked(o, KindRequest, digest)
+	k.rememberLocked(o, beryllatch.ExecutionRunning)
 	k.mu.Unlock()
 	if k.hit(func(f *Faults) *Trigger { return &f.CutAfterStart }) {
 		go k.run(o, start)
@@ -85,6 +93,9 @@
 		outcome = OutcomeFailed
 	}
 	k.endLocked(s, outcome)
+	if e := k.executions[o.id]; e != nil && s.Kind == KindRequest {
+		e.state = beryllatch.ExecutionEnded
+	}
 	return outcome
 }
 
--- a/internal/standin/berylupstream/worker.go
+++ b/internal/standin/berylupstream/worker.go
@@ -26,10 +26,13 @@
 	leaving   bool
 	running   int
 	open      int
+	bootedAt  time.Time
 	tasks     map[string]*task
-	record    []*Start
-	faults    Faults
-	random    *rand.Rand
+	// executions holds what settle calls need to know about requests.
+	executions map[string]*execution
+	record     []*Start
+	faults     Faults
+	random     *rand.Rand
 	// changed is closed when the faults change.
 	changed chan struct{}
 	// waiting is the answer that waits for another one to be exchanged with.
@@ -43,11 +46,13 @@
 		o(&cfg)
 	}
 	return &Worker{
-		cfg:     cfg,
-		bootID:  uuid.NewString(),
-		tasks:   make(map[string]*task),
-		random:  rand.New(rand.NewPCG(cfg.seed, 0)),
-		changed: make(chan struct{}),
+		cfg:        cfg,
+		bootID:     uuid.NewString(),
+		bootedAt:   time.Now(),
+		tasks:      make(map[string]*task),
+		executions: make(map[string]*execution),
+		random:     rand.New(rand.NewPCG(cfg.seed, 0)),
+		changed:    make(chan struct{}),
 	}
 }
 
@@ -57,6 +62,7 @@
 	v1 := r.PathPrefix("/v1").Subrouter()
 	v1.Use(k.guard)
 	v1.HandleFunc("/executions", k.execute).Methods(http.MethodPost)
+	v1.HandleFunc("/executions/{id}/settle", k.settle).Methods(http.MethodPost)
 	v1.HandleFunc("/tasks/{id}", k.startTask).Methods(http.MethodPut)
 	v1.HandleFunc("/tasks/{id}", k.reportTask).Methods(http.MethodGet)
 	v1.HandleFunc("/tasks/{id}", k.stopTask).Methods(http.MethodDelete)
@@ -145,7 +151,8 @@
 	k.mu.Unlock()
 	time.AfterFunc(k.cfg.reboot, func() {
 		k.mu.Lock()
-		k.rebooting, k.bootID = false, uuid.NewString()
+		k.rebooting, k.bootID, k.bootedAt = false, uuid.NewString(), time.Now()
+		clear(k.executions)
 		k.mu.Unlock()
 	})
 	writeJSON(w, http.StatusAccepted, k.Report())
--- a/internal/upstream/berylworker/protocol.go
+++ b/internal/upstream/berylworker/protocol.go
@@ -11,6 +11,7 @@
 	HeaderRequestID   = "Beryllatch-Request-Id"
 	HeaderRunState    = "Beryllatch-Run-State"
 	HeaderBootID      = "Beryllatch-Boot-Id"
+	HeaderSentAt      = "Beryllatch-Sent-At"
 )
 
 // The paths of the worker protocol.
--- a/upstream.go
+++ b/upstream.go
@@ -32,14 +32,32 @@
 	OutcomeNotSent ExecutionOutcome = "not_sent"
 	// OutcomeRefused means that the worker said it has not started the execution.
 	OutcomeRefused ExecutionOutcome = "refused"
+	// OutcomeWithdrawn means that the answer was lost, and that the worker has then said that it won't start the
+	// execution.
+	OutcomeWithdrawn ExecutionOutcome = "withdrawn"
 	// OutcomeUnknown means that the execution may have run.
 	OutcomeUnknown ExecutionOutcome = "unknown"
 )
 
+// ExecutionState is what a worker says about an execution whose answer was lost.
+type ExecutionState string
+
+// The states of an execution.
+const (
+	// ExecutionUnseen means that the worker has not started the execution and never will.
+	ExecutionUnseen ExecutionState = "unseen"
+	// ExecutionRunning means that the execution runs.
+	ExecutionRunning ExecutionState = "running"
+	// ExecutionEnded means that the execution has run and runs no more.
+	ExecutionEnded ExecutionState = "ended"
+)
+
 // Upstream sends executions to workers.
 type Upstream interface {
 	// Execute sends the body and returns the worker's answer; an error is an *ExecutionError.
 	Execute(ctx context.Context, e Execution, h http.Header, body io.Reader) (*http.Response, error)
+	// Settle asks about an execution whose sending began at the given time; a worker that has not started it never will.
+	Settle(ctx context.Context, e Execution, sent time.Time) (ExecutionState, error)
 }
 
 // ExecutionError reports an execution without a whole answer.
