Start a second attempt beside a slow one for idempotent requests

Cause: a request whose worker hangs waited until its deadline, although it was marked idempotent and other workers were free. A late price check loses a sale.

Ruled out: a shorter time limit for the first attempt (work that is rightly slow would be cut and repeated); hedges of other work (it could run twice); a hedge without a unit of the ceiling or without the retry budget (an overload would feed itself).

Change: an attempt that has taken twice the learned 90th percentile of its class, and at least 100 ms, gets a second one on another worker, within the retry budget and the team's units, while no work waits in the pool. The first success is the answer. The callers' handler now runs attempts beside its loop, so that a caller's departure is noticed at once.

--- a/internal/decision/berylreducer/admission.go
+++ b/internal/decision/berylreducer/admission.go
@@ -24,10 +24,11 @@
 	deadline Instant
 	// sequence orders requests by arrival.
 	sequence uint64
-	attempt  int
-	// worker runs the present attempt; nil while the request waits.
-	worker *workerState
-	tried  []string
+	// attempt numbers the last attempt.
+	attempt int
+	// running holds the attempts that have not ended; none while the request waits, and two with a hedge.
+	running []*attempt
+	tried   []string
 	// mayHaveRun is true once an attempt has ended without proof that the worker did not start it.
 	mayHaveRun bool
 	// failures counts the attempts without an answer that no worker has refused.
@@ -177,7 +178,6 @@
 }
 
 func (r *Reducer) enqueue(q *request) {
-	q.worker = nil
 	q.cost = r.runTimeOf(q)
 	q.startBefore = r.latestStart(q)
 	q.pool.queue.add(q)
@@ -273,7 +273,7 @@
 		return
 	}
 	q.abandoned = true
-	if q.worker != nil {
+	if len(q.running) > 0 {
 		return
 	}
 	if q.waits() {
@@ -288,6 +288,7 @@
 	r.tickJobs()
 	r.tickLingering()
 	r.tickWorkers()
+	r.tickHedges()
 	r.tickClaims()
 	for _, name := range beryllatch.SortedKeys(r.pools) {
 		r.shedLate(r.pools[name])
--- a/internal/decision/berylreducer/dispatch.go
+++ b/internal/decision/berylreducer/dispatch.go
@@ -53,8 +53,10 @@
 
 // dispatch sends the next attempt of the request, which holds a unit, to the worker.
 func (r *Reducer) dispatch(q *request, w *workerState) {
-	q.worker = w
 	q.attempt++
+	a := &attempt{q: q, n: q.attempt, w: w, index: notPlaced}
+	q.running = append(q.running, a)
+	r.scheduleHedge(a)
 	q.pool.active++
 	r.active++
 	q.pool.queue.setRunning(q.share, q.share.running+1)
@@ -94,13 +96,15 @@
 
 func (r *Reducer) executionEnded(e ExecutionEnded) {
 	q := r.requests[e.ID]
-	if q == nil || q.attempt != e.Attempt || q.worker == nil {
+	a := q.attemptOf(e.Attempt)
+	if a == nil {
+		r.hedgeEnded(e)
 		return
 	}
 	wasFull := r.active >= r.slots
-	w := q.worker
-	r.endAttempt(q, e)
-	r.settle(q, w, e)
+	w := a.w
+	r.endAttempt(a, e)
+	r.settle(a, e)
 	if wasFull {
 		r.dispatchWaiting()
 		return
@@ -113,11 +117,9 @@
 }
 
 // endAttempt updates what is learned from the attempt, and gives back its unit and its place on the worker.
-func (r *Reducer) endAttempt(q *request, e ExecutionEnded) {
-	w := q.worker
-	q.worker = nil
-	q.pool.active--
-	r.active--
+func (r *Reducer) endAttempt(a *attempt, e ExecutionEnded) {
+	q, w := a.q, a.w
+	r.releaseAttempt(a)
 	started := e.Outcome == beryllatch.OutcomeAnswered || e.Outcome == beryllatch.OutcomeUnknown
 	if started {
 		r.learnRunTime(q, e, e.Outcome == beryllatch.OutcomeAnswered && !e.Failed)
@@ -127,11 +129,10 @@
 		q.failures++
 	}
 	if e.Outcome == beryllatch.OutcomeUnknown {
-		r.linger(q)
+		r.linger(a)
 	} else {
 		r.giveBack(q.team, q.pool, q.share)
 	}
-	r.vacate(w)
 	r.scoreWorker(w, q, e)
 	r.scoreJob(q, w, e)
 	q.tried = append(q.tried, w.inst.ID)
@@ -144,8 +145,12 @@
 }
 
 // settle answers the request or queues it for another attempt.
-func (r *Reducer) settle(q *request, w *workerState, e ExecutionEnded) {
+func (r *Reducer) settle(a *attempt, e ExecutionEnded) {
+	q := a.q
 	wanted := e.Outcome != beryllatch.OutcomeAnswered || e.Failed
+	if wanted && len(q.running) > 0 {
+		return // The other attempt decides.
+	}
 	if wanted && r.mayRetry(q, e) {
 		if r.freeRetry(q, e) || r.budget.take(r.now.Mono) {
 			r.count("retry." + string(retryReason(e)))
@@ -161,17 +166,19 @@
 		}
 	}
 	if e.Outcome == beryllatch.OutcomeAnswered {
-		r.finish(q, w)
+		r.finish(a)
 		return
 	}
 	r.refuseRequest(q, r.outcomeRefusal(q, e))
 }
 
-func (r *Reducer) finish(q *request, w *workerState) {
+func (r *Reducer) finish(a *attempt) {
+	q := a.q
 	r.end(q)
+	r.leaveHedge(a)
 	if q.claim != nil {
-		q.claim.row.Instance = w.inst.ID
-		q.claim.row.ExecutionID = q.ID + "." + strconv.Itoa(q.attempt)
+		q.claim.row.Instance = a.w.inst.ID
+		q.claim.row.ExecutionID = q.ID + "." + strconv.Itoa(a.n)
 	}
 	r.endClaim(q, true)
 	r.emit(Finish{ID: q.ID})
--- a/internal/decision/berylreducer/linger.go
+++ b/internal/decision/berylreducer/linger.go
@@ -35,10 +35,11 @@
 	return newPriorityQueue(before, func(l *lingering) *int { return &l.index })
 }
 
-func (r *Reducer) linger(q *request) {
+func (r *Reducer) linger(a *attempt) {
 	r.sequence++
+	q := a.q
 	l := &lingering{
-		id: attemptID{q.ID, q.attempt}, team: q.team, pool: q.pool, share: q.share,
+		id: attemptID{q.ID, a.n}, team: q.team, pool: q.pool, share: q.share,
 		until: q.deadline.Mono + skewAllowance, sequence: r.sequence,
 	}
 	r.lingering.add(l)
--- a/internal/decision/berylreducer/request_state.go
+++ b/internal/decision/berylreducer/request_state.go
@@ -21,9 +21,11 @@
 	lingering *priorityQueue[*lingering]
 	// lingeringByID holds the same executions.
 	lingeringByID map[attemptID]*lingering
-	runTimes      map[runTimeClass]*runTime
-	budget        retryBudget
-	jobs          jobScores
+	// hedges holds the running attempts beside which a second one may start, by when.
+	hedges   *priorityQueue[*attempt]
+	runTimes map[runTimeClass]*runTime
+	budget   retryBudget
+	jobs     jobScores
 	// claims holds the claims that this node wants or owns, by request.
 	claims map[string]*claim
 	// acquiring holds the claims that requests wait for.
@@ -49,6 +51,7 @@
 		blocked:       map[string][]blockedTeam{},
 		lingering:     newLingerQueue(),
 		lingeringByID: map[attemptID]*lingering{},
+		hedges:        newHedgeQueue(),
 		runTimes:      map[runTimeClass]*runTime{},
 		budget:        newRetryBudget(),
 		jobs:          jobScores{byFingerprint: map[string]*jobScore{}},
--- a/internal/node/berylcaller/attempt.go
+++ b/internal/node/berylcaller/attempt.go
@@ -23,6 +23,9 @@
 	body   []byte
 }
 
+// failed reports whether the worker answered that the job failed.
+func (a *answer) failed() bool { return a.status >= http.StatusInternalServerError }
+
 func (a *answer) write(w http.ResponseWriter) {
 	passAnswer(w.Header(), a.header)
 	w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
@@ -30,8 +33,9 @@
 	_, _ = w.Write(a.body)
 }
 
-// attempt sends the request to the worker and posts the end of the attempt.
-func (x *exchange) attempt(ctx context.Context, e berylreducer.Dispatch) {
+// run sends the request to the worker and posts the end of the attempt. It may outlive the exchange, if another attempt
+// has answered.
+func (x *exchange) run(ctx context.Context, e berylreducer.Dispatch) {
 	// The caller's departure must not cut an execution, whose outcome would then be unknown.
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), e.AnswerBy.Wall)
 	defer cancel()
@@ -46,14 +50,14 @@
 
 func (x *exchange) send(ctx context.Context, e berylreducer.Dispatch, start time.Time) berylreducer.ExecutionEnded {
 	ended := berylreducer.ExecutionEnded{ID: e.ID, Attempt: e.Attempt, Outcome: beryllatch.OutcomeAnswered}
-	err := x.execute(ctx, e.Execution)
+	a, err := x.execute(ctx, e)
 	ended.Duration = time.Since(start)
-	ended.Replayable = x.in.body.replayable() && !x.committed
+	ended.Replayable = x.in.body.replayable() && !x.isCommitted()
 	var failed *beryllatch.ExecutionError
 	switch {
 	case err == nil:
-		x.keep()
-		ended.Failed = x.answer != nil && x.answer.status >= http.StatusInternalServerError
+		x.keep(a)
+		ended.Failed = a != nil && a.failed()
 	case errors.As(err, &failed):
 		ended.Outcome, ended.Reason = failed.Outcome, failed.Reason
 	default:
@@ -62,46 +66,48 @@
 	return ended
 }
 
-// keep hands the answer of a keyed request to the node, which stores it with the claim.
-func (x *exchange) keep() {
+// keep hands the answer of a keyed request to the node, which stores it with the claim; nil is a streamed answer.
+func (x *exchange) keep(a *answer) {
 	if x.in.idempotencyKey == "" {
 		return
 	}
-	a := beryldaemon.Answer{Omitted: true}
-	if x.answer != nil && len(x.answer.body) <= berylreducer.MaxStoredAnswer {
-		a = beryldaemon.Answer{Status: x.answer.status, Header: http.Header{}, Body: x.answer.body}
-		passAnswer(a.Header, x.answer.header)
+	kept := beryldaemon.Answer{Omitted: true}
+	if a != nil && len(a.body) <= berylreducer.MaxStoredAnswer {
+		kept = beryldaemon.Answer{Status: a.status, Header: http.Header{}, Body: a.body}
+		passAnswer(kept.Header, a.header)
 	}
-	x.h.Node.Keep(x.in.id, a)
+	x.h.Node.Keep(x.in.id, kept)
 }
 
-func (x *exchange) execute(ctx context.Context, e beryllatch.Execution) error {
-	x.answer = nil
+// execute returns the whole answer, or nil if it was streamed to the caller.
+func (x *exchange) execute(ctx context.Context, e berylreducer.Dispatch) (*answer, error) {
 	h := http.Header{}
 	passRequest(h, x.r.Header)
 	h.Set(headerRequestID, x.in.publicID())
 	if n := x.in.body.length(); n >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(n, 10))
 	}
-	resp, err := x.h.Upstream.Execute(ctx, e, h, x.in.body.reader())
+	resp, err := x.h.Upstream.Execute(ctx, e.Execution, h, x.in.body.reader())
 	if err != nil {
-		return err
+		return nil, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	return x.receive(resp)
+	return x.receive(e.Attempt, resp)
 }
 
 // receive buffers a small answer whole; a larger one is passed on as it arrives.
-func (x *exchange) receive(resp *http.Response) error {
+func (x *exchange) receive(attempt int, resp *http.Response) (*answer, error) {
 	head, err := io.ReadAll(io.LimitReader(resp.Body, answerLimit+1))
 	if err != nil {
-		return err
+		return nil, err
 	}
 	if len(head) <= answerLimit {
-		x.answer = &answer{status: resp.StatusCode, header: resp.Header, body: head}
-		return nil
+		a := &answer{status: resp.StatusCode, header: resp.Header, body: head}
+		return a, x.take(attempt, a)
+	}
+	if err := x.commit(attempt); err != nil {
+		return nil, err
 	}
-	x.committed = true
 	passAnswer(x.w.Header(), resp.Header)
 	if resp.ContentLength >= 0 {
 		x.w.Header().Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
@@ -110,7 +116,7 @@
 	// A failed write means that the caller has gone; the answer is read to its end all the same.
 	_, _ = x.w.Write(head)
 	_, err = io.Copy(&lenientWriter{w: x.w}, resp.Body)
-	return err
+	return nil, err
 }
 
 // lenientWriter drops what a departed caller cannot receive, so that only the worker's errors are seen.
--- a/internal/node/berylcaller/handler.go
+++ b/internal/node/berylcaller/handler.go
@@ -52,7 +52,7 @@
 	x := exchange{h: h, w: w, r: r, in: in}
 	effects := h.Node.Submit(in.arrival())
 	defer h.Node.Release(in.id)
-	x.run(r.Context(), effects)
+	x.serve(r.Context(), effects)
 }
 
 // exchange is one request and its answer.
@@ -61,13 +61,10 @@
 	w  http.ResponseWriter
 	r  *http.Request
 	in *input
-	// answer is the buffered answer of the last attempt; nil if there is none.
-	answer *answer
-	// committed is true once a part of a streamed answer has been sent to the caller.
-	committed bool
+	winner
 }
 
-func (x *exchange) run(ctx context.Context, effects <-chan berylreducer.Effect) {
+func (x *exchange) serve(ctx context.Context, effects <-chan berylreducer.Effect) {
 	gone := ctx.Done()
 	for {
 		select {
@@ -87,7 +84,7 @@
 func (x *exchange) apply(ctx context.Context, e berylreducer.Effect) bool {
 	switch e := e.(type) {
 	case berylreducer.Dispatch:
-		x.attempt(ctx, e)
+		go x.run(ctx, e)
 		return false
 	case berylreducer.Finish:
 		x.finish()
@@ -103,8 +100,8 @@
 }
 
 func (x *exchange) finish() {
-	if x.answer != nil {
-		x.answer.write(x.w)
+	if a := x.buffered(); a != nil {
+		a.write(x.w)
 	}
 }
 
@@ -115,7 +112,7 @@
 }
 
 func (x *exchange) refuse(refusal beryllatch.Refusal) {
-	if x.committed {
+	if x.isCommitted() {
 		// The caller must not take the part that it has received for a whole answer.
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/node/berylcaller/handler_test.go
+++ b/internal/node/berylcaller/handler_test.go
@@ -195,6 +195,22 @@
 	assert.Assert(t, !n.ended[0].Replayable)
 }
 
+// Guards against a caller that gets parts of two answers, or the slower one, when two attempts run at once.
+func TestWinner(t *testing.T) {
+	ok, bad := &answer{status: http.StatusOK}, &answer{status: http.StatusInternalServerError}
+	var w winner
+	assert.NilError(t, w.take(1, bad))
+	assert.NilError(t, w.take(2, ok))
+	assert.ErrorIs(t, w.take(1, bad), errSuperseded)
+	assert.ErrorIs(t, w.commit(1), errSuperseded)
+	assert.Equal(t, w.buffered(), ok)
+	var streamed winner
+	assert.NilError(t, streamed.take(1, bad))
+	assert.NilError(t, streamed.commit(2))
+	assert.ErrorIs(t, streamed.take(1, ok), errSuperseded)
+	assert.Assert(t, streamed.buffered() == nil && streamed.isCommitted())
+}
+
 // Guards against ambiguous or malformed control headers being guessed at.
 func TestBadHeaders(t *testing.T) {
 	tests := map[string][]string{
