--- a/internal/node/berylcaller/handler_test.go
+++ b/internal/node/berylcaller/handler_test.go
@@ -26,6 +26,7 @@
 	mu      sync.Mutex
 	effects map[string]chan berylreducer.Effect
 	ended   []berylreducer.ExecutionEnded
+	stopped []berylreducer.ExecutionStopped
 	retries int
 }
 
@@ -41,6 +42,9 @@
 func (n *fakeNode) Post(e berylreducer.Event) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if x, ok := e.(berylreducer.ExecutionStopped); ok {
+		n.stopped = append(n.stopped, x)
+	}
 	x, ok := e.(berylreducer.ExecutionEnded)
 	if !ok {
 		return
@@ -83,6 +87,10 @@
 	return f(b)
 }
 
+func (f fakeUpstream) Settle(context.Context, beryllatch.Execution, time.Time) (beryllatch.ExecutionState, error) {
+	return beryllatch.ExecutionEnded, nil
+}
+
 func respond(body io.Reader, length int64) *http.Response {
 	return &http.Response{
 		StatusCode: http.StatusOK, ContentLength: length, Body: io.NopCloser(body), Header: http.Header{},
@@ -206,6 +214,22 @@
 	assert.Assert(t, !n.ended[0].Replayable)
 }
 
+// Guards against a caller that gets parts of two answers, or the slower one, when two attempts run at once.
+func TestWinner(t *testing.T) {
+	ok, bad := &answer{status: http.StatusOK}, &answer{status: http.StatusInternalServerError}
+	var w winner
+	assert.NilError(t, w.take(1, bad))
+	assert.NilError(t, w.take(2, ok))
+	assert.ErrorIs(t, w.take(1, bad), errSuperseded)
+	assert.ErrorIs(t, w.commit(1), errSuperseded)
+	assert.Equal(t, w.buffered(), ok)
+	var streamed winner
+	assert.NilError(t, streamed.take(1, bad))
+	assert.NilError(t, streamed.commit(2))
+	assert.ErrorIs(t, streamed.take(1, ok), errSuperseded)
+	assert.Assert(t, streamed.buffered() == nil && streamed.isCommitted())
+}
+
 // Guards against ambiguous or malformed control headers being guessed at.
 func TestBadHeaders(t *testing.T) {
 	tests := map[string][]string{
