Name the tests of settle calls in the row of true refusals

Row 7 of berylprove now also runs TestSettle of the worker client and of the callers' handler, since a refusal as not run may rest on the worker's word about a lost answer.

--- a/internal/bench/berylprove/promise.go
+++ b/internal/bench/berylprove/promise.go
@@ -124,7 +124,9 @@
 			Faults: "an error at each step from connecting to the last byte, six worker faults at once, nodes die and freeze",
 			Seeds:  "1 of the stand-ins; " + rapidSeeds + "; " + modelSeeds,
 			Holds: join(
-				tests(pkgWorker, "TestNotRunAtEachStep", "TestOutcomesAgreeWithRecord", "TestExecuteNotSent", "TestExecuteRefused"),
+				tests(pkgWorker, "TestNotRunAtEachStep", "TestOutcomesAgreeWithRecord", "TestExecuteNotSent", "TestExecuteRefused",
+					"TestSettle"),
+				tests(pkgCaller, "TestSettle"),
 				tests(pkgReducer, "TestOrdersOnce", "TestRequestProperties", "TestUnknownOutcome"),
 				tests(pkgProof, "TestWorkerAnswers", "TestKill"),
 			),
