--- a/internal/decision/berylreducer/retry.go
+++ b/internal/decision/berylreducer/retry.go
@@ -26,7 +26,7 @@
 	if !e.Replayable || q.abandoned || q.failures >= maxFailures || r.late(q) || q.jobFailures >= jobWorkers {
 		return false
 	}
-	return (q.Idempotent || notRun(e.Outcome)) && r.allowed(q)
+	return (q.Idempotent || notRun(e.Outcome) || r.faults.retryUnknown) && r.allowed(q)
 }
 
 // notRun reports whether the attempt surely has not run and will not.
--- a/internal/node/berylcaller/attempt.go
+++ b/internal/node/berylcaller/attempt.go
@@ -98,7 +98,7 @@
 // receive buffers a small answer whole; a larger one is passed on as it arrives.
 func (x *exchange) receive(attempt int, resp *http.Response) (*answer, error) {
 	head, err := io.ReadAll(io.LimitReader(resp.Body, answerLimit+1))
-	if err != nil {
+	if err != nil && !x.h.ignoreCuts {
 		return nil, err
 	}
 	if len(head) <= answerLimit {
@@ -116,6 +116,9 @@
 	// A failed write means that the caller has gone; the answer is read to its end all the same.
 	_, _ = x.w.Write(head)
 	_, err = io.Copy(&lenientWriter{w: x.w}, resp.Body)
+	if x.h.ignoreCuts {
+		return nil, nil
+	}
 	return nil, err
 }
 
