--- a/internal/node/beryltaskapi/handler.go
+++ b/internal/node/beryltaskapi/handler.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"net/http"
 
+	"github.com/beryllatch/beryllatch/internal/node/berylheader"
+
 	"github.com/beryllatch/beryllatch"
 	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
 	"github.com/beryllatch/beryllatch/internal/node/berylproblem"
@@ -12,10 +14,12 @@
 	"github.com/gorilla/mux"
 )
 
-// Handler serves the tasks API; Post and Store must be set.
+// Handler serves the tasks API; Post, Table and Store must be set.
 type Handler struct {
 	// Post hands an event to the reducer.
 	Post func(berylreducer.Event)
+	// Table lists large payloads before they are stored, so that one without a task is deleted.
+	Table beryllatch.Table
 	// Store holds large payloads and results.
 	Store beryllatch.ObjectStore
 
@@ -55,7 +59,7 @@
 
 func (h *Handler) begin(w http.ResponseWriter) *call {
 	id := uuid.NewString()
-	w.Header().Set(headerRequestID, id)
+	w.Header().Set(berylheader.RequestID, id)
 	return &call{h: h, w: w, id: id, effects: h.calls.open(id)}
 }
 
--- a/internal/platform/beryltable/client_test.go
+++ b/internal/platform/beryltable/client_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/beryllatch/beryllatch/internal/platform/berylcall"
+
 	"gotest.tools/v3/assert"
 
 	"github.com/beryllatch/beryllatch"
@@ -20,7 +22,7 @@
 	g, err := p.Listen(t.Context(), berylplatform.ServiceTable, "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = g.Close() })
-	return beryltable.New(beryltable.WithEndpoint("http://" + g.Address()))
+	return beryltable.New(berylcall.WithEndpoint("http://" + g.Address()))
 }
 
 func key(sort string) beryllatch.RowKey { return beryllatch.RowKey{Partition: "p", Sort: sort} }
@@ -37,6 +39,8 @@
 	check := func(sort string, expect uint64) beryllatch.RowWrite {
 		return beryllatch.RowWrite{Row: beryllatch.Row{Key: key(sort)}, Expect: expect, CheckOnly: true}
 	}
+	versioned := write("a", "new", 1)
+	versioned.Version = 1<<32 + 1
 	for _, tc := range []struct {
 		name   string
 		writes []beryllatch.RowWrite
@@ -48,6 +52,7 @@
 		{"create", []beryllatch.RowWrite{write("b", "x", 0)}, "", "1:old 1"},
 		{"create an existing row", []beryllatch.RowWrite{write("a", "x", 0)}, "a", "1:old 0"},
 		{"update", []beryllatch.RowWrite{write("a", "new", 1)}, "", "2:new 0"},
+		{"update with a version", []beryllatch.RowWrite{versioned}, "", "4294967297:new 0"},
 		{"update an older version", []beryllatch.RowWrite{write("a", "x", 2)}, "a", "1:old 0"},
 		{"update a missing row", []beryllatch.RowWrite{write("b", "x", 1)}, "b", "1:old 0"},
 		{"delete", []beryllatch.RowWrite{remove("a", 1)}, "", "0: 0"},
@@ -119,7 +124,7 @@
 
 // Guards against a call that the service would refuse only after a transfer, or with an unclear error.
 func TestTransactLimits(t *testing.T) {
-	c := beryltable.New(beryltable.WithEndpoint("http://127.0.0.1:1"))
+	c := beryltable.New(berylcall.WithEndpoint("http://127.0.0.1:1"))
 	err := c.Transact(t.Context(), write("a", strings.Repeat("x", beryltable.MaxItemBytes), 0))
 	large, ok := errors.AsType[*beryltable.ItemTooLargeError](err)
 	assert.Assert(t, ok, "got %v", err)
