Store the list of known incarnations apart from the node row

Cause: of the table's 11.6 KB/s in, 9.3 KB/s were the node rows of 36 nodes read every 3 s; the list of known incarnations was most of each row, even compressed, and is needed only when a row stands still.

Change: the list is a row of its own, written in one transaction with the node row when it has changed, and read for a row that has not changed for 2 s. It counts only if it was asked for after the present row was first seen and answered before the deciding renewal was sent, so that it is the list of that very row; the wait of 5.5 s, the grants and the check of the row's version in the takeover's transaction are as before.

Ruled out: a hash of the list in the row (a node that dies while others come and go would be waited for for 15 min by every node that never held the same list); two writes one after another (a freeze between them would need an argument of its own); reading the list in the renewal itself after the node rows (a node that comes back between the two reads could have stored a newer list).

The test worlds of the reducer serve the list by its own call only, and never with a row.

--- a/internal/decision/berylreducer/effect.go
+++ b/internal/decision/berylreducer/effect.go
@@ -10,12 +10,18 @@
 // RenewTenure writes the node's row if it has the version that this incarnation wrote last, then reads the head version
 // and all node rows; after a write without an answer the shell first reads the row back. An incarnation's first write
 // expects no row, and only a row that is missing after that is a replaced one.
+//
+// A list of known incarnations that differs from the stored one is written in the same transaction as the row, so that a
+// reader who finds the row unchanged before and after it has read the list has the list of that row.
 type RenewTenure struct {
 	Row NodeRow
 	// SkipNodes leaves the read of the node rows out; the head version is always read.
 	SkipNodes bool
 }
 
+// ReadKnown reads the lists of known incarnations of nodes whose rows stand still.
+type ReadKnown struct{ Incarnations []string }
+
 // ReadConfig reads the configuration document from the table.
 type ReadConfig struct{}
 
@@ -74,6 +80,12 @@
 	Version     uint64
 }
 
+// KnownKey returns the row of an incarnation's list of known incarnations. It is apart from the node row, since every node
+// reads all node rows every few seconds, and the list only of a node that may have lapsed.
+func KnownKey(incarnation string) beryllatch.RowKey {
+	return beryllatch.RowKey{Partition: "known", Sort: incarnation}
+}
+
 // NodeKey returns the row of an incarnation's node.
 func NodeKey(incarnation string) beryllatch.RowKey {
 	return beryllatch.RowKey{Partition: NodePartition, Sort: incarnation}
@@ -142,6 +154,7 @@
 
 func (RenewTenure) effect()    {}
 func (ReadConfig) effect()     {}
+func (ReadKnown) effect()      {}
 func (SendHeartbeats) effect() {}
 func (ReplyGrant) effect()     {}
 func (Dispatch) effect()       {}
--- a/internal/decision/berylreducer/event.go
+++ b/internal/decision/berylreducer/event.go
@@ -12,7 +12,7 @@
 // Identity names a node and its present process.
 type Identity struct {
 	Node        string `json:"node"`
-	Incarnation string `json:"incarnation"`
+	Incarnation string `json:"incarnation,omitempty"`
 	DataCentre  string `json:"data_centre"`
 	// PeerAddress is the host and port of the peers' listener.
 	PeerAddress string `json:"peer_address"`
@@ -35,8 +35,9 @@
 	Renewal       uint64    `json:"renewal"`
 	ConfigVersion uint64    `json:"config_version"`
 	State         NodeState `json:"state"`
-	// Known lists the incarnations that the writer knew at its last completed renewal, sorted.
-	Known []string `json:"known,omitempty"`
+	// Known lists the incarnations that the writer knew at its last completed renewal, sorted. It is stored in a row of
+	// its own, see KnownKey, and not set on rows that were read.
+	Known []string `json:"-"`
 	// Version is the table's version of the row; it is set on rows that were read.
 	Version uint64 `json:"-"`
 }
@@ -88,6 +89,14 @@
 	NodesSkipped bool
 }
 
+// KnownRead delivers the lists of known incarnations of other nodes.
+type KnownRead struct {
+	// SentAt is when the read was sent.
+	SentAt Instant
+	// Known holds a list by incarnation, empty for one that has stored none; a failed read is left out.
+	Known map[string][]string
+}
+
 // RenewalFailed reports a renewal without a success.
 type RenewalFailed struct {
 	SentAt Instant
@@ -222,6 +231,7 @@
 func (Started) event()          {}
 func (Ticked) event()           {}
 func (Renewed) event()          {}
+func (KnownRead) event()        {}
 func (RenewalFailed) event()    {}
 func (ConfigRead) event()       {}
 func (PeerHeard) event()        {}
--- a/internal/decision/berylreducer/membership.go
+++ b/internal/decision/berylreducer/membership.go
@@ -27,6 +27,11 @@
 	// changedAt is when this node first saw the present row, or first saw it missing.
 	changedAt time.Duration
 	absent    bool
+	// known is the member's list of known incarnations by a read sent at knownFrom and answered at knownBy.
+	known              []string
+	knownFrom, knownBy time.Duration
+	// knownAsked is when the list was last asked for.
+	knownAsked time.Duration
 	// listed and gone follow the platform's instance list.
 	listed bool
 	gone   bool
@@ -59,18 +64,45 @@
 	}
 	slices.Sort(t.known)
 	t.steady = slices.Equal(before, t.known)
+	var still []string
 	for _, id := range beryllatch.SortedKeys(r.members) {
 		m := r.members[id]
 		if !seen[id] && !m.absent {
 			m.absent, m.changedAt = true, r.now.Mono
 		}
 		r.judgeLapse(m, e.SentAt.Mono)
-		if !m.lapsed && !m.absent && e.SentAt.Mono-m.changedAt >= 2*renewInterval {
-			t.steady = false
+		if m.lapsed || e.SentAt.Mono-m.changedAt < 2*renewInterval {
+			continue
+		}
+		t.steady = t.steady && m.absent
+		if !m.hasKnown() && r.now.Mono-m.knownAsked >= renewInterval {
+			m.knownAsked = r.now.Mono
+			still = append(still, id)
+		}
+	}
+	if len(still) > 0 {
+		r.emit(ReadKnown{Incarnations: still})
+	}
+}
+
+// hasKnown reports whether the list was read after the present row was first seen.
+func (m *member) hasKnown() bool { return m.knownFrom > 0 && m.knownFrom >= m.changedAt }
+
+func (r *Reducer) knownRead(e KnownRead) {
+	for _, id := range beryllatch.SortedKeys(e.Known) {
+		if m := r.members[id]; m != nil && e.SentAt.Mono > m.knownFrom {
+			m.known, m.knownFrom, m.knownBy = e.Known[id], e.SentAt.Mono, r.now.Mono
 		}
 	}
 }
 
+// lists reports whether the row, which a read started at readAt has found unchanged, lists the incarnation. Row and list
+// are written together, so that a list which was read while the row stood still is the list of that row; one that was
+// answered later than readAt may belong to a later row, written by a node that has come back.
+func (m *member) lists(incarnation string, readAt time.Duration) bool {
+	return m.hasKnown() && m.knownBy <= readAt && slices.Contains(m.known, incarnation)
+}
+
 func (r *Reducer) observeNode(n NodeRow) {
 	m := r.members[n.Incarnation]
 	if m == nil {
@@ -93,7 +125,7 @@
 	unchanged := readAt - m.changedAt
 	lapsed := unchanged >= unlistedLapseWait
 	if unchanged >= lapseWait && (r.now.Mono >= m.grantedUntil || r.faults.ignoreGrants) {
-		lapsed = lapsed || m.gone || slices.Contains(m.row.Known, r.self.Incarnation)
+		lapsed = lapsed || m.gone || m.lists(r.self.Incarnation, readAt)
 	}
 	if r.faults.ignoreLapseWait {
 		lapsed = unchanged > 0
--- a/internal/decision/berylreducer/operate_test.go
+++ b/internal/decision/berylreducer/operate_test.go
@@ -15,9 +15,11 @@
 // scene runs the reducers of a few nodes against one fake document and fake workers, and records what concerns
 // operators and maintenance.
 type scene struct {
-	now     Instant
-	head    beryllatch.Config
-	rows    map[string]NodeRow
+	now  Instant
+	head beryllatch.Config
+	rows map[string]NodeRow
+	// lists holds the lists of known incarnations.
+	lists   map[string][]string
 	nodes   map[string]*sceneNode
 	workers map[string]*sceneWorker
 	log     strings.Builder
@@ -60,7 +62,7 @@
 
 func newScene(c beryllatch.Config, nodes ...string) *scene {
 	s := &scene{
-		now: Instant{Wall: sessionStart}, head: c, rows: map[string]NodeRow{}, nodes: map[string]*sceneNode{},
+		now: Instant{Wall: sessionStart}, head: c, rows: map[string]NodeRow{}, lists: map[string][]string{}, nodes: map[string]*sceneNode{},
 		workers: map[string]*sceneWorker{},
 	}
 	for id := range c.Instances {
@@ -95,6 +97,10 @@
 	switch x := x.(type) {
 	case RenewTenure:
 		s.renew(name, x.Row)
+	case ReadKnown:
+		if !n.cut {
+			s.readKnown(name, x)
+		}
 	case ReadConfig:
 		if !n.cut {
 			s.send(name, ConfigRead{Config: s.head})
@@ -136,6 +142,8 @@
 		s.send(name, RenewalFailed{SentAt: s.now})
 		return
 	}
+	s.lists[row.Incarnation] = row.Known
+	row.Known = nil
 	s.rows[row.Incarnation] = row
 	var rows []NodeRow
 	for _, k := range beryllatch.SortedKeys(s.rows) {
@@ -144,6 +152,14 @@
 	s.send(name, Renewed{SentAt: s.now, HeadVersion: s.head.Version, Nodes: rows})
 }
 
+func (s *scene) readKnown(name string, x ReadKnown) {
+	known := map[string][]string{}
+	for _, id := range x.Incarnations {
+		known[id] = s.lists[id]
+	}
+	s.send(name, KnownRead{SentAt: s.now, Known: known})
+}
+
 // write carries out a write of the document under its condition, or under the fault that is set.
 func (s *scene) write(name string, x WriteConfig) {
 	n := s.nodes[name]
--- a/internal/decision/berylreducer/task_world_test.go
+++ b/internal/decision/berylreducer/task_world_test.go
@@ -18,9 +18,11 @@
 	rows map[beryllatch.RowKey]beryllatch.Row
 	// registry holds the node rows by incarnation.
 	registry map[string]NodeRow
-	workers  map[string]*fakeWorker
-	nodes    []*fakeNode
-	config   beryllatch.Config
+	// lists holds the lists of known incarnations.
+	lists   map[string][]string
+	workers map[string]*fakeWorker
+	nodes   []*fakeNode
+	config  beryllatch.Config
 	// starts counts the starts of each task on all workers, including those before a reboot.
 	starts map[string]int
 	// stale lists the starts with a fence below one that the table had already seen for the task's shard.
@@ -85,7 +87,7 @@
 
 func newBareTaskWorld(unsafe func(*Reducer)) *taskWorld {
 	w := &taskWorld{
-		session: newSession(), rows: map[beryllatch.RowKey]beryllatch.Row{}, registry: map[string]NodeRow{}, submitted: map[string]bool{},
+		session: newSession(), rows: map[beryllatch.RowKey]beryllatch.Row{}, registry: map[string]NodeRow{}, lists: map[string][]string{}, submitted: map[string]bool{},
 		workers: map[string]*fakeWorker{}, config: sampleConfig(), starts: map[string]int{}, unsafe: unsafe,
 	}
 	for _, id := range beryllatch.SortedKeys(w.config.Instances) {
@@ -223,6 +225,12 @@
 	switch e := e.(type) {
 	case RenewTenure:
 		return w.renew(n, e, f)
+	case ReadKnown:
+		known := map[string][]string{}
+		for _, id := range e.Incarnations {
+			known[id] = w.lists[id]
+		}
+		return KnownRead{SentAt: w.now, Known: known}
 	case ReadConfig:
 		return ConfigRead{Config: w.config}
 	case ReadUnits, WriteUnits:
@@ -250,6 +258,8 @@
 		return nil
 	}
 	e.Row.Version = row.Version + 1
+	w.lists[n.id.Incarnation] = e.Row.Known
+	e.Row.Known = nil
 	w.registry[n.id.Incarnation] = e.Row
 	renewed := Renewed{SentAt: w.now, HeadVersion: w.config.Version}
 	for _, id := range beryllatch.SortedKeys(w.registry) {
--- a/internal/decision/berylreducer/world_test.go
+++ b/internal/decision/berylreducer/world_test.go
@@ -16,13 +16,15 @@
 
 // world runs real reducers against a table in memory and a network that loses, repeats and reorders messages.
 type world struct {
-	now     time.Duration
-	rand    *rand.Rand
-	lossy   bool
-	calls   map[string]func(granted bool)
-	agenda  []job
-	nodes   []*simNode
-	rows    map[string]NodeRow
+	now    time.Duration
+	rand   *rand.Rand
+	lossy  bool
+	calls  map[string]func(granted bool)
+	agenda []job
+	nodes  []*simNode
+	rows   map[string]NodeRow
+	// lists holds the lists of known incarnations.
+	lists   map[string][]string
 	units   map[string]UnitsRead
 	configs []beryllatch.Config
 	inForce uint64
@@ -66,7 +68,7 @@
 
 func newWorld(seed uint64, f faults) *world {
 	w := &world{
-		rand: rand.New(rand.NewPCG(seed, 1)), rows: map[string]NodeRow{}, units: map[string]UnitsRead{},
+		rand: rand.New(rand.NewPCG(seed, 1)), rows: map[string]NodeRow{}, lists: map[string][]string{}, units: map[string]UnitsRead{},
 		runs: map[string]*simRun{}, calls: map[string]func(bool){}, configs: []beryllatch.Config{sampleConfig()},
 	}
 	w.workTime = func() time.Duration { return time.Second }
@@ -214,6 +216,8 @@
 	switch x := x.(type) {
 	case RenewTenure:
 		w.renew(n, x)
+	case ReadKnown:
+		w.readKnown(n, x)
 	case ReadConfig:
 		w.readConfig(n)
 	case ReadUnits:
@@ -330,6 +334,8 @@
 		n.wrote = n.wrote || x.Row.Incarnation == n.r.self.Incarnation
 		row := x.Row
 		row.Version = old.Version + 1
+		w.lists[row.Incarnation] = row.Known
+		row.Known = nil
 		w.rows[row.Incarnation] = row
 		e := Renewed{SentAt: sent, HeadVersion: w.configs[len(w.configs)-1].Version, NodesSkipped: x.SkipNodes}
 		if !x.SkipNodes {
@@ -341,6 +347,18 @@
 	}, failed, failed)
 }
 
+// readKnown reads lists, which stay after the deletion of their node rows; a call without an answer delivers nothing.
+func (w *world) readKnown(n *simNode, x ReadKnown) {
+	sent := w.instant(n)
+	w.call(n, func() Event {
+		known := map[string][]string{}
+		for _, id := range x.Incarnations {
+			known[id] = w.lists[id]
+		}
+		return KnownRead{SentAt: sent, Known: known}
+	}, KnownRead{SentAt: sent}, KnownRead{SentAt: sent})
+}
+
 func (w *world) readUnits(team string) UnitsRead {
 	e := w.units[team]
 	e.Team = team
--- a/internal/node/beryldaemon/execute_tenure.go
+++ b/internal/node/beryldaemon/execute_tenure.go
@@ -2,19 +2,26 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/beryllatch/beryllatch"
 	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
 	"github.com/beryllatch/beryllatch/internal/platform/berylgroup"
+	"github.com/rotisserie/eris"
 )
 
 const (
 	// maxNodes bounds the node rows that one renewal reads.
 	maxNodes = 256
+	// knownAge is how long a list of known incarnations is kept after its last write, knownRefresh the time left at which
+	// it is written again. Its writer may be gone by a day, and no node waits longer than 15 min for a lapse.
+	knownAge     = 24 * time.Hour
+	knownRefresh = 12 * time.Hour
 )
 
 // nodeRow is this node's own row in the table.
@@ -25,6 +32,10 @@
 	version uint64
 	// doubtful is true after a write without an answer; the row must be read back first.
 	doubtful bool
+	// known is the list that was written last, at knownVersion, and expires at knownExpires.
+	known        []string
+	knownVersion uint64
+	knownExpires time.Time
 }
 
 // executeTenure carries out the effects of the tenure and the membership, and reports whether x is one.
@@ -33,6 +44,9 @@
 	case berylreducer.RenewTenure:
 		sent := d.now()
 		d.async(ctx, func(ctx context.Context) { d.renew(ctx, x, sent) })
+	case berylreducer.ReadKnown:
+		sent := d.now()
+		d.async(ctx, func(ctx context.Context) { d.readKnown(ctx, x, sent) })
 	case berylreducer.ReadConfig:
 		d.async(ctx, d.readConfig)
 	case berylreducer.Reincarnate:
@@ -82,6 +96,7 @@
 	defer n.mu.Unlock()
 	if n.incarnation != row.Incarnation {
 		n.incarnation, n.version, n.doubtful = row.Incarnation, 0, false
+		n.known, n.knownVersion = nil, 0
 	}
 	if n.doubtful {
 		if replaced, err = d.readBack(ctx, n); err != nil || replaced {
@@ -92,20 +107,37 @@
 	if err != nil {
 		return false, err
 	}
-	err = d.Table.Transact(ctx, beryllatch.RowWrite{
+	writes := []beryllatch.RowWrite{{
 		Row: beryllatch.Row{Key: berylreducer.NodeKey(row.Incarnation), Value: value}, Expect: n.version,
-	})
+	}}
+	expires := time.Now().Add(knownAge)
+	writeKnown := !slices.Equal(n.known, row.Known) || n.knownVersion > 0 && time.Until(n.knownExpires) < knownRefresh
+	if writeKnown {
+		list, err := json.Marshal(row.Known)
+		if err != nil {
+			return false, eris.Wrap(err, "encode known incarnations")
+		}
+		writes = append(writes, beryllatch.RowWrite{
+			Row:    beryllatch.Row{Key: berylreducer.KnownKey(row.Incarnation), Value: list, Expires: expires.Unix()},
+			Expect: n.knownVersion,
+		})
+	}
+	err = d.Table.Transact(ctx, writes...)
 	var unavailable *beryllatch.UnavailableError
 	switch {
 	case err == nil:
 		n.version++
+		if writeKnown {
+			n.known, n.knownExpires = row.Known, expires
+			n.knownVersion++
+		}
 	case !errors.As(err, &unavailable):
 		n.doubtful = true
 	}
 	return false, err
 }
 
-// readBack learns the row's version after a write without an answer; a row that was written and is missing has been
+// readBack learns the versions of the row and of the list after a write without an answer; a row that was written and is missing has been
 // removed by a peer.
 func (d *Daemon) readBack(ctx context.Context, n *nodeRow) (replaced bool, err error) {
 	stored, err := d.Table.Get(ctx, berylreducer.NodeKey(n.incarnation))
@@ -115,10 +147,42 @@
 	if stored.Version < n.version {
 		return true, nil
 	}
+	known, err := d.Table.Get(ctx, berylreducer.KnownKey(n.incarnation))
+	if err != nil {
+		return false, err
+	}
+	list, err := decodeKnown(known)
+	if err != nil {
+		return false, err
+	}
 	n.version, n.doubtful = stored.Version, false
+	n.known, n.knownVersion, n.knownExpires = list, known.Version, time.Unix(known.Expires, 0)
 	return false, nil
 }
 
+func decodeKnown(row beryllatch.Row) ([]string, error) {
+	if row.Version == 0 {
+		return nil, nil
+	}
+	var list []string
+	err := json.Unmarshal(row.Value, &list)
+	return list, eris.Wrap(err, "decode known incarnations")
+}
+
+func (d *Daemon) readKnown(ctx context.Context, x berylreducer.ReadKnown, sent berylreducer.Instant) {
+	e := berylreducer.KnownRead{SentAt: sent, Known: map[string][]string{}}
+	for _, id := range x.Incarnations {
+		row, err := d.Table.Get(ctx, berylreducer.KnownKey(id))
+		if err != nil {
+			continue
+		}
+		if list, err := decodeKnown(row); err == nil {
+			e.Known[id] = list
+		}
+	}
+	d.Post(e)
+}
+
 // deleteNode removes a row; the node's own row is removed at the version that it wrote last.
 func (d *Daemon) deleteNode(ctx context.Context, x berylreducer.DeleteNode) {
 	version := x.Node.Version
@@ -148,7 +212,7 @@
 	}
 	nodes := make([]berylreducer.NodeRow, 0, len(rows))
 	for _, row := range rows {
-		if n, err := DecodeNodeRow(row.Value); err == nil {
+		if n, err := DecodeNodeRow(row.Key.Sort, row.Value); err == nil {
 			n.Version = row.Version
 			nodes = append(nodes, n)
 		}
--- a/internal/node/beryldaemon/node_row_test.go
+++ b/internal/node/beryldaemon/node_row_test.go
@@ -11,13 +11,12 @@
 func TestNodeRow(t *testing.T) {
 	row := berylreducer.NodeRow{
 		Identity: berylreducer.Identity{Node: "n1", Incarnation: "n1-1"}, Renewal: 7, State: berylreducer.NodeLive,
-		Known: []string{"n1-1", "n2-1"},
 	}
 	value, err := EncodeNodeRow(row)
 	assert.NilError(t, err)
-	got, err := DecodeNodeRow(value)
+	got, err := DecodeNodeRow("n1-1", value)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, got, row)
-	_, err = DecodeNodeRow(value[:len(value)/2])
+	_, err = DecodeNodeRow("n1-1", value[:len(value)/2])
 	assert.ErrorContains(t, err, "decode node row")
 }
