Leave the SDK's informational headers out of table calls

Cause: of the 890 B of a read of a task shard, 230 B only inform the service about the SDK: its User-Agent, the id of the invocation, the number of the attempt, and the names of the two in the list of signed headers. A node at rest makes about six such calls a second.

Ruled out: leaving out Accept-Encoding (43 B) too, since a transport of a caller's own could then take a compressed answer, whose checksum the SDK would compare with that of the plain one.

Change: a step of the SDK's stack before the signature removes the headers and sets a short User-Agent; nothing is retried by the SDK, so that they carry nothing of use.

--- a/internal/platform/beryltable/client.go
+++ b/internal/platform/beryltable/client.go
@@ -7,6 +7,7 @@
 	"github.com/aws/aws-sdk-go-v2/aws"
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb"
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
+	"github.com/aws/smithy-go/middleware"
 
 	"github.com/beryllatch/beryllatch"
 	"github.com/beryllatch/beryllatch/internal/common/berylconn"
@@ -32,6 +33,7 @@
 		Credentials:  cfg.credentials,
 		HTTPClient:   cfg.client,
 		Retryer:      aws.NopRetryer{},
+		APIOptions:   []func(*middleware.Stack) error{shortHeaders},
 	})}
 }
 
--- /dev/null
+++ b/internal/platform/beryltable/header.go
@@ -0,0 +1,30 @@
+package beryltable
+
+import (
+	"context"
+
+	"github.com/aws/smithy-go/middleware"
+	smithyhttp "github.com/aws/smithy-go/transport/http"
+	"github.com/rotisserie/eris"
+)
+
+// sdkHeaders only inform the service about the SDK and its retries, which this client does not use. With the list of signed
+// headers and a short User-Agent this saves 230 of a read's 890 B; a node at rest makes about 6 calls a second.
+var sdkHeaders = []string{"Amz-Sdk-Invocation-Id", "Amz-Sdk-Request"}
+
+// shortHeaders leaves the optional headers of the SDK out of a request before it is signed.
+func shortHeaders(s *middleware.Stack) error {
+	shorten := func(ctx context.Context, in middleware.FinalizeInput, next middleware.FinalizeHandler) (
+		middleware.FinalizeOutput, middleware.Metadata, error,
+	) {
+		if r, ok := in.Request.(*smithyhttp.Request); ok {
+			for _, name := range sdkHeaders {
+				r.Header.Del(name)
+			}
+			r.Header.Set("User-Agent", "beryllatch")
+		}
+		return next.HandleFinalize(ctx, in)
+	}
+	m := middleware.FinalizeMiddlewareFunc("ShortHeaders", shorten)
+	return eris.Wrap(s.Finalize.Insert(m, "Signing", middleware.Before), "shorten headers")
+}
