--- a/internal/decision/berylreducer/reducer.go
+++ b/internal/decision/berylreducer/reducer.go
@@ -114,6 +114,9 @@
 // Self returns the node's present identity.
 func (r *Reducer) Self() Identity { return r.self }
 
+// Nodes returns the number of registered nodes, at least 1.
+func (r *Reducer) Nodes() int { return r.nodes() }
+
 func (r *Reducer) emit(e ...Effect) { r.out = append(r.out, e...) }
 
 func (r *Reducer) count(name string) { r.emit(Count{Name: name, N: 1}) }
--- a/internal/node/beryldaemon/published.go
+++ b/internal/node/beryldaemon/published.go
@@ -13,6 +13,7 @@
 	mu     sync.Mutex
 	self   berylreducer.Identity
 	config beryllatch.Config
+	nodes  int
 	// changed is closed when the configuration changes.
 	changed chan struct{}
 }
@@ -21,7 +22,7 @@
 func (p *published) set(r *berylreducer.Reducer) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.self = r.Self()
+	p.self, p.nodes = r.Self(), r.Nodes()
 	if c := r.Config(); c.Version != p.config.Version {
 		p.config = c
 		if p.changed != nil {
@@ -37,6 +38,13 @@
 	return p.self, p.config
 }
 
+// fleet returns the number of registered nodes, at least 1.
+func (p *published) fleet() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return max(1, p.nodes)
+}
+
 // wait returns once the configuration in force has at least the version, or with the context's error.
 func (p *published) wait(ctx context.Context, version uint64) error {
 	for {
