Link only the methods of the table client that are used

Cause: kong looks methods up by name, so that the linker keeps every exported method of each type that is converted to an interface, and of the types of its fields. beryltable.Client has a field of type *dynamodb.Client, which kept all operations of the service: 750 KB of code, and tables for it (go build -ldflags=-dumpdep, go tool nm).

Ruled out: the same for the object store's client; the SDK itself converts *s3.Client to an interface in s3.New, so that 2.9 MB of its code stay linked whatever this project does.

Change: the client holds the three methods that it uses.

--- a/internal/platform/beryltable/client.go
+++ b/internal/platform/beryltable/client.go
@@ -15,10 +15,20 @@
 
 // Client is a beryllatch.Table; it never repeats a call by itself.
 type Client struct {
-	api *dynamodb.Client
+	api operations
 	cfg settings
 }
 
+// operations are the methods of a *dynamodb.Client that are used. A field of that type would link all of its methods,
+// since this client is converted to an interface and the program looks methods up by name.
+type operations struct {
+	get   func(context.Context, *dynamodb.GetItemInput, ...func(*dynamodb.Options)) (*dynamodb.GetItemOutput, error)
+	query func(context.Context, *dynamodb.QueryInput, ...func(*dynamodb.Options)) (*dynamodb.QueryOutput, error)
+	write func(
+		context.Context, *dynamodb.TransactWriteItemsInput, ...func(*dynamodb.Options),
+	) (*dynamodb.TransactWriteItemsOutput, error)
+}
+
 var _ beryllatch.Table = (*Client)(nil)
 
 // New returns a client of the table service.
@@ -27,21 +37,22 @@
 	for _, o := range opts {
 		o(&cfg)
 	}
-	return &Client{cfg: cfg, api: dynamodb.New(dynamodb.Options{
+	api := dynamodb.New(dynamodb.Options{
 		EndpointResolverV2: fixedEndpoint(cfg.endpoint),
 		Region:             cfg.region,
 		Credentials:        cfg.credentials,
 		HTTPClient:         cfg.client,
 		Retryer:            aws.NopRetryer{},
 		APIOptions:         []func(*middleware.Stack) error{shortHeaders},
-	})}
+	})
+	return &Client{cfg: cfg, api: operations{get: api.GetItem, query: api.Query, write: api.TransactWriteItems}}
 }
 
 // Get returns the row by a consistent read; a missing row has Version 0.
 func (c *Client) Get(ctx context.Context, k beryllatch.RowKey) (beryllatch.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.timeout)
 	defer cancel()
-	out, err := c.api.GetItem(ctx, &dynamodb.GetItemInput{
+	out, err := c.api.get(ctx, &dynamodb.GetItemInput{
 		TableName:      aws.String(c.cfg.table),
 		Key:            encodeKey(k),
 		ConsistentRead: aws.Bool(true),
@@ -75,7 +86,7 @@
 		if limit > 0 {
 			in.Limit = aws.Int32(int32(min(limit-len(rows), 1000)))
 		}
-		out, err := c.api.Query(ctx, in)
+		out, err := c.api.query(ctx, in)
 		if err != nil {
 			return nil, &beryllatch.UnavailableError{Err: err}
 		}
@@ -112,7 +123,7 @@
 	probe := &berylconn.Probe{}
 	ctx, cancel := context.WithTimeout(probe.Attach(ctx), c.cfg.timeout)
 	defer cancel()
-	_, err := c.api.TransactWriteItems(ctx, &dynamodb.TransactWriteItemsInput{TransactItems: items})
+	_, err := c.api.write(ctx, &dynamodb.TransactWriteItemsInput{TransactItems: items})
 	if err != nil {
 		return classify(err, probe, writes)
 	}
