Allocate less in the reducer's ticks

Cause: of 22 MB that a node at rest allocated in 20 s (a trial build with an exact allocation profile), 19% came from the ten ticks a second: sorted keys of maps that grew by doubling, and the list of live nodes, made anew to be compared.

Change: sorted keys take one allocation, and the list of live nodes is compared in storage that is kept.

--- a/config.go
+++ b/config.go
@@ -220,7 +220,15 @@
 }
 
 // SortedKeys returns the keys of a map in ascending order.
-func SortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
+func SortedKeys[V any](m map[string]V) []string {
+	if len(m) == 0 {
+		return nil
+	}
+	// One allocation: the reducer's ticks sort the keys of several maps.
+	keys := slices.AppendSeq(make([]string, 0, len(m)), maps.Keys(m))
+	slices.Sort(keys)
+	return keys
+}
 
 func with[V any](m map[string]V, k string, v V) map[string]V {
 	out := make(map[string]V, len(m)+1)
--- a/internal/decision/berylreducer/membership.go
+++ b/internal/decision/berylreducer/membership.go
@@ -171,7 +171,7 @@
 
 // registered returns the members whose rows existed at the last read, sorted by incarnation.
 func (r *Reducer) registered() []*member {
-	var out []*member
+	out := make([]*member, 0, len(r.members))
 	for _, id := range beryllatch.SortedKeys(r.members) {
 		if m := r.members[id]; !m.absent {
 			out = append(out, m)
--- a/internal/decision/berylreducer/shard.go
+++ b/internal/decision/berylreducer/shard.go
@@ -202,16 +202,18 @@
 
 // spreadShards picks the preferred owner of every shard if the set of live nodes has changed.
 func (r *Reducer) spreadShards() {
-	live := []Identity{r.self}
+	live := r.tasks.live[:0]
+	live = append(live, r.self)
 	for _, m := range r.registered() {
 		if !m.lapsed && m.row.State == NodeLive {
 			live = append(live, m.row.Identity)
 		}
 	}
+	r.tasks.live = live
 	if slices.Equal(live, r.tasks.spreadOver) {
 		return
 	}
-	r.tasks.spreadOver = live
+	r.tasks.spreadOver = slices.Clone(live)
 	for n := range r.tasks.preferred {
 		r.tasks.preferred[n] = preferredOwner(n, live)
 	}
--- a/internal/decision/berylreducer/task.go
+++ b/internal/decision/berylreducer/task.go
@@ -16,6 +16,8 @@
 	// preferred is the owner that each shard should have, spread over the nodes in spreadOver.
 	preferred  [shardCount]string
 	spreadOver []Identity
+	// live is the storage of the next comparison with spreadOver.
+	live []Identity
 	// readingShards is true while a ReadShards effect is in flight.
 	readingShards bool
 	nextShardRead time.Duration
