--- a/internal/decision/berylreducer/task_world_test.go
+++ b/internal/decision/berylreducer/task_world_test.go
@@ -18,9 +18,11 @@
 	rows map[beryllatch.RowKey]beryllatch.Row
 	// registry holds the node rows by incarnation.
 	registry map[string]NodeRow
-	workers  map[string]*fakeWorker
-	nodes    []*fakeNode
-	config   beryllatch.Config
+	// lists holds the lists of known incarnations.
+	lists   map[string][]string
+	workers map[string]*fakeWorker
+	nodes   []*fakeNode
+	config  beryllatch.Config
 	// starts counts the starts of each task on all workers, including those before a reboot.
 	starts map[string]int
 	// stale lists the starts with a fence below one that the table had already seen for the task's shard.
@@ -85,7 +87,7 @@
 
 func newBareTaskWorld(unsafe func(*Reducer)) *taskWorld {
 	w := &taskWorld{
-		session: newSession(), rows: map[beryllatch.RowKey]beryllatch.Row{}, registry: map[string]NodeRow{}, submitted: map[string]bool{},
+		session: newSession(), rows: map[beryllatch.RowKey]beryllatch.Row{}, registry: map[string]NodeRow{}, lists: map[string][]string{}, submitted: map[string]bool{},
 		workers: map[string]*fakeWorker{}, config: sampleConfig(), starts: map[string]int{}, unsafe: unsafe,
 	}
 	for _, id := range beryllatch.SortedKeys(w.config.Instances) {
@@ -225,6 +227,12 @@
 	switch e := e.(type) {
 	case RenewTenure:
 		return w.renew(n, e, f)
+	case ReadKnown:
+		known := map[string][]string{}
+		for _, id := range e.Incarnations {
+			known[id] = w.lists[id]
+		}
+		return KnownRead{SentAt: w.now, Known: known}
 	case ReadConfig:
 		return ConfigRead{Config: w.config}
 	case ReadUnits, WriteUnits:
@@ -252,6 +260,8 @@
 		return nil
 	}
 	e.Row.Version = row.Version + 1
+	w.lists[n.id.Incarnation] = e.Row.Known
+	e.Row.Known = nil
 	w.registry[n.id.Incarnation] = e.Row
 	renewed := Renewed{SentAt: w.now, HeadVersion: w.config.Version}
 	for _, id := range beryllatch.SortedKeys(w.registry) {
@@ -373,7 +383,11 @@
 		return ShardWritten{Row: e.Row, Version: e.Expect + 1, Result: result}
 	case PollShard:
 		tasks := w.page(LoadTasks{Shard: e.Shard, After: e.After, Limit: e.Limit})
-		return ShardPolled{Shard: e.Shard, Epoch: e.Epoch, Failed: failed, Tasks: tasks, Cancelled: w.cancelled(e.Shard)}
+		polled := ShardPolled{Shard: e.Shard, Epoch: e.Epoch, Failed: failed, Tasks: tasks}
+		if !e.SkipCancels {
+			polled.Cancelled = w.cancelled(e.Shard)
+		}
+		return polled
 	case SweepObjects:
 		return ObjectsSwept{Shard: e.Shard, Epoch: e.Epoch}
 	case LoadTasks:
--- a/internal/platform/beryltable/client.go
+++ b/internal/platform/beryltable/client.go
@@ -9,6 +9,7 @@
 	"github.com/aws/aws-sdk-go-v2/aws"
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb"
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
+	"github.com/aws/smithy-go/middleware"
 
 	"github.com/beryllatch/beryllatch"
 	"github.com/beryllatch/beryllatch/internal/common/berylconn"
@@ -17,22 +18,34 @@
 
 // Client is a beryllatch.Table; it never repeats a call by itself.
 type Client struct {
-	api *dynamodb.Client
+	api operations
 	cfg berylcall.Settings
 }
 
+// operations are the methods of a *dynamodb.Client that are used. A field of that type would link all of its methods,
+// since this client is converted to an interface and the program looks methods up by name.
+type operations struct {
+	get   func(context.Context, *dynamodb.GetItemInput, ...func(*dynamodb.Options)) (*dynamodb.GetItemOutput, error)
+	query func(context.Context, *dynamodb.QueryInput, ...func(*dynamodb.Options)) (*dynamodb.QueryOutput, error)
+	write func(
+		context.Context, *dynamodb.TransactWriteItemsInput, ...func(*dynamodb.Options),
+	) (*dynamodb.TransactWriteItemsOutput, error)
+}
+
 var _ beryllatch.Table = (*Client)(nil)
 
 // New returns a client of the table service; the default endpoint is http://127.0.0.1:8000, and the default time limit 2 s.
 func New(opts ...berylcall.Option) *Client {
 	cfg := berylcall.NewSettings("http://127.0.0.1:8000", 2*time.Second, transport, opts...)
-	return &Client{cfg: cfg, api: dynamodb.New(dynamodb.Options{
-		BaseEndpoint: aws.String(cfg.Endpoint),
-		Region:       cfg.Region,
-		Credentials:  cfg.Credentials,
-		HTTPClient:   cfg.HTTPClient,
-		Retryer:      aws.NopRetryer{},
-	})}
+	api := dynamodb.New(dynamodb.Options{
+		EndpointResolverV2: fixedEndpoint(cfg.Endpoint),
+		Region:             cfg.Region,
+		Credentials:        cfg.Credentials,
+		HTTPClient:         cfg.HTTPClient,
+		Retryer:            aws.NopRetryer{},
+		APIOptions:         []func(*middleware.Stack) error{shortHeaders},
+	})
+	return &Client{cfg: cfg, api: operations{get: api.GetItem, query: api.Query, write: api.TransactWriteItems}}
 }
 
 func transport(t *http.Transport) http.RoundTripper {
@@ -44,7 +57,7 @@
 func (c *Client) Get(ctx context.Context, k beryllatch.RowKey) (beryllatch.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
 	defer cancel()
-	out, err := c.api.GetItem(ctx, &dynamodb.GetItemInput{
+	out, err := c.api.get(ctx, &dynamodb.GetItemInput{
 		TableName:      aws.String(c.cfg.Name),
 		Key:            encodeKey(k),
 		ConsistentRead: aws.Bool(true),
@@ -78,7 +91,7 @@
 		if limit > 0 {
 			in.Limit = aws.Int32(int32(min(limit-len(rows), 1000)))
 		}
-		out, err := c.api.Query(ctx, in)
+		out, err := c.api.query(ctx, in)
 		if err != nil {
 			return nil, &beryllatch.UnavailableError{Err: err}
 		}
@@ -115,7 +128,7 @@
 	probe := &berylconn.Probe{}
 	ctx, cancel := context.WithTimeout(probe.Attach(ctx), c.cfg.Timeout)
 	defer cancel()
-	_, err := c.api.TransactWriteItems(ctx, &dynamodb.TransactWriteItemsInput{TransactItems: items})
+	_, err := c.api.write(ctx, &dynamodb.TransactWriteItemsInput{TransactItems: items})
 	if err != nil {
 		return classify(err, probe, writes)
 	}
