Lend from any pool with a surplus, and lend idle spares ahead of demand

The spare pool's four instances served nothing until a demand had lasted a minute, and LoadMoves knew no other lender than a spare pool.

Ruled out: moves for shorter demands.

Change: the questionnaire gives standing loans to the pools whose work must not be late, by the part of their burst that they lack. A new instance of a spare pool joins a pool whose standing loan is not filled, the one with the fewest instances in its data centre. LoadMoves also takes from a pool whose highest need of the last 120 s leaves an instance over, if the demand has lasted as long, and gives a loan back once its pool has had more than it needs for 120 s.

--- a/config.go
+++ b/config.go
@@ -44,6 +44,8 @@
 	Spare bool `json:"spare,omitempty"`
 	// MinSize is the number of instances that moves must leave in the pool.
 	MinSize int `json:"min_size,omitempty"`
+	// StandingLoan is the number of spare instances that serve the pool at rest.
+	StandingLoan int `json:"standing_loan,omitempty"`
 }
 
 // Queue accepts work and sends it to one pool.
@@ -100,6 +102,8 @@
 	State        InstanceState `json:"state"`
 	// MoveTo is the pool that the instance joins once it is drained; empty when no move is planned.
 	MoveTo string `json:"move_to,omitempty"`
+	// Home is the pool that an instance on loan goes back to; empty while it is in its own pool.
+	Home string `json:"home,omitempty"`
 	// BootID is the boot identifier seen before a reboot was requested.
 	BootID string `json:"boot_id,omitempty"`
 	// Wave is the maintenance wave that drains or reboots the instance; empty when an operator drains it.
--- a/internal/bench/berylmeasure/fleet.go
+++ b/internal/bench/berylmeasure/fleet.go
@@ -69,7 +69,7 @@
 	}
 	f.meter = newMeter(f)
 	f.audit = newAudit(f)
-	f.mover = newMover(f, c)
+	f.mover = mover{fleet: f}
 	f.table.compareAndSet(headKey, 0, c)
 	f.addWorkers(c)
 	f.addNodes()
--- a/internal/client/berylcommand/encode.go
+++ b/internal/client/berylcommand/encode.go
@@ -44,6 +44,7 @@
 		p := ch.Pool
 		return &berylwire.Change{Change: &berylwire.Change_PutPool{PutPool: &berylwire.Pool{
 			Name: p.Name, Service: p.Service, Spare: p.Spare, MinSize: int32(p.MinSize),
+			StandingLoan: int32(p.StandingLoan),
 		}}}, nil
 	case berylplan.PutQueue:
 		q := ch.Queue
--- a/internal/client/berylcommand/pool_change.go
+++ b/internal/client/berylcommand/pool_change.go
@@ -6,10 +6,11 @@
 
 // poolChange changes the fields that are given.
 type poolChange struct {
-	Name    string  `arg:"" help:"Name of the pool."`
-	Service *string `help:"Service whose budget the pool is under."`
-	Spare   *bool   `negatable:"" help:"Lends instances to the other pools."`
-	MinSize *int32  `help:"Instances that moves must leave in the pool."`
+	Name         string  `arg:"" help:"Name of the pool."`
+	Service      *string `help:"Service whose budget the pool is under."`
+	Spare        *bool   `negatable:"" help:"Lends instances to the other pools."`
+	MinSize      *int32  `help:"Instances that moves must leave in the pool."`
+	StandingLoan *int32  `help:"Spare instances that serve the pool at rest."`
 }
 
 // Help gives an example.
@@ -18,6 +19,6 @@
 // Run sends the change.
 func (cmd *poolChange) Run(s *session) error {
 	return s.change(&berylwire.Change{Change: &berylwire.Change_ChangePool{ChangePool: &berylwire.ChangePool{
-		Name: cmd.Name, Service: cmd.Service, Spare: cmd.Spare, MinSize: cmd.MinSize,
+		Name: cmd.Name, Service: cmd.Service, Spare: cmd.Spare, MinSize: cmd.MinSize, StandingLoan: cmd.StandingLoan,
 	}}})
 }
--- a/internal/client/berylcommand/pool_list.go
+++ b/internal/client/berylcommand/pool_list.go
@@ -13,10 +13,10 @@
 	if err != nil {
 		return err
 	}
-	out := table{head: []string{"name", "service", "spare", "min_size"}}
+	out := table{head: []string{"name", "service", "spare", "min_size", "standing_loan"}}
 	for _, k := range beryllatch.SortedKeys(c.Pools) {
 		t := c.Pools[k]
-		out.add(t, t.Name, t.Service, t.Spare, t.MinSize)
+		out.add(t, t.Name, t.Service, t.Spare, t.MinSize, t.StandingLoan)
 	}
 	return s.printTable(out)
 }
--- a/internal/decision/berylplan/change_instance.go
+++ b/internal/decision/berylplan/change_instance.go
@@ -4,7 +4,8 @@
 	"github.com/beryllatch/beryllatch"
 )
 
-// PutInstance adds an active instance, or replaces the description of a known one but for its pool and state.
+// PutInstance adds an active instance, or replaces the description of a known one but for its pool and state. A new
+// instance of a spare pool goes to a pool whose standing loan is not filled, if there is one.
 type PutInstance struct{ Instance beryllatch.Instance }
 
 // RemoveInstance removes an instance that is drained or not live.
@@ -16,23 +17,29 @@
 // ReturnInstance puts a draining instance back into service and ends its move, if any.
 type ReturnInstance struct{ ID string }
 
-// MoveInstance drains an instance and moves it to another pool.
+// MoveInstance drains an instance and moves it to another pool for good; a loan ends with it.
 type MoveInstance struct {
 	ID   string
 	Pool string
 }
 
+// LendInstance drains an instance and moves it to another pool, and keeps where it goes back to.
+type LendInstance struct {
+	ID   string
+	Pool string
+}
+
 func (ch PutInstance) apply(c beryllatch.Config, _ Health) (beryllatch.Config, error) {
 	i := ch.Instance
 	old, known := c.Instances[i.ID]
 	if !known {
-		return c.WithInstance(activated(i)), nil
+		return c.WithInstance(activated(placed(c, i))), nil
 	}
-	if i.Pool != old.Pool {
+	if i.Pool != old.Pool && i.Pool != old.Home {
 		return c, invalid("instances."+i.ID+".pool", "is %q; a known instance changes its pool only by a move", old.Pool)
 	}
 	i.State, i.MoveTo, i.BootID, i.Wave = old.State, old.MoveTo, old.BootID, old.Wave
-	i.DrainVersion = old.DrainVersion
+	i.DrainVersion, i.Pool, i.Home = old.DrainVersion, old.Pool, old.Home
 	return c.WithInstance(i), nil
 }
 
@@ -87,6 +94,19 @@
 }
 
 func (ch MoveInstance) apply(c beryllatch.Config, _ Health) (beryllatch.Config, error) {
+	return moveInstance(c, ch, "")
+}
+
+func (ch LendInstance) apply(c beryllatch.Config, _ Health) (beryllatch.Config, error) {
+	i := c.Instances[ch.ID]
+	home := i.Home
+	if home == "" {
+		home = i.Pool
+	}
+	return moveInstance(c, MoveInstance(ch), home)
+}
+
+func moveInstance(c beryllatch.Config, ch MoveInstance, home string) (beryllatch.Config, error) {
 	i, err := instance(c, ch.ID)
 	if err != nil {
 		return c, err
@@ -110,7 +130,7 @@
 		return c, err
 	}
 	i = draining(c, i)
-	i.MoveTo = ch.Pool
+	i.MoveTo, i.Home = ch.Pool, home
 	return c.WithInstance(i), nil
 }
 
@@ -133,6 +153,9 @@
 func activated(i beryllatch.Instance) beryllatch.Instance {
 	i.State, i.MoveTo, i.BootID, i.Wave = beryllatch.InstanceActive, "", "", ""
 	i.DrainVersion = 0
+	if i.Home == i.Pool {
+		i.Home = ""
+	}
 	return i
 }
 
--- a/internal/decision/berylplan/change_partial.go
+++ b/internal/decision/berylplan/change_partial.go
@@ -24,6 +24,8 @@
 	Service *string
 	Spare   *bool
 	MinSize *int
+	// StandingLoan is the number of spare instances that serve the pool at rest.
+	StandingLoan *int
 }
 
 // ChangeQueue replaces the fields of a queue that are not nil.
@@ -119,6 +121,7 @@
 	set(&p.Service, ch.Service)
 	set(&p.Spare, ch.Spare)
 	set(&p.MinSize, ch.MinSize)
+	set(&p.StandingLoan, ch.StandingLoan)
 	return c.WithPool(p), nil
 }
 
--- a/internal/decision/berylplan/change_pool.go
+++ b/internal/decision/berylplan/change_pool.go
@@ -65,7 +65,7 @@
 	}
 	users := poolQueues(c, ch.Name)
 	for id, i := range c.Instances {
-		if i.Pool == ch.Name || i.MoveTo == ch.Name {
+		if i.Pool == ch.Name || i.MoveTo == ch.Name || i.Home == ch.Name {
 			users = append(users, "instances."+id)
 		}
 	}
--- a/internal/decision/berylplan/lines.go
+++ b/internal/decision/berylplan/lines.go
@@ -21,7 +21,8 @@
 	}
 	for _, k := range beryllatch.SortedKeys(c.Pools) {
 		p := c.Pools[k]
-		add("pool %s service=%s%s%s", k, p.Service, flag("spare", p.Spare), number("min_size", p.MinSize))
+		add("pool %s service=%s%s%s%s", k, p.Service, flag("spare", p.Spare), number("min_size", p.MinSize),
+			number("standing_loan", p.StandingLoan))
 	}
 	for _, k := range beryllatch.SortedKeys(c.Queues) {
 		q := c.Queues[k]
@@ -36,7 +37,7 @@
 	}
 	for _, k := range beryllatch.SortedKeys(c.Instances) {
 		i := c.Instances[k]
-		add("instance %s pool=%s dc=%s rack=%s %s%s%s%s", k, i.Pool, i.DataCentre, i.Rack, i.State,
+		add("instance %s pool=%s%s dc=%s rack=%s %s%s%s%s", k, i.Pool, word("home", i.Home), i.DataCentre, i.Rack, i.State,
 			word("move_to", i.MoveTo), word("boot", i.BootID), word("wave", i.Wave))
 	}
 	for _, k := range beryllatch.SortedKeys(c.Waves) {
--- /dev/null
+++ b/internal/decision/berylplan/load_return.go
@@ -0,0 +1,52 @@
+package berylplan
+
+import "github.com/beryllatch/beryllatch"
+
+// fillStandingLoan moves an instance from a spare pool to a pool that has fewer on loan than its standing loan.
+func (p *loadPlanner) fillStandingLoan(to string) {
+	if p.moving[to] || StandingLoanOpen(p.config, to) < 1 {
+		return
+	}
+	for _, from := range beryllatch.SortedKeys(p.config.Pools) {
+		if !p.config.Pools[from].Spare || p.moving[from] {
+			continue
+		}
+		for _, id := range p.candidates(from, to) {
+			if p.take(LoadMove{LendInstance: LendInstance{ID: id, Pool: to}, Reason: MoveStandingLoan}) == nil {
+				return
+			}
+		}
+	}
+}
+
+// giveBack returns an instance on loan from a pool that has had more than it needs for LendAfter. The instances of a
+// standing loan stay.
+func (p *loadPlanner) giveBack(from string) {
+	if p.moving[from] || p.config.Pools[from].Spare || p.surplus(from) < 1 {
+		return
+	}
+	stay := p.config.Pools[from].StandingLoan
+	for _, id := range p.candidates(from, from) {
+		i := p.config.Instances[id]
+		if i.Home == "" || p.config.Pools[i.Home].Spare && onLoan(p.config, from) <= stay {
+			continue
+		}
+		to := p.rest(i)
+		if p.moving[to] {
+			continue
+		}
+		if p.take(LoadMove{LendInstance: LendInstance{ID: id, Pool: to}, Reason: MoveGiveBack}) == nil {
+			return
+		}
+	}
+}
+
+// rest returns the pool that an instance on loan goes back to: a spare one to a standing loan that is not filled, if any.
+func (p *loadPlanner) rest(i beryllatch.Instance) string {
+	if p.config.Pools[i.Home].Spare {
+		if pool := openLoan(p.config, i); pool != "" && pool != i.Pool {
+			return pool
+		}
+	}
+	return i.Home
+}
--- a/internal/decision/berylplan/questionnaire.go
+++ b/internal/decision/berylplan/questionnaire.go
@@ -98,24 +98,59 @@
 
 func (p *Plan) planWork(a Answers) {
 	spareService := a.spareService()
+	loans := a.standingLoans()
+	kept := a.Limits.SpareWorkers
+	for _, n := range loans {
+		kept -= n
+	}
 	for _, w := range a.Work {
-		workers := w.Workers
+		workers := w.Workers + loans[w.Name]
 		if w.Name == spareService {
-			workers += a.Limits.SpareWorkers
+			workers += kept
 		}
 		p.add(PutService{Service: a.service(w.Name, workers)},
 			"%d%% of %d workers may be out of service at once", a.Limits.OutAtOncePercent, workers)
-		p.add(PutPool{Pool: beryllatch.Pool{Name: w.Name, Service: w.Name}}, "%d workers run this work", w.Workers)
+		lent := ""
+		if n := loans[w.Name]; n > 0 {
+			lent = fmt.Sprintf(", %d more come on a standing loan", n)
+		}
+		p.add(PutPool{Pool: beryllatch.Pool{Name: w.Name, Service: w.Name, StandingLoan: loans[w.Name]}},
+			"%d workers run this work%s", w.Workers, lent)
 		p.planQueue(w)
 	}
 	if a.Limits.SpareWorkers == 0 {
 		return
 	}
 	if spareService == spareName {
-		p.add(PutService{Service: a.service(spareName, a.Limits.SpareWorkers)}, "the spare workers have their own budget")
+		p.add(PutService{Service: a.service(spareName, kept)}, "the spare workers have their own budget")
 	}
 	p.add(PutPool{Pool: beryllatch.Pool{Name: spareName, Service: spareService, Spare: true}},
-		"%d workers that go where a demand lasts over %s", a.Limits.SpareWorkers, MoveAfter)
+		"%d workers: %d on standing loans at rest, %d kept for a demand that lasts over %s",
+		a.Limits.SpareWorkers, a.Limits.SpareWorkers-kept, kept, MoveAfter)
+}
+
+// standingLoans divides the spare workers among the work that must not be late, or among all work if all may wait.
+func (a Answers) standingLoans() map[string]int {
+	sizes := make(map[string]int, len(a.Work))
+	var all, urgent []PoolLoad
+	for _, w := range a.Work {
+		sizes[w.Name] = w.Workers
+		l := w.load()
+		all = append(all, l)
+		if w.Late == LateLostSale {
+			urgent = append(urgent, l)
+		}
+	}
+	if len(urgent) == 0 {
+		urgent = all
+	}
+	return StandingLoans(urgent, sizes, a.Limits.SlotsPerWorker, a.Limits.SpareWorkers)
+}
+
+// load is the work's demand in slots.
+func (w WorkAnswer) load() PoolLoad {
+	mean := w.PerMinute / 60 * float64(w.RunTimeMS) / 1000
+	return PoolLoad{Pool: w.Name, Mean: mean, Burst: mean * w.burst()}
 }
 
 func (a Answers) service(name string, workers int) beryllatch.Service {
@@ -173,8 +208,7 @@
 	in.FailuresPerDay = usualFailuresPerDay * float64(planned)
 	in.LargestDataCentre = (planned + len(a.DataCentres) - 1) / len(a.DataCentres)
 	for _, w := range a.Work {
-		mean := w.PerMinute / 60 * float64(w.RunTimeMS) / 1000
-		in.Loads = append(in.Loads, PoolLoad{Pool: w.Name, Mean: mean, Burst: mean * w.burst()})
+		in.Loads = append(in.Loads, w.load())
 	}
 	b := PlanBuffer(in)
 	p.Notes = append(p.Notes, fmt.Sprintf(
--- /dev/null
+++ b/internal/decision/berylplan/standing_loan.go
@@ -0,0 +1,95 @@
+package berylplan
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/beryllatch/beryllatch"
+)
+
+// StandingLoans divides the spares among the loads: each goes to the pool whose burst would lack the largest part of
+// its slots, with the loans so far. Loads without work get none. A load holds its pool's instances in slots.
+func StandingLoans(loads []PoolLoad, sizes map[string]int, perInstance, spares int) map[string]int {
+	out := map[string]int{}
+	var worked []PoolLoad
+	for _, l := range loads {
+		if l.Burst > 0 {
+			worked = append(worked, l)
+		}
+	}
+	if len(worked) == 0 {
+		return out
+	}
+	for range spares {
+		neediest := slices.MaxFunc(worked, func(a, b PoolLoad) int {
+			return cmp.Compare(lack(a, sizes[a.Pool]+out[a.Pool], perInstance), lack(b, sizes[b.Pool]+out[b.Pool], perInstance))
+		})
+		out[neediest.Pool]++
+	}
+	return out
+}
+
+// lack is the number of slots that a burst takes for each slot of the pool.
+func lack(l PoolLoad, size, perInstance int) float64 {
+	return l.Burst / float64(max(1, size*perInstance))
+}
+
+// StandingLoanOpen is the number of spare instances that the pool's standing loan still lacks.
+func StandingLoanOpen(c beryllatch.Config, pool string) int {
+	return c.Pools[pool].StandingLoan - onLoan(c, pool)
+}
+
+// onLoan counts the instances of spare pools that are in the pool or on their way to it.
+func onLoan(c beryllatch.Config, pool string) int {
+	n := 0
+	for _, i := range c.Instances {
+		in := i.MoveTo == pool || i.Pool == pool && i.MoveTo == ""
+		if in && i.Home != "" && i.Home != pool && c.Pools[i.Home].Spare {
+			n++
+		}
+	}
+	return n
+}
+
+// openLoan returns the pool with a standing loan to fill that has the fewest instances in the instance's data centre,
+// the largest pool first, or "" if there is none. A wave takes as many rounds in a data centre as the service with the
+// most instances there, so a loan must not make one stand out.
+func openLoan(c beryllatch.Config, i beryllatch.Instance) string {
+	best, fewest, largest := "", 0, 0
+	for _, name := range beryllatch.SortedKeys(c.Pools) {
+		if c.Pools[name].StandingLoan == 0 || StandingLoanOpen(c, name) < 1 {
+			continue
+		}
+		size, here := 0, perDataCentre(c, name)
+		for _, n := range here {
+			size += n
+		}
+		if n := here[i.DataCentre]; best == "" || n < fewest || n == fewest && size > largest {
+			best, fewest, largest = name, n, size
+		}
+	}
+	return best
+}
+
+// placed puts a new instance of a spare pool into a pool with a standing loan to fill; it has no work to drain yet.
+func placed(c beryllatch.Config, i beryllatch.Instance) beryllatch.Instance {
+	i.Home = ""
+	if !c.Pools[i.Pool].Spare {
+		return i
+	}
+	if pool := openLoan(c, i); pool != "" {
+		i.Home, i.Pool = i.Pool, pool
+	}
+	return i
+}
+
+// perDataCentre counts the instances of a pool, and those on their way to it, in each data centre.
+func perDataCentre(c beryllatch.Config, pool string) map[string]int {
+	out := map[string]int{}
+	for _, i := range c.Instances {
+		if i.MoveTo == pool || i.Pool == pool && i.MoveTo == "" {
+			out[i.DataCentre]++
+		}
+	}
+	return out
+}
--- a/internal/node/beryloperator/decode.go
+++ b/internal/node/beryloperator/decode.go
@@ -48,6 +48,7 @@
 		p := ch.PutPool
 		return berylplan.PutPool{Pool: beryllatch.Pool{
 			Name: p.GetName(), Service: p.GetService(), Spare: p.GetSpare(), MinSize: int(p.GetMinSize()),
+			StandingLoan: int(p.GetStandingLoan()),
 		}}
 	case *berylwire.Change_RemovePool:
 		return berylplan.RemovePool{Name: ch.RemovePool}
@@ -78,7 +79,10 @@
 		return berylplan.ChangeService{Name: s.GetName(), MaxUnavailable: integer(s.MaxUnavailable)}
 	case *berylwire.Change_ChangePool:
 		p := ch.ChangePool
-		return berylplan.ChangePool{Name: p.GetName(), Service: p.Service, Spare: p.Spare, MinSize: integer(p.MinSize)}
+		return berylplan.ChangePool{
+			Name: p.GetName(), Service: p.Service, Spare: p.Spare, MinSize: integer(p.MinSize),
+			StandingLoan: integer(p.StandingLoan),
+		}
 	case *berylwire.Change_ChangeQueue:
 		q := ch.ChangeQueue
 		return berylplan.ChangeQueue{
--- a/validate.go
+++ b/validate.go
@@ -14,6 +14,10 @@
 // Error names the field and the reason.
 func (e *InvalidFieldError) Error() string { return fmt.Sprintf("%s: %s", e.Field, e.Reason) }
 
+// maxStandingLoan is the largest number of spare workers that the questionnaire takes; a standing loan is set before
+// the instances that fill it are added.
+const maxStandingLoan = 10_000
+
 var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
 
 // Validate returns an *InvalidFieldError for the first field that breaks a rule, in a stable order.
@@ -66,6 +70,12 @@
 		if p.MinSize < 0 || p.MinSize > len(c.Instances) {
 			return invalid("pools."+k+".min_size", "must be between 0 and the fleet's %d instances, got %d", len(c.Instances), p.MinSize)
 		}
+		if p.StandingLoan < 0 || p.StandingLoan > maxStandingLoan {
+			return invalid("pools."+k+".standing_loan", "must be between 0 and %d, got %d", maxStandingLoan, p.StandingLoan)
+		}
+		if p.Spare && p.StandingLoan > 0 {
+			return invalid("pools."+k+".standing_loan", "a spare pool lends to others and takes no loan itself")
+		}
 	}
 	return nil
 }
@@ -132,6 +142,9 @@
 		if _, ok := c.Pools[i.MoveTo]; !ok && i.MoveTo != "" {
 			return invalid(field+".move_to", "unknown pool %q", i.MoveTo)
 		}
+		if _, ok := c.Pools[i.Home]; !ok && i.Home != "" {
+			return invalid(field+".home", "unknown pool %q", i.Home)
+		}
 		if _, ok := c.DataCentres[i.DataCentre]; !ok {
 			return invalid(field+".data_centre", "unknown data centre %q", i.DataCentre)
 		}
