Let the nodes move instances for load

Ruled out: demand from the unit rows, which know teams but not pools; and waiting tasks as a demand, since they have the time to use the load troughs.

Change: while load_moves is set in the configuration document, heartbeats carry each node's slots of work by pool, and any node that has heard of every registered node within 40 s and of every instance begins the moves, in turn and by compare-and-set; the loser does nothing. A pool that is short recalls what it has lent first. `beryllatch moves on|off` and the questionnaire set the field; it is off in documents without it. Moves are counted by reason, unmet demands once for each reason.

--- a/config.go
+++ b/config.go
@@ -16,6 +16,8 @@
 	DataCentres map[string]DataCentre `json:"data_centres,omitempty"`
 	Instances   map[string]Instance   `json:"instances,omitempty"`
 	Waves       map[string]Wave       `json:"waves,omitempty"`
+	// LoadMoves lets the nodes move instances between pools for load.
+	LoadMoves bool `json:"load_moves,omitempty"`
 	// Operations holds the most recent operator calls, oldest first, so that a repeated call returns its first outcome.
 	Operations []Operation `json:"operations,omitempty"`
 }
@@ -153,6 +155,9 @@
 // WithVersion returns a copy with the given version.
 func (c Config) WithVersion(v uint64) Config { c.Version = v; return c }
 
+// WithLoadMoves returns a copy in which the nodes may move instances for load, or may not.
+func (c Config) WithLoadMoves(on bool) Config { c.LoadMoves = on; return c }
+
 // WithTeam returns a copy in which the team is added or replaced.
 func (c Config) WithTeam(t Team) Config { c.Teams = with(c.Teams, t.Name, t); return c }
 
--- a/internal/bench/berylmeasure/deployment.go
+++ b/internal/bench/berylmeasure/deployment.go
@@ -99,7 +99,7 @@
 }
 
 // config returns the first configuration: the plan from the answers, the teams' keys and the instances.
-func (d Deployment) config(x declaration, spread bool) (beryllatch.Config, error) {
+func (d Deployment) config(x declaration, p Policy) (beryllatch.Config, error) {
 	plan, err := berylplan.PlanAnswers(d.answers(x))
 	if err != nil {
 		return beryllatch.Config{}, err
@@ -114,9 +114,12 @@
 			ID: "key-" + t.Name, Team: t.Name, Hash: keyHash(n),
 		}})
 	}
-	for _, i := range d.instances(x, spread) {
+	for _, i := range d.instances(x, p.spreadSpares) {
 		changes = append(changes, berylplan.PutInstance{Instance: i})
 	}
+	if p.spreadSpares || p.eagerMoves {
+		changes = append(changes, berylplan.SetLoadMoves{On: false})
+	}
 	c, err = berylplan.Apply(c, nil, changes...)
 	return c.WithVersion(1), err
 }
--- a/internal/bench/berylmeasure/fleet.go
+++ b/internal/bench/berylmeasure/fleet.go
@@ -56,7 +56,7 @@
 }
 
 func newFleet(d Deployment, p Policy, s script, seed uint64) (*fleet, error) {
-	c, err := d.config(s.declaration, p.spreadSpares)
+	c, err := d.config(s.declaration, p)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/bench/berylmeasure/mover.go
+++ b/internal/bench/berylmeasure/mover.go
@@ -4,7 +4,8 @@
 	"github.com/beryllatch/beryllatch/internal/decision/berylplan"
 )
 
-// mover stands for the operator who applies berylplan.LoadMoves once a sample.
+// mover stands for an operator who applies berylplan.LoadMoves to every burst once a sample, with the nodes' own load
+// moves switched off.
 type mover struct {
 	fleet   *fleet
 	history berylplan.DemandHistory
@@ -12,7 +13,7 @@
 
 func (m *mover) step() {
 	f := m.fleet
-	if f.policy.spreadSpares {
+	if !f.policy.eagerMoves {
 		return
 	}
 	c, h := f.config(), f.health()
@@ -22,11 +23,7 @@
 	}
 	sizes := berylplan.Serving(c, h)
 	m.history.Note(f.now, needs, sizes)
-	demands := m.history.Demands(f.now)
-	if f.policy.eagerMoves {
-		demands = eager(demands, sizes)
-	}
-	moves, _ := berylplan.LoadMoves(c, h, demands)
+	moves, _ := berylplan.LoadMoves(c, h, eager(m.history.Demands(f.now), sizes))
 	for _, ch := range moves {
 		f.operate(0, ignoreReply, ch.LendInstance)
 	}
--- a/internal/bench/berylmeasure/node_peer.go
+++ b/internal/bench/berylmeasure/node_peer.go
@@ -24,7 +24,7 @@
 func (n *node) heartbeat(x berylreducer.SendHeartbeats) {
 	n.demand = x.Demand
 	for _, p := range x.Peers {
-		n.send(p, berylreducer.PeerHeard{From: n.self, ConfigVersion: x.ConfigVersion, Demand: x.Demand})
+		n.send(p, berylreducer.PeerHeard{From: n.self, ConfigVersion: x.ConfigVersion, Demand: x.Demand, Work: x.Work})
 		n.askPeer(p)
 	}
 }
--- a/internal/client/berylcommand/cli.go
+++ b/internal/client/berylcommand/cli.go
@@ -35,6 +35,7 @@
 	Key        keyCommand        `cmd:"" help:"Keys: what lets a team hand in work."`
 	DC         dataCentreCommand `cmd:"" name:"dc" help:"Data centres: failure domains that go out and in as a whole."`
 	Instance   instanceCommand   `cmd:"" help:"Instances: the workers of the fleet."`
+	Moves      movesCommand      `cmd:"" help:"Moves of instances for load, made by the nodes."`
 	Wave       waveCommand       `cmd:"" help:"Maintenance waves."`
 	Status     statusCommand     `cmd:"" help:"State of the fleet, a team or a task."`
 	Completion completionCommand `cmd:"" help:"Print a completion script for bash."`
--- a/internal/client/berylcommand/cli_test.go
+++ b/internal/client/berylcommand/cli_test.go
@@ -123,6 +123,7 @@
 		"dc out d1", "dc in d1", "dc list", "wave start december --services=lacing", "wave pause december", "wave list",
 		"wave resume december", "wave stop december", "wave watch december", "team remove wheels", "pool remove spare",
 		"queue remove plans", "status team", "status team spokes", "status task t1", "instance change w1 --slots=4",
+		"pool change lacing --standing-loan=1", "pool change spare --standing-loan=1", "pool show lacing", "moves on", "moves off",
 	} {
 		c.run(line)
 	}
--- a/internal/client/berylcommand/encode.go
+++ b/internal/client/berylcommand/encode.go
@@ -57,6 +57,8 @@
 		return &berylwire.Change{Change: &berylwire.Change_PutDataCentre{PutDataCentre: &berylwire.DataCentre{
 			Name: d.Name, Region: d.Region,
 		}}}, nil
+	case berylplan.SetLoadMoves:
+		return &berylwire.Change{Change: &berylwire.Change_SetLoadMoves{SetLoadMoves: ch.On}}, nil
 	}
 	return nil, fmt.Errorf("no encoding for a change of type %T", in)
 }
--- a/internal/decision/berylplan/bench_test.go
+++ b/internal/decision/berylplan/bench_test.go
@@ -25,3 +25,18 @@
 		NextSteps(c, h)
 	}
 }
+
+// BenchmarkLoadMoves measures a look for load moves at the design size, which every node makes once a second: one pool
+// lacks instances, and no other one has any to spare.
+func BenchmarkLoadMoves(b *testing.B) {
+	c := designFleet()
+	h := AllLive(c, "b0")
+	var demands []PoolDemand
+	for _, name := range beryllatch.SortedKeys(c.Pools) {
+		demands = append(demands, PoolDemand{Pool: name, Need: 27, Peak: 30, Known: LendAfter})
+	}
+	demands[0].Need, demands[0].Lasted = 40, 2*LendAfter
+	for b.Loop() {
+		LoadMoves(c, h, demands)
+	}
+}
--- a/internal/decision/berylplan/change.go
+++ b/internal/decision/berylplan/change.go
@@ -7,6 +7,13 @@
 	apply(c beryllatch.Config, h Health) (beryllatch.Config, error)
 }
 
+// SetLoadMoves lets the nodes move instances for load, or stops them; moves under way end as they are.
+type SetLoadMoves struct{ On bool }
+
+func (ch SetLoadMoves) apply(c beryllatch.Config, _ Health) (beryllatch.Config, error) {
+	return c.WithLoadMoves(ch.On), nil
+}
+
 // Apply returns the configuration after all changes, or a *ChangeError or *beryllatch.InvalidFieldError and the
 // configuration as it was.
 func Apply(c beryllatch.Config, h Health, changes ...Change) (beryllatch.Config, error) {
--- a/internal/decision/berylplan/lines.go
+++ b/internal/decision/berylplan/lines.go
@@ -13,6 +13,9 @@
 	add := func(format string, args ...any) {
 		out = append(out, strings.TrimRight(fmt.Sprintf(format, args...), " "))
 	}
+	if c.LoadMoves {
+		out = append(out, "load_moves on")
+	}
 	for _, k := range beryllatch.SortedKeys(c.Teams) {
 		add("team %s weight=%d ceiling=%d", k, c.Teams[k].Weight, c.Teams[k].Ceiling)
 	}
--- a/internal/decision/berylplan/load_move.go
+++ b/internal/decision/berylplan/load_move.go
@@ -81,7 +81,11 @@
 // after each.
 func LoadMoves(c beryllatch.Config, h Health, demands []PoolDemand) ([]LoadMove, []LoadRefusal) {
 	p := newLoadPlanner(c, h, demands)
-	for _, pool := range p.byShortage() {
+	short := p.byShortage()
+	for _, pool := range short {
+		p.recall(pool)
+	}
+	for _, pool := range short {
 		p.lend(pool)
 	}
 	for _, pool := range beryllatch.SortedKeys(c.Pools) {
@@ -99,7 +103,9 @@
 	// size counts the instances that serve a pool or are on their way to it.
 	size map[string]int
 	// moving marks the pools with work that have moves under way; spare pools may have several.
-	moving  map[string]bool
+	moving map[string]bool
+	// guests counts the instances on loan in each pool.
+	guests  map[string]guests
 	moves   []LoadMove
 	refused []LoadRefusal
 }
@@ -112,6 +118,7 @@
 	for _, d := range demands {
 		p.addDemand(d)
 	}
+	p.guests = countGuests(c)
 	for _, i := range c.Instances {
 		if i.MoveTo != "" {
 			p.mark(i.Pool, i.MoveTo)
@@ -264,7 +271,7 @@
 	if err != nil {
 		return err
 	}
-	p.config = next
+	p.config, p.guests = next, countGuests(next)
 	p.size[from]--
 	p.size[m.Pool]++
 	p.mark(from, m.Pool)
--- a/internal/decision/berylplan/load_move_test.go
+++ b/internal/decision/berylplan/load_move_test.go
@@ -54,6 +54,13 @@
 	return c
 }
 
+// lent returns the fleet with an instance lent to a pool.
+func lent(c beryllatch.Config, id, pool string) beryllatch.Config {
+	i := c.Instances[id]
+	i.Home, i.Pool = i.Pool, pool
+	return c.WithInstance(i)
+}
+
 // lasting is a demand that has been watched for an hour.
 func lasting(pool string, need, peak int, lasted time.Duration) PoolDemand {
 	return PoolDemand{Pool: pool, Need: need, Peak: peak, Lasted: lasted, Known: time.Hour}
@@ -86,10 +93,11 @@
 			[]PoolDemand{lasting("a", 5, 5, long), lasting("b", 0, 0, 0)},
 			"pool_size a;",
 		},
-		"standing loan":   {lendingFleet(1, 0).WithPool(beryllatch.Pool{Name: "b", Service: "b", StandingLoan: 1}), nil, "standing_loan w10 b;"},
-		"lowered loan":    {lendingFleet(1, 2).WithPool(beryllatch.Pool{Name: "c", Service: "c"}), []PoolDemand{lasting("c", 3, 3, 0)}, "give_back w10 spare;"},
-		"loan in use":     {lendingFleet(1, 2).WithPool(beryllatch.Pool{Name: "c", Service: "c"}), []PoolDemand{lasting("c", 3, 4, 0)}, ""},
-		"loan that stays": {lendingFleet(1, 2), []PoolDemand{lasting("c", 0, 0, 0)}, ""},
+		"own instance first": {lent(lendingFleet(1, 0), "w00", "b"), []PoolDemand{lasting("a", 4, 4, long), lasting("b", 9, 9, long)}, "give_back w00 a;"},
+		"standing loan":      {lendingFleet(1, 0).WithPool(beryllatch.Pool{Name: "b", Service: "b", StandingLoan: 1}), nil, "standing_loan w10 b;"},
+		"lowered loan":       {lendingFleet(1, 2).WithPool(beryllatch.Pool{Name: "c", Service: "c"}), []PoolDemand{lasting("c", 3, 3, 0)}, "give_back w10 spare;"},
+		"loan in use":        {lendingFleet(1, 2).WithPool(beryllatch.Pool{Name: "c", Service: "c"}), []PoolDemand{lasting("c", 3, 4, 0)}, ""},
+		"loan that stays":    {lendingFleet(1, 2), []PoolDemand{lasting("c", 0, 0, 0)}, ""},
 	} {
 		moves, refused := LoadMoves(v.config, AllLive(v.config, "b0"), v.demands)
 		got := ""
--- a/internal/decision/berylplan/load_return.go
+++ b/internal/decision/berylplan/load_return.go
@@ -4,7 +4,7 @@
 
 // fillStandingLoan moves an instance from a spare pool to a pool that has fewer on loan than its standing loan.
 func (p *loadPlanner) fillStandingLoan(to string) {
-	if p.moving[to] || StandingLoanOpen(p.config, to) < 1 {
+	if p.moving[to] || p.guests[to].spare >= p.config.Pools[to].StandingLoan {
 		return
 	}
 	for _, from := range beryllatch.SortedKeys(p.config.Pools) {
@@ -26,9 +26,12 @@
 		return
 	}
 	stay := p.config.Pools[from].StandingLoan
+	if p.guests[from].others == 0 && p.guests[from].spare <= stay {
+		return
+	}
 	for _, id := range p.candidates(from, from) {
 		i := p.config.Instances[id]
-		if i.Home == "" || p.config.Pools[i.Home].Spare && onLoan(p.config, from) <= stay {
+		if i.Home == "" || p.config.Pools[i.Home].Spare && p.guests[from].spare <= stay {
 			continue
 		}
 		to := p.rest(i)
@@ -41,6 +44,23 @@
 	}
 }
 
+// recall returns an instance of the pool that is on loan elsewhere, whatever the demand there: a pool lends only what
+// it can have back.
+func (p *loadPlanner) recall(to string) {
+	if p.moving[to] {
+		return
+	}
+	for _, id := range beryllatch.SortedKeys(p.config.Instances) {
+		i := p.config.Instances[id]
+		if i.Home != to || i.Pool == to || p.moving[i.Pool] || unavailable(p.config, p.health, i) {
+			continue
+		}
+		if p.take(LoadMove{LendInstance: LendInstance{ID: id, Pool: to}, Reason: MoveGiveBack}) == nil {
+			return
+		}
+	}
+}
+
 // rest returns the pool that an instance on loan goes back to: a spare one to a standing loan that is not filled, if any.
 func (p *loadPlanner) rest(i beryllatch.Instance) string {
 	if p.config.Pools[i.Home].Spare {
--- a/internal/decision/berylplan/questionnaire.go
+++ b/internal/decision/berylplan/questionnaire.go
@@ -48,6 +48,7 @@
 	p.planDataCentres(a)
 	p.planTeams(a)
 	p.planWork(a)
+	p.add(SetLoadMoves{On: true}, "instances go where a demand lasts over %s, from spare workers or after %s from any work", MoveAfter, LendAfter)
 	p.planNotes(a)
 	return *p, nil
 }
--- a/internal/decision/berylplan/standing_loan.go
+++ b/internal/decision/berylplan/standing_loan.go
@@ -34,21 +34,31 @@
 	return l.Burst / float64(max(1, size*perInstance))
 }
 
-// StandingLoanOpen is the number of spare instances that the pool's standing loan still lacks.
-func StandingLoanOpen(c beryllatch.Config, pool string) int {
-	return c.Pools[pool].StandingLoan - onLoan(c, pool)
+// guests counts the instances on loan in a pool by where they come from: spare pools or others.
+type guests struct {
+	spare  int
+	others int
 }
 
-// onLoan counts the instances of spare pools that are in the pool or on their way to it.
-func onLoan(c beryllatch.Config, pool string) int {
-	n := 0
+// countGuests returns the guests of each pool and those on their way to it.
+func countGuests(c beryllatch.Config) map[string]guests {
+	out := map[string]guests{}
 	for _, i := range c.Instances {
-		in := i.MoveTo == pool || i.Pool == pool && i.MoveTo == ""
-		if in && i.Home != "" && i.Home != pool && c.Pools[i.Home].Spare {
-			n++
+		pool := i.Pool
+		if i.MoveTo != "" {
+			pool = i.MoveTo
 		}
+		g := out[pool]
+		switch {
+		case i.Home == "" || i.Home == pool:
+		case c.Pools[i.Home].Spare:
+			g.spare++
+		default:
+			g.others++
+		}
+		out[pool] = g
 	}
-	return n
+	return out
 }
 
 // openLoan returns the pool with a standing loan to fill that has the fewest instances in the instance's data centre,
@@ -56,8 +66,9 @@
 // most instances there, so a loan must not make one stand out.
 func openLoan(c beryllatch.Config, i beryllatch.Instance) string {
 	best, fewest, largest := "", 0, 0
+	guests := countGuests(c)
 	for _, name := range beryllatch.SortedKeys(c.Pools) {
-		if c.Pools[name].StandingLoan == 0 || StandingLoanOpen(c, name) < 1 {
+		if guests[name].spare >= c.Pools[name].StandingLoan {
 			continue
 		}
 		size, here := 0, perDataCentre(c, name)
--- a/internal/decision/berylreducer/effect.go
+++ b/internal/decision/berylreducer/effect.go
@@ -24,6 +24,7 @@
 	Peers         []Identity
 	ConfigVersion uint64
 	Demand        []Demand
+	Work          []PoolWork
 	AskGrant      bool
 }
 
--- a/internal/decision/berylreducer/event.go
+++ b/internal/decision/berylreducer/event.go
@@ -104,6 +104,8 @@
 	ConfigVersion uint64
 	// Demand is empty when the message carries no demand.
 	Demand []Demand
+	// Work is the work of the sender for each pool; empty when the message carries none.
+	Work []PoolWork
 	// GrantAskedAt is set on an answer to a request for an outage grant: the instant of the request.
 	GrantAskedAt Instant
 	Granted      bool
--- a/internal/decision/berylreducer/heartbeat.go
+++ b/internal/decision/berylreducer/heartbeat.go
@@ -11,7 +11,7 @@
 		return
 	}
 	if peers := r.nextPeers(); len(peers) > 0 {
-		r.emit(SendHeartbeats{Peers: peers, ConfigVersion: r.config.Version, Demand: r.demand()})
+		r.emit(SendHeartbeats{Peers: peers, ConfigVersion: r.config.Version, Demand: r.demand(), Work: r.work()})
 	}
 }
 
@@ -39,6 +39,9 @@
 		m.demand = nil
 		r.noteDemand(m, e.Demand...)
 	}
+	if len(e.Work) > 0 {
+		m.work, m.workAt = e.Work, r.now.Mono
+	}
 	r.grantHeard(m, e)
 	r.checkInForce()
 }
--- /dev/null
+++ b/internal/decision/berylreducer/load_test.go
@@ -0,0 +1,151 @@
+package berylreducer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/beryllatch/beryllatch"
+	"github.com/beryllatch/beryllatch/internal/decision/berylplan"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+	"pgregory.net/rapid"
+)
+
+// loadScene is a scene in which a further node reports work by its heartbeats.
+type loadScene struct {
+	*scene
+	work  map[string]int
+	moves int
+	// wrote is when the document changed last.
+	wrote  time.Duration
+	broken string
+}
+
+// loadConfig has two pools of three instances and a spare pool of one, each under a budget of one, with load moves on.
+func loadConfig() beryllatch.Config {
+	c := sampleConfig().WithLoadMoves(true)
+	for _, id := range beryllatch.SortedKeys(c.Instances) {
+		c = c.WithoutInstance(id)
+	}
+	for _, name := range []string{"quotes", "prints", "spare"} {
+		c = c.WithService(beryllatch.Service{Name: name, MaxUnavailable: 1}).
+			WithPool(beryllatch.Pool{Name: name, Service: name, Spare: name == "spare"})
+	}
+	for n, pool := range []string{"quotes", "quotes", "quotes", "prints", "prints", "prints", "spare"} {
+		c = c.WithInstance(beryllatch.Instance{
+			ID: fmt.Sprintf("w%d", n+1), Pool: pool, DataCentre: fmt.Sprintf("dc%d", 1+n%2), Rack: "r1",
+			Address: fmt.Sprintf("127.0.0.1:%d", 9001+n), Slots: 2, Connections: 16, State: beryllatch.InstanceActive,
+		})
+	}
+	return c
+}
+
+func newLoadScene(nodes ...string) *loadScene {
+	s := &loadScene{scene: newScene(loadConfig(), nodes...), work: map[string]int{}}
+	head := s.head
+	s.onWrite = func(x WriteConfig) {
+		s.check(head, x.Config)
+		head, s.wrote = x.Config, s.now.Mono
+	}
+	return s
+}
+
+// check compares a document with the one that it replaces.
+func (s *loadScene) check(before, after beryllatch.Config) {
+	out := map[string]int{}
+	for id, i := range after.Instances {
+		old := before.Instances[id]
+		if i.Pool != old.Pool && (old.MoveTo != i.Pool || old.State != beryllatch.InstanceDraining) {
+			s.broken = id + " changes its pool without a drain"
+		}
+		if i.MoveTo != "" && old.MoveTo == "" {
+			s.moves++
+		}
+		if i.State != beryllatch.InstanceActive || i.MoveTo != "" {
+			out[after.Pools[i.Pool].Service]++
+		}
+	}
+	for service, n := range out {
+		if n > after.Services[service].MaxUnavailable {
+			s.broken = "the budget of " + service + " is overspent"
+		}
+	}
+	if err := after.Validate(); err != nil {
+		s.broken = err.Error()
+	}
+}
+
+// runLoad lets time pass while the further node reports its work every second.
+func (s *loadScene) runLoad(d time.Duration) {
+	peer := Identity{Node: "x1", Incarnation: "x1-1"}
+	for range int(d / time.Second) {
+		row := s.rows[peer.Incarnation]
+		s.rows[peer.Incarnation] = NodeRow{
+			Identity: peer, Version: row.Version + 1, Renewal: row.Renewal + 1, ConfigVersion: s.head.Version, State: NodeLive,
+		}
+		work := []PoolWork{{Pool: "prints", Slots: s.work["prints"]}, {Pool: "quotes", Slots: s.work["quotes"]}}
+		for _, name := range beryllatch.SortedKeys(s.nodes) {
+			s.send(name, PeerHeard{From: peer, ConfigVersion: s.head.Version, Work: work})
+		}
+		s.run(time.Second)
+	}
+}
+
+// demand sets the slots that the work of both pools takes.
+func (s *loadScene) demand(quotes, prints int) {
+	s.note("demand quotes=%d prints=%d", quotes, prints)
+	s.work = map[string]int{"quotes": quotes, "prints": prints}
+}
+
+// Guards against moves for a short demand, two nodes that both begin a move, a loan that is not given back and moves
+// after operators have switched them off.
+func TestLoadSession(t *testing.T) {
+	s := newLoadScene("n1", "n2")
+	s.demand(8, 2)
+	s.runLoad(50 * time.Second)
+	s.demand(6, 2)
+	s.runLoad(20 * time.Second)
+	s.demand(10, 2)
+	s.nodes["n1"].hold = true
+	s.runLoad(70 * time.Second)
+	s.release("n1")
+	s.runLoad(80 * time.Second)
+	s.demand(3, 6)
+	s.runLoad(200 * time.Second)
+	s.ask("n2", "op1", berylplan.SetLoadMoves{On: false})
+	s.demand(12, 0)
+	s.runLoad(200 * time.Second)
+	assert.Equal(t, s.broken, "", s.log.String())
+	golden.Assert(t, s.log.String(), "operate_load.golden")
+}
+
+// Guards against an instance in two pools, an overspent budget and moves without end, whatever becomes of the writes.
+func TestLoadMovesUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		draw := func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "choice") }
+		s := newLoadScene("n1", "n2")
+		for range 3 {
+			s.demand(draw(14), draw(14))
+			n := s.nodes[fmt.Sprintf("n%d", 1+draw(2))]
+			switch draw(4) {
+			case 0:
+				n.hold = !n.hold
+			case 1:
+				n.cut = !n.cut
+			case 2:
+				n.answers = []sceneAnswer{{result: WriteUnknown, applied: true}, {result: WriteUnknown, late: true}}
+			}
+			s.runLoad(time.Duration(20+draw(80)) * time.Second)
+		}
+		for name, n := range s.nodes {
+			n.cut, n.answers = false, nil
+			s.release(name)
+			s.applyLate(name)
+		}
+		s.runLoad(360 * time.Second)
+		assert.Equal(t, s.broken, "", s.log.String())
+		assert.Assert(t, s.now.Mono-s.wrote > 150*time.Second, "moves under a steady demand\n%s", s.log.String())
+		assert.Assert(t, s.moves <= 4*len(s.head.Instances), "%d moves", s.moves)
+	})
+}
--- a/internal/decision/berylreducer/membership.go
+++ b/internal/decision/berylreducer/membership.go
@@ -40,6 +40,9 @@
 	inForce  uint64
 	demand   map[string]Demand
 	demandAt time.Duration
+	// work is the member's last report of its work.
+	work   []PoolWork
+	workAt time.Duration
 	// deleting is true while a DeleteNode effect is outstanding.
 	deleting bool
 }
--- a/internal/decision/berylreducer/operate.go
+++ b/internal/decision/berylreducer/operate.go
@@ -35,6 +35,7 @@
 	reports  map[string]workerRunning
 	planned  map[string]plannedInstance
 	stepping steppingState
+	loads    loadState
 }
 
 // configWrite is a write of the configuration document that has not ended.
@@ -42,10 +43,11 @@
 	callID string
 	config beryllatch.Config
 	expect uint64
-	// op is the call that the write is for; nil for maintenance steps.
+	// op is the call that the write is for; nil for maintenance steps and load moves.
 	op      *operation
 	refused string
 	steps   []berylplan.Step
+	moves   []berylplan.LoadMove
 }
 
 // reduceOperate applies operators' changes and maintenance steps.
--- a/internal/decision/berylreducer/operate_step.go
+++ b/internal/decision/berylreducer/operate_step.go
@@ -26,7 +26,7 @@
 	since   time.Duration
 }
 
-// tickSteps takes the due steps of waves and moves, if the node has tenure and it is its turn.
+// tickSteps takes the due steps of waves and moves and begins load moves, if the node has tenure and it is its turn.
 func (r *Reducer) tickSteps() {
 	r.trackPlanned()
 	s := &r.operate.stepping
@@ -38,11 +38,11 @@
 	if s.version != r.config.Version {
 		s.version, s.due = r.config.Version, false
 	}
-	if !r.mayHaveSteps() || !r.heardOfAll() {
-		return
+	if r.mayHaveSteps() && r.heardOfAll() {
+		r.takeSteps()
+		r.repeatReboots()
 	}
-	r.takeSteps()
-	r.repeatReboots()
+	r.tickLoads()
 }
 
 // mayHaveSteps spares the search when nothing is planned.
@@ -89,10 +89,11 @@
 // stepsWritten follows up on a write of steps; whoever lost the race reads the winner's document and does nothing.
 func (r *Reducer) stepsWritten(w *configWrite, result WriteResult) {
 	if result != WriteDone {
-		r.count("step_" + string(result))
+		r.count(stepResult(w, result))
 		r.emit(ReadConfig{})
 		return
 	}
+	r.movesWritten(w.moves)
 	for _, s := range w.steps {
 		r.count("step_" + string(s.Kind))
 		r.logStep(s)
@@ -102,6 +103,14 @@
 	}
 }
 
+// stepResult names the counter of a write that did not take effect.
+func stepResult(w *configWrite, result WriteResult) string {
+	if len(w.moves) > 0 {
+		return "move_" + string(result)
+	}
+	return "step_" + string(result)
+}
+
 func (r *Reducer) logStep(s berylplan.Step) {
 	subject := "instance " + s.Instance
 	if s.Instance == "" {
--- a/internal/decision/berylreducer/operate_test.go
+++ b/internal/decision/berylreducer/operate_test.go
@@ -82,7 +82,8 @@
 
 func (s *scene) send(name string, e Event) {
 	n := s.nodes[name]
-	if n.dead {
+	// A node that is only a row in the table takes no events.
+	if n == nil || n.dead {
 		return
 	}
 	for _, x := range n.r.Reduce(s.now, e) {
@@ -124,6 +125,17 @@
 		for _, p := range x.Peers {
 			s.send(p.Node, ConfigNotified{Version: x.Version})
 		}
+	case SendHeartbeats:
+		for _, p := range x.Peers {
+			// Only load moves depend on heartbeats here; without them the sessions go without.
+			if len(x.Work) > 0 && !n.cut {
+				s.send(p.Node, PeerHeard{From: n.r.self, ConfigVersion: x.ConfigVersion, Work: x.Work})
+			}
+		}
+	case Count:
+		if strings.HasPrefix(x.Name, "move_") {
+			s.note("%s Count %s", name, x.Name)
+		}
 	case LogState:
 		if strings.HasPrefix(x.Subject, "instance") || strings.HasPrefix(x.Subject, "wave") {
 			s.note("%s %s: %s %s", name, x.Subject, x.To, x.Detail)
--- a/internal/node/beryldaemon/execute_peer.go
+++ b/internal/node/beryldaemon/execute_peer.go
@@ -31,7 +31,7 @@
 
 func (d *Daemon) sendHeartbeats(ctx context.Context, x berylreducer.SendHeartbeats) {
 	self, _ := d.state.get()
-	h := berylpeer.Heartbeat{From: self, ConfigVersion: x.ConfigVersion, Demand: x.Demand, AskGrant: x.AskGrant}
+	h := berylpeer.Heartbeat{From: self, ConfigVersion: x.ConfigVersion, Demand: x.Demand, Work: x.Work, AskGrant: x.AskGrant}
 	asked := d.now()
 	for _, peer := range x.Peers {
 		d.async(ctx, func(ctx context.Context) {
@@ -80,7 +80,7 @@
 
 // Heartbeat answers a peer's report with this node's own.
 func (d *Daemon) Heartbeat(ctx context.Context, h berylpeer.Heartbeat) (berylpeer.Answer, error) {
-	d.Post(berylreducer.PeerHeard{From: h.From, ConfigVersion: h.ConfigVersion, Demand: h.Demand})
+	d.Post(berylreducer.PeerHeard{From: h.From, ConfigVersion: h.ConfigVersion, Demand: h.Demand, Work: h.Work})
 	a := d.answer()
 	if !h.AskGrant {
 		return a, nil
--- a/internal/node/beryloperator/decode.go
+++ b/internal/node/beryloperator/decode.go
@@ -129,6 +129,8 @@
 		return berylplan.ReturnInstance{ID: ch.ReturnInstance}
 	case *berylwire.Change_MoveInstance:
 		return berylplan.MoveInstance{ID: ch.MoveInstance.GetInstance(), Pool: ch.MoveInstance.GetPool()}
+	case *berylwire.Change_SetLoadMoves:
+		return berylplan.SetLoadMoves{On: ch.SetLoadMoves}
 	case *berylwire.Change_StartWave:
 		w := ch.StartWave
 		return berylplan.StartWave{Wave: beryllatch.Wave{
--- a/internal/node/berylpeer/client.go
+++ b/internal/node/berylpeer/client.go
@@ -73,7 +73,7 @@
 func (c *Client) Heartbeat(ctx context.Context, to berylreducer.Identity, h Heartbeat) (Answer, error) {
 	m, err := c.peer(to).Heartbeat(ctx, &berylwire.HeartbeatRequest{
 		Node: h.From.Node, Incarnation: h.From.Incarnation, ConfigVersion: h.ConfigVersion,
-		Demand: demandToWire(h.Demand), AskGrant: h.AskGrant,
+		Demand: demandToWire(h.Demand), Work: workToWire(h.Work), AskGrant: h.AskGrant,
 	})
 	if err != nil {
 		return Answer{}, &CallError{to, "Heartbeat", err}
--- a/internal/node/berylpeer/convert.go
+++ b/internal/node/berylpeer/convert.go
@@ -25,6 +25,22 @@
 	return out
 }
 
+func workToWire(list []berylreducer.PoolWork) []*berylwire.PoolWork {
+	out := make([]*berylwire.PoolWork, len(list))
+	for i, w := range list {
+		out[i] = &berylwire.PoolWork{Pool: w.Pool, Slots: int32(w.Slots)}
+	}
+	return out
+}
+
+func workFromWire(list []*berylwire.PoolWork) []berylreducer.PoolWork {
+	out := make([]berylreducer.PoolWork, len(list))
+	for i, w := range list {
+		out[i] = berylreducer.PoolWork{Pool: w.GetPool(), Slots: int(w.GetSlots())}
+	}
+	return out
+}
+
 func identity(node, incarnation string) berylreducer.Identity {
 	return berylreducer.Identity{Node: node, Incarnation: incarnation}
 }
--- a/internal/node/berylpeer/message.go
+++ b/internal/node/berylpeer/message.go
@@ -11,6 +11,8 @@
 	From          berylreducer.Identity
 	ConfigVersion uint64
 	Demand        []berylreducer.Demand
+	// Work is empty while nodes don't move instances for load.
+	Work []berylreducer.PoolWork
 	// AskGrant asks for an outage grant.
 	AskGrant bool
 }
--- a/internal/node/berylpeer/peer_test.go
+++ b/internal/node/berylpeer/peer_test.go
@@ -85,11 +85,19 @@
 	return out
 }
 
+func workOf(pools int) []berylreducer.PoolWork {
+	var out []berylreducer.PoolWork
+	for i := range pools {
+		out = append(out, berylreducer.PoolWork{Pool: fmt.Sprintf("workshop-%02d", i), Slots: 130})
+	}
+	return out
+}
+
 // Guards against a field that is lost between two nodes.
 func TestCallsCarryAllFields(t *testing.T) {
 	h := &echo{answer: Answer{From: self, ConfigVersion: 8, Demand: demandOf(2), Granted: true}}
 	c, to, _ := serve(t, h)
-	sent := Heartbeat{From: self, ConfigVersion: 7, Demand: demandOf(3), AskGrant: true}
+	sent := Heartbeat{From: self, ConfigVersion: 7, Demand: demandOf(3), Work: workOf(3), AskGrant: true}
 	a, err := c.Heartbeat(t.Context(), to, sent)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, a, h.answer)
@@ -162,9 +170,9 @@
 // Guards against heartbeats that exceed a node's control budget of 16 KB/s at the design size.
 func TestHeartbeatBytes(t *testing.T) {
 	const (
-		nodes, teams, rounds = 36, 26, 50
-		fanOut               = 2
-		budget               = 16_000
+		nodes, teams, pools, rounds = 36, 26, 22, 50
+		fanOut                      = 2
+		budget                      = 16_000
 	)
 	measure := func(h Heartbeat, a Answer) int64 {
 		c, to, bytes := serve(t, &echo{answer: a})
@@ -177,7 +185,7 @@
 		}
 		return bytes.Load() / rounds
 	}
-	full := measure(Heartbeat{From: self, ConfigVersion: 41_234, Demand: demandOf(teams)},
+	full := measure(Heartbeat{From: self, ConfigVersion: 41_234, Demand: demandOf(teams), Work: workOf(pools)},
 		Answer{From: self, ConfigVersion: 41_234, Demand: demandOf(teams)})
 	grant := measure(Heartbeat{From: self, ConfigVersion: 41_234, AskGrant: true},
 		Answer{From: self, ConfigVersion: 41_234, Granted: true})
--- a/internal/node/berylpeer/server.go
+++ b/internal/node/berylpeer/server.go
@@ -59,7 +59,7 @@
 	}
 	a, err := s.h.Heartbeat(ctx, Heartbeat{
 		From: identity(m.GetNode(), m.GetIncarnation()), ConfigVersion: m.GetConfigVersion(),
-		Demand: demandFromWire(m.GetDemand()), AskGrant: m.GetAskGrant(),
+		Demand: demandFromWire(m.GetDemand()), Work: workFromWire(m.GetWork()), AskGrant: m.GetAskGrant(),
 	})
 	if err != nil {
 		return nil, callError(err)
--- a/internal/node/berylpeer/validate.go
+++ b/internal/node/berylpeer/validate.go
@@ -12,6 +12,8 @@
 const (
 	// maxTeams bounds the teams of one heartbeat.
 	maxTeams = 1024
+	// maxPools bounds the pools of one heartbeat.
+	maxPools = 1024
 	// maxUnits is the largest ceiling that a configuration may have.
 	maxUnits = 1_000_000
 )
@@ -23,9 +25,28 @@
 	if err := validateNames("node", m.GetNode(), "incarnation", m.GetIncarnation()); err != nil {
 		return err
 	}
+	if err := validateWork(m.GetWork()); err != nil {
+		return err
+	}
 	return validateDemand(m.GetDemand())
 }
 
+func validateWork(list []*berylwire.PoolWork) error {
+	if len(list) > maxPools {
+		return twirp.InvalidArgumentError("work", fmt.Sprintf("must have at most %d pools, got %d", maxPools, len(list)))
+	}
+	for i, w := range list {
+		field := fmt.Sprintf("work[%d]", i)
+		if err := validateNames(field+".pool", w.GetPool()); err != nil {
+			return err
+		}
+		if n := w.GetSlots(); n < 0 || n > maxUnits {
+			return twirp.InvalidArgumentError(field, fmt.Sprintf("must be between 0 and %d, got %d", maxUnits, n))
+		}
+	}
+	return nil
+}
+
 func validateDemand(list []*berylwire.TeamDemand) error {
 	if len(list) > maxTeams {
 		return twirp.InvalidArgumentError("demand", fmt.Sprintf("must have at most %d teams, got %d", maxTeams, len(list)))
