--- a/config.go
+++ b/config.go
@@ -16,6 +16,8 @@
 	DataCentres map[string]DataCentre `json:"data_centres,omitempty"`
 	Instances   map[string]Instance   `json:"instances,omitempty"`
 	Waves       map[string]Wave       `json:"waves,omitempty"`
+	// LoadMoves lets the nodes move instances between pools for load.
+	LoadMoves bool `json:"load_moves,omitempty"`
 	// Operations holds the most recent operator calls, oldest first, so that a repeated call returns its first outcome.
 	Operations []Operation `json:"operations,omitempty"`
 }
@@ -44,6 +46,8 @@
 	Spare bool `json:"spare,omitempty"`
 	// MinSize is the number of instances that moves must leave in the pool.
 	MinSize int `json:"min_size,omitempty"`
+	// StandingLoan is the number of spare instances that serve the pool at rest.
+	StandingLoan int `json:"standing_loan,omitempty"`
 }
 
 // Queue accepts work and sends it to one pool.
@@ -100,6 +104,8 @@
 	State        InstanceState `json:"state"`
 	// MoveTo is the pool that the instance joins once it is drained; empty when no move is planned.
 	MoveTo string `json:"move_to,omitempty"`
+	// Home is the pool that an instance on loan goes back to; empty while it is in its own pool.
+	Home string `json:"home,omitempty"`
 	// BootID is the boot identifier seen before a reboot was requested.
 	BootID string `json:"boot_id,omitempty"`
 	// Wave is the maintenance wave that drains or reboots the instance; empty when an operator drains it.
@@ -149,6 +155,9 @@
 // WithVersion returns a copy with the given version.
 func (c Config) WithVersion(v uint64) Config { c.Version = v; return c }
 
+// WithLoadMoves returns a copy in which the nodes may move instances for load, or may not.
+func (c Config) WithLoadMoves(on bool) Config { c.LoadMoves = on; return c }
+
 // WithTeam returns a copy in which the team is added or replaced.
 func (c Config) WithTeam(t Team) Config { c.Teams = with(c.Teams, t.Name, t); return c }
 
--- a/internal/client/berylcommand/encode.go
+++ b/internal/client/berylcommand/encode.go
@@ -44,6 +44,7 @@
 		p := ch.Pool
 		return &berylwire.Change{Change: &berylwire.Change_PutPool{PutPool: &berylwire.Pool{
 			Name: p.Name, Service: p.Service, Spare: p.Spare, MinSize: int32(p.MinSize),
+			StandingLoan: int32(p.StandingLoan),
 		}}}, nil
 	case berylplan.PutQueue:
 		q := ch.Queue
@@ -56,6 +57,8 @@
 		return &berylwire.Change{Change: &berylwire.Change_PutDataCentre{PutDataCentre: &berylwire.DataCentre{
 			Name: d.Name, Region: d.Region,
 		}}}, nil
+	case berylplan.SetLoadMoves:
+		return &berylwire.Change{Change: &berylwire.Change_SetLoadMoves{SetLoadMoves: ch.On}}, nil
 	}
 	return nil, fmt.Errorf("no encoding for a change of type %T", in)
 }
--- a/internal/decision/berylplan/lines.go
+++ b/internal/decision/berylplan/lines.go
@@ -13,6 +13,9 @@
 	add := func(format string, args ...any) {
 		out = append(out, strings.TrimRight(fmt.Sprintf(format, args...), " "))
 	}
+	if c.LoadMoves {
+		out = append(out, "load_moves on")
+	}
 	for _, k := range beryllatch.SortedKeys(c.Teams) {
 		add("team %s weight=%d ceiling=%d", k, c.Teams[k].Weight, c.Teams[k].Ceiling)
 	}
@@ -21,7 +24,8 @@
 	}
 	for _, k := range beryllatch.SortedKeys(c.Pools) {
 		p := c.Pools[k]
-		add("pool %s service=%s%s%s", k, p.Service, flag("spare", p.Spare), number("min_size", p.MinSize))
+		add("pool %s service=%s%s%s%s", k, p.Service, flag("spare", p.Spare), number("min_size", p.MinSize),
+			number("standing_loan", p.StandingLoan))
 	}
 	for _, k := range beryllatch.SortedKeys(c.Queues) {
 		q := c.Queues[k]
@@ -36,7 +40,7 @@
 	}
 	for _, k := range beryllatch.SortedKeys(c.Instances) {
 		i := c.Instances[k]
-		add("instance %s pool=%s dc=%s rack=%s %s%s%s%s", k, i.Pool, i.DataCentre, i.Rack, i.State,
+		add("instance %s pool=%s%s dc=%s rack=%s %s%s%s%s", k, i.Pool, word("home", i.Home), i.DataCentre, i.Rack, i.State,
 			word("move_to", i.MoveTo), word("boot", i.BootID), word("wave", i.Wave))
 	}
 	for _, k := range beryllatch.SortedKeys(c.Waves) {
