Collect garbage earlier while a node is at rest

Cause: after the clients' code and the compressor were gone, 33.4 MB were resident at rest against the limit of 32 MB: 16 MB of program text and tables, 4 to 5 MB of live heap, and as much garbage before a collection at Go's value of 100.

--- a/internal/node/beryldaemon/daemon.go
+++ b/internal/node/beryldaemon/daemon.go
@@ -59,6 +59,7 @@
 	grants    calls[bool]
 	claims    *berylgroup.Writer
 	answers   answers
+	collector collector
 	tasks     *beryltask.Executor
 	operators calls[berylreducer.ReplyOperator]
 	statuses  calls[berylreducer.Status]
@@ -93,6 +94,7 @@
 	reduce(berylreducer.ShardsEnabled{})
 	d.every(ctx, listInterval, d.readInstances)
 	d.every(ctx, reportInterval, d.readWorkers)
+	d.collector.start(ctx, d)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
--- a/internal/node/beryldaemon/request.go
+++ b/internal/node/beryldaemon/request.go
@@ -7,6 +7,7 @@
 
 // Submit posts the arrival of a request; the channel delivers the effects that concern it.
 func (d *Daemon) Submit(e berylreducer.RequestArrived) <-chan berylreducer.Effect {
+	d.collector.arrived.Add(1)
 	ch := make(chan berylreducer.Effect, directiveBuffer)
 	d.mu.Lock()
 	d.requests[e.ID] = ch
