Show budgets and pools held by racing operators' processes

Budgets and pool membership under racing operators were shown on virtual time only (TestRaces).

The harness gets ClientAt, to ask one daemon.

--- a/internal/bench/berylprocess/fleet.go
+++ b/internal/bench/berylprocess/fleet.go
@@ -151,14 +151,19 @@
 	return w, WaitFor(ctx, "http://"+addr+"/v1/status")
 }
 
-// Client runs the operators' client and returns its output.
+// Client runs the operators' client with all daemons and returns its output.
 func (f *Fleet) Client(ctx context.Context, args ...string) (string, error) {
+	return f.ClientAt(ctx, f.Daemons, args...)
+}
+
+// ClientAt runs the operators' client with the given daemons and returns its output.
+func (f *Fleet) ClientAt(ctx context.Context, daemons []*Daemon, args ...string) (string, error) {
 	token := filepath.Join(f.Dir, "operator-token")
 	if err := os.WriteFile(token, []byte(operatorToken), 0o600); err != nil {
 		return "", eris.Wrap(err, "write operator token")
 	}
 	var addresses []string
-	for _, d := range f.Daemons {
+	for _, d := range daemons {
 		addresses = append(addresses, "http://"+d.Operators)
 	}
 	args = append([]string{"--address=" + strings.Join(addresses, ","), "--token-file=" + token}, args...)
--- a/internal/bench/berylprove/promise.go
+++ b/internal/bench/berylprove/promise.go
@@ -55,23 +55,25 @@
 func Promises() []Promise {
 	return []Promise{
 		{
-			Text:   "availability budgets hold",
-			Faults: "two operators and two nodes race, answers lost, a rack lost in a wave, a node dies in a wave",
-			Seeds:  rapidSeeds,
+			Text: "availability budgets hold",
+			Faults: "two operators and two nodes race, answers lost, a rack lost in a wave, a node dies in a wave; " +
+				"processes: two clients drain through two daemons, answers lost, a rack killed in a wave",
+			Seeds: rapidSeeds,
 			Holds: join(
 				tests(pkgPlan, "TestRaces"),
 				tests(pkgReducer, "TestOperateSessions", "TestOperatorOutcomes", "TestWaveUnderFaults"),
+				tests(pkgProof, "TestOperatorRaces"),
 			),
 			Breaks: tests(pkgPlan, "TestRacesPlainWay"),
-			Gap:    "no process-level race",
 		},
 		{
 			Text:   "an instance is in exactly one pool",
-			Faults: "two operators move one instance, answers lost, the mover frozen in between",
+			Faults: "two operators move one instance, answers lost, the mover frozen in between, also with processes",
 			Seeds:  rapidSeeds,
-			Holds:  join(tests(pkgPlan, "TestRaces"), tests(pkgReducer, "TestOperatorOutcomes")),
+			Holds: join(
+				tests(pkgPlan, "TestRaces"), tests(pkgReducer, "TestOperatorOutcomes"), tests(pkgProof, "TestOperatorRaces"),
+			),
 			Breaks: tests(pkgPlan, "TestRacesPlainWay"),
-			Gap:    "no process-level race",
 		},
 		{
 			Text:   "keys: only the team's own work, a withdrawn key stops within seconds",
@@ -84,7 +86,7 @@
 			Breaks: tests(pkgReducer, "TestModelNeedsItsMechanisms"),
 		},
 		{
-			Text:   "no team above its ceiling",
+			Text: "no team above its ceiling",
 			Faults: "kill, crash, freeze past the tenure, cuts, lost and reordered messages, outage, one node alone reaches the platform; " +
 				"eight nodes with skewed load on virtual time",
 			Seeds: modelSeeds + ", 0-2 in skewed_fleet_test.go",
