Measure a configuration change made just after the death of a daemon

Change: berylload idle kills the last of several daemons at the end of a fleet's measurement, and prints how long a change then takes until it is in force at every other node.

--- a/internal/bench/berylload/idle.go
+++ b/internal/bench/berylload/idle.go
@@ -76,6 +76,20 @@
 		return err
 	}
 	m.print(workers, all, seconds)
+	return m.afterDeath(ctx, f)
+}
+
+// afterDeath kills the last daemon and prints how long a change then takes until it is in force at every other node.
+func (m Idle) afterDeath(ctx context.Context, f *fleet) error {
+	if m.Daemons < 2 {
+		return nil
+	}
+	f.Daemons[m.Daemons-1].Kill()
+	seconds, err := f.changes(ctx, 1)
+	if err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintf(m.Out, "%7s a change made just after the death of a daemon is in force after %.2f s\n", "", seconds)
 	return nil
 }
 
