Rest refusing workers for 200 ms at most

Cause: at the design size in `full` nearly all refusals are retry_budget. A worker has 8 slots, a node's part of it can't fall below one execution, and 36 nodes offer it work at once. A worker that refused rested for up to 2 s at each node, although one of 8 slots with work of 2 s comes free every 250 ms: slots stood idle while urgent work waited.

Ruled out, by trials: parts below one execution, by pauses after each execution.

Change: the rest is at most 200 ms, and six refusals a request are free instead of four.

--- a/internal/decision/berylreducer/retry.go
+++ b/internal/decision/berylreducer/retry.go
@@ -11,8 +11,9 @@
 const (
 	// maxFailures bounds the attempts of one request that a worker did not refuse.
 	maxFailures = 3
-	// freeRefusals is the number of workers that may refuse a request before its retries use the budget.
-	freeRefusals = 4
+	// freeRefusals is the number of workers that may refuse a request before its retries use the budget. The more
+	// are free, the longer requests of a full fleet wait rather than being refused at once.
+	freeRefusals = 6
 	// retryShare is the part of recent requests that may be retried.
 	retryShare = 0.1
 	// retryFloor is the number of retries in each retryPeriod that is allowed whatever the traffic.
--- a/internal/decision/berylreducer/routing.go
+++ b/internal/decision/berylreducer/routing.go
@@ -9,9 +9,11 @@
 const (
 	// notPlaced is the place of a worker outside the index of eligible workers.
 	notPlaced = -1
-	// refusalRest is the pause after a worker's first refusal; each further refusal in a row doubles it.
+	// refusalRest is the pause after a worker's first refusal; each further refusal in a row doubles it, up to
+	// maxRefusalRest. A worker of 8 slots that runs work of 2 s has a free slot every 250 ms: with pauses of up to 2 s,
+	// 36 nodes left slots idle while urgent work waited 0.43 s.
 	refusalRest    = 100 * time.Millisecond
-	maxRefusalRest = 2 * time.Second
+	maxRefusalRest = 200 * time.Millisecond
 	// runTimeWeight is the weight of the newest sample in a worker's mean run time.
 	runTimeWeight = 0.1
 	// reportLife is the age at which a worker's report no longer counts for the choice.
