Keep a peer's demand until its next heartbeat at 36 nodes

Cause: a node sends its demand to two peers a second in turn, so that 36 nodes hear each other every 18 s, and the answers to heartbeats carry no demand, contrary to the comment. Demand was dropped after 15 s: in the last 3 s of each round a busy peer counted as idle when units were split.

Ruled out: demand in the answers (about 1 KB/s more for each node, of 16).

Change: demand counts for 40 s, two rounds and some. It is replaced by each heartbeat and each request for units, as before.

No golden file changes.

--- a/internal/bench/berylproof/fleet_test.go
+++ b/internal/bench/berylproof/fleet_test.go
@@ -13,6 +13,12 @@
 
 	"github.com/beryllatch/beryllatch/internal/bench/berylprocess"
 	"gotest.tools/v3/assert"
+
+	// The programs are built while the tests run; these imports keep go test from using results of earlier programs.
+	_ "github.com/beryllatch/beryllatch/internal/client/berylcommand"
+	_ "github.com/beryllatch/beryllatch/internal/node/berylserver"
+	_ "github.com/beryllatch/beryllatch/internal/standin/berylplatform"
+	_ "github.com/beryllatch/beryllatch/internal/standin/berylupstream"
 )
 
 // testTimeout bounds a whole process-level test; it is no assertion about speed.
--- a/internal/decision/berylreducer/heartbeat.go
+++ b/internal/decision/berylreducer/heartbeat.go
@@ -1,7 +1,6 @@
 package berylreducer
 
-// heartbeatFanOut is the number of peers that a node exchanges demand with each second. Each heartbeat and its answer
-// carry the demand of one node, so that 36 nodes hear each other every 9 s on average within 16 KB/s a node.
+// heartbeatFanOut is the number of peers that a node sends its demand to each second: 36 nodes hear each other every 18 s.
 const heartbeatFanOut = 2
 
 // heartbeat sends this node's demand to the next peers in turn, or asks all peers for grants while renewals fail.
--- a/internal/decision/berylreducer/load.go
+++ b/internal/decision/berylreducer/load.go
@@ -8,9 +8,8 @@
 )
 
 const (
-	// workAge is the age at which a peer's report of its work is no longer used. 36 nodes hear each other every 18 s, and
-	// one message may be lost.
-	workAge  = 40 * time.Second
+	// workAge is the age at which a peer's report of its work is no longer used.
+	workAge  = demandAge
 	loadCall = "load"
 )
 
--- a/internal/decision/berylreducer/membership.go
+++ b/internal/decision/berylreducer/membership.go
@@ -17,8 +17,9 @@
 	longestLease = maxDeadline
 	// cleanupStagger spaces the clean-up attempts of the nodes, so that usually one of them does it.
 	cleanupStagger = 2 * time.Second
-	// demandAge is the age at which a peer's reported demand is no longer used.
-	demandAge = 15 * time.Second
+	// demandAge is the age at which a peer's reported demand is no longer used. 36 nodes hear each other every 18 s; with
+	// 15 s they took a busy peer for an idle one in the last 3 s of each round.
+	demandAge = 40 * time.Second
 )
 
 // member is what the node knows about another node's incarnation.
