Measure the start of urgent requests under overload

Change: berylload urgent keeps a fleet overloaded and compares the time at which each urgent request was sent with its start in the workers' records.

--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,7 @@
 	bin/berylload request --duration=2s --repeats=3
 	bin/berylload stream
 	bin/berylload kind --duration=3s --repeats=1
+	bin/berylload urgent --duration=15s
 	bin/berylload idle --daemons=36 --duration=5s --repeats=3
 
 bench-slopes:
--- a/cmd/berylload/main.go
+++ b/cmd/berylload/main.go
@@ -17,6 +17,7 @@
 	Request requestCmd `cmd:"" help:"Latency and throughput of requests, through a daemon and straight to the workers."`
 	Stream  streamCmd  `cmd:"" help:"Peak resident memory of a daemon that streams large bodies."`
 	Kind    kindCmd    `cmd:"" help:"Table rows that each kind of work reads and writes."`
+	Urgent  urgentCmd  `cmd:"" help:"Time to the start of urgent requests while others overload the fleet."`
 	Idle    idleCmd    `cmd:"" help:"Processor time, memory and table calls of a daemon at rest."`
 }
 
@@ -64,6 +65,22 @@
 	})
 }
 
+type urgentCmd struct {
+	Duration time.Duration `default:"20s" help:"Length of the overload."`
+	Daemons  int           `default:"9" help:"Entry daemons."`
+	Workers  int           `default:"10" help:"Workers."`
+	Load     float64       `default:"4" help:"Other requests kept waiting or running, over the slots of all workers."`
+}
+
+// Run measures urgent requests.
+func (c *urgentCmd) Run(ctx context.Context, all *cli) error {
+	return inDir(func(dir string) error {
+		return berylload.Urgent{
+			Bin: all.Bin, Dir: dir, Daemons: c.Daemons, Workers: c.Workers, Duration: c.Duration, Load: c.Load, Out: os.Stdout,
+		}.Run(ctx)
+	})
+}
+
 type idleCmd struct {
 	Duration time.Duration `default:"10s" help:"Length of a window."`
 	Repeats  int           `default:"3" help:"Windows; the medians are printed."`
--- /dev/null
+++ b/internal/bench/berylload/urgent.go
@@ -0,0 +1,117 @@
+package berylload
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/beryllatch/beryllatch/internal/bench/berylprocess"
+	"github.com/beryllatch/beryllatch/internal/bench/berylsample"
+	"github.com/beryllatch/beryllatch/internal/node/berylheader"
+	"github.com/rotisserie/eris"
+)
+
+const (
+	urgentSenders = 8
+	// urgentSlots is the number of slots of a worker.
+	urgentSlots = 8
+	// urgentRun and urgentDeadline are the run time and the deadline of each request.
+	urgentRun      = 100 * time.Millisecond
+	urgentDeadline = 10 * time.Second
+)
+
+// Urgent measures how soon urgent requests start while others overload the fleet.
+type Urgent struct {
+	Bin      string
+	Dir      string
+	Daemons  int
+	Workers  int
+	Duration time.Duration
+	// Load is the number of requests that are kept waiting or running, over the slots of all workers.
+	Load float64
+	Out  io.Writer
+}
+
+// Run starts the fleet, overloads it and prints the times from the sending of a request to its start at a worker.
+func (m Urgent) Run(ctx context.Context) error {
+	f, err := startFleet(ctx, m.Bin, m.Dir, plan{daemons: m.Daemons, workers: m.Workers, teams: 2, pools: 1, ceiling: 4096})
+	defer f.stop()
+	if err != nil {
+		return err
+	}
+	others := m.senders(f, 0, int(m.Load*float64(m.Workers*urgentSlots)))
+	load := berylprocess.StartLoad(ctx, "other", berylsample.Queue(0), others, m.headers()...)
+	if err := wait(ctx, warmUp); err != nil {
+		return err
+	}
+	urgent := berylprocess.StartLoad(
+		ctx, "urgent", berylsample.Queue(0), m.senders(f, 1, urgentSenders), append(m.headers(), berylheader.Urgent, "true")...,
+	)
+	if err := wait(ctx, m.Duration); err != nil {
+		return err
+	}
+	replies, rest := urgent.Stop(), load.Stop()
+	starts, err := f.starts(ctx)
+	if err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintf(m.Out, "%d daemons, %d workers of %d slots, %v of work, %d other senders, %v\n",
+		m.Daemons, m.Workers, urgentSlots, urgentRun, len(others), m.Duration)
+	_, _ = fmt.Fprintf(m.Out, "%-7s %9s %9s %8s %9s %9s %9s\n", "kind", "requests", "answered", "refused", "p50 ms", "p99 ms", "max ms")
+	if err := m.print("urgent", replies, starts); err != nil {
+		return err
+	}
+	return m.print("other", rest, starts)
+}
+
+func (m Urgent) headers() []string {
+	ms := func(d time.Duration) string { return strconv.FormatInt(d.Milliseconds(), 10) }
+	return []string{runHeader, ms(urgentRun), berylheader.Deadline, ms(urgentDeadline)}
+}
+
+// senders returns callers of one team behind the load balancer.
+func (m Urgent) senders(f *fleet, team, n int) []berylprocess.Caller {
+	return slices.Repeat([]berylprocess.Caller{{Address: f.Balancer, Secret: berylsample.Secret(team)}}, n)
+}
+
+// starts returns the first start of each request.
+func (f *fleet) starts(ctx context.Context) (map[string]time.Time, error) {
+	out := map[string]time.Time{}
+	for _, a := range f.addresses {
+		list, err := berylprocess.StartsAt(ctx, a)
+		if err != nil {
+			return nil, err
+		}
+		for _, s := range list {
+			if at, ok := out[s.RequestID]; !ok || s.Time.Before(at) {
+				out[s.RequestID] = s.Time
+			}
+		}
+	}
+	return out, nil
+}
+
+func (m Urgent) print(kind string, replies map[string]berylprocess.Reply, starts map[string]time.Time) error {
+	var waits []float64
+	answered := 0
+	for id, r := range replies {
+		if at, ok := starts[id]; ok {
+			waits = append(waits, at.Sub(r.Sent).Seconds()*1000)
+		}
+		if r.Answered() {
+			answered++
+		}
+	}
+	if len(waits) == 0 {
+		return eris.Errorf("none of %d %s requests started: %v", len(replies), kind, slices.Collect(maps.Values(replies))[0])
+	}
+	slices.Sort(waits)
+	at := func(part float64) float64 { return waits[int(part*float64(len(waits)-1))] }
+	_, err := fmt.Fprintf(m.Out, "%-7s %9d %9d %8d %9.0f %9.0f %9.0f\n",
+		kind, len(replies), answered, len(replies)-answered, at(0.5), at(0.99), at(1))
+	return err
+}
--- a/internal/bench/berylprocess/caller.go
+++ b/internal/bench/berylprocess/caller.go
@@ -6,14 +6,17 @@
 	"io"
 	"net/http"
 	"strings"
+	"time"
 )
 
 // Reply is what a caller was told.
 type Reply struct {
-	Status   int    `json:"-"`
-	Body     []byte `json:"-"`
-	RunState string `json:"run_state"`
-	Reason   string `json:"reason"`
+	// Sent is when the caller began to send.
+	Sent     time.Time `json:"-"`
+	Status   int       `json:"-"`
+	Body     []byte    `json:"-"`
+	RunState string    `json:"run_state"`
+	Reason   string    `json:"reason"`
 	// Err is set when the caller got no whole answer.
 	Err error `json:"-"`
 }
@@ -54,13 +57,14 @@
 	if client == nil {
 		client = http.DefaultClient
 	}
+	sent := time.Now()
 	resp, err := client.Do(req)
 	if err != nil {
-		return Reply{Err: err}
+		return Reply{Sent: sent, Err: err}
 	}
 	defer func() { _ = resp.Body.Close() }()
 	b, err := io.ReadAll(resp.Body)
-	out := Reply{Status: resp.StatusCode, Body: b, Err: err}
+	out := Reply{Sent: sent, Status: resp.StatusCode, Body: b, Err: err}
 	if err == nil && resp.StatusCode >= http.StatusBadRequest {
 		out.Err = json.Unmarshal(b, &out)
 	}
--- a/internal/bench/berylprocess/record.go
+++ b/internal/bench/berylprocess/record.go
@@ -31,8 +31,8 @@
 		if !w.Running() {
 			continue
 		}
-		var list []Start
-		if err := getJSON(ctx, "http://"+w.Address+"/record", &list); err != nil {
+		list, err := StartsAt(ctx, w.Address)
+		if err != nil {
 			return nil, err
 		}
 		for _, s := range list {
@@ -43,6 +43,13 @@
 	return out, nil
 }
 
+// StartsAt returns what the worker with the address has started, in order.
+func StartsAt(ctx context.Context, address string) ([]Start, error) {
+	var list []Start
+	err := getJSON(ctx, "http://"+address+"/record", &list)
+	return list, err
+}
+
 // SetFaults replaces the faults of a stand-in; the address is that of a worker or of the platform's control listener.
 func SetFaults(ctx context.Context, address, faults string) error {
 	return put(ctx, "http://"+address+"/faults", faults)
