Answer reads of known incarnations in the measured fleet

The nodes of berylmeasure store the list within their row, and serve it by its own call only, as the daemon does. Its golden file is unchanged, since no node of it dies.

--- a/internal/bench/berylmeasure/node_platform.go
+++ b/internal/bench/berylmeasure/node_platform.go
@@ -13,6 +13,9 @@
 	case berylreducer.RenewTenure:
 		sent := f.instant()
 		f.after(tableDelay, func() { n.renew(x, sent) })
+	case berylreducer.ReadKnown:
+		sent := f.instant()
+		f.after(tableDelay, func() { n.readKnown(x, sent) })
 	case berylreducer.ReadConfig:
 		f.after(tableDelay, func() {
 			c := f.config()
@@ -44,13 +47,22 @@
 	for _, other := range f.nodes {
 		stored := f.table[beryllatch.RowKey{Partition: nodesPrefix, Sort: other.self.Incarnation}]
 		if row, ok := stored.value.(berylreducer.NodeRow); ok {
-			row.Version = stored.version
+			row.Version, row.Known = stored.version, nil
 			rows = append(rows, row)
 		}
 	}
 	n.reply(berylreducer.Renewed{SentAt: sent, HeadVersion: f.config().Version, Nodes: rows})
 }
 
+func (n *node) readKnown(x berylreducer.ReadKnown, sent berylreducer.Instant) {
+	known := map[string][]string{}
+	for _, id := range x.Incarnations {
+		row, _ := n.fleet.table[beryllatch.RowKey{Partition: nodesPrefix, Sort: id}].value.(berylreducer.NodeRow)
+		known[id] = row.Known
+	}
+	n.reply(berylreducer.KnownRead{SentAt: sent, Known: known})
+}
+
 func (n *node) writeConfig(x berylreducer.WriteConfig) {
 	f := n.fleet
 	before := f.config()
