--- a/internal/node/beryltask/objects.go
+++ b/internal/node/beryltask/objects.go
@@ -23,9 +23,9 @@
 	sweepTimeout = time.Minute
 )
 
-// doomed is the value of a row that lists objects for deletion. The row is written before the objects or together with
+// deletion is the value of a row that lists objects for deletion. The row is written before the objects or together with
 // the row that makes them useless, and deleted after them, so that a crash at any step leaves it behind.
-type doomed struct {
+type deletion struct {
 	Task   string `json:"task"`
 	Object string `json:"object"`
 	// Split marks objects named Object/<part>; Parts is their number, 0 if it is not known.
@@ -37,39 +37,39 @@
 	Expired bool `json:"expired,omitempty"`
 }
 
-func doomedPartition(shard int) string { return "doomed#" + strconv.Itoa(shard) }
+func deletionPartition(shard int) string { return "deletion#" + strconv.Itoa(shard) }
 
 // dueKey sorts by time; the keys of a second lie between its own and the next one.
 func dueKey(due time.Time) string { return fmt.Sprintf("%012d", due.Unix()) }
 
-func doomedRow(due time.Time, d doomed) beryllatch.RowWrite {
-	k := beryllatch.RowKey{Partition: doomedPartition(berylreducer.ShardOf(d.Task)), Sort: dueKey(due) + "/" + d.Object}
+func deletionRow(due time.Time, d deletion) beryllatch.RowWrite {
+	k := beryllatch.RowKey{Partition: deletionPartition(berylreducer.ShardOf(d.Task)), Sort: dueKey(due) + "/" + d.Object}
 	return beryllatch.RowWrite{Row: encoded(k, d, 0)}
 }
 
-// doomedRows returns the writes that list the objects which a final row makes useless, now or when it expires.
-func doomedRows(t beryllatch.Task) []beryllatch.RowWrite {
+// deletionRows returns the writes that list the objects which a final row makes useless, now or when it expires.
+func deletionRows(t beryllatch.Task) []beryllatch.RowWrite {
 	var rows []beryllatch.RowWrite
 	if t.PayloadObject != "" && !t.State.WaitsForOperator() {
-		rows = append(rows, doomedRow(t.Finished, doomed{Task: t.ID, Object: t.PayloadObject}))
+		rows = append(rows, deletionRow(t.Finished, deletion{Task: t.ID, Object: t.PayloadObject}))
 	}
 	if t.ResultObject != "" {
-		d := doomed{Task: t.ID, Object: t.ResultObject, Split: true, Parts: t.ResultParts, Expired: true}
-		rows = append(rows, doomedRow(t.Finished.Add(finishedKept+expiredFor), d))
+		d := deletion{Task: t.ID, Object: t.ResultObject, Split: true, Parts: t.ResultParts, Expired: true}
+		rows = append(rows, deletionRow(t.Finished.Add(finishedKept+expiredFor), d))
 	}
 	return rows
 }
 
 // AnnouncePayload lists the object of a payload for deletion, unless a task's row names it later.
 func AnnouncePayload(ctx context.Context, t beryllatch.Table, now time.Time, taskID, object string) error {
-	return announce(ctx, t, now, doomed{Task: taskID, Object: object})
+	return announce(ctx, t, now, deletion{Task: taskID, Object: object})
 }
 
-func announce(ctx context.Context, t beryllatch.Table, now time.Time, d doomed) error {
+func announce(ctx context.Context, t beryllatch.Table, now time.Time, d deletion) error {
 	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
 	d.Announced = true
-	err := t.Transact(ctx, doomedRow(now.Add(announcedFor), d))
+	err := t.Transact(ctx, deletionRow(now.Add(announcedFor), d))
 	var stored *beryllatch.ConditionFailedError
 	if errors.As(err, &stored) {
 		return nil
@@ -80,7 +80,7 @@
 // sweep deletes the objects that are due, and then their rows.
 func (x *Executor) sweep(ctx context.Context, e berylreducer.SweepObjects) berylreducer.Event {
 	out := berylreducer.ObjectsSwept{Shard: e.Shard, Epoch: e.Epoch}
-	rows, err := x.table.Query(ctx, doomedPartition(e.Shard), "", e.Limit)
+	rows, err := x.table.Query(ctx, deletionPartition(e.Shard), "", e.Limit)
 	if err != nil {
 		return out
 	}
@@ -111,7 +111,7 @@
 func (x *Executor) sweepRow(
 	ctx context.Context, e berylreducer.SweepObjects, row beryllatch.Row,
 ) (postponed []beryllatch.RowWrite, n int, err error) {
-	var d doomed
+	var d deletion
 	if err := json.Unmarshal(row.Value, &d); err != nil {
 		return nil, 0, err
 	}
@@ -124,7 +124,7 @@
 			return nil, 0, nil
 		case found && !t.State.Final():
 			// The result may be collected just now.
-			return []beryllatch.RowWrite{doomedRow(e.Now.Add(announcedFor), d)}, 0, nil
+			return []beryllatch.RowWrite{deletionRow(e.Now.Add(announcedFor), d)}, 0, nil
 		}
 	}
 	if d.Expired {
@@ -149,7 +149,7 @@
 }
 
 // deleteObjects deletes the last part first, so that the parts that a crash leaves can be found again.
-func (x *Executor) deleteObjects(ctx context.Context, d doomed) (int, error) {
+func (x *Executor) deleteObjects(ctx context.Context, d deletion) (int, error) {
 	if !d.Split {
 		return 1, x.store.Delete(ctx, d.Object)
 	}
--- a/internal/node/beryltask/result.go
+++ b/internal/node/beryltask/result.go
@@ -31,7 +31,7 @@
 		out.Result = head
 	default:
 		out.Object = "result/" + e.ID + "." + strconv.FormatUint(e.Fence, 10)
-		if err := announce(ctx, x.table, x.now().Wall, doomed{Task: e.ID, Object: out.Object, Split: true}); err != nil {
+		if err := announce(ctx, x.table, x.now().Wall, deletion{Task: e.ID, Object: out.Object, Split: true}); err != nil {
 			out.StoreFailed = true
 			return out
 		}
--- a/internal/node/beryltask/rows.go
+++ b/internal/node/beryltask/rows.go
@@ -73,7 +73,7 @@
 	if t.Listed {
 		rows = append(rows, beryllatch.RowWrite{Row: encoded(waitingKey(t.ID), t, 0)})
 	}
-	return append(append(rows, payloadRows(shard, t)...), doomedRows(t)...)
+	return append(append(rows, payloadRows(shard, t)...), deletionRows(t)...)
 }
 
 // payloadRows returns the write that drops the payload of a task that never runs again.
@@ -90,7 +90,7 @@
 	done := beryllatch.RowWrite{Row: encoded(doneKey(e.Shard, e.Task.ID), e.Task, finishedExpiry(e.Task)), Expect: e.Expect}
 	rows := []beryllatch.RowWrite{done}
 	if e.Task.State.Final() {
-		rows = append(append(rows, payloadRows(e.Shard, e.Task)...), doomedRows(e.Task)...)
+		rows = append(append(rows, payloadRows(e.Shard, e.Task)...), deletionRows(e.Task)...)
 	} else {
 		rows[0].Delete = true
 		open := encoded(openKey(e.Shard, e.Task.ID), e.Task, 0)
