--- a/internal/bench/berylprove/promise.go
+++ b/internal/bench/berylprove/promise.go
@@ -62,7 +62,7 @@
 			Seeds: rapidSeeds,
 			Holds: join(
 				tests(pkgPlan, "TestRaces"),
-				tests(pkgReducer, "TestOperateSessions", "TestOperatorOutcomes", "TestWaveUnderFaults"),
+				tests(pkgReducer, "TestOperateSessions", "TestOperatorOutcomes", "TestWaveUnderFaults", "TestLoadMovesUnderFaults"),
 				tests(pkgProof, "TestOperatorRaces"),
 			),
 			Breaks: tests(pkgPlan, "TestRacesPlainWay"),
@@ -72,7 +72,8 @@
 			Faults: "two operators move one instance, answers lost, the mover frozen in between, also with processes",
 			Seeds:  rapidSeeds,
 			Holds: join(
-				tests(pkgPlan, "TestRaces"), tests(pkgReducer, "TestOperatorOutcomes"), tests(pkgProof, "TestOperatorRaces"),
+				tests(pkgPlan, "TestRaces", "TestLoanLifecycle"),
+				tests(pkgReducer, "TestOperatorOutcomes", "TestLoadMovesUnderFaults"), tests(pkgProof, "TestOperatorRaces"),
 			),
 			Breaks: tests(pkgPlan, "TestRacesPlainWay"),
 		},
@@ -92,7 +93,8 @@
 				"eight nodes with skewed load on virtual time",
 			Seeds: modelSeeds + ", 0-2 in skewed_fleet_test.go",
 			Holds: join(
-				tests(pkgReducer, "TestModel", "TestSkewedFleet", "TestFleetSessions", "TestRequestProperties"),
+				tests(pkgReducer, "TestModel", "TestSkewedFleet", "TestFleetSessions", "TestRequestProperties",
+					"TestCeilingWhenNodeJoins", "TestCeilingWhenNodeDies", "TestCeilingWhenNodeStops"),
 				tests(pkgProof, "TestKill", "TestOutage"),
 			),
 			Breaks: tests(pkgReducer, "TestModelNeedsItsMechanisms", "TestSkewedFleetNeedsItsMechanisms"),
