--- a/internal/bench/berylprove/promise.go
+++ b/internal/bench/berylprove/promise.go
@@ -98,6 +98,7 @@
 				tests(pkgProof, "TestKill", "TestOutage"),
 			),
 			Breaks: tests(pkgReducer, "TestModelNeedsItsMechanisms", "TestSkewedFleetNeedsItsMechanisms"),
+			Gap:    "a task that is adopted twice within 20 s, each time by a node without a unit, can exceed it until its lease ends",
 		},
 		{
 			Text:   "no start in a data centre that is out",
