--- a/internal/client/berylcommand/change.go
+++ b/internal/client/berylcommand/change.go
@@ -34,11 +34,7 @@
 }
 
 func (s *session) apply(q *berylwire.ApplyRequest, a attached) error {
-	if q.GetOperationId() == "" {
-		q.OperationId = uuid.NewString()
-	}
-	// The id is printed before the call, so that it is known even if this process ends early.
-	_, _ = fmt.Fprintln(s.stderr, "operation id:", q.GetOperationId())
+	q.OperationId = s.announceOperation(q.GetOperationId())
 	reply, err := s.send(q)
 	if err != nil {
 		return err
@@ -52,6 +48,16 @@
 	return outcomeError(q.GetOperationId(), reply)
 }
 
+// announceOperation prints the id of the call, a new one if it is empty. It is printed before the call, so that it is known
+// even if this process ends early.
+func (s *session) announceOperation(id string) string {
+	if id == "" {
+		id = uuid.NewString()
+	}
+	_, _ = fmt.Fprintln(s.stderr, "operation id:", id)
+	return id
+}
+
 // outcomeError returns the error for a call that is not known to have taken effect.
 func outcomeError(operation string, reply *berylwire.ApplyResponse) error {
 	switch berylreducer.OperatorOutcome(reply.GetOutcome()) {
--- a/internal/client/berylcommand/dc_show.go
+++ b/internal/client/berylcommand/dc_show.go
@@ -1,5 +1,7 @@
 package berylcommand
 
+import "github.com/beryllatch/beryllatch"
+
 // dataCentreShow shows one data centre.
 type dataCentreShow struct {
 	Name string `arg:"" help:"Name of the data centre."`
@@ -7,13 +9,5 @@
 
 // Run prints the fields.
 func (cmd *dataCentreShow) Run(s *session) error {
-	c, err := s.config()
-	if err != nil {
-		return err
-	}
-	t, err := find("data centre", cmd.Name, c.DataCentres)
-	if err != nil {
-		return err
-	}
-	return s.printFields(t)
+	return showEntry(s, "data centre", cmd.Name, func(c beryllatch.Config) map[string]beryllatch.DataCentre { return c.DataCentres })
 }
--- a/internal/client/berylcommand/instance_show.go
+++ b/internal/client/berylcommand/instance_show.go
@@ -1,5 +1,7 @@
 package berylcommand
 
+import "github.com/beryllatch/beryllatch"
+
 // instanceShow shows one instance.
 type instanceShow struct {
 	ID string `arg:"" help:"ID of the instance."`
@@ -7,13 +9,5 @@
 
 // Run prints the fields.
 func (cmd *instanceShow) Run(s *session) error {
-	c, err := s.config()
-	if err != nil {
-		return err
-	}
-	t, err := find("instance", cmd.ID, c.Instances)
-	if err != nil {
-		return err
-	}
-	return s.printFields(t)
+	return showEntry(s, "instance", cmd.ID, func(c beryllatch.Config) map[string]beryllatch.Instance { return c.Instances })
 }
--- a/internal/client/berylcommand/key_list.go
+++ b/internal/client/berylcommand/key_list.go
@@ -9,14 +9,9 @@
 
 // Run prints a line for each.
 func (*keyList) Run(s *session) error {
-	c, err := s.config()
-	if err != nil {
-		return err
-	}
-	out := table{head: []string{"id", "team", "withdrawn"}}
-	for _, k := range beryllatch.SortedKeys(c.APIKeys) {
-		t := c.APIKeys[k]
-		out.add(t, t.ID, t.Team, t.Withdrawn)
-	}
-	return s.printTable(out)
+	return listEntries(
+		s, []string{"id", "team", "withdrawn"},
+		func(c beryllatch.Config) map[string]beryllatch.APIKey { return c.APIKeys },
+		func(t beryllatch.APIKey) []any { return []any{t.ID, t.Team, t.Withdrawn} },
+	)
 }
--- a/internal/client/berylcommand/key_show.go
+++ b/internal/client/berylcommand/key_show.go
@@ -1,5 +1,7 @@
 package berylcommand
 
+import "github.com/beryllatch/beryllatch"
+
 // keyShow shows one key.
 type keyShow struct {
 	ID string `arg:"" help:"ID of the key."`
@@ -7,13 +9,5 @@
 
 // Run prints the fields.
 func (cmd *keyShow) Run(s *session) error {
-	c, err := s.config()
-	if err != nil {
-		return err
-	}
-	t, err := find("key", cmd.ID, c.APIKeys)
-	if err != nil {
-		return err
-	}
-	return s.printFields(t)
+	return showEntry(s, "key", cmd.ID, func(c beryllatch.Config) map[string]beryllatch.APIKey { return c.APIKeys })
 }
--- a/internal/client/berylcommand/output.go
+++ b/internal/client/berylcommand/output.go
@@ -7,6 +7,8 @@
 	"slices"
 	"strings"
 	"text/tabwriter"
+
+	"github.com/beryllatch/beryllatch"
 )
 
 // printJSON writes a value as indented JSON.
@@ -92,3 +94,31 @@
 	}
 	return v, nil
 }
+
+// showEntry prints the named entry of one part of the configuration.
+func showEntry[V any](s *session, kind, name string, entries func(beryllatch.Config) map[string]V) error {
+	c, err := s.config()
+	if err != nil {
+		return err
+	}
+	v, err := find(kind, name, entries(c))
+	if err != nil {
+		return err
+	}
+	return s.printFields(v)
+}
+
+// listEntries prints a line for each entry of one part of the configuration.
+func listEntries[V any](
+	s *session, head []string, entries func(beryllatch.Config) map[string]V, cells func(V) []any,
+) error {
+	c, err := s.config()
+	if err != nil {
+		return err
+	}
+	out, all := table{head: head}, entries(c)
+	for _, k := range beryllatch.SortedKeys(all) {
+		out.add(all[k], cells(all[k])...)
+	}
+	return s.printTable(out)
+}
--- a/internal/client/berylcommand/pool_list.go
+++ b/internal/client/berylcommand/pool_list.go
@@ -9,14 +9,9 @@
 
 // Run prints a line for each.
 func (*poolList) Run(s *session) error {
-	c, err := s.config()
-	if err != nil {
-		return err
-	}
-	out := table{head: []string{"name", "service", "spare", "min_size", "standing_loan"}}
-	for _, k := range beryllatch.SortedKeys(c.Pools) {
-		t := c.Pools[k]
-		out.add(t, t.Name, t.Service, t.Spare, t.MinSize, t.StandingLoan)
-	}
-	return s.printTable(out)
+	return listEntries(
+		s, []string{"name", "service", "spare", "min_size", "standing_loan"},
+		func(c beryllatch.Config) map[string]beryllatch.Pool { return c.Pools },
+		func(t beryllatch.Pool) []any { return []any{t.Name, t.Service, t.Spare, t.MinSize, t.StandingLoan} },
+	)
 }
--- a/internal/client/berylcommand/pool_show.go
+++ b/internal/client/berylcommand/pool_show.go
@@ -1,5 +1,7 @@
 package berylcommand
 
+import "github.com/beryllatch/beryllatch"
+
 // poolShow shows one pool.
 type poolShow struct {
 	Name string `arg:"" help:"Name of the pool."`
@@ -7,13 +9,5 @@
 
 // Run prints the fields.
 func (cmd *poolShow) Run(s *session) error {
-	c, err := s.config()
-	if err != nil {
-		return err
-	}
-	t, err := find("pool", cmd.Name, c.Pools)
-	if err != nil {
-		return err
-	}
-	return s.printFields(t)
+	return showEntry(s, "pool", cmd.Name, func(c beryllatch.Config) map[string]beryllatch.Pool { return c.Pools })
 }
--- a/internal/client/berylcommand/queue_list.go
+++ b/internal/client/berylcommand/queue_list.go
@@ -9,14 +9,11 @@
 
 // Run prints a line for each.
 func (*queueList) Run(s *session) error {
-	c, err := s.config()
-	if err != nil {
-		return err
-	}
-	out := table{head: []string{"name", "pool", "team", "open", "deadline_ms", "max_queued"}}
-	for _, k := range beryllatch.SortedKeys(c.Queues) {
-		t := c.Queues[k]
-		out.add(t, t.Name, t.Pool, t.Team, t.Open, t.DeadlineMS, t.MaxQueued)
-	}
-	return s.printTable(out)
+	return listEntries(
+		s, []string{"name", "pool", "team", "open", "deadline_ms", "max_queued"},
+		func(c beryllatch.Config) map[string]beryllatch.Queue { return c.Queues },
+		func(t beryllatch.Queue) []any {
+			return []any{t.Name, t.Pool, t.Team, t.Open, t.DeadlineMS, t.MaxQueued}
+		},
+	)
 }
--- a/internal/client/berylcommand/queue_show.go
+++ b/internal/client/berylcommand/queue_show.go
@@ -1,5 +1,7 @@
 package berylcommand
 
+import "github.com/beryllatch/beryllatch"
+
 // queueShow shows one queue.
 type queueShow struct {
 	Name string `arg:"" help:"Name of the queue."`
@@ -7,13 +9,5 @@
 
 // Run prints the fields.
 func (cmd *queueShow) Run(s *session) error {
-	c, err := s.config()
-	if err != nil {
-		return err
-	}
-	t, err := find("queue", cmd.Name, c.Queues)
-	if err != nil {
-		return err
-	}
-	return s.printFields(t)
+	return showEntry(s, "queue", cmd.Name, func(c beryllatch.Config) map[string]beryllatch.Queue { return c.Queues })
 }
--- a/internal/client/berylcommand/service_list.go
+++ b/internal/client/berylcommand/service_list.go
@@ -9,14 +9,9 @@
 
 // Run prints a line for each.
 func (*serviceList) Run(s *session) error {
-	c, err := s.config()
-	if err != nil {
-		return err
-	}
-	out := table{head: []string{"name", "max_unavailable"}}
-	for _, k := range beryllatch.SortedKeys(c.Services) {
-		t := c.Services[k]
-		out.add(t, t.Name, t.MaxUnavailable)
-	}
-	return s.printTable(out)
+	return listEntries(
+		s, []string{"name", "max_unavailable"},
+		func(c beryllatch.Config) map[string]beryllatch.Service { return c.Services },
+		func(t beryllatch.Service) []any { return []any{t.Name, t.MaxUnavailable} },
+	)
 }
--- a/internal/client/berylcommand/service_show.go
+++ b/internal/client/berylcommand/service_show.go
@@ -1,5 +1,7 @@
 package berylcommand
 
+import "github.com/beryllatch/beryllatch"
+
 // serviceShow shows one service.
 type serviceShow struct {
 	Name string `arg:"" help:"Name of the service."`
@@ -7,13 +9,5 @@
 
 // Run prints the fields.
 func (cmd *serviceShow) Run(s *session) error {
-	c, err := s.config()
-	if err != nil {
-		return err
-	}
-	t, err := find("service", cmd.Name, c.Services)
-	if err != nil {
-		return err
-	}
-	return s.printFields(t)
+	return showEntry(s, "service", cmd.Name, func(c beryllatch.Config) map[string]beryllatch.Service { return c.Services })
 }
--- a/internal/client/berylcommand/task_resolve.go
+++ b/internal/client/berylcommand/task_resolve.go
@@ -5,7 +5,6 @@
 
 	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
 	"github.com/beryllatch/beryllatch/internal/rpc/berylwire"
-	"github.com/google/uuid"
 )
 
 // taskResolve settles a task that waits for an operator.
@@ -27,12 +26,8 @@
 // Run sends the decision and repeats it while its outcome is unknown.
 func (cmd *taskResolve) Run(s *session) error {
 	q := &berylwire.ResolveTaskRequest{
-		OperationId: s.settings.OperationID, Id: cmd.ID, As: cmd.As, Reason: cmd.Reason, NotRun: cmd.NotRun,
+		OperationId: s.announceOperation(s.settings.OperationID), Id: cmd.ID, As: cmd.As, Reason: cmd.Reason, NotRun: cmd.NotRun,
 	}
-	if q.GetOperationId() == "" {
-		q.OperationId = uuid.NewString()
-	}
-	_, _ = fmt.Fprintln(s.stderr, "operation id:", q.GetOperationId())
 	var task *berylwire.GetTaskResponse
 	reply, err := s.attempt(func(c berylwire.Operator) (*berylwire.ApplyResponse, error) {
 		r, err := c.ResolveTask(s.ctx, q)
--- a/internal/client/berylcommand/team_list.go
+++ b/internal/client/berylcommand/team_list.go
@@ -9,14 +9,9 @@
 
 // Run prints a line for each.
 func (*teamList) Run(s *session) error {
-	c, err := s.config()
-	if err != nil {
-		return err
-	}
-	out := table{head: []string{"name", "weight", "ceiling"}}
-	for _, k := range beryllatch.SortedKeys(c.Teams) {
-		t := c.Teams[k]
-		out.add(t, t.Name, t.Weight, t.Ceiling)
-	}
-	return s.printTable(out)
+	return listEntries(
+		s, []string{"name", "weight", "ceiling"},
+		func(c beryllatch.Config) map[string]beryllatch.Team { return c.Teams },
+		func(t beryllatch.Team) []any { return []any{t.Name, t.Weight, t.Ceiling} },
+	)
 }
--- a/internal/client/berylcommand/team_show.go
+++ b/internal/client/berylcommand/team_show.go
@@ -1,5 +1,7 @@
 package berylcommand
 
+import "github.com/beryllatch/beryllatch"
+
 // teamShow shows one team.
 type teamShow struct {
 	Name string `arg:"" help:"Name of the team."`
@@ -7,13 +9,5 @@
 
 // Run prints the fields.
 func (cmd *teamShow) Run(s *session) error {
-	c, err := s.config()
-	if err != nil {
-		return err
-	}
-	t, err := find("team", cmd.Name, c.Teams)
-	if err != nil {
-		return err
-	}
-	return s.printFields(t)
+	return showEntry(s, "team", cmd.Name, func(c beryllatch.Config) map[string]beryllatch.Team { return c.Teams })
 }
