Order the reducer's waiting lists by one function

The claims, the executions whose answers are lost and the second attempts were each ordered by time and then by number in the same lines; newTimeQueue does it. An attempt names its execution in one place, and dispatch returns the attempt that it made, which startHedge had to look for. No golden file changes.

--- a/internal/decision/berylreducer/attempt.go
+++ b/internal/decision/berylreducer/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 )
 
@@ -17,6 +18,9 @@
 	index   int
 }
 
+// executionID names the attempt at its worker.
+func (a *attempt) executionID() string { return a.q.ID + "." + strconv.Itoa(a.n) }
+
 // attemptOf returns the running attempt with the number, or nil.
 func (q *request) attemptOf(n int) *attempt {
 	if q == nil {
--- a/internal/decision/berylreducer/claim_settle.go
+++ b/internal/decision/berylreducer/claim_settle.go
@@ -14,13 +14,10 @@
 
 // newAcquiringQueue orders the claims that requests wait for by the end of that wait.
 func newAcquiringQueue() *priorityQueue[*claim] {
-	before := func(a, b *claim) bool {
-		if a.giveUpAt != b.giveUpAt {
-			return a.giveUpAt < b.giveUpAt
-		}
-		return a.number < b.number
-	}
-	return newPriorityQueue(before, func(c *claim) *int { return &c.index })
+	return newTimeQueue(
+		func(c *claim) time.Duration { return c.giveUpAt }, func(c *claim) uint64 { return c.number },
+		func(c *claim) *int { return &c.index },
+	)
 }
 
 // settleClaim records the final state of a claim in its row.
--- a/internal/decision/berylreducer/dispatch.go
+++ b/internal/decision/berylreducer/dispatch.go
@@ -1,7 +1,6 @@
 package berylreducer
 
 import (
-	"strconv"
 	"time"
 
 	"github.com/beryllatch/beryllatch"
@@ -52,7 +51,7 @@
 }
 
 // dispatch sends the next attempt of the request, which holds a unit, to the worker.
-func (r *Reducer) dispatch(q *request, w *workerState) {
+func (r *Reducer) dispatch(q *request, w *workerState) *attempt {
 	q.attempt++
 	a := &attempt{q: q, n: q.attempt, w: w, index: notPlaced}
 	q.running = append(q.running, a)
@@ -64,11 +63,12 @@
 	r.emit(Dispatch{
 		ID: q.ID, Attempt: q.attempt, Instance: w.inst.ID,
 		Execution: beryllatch.Execution{
-			ID: q.ID + "." + strconv.Itoa(q.attempt), Address: w.inst.Address, Team: q.team, Queue: q.Queue,
+			ID: a.executionID(), Address: w.inst.Address, Team: q.team, Queue: q.Queue,
 			StartBy: r.now.Wall.Add(r.startWithin(q)), LeaseExpiry: q.deadline.Wall,
 		},
 		AnswerBy: q.deadline,
 	})
+	return a
 }
 
 // startWithin is how long from now the worker may still start the request.
@@ -178,7 +178,7 @@
 	r.leaveHedge(a)
 	if q.claim != nil {
 		q.claim.row.Instance = a.w.inst.ID
-		q.claim.row.ExecutionID = q.ID + "." + strconv.Itoa(a.n)
+		q.claim.row.ExecutionID = a.executionID()
 	}
 	r.endClaim(q, true)
 	r.emit(Finish{ID: q.ID})
--- a/internal/decision/berylreducer/hedge.go
+++ b/internal/decision/berylreducer/hedge.go
@@ -18,13 +18,10 @@
 )
 
 func newHedgeQueue() *priorityQueue[*attempt] {
-	before := func(a, b *attempt) bool {
-		if a.hedgeAt != b.hedgeAt {
-			return a.hedgeAt < b.hedgeAt
-		}
-		return a.q.sequence < b.q.sequence
-	}
-	return newPriorityQueue(before, func(a *attempt) *int { return &a.index })
+	return newTimeQueue(
+		func(a *attempt) time.Duration { return a.hedgeAt }, func(a *attempt) uint64 { return a.q.sequence },
+		func(a *attempt) *int { return &a.index },
+	)
 }
 
 // scheduleHedge plans a second attempt for idempotent work whose body can be sent again and whose run time is known.
@@ -67,8 +64,7 @@
 		return
 	}
 	r.count("hedge")
-	r.dispatch(q, w)
-	q.running[len(q.running)-1].hedge = true
+	r.dispatch(q, w).hedge = true
 }
 
 // hedgeWorker takes a unit and a retry token for a second attempt, and returns its worker or why there is none.
--- a/internal/decision/berylreducer/linger.go
+++ b/internal/decision/berylreducer/linger.go
@@ -26,13 +26,10 @@
 }
 
 func newLingerQueue() *priorityQueue[*lingering] {
-	before := func(a, b *lingering) bool {
-		if a.until != b.until {
-			return a.until < b.until
-		}
-		return a.sequence < b.sequence
-	}
-	return newPriorityQueue(before, func(l *lingering) *int { return &l.index })
+	return newTimeQueue(
+		func(l *lingering) time.Duration { return l.until }, func(l *lingering) uint64 { return l.sequence },
+		func(l *lingering) *int { return &l.index },
+	)
 }
 
 func (r *Reducer) linger(a *attempt) {
--- a/internal/decision/berylreducer/priority_queue.go
+++ b/internal/decision/berylreducer/priority_queue.go
@@ -1,6 +1,9 @@
 package berylreducer
 
-import "container/heap"
+import (
+	"container/heap"
+	"time"
+)
 
 // priorityQueue is an indexed heap; the element for which before holds against all others is on top.
 type priorityQueue[T any] struct {
@@ -15,6 +18,17 @@
 	return &priorityQueue[T]{before: before, index: index}
 }
 
+// newTimeQueue returns a queue in the order of at; sequence orders elements of the same time.
+func newTimeQueue[T any](at func(T) time.Duration, sequence func(T) uint64, index func(T) *int) *priorityQueue[T] {
+	before := func(a, b T) bool {
+		if at(a) != at(b) {
+			return at(a) < at(b)
+		}
+		return sequence(a) < sequence(b)
+	}
+	return newPriorityQueue(before, index)
+}
+
 // add queues the element; an element must be added to one queue per index only.
 func (p *priorityQueue[T]) add(x T) { heap.Push((*heapItems[T])(p), x) }
 
