Order the local queue by the same function

The local queue's two orders, by latest start and by deadline, had the lines that the claims, lost executions and second attempts had; earlier makes all five.

--- a/internal/decision/berylreducer/claim_settle.go
+++ b/internal/decision/berylreducer/claim_settle.go
@@ -14,10 +14,8 @@
 
 // newAcquiringQueue orders the claims that requests wait for by the end of that wait.
 func newAcquiringQueue() *priorityQueue[*claim] {
-	return newTimeQueue(
-		func(c *claim) time.Duration { return c.giveUpAt }, func(c *claim) uint64 { return c.number },
-		func(c *claim) *int { return &c.index },
-	)
+	before := earlier(func(c *claim) time.Duration { return c.giveUpAt }, func(c *claim) uint64 { return c.number })
+	return newPriorityQueue(before, func(c *claim) *int { return &c.index })
 }
 
 // settleClaim records the final state of a claim in its row.
--- a/internal/decision/berylreducer/hedge.go
+++ b/internal/decision/berylreducer/hedge.go
@@ -18,10 +18,8 @@
 )
 
 func newHedgeQueue() *priorityQueue[*attempt] {
-	return newTimeQueue(
-		func(a *attempt) time.Duration { return a.hedgeAt }, func(a *attempt) uint64 { return a.q.sequence },
-		func(a *attempt) *int { return &a.index },
-	)
+	before := earlier(func(a *attempt) time.Duration { return a.hedgeAt }, func(a *attempt) uint64 { return a.q.sequence })
+	return newPriorityQueue(before, func(a *attempt) *int { return &a.index })
 }
 
 // scheduleHedge plans a second attempt for idempotent work whose body can be sent again and whose run time is known.
--- a/internal/decision/berylreducer/linger.go
+++ b/internal/decision/berylreducer/linger.go
@@ -26,10 +26,8 @@
 }
 
 func newLingerQueue() *priorityQueue[*lingering] {
-	return newTimeQueue(
-		func(l *lingering) time.Duration { return l.until }, func(l *lingering) uint64 { return l.sequence },
-		func(l *lingering) *int { return &l.index },
-	)
+	before := earlier(func(l *lingering) time.Duration { return l.until }, func(l *lingering) uint64 { return l.sequence })
+	return newPriorityQueue(before, func(l *lingering) *int { return &l.index })
 }
 
 func (r *Reducer) linger(a *attempt) {
--- a/internal/decision/berylreducer/local_queue.go
+++ b/internal/decision/berylreducer/local_queue.go
@@ -61,19 +61,12 @@
 	return a.name < b.name
 }
 
-func startsEarlier(a, b *request) bool {
-	if a.startBefore != b.startBefore {
-		return a.startBefore < b.startBefore
-	}
-	return a.sequence < b.sequence
-}
+func arrivalNumber(q *request) uint64 { return q.sequence }
 
-func endsEarlier(a, b *request) bool {
-	if a.deadline.Mono != b.deadline.Mono {
-		return a.deadline.Mono < b.deadline.Mono
-	}
-	return a.sequence < b.sequence
-}
+var (
+	startsEarlier = earlier(func(q *request) time.Duration { return q.startBefore }, arrivalNumber)
+	endsEarlier   = earlier(func(q *request) time.Duration { return q.deadline.Mono }, arrivalNumber)
+)
 
 func (l *localQueue) len() int { return l.byStart.len() }
 
--- a/internal/decision/berylreducer/priority_queue.go
+++ b/internal/decision/berylreducer/priority_queue.go
@@ -18,15 +18,14 @@
 	return &priorityQueue[T]{before: before, index: index}
 }
 
-// newTimeQueue returns a queue in the order of at; sequence orders elements of the same time.
-func newTimeQueue[T any](at func(T) time.Duration, sequence func(T) uint64, index func(T) *int) *priorityQueue[T] {
-	before := func(a, b T) bool {
+// earlier returns the order by time; sequence orders elements of the same time.
+func earlier[T any](at func(T) time.Duration, sequence func(T) uint64) func(a, b T) bool {
+	return func(a, b T) bool {
 		if at(a) != at(b) {
 			return at(a) < at(b)
 		}
 		return sequence(a) < sequence(b)
 	}
-	return newPriorityQueue(before, index)
 }
 
 // add queues the element; an element must be added to one queue per index only.
