Remove options that nothing sets, and put twins of the worker protocol in one place

WithSkew, WithIdleTimeout and WithCallTimeout of the worker client had no user; their values are constants now. The clock skew that the protocol allows for stood in the client and in the stand-in, the escaped path of a call in two of its calls, the slots of a worker in two measurements, and a header's name in the process library. The peers' own HTTP server was made by tests only (the daemon serves the handler on a listener of its own) and moved into them.

--- a/internal/bench/berylload/urgent.go
+++ b/internal/bench/berylload/urgent.go
@@ -17,8 +17,6 @@
 
 const (
 	urgentSenders = 8
-	// urgentSlots is the number of slots of a worker.
-	urgentSlots = 8
 	// urgentRun and urgentDeadline are the run time and the deadline of each request.
 	urgentRun      = 100 * time.Millisecond
 	urgentDeadline = 10 * time.Second
@@ -43,7 +41,7 @@
 	if err != nil {
 		return err
 	}
-	others := m.senders(f, 0, int(m.Load*float64(m.Workers*urgentSlots)))
+	others := m.senders(f, 0, int(m.Load*float64(m.Workers*berylsample.Slots)))
 	load := berylprocess.StartLoad(ctx, "other", berylsample.Queue(0), others, m.headers()...)
 	if err := wait(ctx, warmUp); err != nil {
 		return err
@@ -60,7 +58,7 @@
 		return err
 	}
 	_, _ = fmt.Fprintf(m.Out, "%d daemons, %d workers of %d slots, %v of work, %d other senders, %v\n",
-		m.Daemons, m.Workers, urgentSlots, urgentRun, len(others), m.Duration)
+		m.Daemons, m.Workers, berylsample.Slots, urgentRun, len(others), m.Duration)
 	_, _ = fmt.Fprintf(m.Out, "%-7s %9s %9s %8s %9s %9s %9s\n", "kind", "requests", "answered", "refused", "p50 ms", "p99 ms", "max ms")
 	if err := m.print("urgent", replies, starts); err != nil {
 		return err
--- a/internal/bench/berylprocess/caller.go
+++ b/internal/bench/berylprocess/caller.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"github.com/beryllatch/beryllatch/internal/node/berylheader"
 )
 
 // Reply is what a caller was told.
@@ -37,7 +39,7 @@
 
 // Request sends one request with the given id to the queue; headers are name and value in turn.
 func (c Caller) Request(ctx context.Context, queue, id, body string, headers ...string) Reply {
-	headers = append([]string{"Beryllatch-Request-Id", id}, headers...)
+	headers = append([]string{berylheader.RequestID, id}, headers...)
 	return c.Do(ctx, http.MethodPost, "/v1/queues/"+queue+"/requests", body, headers...)
 }
 
--- a/internal/bench/berylsample/config.go
+++ b/internal/bench/berylsample/config.go
@@ -16,10 +16,12 @@
 	regions        = 2
 	workersPerRack = 4
 	keysPerTeam    = 6
-	slots          = 8
 	connections    = 64
 )
 
+// Slots is the number of slots of a worker.
+const Slots = 8
+
 // Size is the size of a fleet.
 type Size struct {
 	Workers int
@@ -113,7 +115,7 @@
 	rack := n / workersPerRack
 	return beryllatch.Instance{
 		ID: Worker(n), Pool: fmt.Sprintf("pool-%02d", rack%s.Pools), DataCentre: dataCentre(rack),
-		Rack: fmt.Sprintf("%s-rack-%03d", dataCentre(rack), rack), Address: address, Slots: slots, Connections: connections,
+		Rack: fmt.Sprintf("%s-rack-%03d", dataCentre(rack), rack), Address: address, Slots: Slots, Connections: connections,
 		Cores: 32, MemoryMB: 65536, Accelerators: 1 + n%2, State: beryllatch.InstanceActive,
 	}
 }
--- a/internal/node/berylcaller/attempt.go
+++ b/internal/node/berylcaller/attempt.go
@@ -8,11 +8,10 @@
 	"strconv"
 	"time"
 
-	"github.com/beryllatch/beryllatch/internal/node/berylheader"
-
 	"github.com/beryllatch/beryllatch"
 	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
 	"github.com/beryllatch/beryllatch/internal/node/beryldaemon"
+	"github.com/beryllatch/beryllatch/internal/node/berylheader"
 )
 
 // answerLimit is the largest answer that is buffered; a larger one is streamed to the caller.
--- a/internal/node/berylpeer/peer_test.go
+++ b/internal/node/berylpeer/peer_test.go
@@ -66,12 +66,27 @@
 	return n, err
 }
 
+func newServer(h Handler) *http.Server {
+	p := new(http.Protocols)
+	p.SetHTTP1(true)
+	p.SetUnencryptedHTTP2(true)
+	return &http.Server{
+		Handler:           NewHandler(h),
+		Protocols:         p,
+		ReadHeaderTimeout: callTimeout,
+		ReadTimeout:       2 * callTimeout,
+		WriteTimeout:      2 * callTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    16 << 10,
+	}
+}
+
 func serve(t *testing.T, h Handler) (*Client, berylreducer.Identity, *atomic.Int64) {
 	t.Helper()
 	ln, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	bytes := new(atomic.Int64)
-	s, c := NewServer(h), NewClient()
+	s, c := newServer(h), NewClient()
 	go func() { _ = s.Serve(counted{ln, bytes}) }()
 	t.Cleanup(func() { c.Close(); _ = s.Close() })
 	return c, berylreducer.Identity{Node: "node-02", PeerAddress: ln.Addr().String()}, bytes
--- a/internal/node/berylpeer/server.go
+++ b/internal/node/berylpeer/server.go
@@ -20,20 +20,7 @@
 	idleTimeout = 90 * time.Second
 )
 
-// NewServer returns an HTTP server for the peers' listener that passes validated calls to h; the caller serves it.
-func NewServer(h Handler) *http.Server {
-	return &http.Server{
-		Handler:           NewHandler(h),
-		Protocols:         protocols(),
-		ReadHeaderTimeout: callTimeout,
-		ReadTimeout:       2 * callTimeout,
-		WriteTimeout:      2 * callTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    16 << 10,
-	}
-}
-
-// NewHandler returns the HTTP handler behind NewServer.
+// NewHandler returns an HTTP handler for the peers' listener that passes validated calls to h.
 func NewHandler(h Handler) http.Handler {
 	rpc := berylwire.NewPeerServer(&service{h})
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -44,13 +31,6 @@
 	})
 }
 
-func protocols() *http.Protocols {
-	p := new(http.Protocols)
-	p.SetHTTP1(true)
-	p.SetUnencryptedHTTP2(true)
-	return p
-}
-
 type service struct{ h Handler }
 
 func (s *service) Heartbeat(ctx context.Context, m *berylwire.HeartbeatRequest) (*berylwire.HeartbeatResponse, error) {
--- a/internal/standin/berylupstream/settle.go
+++ b/internal/standin/berylupstream/settle.go
@@ -9,9 +9,6 @@
 	"github.com/gorilla/mux"
 )
 
-// skew is the largest difference between the clocks of a daemon and a worker.
-const skew = 500 * time.Millisecond
-
 // minForget is the smallest number of remembered executions at which expired ones are looked for.
 const minForget = 1024
 
@@ -42,7 +39,7 @@
 		writeJSON(w, http.StatusOK, berylworker.ExecutionReport{State: e.state})
 	case time.Now().After(o.lease):
 		problem(w, http.StatusGone, "lease_expired", "the execution may have been forgotten")
-	case k.bootedAt.After(sent.Add(-skew)):
+	case k.bootedAt.After(sent.Add(-berylworker.ClockSkew)):
 		problem(w, http.StatusConflict, "booted_since", "an earlier boot may have started the execution")
 	default:
 		k.rememberLocked(o, beryllatch.ExecutionUnseen)
--- a/internal/upstream/berylworker/client.go
+++ b/internal/upstream/berylworker/client.go
@@ -44,7 +44,7 @@
 		startBy: wall(e.StartBy),
 	}
 	if !e.LeaseExpiry.IsZero() {
-		x.answerBy = wall(e.LeaseExpiry).Add(c.cfg.skew)
+		x.answerBy = wall(e.LeaseExpiry).Add(ClockSkew)
 	}
 	return c.do(ctx, x)
 }
--- a/internal/upstream/berylworker/exchange.go
+++ b/internal/upstream/berylworker/exchange.go
@@ -37,6 +37,12 @@
 	answerBy time.Time
 }
 
+// at returns the exchange with the path of an action on the work that its id names.
+func (x exchange) at(prefix, action string) exchange {
+	x.path, x.rawPath = prefix+x.id+action, prefix+url.PathEscape(x.id)+action
+	return x
+}
+
 // do sends the request once and returns the answer, of any status, that carries the exchange's id.
 func (c *Client) do(parent context.Context, x exchange) (*http.Response, error) {
 	ctx, cancel := context.WithCancelCause(parent)
--- a/internal/upstream/berylworker/protocol.go
+++ b/internal/upstream/berylworker/protocol.go
@@ -1,5 +1,10 @@
 package berylworker
 
+import "time"
+
+// ClockSkew is the largest difference between the clocks of a daemon and a worker that the protocol allows for.
+const ClockSkew = 500 * time.Millisecond
+
 // The headers of the worker protocol.
 const (
 	HeaderExecutionID = "Beryllatch-Execution-Id"
--- a/internal/upstream/berylworker/settle.go
+++ b/internal/upstream/berylworker/settle.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net/http"
-	"net/url"
 	"time"
 
 	"github.com/beryllatch/beryllatch"
@@ -26,10 +25,8 @@
 	h := executionHeader(e, nil)
 	h.Set(HeaderSentAt, formatTime(wall(sent)))
 	report, err := call[ExecutionReport](ctx, c, exchange{
-		method: http.MethodPost, address: e.Address, path: PathExecutions + "/" + e.ID + "/settle",
-		rawPath: PathExecutions + "/" + url.PathEscape(e.ID) + "/settle", id: e.ID, header: h,
-		answerBy: time.Now().Add(settleTimeout),
-	})
+		method: http.MethodPost, address: e.Address, id: e.ID, header: h, answerBy: time.Now().Add(settleTimeout),
+	}.at(PathExecutions+"/", "/settle"))
 	if err != nil {
 		return "", err
 	}
--- a/internal/upstream/berylworker/task.go
+++ b/internal/upstream/berylworker/task.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"net/url"
 	"time"
 
 	"github.com/beryllatch/beryllatch"
@@ -19,7 +18,7 @@
 	x := c.taskCall(http.MethodPut, e.Address, e.ID, "")
 	x.header, x.body, x.expect, x.startBy = executionHeader(e, nil), body, true, wall(e.StartBy)
 	if !e.StartBy.IsZero() {
-		x.answerBy = x.startBy.Add(c.cfg.callTimeout)
+		x.answerBy = x.startBy.Add(callTimeout)
 	}
 	_, err := call[beryllatch.TaskReport](ctx, c, x)
 	return err
@@ -96,13 +95,10 @@
 }
 
 func (c *Client) taskCall(method, address, id, action string) exchange {
-	return exchange{
-		method: method, address: address, path: PathTasks + id + action,
-		rawPath: PathTasks + url.PathEscape(id) + action, id: id, answerBy: c.callLimit(),
-	}
+	return exchange{method: method, address: address, id: id, answerBy: c.callLimit()}.at(PathTasks, action)
 }
 
-func (c *Client) callLimit() time.Time { return time.Now().Add(c.cfg.callTimeout) }
+func (c *Client) callLimit() time.Time { return time.Now().Add(callTimeout) }
 
 // call sends the request and decodes the report that answers it.
 func call[T any](ctx context.Context, c *Client, x exchange) (T, error) {
