Split the write of the node row, and say where the measure knows more than a daemon

writeNode decided about the list of known incarnations between its other steps; that is a method of the row now.

--- a/internal/bench/berylmeasure/fleet.go
+++ b/internal/bench/berylmeasure/fleet.go
@@ -11,7 +11,7 @@
 
 const (
 	tickInterval = 100 * time.Millisecond
-	// reportInterval and reportRate are those of the daemon.
+	// reportInterval is that of the daemon; reportRate is higher than its 2 to 10 reports a second, see docs/MEASURES.md.
 	reportInterval = time.Second
 	reportRate     = 50
 	listInterval   = time.Second
--- a/internal/bench/berylmeasure/node_peer.go
+++ b/internal/bench/berylmeasure/node_peer.go
@@ -29,7 +29,7 @@
 	}
 }
 
-// askPeer delivers the peer's answer to a message.
+// askPeer delivers the peer's answer to a message; unlike a daemon's, it carries the peer's demand.
 func (n *node) askPeer(p berylreducer.Identity) {
 	f := n.fleet
 	peer := f.node(p.Incarnation)
--- a/internal/decision/berylreducer/linger.go
+++ b/internal/decision/berylreducer/linger.go
@@ -12,9 +12,9 @@
 }
 
 // lingering is an execution that may still run at its worker although its answer is lost. It keeps its unit until the
-// worker says that it runs no more or its lease has surely expired, since otherwise the team could exceed its ceiling. It keeps no place on the worker, which
-// refuses what exceeds its slots: places kept until the lease ends halved the capacity of an overloaded pool, which then
-// stayed overloaded.
+// worker says that it runs no more or its lease has surely expired, since otherwise the team could exceed its ceiling. It
+// keeps no place on the worker, which refuses what exceeds its slots: places kept until the lease ends halved the capacity
+// of an overloaded pool, which then stayed overloaded.
 type lingering struct {
 	id       attemptID
 	team     string
--- a/internal/node/beryldaemon/execute_tenure.go
+++ b/internal/node/beryldaemon/execute_tenure.go
@@ -107,27 +107,20 @@
 	if err != nil {
 		return false, err
 	}
-	writes := []beryllatch.RowWrite{{
-		Row: beryllatch.Row{Key: berylreducer.NodeKey(row.Incarnation), Value: value}, Expect: n.version,
-	}}
 	expires := time.Now().Add(knownAge)
-	writeKnown := !slices.Equal(n.known, row.Known) || n.knownVersion > 0 && time.Until(n.knownExpires) < knownRefresh
-	if writeKnown {
-		list, err := json.Marshal(row.Known)
-		if err != nil {
-			return false, eris.Wrap(err, "encode known incarnations")
-		}
-		writes = append(writes, beryllatch.RowWrite{
-			Row:    beryllatch.Row{Key: berylreducer.KnownKey(row.Incarnation), Value: list, Expires: expires.Unix()},
-			Expect: n.knownVersion,
-		})
+	known, err := n.writeKnown(row, expires)
+	if err != nil {
+		return false, err
 	}
+	writes := append([]beryllatch.RowWrite{{
+		Row: beryllatch.Row{Key: berylreducer.NodeKey(row.Incarnation), Value: value}, Expect: n.version,
+	}}, known...)
 	err = d.Table.Transact(ctx, writes...)
 	var unavailable *beryllatch.UnavailableError
 	switch {
 	case err == nil:
 		n.version++
-		if writeKnown {
+		if len(known) > 0 {
 			n.known, n.knownExpires = row.Known, expires
 			n.knownVersion++
 		}
@@ -137,8 +130,24 @@
 	return false, err
 }
 
-// readBack learns the versions of the row and of the list after a write without an answer; a row that was written and is missing has been
-// removed by a peer.
+// writeKnown returns the write of the list of known incarnations; none if the stored list is the same and lasts.
+func (n *nodeRow) writeKnown(row berylreducer.NodeRow, expires time.Time) ([]beryllatch.RowWrite, error) {
+	lasts := n.knownVersion == 0 || time.Until(n.knownExpires) >= knownRefresh
+	if lasts && slices.Equal(n.known, row.Known) {
+		return nil, nil
+	}
+	list, err := json.Marshal(row.Known)
+	if err != nil {
+		return nil, eris.Wrap(err, "encode known incarnations")
+	}
+	return []beryllatch.RowWrite{{
+		Row:    beryllatch.Row{Key: berylreducer.KnownKey(row.Incarnation), Value: list, Expires: expires.Unix()},
+		Expect: n.knownVersion,
+	}}, nil
+}
+
+// readBack learns the versions of the row and of the list after a write without an answer; a row that was written and is
+// missing has been removed by a peer.
 func (d *Daemon) readBack(ctx context.Context, n *nodeRow) (replaced bool, err error) {
 	stored, err := d.Table.Get(ctx, berylreducer.NodeKey(n.incarnation))
 	if err != nil {
