Share what both stand-ins and the bench programs had twice

Both stand-ins decoded bodies, wrote JSON and cut connections by the same lines; package berylreply does it now. The load program listed workers by a call of its own beside berylprocess.ListInstance, which it calls now; the two calls to a stand-in share their exchange, and a PUT must be answered by 204, the stricter of the two checks. A load move is made in one place of its planner.

--- a/internal/bench/berylload/fleet.go
+++ b/internal/bench/berylload/fleet.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"net/http"
 	"os"
 	"path/filepath"
 	"strconv"
-	"strings"
 
 	"github.com/beryllatch/beryllatch/internal/bench/berylprocess"
 	"github.com/beryllatch/beryllatch/internal/bench/berylsample"
@@ -99,19 +97,8 @@
 // listWorkers puts the workers on the platform's instance list.
 func (f *fleet) listWorkers(ctx context.Context) error {
 	for _, address := range f.addresses {
-		req, err := http.NewRequestWithContext(
-			ctx, http.MethodPut, "http://"+f.Control+"/instances/"+address, strings.NewReader(`{"state": "live"}`),
-		)
-		if err != nil {
-			return eris.Wrap(err, "list workers")
-		}
-		resp, err := http.DefaultClient.Do(req)
-		if err != nil {
-			return eris.Wrap(err, "list workers")
-		}
-		_ = resp.Body.Close()
-		if resp.StatusCode != http.StatusNoContent {
-			return eris.Errorf("list workers: status %d", resp.StatusCode)
+		if err := berylprocess.ListInstance(ctx, f.Control, address, false); err != nil {
+			return err
 		}
 	}
 	return nil
--- a/internal/bench/berylprocess/record.go
+++ b/internal/bench/berylprocess/record.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -65,23 +66,23 @@
 }
 
 func put(ctx context.Context, url, body string) error {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPut, url, strings.NewReader(body))
-	if err != nil {
-		return eris.Wrap(err, url)
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return eris.Wrap(err, url)
-	}
-	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode >= http.StatusBadRequest {
-		return eris.Errorf("%s: status %d", url, resp.StatusCode)
-	}
-	return nil
+	return exchange(ctx, http.MethodPut, url, strings.NewReader(body), func(resp *http.Response) error {
+		if resp.StatusCode != http.StatusNoContent {
+			return eris.Errorf("%s: status %d", url, resp.StatusCode)
+		}
+		return nil
+	})
 }
 
 func getJSON(ctx context.Context, url string, v any) error {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	return exchange(ctx, http.MethodGet, url, http.NoBody, func(resp *http.Response) error {
+		return eris.Wrap(json.NewDecoder(resp.Body).Decode(v), url)
+	})
+}
+
+// exchange makes a call to a stand-in and passes its answer on.
+func exchange(ctx context.Context, method, url string, body io.Reader, read func(*http.Response) error) error {
+	req, err := http.NewRequestWithContext(ctx, method, url, body)
 	if err != nil {
 		return eris.Wrap(err, url)
 	}
@@ -90,5 +91,5 @@
 		return eris.Wrap(err, url)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	return eris.Wrap(json.NewDecoder(resp.Body).Decode(v), url)
+	return read(resp)
 }
--- a/internal/decision/berylplan/load_move.go
+++ b/internal/decision/berylplan/load_move.go
@@ -190,7 +190,7 @@
 	refusal := LoadRefusal{Pool: to, Reason: RefusedNoSurplus}
 	for _, from := range p.lenders(to) {
 		for _, id := range p.candidates(from, to) {
-			err := p.take(LoadMove{LendInstance: LendInstance{ID: id, Pool: to}, Reason: MoveLend})
+			err := p.take(id, to, MoveLend)
 			if err == nil {
 				return
 			}
@@ -265,7 +265,8 @@
 }
 
 // take applies a move unless a rule refuses it.
-func (p *loadPlanner) take(m LoadMove) error {
+func (p *loadPlanner) take(id, pool string, reason MoveReason) error {
+	m := LoadMove{LendInstance: LendInstance{ID: id, Pool: pool}, Reason: reason}
 	from := p.config.Instances[m.ID].Pool
 	next, err := applyOne(p.config, p.health, m.LendInstance)
 	if err != nil {
--- a/internal/decision/berylplan/load_return.go
+++ b/internal/decision/berylplan/load_return.go
@@ -12,7 +12,7 @@
 			continue
 		}
 		for _, id := range p.candidates(from, to) {
-			if p.take(LoadMove{LendInstance: LendInstance{ID: id, Pool: to}, Reason: MoveStandingLoan}) == nil {
+			if p.take(id, to, MoveStandingLoan) == nil {
 				return
 			}
 		}
@@ -38,7 +38,7 @@
 		if p.moving[to] {
 			continue
 		}
-		if p.take(LoadMove{LendInstance: LendInstance{ID: id, Pool: to}, Reason: MoveGiveBack}) == nil {
+		if p.take(id, to, MoveGiveBack) == nil {
 			return
 		}
 	}
@@ -55,7 +55,7 @@
 		if i.Home != to || i.Pool == to || p.moving[i.Pool] || unavailable(p.config, p.health, i) {
 			continue
 		}
-		if p.take(LoadMove{LendInstance: LendInstance{ID: id, Pool: to}, Reason: MoveGiveBack}) == nil {
+		if p.take(id, to, MoveGiveBack) == nil {
 			return
 		}
 	}
--- a/internal/standin/berylplatform/balancer.go
+++ b/internal/standin/berylplatform/balancer.go
@@ -12,6 +12,7 @@
 	"github.com/gorilla/mux"
 
 	"github.com/beryllatch/beryllatch"
+	"github.com/beryllatch/beryllatch/internal/standin/berylreply"
 )
 
 // Balancer passes TCP connections to the entry daemons that answer ready, in turn.
@@ -191,5 +192,5 @@
 func (b *Balancer) list(w http.ResponseWriter, _ *http.Request) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	writeJSON(w, http.StatusOK, "application/json", b.entries)
+	berylreply.WriteJSON(w, http.StatusOK, "application/json", b.entries)
 }
--- a/internal/standin/berylplatform/faults.go
+++ b/internal/standin/berylplatform/faults.go
@@ -8,6 +8,8 @@
 	"maps"
 	"net/http"
 	"time"
+
+	"github.com/beryllatch/beryllatch/internal/standin/berylreply"
 )
 
 // Faults says what goes wrong at each service.
@@ -97,7 +99,7 @@
 }
 
 func (p *Platform) getFaults(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, "application/json", p.Faults())
+	berylreply.WriteJSON(w, http.StatusOK, "application/json", p.Faults())
 }
 
 func (p *Platform) putFaults(w http.ResponseWriter, r *http.Request) {
@@ -149,7 +151,7 @@
 		}
 		if f.Outage == OutageRefuse {
 			// Reached only without a gate in front, or on a connection that is being closed.
-			cut(w)
+			berylreply.Cut(w)
 			return
 		}
 		// The whole body is read first, so that the effect comes even if the client gives up during the delay.
@@ -169,7 +171,7 @@
 		a := &heldAnswer{header: make(http.Header), status: http.StatusOK}
 		h.ServeHTTP(a, r)
 		if a.status < 300 && p.loseAnswer(name) {
-			cut(w)
+			berylreply.Cut(w)
 			return
 		}
 		maps.Copy(w.Header(), a.header)
@@ -178,16 +180,6 @@
 	})
 }
 
-// cut closes the connection without an answer.
-// http.ErrAbortHandler would first wait for a body that the client holds back until it is told to continue.
-func cut(w http.ResponseWriter) {
-	c, _, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		panic(http.ErrAbortHandler)
-	}
-	_ = c.Close()
-}
-
 // heldAnswer keeps an answer until it is known whether it is lost.
 type heldAnswer struct {
 	header http.Header
--- a/internal/standin/berylplatform/platform.go
+++ b/internal/standin/berylplatform/platform.go
@@ -1,13 +1,13 @@
 package berylplatform
 
 import (
-	"encoding/json"
-	"errors"
 	"math/rand/v2"
 	"net/http"
 	"sync"
 
 	"github.com/gorilla/mux"
+
+	"github.com/beryllatch/beryllatch/internal/standin/berylreply"
 )
 
 // Platform is the stand-in with all of its services.
@@ -73,32 +73,11 @@
 	return r
 }
 
-// maxControlBytes bounds the body of a call on the test side.
-const maxControlBytes = 1 << 20
-
-// decodeStrict reads a JSON body and refuses unknown fields and trailing data.
+// decodeStrict reads a JSON body, and refuses the call if it can't.
 func decodeStrict(w http.ResponseWriter, r *http.Request, v any) bool {
-	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxControlBytes))
-	d.DisallowUnknownFields()
-	err := d.Decode(v)
-	if err == nil && d.More() {
-		err = errors.New("more than one JSON value")
-	}
+	err := berylreply.DecodeStrict(w, r, v)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
-		return false
-	}
-	return true
-}
-
-func writeJSON(w http.ResponseWriter, status int, contentType string, v any) {
-	b, err := json.Marshal(v)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
 	}
-	w.Header().Set("Content-Type", contentType)
-	w.WriteHeader(status)
-	// The client may be gone; its call has had its effect all the same.
-	_, _ = w.Write(b)
+	return err == nil
 }
--- a/internal/standin/berylupstream/answer.go
+++ b/internal/standin/berylupstream/answer.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/beryllatch/beryllatch/internal/standin/berylreply"
 )
 
 // crossing is an answer that waits to be exchanged.
@@ -38,17 +40,7 @@
 	_, _ = w.Write(a.body[:len(a.body)/2])
 	// A failed flush cuts the answer all the same.
 	_ = http.NewResponseController(w).Flush()
-	cut(w)
-}
-
-// cut closes the connection without a further byte.
-// http.ErrAbortHandler would first wait for a body that the client holds back until it is told to continue.
-func cut(w http.ResponseWriter) {
-	c, _, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		panic(http.ErrAbortHandler)
-	}
-	_ = c.Close()
+	berylreply.Cut(w)
 }
 
 // cross exchanges the answer with another one; without a partner before lease expiry it returns its own.
--- a/internal/standin/berylupstream/execution.go
+++ b/internal/standin/berylupstream/execution.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/beryllatch/beryllatch"
+	"github.com/beryllatch/beryllatch/internal/standin/berylreply"
 	"github.com/beryllatch/beryllatch/internal/upstream/berylworker"
 )
 
@@ -31,7 +32,7 @@
 	k.mu.Unlock()
 	if k.hit(func(f *Faults) *Trigger { return &f.CutAfterStart }) {
 		go k.run(o, start)
-		cut(w)
+		berylreply.Cut(w)
 		return
 	}
 	outcome := k.run(o, start)
@@ -56,7 +57,7 @@
 	w http.ResponseWriter, r *http.Request, allowed func(order) *refusal,
 ) (order, []byte, bool) {
 	if k.hit(func(f *Faults) *Trigger { return &f.CutBeforeStart }) {
-		cut(w)
+		berylreply.Cut(w)
 		return order{}, nil, false
 	}
 	o, fail := k.parseOrder(r)
--- a/internal/standin/berylupstream/problem.go
+++ b/internal/standin/berylupstream/problem.go
@@ -2,16 +2,13 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"net/http"
 
 	"github.com/beryllatch/beryllatch"
+	"github.com/beryllatch/beryllatch/internal/standin/berylreply"
 	"github.com/beryllatch/beryllatch/internal/upstream/berylworker"
 )
 
-// maxControlBytes bounds the body of a call on the test side.
-const maxControlBytes = 1 << 20
-
 // refuse answers that the request has not been run, with problem details.
 func refuse(w http.ResponseWriter, status int, reason, detail string) {
 	w.Header().Set(berylworker.HeaderRunState, string(beryllatch.RunStateNotRun))
@@ -34,17 +31,11 @@
 	return b
 }
 
-// decodeStrict reads a JSON body and refuses unknown fields and trailing data.
+// decodeStrict reads a JSON body, and refuses the call if it can't.
 func decodeStrict(w http.ResponseWriter, r *http.Request, v any) bool {
-	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxControlBytes))
-	d.DisallowUnknownFields()
-	err := d.Decode(v)
-	if err == nil && d.More() {
-		err = errors.New("more than one JSON value")
-	}
+	err := berylreply.DecodeStrict(w, r, v)
 	if err != nil {
 		problem(w, http.StatusBadRequest, "bad_request", err.Error())
-		return false
 	}
-	return true
+	return err == nil
 }
--- a/internal/standin/berylupstream/task.go
+++ b/internal/standin/berylupstream/task.go
@@ -10,6 +10,7 @@
 	"github.com/gorilla/mux"
 
 	"github.com/beryllatch/beryllatch"
+	"github.com/beryllatch/beryllatch/internal/standin/berylreply"
 	"github.com/beryllatch/beryllatch/internal/upstream/berylworker"
 )
 
@@ -85,7 +86,7 @@
 		return
 	}
 	if k.hit(func(f *Faults) *Trigger { return &f.CutAfterStart }) {
-		cut(w)
+		berylreply.Cut(w)
 		return
 	}
 	k.mu.Lock()
--- a/internal/standin/berylupstream/worker.go
+++ b/internal/standin/berylupstream/worker.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -13,6 +12,7 @@
 	"github.com/gorilla/mux"
 
 	"github.com/beryllatch/beryllatch"
+	"github.com/beryllatch/beryllatch/internal/standin/berylreply"
 	"github.com/beryllatch/beryllatch/internal/upstream/berylworker"
 )
 
@@ -173,13 +173,5 @@
 }
 
 func writeJSON(w http.ResponseWriter, status int, v any) {
-	b, err := json.Marshal(v)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	// The client may be gone; its call has had its effect all the same.
-	_, _ = w.Write(b)
+	berylreply.WriteJSON(w, status, "application/json", v)
 }
