--- /dev/null
+++ b/cmd/beryljobd/doc.go
@@ -0,0 +1,2 @@
+// Command beryljobd is the entry daemon for jobs on platforms whose workers run tasks under leases.
+package main
--- a/internal/common/berylmetrics/registry.go
+++ b/internal/common/berylmetrics/registry.go
@@ -2,10 +2,17 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 )
 
+// The size and the decay of a histogram's sample, as in the metrics library's examples.
+const (
+	sampleSize  = 1028
+	sampleAlpha = 0.015
+)
+
 // Registry holds the metrics of a process; New makes one.
 type Registry struct{ r metrics.Registry }
 
@@ -35,3 +42,13 @@
 	w.Header().Set("Content-Type", "application/json")
 	metrics.WriteJSONOnce(m.r, w)
 }
+
+// Time adds a duration to the named latency histogram, in microseconds.
+func (m *Registry) Time(name string, d time.Duration) {
+	h := m.r.GetOrRegister(name, func() metrics.Histogram {
+		return metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, sampleAlpha))
+	})
+	if h, ok := h.(metrics.Histogram); ok {
+		h.Update(d.Microseconds())
+	}
+}
--- /dev/null
+++ b/internal/decision/berylscheduler/event.go
@@ -0,0 +1,139 @@
+package berylscheduler
+
+import (
+	"time"
+
+	"github.com/beryllatch/beryllatch"
+)
+
+// Event is something that the scheduler learns.
+type Event interface{ event() }
+
+// Recovered brings what earlier scheduling nodes have stored; it is the first event of an epoch.
+type Recovered struct {
+	Jobs     []beryllatch.DataRow
+	Progress []beryllatch.DataRow
+	// Workers are the registrations that an earlier node may have used.
+	Workers []beryllatch.DataRow
+}
+
+// DeploymentChanged brings a newer version of the configuration.
+type DeploymentChanged struct{ Deployment *beryllatch.Deployment }
+
+// OperationsChanged brings what operators currently ask for.
+type OperationsChanged struct{ Operations beryllatch.Operations }
+
+// RegistryRead brings the whole registry of workers.
+type RegistryRead struct{ Workers []beryllatch.WorkerInfo }
+
+// RegistryChanged brings changed registrations and the IDs of removed ones.
+type RegistryChanged struct {
+	Workers []beryllatch.WorkerInfo
+	Removed []string
+}
+
+// JobSubmitted asks to accept a job; Call identifies the waiting caller.
+type JobSubmitted struct {
+	Call uint64
+	Job  beryllatch.Job
+}
+
+// CancelRequested asks to cancel a job.
+type CancelRequested struct {
+	Call uint64
+	ID   string
+}
+
+// WorkerHeld is the outcome of a HoldWorker effect.
+type WorkerHeld struct {
+	Worker string
+	Born   int64
+	// Sent is when the order left.
+	Sent  time.Time
+	Lists beryllatch.WorkerLists
+	Err   error
+}
+
+// StartEnded is the outcome of a StartRun effect.
+type StartEnded struct {
+	Worker string
+	Born   int64
+	Task   string
+	Run    int
+	Clock  time.Duration
+	Err    error
+}
+
+// StopEnded is the outcome of a StopRun effect.
+type StopEnded struct {
+	Worker string
+	Born   int64
+	Task   string
+	Run    int
+	Err    error
+}
+
+// PaceEnded is the outcome of a PaceRun effect.
+type PaceEnded struct {
+	Worker  string
+	Born    int64
+	Task    string
+	Run     int
+	Percent int
+	Err     error
+}
+
+// Committed is the outcome of a CommitRows effect.
+type Committed struct {
+	Version int64
+	Err     error
+}
+
+// InstancesListed is the outcome of a ListInstances effect.
+type InstancesListed struct {
+	Instances []beryllatch.FleetInstance
+	Err       error
+}
+
+// InstanceOrderEnded is the outcome of a MoveInstance or MaintainInstance effect.
+type InstanceOrderEnded struct {
+	Instance string
+	Err      error
+}
+
+// StatusWritten is the outcome of a WriteWaveStatus effect.
+type StatusWritten struct {
+	Wave int
+	Done bool
+	Err  error
+}
+
+// AdviceReceived is the outcome of an AskAdvice effect.
+type AdviceReceived struct {
+	Step    string
+	Workers []string
+	Tickets []beryllatch.PlacementTicket
+	Valid   time.Duration
+	Err     error
+}
+
+// Ticked lets time pass.
+type Ticked struct{}
+
+func (Recovered) event()          {}
+func (DeploymentChanged) event()  {}
+func (OperationsChanged) event()  {}
+func (RegistryRead) event()       {}
+func (RegistryChanged) event()    {}
+func (JobSubmitted) event()       {}
+func (CancelRequested) event()    {}
+func (WorkerHeld) event()         {}
+func (StartEnded) event()         {}
+func (StopEnded) event()          {}
+func (PaceEnded) event()          {}
+func (Committed) event()          {}
+func (InstancesListed) event()    {}
+func (InstanceOrderEnded) event() {}
+func (StatusWritten) event()      {}
+func (AdviceReceived) event()     {}
+func (Ticked) event()             {}
--- /dev/null
+++ b/internal/decision/berylscheduler/fleet.go
@@ -0,0 +1,364 @@
+package berylscheduler
+
+import (
+	"cmp"
+	"errors"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/beryllatch/beryllatch"
+)
+
+const (
+	// listPause spaces the lists of instances while a wave is open.
+	listPause = time.Second
+	// orderPause spaces the attempts of a rejected order for an instance.
+	orderPause = 400 * time.Millisecond
+	// returnMargin is added to the time that an instance is away, for its registration.
+	returnMargin = 300 * time.Millisecond
+	// returnTimeout is when an instance that has not registered again no longer counts as down.
+	returnTimeout = 4 * time.Second
+	// closingTime is how long an instance waits for its short tasks before its maintenance.
+	closingTime = 2500 * time.Millisecond
+)
+
+// fleet is what the scheduler knows of the platform's instances and of the maintenance waves.
+type fleet struct {
+	instances map[string]beryllatch.FleetInstance
+	listed    time.Time
+	listing   bool
+	listNext  time.Time
+	waves     map[int]*wave
+	orders    map[string]*instanceOrder
+}
+
+// wave is a maintenance wave with its progress.
+type wave struct {
+	beryllatch.MaintenanceWave
+	seen time.Time
+	// left holds the instances whose maintenance has not begun.
+	left map[string]bool
+	done bool
+	// told is the status that operators have been given.
+	told, telling string
+}
+
+// instanceOrder is an order for an instance, from its preparation until the instance is back.
+type instanceOrder struct {
+	instance string
+	wave     int
+	pool     string
+	prepared time.Time
+	flying   bool
+	retry    time.Time
+	// begun is when the platform has confirmed the order.
+	begun time.Time
+}
+
+// noteWaves takes new waves and drops those that operators have removed.
+func (s *Scheduler) noteWaves() {
+	f := &s.fleet
+	if f.waves == nil {
+		f.waves = make(map[int]*wave)
+		f.orders = make(map[string]*instanceOrder)
+	}
+	for n, m := range s.operations.Waves {
+		if f.waves[n] != nil {
+			continue
+		}
+		w := &wave{MaintenanceWave: m, seen: s.now, left: make(map[string]bool)}
+		for _, i := range m.Instances {
+			w.left[i] = true
+		}
+		f.waves[n] = w
+		s.emit(Decision{Name: "wave_seen", Detail: strings.Join(m.Instances, " ")})
+	}
+	for n := range f.waves {
+		if _, ok := s.operations.Waves[n]; !ok {
+			delete(f.waves, n)
+		}
+	}
+}
+
+// tickFleet carries waves on.
+func (s *Scheduler) tickFleet() {
+	f := &s.fleet
+	open := false
+	for _, n := range slices.Sorted(maps.Keys(f.waves)) {
+		w := f.waves[n]
+		open = open || !w.done
+		s.tell(w)
+	}
+	if !open {
+		s.reopen()
+		return
+	}
+	if !f.listing && !s.now.Before(f.listNext) {
+		f.listing = true
+		s.emit(ListInstances{})
+	}
+	if f.listed.IsZero() {
+		return
+	}
+	s.advanceOrders()
+	for _, n := range slices.Sorted(maps.Keys(f.waves)) {
+		if w := f.waves[n]; !w.done {
+			s.advanceWave(w)
+		}
+	}
+}
+
+// tell writes a wave's status for operators when it has changed.
+func (s *Scheduler) tell(w *wave) {
+	status := "running"
+	if w.done {
+		status = "done"
+	}
+	if w.told == status || w.telling != "" || s.journal.failing {
+		return
+	}
+	w.telling = status
+	s.emit(WriteWaveStatus{Wave: w.Number, Done: w.done})
+}
+
+func (s *Scheduler) statusWritten(e StatusWritten) {
+	w := s.fleet.waves[e.Wave]
+	if w == nil {
+		return
+	}
+	if e.Err == nil {
+		w.told = w.telling
+	}
+	w.telling = ""
+}
+
+func (s *Scheduler) instancesListed(e InstancesListed) {
+	f := &s.fleet
+	f.listing, f.listNext = false, s.now.Add(listPause)
+	if e.Err != nil {
+		s.emit(Decision{Name: "instances_unknown", Detail: e.Err.Error(), Age: s.now.Sub(f.listed)})
+		return
+	}
+	f.listed = s.now
+	f.instances = make(map[string]beryllatch.FleetInstance, len(e.Instances))
+	for _, i := range e.Instances {
+		f.instances[i.Name] = i
+	}
+}
+
+// down counts the instances of a wave that are away, or are about to be.
+func (s *Scheduler) down(w *wave) int {
+	n := 0
+	for _, i := range w.Instances {
+		o := s.fleet.orders[i]
+		if (o != nil && o.wave == w.Number) || s.fleet.instances[i].State == beryllatch.FleetInstanceMaintenance {
+			n++
+		}
+	}
+	return n
+}
+
+// advanceWave prepares further instances of a wave, those with the least to lose first.
+func (s *Scheduler) advanceWave(w *wave) {
+	for i := range w.left {
+		if _, ok := s.fleet.instances[i]; !ok {
+			delete(w.left, i)
+			s.emit(Decision{Name: "wave_instance_gone", Worker: i})
+		}
+	}
+	if len(w.left) == 0 {
+		w.done = true
+		s.tell(w)
+		return
+	}
+	room := w.MaxDown - s.down(w)
+	if room <= 0 {
+		return
+	}
+	var free []string
+	for i := range w.left {
+		if s.fleet.orders[i] == nil && s.fleet.instances[i].State == beryllatch.FleetInstanceUp {
+			free = append(free, i)
+		}
+	}
+	slices.SortFunc(free, func(a, b string) int {
+		return firstNonZero(cmp.Compare(s.loss(a), s.loss(b)), strings.Compare(a, b))
+	})
+	for _, i := range free {
+		if room == 0 {
+			return
+		}
+		if !s.mayClose(s.workerOn(i)) {
+			continue
+		}
+		room--
+		s.fleet.orders[i] = &instanceOrder{instance: i, wave: w.Number, prepared: s.now}
+		if k := s.workerOn(i); k != nil {
+			k.closing = i
+		}
+	}
+}
+
+// workerOn returns the worker on an instance, or nil.
+func (s *Scheduler) workerOn(instance string) *worker {
+	for _, w := range s.ordered {
+		if w.info.Instance == instance && w.registered {
+			return w
+		}
+	}
+	return nil
+}
+
+// loss is the processor time that the end of a worker's runs throws away, in thousandths of a core.
+func (s *Scheduler) loss(instance string) int {
+	w := s.workerOn(instance)
+	if w == nil {
+		return 0
+	}
+	n := 0
+	for _, r := range w.runs {
+		n += 1 + r.booked.CPUMilli
+	}
+	return n
+}
+
+// mayClose reports whether the end of a worker's runs keeps every long-running step within its limit of missing tasks.
+func (s *Scheduler) mayClose(w *worker) bool {
+	if w == nil {
+		return true
+	}
+	for _, r := range w.runs {
+		if r.task != nil && !s.mayTakeAway(r.task, w) {
+			return false
+		}
+	}
+	return true
+}
+
+// mayTakeAway reports whether a planned stop may take the task away from work.
+func (s *Scheduler) mayTakeAway(t *task, w *worker) bool {
+	st := t.step
+	if st.spec.MaxMissing == 0 {
+		return true
+	}
+	missing := 0
+	for _, o := range st.tasks {
+		if o == t {
+			continue
+		}
+		if !o.working(w) {
+			missing++
+		}
+	}
+	return missing < st.spec.MaxMissing
+}
+
+// working reports whether a long-running task is at full work on a worker that stays.
+func (t *task) working(leaving *worker) bool {
+	for _, r := range t.runs {
+		if r.percent >= 100 && r.phase == runPresent && r.worker != leaving && r.worker.closing == "" && r.worker.failures == 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// advanceOrders sends prepared orders once the short tasks have ended, and forgets those whose instance is back.
+func (s *Scheduler) advanceOrders() {
+	f := &s.fleet
+	for _, name := range slices.Sorted(maps.Keys(f.orders)) {
+		o := f.orders[name]
+		if !o.begun.IsZero() {
+			s.checkReturn(o)
+			continue
+		}
+		if o.flying || s.now.Before(o.retry) {
+			continue
+		}
+		w := s.workerOn(name)
+		if w != nil && s.now.Sub(o.prepared) < closingTime && w.shortRuns() > 0 {
+			continue
+		}
+		o.flying = true
+		s.emit(Decision{Name: "instance_maintenance", Worker: name, Age: s.now.Sub(f.listed)})
+		s.emit(MaintainInstance{Instance: name, Wave: o.wave})
+	}
+}
+
+// shortRuns counts the runs that end by themselves.
+func (w *worker) shortRuns() int {
+	n := 0
+	for _, r := range w.runs {
+		if r.task != nil && !r.task.step.spec.LongRunning {
+			n++
+		}
+	}
+	return n
+}
+
+// checkReturn forgets an order whose instance has registered again, or has been away for too long.
+func (s *Scheduler) checkReturn(o *instanceOrder) {
+	away := s.now.Sub(o.begun)
+	if away < s.Limits.MaintenanceTime+returnMargin {
+		return
+	}
+	w := s.workerOn(o.instance)
+	back := s.fleet.instances[o.instance].State == beryllatch.FleetInstanceUp && s.fleet.listed.After(o.begun)
+	if (w != nil && w.closing == "") || (back && away > returnTimeout) || away > 2*returnTimeout {
+		s.forgetOrder(o)
+	}
+}
+
+func (s *Scheduler) forgetOrder(o *instanceOrder) {
+	delete(s.fleet.orders, o.instance)
+	for _, w := range s.ordered {
+		if w.closing == o.instance {
+			w.closing = ""
+		}
+	}
+	s.placeable = true
+}
+
+// reopen lets workers be used again that were prepared for a wave that is gone.
+func (s *Scheduler) reopen() {
+	for _, o := range s.fleet.orders {
+		if !o.flying && (o.begun.IsZero() || s.now.Sub(o.begun) > s.Limits.MaintenanceTime+returnMargin) {
+			s.forgetOrder(o)
+		}
+	}
+}
+
+func (s *Scheduler) instanceOrderEnded(e InstanceOrderEnded) {
+	o := s.fleet.orders[e.Instance]
+	if o == nil {
+		return
+	}
+	o.flying = false
+	if e.Err == nil {
+		o.begun = s.now
+		if w := s.fleet.waves[o.wave]; w != nil {
+			delete(w.left, o.instance)
+		}
+		s.emit(Decision{Name: "instance_maintained", Worker: o.instance})
+		return
+	}
+	s.emit(Decision{Name: "instance_order_failed", Worker: o.instance, Detail: e.Err.Error()})
+	o.retry = s.now.Add(orderPause)
+	var rejected *beryllatch.InstanceRejectedError
+	if !errors.As(e.Err, &rejected) {
+		return
+	}
+	switch rejected.Reason {
+	case beryllatch.InstanceFenced:
+		s.resign("the platform has seen a later epoch for instance " + o.instance)
+	case beryllatch.InstanceNotInWave, beryllatch.InstanceInvalid:
+		if w := s.fleet.waves[o.wave]; w != nil {
+			delete(w.left, o.instance)
+		}
+		s.forgetOrder(o)
+	case beryllatch.InstanceBusy:
+		s.forgetOrder(o)
+	}
+}
--- /dev/null
+++ b/internal/decision/berylscheduler/job.go
@@ -0,0 +1,278 @@
+package berylscheduler
+
+import (
+	"slices"
+	"time"
+
+	"github.com/beryllatch/beryllatch"
+)
+
+// job is an accepted job with its progress.
+type job struct {
+	beryllatch.Job
+	state beryllatch.JobState
+	// ended is when the job became final.
+	ended time.Time
+	// inherited jobs may have runs that this epoch has not seen yet.
+	inherited bool
+	// pool is where the job's tasks ran when it was accepted.
+	pool        string
+	occurrences []*occurrence
+	// opened counts the occurrences that have become due.
+	opened int
+	begun  bool
+
+	row storedJob
+}
+
+// occurrence is one run of a job's steps.
+type occurrence struct {
+	number int
+	due    time.Time
+	steps  []*stepRun
+	left   int
+}
+
+// stepRun is one step of an occurrence.
+type stepRun struct {
+	job        *job
+	occurrence int
+	number     int
+	spec       *beryllatch.JobStep
+	tasks      []*task
+	// left counts the tasks that are not done.
+	left int
+	// waiting counts the tasks that have no run.
+	waiting int
+	// failedRuns are the numbers of the failed runs of a gang.
+	failedRuns []int
+	lastRun    int
+}
+
+// task is one task of a step.
+type task struct {
+	step  *stepRun
+	index int
+	name  string
+	done  bool
+	// failedRuns are the numbers of the failed runs.
+	failedRuns []int
+	saved      string
+	runs       []*run
+	failedOn   []string
+	lastRun    int
+	// notBefore delays a restart after quick failures.
+	notBefore time.Time
+	// atWork is when a long-running task last was at full work.
+	atWork time.Time
+	// stopped is true while a planned stop keeps a long-running task away from work.
+	stopped bool
+}
+
+func (t *task) key() beryllatch.TaskKey {
+	return beryllatch.TaskKey{Job: t.step.job.ID, Occurrence: t.step.occurrence, Step: t.step.number, Index: t.index}
+}
+
+// newJob returns a job without progress.
+func newJob(j beryllatch.Job) *job {
+	n := &job{Job: j, state: beryllatch.JobQueued}
+	n.occurrences = make([]*occurrence, j.Occurrences())
+	return n
+}
+
+// open makes the tasks of the occurrence.
+func (j *job) open(k int) *occurrence {
+	if o := j.occurrences[k]; o != nil {
+		return o
+	}
+	o := &occurrence{number: k, due: j.First.Add(time.Duration(k) * j.Interval), left: len(j.Steps)}
+	if j.Repeat == 0 {
+		o.due = j.Accepted
+	}
+	for i := range j.Steps {
+		spec := &j.Steps[i]
+		step := &stepRun{job: j, occurrence: k, number: i, spec: spec, left: spec.Count, waiting: spec.Count}
+		for n := range spec.Count {
+			t := &task{step: step, index: n}
+			t.name = t.key().String()
+			step.tasks = append(step.tasks, t)
+		}
+		o.steps = append(o.steps, step)
+	}
+	j.occurrences[k] = o
+	return o
+}
+
+// ready reports whether the steps before it are done.
+func (st *stepRun) ready() bool {
+	o := st.job.occurrences[st.occurrence]
+	for _, a := range st.spec.After {
+		if o.steps[a].left > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// openOccurrences makes due occurrences ready to start.
+func (s *Scheduler) openOccurrences(j *job) {
+	for j.opened < len(j.occurrences) {
+		k := j.opened
+		if j.Repeat > 0 && s.now.Before(j.First.Add(time.Duration(k)*j.Interval)) {
+			return
+		}
+		j.open(k)
+		j.opened++
+		s.placeable = true
+	}
+}
+
+// find returns the task of a name, or nil.
+func (s *Scheduler) find(name string) *task {
+	k, err := beryllatch.ParseTaskKey(name)
+	if err != nil {
+		return nil
+	}
+	j := s.jobs[k.Job]
+	if j == nil || k.Occurrence >= len(j.occurrences) || k.Step >= len(j.Steps) || k.Index >= j.Steps[k.Step].Count {
+		return nil
+	}
+	return j.open(k.Occurrence).steps[k.Step].tasks[k.Index]
+}
+
+// finishTask marks a task as done, and its job if it was the last one.
+func (s *Scheduler) finishTask(t *task) {
+	st := t.step
+	members := []*task{t}
+	if st.spec.Gang {
+		// One member's end stands for the whole gang.
+		members = st.tasks
+	}
+	for _, m := range members {
+		if m.done {
+			continue
+		}
+		m.done = true
+		st.left--
+		if len(m.runs) == 0 {
+			st.waiting--
+		}
+		for _, r := range m.runs {
+			if !st.spec.Gang {
+				s.stop(r, "another copy is done")
+			}
+		}
+	}
+	j := st.job
+	s.changed(j)
+	if st.left > 0 {
+		return
+	}
+	o := j.occurrences[st.occurrence]
+	o.left--
+	s.placeable = true
+	for _, o := range j.occurrences {
+		if o == nil || o.left > 0 {
+			return
+		}
+	}
+	s.end(j, beryllatch.JobDone, "")
+}
+
+// end makes a job final and stops what it still runs.
+func (s *Scheduler) end(j *job, state beryllatch.JobState, detail string) {
+	if j.state.Final() {
+		return
+	}
+	j.state, j.ended = state, s.now
+	s.changed(j)
+	for _, o := range j.occurrences {
+		if o == nil {
+			continue
+		}
+		for _, st := range o.steps {
+			for _, t := range st.tasks {
+				for _, r := range t.runs {
+					if !(st.spec.Gang && t.done) {
+						s.stop(r, "job is "+string(state))
+					}
+				}
+			}
+		}
+	}
+	s.removeActive(j)
+	s.finished = append(s.finished, j)
+	s.emit(Decision{Name: "job_" + string(state), Job: j.ID, Detail: detail, Age: s.now.Sub(j.Accepted)})
+}
+
+func (s *Scheduler) removeActive(j *job) {
+	for i, o := range s.active {
+		if o == j {
+			s.active = append(s.active[:i], s.active[i+1:]...)
+			return
+		}
+	}
+}
+
+// taskFailed counts a failed run, once, and fails the job when no attempt is left.
+func (s *Scheduler) taskFailed(t *task, w *worker, n int) {
+	st := t.step
+	failed := &t.failedRuns
+	if st.spec.Gang {
+		failed = &st.failedRuns
+	}
+	if slices.Contains(*failed, n) {
+		return
+	}
+	t.failedOn = append(t.failedOn, w.info.ID)
+	if st.spec.LongRunning {
+		return
+	}
+	*failed = append(*failed, n)
+	s.changed(st.job)
+	if q, ok := s.queueOf(st.job); ok && len(*failed) >= q.MaxAttempts {
+		s.end(st.job, beryllatch.JobFailed, "no attempt is left for "+t.name)
+	}
+}
+
+// JobState returns the state of a job as far as it is stored, and false for an unknown job.
+func (s *Scheduler) JobState(id string) (beryllatch.JobState, bool) {
+	j := s.jobs[id]
+	if j == nil || !j.row.known {
+		return "", false
+	}
+	if j.state.Final() && j.row.final {
+		return j.state, true
+	}
+	if j.begun {
+		return beryllatch.JobRunning, true
+	}
+	return beryllatch.JobQueued, true
+}
+
+// Pending counts the accepted jobs of a queue without a started task.
+func (s *Scheduler) Pending(queue string) int {
+	n := 0
+	for _, j := range s.active {
+		if j.Queue == queue && !j.begun && j.row.known {
+			n++
+		}
+	}
+	return n
+}
+
+// expireJobs forgets final jobs after their retention.
+func (s *Scheduler) expireJobs() {
+	for len(s.finished) > 0 {
+		j := s.finished[0]
+		if !j.row.final || s.now.Sub(j.ended) < s.Limits.JobRetention+retentionMargin {
+			return
+		}
+		s.finished = s.finished[1:]
+		j.row.expired = true
+		s.changed(j)
+	}
+}
+
+// retentionMargin keeps a finished job's state readable for callers that count from their last look.
+const retentionMargin = 10 * time.Second
--- /dev/null
+++ b/internal/decision/berylscheduler/journal.go
@@ -0,0 +1,395 @@
+package berylscheduler
+
+import (
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/beryllatch/beryllatch"
+)
+
+// The tables of the scheduling node. All rows are in one part, so that a transaction costs the store the least.
+const (
+	Part          = "fleet"
+	DutyTable     = "duty"
+	OwnerKey      = "scheduler"
+	JobsTable     = "jobs"
+	ProgressTable = "progress"
+	WorkersTable  = "used_workers"
+)
+
+const (
+	// maxBatchRows keeps a transaction, with a condition for each row, under the store's 100 entries.
+	maxBatchRows = 45
+	// maxBatchBytes keeps a transaction, in base64, under the store's 1 MB.
+	maxBatchBytes = 500 << 10
+	// commitRetry is the pause after a failed transaction.
+	commitRetry = 150 * time.Millisecond
+	// outageRetry is when callers may come back that the store's outage has turned away.
+	outageRetry = 2 * time.Second
+)
+
+// storedJob tells how far the rows of a job are stored.
+type storedJob struct {
+	jobVersion      int64
+	progressVersion int64
+	// change counts the changes in memory, stored those that the rows hold.
+	change, stored uint64
+	// known is true once the job is stored, final once its final state is.
+	known, final bool
+	// unsure is true after a transaction of unknown outcome.
+	unsure bool
+	queued bool
+	// expired asks to delete what is left of the job.
+	expired bool
+	calls   []waitingCall
+}
+
+// waitingCall is a caller that waits for a change to be stored.
+type waitingCall struct {
+	call   uint64
+	change uint64
+}
+
+// journal stores changes in groups, one transaction at a time.
+type journal struct {
+	dirty   []*job
+	workers []*worker
+	removed []*worker
+	batch   *batch
+	// failing is true from a failed transaction to the next success.
+	failing bool
+	retryAt time.Time
+}
+
+// batch is the transaction in flight.
+type batch struct {
+	jobs    []batchJob
+	workers []*worker
+	removed []*worker
+}
+
+type batchJob struct {
+	job    *job
+	change uint64
+	final  bool
+	put    bool
+}
+
+// changed notes that the rows of a job are behind.
+func (s *Scheduler) changed(j *job) {
+	j.row.change++
+	s.journal.mark(j)
+}
+
+func (n *journal) mark(j *job) {
+	if !j.row.queued {
+		j.row.queued = true
+		n.dirty = append(n.dirty, j)
+	}
+}
+
+func (n *journal) forgetWorker(w *worker) {
+	if w.rowVersion > 0 {
+		n.removed = append(n.removed, w)
+	}
+}
+
+// commit sends the next transaction if none is in flight.
+func (s *Scheduler) commit() {
+	n := &s.journal
+	if s.resigned || n.batch != nil || s.now.Before(n.retryAt) || len(n.dirty)+len(n.workers)+len(n.removed) == 0 {
+		return
+	}
+	b := &batch{}
+	tx := beryllatch.RowTransaction{Conditions: []beryllatch.RowCondition{
+		{Table: DutyTable, Part: Part, Key: OwnerKey, Version: s.OwnerVersion},
+	}}
+	rows, size := 0, 0
+	for len(n.workers) > 0 && rows < maxBatchRows {
+		w := n.workers[0]
+		n.workers = n.workers[1:]
+		put(&tx, WorkersTable, w.info.ID, w.rowVersion, w.encode())
+		b.workers = append(b.workers, w)
+		rows++
+	}
+	for len(n.removed) > 0 && rows < maxBatchRows {
+		w := n.removed[0]
+		n.removed = n.removed[1:]
+		remove(&tx, WorkersTable, w.info.ID, w.rowVersion)
+		b.removed = append(b.removed, w)
+		rows++
+	}
+	for len(n.dirty) > 0 && rows+2 <= maxBatchRows && size < maxBatchBytes {
+		j := n.dirty[0]
+		n.dirty = n.dirty[1:]
+		j.row.queued = false
+		bj, bytes := addJob(&tx, j)
+		b.jobs = append(b.jobs, bj)
+		size += bytes
+		rows += 2
+	}
+	n.batch = b
+	s.emit(CommitRows{tx})
+}
+
+func put(tx *beryllatch.RowTransaction, table, key string, version int64, value []byte) {
+	tx.Conditions = append(tx.Conditions, beryllatch.RowCondition{Table: table, Part: Part, Key: key, Version: version})
+	tx.Puts = append(tx.Puts, beryllatch.DataRow{Table: table, Part: Part, Key: key, Value: value})
+}
+
+func remove(tx *beryllatch.RowTransaction, table, key string, version int64) {
+	c := beryllatch.RowCondition{Table: table, Part: Part, Key: key, Version: version}
+	tx.Conditions = append(tx.Conditions, c)
+	tx.Deletes = append(tx.Deletes, c)
+}
+
+// addJob adds the job's rows that are behind. The job's own row goes once its final state is stored.
+func addJob(tx *beryllatch.RowTransaction, j *job) (batchJob, int) {
+	b := batchJob{job: j, change: j.row.change, final: j.state.Final()}
+	size := 0
+	switch {
+	case j.row.expired:
+		remove(tx, ProgressTable, j.ID, j.row.progressVersion)
+		return b, 0
+	case b.final && j.row.jobVersion > 0:
+		remove(tx, JobsTable, j.ID, j.row.jobVersion)
+	case !b.final && j.row.jobVersion == 0:
+		value := encodeJob(j)
+		put(tx, JobsTable, j.ID, 0, value)
+		size += len(value)
+		b.put = true
+	}
+	if j.row.change > 1 || b.final {
+		value := encodeProgress(j)
+		put(tx, ProgressTable, j.ID, j.row.progressVersion, value)
+		size += len(value)
+	}
+	return b, size
+}
+
+// committed takes the outcome of the transaction in flight.
+func (s *Scheduler) committed(e Committed) {
+	n := &s.journal
+	b := n.batch
+	n.batch = nil
+	if b == nil {
+		return
+	}
+	if e.Err == nil {
+		n.failing = false
+		s.stored(b, e.Version)
+		return
+	}
+	var conflict *beryllatch.RowConflictError
+	var unknown *beryllatch.UnknownOutcomeError
+	switch {
+	case errors.As(e.Err, &conflict):
+		s.adoptVersions(b, conflict.Rows)
+	case errors.As(e.Err, &unknown):
+		s.commitFailed(b, true)
+	default:
+		s.commitFailed(b, false)
+	}
+	n.workers = append(b.workers, n.workers...)
+	n.removed = append(b.removed, n.removed...)
+	for _, bj := range b.jobs {
+		if s.jobs[bj.job.ID] == bj.job {
+			n.mark(bj.job)
+		}
+	}
+}
+
+func (s *Scheduler) stored(b *batch, version int64) {
+	for _, w := range b.workers {
+		w.rowVersion = version
+		s.placeable = true
+	}
+	for _, bj := range b.jobs {
+		j := bj.job
+		switch {
+		case j.row.expired:
+			delete(s.jobs, j.ID)
+			continue
+		case bj.final:
+			j.row.final = true
+			j.row.jobVersion = 0
+		case bj.put:
+			j.row.jobVersion = version
+		}
+		if bj.change > 1 || bj.final {
+			j.row.progressVersion = version
+		}
+		if !j.row.known {
+			j.row.known = true
+			s.placeable = true
+			s.emit(Decision{Name: "job_stored", Job: j.ID, Age: s.now.Sub(j.Accepted)})
+		}
+		j.row.unsure = false
+		j.row.stored = bj.change
+		s.answerStored(j)
+	}
+	for _, w := range s.ordered {
+		s.holdDue(w)
+	}
+}
+
+// answerStored ends the wait of the callers whose change is stored.
+func (s *Scheduler) answerStored(j *job) {
+	kept := j.row.calls[:0]
+	for _, c := range j.row.calls {
+		if c.change <= j.row.stored {
+			s.emit(AnswerCall{Call: c.call})
+		} else {
+			kept = append(kept, c)
+		}
+	}
+	j.row.calls = kept
+}
+
+// adoptVersions takes the present versions of rows that an earlier transaction of this epoch has changed after all.
+func (s *Scheduler) adoptVersions(b *batch, rows []beryllatch.DataRow) {
+	type id struct{ table, key string }
+	versions := make(map[id]int64, len(rows))
+	for _, r := range rows {
+		version := r.Version
+		if r.Deleted {
+			version = 0
+		}
+		versions[id{r.Table, r.Key}] = version
+	}
+	if v, ok := versions[id{DutyTable, OwnerKey}]; ok && v != s.OwnerVersion {
+		s.resign("another node has taken over")
+		return
+	}
+	for _, w := range append(append([]*worker(nil), b.workers...), b.removed...) {
+		if v, ok := versions[id{WorkersTable, w.info.ID}]; ok {
+			w.rowVersion = v
+		}
+	}
+	for _, bj := range b.jobs {
+		if v, ok := versions[id{JobsTable, bj.job.ID}]; ok {
+			bj.job.row.jobVersion = v
+		}
+		if v, ok := versions[id{ProgressTable, bj.job.ID}]; ok {
+			bj.job.row.progressVersion = v
+		}
+	}
+	s.emit(Decision{Name: "row_versions_adopted", Detail: "an earlier write of unknown outcome was applied"})
+}
+
+// commitFailed refuses the jobs that surely were not stored; those of unknown outcome stay.
+func (s *Scheduler) commitFailed(b *batch, unknown bool) {
+	n := &s.journal
+	if !n.failing {
+		s.emit(Decision{Name: "store_failing"})
+	}
+	n.failing = true
+	n.retryAt = s.now.Add(commitRetry)
+	if unknown {
+		n.retryAt = s.now
+	}
+	for _, bj := range b.jobs {
+		j := bj.job
+		if unknown {
+			j.row.unsure = true
+			continue
+		}
+		if j.row.known || j.row.unsure {
+			continue
+		}
+		for _, c := range j.row.calls {
+			s.emit(AnswerCall{c.call, notStored()})
+		}
+		delete(s.jobs, j.ID)
+		s.removeActive(j)
+		s.emit(Decision{Name: "job_refused", Job: j.ID, Detail: "the store is unavailable"})
+	}
+}
+
+func notStored() error {
+	return &beryllatch.Refusal{
+		Reason: beryllatch.ReasonPlatformUnavailable, RunState: beryllatch.RunStateNotRun, RetryAfter: outageRetry,
+		Detail: "the job could not be stored",
+	}
+}
+
+// jobRow is the stored form of a job.
+type jobRow struct {
+	beryllatch.Job
+	Pool string `json:"pool"`
+}
+
+func encodeJob(j *job) []byte { return mustEncode(jobRow{j.Job, j.pool}) }
+
+// mustEncode encodes types of this package, which have no field that cannot be encoded.
+func mustEncode(v any) []byte {
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
+// progressRow is the stored form of a job's progress.
+type progressRow struct {
+	State beryllatch.JobState `json:"state"`
+	// Ended is the Unix millisecond of the final state.
+	Ended int64 `json:"ended,omitempty"`
+	// Queue serves final jobs, whose own row is gone.
+	Queue string         `json:"queue,omitempty"`
+	Steps []progressStep `json:"steps,omitempty"`
+}
+
+type progressStep struct {
+	Occurrence int `json:"k,omitempty"`
+	Step       int `json:"s,omitempty"`
+	// FailedRuns are the failed runs of a gang.
+	FailedRuns []int `json:"failed_runs,omitempty"`
+	// AllDone replaces the list of tasks.
+	AllDone bool           `json:"all,omitempty"`
+	Done    []int          `json:"done,omitempty"`
+	Tasks   []progressTask `json:"tasks,omitempty"`
+}
+
+type progressTask struct {
+	Index      int    `json:"i"`
+	FailedRuns []int  `json:"f,omitempty"`
+	Saved      string `json:"c,omitempty"`
+}
+
+func encodeProgress(j *job) []byte {
+	row := progressRow{State: j.state}
+	if j.state.Final() {
+		row.Ended, row.Queue = j.ended.UnixMilli(), j.Queue
+		return mustEncode(row)
+	}
+	for _, o := range j.occurrences {
+		if o == nil {
+			continue
+		}
+		for _, st := range o.steps {
+			if p, ok := st.progress(); ok {
+				row.Steps = append(row.Steps, p)
+			}
+		}
+	}
+	return mustEncode(row)
+}
+
+// progress returns the stored form of a step, and false if there is nothing to store.
+func (st *stepRun) progress() (progressStep, bool) {
+	p := progressStep{Occurrence: st.occurrence, Step: st.number, FailedRuns: st.failedRuns}
+	if st.left == 0 {
+		p.AllDone = true
+		return p, true
+	}
+	for _, t := range st.tasks {
+		if t.done {
+			p.Done = append(p.Done, t.index)
+		} else if len(t.failedRuns) > 0 || t.saved != "" {
+			p.Tasks = append(p.Tasks, progressTask{t.index, t.failedRuns, t.saved})
+		}
+	}
+	return p, len(p.FailedRuns)+len(p.Done)+len(p.Tasks) > 0
+}
--- /dev/null
+++ b/internal/decision/berylscheduler/recover.go
@@ -0,0 +1,147 @@
+package berylscheduler
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/beryllatch/beryllatch"
+)
+
+// recover rebuilds the jobs from their rows. Tasks of these jobs may run already: none starts before the workers of its
+// pool have told what they run, or their longest lease has run out.
+func (s *Scheduler) recover(e Recovered) {
+	for _, r := range e.Jobs {
+		var row jobRow
+		if err := json.Unmarshal(r.Value, &row); err != nil {
+			s.emit(Decision{Name: "row_unreadable", Job: r.Key, Detail: err.Error()})
+			continue
+		}
+		j := newJob(row.Job)
+		j.pool, j.inherited = row.Pool, true
+		j.row = storedJob{jobVersion: r.Version, change: 1, stored: 1, known: true}
+		s.jobs[j.ID] = j
+	}
+	for _, r := range e.Progress {
+		s.recoverProgress(r)
+	}
+	for _, j := range s.jobs {
+		if j.state.Final() {
+			s.finished = append(s.finished, j)
+		} else {
+			s.active = append(s.active, j)
+		}
+	}
+	slices.SortFunc(s.finished, func(a, b *job) int {
+		return firstNonZero(a.ended.Compare(b.ended), strings.Compare(a.ID, b.ID))
+	})
+	slices.SortFunc(s.active, func(a, b *job) int {
+		return firstNonZero(a.Accepted.Compare(b.Accepted), strings.Compare(a.ID, b.ID))
+	})
+	for _, r := range e.Workers {
+		var info beryllatch.WorkerInfo
+		if err := json.Unmarshal(r.Value, &info); err != nil {
+			s.emit(Decision{Name: "row_unreadable", Worker: r.Key, Detail: err.Error()})
+			continue
+		}
+		s.addWorker(&worker{info: info, rowVersion: r.Version, leaseBound: s.now.Add(s.lapse()), inherited: true})
+	}
+	for _, j := range s.active {
+		s.openOccurrences(j)
+	}
+}
+
+func firstNonZero(a, b int) int {
+	if a != 0 {
+		return a
+	}
+	return b
+}
+
+func (s *Scheduler) recoverProgress(r beryllatch.DataRow) {
+	var row progressRow
+	if err := json.Unmarshal(r.Value, &row); err != nil {
+		s.emit(Decision{Name: "row_unreadable", Job: r.Key, Detail: err.Error()})
+		return
+	}
+	j := s.jobs[r.Key]
+	if j == nil {
+		j = newJob(beryllatch.Job{ID: r.Key, Queue: row.Queue})
+		j.row = storedJob{known: true}
+		s.jobs[r.Key] = j
+	}
+	j.row.progressVersion, j.row.change, j.row.stored = r.Version, 2, 2
+	if row.State.Final() {
+		j.state, j.row.final = row.State, true
+		// A clock that runs ahead must not keep the row for long, nor one behind drop it early.
+		j.ended = earlier(time.UnixMilli(row.Ended), s.now)
+		return
+	}
+	for _, p := range row.Steps {
+		j.recoverStep(p)
+	}
+}
+
+// earlier returns the earlier time, on the clock of the second one.
+func earlier(t, now time.Time) time.Time {
+	if age := now.Round(0).Sub(t); age > 0 {
+		return now.Add(-age)
+	}
+	return now
+}
+
+func (j *job) recoverStep(p progressStep) {
+	if p.Occurrence >= len(j.occurrences) || p.Step >= len(j.Steps) {
+		return
+	}
+	o := j.open(p.Occurrence)
+	st := o.steps[p.Step]
+	st.failedRuns = p.FailedRuns
+	done := p.Done
+	if p.AllDone {
+		done = nil
+		for i := range st.tasks {
+			done = append(done, i)
+		}
+	}
+	for _, i := range done {
+		if i < len(st.tasks) && !st.tasks[i].done {
+			st.tasks[i].done = true
+			st.left--
+			st.waiting--
+		}
+	}
+	for _, t := range p.Tasks {
+		if t.Index < len(st.tasks) {
+			st.tasks[t.Index].failedRuns, st.tasks[t.Index].saved = t.FailedRuns, t.Saved
+		}
+	}
+	if st.left == 0 {
+		o.left--
+	}
+	j.begun = j.begun || len(p.Done) > 0 || p.AllDone
+}
+
+// settled reports whether every run that an earlier epoch may have started in the pools of the job is known.
+func (s *Scheduler) settled(j *job, pool string) bool {
+	if !j.inherited {
+		return true
+	}
+	for _, w := range s.ordered {
+		if !w.known && (w.info.Pool == pool || w.info.Pool == j.pool) {
+			return false
+		}
+	}
+	return true
+}
+
+// unsettledWorkers reports whether runs may exist that this epoch has not seen yet.
+func (s *Scheduler) unsettledWorkers() bool {
+	for _, w := range s.ordered {
+		if !w.known {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/decision/berylscheduler/scheduler.go
@@ -0,0 +1,215 @@
+package berylscheduler
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/beryllatch/beryllatch"
+)
+
+const (
+	// leaseTime outlasts a change of the scheduling node, which takes up to 3 s.
+	leaseTime = 4500 * time.Millisecond
+	// clockDrift is by how much a worker's clock may be slow.
+	clockDrift = 0.02
+	// leaseMargin covers the rounding of clocks to milliseconds and late timers.
+	leaseMargin = 150 * time.Millisecond
+)
+
+// Limits are the deployment's figures that the scheduler keeps to.
+type Limits struct {
+	MaxLease        time.Duration
+	StopTimeout     time.Duration
+	JobRetention    time.Duration
+	RemoteFactor    float64
+	MoveTime        time.Duration
+	MaintenanceTime time.Duration
+	NoticeTime      time.Duration
+	Heartbeat       time.Duration
+	GangTimeout     time.Duration
+	// InstanceCallsPerSecond limits moves and maintenance calls.
+	InstanceCallsPerSecond float64
+	// RowBytes limits a row's value.
+	RowBytes int
+}
+
+// Scheduler is the state of the scheduling node in one epoch.
+type Scheduler struct {
+	// Epoch is the fencing token of every order.
+	Epoch int64
+	// OwnerVersion is the version of the row that makes the node the scheduling one; each transaction requires it.
+	OwnerVersion int64
+	Limits       Limits
+
+	now        time.Time
+	began      time.Time
+	effects    []Effect
+	deployment *beryllatch.Deployment
+	operations beryllatch.Operations
+
+	jobs map[string]*job
+	// active holds the unfinished jobs in the order of acceptance.
+	active []*job
+	// finished holds the final jobs in the order of their ends.
+	finished []*job
+
+	workers map[string]*worker
+	// ordered holds the workers by ID, since the order of a map differs between runs.
+	ordered []*worker
+	teams   map[string]*teamUse
+	learned map[string]*runTime
+
+	journal   journal
+	fleet     fleet
+	advice    map[string]*stepAdvice
+	placeable bool
+	resigned  bool
+}
+
+// teamUse is what a team has booked on all workers.
+type teamUse struct{ used beryllatch.Resources }
+
+// Apply takes an event and returns what to do; the slice is valid until the next call.
+func (s *Scheduler) Apply(now time.Time, e Event) []Effect {
+	s.now = now
+	clear(s.effects)
+	s.effects = s.effects[:0]
+	if s.resigned {
+		return nil
+	}
+	if s.jobs == nil {
+		s.start()
+	}
+	s.apply(e)
+	if s.placeable && s.deployment != nil {
+		s.placeable = false
+		s.place()
+	}
+	s.commit()
+	return s.effects
+}
+
+func (s *Scheduler) start() {
+	s.began = s.now
+	s.jobs = make(map[string]*job)
+	s.workers = make(map[string]*worker)
+	s.teams = make(map[string]*teamUse)
+	s.learned = make(map[string]*runTime)
+	s.advice = make(map[string]*stepAdvice)
+}
+
+func (s *Scheduler) apply(e Event) {
+	switch e := e.(type) {
+	case Recovered:
+		s.recover(e)
+	case DeploymentChanged:
+		s.deployment = e.Deployment
+		s.placeable = true
+	case OperationsChanged:
+		s.operations = e.Operations
+		s.noteWaves()
+		s.placeable = true
+	case RegistryRead:
+		s.readRegistry(e.Workers)
+	case RegistryChanged:
+		s.changeRegistry(e)
+	case JobSubmitted:
+		s.submit(e)
+	case CancelRequested:
+		s.cancel(e)
+	case WorkerHeld:
+		s.held(e)
+	case StartEnded:
+		s.startEnded(e)
+	case StopEnded:
+		s.stopEnded(e)
+	case PaceEnded:
+		s.paceEnded(e)
+	case Committed:
+		s.committed(e)
+	case InstancesListed:
+		s.instancesListed(e)
+	case InstanceOrderEnded:
+		s.instanceOrderEnded(e)
+	case StatusWritten:
+		s.statusWritten(e)
+	case AdviceReceived:
+		s.adviceReceived(e)
+	case Ticked:
+		s.tick()
+	}
+}
+
+// tick does what becomes due by time alone.
+func (s *Scheduler) tick() {
+	for _, w := range s.ordered {
+		s.checkLease(w)
+		s.checkRuns(w)
+		s.holdDue(w)
+	}
+	s.dropWorkers()
+	for _, j := range s.active {
+		s.openOccurrences(j)
+	}
+	s.expireJobs()
+	s.tickFleet()
+	s.expireAdvice()
+	s.placeable = true
+}
+
+func (s *Scheduler) emit(e Effect) { s.effects = append(s.effects, e) }
+
+// resign ends the epoch; nothing is ordered after it.
+func (s *Scheduler) resign(reason string) {
+	if s.resigned {
+		return
+	}
+	s.resigned = true
+	s.emit(Resign{Reason: reason})
+}
+
+// team returns the use of a team's account.
+func (s *Scheduler) team(name string) *teamUse {
+	t := s.teams[name]
+	if t == nil {
+		t = &teamUse{}
+		s.teams[name] = t
+	}
+	return t
+}
+
+// queueOf returns the queue of a job; a queue that the configuration no longer holds has no workers.
+func (s *Scheduler) queueOf(j *job) (beryllatch.JobQueue, bool) {
+	if s.deployment == nil {
+		return beryllatch.JobQueue{}, false
+	}
+	q, ok := s.deployment.Queues[j.Queue]
+	return q, ok
+}
+
+// lease returns the length of the leases that the scheduler grants.
+func (s *Scheduler) lease() time.Duration { return min(leaseTime, s.Limits.MaxLease) }
+
+// lapse returns how long after its grant a lease has surely run out.
+func (s *Scheduler) lapse() time.Duration {
+	return time.Duration(float64(s.lease())/(1-clockDrift)) + leaseMargin
+}
+
+func (s *Scheduler) addWorker(w *worker) {
+	s.workers[w.info.ID] = w
+	i, _ := slices.BinarySearchFunc(s.ordered, w.info.ID, func(o *worker, id string) int { return strings.Compare(o.info.ID, id) })
+	s.ordered = slices.Insert(s.ordered, i, w)
+}
+
+// dropWorkers forgets workers that are neither registered nor may run anything.
+func (s *Scheduler) dropWorkers() {
+	s.ordered = slices.DeleteFunc(s.ordered, func(w *worker) bool {
+		if w.registered || len(w.runs) > 0 || s.now.Before(w.leaseBound) || !w.known {
+			return false
+		}
+		delete(s.workers, w.info.ID)
+		s.journal.forgetWorker(w)
+		return true
+	})
+}
--- /dev/null
+++ b/internal/decision/berylscheduler/submit.go
@@ -0,0 +1,77 @@
+package berylscheduler
+
+import (
+	"fmt"
+
+	"github.com/beryllatch/beryllatch"
+)
+
+// submit accepts a job, to be answered once it is stored, or refuses it.
+func (s *Scheduler) submit(e JobSubmitted) {
+	if j := s.jobs[e.Job.ID]; j != nil {
+		// Only the rows that existed with the first acceptance matter to a repeated submission.
+		s.await(j, e.Call, 1)
+		return
+	}
+	if err := s.admit(&e.Job); err != nil {
+		s.emit(AnswerCall{e.Call, err})
+		s.emit(Decision{Name: "job_refused", Job: e.Job.ID, Detail: err.Error()})
+		return
+	}
+	e.Job.Accepted = s.now
+	j := newJob(e.Job)
+	if q, ok := s.queueOf(j); ok {
+		j.pool = q.Pool
+	}
+	s.jobs[j.ID] = j
+	s.active = append(s.active, j)
+	s.openOccurrences(j)
+	s.changed(j)
+	s.await(j, e.Call, j.row.change)
+}
+
+// await answers the call when the change is stored.
+func (s *Scheduler) await(j *job, call, change uint64) {
+	if j.row.stored >= change {
+		s.emit(AnswerCall{Call: call})
+		return
+	}
+	j.row.calls = append(j.row.calls, waitingCall{call, change})
+}
+
+// admit returns a *beryllatch.Refusal for a job that cannot be taken.
+func (s *Scheduler) admit(j *beryllatch.Job) error {
+	if s.deployment == nil {
+		return &beryllatch.Refusal{Reason: beryllatch.ReasonNodeStale, RunState: beryllatch.RunStateNotRun, RetryAfter: outageRetry}
+	}
+	if _, ok := s.deployment.Queues[j.Queue]; !ok {
+		return &beryllatch.Refusal{
+			Reason: beryllatch.ReasonNodeStale, RunState: beryllatch.RunStateNotRun, RetryAfter: outageRetry,
+			Detail: fmt.Sprintf("queue %q is not in version %d of the configuration", j.Queue, s.deployment.Version),
+		}
+	}
+	// The first submission after the pause tries the store again.
+	if s.journal.failing && (s.journal.batch != nil || s.now.Before(s.journal.retryAt)) {
+		return notStored()
+	}
+	if size := len(encodeJob(&job{Job: *j})); s.Limits.RowBytes > 0 && size > s.Limits.RowBytes {
+		return &beryllatch.Refusal{
+			Reason: beryllatch.ReasonBadRequest, RunState: beryllatch.RunStateNotRun,
+			Detail: fmt.Sprintf("the job takes %d bytes; %d are allowed", size, s.Limits.RowBytes),
+		}
+	}
+	return nil
+}
+
+// cancel ends a job; the caller is answered once that is stored.
+func (s *Scheduler) cancel(e CancelRequested) {
+	j := s.jobs[e.ID]
+	if j == nil {
+		s.emit(AnswerCall{e.Call, &beryllatch.UnknownJobError{ID: e.ID}})
+		return
+	}
+	if !j.state.Final() {
+		s.end(j, beryllatch.JobCancelled, "")
+	}
+	s.await(j, e.Call, j.row.change)
+}
--- /dev/null
+++ b/internal/decision/berylscheduler/worker.go
@@ -0,0 +1,333 @@
+package berylscheduler
+
+import (
+	"errors"
+	"time"
+
+	"github.com/beryllatch/beryllatch"
+)
+
+const (
+	// holdWait is how long a worker may delay its answer; it leaves most of the lease for retries.
+	holdWait = time.Second
+	// unsettledWait is the wait while the outcome of an order is open.
+	unsettledWait = 100 * time.Millisecond
+	// watchWait is the wait for workers whose serving tasks share with fillers.
+	watchWait = 400 * time.Millisecond
+	// outagePause spaces the looks at a worker whose ends cannot be stored.
+	outagePause = 100 * time.Millisecond
+	// holdRetry spaces the attempts to reach a worker that does not answer.
+	holdRetry = 300 * time.Millisecond
+	// registryGrace is how long an entry may take to come back after an outage of the store.
+	registryGrace = 2500 * time.Millisecond
+)
+
+// worker is a worker with what the scheduler has booked on it.
+type worker struct {
+	info beryllatch.WorkerInfo
+	// registered is true while the worker has a registration.
+	registered bool
+	missing    time.Time
+	rowVersion int64
+	// known is true once the worker's lists of this epoch have been read, or it surely runs nothing of before.
+	known bool
+	// inherited workers may have runs of an earlier epoch.
+	inherited bool
+	runs      map[runID]*run
+	used      beryllatch.Resources
+
+	holding  bool
+	holdNext time.Time
+	// failures counts the holds without an answer, one after the other.
+	failures int
+	// heard is when the last answered hold was sent.
+	heard time.Time
+	// clock is the worker's clock at clockAt.
+	clock   time.Duration
+	clockAt time.Time
+	// leaseBound is when every lease that the worker may have has surely run out.
+	leaseBound time.Time
+
+	// seen is the number of the last end that was taken, acknowledged the last that may be forgotten.
+	seen, acknowledged, sentAck int64
+	ends                        []pendingEnd
+
+	health  health
+	closing string
+}
+
+// pendingEnd is an end that may be acknowledged once the job's change is stored.
+type pendingEnd struct {
+	number int64
+	job    *job
+	change uint64
+}
+
+// runID names a run.
+type runID struct {
+	task string
+	n    int
+}
+
+func (w *worker) address() beryllatch.WorkerAddress {
+	return beryllatch.WorkerAddress{ID: w.info.ID, Address: w.info.Address}
+}
+
+func (w *worker) encode() []byte { return mustEncode(w.info) }
+
+// usable reports whether new runs may go to the worker. A registration that lapsed during an outage of the store may come
+// back for a while after it.
+func (s *Scheduler) usable(w *worker) bool {
+	present := w.registered || (!w.missing.IsZero() && s.now.Sub(w.missing) < registryGrace)
+	return present && w.known && w.failures == 0 && w.rowVersion > 0 && !w.info.Draining && w.closing == "" &&
+		!s.operations.Evacuated[w.info.DataCentre] && !w.health.suspect(s.now)
+}
+
+func (s *Scheduler) readRegistry(workers []beryllatch.WorkerInfo) {
+	present := make(map[string]bool, len(workers))
+	for _, i := range workers {
+		present[i.ID] = true
+	}
+	for _, w := range s.ordered {
+		if !present[w.info.ID] {
+			s.unregister(w)
+		}
+	}
+	for _, i := range workers {
+		s.register(i)
+	}
+}
+
+func (s *Scheduler) changeRegistry(e RegistryChanged) {
+	for _, id := range e.Removed {
+		if w := s.workers[id]; w != nil {
+			s.unregister(w)
+		}
+	}
+	for _, i := range e.Workers {
+		s.register(i)
+	}
+}
+
+func (s *Scheduler) unregister(w *worker) {
+	if !w.registered {
+		return
+	}
+	w.registered, w.missing = false, s.now
+	s.emit(Decision{Name: "worker_gone", Worker: w.info.ID, Detail: "its registration is gone"})
+	s.placeable = true
+}
+
+func (s *Scheduler) register(i beryllatch.WorkerInfo) {
+	w := s.workers[i.ID]
+	if w == nil {
+		w = &worker{info: i, registered: true}
+		if s.now.Sub(s.began) < s.lapse() {
+			// An earlier epoch may have used it without its row being read.
+			w.inherited, w.leaseBound = true, s.began.Add(s.lapse())
+		} else {
+			w.known = true
+		}
+		s.replaceLife(w)
+		s.addWorker(w)
+		s.journal.workers = append(s.journal.workers, w)
+		s.emit(Decision{Name: "worker_registered", Worker: i.ID, Detail: i.Pool})
+		s.placeable = true
+		s.holdDue(w)
+		return
+	}
+	if i.Born != 0 && w.info.Born != 0 && i.Born > w.info.Born {
+		s.reborn(w, i.Born)
+	}
+	if i.Born != 0 && i.Born < w.info.Born {
+		return
+	}
+	if i.Draining && !w.info.Draining {
+		s.emit(Decision{Name: "worker_draining", Worker: i.ID})
+	}
+	moved := i.Address != w.info.Address
+	w.info, w.registered = i, true
+	if moved {
+		s.journal.workers = append(s.journal.workers, w)
+	}
+	s.placeable = true
+}
+
+// replaceLife ends the earlier lives of the instance that a new worker runs on.
+func (s *Scheduler) replaceLife(n *worker) {
+	if n.info.Instance == "" {
+		return
+	}
+	for _, w := range s.ordered {
+		if w.info.Instance == n.info.Instance && w.info.Born < n.info.Born {
+			s.reborn(w, w.info.Born)
+			w.leaseBound = s.now
+			s.unregister(w)
+		}
+	}
+}
+
+// reborn drops everything that ran before a worker started again.
+func (s *Scheduler) reborn(w *worker, born int64) {
+	s.emit(Decision{Name: "worker_restarted", Worker: w.info.ID})
+	for _, r := range s.runsOf(w) {
+		s.release(r)
+		s.requeue(r, "worker restarted")
+	}
+	w.info.Born = born
+	w.seen, w.acknowledged, w.sentAck, w.ends = 0, 0, 0, nil
+	w.clockAt, w.failures, w.known, w.health = time.Time{}, 0, true, health{}
+	s.placeable = true
+}
+
+// checkLease writes off the runs of a worker whose leases have run out.
+func (s *Scheduler) checkLease(w *worker) {
+	if s.now.Before(w.leaseBound) {
+		return
+	}
+	if !w.known {
+		w.known = true
+		s.emit(Decision{Name: "worker_settled", Worker: w.info.ID, Detail: "its longest lease has run out"})
+		s.placeable = true
+	}
+	for _, r := range s.runsOf(w) {
+		s.release(r)
+		s.requeue(r, "lease ran out")
+	}
+}
+
+// clockNow estimates the worker's clock; false before its first answer.
+func (s *Scheduler) clockNow(w *worker) (time.Duration, bool) {
+	if w.clockAt.IsZero() {
+		return 0, false
+	}
+	return w.clock + s.now.Sub(w.clockAt), true
+}
+
+func (w *worker) setClock(clock time.Duration, at time.Time) {
+	if clock > 0 {
+		w.clock, w.clockAt = clock, at
+	}
+}
+
+// grant returns the end of a new lease on the worker's clock.
+func (s *Scheduler) grant(w *worker) time.Duration {
+	clock, ok := s.clockNow(w)
+	if !ok {
+		return 0
+	}
+	w.leaseBound = later(w.leaseBound, s.now.Add(s.lapse()))
+	return clock + s.lease()
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// unsettled reports whether the outcome of an order to the worker is open.
+func (w *worker) unsettled() bool {
+	for _, r := range w.runs {
+		if r.phase == runUnsettled || r.phase == runStopping {
+			return true
+		}
+	}
+	return false
+}
+
+// holdDue sends the next hold when there is something to hold, to learn or to acknowledge.
+func (s *Scheduler) holdDue(w *worker) {
+	if w.holding || s.now.Before(w.holdNext) || s.resigned {
+		return
+	}
+	if !w.registered && w.known && len(w.runs) == 0 {
+		return
+	}
+	ack := s.acknowledgeable(w)
+	open := len(w.ends) > 0
+	if w.known && len(w.runs) == 0 && ack == w.sentAck && !w.clockAt.IsZero() {
+		return
+	}
+	order := beryllatch.HoldOrder{Fence: s.Epoch, Acknowledge: ack, Wait: holdWait}
+	switch {
+	case !w.known || w.clockAt.IsZero() || len(w.runs) == 0:
+		order.Wait = 0
+	case open:
+		// Unstored ends are listed at once: waiting for the store saves a look.
+		if s.now.Sub(w.heard) < outagePause {
+			return
+		}
+		order.Wait = 0
+	case w.unsettled():
+		order.Wait = unsettledWait
+	case w.watched():
+		order.Wait = watchWait
+	}
+	order.LeaseEnd = s.grant(w)
+	w.holding, w.sentAck = true, ack
+	s.emit(HoldWorker{Worker: w.address(), Born: w.info.Born, Order: order})
+}
+
+// acknowledgeable returns the number of the last end up to which all are stored.
+func (s *Scheduler) acknowledgeable(w *worker) int64 {
+	for len(w.ends) > 0 {
+		p := w.ends[0]
+		if p.job != nil && p.job.row.stored < p.change && s.jobs[p.job.ID] == p.job {
+			break
+		}
+		w.acknowledged = p.number
+		w.ends = w.ends[1:]
+	}
+	return w.acknowledged
+}
+
+// held takes the answer to a hold.
+func (s *Scheduler) held(e WorkerHeld) {
+	w := s.workers[e.Worker]
+	if w == nil || w.info.Born != e.Born {
+		return
+	}
+	w.holding = false
+	if e.Err != nil {
+		s.holdFailed(w, e.Err)
+		return
+	}
+	if e.Lists.Born > w.info.Born {
+		if w.info.Born != 0 {
+			s.reborn(w, e.Lists.Born)
+		}
+		w.info.Born = e.Lists.Born
+	}
+	if w.failures > 0 {
+		s.emit(Decision{Name: "worker_regained", Worker: w.info.ID})
+		w.failures = 0
+		s.placeable = true
+	}
+	w.holdNext = time.Time{}
+	w.setClock(e.Lists.Clock, s.now)
+	if !w.known {
+		w.known = true
+		s.placeable = true
+		s.emit(Decision{Name: "worker_settled", Worker: w.info.ID, Detail: "its lists are read"})
+	}
+	if e.Sent.After(w.heard) || w.heard.IsZero() {
+		w.heard = e.Sent
+		s.takeLists(w, e)
+	}
+	s.holdDue(w)
+}
+
+func (s *Scheduler) holdFailed(w *worker, err error) {
+	var rejected *beryllatch.OrderRejectedError
+	if errors.As(err, &rejected) && rejected.Reason == beryllatch.RejectFence {
+		s.resign("worker " + w.info.ID + " has seen a later epoch")
+		return
+	}
+	if w.failures == 0 {
+		s.emit(Decision{Name: "worker_lost", Worker: w.info.ID, Detail: err.Error(), Age: s.now.Sub(w.heard)})
+	}
+	w.failures++
+	w.holdNext = s.now.Add(holdRetry)
+}
--- /dev/null
+++ b/internal/node/berylentry/entry.go
@@ -0,0 +1,218 @@
+package berylentry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/beryllatch/beryllatch"
+	"github.com/beryllatch/beryllatch/internal/common/berylmetrics"
+	"github.com/beryllatch/beryllatch/internal/decision/berylscheduler"
+	"github.com/beryllatch/beryllatch/internal/node/beryljobs"
+	"github.com/beryllatch/beryllatch/internal/rpc/berylwire"
+	adapter "github.com/beryllatch/beryllatch/platform"
+	"github.com/gorilla/mux"
+	"github.com/phuslu/log"
+	"github.com/rotisserie/eris"
+)
+
+const (
+	headerTimeout = 3 * time.Second
+	idleTimeout   = 60 * time.Second
+	// settingsInterval is how often the settings file is looked at for changes without a signal.
+	settingsInterval = time.Second
+	// leaveTime keeps serving callers after SIGTERM, until the platform has noticed that the node is not ready: it asks
+	// once a second and acts on the second miss.
+	leaveTime = 3 * time.Second
+	// stopMargin is kept of the grace period for the end of the process.
+	stopMargin = time.Second
+	// orderConnections is how many idle connections are kept to a worker: one holds, the others start and stop.
+	orderConnections = 4
+	// storeConnections serves the feeds, the transactions and the beat.
+	storeConnections = 6
+)
+
+// Flags are the command line of beryljobd.
+type Flags struct {
+	Settings       string `env:"BERYLLATCH_CONFIG" required:"" help:"Path of the platform's settings file (YAML)."`
+	LogLines       int64  `env:"BERYLLATCH_LOG_LINES" default:"2000" help:"Most log lines a second; further ones are counted."`
+	CheckSettings  bool   `help:"Check the settings file and exit."`
+	MetricsAddress string `env:"BERYLLATCH_METRICS_ADDRESS" help:"IP address and port for metrics; default: the second internal port."`
+}
+
+// Entry is an entry node for jobs.
+type Entry struct {
+	Flags Flags
+	Log   *log.Logger
+
+	settings atomic.Pointer[adapter.Settings]
+	metrics  *berylmetrics.Registry
+	node     *beryljobs.Node
+	servers  []*http.Server
+	stopping atomic.Bool
+}
+
+// Run serves until ctx is cancelled; reload asks to read the settings file again.
+func (e *Entry) Run(ctx context.Context, reload <-chan struct{}) error {
+	settings, err := adapter.ReadSettings(e.Flags.Settings)
+	if err != nil || e.Flags.CheckSettings {
+		return err
+	}
+	e.settings.Store(&settings)
+	e.build(settings)
+	for _, l := range e.listeners(settings) {
+		if err := e.listen(ctx, l); err != nil {
+			return err
+		}
+	}
+	e.Log.Info().Str("node", settings.Node).Str("data_centre", settings.DataCentre).Msg("started")
+	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		e.node.Run(runCtx)
+	}()
+	go e.watchSettings(runCtx, reload)
+	<-ctx.Done()
+	e.stop(runCtx, settings)
+	cancel()
+	<-done
+	e.Log.Info().Str("node", settings.Node).Msg("stopped")
+	return nil
+}
+
+// build makes the clients and the node.
+func (e *Entry) build(settings adapter.Settings) {
+	e.metrics = berylmetrics.New()
+	address := func(f func(*adapter.Settings) string) func() string {
+		return func() string { return f(e.settings.Load()) }
+	}
+	b := settings.Bounds
+	e.node = &beryljobs.Node{
+		Name: settings.Node, Address: net.JoinHostPort(settings.IP, strconv.Itoa(settings.FirstPort)),
+		Limits: berylscheduler.Limits{
+			MaxLease: b.MaxLease, StopTimeout: b.StopTimeout, JobRetention: b.JobRetention, RemoteFactor: b.RemoteFactor,
+			MoveTime: b.MoveTime, MaintenanceTime: b.MaintenanceTime, NoticeTime: b.NoticeTime, Heartbeat: b.Heartbeat,
+			GangTimeout: b.GangTimeout, InstanceCallsPerSecond: settings.InstanceCallsPerSecond, RowBytes: settings.RowBytes,
+		},
+		Store: &adapter.Store{
+			Exchange: adapter.NewExchange(storeConnections),
+			Address:  address(func(s *adapter.Settings) string { return s.StoreAddress }),
+		},
+		View:    adapter.View{},
+		Workers: &adapter.Workers{Exchange: adapter.NewExchange(orderConnections)},
+		Instances: &adapter.Instances{
+			Exchange: adapter.NewExchange(1), Address: address(func(s *adapter.Settings) string { return s.InstancesAddress }),
+		},
+		Advisor: &adapter.Advisor{
+			Exchange: adapter.NewExchange(1), Address: address(func(s *adapter.Settings) string { return s.AdvisorAddress }),
+		},
+		Peers:   adapter.NewExchange(orderConnections).Client(),
+		Log:     &beryljobs.DecisionLog{Logger: e.Log, LinesPerSecond: e.Flags.LogLines},
+		Metrics: e.metrics,
+	}
+}
+
+type listener struct {
+	name, address string
+	handler       http.Handler
+}
+
+func (e *Entry) listeners(settings adapter.Settings) []listener {
+	callers := &adapter.Callers{Jobs: e.node, Deployment: e.node.Deployment, Refused: func(r beryllatch.Reason) {
+		e.metrics.Count("refused."+string(r), 1)
+	}}
+	ready := mux.NewRouter()
+	ready.HandleFunc(adapter.ReadinessPath, e.ready)
+	peers := mux.NewRouter()
+	peers.PathPrefix(berylwire.JobsPathPrefix).Handler(berylwire.NewJobsServer(beryljobs.Server{Node: e.node}))
+	metrics := e.Flags.MetricsAddress
+	if metrics == "" {
+		metrics = net.JoinHostPort(settings.IP, strconv.Itoa(settings.FirstPort+1))
+	}
+	return []listener{
+		{"callers", settings.CallersAddress, callers.Handler()},
+		{"readiness", settings.ReadinessAddress, ready},
+		{"peers", e.node.Address, peers},
+		{"metrics", metrics, e.metrics},
+	}
+}
+
+func (e *Entry) ready(w http.ResponseWriter, _ *http.Request) {
+	if !e.node.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func (e *Entry) listen(ctx context.Context, l listener) error {
+	var cfg net.ListenConfig
+	ln, err := cfg.Listen(ctx, "tcp", l.address)
+	if err != nil {
+		return eris.Wrapf(err, "%s listener", l.name)
+	}
+	handler := l.handler
+	if l.name == "callers" {
+		handler = e.closeAfterAnswer(handler)
+	}
+	h := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	e.servers = append(e.servers, h)
+	go func() {
+		if err := h.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+			e.Log.Error().Err(err).Str("listener", l.name).Msg("listener_failed")
+		}
+	}()
+	return nil
+}
+
+// closeAfterAnswer ends each connection of a stopping node with the answer that it carries.
+func (e *Entry) closeAfterAnswer(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
+// stop gives the duty up at once, and serves callers until they have gone elsewhere.
+func (e *Entry) stop(ctx context.Context, settings adapter.Settings) {
+	e.Log.Info().Str("node", settings.Node).Msg("stopping")
+	e.node.Stop()
+	e.stopping.Store(true)
+	wait := min(leaveTime, settings.Bounds.Grace/2)
+	time.Sleep(wait)
+	ctx, cancel := context.WithTimeout(ctx, max(settings.Bounds.Grace-wait-stopMargin, stopMargin))
+	defer cancel()
+	for _, h := range e.servers {
+		if err := h.Shutdown(ctx); err != nil {
+			e.Log.Warn().Err(err).Msg("listener_stopped_early")
+		}
+	}
+}
+
+// watchSettings reads the settings file again when it has changed.
+func (e *Entry) watchSettings(ctx context.Context, reload <-chan struct{}) {
+	t := time.NewTicker(settingsInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-reload:
+		case <-t.C:
+		}
+		fresh, err := adapter.ReadSettings(e.Flags.Settings)
+		if err != nil {
+			e.Log.Warn().Err(err).Msg("settings_not_reloaded")
+			continue
+		}
+		if fresh != *e.settings.Load() {
+			e.settings.Store(&fresh)
+			e.Log.Info().Str("store", fresh.StoreAddress).Str("instances", fresh.InstancesAddress).Msg("settings_reloaded")
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/beryljobs/duty.go
@@ -0,0 +1,229 @@
+package beryljobs
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"hash/fnv"
+	"time"
+
+	"github.com/beryllatch/beryllatch"
+	"github.com/beryllatch/beryllatch/internal/decision/berylscheduler"
+)
+
+const (
+	// probeInterval is how often a node asks the holder whether it still schedules.
+	probeInterval = 300 * time.Millisecond
+	// probeTimeout bounds a probe.
+	probeTimeout = 400 * time.Millisecond
+	// beatInterval is how often the holder renews its sign of life at the store.
+	beatInterval = 500 * time.Millisecond
+	// silence is how long the holder's sign of life must not change before another node takes over.
+	silence = 1400 * time.Millisecond
+	// spread keeps nodes from taking over all at once.
+	spread = 120 * time.Millisecond
+	// beatTable holds the holder's sign of life, in a part of its own.
+	beatTable = "beat"
+)
+
+// keepDuty follows the holder of the duty, and takes over when it falls silent.
+func (n *Node) keepDuty(ctx context.Context) {
+	var watch silenceWatch
+	for ctx.Err() == nil {
+		if n.stopping.Load() {
+			n.waitWake(ctx, probeInterval)
+		}
+		if n.probeHolder(ctx) {
+			watch = silenceWatch{}
+			n.waitWake(ctx, probeInterval)
+			continue
+		}
+		h, err := n.readHolder(ctx)
+		if err != nil {
+			n.waitWake(ctx, readRetry)
+			continue
+		}
+		if n.stopping.Load() || !n.mayTakeOver(ctx, h, &watch) {
+			n.waitWake(ctx, readRetry)
+			continue
+		}
+		watch = silenceWatch{}
+		n.takeOver(ctx, h)
+	}
+}
+
+func (n *Node) waitWake(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-n.wake:
+	case <-t.C:
+	}
+}
+
+// silenceWatch tells since when the holder's sign of life has not changed.
+type silenceWatch struct {
+	epoch   int64
+	version int64
+	since   time.Time
+}
+
+// readHolder reads the duty row and remembers the holder.
+func (n *Node) readHolder(ctx context.Context) (holder, error) {
+	row, err := n.Store.Row(ctx, berylscheduler.DutyTable, berylscheduler.Part, berylscheduler.OwnerKey)
+	if err != nil {
+		return holder{}, err
+	}
+	n.storeAnswered()
+	var h holder
+	if row.Version > 0 {
+		if err := json.Unmarshal(row.Value, &h); err != nil {
+			return holder{}, err
+		}
+	}
+	h.version = row.Version
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if h.Epoch > n.holder.Epoch {
+		n.Log.Event("holder_changed", h.Node, h.Address)
+	}
+	if h.Epoch >= n.holder.Epoch {
+		n.holder = h
+	}
+	return h, nil
+}
+
+// mayTakeOver reports whether the holder has given up or has surely fallen silent.
+func (n *Node) mayTakeOver(ctx context.Context, h holder, watch *silenceWatch) bool {
+	delay := spreadOf(n.Name)
+	if h.Epoch == 0 || h.Released {
+		return pause(ctx, delay)
+	}
+	if h.Node == n.Name && h.Incarnation != n.incarnation {
+		// An earlier incarnation of this very node.
+		return true
+	}
+	beat, err := n.Store.Row(ctx, beatTable, beatTable, berylscheduler.OwnerKey)
+	if err != nil {
+		return false
+	}
+	if watch.epoch != h.Epoch || watch.version != beat.Version {
+		*watch = silenceWatch{h.Epoch, beat.Version, time.Now()}
+		return false
+	}
+	return time.Since(watch.since) >= silence+delay
+}
+
+// spreadOf returns a node's own part of the spread.
+func spreadOf(name string) time.Duration {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(name)) // A hash never fails.
+	return time.Duration(h.Sum32()%uint32(spread.Milliseconds())) * time.Millisecond
+}
+
+// takeOver claims the duty in a new epoch, and schedules until the epoch ends.
+func (n *Node) takeOver(ctx context.Context, old holder) {
+	h := holder{Node: n.Name, Address: n.Address, Incarnation: n.incarnation, Epoch: old.Epoch + 1}
+	version, err := n.Store.Commit(ctx, beryllatch.RowTransaction{
+		Conditions: []beryllatch.RowCondition{dutyCondition(old.version)},
+		Puts:       []beryllatch.DataRow{dutyRow(h)},
+	})
+	var unknown *beryllatch.UnknownOutcomeError
+	if errors.As(err, &unknown) {
+		// The row tells whether the claim was applied.
+		now, readErr := n.readHolder(ctx)
+		if readErr != nil || now.Incarnation != n.incarnation || now.Epoch != h.Epoch {
+			return
+		}
+		version, err = now.version, nil
+	}
+	if err != nil {
+		n.Log.Event("takeover_failed", n.Name, err.Error())
+		return
+	}
+	h.version = version
+	n.Log.Event("takeover", n.Name, time.Since(n.storeHeard).String())
+	n.Metrics.Count("takeovers", 1)
+	n.lead(ctx, h)
+}
+
+func dutyCondition(version int64) beryllatch.RowCondition {
+	return beryllatch.RowCondition{
+		Table: berylscheduler.DutyTable, Part: berylscheduler.Part, Key: berylscheduler.OwnerKey, Version: version,
+	}
+}
+
+func dutyRow(h holder) beryllatch.DataRow {
+	value, err := json.Marshal(h)
+	if err != nil {
+		panic(err) // The type has only texts and numbers.
+	}
+	return beryllatch.DataRow{Table: berylscheduler.DutyTable, Part: berylscheduler.Part, Key: berylscheduler.OwnerKey, Value: value}
+}
+
+// lead schedules in the epoch until it ends.
+func (n *Node) lead(ctx context.Context, h holder) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s, err := n.newSession(ctx, h)
+	if err != nil {
+		n.Log.Event("takeover_failed", n.Name, err.Error())
+		n.release(ctx, h)
+		return
+	}
+	n.mu.Lock()
+	n.holder, n.session = h, s
+	operations := n.operations
+	n.mu.Unlock()
+	if d := n.deployment.Load(); d != nil {
+		s.apply(berylscheduler.DeploymentChanged{Deployment: d})
+	}
+	s.apply(berylscheduler.OperationsChanged{Operations: operations})
+	s.run(ctx)
+	n.mu.Lock()
+	n.session = nil
+	n.holderHeard = time.Time{}
+	n.mu.Unlock()
+	s.close()
+	if n.stopping.Load() {
+		n.release(context.WithoutCancel(ctx), h)
+	}
+}
+
+// release tells the other nodes that the duty is free.
+func (n *Node) release(ctx context.Context, h holder) {
+	free := h
+	free.Released = true
+	version, err := n.Store.Commit(ctx, beryllatch.RowTransaction{
+		Conditions: []beryllatch.RowCondition{dutyCondition(h.version)},
+		Puts:       []beryllatch.DataRow{dutyRow(free)},
+	})
+	if err != nil {
+		n.Log.Event("release_failed", n.Name, err.Error())
+		return
+	}
+	free.version = version
+	n.Log.Event("duty_released", n.Name, "")
+}
+
+// beat renews the holder's sign of life.
+func (n *Node) beat(ctx context.Context, h holder) {
+	failing := false
+	for {
+		_, err := n.Store.Commit(ctx, beryllatch.RowTransaction{Puts: []beryllatch.DataRow{
+			{Table: beatTable, Part: beatTable, Key: berylscheduler.OwnerKey, Value: []byte(h.Incarnation)},
+		}})
+		switch {
+		case err == nil:
+			n.storeAnswered()
+			failing = false
+		case ctx.Err() == nil && !failing:
+			failing = true
+			n.Log.Event("beat_failed", n.Name, err.Error())
+		}
+		if !pause(ctx, beatInterval) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/beryljobs/log.go
@@ -0,0 +1,101 @@
+package beryljobs
+
+import (
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/beryllatch/beryllatch"
+	"github.com/beryllatch/beryllatch/internal/decision/berylscheduler"
+	"github.com/phuslu/log"
+)
+
+// DecisionLog writes one line for each decision; its zero value writes nothing.
+//
+// Lines beyond LinesPerSecond are counted instead of written, so that a flood neither blocks nor slows the decisions.
+type DecisionLog struct {
+	Logger         *log.Logger
+	LinesPerSecond int64
+
+	second  atomic.Int64
+	lines   atomic.Int64
+	dropped atomic.Int64
+}
+
+// line returns an entry, or nil beyond the limit.
+func (l *DecisionLog) line() *log.Entry {
+	if l == nil || l.Logger == nil {
+		return nil
+	}
+	now := time.Now().Unix()
+	if old := l.second.Load(); old != now && l.second.CompareAndSwap(old, now) {
+		l.lines.Store(0)
+		if n := l.dropped.Swap(0); n > 0 {
+			l.Logger.Warn().Int64("lines", n).Msg("log_lines_dropped")
+		}
+	}
+	if l.lines.Add(1) > l.LinesPerSecond {
+		l.dropped.Add(1)
+		return nil
+	}
+	return l.Logger.Info()
+}
+
+// Event logs a change of what the process believes about a subject.
+func (l *DecisionLog) Event(name, subject, detail string) {
+	if e := l.line(); e != nil {
+		e.Str("subject", subject).Str("detail", detail).Msg(name)
+	}
+}
+
+// Configuration logs that a version is in force.
+func (l *DecisionLog) Configuration(version int64, queues int) {
+	if e := l.line(); e != nil {
+		e.Int64("version", version).Int("queues", queues).Msg("configuration_in_force")
+	}
+}
+
+// Call logs the outcome of a caller's request.
+func (l *DecisionLog) Call(name, queue, id, team string, took time.Duration, err error) {
+	e := l.line()
+	if e == nil {
+		return
+	}
+	e = e.Str("call", name).Str("queue", queue).Str("job", id).Dur("took", took)
+	if team != "" {
+		e = e.Str("team", team)
+	}
+	outcome := "ok"
+	var f *beryllatch.Refusal
+	switch {
+	case errors.As(err, &f):
+		outcome = string(f.Reason)
+		e = e.Str("run_state", string(f.RunState)).Str("detail", f.Detail)
+	case err != nil:
+		outcome = err.Error()
+	}
+	e.Str("outcome", outcome).Msg("call")
+}
+
+// Decision logs a decision of the scheduler.
+func (l *DecisionLog) Decision(epoch int64, d berylscheduler.Decision) {
+	e := l.line()
+	if e == nil {
+		return
+	}
+	e = e.Int64("epoch", epoch)
+	for _, f := range [...]struct{ key, value string }{
+		{"job", d.Job}, {"task", d.Task}, {"worker", d.Worker}, {"detail", d.Detail},
+	} {
+		if f.value != "" {
+			e = e.Str(f.key, f.value)
+		}
+	}
+	if d.Run > 0 {
+		e = e.Int("run", d.Run)
+	}
+	if d.Age > 0 {
+		e = e.Dur("age", d.Age)
+	}
+	e.Msg(d.Name)
+}
--- /dev/null
+++ b/internal/node/beryljobs/service.go
@@ -0,0 +1,165 @@
+package beryljobs
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/beryllatch/beryllatch"
+	"github.com/beryllatch/beryllatch/internal/decision/berylscheduler"
+)
+
+// holderRetry is when callers may come back while no node schedules; a takeover takes up to 2 s.
+const holderRetry = 2 * time.Second
+
+func noHolder(detail string) error {
+	return &beryllatch.Refusal{
+		Reason: beryllatch.ReasonPlatformUnavailable, RunState: beryllatch.RunStateNotRun, RetryAfter: holderRetry, Detail: detail,
+	}
+}
+
+// local returns this node's session, or nil.
+func (n *Node) local() *session {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.session
+}
+
+// remote returns the holder, and false if none is known to schedule.
+func (n *Node) remote() (holder, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.holder, n.holder.Epoch > 0 && n.holder.Incarnation != n.incarnation && !n.holder.Released
+}
+
+// Submit implements beryllatch.JobService.
+func (n *Node) Submit(ctx context.Context, j beryllatch.Job) error {
+	start := time.Now()
+	err := n.submit(ctx, j)
+	n.Metrics.Time("calls.submit", time.Since(start))
+	n.Log.Call("submit", j.Queue, j.ID, j.Team, time.Since(start), err)
+	return err
+}
+
+func (n *Node) submit(ctx context.Context, j beryllatch.Job) error {
+	if s := n.local(); s != nil {
+		return s.submit(ctx, j)
+	}
+	h, ok := n.remote()
+	if !ok {
+		return noHolder("no node schedules at the moment")
+	}
+	return n.submitRemote(ctx, h, j)
+}
+
+func (s *session) submit(ctx context.Context, j beryllatch.Job) error {
+	return s.ask(ctx, func(call uint64) berylscheduler.Event { return berylscheduler.JobSubmitted{Call: call, Job: j} })
+}
+
+// JobState implements beryllatch.JobService.
+func (n *Node) JobState(ctx context.Context, queue, id string) (beryllatch.JobState, error) {
+	start := time.Now()
+	state, err := n.jobState(ctx, queue, id)
+	n.Metrics.Time("calls.state", time.Since(start))
+	if err != nil {
+		n.Log.Call("state", queue, id, "", time.Since(start), err)
+	}
+	return state, err
+}
+
+func (n *Node) jobState(ctx context.Context, queue, id string) (beryllatch.JobState, error) {
+	if s := n.local(); s != nil {
+		if state, ok := s.state(id); ok {
+			return state, nil
+		}
+		return "", &beryllatch.UnknownJobError{ID: id}
+	}
+	if h, ok := n.remote(); ok {
+		state, answered, err := n.stateRemote(ctx, h, queue, id)
+		if answered {
+			return state, err
+		}
+	}
+	return n.storedState(ctx, id)
+}
+
+func (s *session) state(id string) (beryllatch.JobState, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.scheduler.JobState(id)
+}
+
+// storedState reads the state of a job from its rows, while no node schedules.
+func (n *Node) storedState(ctx context.Context, id string) (beryllatch.JobState, error) {
+	progress, err := n.Store.Row(ctx, berylscheduler.ProgressTable, berylscheduler.Part, id)
+	if err != nil {
+		return "", noHolder(err.Error())
+	}
+	if progress.Version > 0 {
+		var row struct {
+			State beryllatch.JobState `json:"state"`
+		}
+		if err := json.Unmarshal(progress.Value, &row); err != nil {
+			return "", noHolder(err.Error())
+		}
+		if row.State.Final() {
+			return row.State, nil
+		}
+		return beryllatch.JobRunning, nil
+	}
+	job, err := n.Store.Row(ctx, berylscheduler.JobsTable, berylscheduler.Part, id)
+	if err != nil {
+		return "", noHolder(err.Error())
+	}
+	if job.Version > 0 {
+		return beryllatch.JobQueued, nil
+	}
+	// Its rows may have changed places between the two reads.
+	progress, err = n.Store.Row(ctx, berylscheduler.ProgressTable, berylscheduler.Part, id)
+	if err != nil || progress.Version > 0 {
+		return "", noHolder("the state of the job has just changed")
+	}
+	return "", &beryllatch.UnknownJobError{ID: id}
+}
+
+// Cancel implements beryllatch.JobService.
+func (n *Node) Cancel(ctx context.Context, queue, id string) error {
+	start := time.Now()
+	err := n.cancel(ctx, queue, id)
+	n.Metrics.Time("calls.cancel", time.Since(start))
+	n.Log.Call("cancel", queue, id, "", time.Since(start), err)
+	return err
+}
+
+func (n *Node) cancel(ctx context.Context, queue, id string) error {
+	if s := n.local(); s != nil {
+		return s.cancel(ctx, id)
+	}
+	h, ok := n.remote()
+	if !ok {
+		return noHolder("no node schedules at the moment")
+	}
+	return n.cancelRemote(ctx, h, queue, id)
+}
+
+func (s *session) cancel(ctx context.Context, id string) error {
+	return s.ask(ctx, func(call uint64) berylscheduler.Event { return berylscheduler.CancelRequested{Call: call, ID: id} })
+}
+
+// Pending implements beryllatch.JobService.
+func (n *Node) Pending(ctx context.Context, queue string) (int, error) {
+	if s := n.local(); s != nil {
+		return s.pending(queue), nil
+	}
+	h, ok := n.remote()
+	if !ok {
+		return 0, noHolder("no node schedules at the moment")
+	}
+	return n.pendingRemote(ctx, h, queue)
+}
+
+func (s *session) pending(queue string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.scheduler.Pending(queue)
+}
--- /dev/null
+++ b/internal/node/beryljobs/session.go
@@ -0,0 +1,336 @@
+package beryljobs
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/beryllatch/beryllatch"
+	"github.com/beryllatch/beryllatch/internal/decision/berylscheduler"
+)
+
+const (
+	// tickInterval paces the decisions that only time brings.
+	tickInterval = 100 * time.Millisecond
+	// registryPause spaces reads of the registry, which changes all the time.
+	registryPause = 300 * time.Millisecond
+	// registryWait bounds how long the registry's feed may be silent.
+	registryWait = time.Second
+	// orderTimeout is many times the round trip and the handling of an order.
+	orderTimeout = 350 * time.Millisecond
+	// holdMargin is added to the time that a worker may delay its answer to a hold.
+	holdMargin = 500 * time.Millisecond
+	// flushTimeout bounds the last transaction of an epoch.
+	flushTimeout = 500 * time.Millisecond
+)
+
+// session is one epoch in which this node schedules.
+type session struct {
+	node   *Node
+	holder holder
+	ctx    context.Context
+	end    context.CancelFunc
+
+	mu        sync.Mutex
+	scheduler berylscheduler.Scheduler
+	calls     map[uint64]chan error
+	lastCall  uint64
+	closed    bool
+	// committing counts transactions in flight.
+	committing sync.WaitGroup
+}
+
+// newSession reads what earlier epochs have stored.
+func (n *Node) newSession(ctx context.Context, h holder) (*session, error) {
+	ctx, end := context.WithCancel(ctx)
+	s := &session{node: n, holder: h, ctx: ctx, end: end, calls: make(map[uint64]chan error)}
+	s.scheduler = berylscheduler.Scheduler{Epoch: h.Epoch, OwnerVersion: h.version, Limits: n.Limits}
+	var e berylscheduler.Recovered
+	var registry []beryllatch.WorkerInfo
+	for _, read := range []func() error{
+		func() (err error) {
+			e.Jobs, _, err = n.Store.Rows(ctx, berylscheduler.JobsTable, berylscheduler.Part)
+			return err
+		},
+		func() (err error) {
+			e.Progress, _, err = n.Store.Rows(ctx, berylscheduler.ProgressTable, berylscheduler.Part)
+			return err
+		},
+		func() (err error) {
+			e.Workers, _, err = n.Store.Rows(ctx, berylscheduler.WorkersTable, berylscheduler.Part)
+			return err
+		},
+		func() (err error) {
+			registry, err = s.readRegistry(ctx)
+			return err
+		},
+	} {
+		if err := retryRead(ctx, read); err != nil {
+			end()
+			return nil, err
+		}
+	}
+	s.apply(e)
+	s.apply(berylscheduler.RegistryRead{Workers: registry})
+	return s, nil
+}
+
+// readAttempts bounds the reads of a takeover; the duty is released after them.
+const readAttempts = 8
+
+func retryRead(ctx context.Context, read func() error) error {
+	var err error
+	for range readAttempts {
+		if err = read(); err == nil || ctx.Err() != nil {
+			return err
+		}
+		pause(ctx, readRetry)
+	}
+	return err
+}
+
+// run applies time and the registry until the epoch ends.
+func (s *session) run(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(func() { s.node.beat(s.ctx, s.holder) })
+	wg.Go(func() { s.watchRegistry(s.ctx) })
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for s.ctx.Err() == nil && ctx.Err() == nil && !s.node.stopping.Load() {
+		select {
+		case <-s.ctx.Done():
+		case <-ticker.C:
+			s.apply(berylscheduler.Ticked{})
+		case <-s.node.wake:
+		}
+	}
+	s.flush()
+	s.end()
+	wg.Wait()
+}
+
+// flush gives the transaction in flight time to end, so that its callers are answered.
+func (s *session) flush() {
+	done := make(chan struct{})
+	go func() {
+		s.committing.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(flushTimeout):
+	}
+}
+
+// close answers those who still wait: whether their job is stored is open.
+func (s *session) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for call, c := range s.calls {
+		c <- &beryllatch.Refusal{Reason: beryllatch.ReasonNodeStopping, RunState: beryllatch.RunStateUnknown}
+		delete(s.calls, call)
+	}
+}
+
+// apply takes an event and carries out its effects.
+func (s *session) apply(e berylscheduler.Event) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.applyLocked(e)
+}
+
+func (s *session) applyLocked(e berylscheduler.Event) {
+	for _, f := range s.scheduler.Apply(time.Now(), e) {
+		s.carryOut(f)
+	}
+}
+
+// carryOut starts an effect; it never blocks.
+func (s *session) carryOut(f berylscheduler.Effect) {
+	n := s.node
+	switch f := f.(type) {
+	case berylscheduler.StartRun:
+		n.Metrics.Count("orders.start", 1)
+		go s.start(f)
+	case berylscheduler.StopRun:
+		n.Metrics.Count("orders.stop", 1)
+		go s.stop(f)
+	case berylscheduler.PaceRun:
+		n.Metrics.Count("orders.pace", 1)
+		go s.pace(f)
+	case berylscheduler.HoldWorker:
+		n.Metrics.Count("orders.hold", 1)
+		go s.hold(f)
+	case berylscheduler.CommitRows:
+		s.committing.Add(1)
+		go s.commit(f)
+	case berylscheduler.AnswerCall:
+		if c, ok := s.calls[f.Call]; ok {
+			c <- f.Err
+			delete(s.calls, f.Call)
+		}
+	case berylscheduler.ListInstances:
+		go func() {
+			list, err := n.Instances.Instances(s.ctx)
+			s.apply(berylscheduler.InstancesListed{Instances: list, Err: err})
+		}()
+	case berylscheduler.MoveInstance:
+		go func() {
+			err := n.Instances.Move(s.ctx, n.Name, s.holder.Epoch, f.Instance, f.Pool)
+			s.apply(berylscheduler.InstanceOrderEnded{Instance: f.Instance, Err: err})
+		}()
+	case berylscheduler.MaintainInstance:
+		go func() {
+			err := n.Instances.Maintain(s.ctx, n.Name, s.holder.Epoch, f.Instance, f.Wave)
+			s.apply(berylscheduler.InstanceOrderEnded{Instance: f.Instance, Err: err})
+		}()
+	case berylscheduler.WriteWaveStatus:
+		go func() {
+			_, err := n.Store.Commit(s.ctx, beryllatch.RowTransaction{Puts: []beryllatch.DataRow{n.View.WaveStatus(f.Wave, f.Done)}})
+			s.apply(berylscheduler.StatusWritten{Wave: f.Wave, Done: f.Done, Err: err})
+		}()
+	case berylscheduler.AskAdvice:
+		go func() {
+			tickets, valid, err := n.Advisor.Advise(s.ctx, f.Step, f.Workers)
+			s.apply(berylscheduler.AdviceReceived{Step: f.Step, Workers: f.Workers, Tickets: tickets, Valid: valid, Err: err})
+		}()
+	case berylscheduler.Resign:
+		n.Log.Event("resigned", n.Name, f.Reason)
+		s.end()
+	case berylscheduler.Decision:
+		n.Metrics.Count("decisions."+f.Name, 1)
+		n.Log.Decision(s.holder.Epoch, f)
+	}
+}
+
+func (s *session) start(f berylscheduler.StartRun) {
+	ctx, cancel := context.WithTimeout(s.ctx, orderTimeout)
+	defer cancel()
+	clock, err := s.node.Workers.Start(ctx, f.Worker, f.Order)
+	s.apply(berylscheduler.StartEnded{
+		Worker: f.Worker.ID, Born: f.Born, Task: f.Order.Task, Run: f.Order.Run, Clock: clock, Err: err,
+	})
+}
+
+func (s *session) stop(f berylscheduler.StopRun) {
+	ctx, cancel := context.WithTimeout(s.ctx, orderTimeout)
+	defer cancel()
+	_, err := s.node.Workers.Stop(ctx, f.Worker, f.Order)
+	s.apply(berylscheduler.StopEnded{Worker: f.Worker.ID, Born: f.Born, Task: f.Order.Task, Run: f.Order.Run, Err: err})
+}
+
+func (s *session) pace(f berylscheduler.PaceRun) {
+	ctx, cancel := context.WithTimeout(s.ctx, orderTimeout)
+	defer cancel()
+	_, err := s.node.Workers.Pace(ctx, f.Worker, f.Order)
+	s.apply(berylscheduler.PaceEnded{
+		Worker: f.Worker.ID, Born: f.Born, Task: f.Order.Task, Run: f.Order.Run, Percent: f.Order.Percent, Err: err,
+	})
+}
+
+func (s *session) hold(f berylscheduler.HoldWorker) {
+	ctx, cancel := context.WithTimeout(s.ctx, f.Order.Wait+holdMargin)
+	defer cancel()
+	sent := time.Now()
+	lists, err := s.node.Workers.Hold(ctx, f.Worker, f.Order)
+	s.apply(berylscheduler.WorkerHeld{Worker: f.Worker.ID, Born: f.Born, Sent: sent, Lists: lists, Err: err})
+}
+
+func (s *session) commit(f berylscheduler.CommitRows) {
+	defer s.committing.Done()
+	sent := time.Now()
+	version, err := s.node.Store.Commit(s.ctx, f.Transaction)
+	if err == nil {
+		s.node.storeAnswered()
+	}
+	s.node.Metrics.Time("store.commit", time.Since(sent))
+	s.apply(berylscheduler.Committed{Version: version, Err: err})
+}
+
+func (s *session) readRegistry(ctx context.Context) ([]beryllatch.WorkerInfo, error) {
+	rows, _, err := s.node.Store.Rows(ctx, s.node.View.WorkersTable(), "")
+	return s.decodeWorkers(rows), err
+}
+
+func (s *session) decodeWorkers(rows []beryllatch.DataRow) []beryllatch.WorkerInfo {
+	var out []beryllatch.WorkerInfo
+	for _, r := range rows {
+		w, err := s.node.View.Worker(r)
+		if err != nil {
+			s.node.Log.Event("registration_unreadable", r.Key, err.Error())
+			continue
+		}
+		out = append(out, w)
+	}
+	return out
+}
+
+// watchRegistry follows the registrations of the workers.
+func (s *session) watchRegistry(ctx context.Context) {
+	table := s.node.View.WorkersTable()
+	version := int64(-1)
+	for ctx.Err() == nil {
+		if version < 0 {
+			rows, next, err := s.node.Store.Rows(ctx, table, "")
+			if err == nil {
+				version = next
+				s.apply(berylscheduler.RegistryRead{Workers: s.decodeWorkers(rows)})
+			}
+		} else {
+			rows, next, err := s.node.Store.Changes(ctx, table, version, registryWait)
+			var lost *beryllatch.HistoryLostError
+			if errors.As(err, &lost) {
+				version = -1
+				continue
+			}
+			if err == nil {
+				version = next
+				s.applyRegistry(rows)
+			}
+		}
+		pause(ctx, registryPause)
+	}
+}
+
+func (s *session) applyRegistry(rows []beryllatch.DataRow) {
+	var e berylscheduler.RegistryChanged
+	var present []beryllatch.DataRow
+	for _, r := range rows {
+		if r.Deleted {
+			e.Removed = append(e.Removed, r.Key)
+		} else {
+			present = append(present, r)
+		}
+	}
+	e.Workers = s.decodeWorkers(present)
+	s.apply(e)
+}
+
+// ask applies an event that answers a call, and waits for the answer.
+func (s *session) ask(ctx context.Context, event func(call uint64) berylscheduler.Event) error {
+	answer := make(chan error, 1)
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		return noHolder("the node has just given the duty up")
+	}
+	s.lastCall++
+	call := s.lastCall
+	s.calls[call] = answer
+	s.applyLocked(event(call))
+	s.mu.Unlock()
+	select {
+	case err := <-answer:
+		return err
+	case <-ctx.Done():
+		s.mu.Lock()
+		delete(s.calls, call)
+		s.mu.Unlock()
+		return &beryllatch.Refusal{
+			Reason: beryllatch.ReasonPlatformUnavailable, RunState: beryllatch.RunStateUnknown,
+			Detail: "the store has not confirmed in time",
+		}
+	}
+}
--- a/internal/rpc/berylwire/peer.twirp.go
+++ b/internal/rpc/berylwire/peer.twirp.go
@@ -1344,7 +1344,7 @@
 }
 
 func (s *peerServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor1, 0
+	return twirpFileDescriptor2, 0
 }
 
 func (s *peerServer) ProtocGenTwirpVersion() string {
@@ -1358,7 +1358,7 @@
 	return baseServicePath(s.pathPrefix, "beryllatch.peer.v1", "Peer")
 }
 
-var twirpFileDescriptor1 = []byte{
+var twirpFileDescriptor2 = []byte{
 	// 541 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xb4, 0x54, 0xcd, 0x6e, 0x13, 0x31,
 	0x10, 0x96, 0xbb, 0x9b, 0x26, 0x99, 0x00, 0x2a, 0x6e, 0x90, 0x56, 0xa5, 0x42, 0xd1, 0x8a, 0xd2,
