--- a/internal/decision/berylscheduler/worker.go
+++ b/internal/decision/berylscheduler/worker.go
@@ -265,7 +265,10 @@
 	case w.watched():
 		order.Wait = watchWait
 	}
-	order.LeaseEnd = s.grant(w)
+	// A worker that does not answer gets no longer lease: its runs are written off when the last one has run out.
+	if w.failures == 0 {
+		order.LeaseEnd = s.grant(w)
+	}
 	w.holding, w.sentAck = true, ack
 	s.emit(HoldWorker{Worker: w.address(), Born: w.info.Born, Order: order})
 }
--- a/internal/node/berylentry/entry.go
+++ b/internal/node/berylentry/entry.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -196,6 +197,7 @@
 
 // watchSettings reads the settings file again when it has changed.
 func (e *Entry) watchSettings(ctx context.Context, reload <-chan struct{}) {
+	var modified time.Time
 	t := time.NewTicker(settingsInterval)
 	defer t.Stop()
 	for {
@@ -204,6 +206,13 @@
 			return
 		case <-reload:
 		case <-t.C:
+			info, err := os.Stat(e.Flags.Settings)
+			if err == nil && info.ModTime().Equal(modified) {
+				continue
+			}
+			if err == nil {
+				modified = info.ModTime()
+			}
 		}
 		fresh, err := adapter.ReadSettings(e.Flags.Settings)
 		if err != nil {
