--- a/internal/decision/berylscheduler/fleet.go
+++ b/internal/decision/berylscheduler/fleet.go
@@ -201,14 +201,15 @@
 	}
 }
 
-// workerOn returns the worker on an instance, or nil.
+// workerOn returns the latest worker on an instance, or nil. It may run tasks without being registered.
 func (s *Scheduler) workerOn(instance string) *worker {
+	var latest *worker
 	for _, w := range s.ordered {
-		if w.info.Instance == instance && w.registered {
-			return w
+		if w.info.Instance == instance && (latest == nil || w.info.Born > latest.info.Born) {
+			latest = w
 		}
 	}
-	return nil
+	return latest
 }
 
 // loss is the processor time that the end of a worker's runs throws away, in thousandths of a core.
@@ -229,6 +230,10 @@
 	if w == nil {
 		return true
 	}
+	if !w.known {
+		// It may run tasks that an earlier epoch has started.
+		return false
+	}
 	for _, r := range w.runs {
 		if r.task != nil && !s.mayTakeAway(r.task, w) {
 			return false
--- /dev/null
+++ b/internal/decision/berylscheduler/wave_test.go
@@ -0,0 +1,71 @@
+package berylscheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/beryllatch/beryllatch"
+	"gotest.tools/v3/assert"
+)
+
+func (w *world) maintained() []string {
+	var out []string
+	for _, f := range w.others {
+		if m, ok := f.(MaintainInstance); ok {
+			out = append(out, m.Instance)
+		}
+	}
+	return out
+}
+
+func (w *world) openWave(maxDown int, instances ...string) {
+	w.t.Helper()
+	w.apply(OperationsChanged{beryllatch.Operations{Waves: map[int]beryllatch.MaintenanceWave{
+		1: {Number: 1, Instances: instances, Deadline: 20 * time.Second, MaxDown: maxDown},
+	}}})
+	w.pass(100 * time.Millisecond)
+	var list []beryllatch.FleetInstance
+	for _, i := range instances {
+		list = append(list, beryllatch.FleetInstance{Name: i, Pool: "p", State: beryllatch.FleetInstanceUp})
+	}
+	w.apply(InstancesListed{Instances: list})
+}
+
+// After a takeover, a worker that has not told what it runs may carry the last task that a job can spare.
+func TestWaveWaitsForUnsettledWorkers(t *testing.T) {
+	w := newWorld(t)
+	w.apply(RegistryChanged{Workers: []beryllatch.WorkerInfo{workerInfo("a"), workerInfo("b")}})
+	w.store()
+	w.answerHolds(nil, "a")
+	w.openWave(2, "m-a", "m-b")
+	w.pass(time.Second)
+	assert.DeepEqual(t, w.maintained(), []string{"m-b"})
+}
+
+// A wave never has more instances down than it allows, whatever the platform answers.
+func TestWaveKeepsItsLimit(t *testing.T) {
+	w := newWorld(t)
+	w.register("a", "b", "c")
+	w.openWave(1, "m-a", "m-b", "m-c")
+	w.pass(3 * time.Second)
+	assert.Equal(t, len(w.maintained()), 1)
+	w.apply(InstanceOrderEnded{Instance: w.maintained()[0]})
+	w.pass(2 * time.Second)
+	assert.Equal(t, len(w.maintained()), 1)
+}
+
+// A wave may not take away more tasks of a long-running step than it allows to be missing.
+func TestWaveKeepsLongRunningTasksAtWork(t *testing.T) {
+	w := newWorld(t)
+	w.register("a", "b")
+	j := oneTask("0000000000000001")
+	j.Steps[0].Count, j.Steps[0].LongRunning, j.Steps[0].MaxPerWorker, j.Steps[0].MaxMissing = 2, true, 1, 1
+	w.accept(j)
+	starts := w.confirm()
+	assert.Equal(t, len(starts), 2)
+	w.pass(time.Second)
+	w.answerHolds(running(starts, 100))
+	w.openWave(2, "m-a", "m-b")
+	w.pass(3 * time.Second)
+	assert.Equal(t, len(w.maintained()), 1)
+}
