--- a/internal/decision/berylscheduler/world_test.go
+++ b/internal/decision/berylscheduler/world_test.go
@@ -126,6 +126,7 @@
 	w.store()
 	w.answerHolds(nil)
 	w.holds = append(pending, w.holds...)
+	w.pass(100 * time.Millisecond)
 }
 
 // answerHolds answers the holds of all workers, with the given lists or empty ones; workers in silent get no answer.
