Move instances to the pools whose tasks wait, and park those that no pool needs

Cause: each queue in turn asks for about 1.7 times what its pool holds, while the other pools are idle; waves stalled at instances that run two tasks of a step of which one may miss. Ruled out: more pressure on admission (the capacity exists, in other pools). Change: pools lend and take instances by the processor time that their tasks take or wait for; long-running tasks are kept together, apart from their siblings, and are moved away one at a time before a planned stop.

--- a/internal/decision/berylscheduler/fleet.go
+++ b/internal/decision/berylscheduler/fleet.go
@@ -20,6 +20,10 @@
 	returnMargin = 300 * time.Millisecond
 	// returnTimeout is when an instance that has not registered again no longer counts as down.
 	returnTimeout = 4 * time.Second
+	// vacateTime is how long an instance may wait for its long-running tasks to find another worker.
+	vacateTime = 8 * time.Second
+	// moveWait is how long a move may wait for the short tasks of its instance.
+	moveWait = 1500 * time.Millisecond
 	// closingTime is how long an instance waits for its short tasks before its maintenance.
 	closingTime = 2500 * time.Millisecond
 )
@@ -32,6 +36,9 @@
 	listNext  time.Time
 	waves     map[int]*wave
 	orders    map[string]*instanceOrder
+	peaks     map[string]poolPeak
+	// invalid holds the kinds of moves that the platform does not allow.
+	invalid map[string]bool
 }
 
 // wave is a maintenance wave with its progress.
@@ -48,7 +55,9 @@
 // instanceOrder is an order for an instance, from its preparation until the instance is back.
 type instanceOrder struct {
 	instance string
-	wave     int
+	// wave is the maintenance wave; 0 for a move.
+	wave int
+	// pool is where a move puts the instance.
 	pool     string
 	prepared time.Time
 	flying   bool
@@ -60,10 +69,6 @@
 // noteWaves takes new waves and drops those that operators have removed.
 func (s *Scheduler) noteWaves() {
 	f := &s.fleet
-	if f.waves == nil {
-		f.waves = make(map[int]*wave)
-		f.orders = make(map[string]*instanceOrder)
-	}
 	for n, m := range s.operations.Waves {
 		if f.waves[n] != nil {
 			continue
@@ -85,15 +90,8 @@
 // tickFleet carries waves on.
 func (s *Scheduler) tickFleet() {
 	f := &s.fleet
-	open := false
 	for _, n := range slices.Sorted(maps.Keys(f.waves)) {
-		w := f.waves[n]
-		open = open || !w.done
-		s.tell(w)
-	}
-	if !open {
-		s.reopen()
-		return
+		s.tell(f.waves[n])
 	}
 	if !f.listing && !s.now.Before(f.listNext) {
 		f.listing = true
@@ -108,6 +106,7 @@
 			s.advanceWave(w)
 		}
 	}
+	s.rebalance()
 }
 
 // tell writes a wave's status for operators when it has changed.
@@ -183,21 +182,31 @@
 			free = append(free, i)
 		}
 	}
+	losses := make(map[string]int, len(free))
+	for _, i := range free {
+		losses[i] = s.loss(i)
+	}
 	slices.SortFunc(free, func(a, b string) int {
-		return firstNonZero(cmp.Compare(s.loss(a), s.loss(b)), strings.Compare(a, b))
+		return firstNonZero(cmp.Compare(losses[a], losses[b]), strings.Compare(a, b))
 	})
 	for _, i := range free {
 		if room == 0 {
 			return
 		}
-		if !s.mayClose(s.workerOn(i)) {
+		if k := s.workerOn(i); k != nil && !k.known {
 			continue
 		}
 		room--
-		s.fleet.orders[i] = &instanceOrder{instance: i, wave: w.Number, prepared: s.now}
-		if k := s.workerOn(i); k != nil {
-			k.closing = i
-		}
+		s.prepare(&instanceOrder{instance: i, wave: w.Number})
+	}
+}
+
+// prepare keeps new tasks away from an instance until its order is carried out.
+func (s *Scheduler) prepare(o *instanceOrder) {
+	o.prepared = s.now
+	s.fleet.orders[o.instance] = o
+	if k := s.workerOn(o.instance); k != nil {
+		k.closing = o.instance
 	}
 }
 
@@ -222,9 +231,15 @@
 	for _, r := range w.runs {
 		n += 1 + r.booked.CPUMilli
 	}
+	if !s.mayClose(w) {
+		n += blockedLoss
+	}
 	return n
 }
 
+// blockedLoss orders instances whose long-running tasks must be moved first behind all others.
+const blockedLoss = 1 << 30
+
 // mayClose reports whether the end of a worker's runs keeps every long-running step within its limit of missing tasks.
 func (s *Scheduler) mayClose(w *worker) bool {
 	if w == nil {
@@ -242,18 +257,15 @@
 	return true
 }
 
-// mayTakeAway reports whether a planned stop may take the task away from work.
-func (s *Scheduler) mayTakeAway(t *task, w *worker) bool {
+// mayTakeAway reports whether a planned stop may take the task away from work, beside others that end with the worker.
+func (s *Scheduler) mayTakeAway(t *task, closing *worker) bool {
 	st := t.step
-	if st.spec.MaxMissing == 0 {
+	if !st.spec.LongRunning || st.spec.MaxMissing == 0 {
 		return true
 	}
 	missing := 0
 	for _, o := range st.tasks {
-		if o == t {
-			continue
-		}
-		if !o.working(w) {
+		if o != t && !o.working(closing) {
 			missing++
 		}
 	}
@@ -261,15 +273,28 @@
 }
 
 // working reports whether a long-running task is at full work on a worker that stays.
-func (t *task) working(leaving *worker) bool {
+func (t *task) working(closing *worker) bool {
 	for _, r := range t.runs {
-		if r.percent >= 100 && r.phase == runPresent && r.worker != leaving && r.worker.closing == "" && r.worker.failures == 0 {
+		if r.percent >= 100 && r.phase == runPresent && r.worker != closing && !r.worker.leaving && r.worker.failures == 0 {
 			return true
 		}
 	}
 	return false
 }
 
+// vacate moves one long-running task away from a worker, if its step can spare it.
+func (s *Scheduler) vacate(w *worker) {
+	for _, r := range s.runsOf(w) {
+		if r.task == nil || !r.task.step.spec.LongRunning || r.phase != runPresent {
+			continue
+		}
+		if s.mayTakeAway(r.task, nil) {
+			s.stop(r, "worker is vacated")
+			return
+		}
+	}
+}
+
 // advanceOrders sends prepared orders once the short tasks have ended, and forgets those whose instance is back.
 func (s *Scheduler) advanceOrders() {
 	f := &s.fleet
@@ -282,14 +307,59 @@
 		if o.flying || s.now.Before(o.retry) {
 			continue
 		}
-		w := s.workerOn(name)
-		if w != nil && s.now.Sub(o.prepared) < closingTime && w.shortRuns() > 0 {
-			continue
+		if s.mayOrder(o) {
+			s.sendOrder(o)
+		}
+	}
+}
+
+// mayOrder reports whether the instance has little left to lose; it moves long-running tasks away that must not miss.
+func (s *Scheduler) mayOrder(o *instanceOrder) bool {
+	w := s.workerOn(o.instance)
+	if w == nil {
+		return true
+	}
+	waited := s.now.Sub(o.prepared)
+	if o.wave == 0 && len(w.runs) > 0 {
+		if waited >= moveWait {
+			s.forgetOrder(o)
 		}
-		o.flying = true
-		s.emit(Decision{Name: "instance_maintenance", Worker: name, Age: s.now.Sub(f.listed)})
-		s.emit(MaintainInstance{Instance: name, Wave: o.wave})
+		return false
+	}
+	if waited < closingTime && w.shortRuns() > 0 {
+		return false
 	}
+	if s.mayClose(w) {
+		return true
+	}
+	s.vacate(w)
+	if waited >= vacateTime {
+		s.forgetOrder(o)
+	}
+	return false
+}
+
+func (s *Scheduler) sendOrder(o *instanceOrder) {
+	o.flying = true
+	if w := s.workerOn(o.instance); w != nil {
+		w.leaving = true
+	}
+	age := s.now.Sub(s.fleet.listed)
+	if o.wave > 0 {
+		s.emit(Decision{Name: "instance_maintenance", Worker: o.instance, Age: age})
+		s.emit(MaintainInstance{Instance: o.instance, Wave: o.wave})
+		return
+	}
+	s.emit(Decision{Name: "instance_move", Worker: o.instance, Detail: o.pool, Age: age})
+	s.emit(MoveInstance{Instance: o.instance, Pool: o.pool})
+}
+
+// away returns how long the instance is away for the order.
+func (s *Scheduler) away(o *instanceOrder) time.Duration {
+	if o.wave > 0 {
+		return s.Limits.MaintenanceTime
+	}
+	return s.Limits.MoveTime
 }
 
 // shortRuns counts the runs that end by themselves.
@@ -306,7 +376,12 @@
 // checkReturn forgets an order whose instance has registered again, or has been away for too long.
 func (s *Scheduler) checkReturn(o *instanceOrder) {
 	away := s.now.Sub(o.begun)
-	if away < s.Limits.MaintenanceTime+returnMargin {
+	if o.wave > 0 && away < s.away(o)+returnMargin || away < s.away(o)/2 {
+		return
+	}
+	if s.deployment != nil && s.deployment.Pools[o.pool].Standby && away > s.away(o)+returnMargin {
+		// Instances of a standby pool are off and register no worker.
+		s.forgetOrder(o)
 		return
 	}
 	w := s.workerOn(o.instance)
@@ -320,21 +395,12 @@
 	delete(s.fleet.orders, o.instance)
 	for _, w := range s.ordered {
 		if w.closing == o.instance {
-			w.closing = ""
+			w.closing, w.leaving = "", false
 		}
 	}
 	s.placeable = true
 }
 
-// reopen lets workers be used again that were prepared for a wave that is gone.
-func (s *Scheduler) reopen() {
-	for _, o := range s.fleet.orders {
-		if !o.flying && (o.begun.IsZero() || s.now.Sub(o.begun) > s.Limits.MaintenanceTime+returnMargin) {
-			s.forgetOrder(o)
-		}
-	}
-}
-
 func (s *Scheduler) instanceOrderEnded(e InstanceOrderEnded) {
 	o := s.fleet.orders[e.Instance]
 	if o == nil {
@@ -346,7 +412,8 @@
 		if w := s.fleet.waves[o.wave]; w != nil {
 			delete(w.left, o.instance)
 		}
-		s.emit(Decision{Name: "instance_maintained", Worker: o.instance})
+		s.noteMove(o)
+		s.emit(Decision{Name: "instance_order_done", Worker: o.instance, Detail: o.pool})
 		return
 	}
 	s.emit(Decision{Name: "instance_order_failed", Worker: o.instance, Detail: e.Err.Error()})
@@ -359,6 +426,7 @@
 	case beryllatch.InstanceFenced:
 		s.resign("the platform has seen a later epoch for instance " + o.instance)
 	case beryllatch.InstanceNotInWave, beryllatch.InstanceInvalid:
+		s.noteInvalid(o)
 		if w := s.fleet.waves[o.wave]; w != nil {
 			delete(w.left, o.instance)
 		}
--- a/internal/decision/berylscheduler/place.go
+++ b/internal/decision/berylscheduler/place.go
@@ -187,6 +187,10 @@
 const (
 	failedHereCost = 2.0
 	fullCost       = 0.5
+	// companionCost keeps long-running tasks together, so that the other instances can move.
+	companionCost = 0.4
+	// siblingCost keeps tasks of a step apart that must not miss at the same time.
+	siblingCost = 1.0
 )
 
 // cost estimates what a placement costs: distance from the data, a worker that has failed the task, a crowded worker.
@@ -198,12 +202,28 @@
 	if slices.Contains(t.failedOn, w.info.ID) {
 		cost += failedHereCost
 	}
+	if t.step.spec.LongRunning {
+		if !w.serves() {
+			cost += companionCost
+		}
+		cost += siblingCost * float64(s.onWorker(t.step, w))
+	}
 	if w.info.Capacity.CPUMilli > 0 {
 		cost += fullCost * float64(w.used.CPUMilli) / float64(w.info.Capacity.CPUMilli)
 	}
 	return cost
 }
 
+// serves reports whether the worker runs a long-running task.
+func (w *worker) serves() bool {
+	for _, r := range w.runs {
+		if r.task != nil && r.task.step.spec.LongRunning {
+			return true
+		}
+	}
+	return false
+}
+
 // placeGang starts a gang when all its members have room at the same moment; a gang that should share a rack prefers one.
 func (s *Scheduler) placeGang(c candidate, workers []*worker) {
 	st := c.step
--- /dev/null
+++ b/internal/decision/berylscheduler/pool.go
@@ -0,0 +1,270 @@
+package berylscheduler
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/beryllatch/beryllatch"
+)
+
+const (
+	// loadTarget is the share of a pool's capacity that its tasks should take: pieces of workers stay unused.
+	loadTarget = 0.85
+	// peakHold is how long a pool keeps the instances of its last peak.
+	peakHold = 1200 * time.Millisecond
+	// poolReserve is the least number of instances that a pool keeps, for the start of a burst.
+	poolReserve = 3
+	// movesPerTick bounds the moves that are begun at once.
+	movesPerTick = 8
+)
+
+// poolDemand is what a pool needs, and what it has.
+type poolDemand struct {
+	name    string
+	standby bool
+	// wanted is the number of instances that its tasks would fill.
+	wanted int
+	// supply counts the instances that serve the pool or are on their way to it.
+	supply int
+	// idle are instances that run nothing, busy ones run short tasks only.
+	idle, busy []string
+}
+
+// poolPeak is the most that a pool has needed lately.
+type poolPeak struct {
+	wanted int
+	at     time.Time
+}
+
+// rebalance moves instances to pools whose tasks wait. It is for queues that burst by turns: each asks in its time for more
+// than its own pool holds, while the instances of the others are idle. Instances that no pool needs go to a standby pool.
+func (s *Scheduler) rebalance() {
+	if s.deployment == nil || s.unsettledWorkers() {
+		return
+	}
+	pools := s.demands()
+	moves := 0
+	for _, p := range pools {
+		for missing := p.wanted - p.supply; missing > 0 && moves < movesPerTick; missing-- {
+			instance := s.donor(pools, p)
+			if instance == "" {
+				break
+			}
+			s.prepare(&instanceOrder{instance: instance, pool: p.name})
+			p.supply++
+			moves++
+		}
+	}
+	s.parkIdle(pools, moves)
+}
+
+// demands returns the pools, those that lack most first.
+func (s *Scheduler) demands() []*poolDemand {
+	byName := make(map[string]*poolDemand, len(s.deployment.Pools))
+	for _, name := range slices.Sorted(maps.Keys(s.deployment.Pools)) {
+		byName[name] = &poolDemand{name: name, standby: s.deployment.Pools[name].Standby}
+	}
+	capacity := s.countInstances(byName)
+	needs := s.neededCPU()
+	out := make([]*poolDemand, 0, len(byName))
+	for _, name := range slices.Sorted(maps.Keys(byName)) {
+		p := byName[name]
+		if !p.standby && capacity > 0 {
+			p.wanted = int(float64(needs[name])/(loadTarget*float64(capacity)) + 1)
+			p.wanted = max(s.peak(name, p.wanted), poolReserve)
+		}
+		out = append(out, p)
+	}
+	slices.SortStableFunc(out, func(a, b *poolDemand) int { return cmp.Compare(b.wanted-b.supply, a.wanted-a.supply) })
+	return out
+}
+
+// peak returns the most that a pool has wanted within the hold time.
+func (s *Scheduler) peak(pool string, wanted int) int {
+	if s.fleet.peaks == nil {
+		s.fleet.peaks = make(map[string]poolPeak)
+	}
+	p := s.fleet.peaks[pool]
+	if wanted >= p.wanted || s.now.Sub(p.at) > peakHold {
+		p = poolPeak{wanted, s.now}
+		s.fleet.peaks[pool] = p
+	}
+	return p.wanted
+}
+
+// countInstances fills in what each pool has, and returns the mean processor capacity of an instance.
+func (s *Scheduler) countInstances(pools map[string]*poolDemand) int {
+	total, n := 0, 0
+	for _, name := range slices.Sorted(maps.Keys(s.fleet.instances)) {
+		i := s.fleet.instances[name]
+		total += i.Capacity.CPUMilli
+		n++
+		if o := s.fleet.orders[name]; o != nil {
+			if p := pools[o.pool]; o.wave == 0 && p != nil {
+				p.supply++
+			}
+			continue
+		}
+		p := pools[i.Pool]
+		if p == nil || i.State != beryllatch.FleetInstanceUp || s.operations.Evacuated[i.DataCentre] {
+			continue
+		}
+		if p.standby {
+			p.idle = append(p.idle, name)
+			continue
+		}
+		w := s.workerOn(name)
+		if w == nil || !w.registered || w.info.Pool != i.Pool || w.info.Draining || w.failures > 0 || w.health.suspect(s.now) {
+			continue
+		}
+		p.supply++
+		switch {
+		case len(w.runs) == 0:
+			p.idle = append(p.idle, name)
+		case !w.serves():
+			p.busy = append(p.busy, name)
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	return total / n
+}
+
+// neededCPU sums what the tasks of each pool take or wait for, in thousandths of a core. Tasks that their team's ceiling
+// keeps waiting need no instance.
+func (s *Scheduler) neededCPU() map[string]int {
+	needs := make(map[string]int)
+	for _, w := range s.ordered {
+		if w.registered {
+			needs[w.info.Pool] += w.used.CPUMilli
+		}
+	}
+	room := make(map[string]int)
+	for name, t := range s.deployment.Teams {
+		room[name] = t.Ceiling.CPUMilli - s.team(name).used.CPUMilli
+	}
+	for _, j := range s.active {
+		q, ok := s.queueOf(j)
+		if !ok || !j.row.known {
+			continue
+		}
+		for _, o := range j.occurrences[:j.opened] {
+			if o == nil || o.left == 0 {
+				continue
+			}
+			for _, st := range o.steps {
+				if st.waiting == 0 || st.left == 0 || !st.ready() {
+					continue
+				}
+				cpu := st.spec.Booked().CPUMilli * st.waiting
+				if t, ok := s.deployment.Teams[j.Team]; ok && t.Ceiling.CPUMilli > 0 {
+					cpu = min(cpu, max(room[j.Team], 0))
+					room[j.Team] -= cpu
+				}
+				needs[q.Pool] += cpu
+			}
+		}
+	}
+	return needs
+}
+
+// donor returns an instance that another pool can spare best: one on standby, an idle one, one with short tasks.
+func (s *Scheduler) donor(pools []*poolDemand, to *poolDemand) string {
+	take := func(list *[]string, from *poolDemand) string {
+		for n, i := range *list {
+			if s.fleet.orders[i] == nil && !s.fleet.invalid[moveKind(s.fleet.instances[i], to.name)] && !s.inWave(i) {
+				*list = slices.Delete(*list, n, n+1)
+				from.supply--
+				return i
+			}
+		}
+		return ""
+	}
+	for _, from := range pools {
+		if from.standby && from != to {
+			if i := take(&from.idle, from); i != "" {
+				return i
+			}
+		}
+	}
+	for _, list := range []func(*poolDemand) *[]string{
+		func(p *poolDemand) *[]string { return &p.idle }, func(p *poolDemand) *[]string { return &p.busy },
+	} {
+		// The pool with the largest surplus is the last one.
+		for n := len(pools) - 1; n >= 0; n-- {
+			from := pools[n]
+			if from.standby || from == to || from.supply <= from.wanted {
+				continue
+			}
+			if i := take(list(from), from); i != "" {
+				return i
+			}
+		}
+	}
+	return ""
+}
+
+// inWave reports whether an open wave still waits for the instance.
+func (s *Scheduler) inWave(instance string) bool {
+	for _, w := range s.fleet.waves {
+		if !w.done && w.left[instance] && s.down(w) < w.MaxDown {
+			return true
+		}
+	}
+	return false
+}
+
+// moveKind names the moves that the platform allows or not alike: instances of a kind into a pool.
+func moveKind(i beryllatch.FleetInstance, pool string) string {
+	return strings.Join(i.Labels[:min(1, len(i.Labels))], "") + ">" + pool
+}
+
+// parkIdle puts instances on standby that no pool needs.
+func (s *Scheduler) parkIdle(pools []*poolDemand, moves int) {
+	standby := ""
+	for _, p := range pools {
+		if p.standby {
+			standby = p.name
+		}
+	}
+	if standby == "" {
+		return
+	}
+	for _, p := range pools {
+		for !p.standby && p.supply > p.wanted && len(p.idle) > 0 && moves < movesPerTick {
+			i := p.idle[len(p.idle)-1]
+			p.idle = p.idle[:len(p.idle)-1]
+			if s.inWave(i) || s.fleet.invalid[moveKind(s.fleet.instances[i], standby)] {
+				continue
+			}
+			s.prepare(&instanceOrder{instance: i, pool: standby})
+			p.supply--
+			moves++
+		}
+	}
+}
+
+// noteMove enters a move into the list of instances until the next one is read.
+func (s *Scheduler) noteMove(o *instanceOrder) {
+	if o.wave > 0 {
+		return
+	}
+	i := s.fleet.instances[o.instance]
+	i.Pool = o.pool
+	s.fleet.instances[o.instance] = i
+}
+
+// noteInvalid remembers moves that the platform does not allow.
+func (s *Scheduler) noteInvalid(o *instanceOrder) {
+	if o.wave > 0 {
+		return
+	}
+	if s.fleet.invalid == nil {
+		s.fleet.invalid = make(map[string]bool)
+	}
+	s.fleet.invalid[moveKind(s.fleet.instances[o.instance], o.pool)] = true
+}
--- a/internal/decision/berylscheduler/scheduler.go
+++ b/internal/decision/berylscheduler/scheduler.go
@@ -97,6 +97,7 @@
 	s.teams = make(map[string]*teamUse)
 	s.learned = make(map[string]*runTime)
 	s.advice = make(map[string]*stepAdvice)
+	s.fleet = fleet{waves: make(map[int]*wave), orders: make(map[string]*instanceOrder)}
 }
 
 func (s *Scheduler) apply(e Event) {
@@ -146,6 +147,9 @@
 	for _, w := range s.ordered {
 		s.checkLease(w)
 		s.checkRuns(w)
+		if w.info.Draining {
+			s.vacate(w)
+		}
 		s.holdDue(w)
 	}
 	s.dropWorkers()
--- a/internal/decision/berylscheduler/worker.go
+++ b/internal/decision/berylscheduler/worker.go
@@ -52,8 +52,11 @@
 	seen, acknowledged, sentAck int64
 	ends                        []pendingEnd
 
-	health  health
+	health health
+	// closing is the instance's name while an order for it is being prepared; such a worker gets no new tasks.
 	closing string
+	// leaving is true once the order has been sent.
+	leaving bool
 }
 
 // pendingEnd is an end that may be acknowledged once the job's change is stored.
@@ -79,7 +82,7 @@
 // back for a while after it.
 func (s *Scheduler) usable(w *worker) bool {
 	present := w.registered || (!w.missing.IsZero() && s.now.Sub(w.missing) < registryGrace)
-	return present && w.known && w.failures == 0 && w.rowVersion > 0 && !w.info.Draining && w.closing == "" &&
+	return present && w.known && !w.clockAt.IsZero() && w.failures == 0 && w.rowVersion > 0 && !w.info.Draining && w.closing == "" &&
 		!s.operations.Evacuated[w.info.DataCentre] && !w.health.suspect(s.now)
 }
 
--- a/internal/decision/berylscheduler/world_test.go
+++ b/internal/decision/berylscheduler/world_test.go
@@ -24,7 +24,7 @@
 	others  []Effect
 	// decisions are the names of all decisions.
 	decisions []string
-	call    uint64
+	call      uint64
 }
 
 // sentHold is a hold that waits for its answer.
--- a/internal/node/beryljobs/session.go
+++ b/internal/node/beryljobs/session.go
@@ -14,7 +14,7 @@
 	// tickInterval paces the decisions that only time brings.
 	tickInterval = 100 * time.Millisecond
 	// registryPause spaces reads of the registry, which changes all the time.
-	registryPause = 300 * time.Millisecond
+	registryPause = 150 * time.Millisecond
 	// registryWait bounds how long the registry's feed may be silent.
 	registryWait = time.Second
 	// orderTimeout is many times the round trip and the handling of an order.
