Count arriving work for pools, and keep operators' pools until their first burst

Cause: instances were asked for only when their tasks already waited, and idle pools were emptied before any burst.

--- a/internal/decision/berylscheduler/fleet.go
+++ b/internal/decision/berylscheduler/fleet.go
@@ -37,6 +37,7 @@
 	waves     map[int]*wave
 	orders    map[string]*instanceOrder
 	peaks     map[string]poolPeak
+	arrivals  []arrival
 	// invalid holds the kinds of moves that the platform does not allow.
 	invalid map[string]bool
 }
--- a/internal/decision/berylscheduler/pool.go
+++ b/internal/decision/berylscheduler/pool.go
@@ -17,6 +17,8 @@
 	peakHold = 1200 * time.Millisecond
 	// poolReserve is the least number of instances that a pool keeps, for the start of a burst.
 	poolReserve = 3
+	// burstSize is how many instances beyond the reserve make a burst: pools that have had none keep what operators gave them.
+	burstSize = 3
 	// movesPerTick bounds the moves that are begun at once.
 	movesPerTick = 8
 )
@@ -29,6 +31,8 @@
 	wanted int
 	// supply counts the instances that serve the pool or are on their way to it.
 	supply int
+	// bursts is true once the pool has needed far more than its reserve.
+	bursts bool
 	// idle are instances that run nothing, busy ones run short tasks only.
 	idle, busy []string
 }
@@ -37,6 +41,8 @@
 type poolPeak struct {
 	wanted int
 	at     time.Time
+	// bursts is true once the pool has needed far more than its reserve.
+	bursts bool
 }
 
 // rebalance moves instances to pools whose tasks wait. It is for queues that burst by turns: each asks in its time for more
@@ -59,6 +65,7 @@
 		}
 	}
 	s.parkIdle(pools, moves)
+	s.advanceOrders()
 }
 
 // demands returns the pools, those that lack most first.
@@ -69,12 +76,16 @@
 	}
 	capacity := s.countInstances(byName)
 	needs := s.neededCPU()
+	for name, cpu := range s.arrivingCPU() {
+		needs[name] = max(needs[name], cpu)
+	}
 	out := make([]*poolDemand, 0, len(byName))
 	for _, name := range slices.Sorted(maps.Keys(byName)) {
 		p := byName[name]
 		if !p.standby && capacity > 0 {
 			p.wanted = int(float64(needs[name])/(loadTarget*float64(capacity)) + 1)
 			p.wanted = max(s.peak(name, p.wanted), poolReserve)
+			p.bursts = s.fleet.peaks[name].bursts
 		}
 		out = append(out, p)
 	}
@@ -89,7 +100,7 @@
 	}
 	p := s.fleet.peaks[pool]
 	if wanted >= p.wanted || s.now.Sub(p.at) > peakHold {
-		p = poolPeak{wanted, s.now}
+		p = poolPeak{wanted, s.now, p.bursts || wanted >= poolReserve+burstSize}
 		s.fleet.peaks[pool] = p
 	}
 	return p.wanted
@@ -235,7 +246,7 @@
 		return
 	}
 	for _, p := range pools {
-		for !p.standby && p.supply > p.wanted && len(p.idle) > 0 && moves < movesPerTick {
+		for !p.standby && p.bursts && p.supply > p.wanted && len(p.idle) > 0 && moves < movesPerTick {
 			i := p.idle[len(p.idle)-1]
 			p.idle = p.idle[:len(p.idle)-1]
 			if s.inWave(i) || s.fleet.invalid[moveKind(s.fleet.instances[i], standby)] {
@@ -268,3 +279,48 @@
 	}
 	s.fleet.invalid[moveKind(s.fleet.instances[o.instance], o.pool)] = true
 }
+
+// arrivalWindows are the spans over which the arriving work is averaged: the short one sees a burst begin, the long one
+// bridges the gaps between large jobs.
+var arrivalWindows = [...]time.Duration{500 * time.Millisecond, 1500 * time.Millisecond}
+
+// arrival is the work of an accepted job.
+type arrival struct {
+	at   time.Time
+	pool string
+	// work is in thousandths of a core times seconds.
+	work float64
+}
+
+// noteArrival remembers the work of an accepted job.
+func (s *Scheduler) noteArrival(j *job) {
+	work := 0.0
+	for _, st := range j.open(0).steps {
+		if !st.spec.LongRunning {
+			work += float64(st.spec.Booked().CPUMilli*st.spec.Count) * s.expected(st).Seconds()
+		}
+	}
+	s.fleet.arrivals = append(s.fleet.arrivals, arrival{s.now, j.pool, work})
+}
+
+// arrivingCPU returns the capacity, in thousandths of a core, that keeps up with the work that arrives at each pool.
+func (s *Scheduler) arrivingCPU() map[string]int {
+	f := &s.fleet
+	longest := arrivalWindows[len(arrivalWindows)-1]
+	for len(f.arrivals) > 0 && s.now.Sub(f.arrivals[0].at) > longest {
+		f.arrivals = f.arrivals[1:]
+	}
+	out := make(map[string]int)
+	for _, window := range arrivalWindows {
+		sums := make(map[string]float64)
+		for _, a := range f.arrivals {
+			if s.now.Sub(a.at) <= window {
+				sums[a.pool] += a.work
+			}
+		}
+		for pool, work := range sums {
+			out[pool] = max(out[pool], int(work/window.Seconds()))
+		}
+	}
+	return out
+}
--- a/internal/decision/berylscheduler/submit.go
+++ b/internal/decision/berylscheduler/submit.go
@@ -26,6 +26,7 @@
 	s.jobs[j.ID] = j
 	s.active = append(s.active, j)
 	s.openOccurrences(j)
+	s.noteArrival(j)
 	s.changed(j)
 	s.await(j, e.Call, j.row.change)
 }
