Keep a wave's progress in a row, and wait for the instance list before an instance counts as gone

Ruled out: trusting the platform's answer to a repeated order alone (the tasks had been stopped for it). Change: a row a wave; an instance is gone only if a list asked for 3 s after the wave was seen lacks it. Conclusion: both have a test that fails without the change.

--- a/internal/decision/berylscheduler/event.go
+++ b/internal/decision/berylscheduler/event.go
@@ -15,6 +15,7 @@
 	Progress []beryllatch.DataRow
 	// Workers are the registrations that an earlier node may have used.
 	Workers []beryllatch.DataRow
+	Waves   []beryllatch.DataRow
 }
 
 // DeploymentChanged brings a newer version of the configuration.
--- a/internal/decision/berylscheduler/fleet.go
+++ b/internal/decision/berylscheduler/fleet.go
@@ -14,6 +14,8 @@
 const (
 	// listPause spaces the lists of instances while a wave is open.
 	listPause = time.Second
+	// listLag is how long an instance may take to show in the list.
+	listLag = 3 * time.Second
 	// orderPause spaces the attempts of a rejected order for an instance.
 	orderPause = 400 * time.Millisecond
 	// returnMargin is added to the time that an instance is away, for its registration.
@@ -32,14 +34,19 @@
 type fleet struct {
 	instances map[string]beryllatch.FleetInstance
 	listed    time.Time
-	listing   bool
-	listNext  time.Time
-	waves     map[int]*wave
-	orders    map[string]*instanceOrder
-	peaks     map[string]poolPeak
-	arrivals  []arrival
+	// asked is when the list was asked for.
+	asked    time.Time
+	listing  bool
+	listNext time.Time
+	waves    map[int]*wave
+	orders   map[string]*instanceOrder
+	peaks    map[string]poolPeak
+	arrivals []arrival
+	reported time.Time
 	// invalid holds the kinds of moves that the platform does not allow.
 	invalid map[string]bool
+	// stored holds the waves' rows of earlier epochs.
+	stored map[int]storedWave
 }
 
 // wave is a maintenance wave with its progress.
@@ -51,6 +58,39 @@
 	done bool
 	// told is the status that operators have been given.
 	told, telling string
+	rowVersion    int64
+	queued        bool
+}
+
+// waveRow is the stored form of a wave's progress.
+type waveRow struct {
+	// Begun holds the instances whose maintenance has begun.
+	Begun []string `json:"begun,omitempty"`
+}
+
+func (w *wave) encode() []byte {
+	var row waveRow
+	for _, i := range w.Instances {
+		if !w.left[i] {
+			row.Begun = append(row.Begun, i)
+		}
+	}
+	return mustEncode(row)
+}
+
+// storedWave is a wave's row of an earlier epoch.
+type storedWave struct {
+	waveRow
+	version int64
+}
+
+// begun notes that the maintenance of an instance has begun, or that the instance is out of the wave.
+func (s *Scheduler) begun(w *wave, instance string) {
+	if !w.left[instance] {
+		return
+	}
+	delete(w.left, instance)
+	s.journal.markWave(w)
 }
 
 // instanceOrder is an order for an instance, from its preparation until the instance is back.
@@ -78,6 +118,12 @@
 		for _, i := range m.Instances {
 			w.left[i] = true
 		}
+		if row, ok := f.stored[n]; ok {
+			w.rowVersion = row.version
+			for _, i := range row.Begun {
+				delete(w.left, i)
+			}
+		}
 		f.waves[n] = w
 		s.emit(Decision{Name: "wave_seen", Detail: strings.Join(m.Instances, " ")})
 	}
@@ -95,7 +141,7 @@
 		s.tell(f.waves[n])
 	}
 	if !f.listing && !s.now.Before(f.listNext) {
-		f.listing = true
+		f.listing, f.asked = true, s.now
 		s.emit(ListInstances{})
 	}
 	if f.listed.IsZero() {
@@ -162,10 +208,12 @@
 
 // advanceWave prepares further instances of a wave, those with the least to lose first.
 func (s *Scheduler) advanceWave(w *wave) {
-	for i := range w.left {
-		if _, ok := s.fleet.instances[i]; !ok {
-			delete(w.left, i)
-			s.emit(Decision{Name: "wave_instance_gone", Worker: i})
+	if s.fleet.asked.Sub(w.seen) > listLag {
+		for _, i := range w.Instances {
+			if _, ok := s.fleet.instances[i]; !ok && w.left[i] {
+				s.begun(w, i)
+				s.emit(Decision{Name: "wave_instance_gone", Worker: i})
+			}
 		}
 	}
 	if len(w.left) == 0 {
@@ -411,7 +459,7 @@
 	if e.Err == nil {
 		o.begun = s.now
 		if w := s.fleet.waves[o.wave]; w != nil {
-			delete(w.left, o.instance)
+			s.begun(w, o.instance)
 		}
 		s.noteMove(o)
 		s.emit(Decision{Name: "instance_order_done", Worker: o.instance, Detail: o.pool})
@@ -429,7 +477,7 @@
 	case beryllatch.InstanceNotInWave, beryllatch.InstanceInvalid:
 		s.noteInvalid(o)
 		if w := s.fleet.waves[o.wave]; w != nil {
-			delete(w.left, o.instance)
+			s.begun(w, o.instance)
 		}
 		s.forgetOrder(o)
 	case beryllatch.InstanceBusy:
--- a/internal/decision/berylscheduler/journal.go
+++ b/internal/decision/berylscheduler/journal.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"strconv"
 	"time"
 
 	"github.com/beryllatch/beryllatch"
@@ -16,6 +17,7 @@
 	JobsTable     = "jobs"
 	ProgressTable = "progress"
 	WorkersTable  = "used_workers"
+	WavesTable    = "waves"
 )
 
 const (
@@ -56,6 +58,7 @@
 	dirty   []*job
 	workers []*worker
 	removed []*worker
+	waves   []*wave
 	batch   *batch
 	// failing is true from a failed transaction to the next success.
 	failing bool
@@ -67,6 +70,7 @@
 	jobs    []batchJob
 	workers []*worker
 	removed []*worker
+	waves   []*wave
 }
 
 type batchJob struct {
@@ -89,6 +93,13 @@
 	}
 }
 
+func (n *journal) markWave(w *wave) {
+	if !w.queued {
+		w.queued = true
+		n.waves = append(n.waves, w)
+	}
+}
+
 func (n *journal) forgetWorker(w *worker) {
 	if w.rowVersion > 0 {
 		n.removed = append(n.removed, w)
@@ -98,7 +109,7 @@
 // commit sends the next transaction if none is in flight.
 func (s *Scheduler) commit() {
 	n := &s.journal
-	if s.resigned || n.batch != nil || s.now.Before(n.retryAt) || len(n.dirty)+len(n.workers)+len(n.removed) == 0 {
+	if s.resigned || n.batch != nil || s.now.Before(n.retryAt) || len(n.dirty)+len(n.workers)+len(n.removed)+len(n.waves) == 0 {
 		return
 	}
 	b := &batch{}
@@ -120,6 +131,14 @@
 		b.removed = append(b.removed, w)
 		rows++
 	}
+	for len(n.waves) > 0 && rows < maxBatchRows {
+		w := n.waves[0]
+		n.waves = n.waves[1:]
+		w.queued = false
+		put(&tx, WavesTable, strconv.Itoa(w.Number), w.rowVersion, w.encode())
+		b.waves = append(b.waves, w)
+		rows++
+	}
 	for len(n.dirty) > 0 && rows+2 <= maxBatchRows && size < maxBatchBytes {
 		j := n.dirty[0]
 		n.dirty = n.dirty[1:]
@@ -193,6 +212,9 @@
 	}
 	n.workers = append(b.workers, n.workers...)
 	n.removed = append(b.removed, n.removed...)
+	for _, w := range b.waves {
+		n.markWave(w)
+	}
 	for _, bj := range b.jobs {
 		if s.jobs[bj.job.ID] == bj.job {
 			n.mark(bj.job)
@@ -205,6 +227,9 @@
 		w.rowVersion = version
 		s.placeable = true
 	}
+	for _, w := range b.waves {
+		w.rowVersion = version
+	}
 	for _, bj := range b.jobs {
 		j := bj.job
 		switch {
@@ -267,6 +292,11 @@
 			w.rowVersion = v
 		}
 	}
+	for _, w := range b.waves {
+		if v, ok := versions[id{WavesTable, strconv.Itoa(w.Number)}]; ok {
+			w.rowVersion = v
+		}
+	}
 	for _, bj := range b.jobs {
 		if v, ok := versions[id{JobsTable, bj.job.ID}]; ok {
 			bj.job.row.jobVersion = v
--- a/internal/decision/berylscheduler/pool.go
+++ b/internal/decision/berylscheduler/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -33,6 +34,8 @@
 	supply int
 	// bursts is true once the pool has needed far more than its reserve.
 	bursts bool
+	// used, need and arriving are in thousandths of a core.
+	used, need, arriving int
 	// idle are instances that run nothing, busy ones run short tasks only.
 	idle, busy []string
 }
@@ -52,6 +55,7 @@
 		return
 	}
 	pools := s.demands()
+	s.reportLoad(pools)
 	moves := 0
 	for _, p := range pools {
 		for missing := p.wanted - p.supply; missing > 0 && moves < movesPerTick; missing-- {
@@ -76,14 +80,13 @@
 	}
 	capacity := s.countInstances(byName)
 	needs := s.neededCPU()
-	for name, cpu := range s.arrivingCPU() {
-		needs[name] = max(needs[name], cpu)
-	}
+	arriving := s.arrivingCPU()
 	out := make([]*poolDemand, 0, len(byName))
 	for _, name := range slices.Sorted(maps.Keys(byName)) {
 		p := byName[name]
 		if !p.standby && capacity > 0 {
-			p.wanted = int(float64(needs[name])/(loadTarget*float64(capacity)) + 1)
+			p.need, p.arriving = needs[name], arriving[name]
+			p.wanted = int(float64(max(p.need, p.arriving))/(loadTarget*float64(capacity)) + 1)
 			p.wanted = max(s.peak(name, p.wanted), poolReserve)
 			p.bursts = s.fleet.peaks[name].bursts
 		}
@@ -93,6 +96,20 @@
 	return out
 }
 
+// reportLoad logs what the pools need and have, once a second.
+func (s *Scheduler) reportLoad(pools []*poolDemand) {
+	if s.now.Sub(s.fleet.reported) < time.Second {
+		return
+	}
+	s.fleet.reported = s.now
+	for _, p := range pools {
+		s.emit(Decision{Name: "pool_load", Detail: fmt.Sprintf(
+			"pool %s: %d instances wanted, %d there or coming, %d idle, %d busy; cores used %d, needed %d, arriving %d",
+			p.name, p.wanted, p.supply, len(p.idle), len(p.busy), p.used/1000, p.need/1000, p.arriving/1000,
+		)})
+	}
+}
+
 // peak returns the most that a pool has wanted within the hold time.
 func (s *Scheduler) peak(pool string, wanted int) int {
 	if s.fleet.peaks == nil {
@@ -132,6 +149,7 @@
 			continue
 		}
 		p.supply++
+		p.used += w.used.CPUMilli
 		switch {
 		case len(w.runs) == 0:
 			p.idle = append(p.idle, name)
--- a/internal/decision/berylscheduler/recover.go
+++ b/internal/decision/berylscheduler/recover.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -47,11 +48,28 @@
 		}
 		s.addWorker(&worker{info: info, rowVersion: r.Version, leaseBound: s.now.Add(s.lapse()), inherited: true})
 	}
+	s.recoverWaves(e.Waves)
 	for _, j := range s.active {
 		s.openOccurrences(j)
 	}
 }
 
+func (s *Scheduler) recoverWaves(rows []beryllatch.DataRow) {
+	s.fleet.stored = make(map[int]storedWave)
+	for _, r := range rows {
+		wave := storedWave{version: r.Version}
+		n, err := strconv.Atoi(r.Key)
+		if err == nil {
+			err = json.Unmarshal(r.Value, &wave.waveRow)
+		}
+		if err != nil {
+			s.emit(Decision{Name: "row_unreadable", Detail: "wave " + r.Key + ": " + err.Error()})
+			continue
+		}
+		s.fleet.stored[n] = wave
+	}
+}
+
 func firstNonZero(a, b int) int {
 	if a != 0 {
 		return a
--- a/internal/decision/berylscheduler/wave_test.go
+++ b/internal/decision/berylscheduler/wave_test.go
@@ -69,3 +69,47 @@
 	w.pass(3 * time.Second)
 	assert.Equal(t, len(w.maintained()), 1)
 }
+
+// An instance that has just joined may be missing from a list that was read before its wave was seen.
+func TestWaveWaitsForInstancesThatTheListDoesNotShowYet(t *testing.T) {
+	w := newWorld(t)
+	w.register("a")
+	w.openWave(2, "m-a")
+	w.apply(OperationsChanged{beryllatch.Operations{Waves: map[int]beryllatch.MaintenanceWave{
+		2: {Number: 2, Instances: []string{"m-new"}, Deadline: 20 * time.Second, MaxDown: 1},
+	}}})
+	w.pass(time.Second)
+	for _, f := range w.others {
+		if status, ok := f.(WriteWaveStatus); ok {
+			assert.Assert(t, status.Wave != 2 || !status.Done)
+		}
+	}
+}
+
+// The node that takes over must not maintain again what an earlier one has begun.
+func TestWaveGoesOnAfterATakeover(t *testing.T) {
+	w := newWorld(t)
+	w.register("a", "b")
+	w.openWave(1, "m-a", "m-b")
+	w.pass(time.Second)
+	first := w.maintained()
+	w.apply(InstanceOrderEnded{Instance: first[0]})
+	var rows []beryllatch.DataRow
+	for _, c := range w.commits {
+		for _, p := range c.Transaction.Puts {
+			if p.Table == WavesTable {
+				p.Version = 200
+				rows = append(rows, p)
+			}
+		}
+	}
+	assert.Equal(t, len(rows), 1)
+	next := &world{t: t, now: w.now, version: 300, answers: make(map[uint64]error), s: testScheduler(2, 8)}
+	next.apply(Recovered{Waves: rows})
+	next.apply(DeploymentChanged{testDeployment()})
+	next.register("a", "b")
+	next.openWave(2, "m-a", "m-b")
+	next.pass(3 * time.Second)
+	assert.Equal(t, len(next.maintained()), 1)
+	assert.Assert(t, next.maintained()[0] != first[0])
+}
--- a/internal/node/beryljobs/session.go
+++ b/internal/node/beryljobs/session.go
@@ -61,6 +61,10 @@
 			e.Workers, _, err = n.Store.Rows(ctx, berylscheduler.WorkersTable, berylscheduler.Part)
 			return err
 		},
+		func() (err error) {
+			e.Waves, _, err = n.Store.Rows(ctx, berylscheduler.WavesTable, berylscheduler.Part)
+			return err
+		},
 		func() (err error) {
 			registry, err = s.readRegistry(ctx)
 			return err
