Take over at once from a node that lost the store, and end lives by the instance list

A node cut from the store kept the duty for 4.5 s; after a takeover, workers that had left with their instance held everything up until their longest lease had run out; tasks of jobs with a transaction of unknown outcome did not start. Ruled out: shorter leases (they would lapse during a takeover). Change: the holder tells how long it is without the store; an instance that is not up with a worker ends that worker's life; only a job's acceptance waits for a transaction of unknown outcome. The instances in the wave tests now name their worker, as the platform's list does.

--- a/internal/decision/berylscheduler/fleet.go
+++ b/internal/decision/berylscheduler/fleet.go
@@ -14,6 +14,8 @@
 const (
 	// listPause spaces the lists of instances while a wave is open.
 	listPause = time.Second
+	// listSoonPause spaces the lists while a worker is silent.
+	listSoonPause = 300 * time.Millisecond
 	// listLag is how long an instance may take to show in the list.
 	listLag = 3 * time.Second
 	// orderPause spaces the attempts of a rejected order for an instance.
@@ -192,6 +194,15 @@
 	for _, i := range e.Instances {
 		f.instances[i.Name] = i
 	}
+	s.checkLives(f.asked)
+	s.placeable = true
+}
+
+// listSoon asks for a list of the instances at the next tick: it tells whether a silent worker is still up.
+func (s *Scheduler) listSoon() {
+	if soon := s.fleet.asked.Add(listSoonPause); soon.Before(s.fleet.listNext) {
+		s.fleet.listNext = soon
+	}
 }
 
 // down counts the instances of a wave that are away, or are about to be.
--- a/internal/decision/berylscheduler/journal.go
+++ b/internal/decision/berylscheduler/journal.go
@@ -39,7 +39,7 @@
 	change, stored uint64
 	// known is true once the job is stored, final once its final state is.
 	known, final bool
-	// unsure is true after a transaction of unknown outcome.
+	// unsure is true after a transaction of unknown outcome: a job that is not known yet may be stored.
 	unsure bool
 	queued bool
 	// expired asks to delete what is left of the job.
--- a/internal/decision/berylscheduler/lease_test.go
+++ b/internal/decision/berylscheduler/lease_test.go
@@ -1,9 +1,11 @@
 package berylscheduler
 
 import (
+	"context"
 	"testing"
 	"time"
 
+	"github.com/beryllatch/beryllatch"
 	"gotest.tools/v3/assert"
 )
 
@@ -41,3 +43,54 @@
 		assert.Equal(t, len(w.starts), 0, "after %s", w.now.Sub(granted))
 	}
 }
+
+// The instance list tells that a silent worker's instance is down: its tasks need not wait for the lease.
+func TestListedInstanceEndsASilentWorker(t *testing.T) {
+	w := newWorld(t)
+	w.register("a", "b")
+	w.accept(oneTask("0000000000000001"))
+	first := w.confirm()[0]
+	w.pass(500 * time.Millisecond)
+	w.answerHolds(nil, "a", "b")
+	w.pass(500 * time.Millisecond)
+	var list []beryllatch.FleetInstance
+	for _, id := range []string{"a", "b"} {
+		i := beryllatch.FleetInstance{Name: "m-" + id, Pool: "p", State: beryllatch.FleetInstanceUp, Worker: id}
+		if id == first.Worker.ID {
+			i.State = beryllatch.FleetInstanceDown
+		}
+		list = append(list, i)
+	}
+	w.answerHolds(nil, first.Worker.ID)
+	w.apply(InstancesListed{Instances: list})
+	assert.Equal(t, len(w.starts), 1)
+	assert.Assert(t, w.starts[0].Worker.ID != first.Worker.ID)
+}
+
+// While the store fails, tasks of jobs that are stored go on to start.
+func TestStoredJobsGoOnWhileTheStoreFails(t *testing.T) {
+	w := newWorld(t)
+	w.register("a")
+	j := oneTask("0000000000000001")
+	j.Steps[0].Count = 2
+	j.Steps[0].Needs.CPUMilli = 10000
+	w.accept(j)
+	first := w.confirm()
+	assert.Equal(t, len(first), 1, "one task fits at a time")
+	w.pass(time.Second)
+	w.answerHolds(map[string]beryllatch.WorkerLists{"a": {Finished: []beryllatch.FinishedEntry{
+		{Number: 1, Task: first[0].Order.Task, Run: first[0].Order.Run, End: beryllatch.RunFailed},
+	}}})
+	for range 5 {
+		for len(w.commits) > 0 {
+			w.commits = w.commits[1:]
+			w.apply(Committed{Err: &beryllatch.UnknownOutcomeError{Err: context.DeadlineExceeded}})
+			if len(w.commits) > 1 {
+				t.Fatal("one transaction at a time")
+			}
+			break
+		}
+		w.pass(200 * time.Millisecond)
+	}
+	assert.Equal(t, len(w.starts), 1)
+}
--- a/internal/decision/berylscheduler/place.go
+++ b/internal/decision/berylscheduler/place.go
@@ -40,7 +40,7 @@
 func (s *Scheduler) candidates(pools map[string][]*worker) []candidate {
 	var out []candidate
 	for _, j := range s.active {
-		if !j.row.known || j.row.unsure {
+		if !j.row.known {
 			continue
 		}
 		q, ok := s.queueOf(j)
--- a/internal/decision/berylscheduler/pool.go
+++ b/internal/decision/berylscheduler/pool.go
@@ -51,7 +51,8 @@
 // rebalance moves instances to pools whose tasks wait. It is for queues that burst by turns: each asks in its time for more
 // than its own pool holds, while the instances of the others are idle. Instances that no pool needs go to a standby pool.
 func (s *Scheduler) rebalance() {
-	if s.deployment == nil || s.unsettledWorkers() {
+	// A new worker is used once its row is stored, so moves wait while the store fails.
+	if s.deployment == nil || s.unsettledWorkers() || s.journal.failing {
 		return
 	}
 	pools := s.demands()
--- a/internal/decision/berylscheduler/recover.go
+++ b/internal/decision/berylscheduler/recover.go
@@ -46,7 +46,7 @@
 			s.emit(Decision{Name: "row_unreadable", Worker: r.Key, Detail: err.Error()})
 			continue
 		}
-		s.addWorker(&worker{info: info, rowVersion: r.Version, leaseBound: s.now.Add(s.lapse()), inherited: true})
+		s.addWorker(&worker{info: info, rowVersion: r.Version, leaseBound: s.now.Add(s.lapse()), inherited: true, since: s.now})
 	}
 	s.recoverWaves(e.Waves)
 	for _, j := range s.active {
--- a/internal/decision/berylscheduler/wave_test.go
+++ b/internal/decision/berylscheduler/wave_test.go
@@ -1,6 +1,7 @@
 package berylscheduler
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -26,7 +27,9 @@
 	w.pass(100 * time.Millisecond)
 	var list []beryllatch.FleetInstance
 	for _, i := range instances {
-		list = append(list, beryllatch.FleetInstance{Name: i, Pool: "p", State: beryllatch.FleetInstanceUp})
+		list = append(list, beryllatch.FleetInstance{
+			Name: i, Pool: "p", State: beryllatch.FleetInstanceUp, Worker: strings.TrimPrefix(i, "m-"),
+		})
 	}
 	w.apply(InstancesListed{Instances: list})
 }
--- a/internal/decision/berylscheduler/worker.go
+++ b/internal/decision/berylscheduler/worker.go
@@ -28,6 +28,8 @@
 	// registered is true while the worker has a registration.
 	registered bool
 	missing    time.Time
+	// since is when the scheduler learned of the worker.
+	since      time.Time
 	rowVersion int64
 	// known is true once the worker's lists of this epoch have been read, or it surely runs nothing of before.
 	known bool
@@ -124,7 +126,7 @@
 func (s *Scheduler) register(i beryllatch.WorkerInfo) {
 	w := s.workers[i.ID]
 	if w == nil {
-		w = &worker{info: i, registered: true}
+		w = &worker{info: i, registered: true, since: s.now}
 		if s.now.Sub(s.began) < s.lapse() {
 			// An earlier epoch may have used it without its row being read.
 			w.inherited, w.leaseBound = true, s.began.Add(s.lapse())
@@ -163,9 +165,30 @@
 	}
 	for _, w := range s.ordered {
 		if w.info.Instance == n.info.Instance && w.info.Born < n.info.Born {
-			s.reborn(w, w.info.Born)
-			w.leaseBound = s.now
-			s.unregister(w)
+			s.endLife(w)
+		}
+	}
+}
+
+// endLife writes off a worker that surely runs nothing any more.
+func (s *Scheduler) endLife(w *worker) {
+	s.reborn(w, w.info.Born)
+	w.leaseBound = s.now
+	s.unregister(w)
+}
+
+// checkLives ends the workers whose instance is no longer up with them, by a list that was asked for at the given time.
+func (s *Scheduler) checkLives(asked time.Time) {
+	for _, w := range s.ordered {
+		i, ok := s.fleet.instances[w.info.Instance]
+		if !ok || w.info.Instance == "" || !w.since.Before(asked) {
+			continue
+		}
+		if i.State != beryllatch.FleetInstanceUp || i.Worker != w.info.ID {
+			if len(w.runs) > 0 || !w.known || w.registered {
+				s.emit(Decision{Name: "worker_ended", Worker: w.info.ID, Detail: "instance is " + string(i.State)})
+				s.endLife(w)
+			}
 		}
 	}
 }
@@ -336,4 +359,5 @@
 	}
 	w.failures++
 	w.holdNext = s.now.Add(holdRetry)
+	s.listSoon()
 }
--- a/internal/node/beryljobs/duty.go
+++ b/internal/node/beryljobs/duty.go
@@ -16,6 +16,11 @@
 	probeInterval = 300 * time.Millisecond
 	// probeTimeout bounds a probe.
 	probeTimeout = 400 * time.Millisecond
+	// holderStoreAge is for how long the holder may be without the store while this node reaches it: three beats.
+	holderStoreAge = 1300 * time.Millisecond
+	// storeWatch is for how long this node must have reached the store meanwhile, which rules out an outage that has just
+	// ended.
+	storeWatch = 600 * time.Millisecond
 	// beatInterval is how often the holder renews its sign of life at the store.
 	beatInterval = 500 * time.Millisecond
 	// silence is how long the holder's sign of life must not change before another node takes over.
@@ -33,7 +38,8 @@
 		if n.stopping.Load() {
 			n.waitWake(ctx, probeInterval)
 		}
-		if n.probeHolder(ctx) {
+		found := n.probeHolder(ctx)
+		if found == holderWell {
 			watch = silenceWatch{}
 			n.waitWake(ctx, probeInterval)
 			continue
@@ -43,7 +49,7 @@
 			n.waitWake(ctx, readRetry)
 			continue
 		}
-		if n.stopping.Load() || !n.mayTakeOver(ctx, h, &watch) {
+		if n.stopping.Load() || !n.mayTakeOver(ctx, h, found, &watch) {
 			n.waitWake(ctx, readRetry)
 			continue
 		}
@@ -67,6 +73,8 @@
 	epoch   int64
 	version int64
 	since   time.Time
+	// cutSince is since when the holder has been without the store while this node has reached it.
+	cutSince time.Time
 }
 
 // readHolder reads the duty row and remembers the holder.
@@ -95,7 +103,7 @@
 }
 
 // mayTakeOver reports whether the holder has given up or has surely fallen silent.
-func (n *Node) mayTakeOver(ctx context.Context, h holder, watch *silenceWatch) bool {
+func (n *Node) mayTakeOver(ctx context.Context, h holder, found holderState, watch *silenceWatch) bool {
 	delay := spreadOf(n.Name)
 	if h.Epoch == 0 || h.Released {
 		return pause(ctx, delay)
@@ -104,12 +112,19 @@
 		// An earlier incarnation of this very node.
 		return true
 	}
+	if found == holderCut {
+		if watch.cutSince.IsZero() {
+			watch.cutSince = time.Now()
+		}
+		return time.Since(watch.cutSince) >= storeWatch+delay
+	}
+	watch.cutSince = time.Time{}
 	beat, err := n.Store.Row(ctx, beatTable, beatTable, berylscheduler.OwnerKey)
 	if err != nil {
 		return false
 	}
 	if watch.epoch != h.Epoch || watch.version != beat.Version {
-		*watch = silenceWatch{h.Epoch, beat.Version, time.Now()}
+		*watch = silenceWatch{epoch: h.Epoch, version: beat.Version, since: time.Now()}
 		return false
 	}
 	return time.Since(watch.since) >= silence+delay
--- a/internal/node/beryljobs/remote.go
+++ b/internal/node/beryljobs/remote.go
@@ -95,33 +95,46 @@
 	return int(r.GetPending()), refusalError(r.GetRefusal())
 }
 
-// probeHolder asks the holder whether it schedules; it reports true if so, or if this node does.
-func (n *Node) probeHolder(ctx context.Context) bool {
+// holderState is what a probe has found.
+type holderState int
+
+const (
+	// holderSilent did not answer, or does not schedule.
+	holderSilent holderState = iota
+	// holderWell schedules and reaches the store, or nobody is known to reach it.
+	holderWell
+	// holderCut schedules without the store.
+	holderCut
+)
+
+// probeHolder asks the holder whether it schedules.
+func (n *Node) probeHolder(ctx context.Context) holderState {
 	if n.local() != nil {
-		return true
+		return holderWell
 	}
 	h, ok := n.remote()
 	if !ok {
-		return false
+		return holderSilent
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	r, err := n.client(h).Probe(ctx, &berylwire.ProbeRequest{Node: n.Name, ConfigVersion: n.configVersion()})
 	if err != nil || r.GetEpoch() < h.Epoch {
-		return false
+		return holderSilent
 	}
 	if len(r.GetConfig()) > 0 {
 		n.takeConfiguration(beryllatch.DataRow{Key: n.View.ConfigurationKey(), Value: r.GetConfig()})
 	}
-	// A holder that the store does not answer may be cut off alone.
 	age := time.Duration(r.GetStoreAgeMs()) * time.Millisecond
-	if age > staleAfter && n.storeAge() < staleAfter {
-		return false
-	}
 	n.mu.Lock()
-	n.holderHeard = time.Now()
-	n.mu.Unlock()
-	return true
+	defer n.mu.Unlock()
+	if age < staleAfter {
+		n.holderHeard = time.Now()
+	}
+	if age > holderStoreAge {
+		return holderCut
+	}
+	return holderWell
 }
 
 func (n *Node) configVersion() int64 {
