Keep one row state for each worker ID

Change: the lives of an ID share the state of its row; a registration of a life that has ended no longer counts; a pause after a conflict.

--- a/internal/decision/berylscheduler/journal.go
+++ b/internal/decision/berylscheduler/journal.go
@@ -27,6 +27,8 @@
 	maxBatchBytes = 500 << 10
 	// commitRetry is the pause after a failed transaction.
 	commitRetry = 150 * time.Millisecond
+	// conflictRetry is the pause after a transaction whose row versions were outdated.
+	conflictRetry = 20 * time.Millisecond
 	// outageRetry is when callers may come back that the store's outage has turned away.
 	outageRetry = 2 * time.Second
 )
@@ -56,10 +58,11 @@
 // journal stores changes in groups, one transaction at a time.
 type journal struct {
 	dirty   []*job
-	workers []*worker
-	removed []*worker
+	workers []*storedWorker
 	waves   []*wave
-	batch   *batch
+	// rows holds the rows of workers by ID; the lives of an ID share one.
+	rows  map[string]*storedWorker
+	batch *batch
 	// failing is true from a failed transaction to the next success.
 	failing bool
 	retryAt time.Time
@@ -68,11 +71,25 @@
 // batch is the transaction in flight.
 type batch struct {
 	jobs    []batchJob
-	workers []*worker
-	removed []*worker
+	workers []batchWorker
 	waves   []*wave
 }
 
+// storedWorker is the row of a worker that may be used.
+type storedWorker struct {
+	id string
+	// version is that of the stored row; 0 means that there is none.
+	version int64
+	// value is what the row should hold; nil deletes it.
+	value  []byte
+	queued bool
+}
+
+type batchWorker struct {
+	row   *storedWorker
+	value []byte
+}
+
 type batchJob struct {
 	job    *job
 	change uint64
@@ -100,16 +117,37 @@
 	}
 }
 
-func (n *journal) forgetWorker(w *worker) {
-	if w.rowVersion > 0 {
-		n.removed = append(n.removed, w)
+// workerRow returns the row of a worker ID.
+func (n *journal) workerRow(id string) *storedWorker {
+	r := n.rows[id]
+	if r == nil {
+		if n.rows == nil {
+			n.rows = make(map[string]*storedWorker)
+		}
+		r = &storedWorker{id: id}
+		n.rows[id] = r
+	}
+	return r
+}
+
+// setWorker asks to store a worker's row, or to delete it.
+func (n *journal) setWorker(id string, value []byte) {
+	r := n.workerRow(id)
+	r.value = value
+	n.markWorker(r)
+}
+
+func (n *journal) markWorker(r *storedWorker) {
+	if !r.queued {
+		r.queued = true
+		n.workers = append(n.workers, r)
 	}
 }
 
 // commit sends the next transaction if none is in flight.
 func (s *Scheduler) commit() {
 	n := &s.journal
-	if s.resigned || n.batch != nil || s.now.Before(n.retryAt) || len(n.dirty)+len(n.workers)+len(n.removed)+len(n.waves) == 0 {
+	if s.resigned || n.batch != nil || s.now.Before(n.retryAt) || len(n.dirty)+len(n.workers)+len(n.waves) == 0 {
 		return
 	}
 	b := &batch{}
@@ -118,17 +156,19 @@
 	}}
 	rows, size := 0, 0
 	for len(n.workers) > 0 && rows < maxBatchRows {
-		w := n.workers[0]
+		r := n.workers[0]
 		n.workers = n.workers[1:]
-		put(&tx, WorkersTable, w.info.ID, w.rowVersion, w.encode())
-		b.workers = append(b.workers, w)
-		rows++
-	}
-	for len(n.removed) > 0 && rows < maxBatchRows {
-		w := n.removed[0]
-		n.removed = n.removed[1:]
-		remove(&tx, WorkersTable, w.info.ID, w.rowVersion)
-		b.removed = append(b.removed, w)
+		r.queued = false
+		switch {
+		case r.value != nil:
+			put(&tx, WorkersTable, r.id, r.version, r.value)
+		case r.version > 0:
+			remove(&tx, WorkersTable, r.id, r.version)
+		default:
+			delete(n.rows, r.id)
+			continue
+		}
+		b.workers = append(b.workers, batchWorker{r, r.value})
 		rows++
 	}
 	for len(n.waves) > 0 && rows < maxBatchRows {
@@ -204,14 +244,16 @@
 	var unknown *beryllatch.UnknownOutcomeError
 	switch {
 	case errors.As(e.Err, &conflict):
+		n.retryAt = s.now.Add(conflictRetry)
 		s.adoptVersions(b, conflict.Rows)
 	case errors.As(e.Err, &unknown):
 		s.commitFailed(b, true)
 	default:
 		s.commitFailed(b, false)
 	}
-	n.workers = append(b.workers, n.workers...)
-	n.removed = append(b.removed, n.removed...)
+	for _, w := range b.workers {
+		n.markWorker(w.row)
+	}
 	for _, w := range b.waves {
 		n.markWave(w)
 	}
@@ -224,7 +266,13 @@
 
 func (s *Scheduler) stored(b *batch, version int64) {
 	for _, w := range b.workers {
-		w.rowVersion = version
+		w.row.version = version
+		if w.value == nil {
+			w.row.version = 0
+			if w.row.value == nil {
+				delete(s.journal.rows, w.row.id)
+			}
+		}
 		s.placeable = true
 	}
 	for _, w := range b.waves {
@@ -287,9 +335,9 @@
 		s.resign("another node has taken over")
 		return
 	}
-	for _, w := range append(append([]*worker(nil), b.workers...), b.removed...) {
-		if v, ok := versions[id{WorkersTable, w.info.ID}]; ok {
-			w.rowVersion = v
+	for _, w := range b.workers {
+		if v, ok := versions[id{WorkersTable, w.row.id}]; ok {
+			w.row.version = v
 		}
 	}
 	for _, w := range b.waves {
--- /dev/null
+++ b/internal/decision/berylscheduler/journal_test.go
@@ -0,0 +1,103 @@
+package berylscheduler
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/beryllatch/beryllatch"
+	"gotest.tools/v3/assert"
+)
+
+// conflict answers the waiting transaction as a store does in which the given rows exist.
+func (w *world) conflict(rows map[string]int64) {
+	w.t.Helper()
+	c := w.commits[0]
+	w.commits = w.commits[1:]
+	var out []beryllatch.DataRow
+	for _, r := range c.Transaction.Conditions {
+		version := rows[r.Table+"/"+r.Key]
+		if r.Table == DutyTable {
+			version = r.Version
+		}
+		out = append(out, beryllatch.DataRow{Table: r.Table, Part: r.Part, Key: r.Key, Version: version})
+	}
+	w.apply(Committed{Err: &beryllatch.RowConflictError{Rows: out}})
+}
+
+// A worker that goes and comes back under its ID before its row is deleted must not appear twice in one transaction: the
+// store would refuse it for ever.
+func TestTransactionNamesEachRowOnce(t *testing.T) {
+	w := newWorld(t)
+	w.register("a")
+	w.apply(RegistryChanged{Removed: []string{"a"}})
+	w.submit(oneTask("0000000000000001"))
+	w.pass(10 * time.Second)
+	info := workerInfo("a")
+	info.Born = 2
+	w.apply(RegistryChanged{Workers: []beryllatch.WorkerInfo{info}})
+	for range 10 {
+		for len(w.commits) > 0 {
+			seen := make(map[string]bool)
+			for _, c := range w.commits[0].Transaction.Conditions {
+				key := c.Table + "/" + c.Key
+				assert.Assert(t, !seen[key], "%s is named twice", key)
+				seen[key] = true
+			}
+			w.conflict(map[string]int64{WorkersTable + "/a": 150})
+		}
+		w.pass(100 * time.Millisecond)
+	}
+	w.store()
+	w.pass(100 * time.Millisecond)
+	w.store()
+	assert.NilError(t, w.answers[w.call])
+}
+
+// A repeated submission and a lost answer of the store leave one job, and the caller gets the truth.
+func TestLostAnswerOfTheStore(t *testing.T) {
+	w := newWorld(t)
+	w.register("a")
+	w.submit(oneTask("0000000000000001"))
+	w.commits = nil
+	w.apply(Committed{Err: &beryllatch.UnknownOutcomeError{}})
+	_, answered := w.answers[w.call]
+	assert.Assert(t, !answered, "the job may be stored")
+	assert.Equal(t, len(w.starts), 0, "a job starts once it is stored")
+	w.pass(time.Second)
+	w.conflict(map[string]int64{JobsTable + "/0000000000000001": 120})
+	w.pass(100 * time.Millisecond)
+	w.store()
+	assert.NilError(t, w.answers[w.call])
+	assert.Equal(t, len(w.starts), 1)
+}
+
+// A job that surely was not stored is refused as not run, and never starts.
+func TestUnavailableStoreRefusesJobs(t *testing.T) {
+	w := newWorld(t)
+	w.register("a")
+	w.submit(oneTask("0000000000000001"))
+	w.commits = nil
+	w.apply(Committed{Err: &beryllatch.UnavailableError{Err: errors.New("refused")}})
+	var refusal *beryllatch.Refusal
+	assert.Assert(t, errors.As(w.answers[w.call], &refusal))
+	assert.Equal(t, refusal.RunState, beryllatch.RunStateNotRun)
+	assert.Assert(t, refusal.RetryAfter > 0)
+	w.pass(5 * time.Second)
+	assert.Equal(t, len(w.starts)+len(w.commits), 0)
+}
+
+// A node whose duty row has changed orders nothing more.
+func TestDeposedNodeResigns(t *testing.T) {
+	w := newWorld(t)
+	w.register("a")
+	w.submit(oneTask("0000000000000001"))
+	w.commits = nil
+	w.apply(Committed{Err: &beryllatch.RowConflictError{Rows: []beryllatch.DataRow{
+		{Table: DutyTable, Part: Part, Key: OwnerKey, Version: 99},
+	}}})
+	_, resigned := w.others[len(w.others)-1].(Resign)
+	assert.Assert(t, resigned)
+	w.pass(5 * time.Second)
+	assert.Equal(t, len(w.starts), 0)
+}
--- a/internal/decision/berylscheduler/lease_test.go
+++ b/internal/decision/berylscheduler/lease_test.go
@@ -72,25 +72,18 @@
 	w := newWorld(t)
 	w.register("a")
 	j := oneTask("0000000000000001")
-	j.Steps[0].Count = 2
+	j.Steps[0].Count = 3
 	j.Steps[0].Needs.CPUMilli = 10000
 	w.accept(j)
-	first := w.confirm()
-	assert.Equal(t, len(first), 1, "one task fits at a time")
-	w.pass(time.Second)
-	w.answerHolds(map[string]beryllatch.WorkerLists{"a": {Finished: []beryllatch.FinishedEntry{
-		{Number: 1, Task: first[0].Order.Task, Run: first[0].Order.Run, End: beryllatch.RunFailed},
-	}}})
-	for range 5 {
-		for len(w.commits) > 0 {
-			w.commits = w.commits[1:]
-			w.apply(Committed{Err: &beryllatch.UnknownOutcomeError{Err: context.DeadlineExceeded}})
-			if len(w.commits) > 1 {
-				t.Fatal("one transaction at a time")
-			}
-			break
-		}
-		w.pass(200 * time.Millisecond)
+	for n := range 3 {
+		starts := w.confirm()
+		assert.Equal(t, len(starts), 1, "start %d: one task fits at a time", n)
+		w.pass(time.Second)
+		w.answerHolds(map[string]beryllatch.WorkerLists{"a": {Finished: []beryllatch.FinishedEntry{
+			{Number: int64(n + 1), Task: starts[0].Order.Task, Run: starts[0].Order.Run, End: beryllatch.RunDone},
+		}}})
+		assert.Equal(t, len(w.commits), 1, "one transaction at a time")
+		w.commits = nil
+		w.apply(Committed{Err: &beryllatch.UnknownOutcomeError{Err: context.DeadlineExceeded}})
 	}
-	assert.Equal(t, len(w.starts), 1)
 }
--- a/internal/decision/berylscheduler/recover.go
+++ b/internal/decision/berylscheduler/recover.go
@@ -46,7 +46,9 @@
 			s.emit(Decision{Name: "row_unreadable", Worker: r.Key, Detail: err.Error()})
 			continue
 		}
-		s.addWorker(&worker{info: info, rowVersion: r.Version, leaseBound: s.now.Add(s.lapse()), inherited: true, since: s.now})
+		row := s.journal.workerRow(info.ID)
+		row.version, row.value = r.Version, r.Value
+		s.addWorker(&worker{info: info, leaseBound: s.now.Add(s.lapse()), inherited: true, since: s.now})
 	}
 	s.recoverWaves(e.Waves)
 	for _, j := range s.active {
--- a/internal/decision/berylscheduler/scheduler.go
+++ b/internal/decision/berylscheduler/scheduler.go
@@ -57,6 +57,8 @@
 	workers map[string]*worker
 	// ordered holds the workers by ID, since the order of a map differs between runs.
 	ordered []*worker
+	// over holds the incarnations that have ended, by worker ID: their registrations no longer count.
+	over    map[string]int64
 	teams   map[string]*teamUse
 	learned map[string]*runTime
 
@@ -94,6 +96,7 @@
 	s.began = s.now
 	s.jobs = make(map[string]*job)
 	s.workers = make(map[string]*worker)
+	s.over = make(map[string]int64)
 	s.teams = make(map[string]*teamUse)
 	s.learned = make(map[string]*runTime)
 	s.advice = make(map[string]*stepAdvice)
@@ -202,6 +205,7 @@
 
 func (s *Scheduler) addWorker(w *worker) {
 	s.workers[w.info.ID] = w
+	w.row = s.journal.workerRow(w.info.ID)
 	i, _ := slices.BinarySearchFunc(s.ordered, w.info.ID, func(o *worker, id string) int { return strings.Compare(o.info.ID, id) })
 	s.ordered = slices.Insert(s.ordered, i, w)
 }
@@ -213,7 +217,7 @@
 			return false
 		}
 		delete(s.workers, w.info.ID)
-		s.journal.forgetWorker(w)
+		s.journal.setWorker(w.info.ID, nil)
 		return true
 	})
 }
--- a/internal/decision/berylscheduler/worker.go
+++ b/internal/decision/berylscheduler/worker.go
@@ -29,8 +29,9 @@
 	registered bool
 	missing    time.Time
 	// since is when the scheduler learned of the worker.
-	since      time.Time
-	rowVersion int64
+	since time.Time
+	// row is shared by the lives of the worker's ID; the worker is used once it is stored.
+	row *storedWorker
 	// known is true once the worker's lists of this epoch have been read, or it surely runs nothing of before.
 	known bool
 	// inherited workers may have runs of an earlier epoch.
@@ -84,7 +85,7 @@
 // back for a while after it.
 func (s *Scheduler) usable(w *worker) bool {
 	present := w.registered || (!w.missing.IsZero() && s.now.Sub(w.missing) < registryGrace)
-	return present && w.known && !w.clockAt.IsZero() && w.failures == 0 && w.rowVersion > 0 && !w.info.Draining && w.closing == "" &&
+	return present && w.known && !w.clockAt.IsZero() && w.failures == 0 && w.row.version > 0 && !w.info.Draining && w.closing == "" &&
 		!s.operations.Evacuated[w.info.DataCentre] && !w.health.suspect(s.now)
 }
 
@@ -124,6 +125,9 @@
 }
 
 func (s *Scheduler) register(i beryllatch.WorkerInfo) {
+	if over, ok := s.over[i.ID]; ok && i.Born <= over {
+		return
+	}
 	w := s.workers[i.ID]
 	if w == nil {
 		w = &worker{info: i, registered: true, since: s.now}
@@ -135,7 +139,7 @@
 		}
 		s.replaceLife(w)
 		s.addWorker(w)
-		s.journal.workers = append(s.journal.workers, w)
+		s.journal.setWorker(i.ID, w.encode())
 		s.emit(Decision{Name: "worker_registered", Worker: i.ID, Detail: i.Pool})
 		s.placeable = true
 		s.holdDue(w)
@@ -153,7 +157,7 @@
 	moved := i.Address != w.info.Address
 	w.info, w.registered = i, true
 	if moved {
-		s.journal.workers = append(s.journal.workers, w)
+		s.journal.setWorker(i.ID, w.encode())
 	}
 	s.placeable = true
 }
@@ -170,8 +174,9 @@
 	}
 }
 
-// endLife writes off a worker that surely runs nothing any more.
+// endLife writes off a worker that surely runs nothing any more; its registration may stay for a while.
 func (s *Scheduler) endLife(w *worker) {
+	s.over[w.info.ID] = w.info.Born
 	s.reborn(w, w.info.Born)
 	w.leaseBound = s.now
 	s.unregister(w)
--- a/internal/node/beryljobs/duty.go
+++ b/internal/node/beryljobs/duty.go
@@ -158,7 +158,7 @@
 		return
 	}
 	h.version = version
-	n.Log.Event("takeover", n.Name, time.Since(n.storeHeard).String())
+	n.Log.Event("takeover", n.Name, n.storeAge().String())
 	n.Metrics.Count("takeovers", 1)
 	n.lead(ctx, h)
 }
