Take a row that a conflict does not name as missing

Cause: the store names present rows only when a condition fails. Ruled out: the pause between retries and the time-out of 700 ms (the loop went on after the store had recovered). Change: rows that the answer lacks count as missing.

--- a/internal/decision/berylscheduler/journal.go
+++ b/internal/decision/berylscheduler/journal.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 	"strconv"
 	"time"
 
@@ -95,6 +96,8 @@
 	change uint64
 	final  bool
 	put    bool
+	// touchesJob and touchesProgress tell which rows the transaction has a condition for.
+	touchesJob, touchesProgress bool
 }
 
 // changed notes that the rows of a job are behind.
@@ -210,18 +213,21 @@
 	switch {
 	case j.row.expired:
 		remove(tx, ProgressTable, j.ID, j.row.progressVersion)
+		b.touchesProgress = true
 		return b, 0
 	case b.final && j.row.jobVersion > 0:
 		remove(tx, JobsTable, j.ID, j.row.jobVersion)
+		b.touchesJob = true
 	case !b.final && j.row.jobVersion == 0:
 		value := encodeJob(j)
 		put(tx, JobsTable, j.ID, 0, value)
 		size += len(value)
-		b.put = true
+		b.put, b.touchesJob = true, true
 	}
 	if j.row.change > 1 || b.final {
 		value := encodeProgress(j)
 		put(tx, ProgressTable, j.ID, j.row.progressVersion, value)
+		b.touchesProgress = true
 		size += len(value)
 	}
 	return b, size
@@ -320,40 +326,35 @@
 	j.row.calls = kept
 }
 
-// adoptVersions takes the present versions of rows that an earlier transaction of this epoch has changed after all.
+// adoptVersions takes the present versions of rows that an earlier transaction of this epoch has changed after all. The
+// store names the present rows only: a row that it doesn't name does not exist.
 func (s *Scheduler) adoptVersions(b *batch, rows []beryllatch.DataRow) {
 	type id struct{ table, key string }
 	versions := make(map[id]int64, len(rows))
 	for _, r := range rows {
-		version := r.Version
-		if r.Deleted {
-			version = 0
+		if !r.Deleted {
+			versions[id{r.Table, r.Key}] = r.Version
 		}
-		versions[id{r.Table, r.Key}] = version
 	}
-	if v, ok := versions[id{DutyTable, OwnerKey}]; ok && v != s.OwnerVersion {
+	if versions[id{DutyTable, OwnerKey}] != s.OwnerVersion {
 		s.resign("another node has taken over")
 		return
 	}
 	for _, w := range b.workers {
-		if v, ok := versions[id{WorkersTable, w.row.id}]; ok {
-			w.row.version = v
-		}
+		w.row.version = versions[id{WorkersTable, w.row.id}]
 	}
 	for _, w := range b.waves {
-		if v, ok := versions[id{WavesTable, strconv.Itoa(w.Number)}]; ok {
-			w.rowVersion = v
-		}
+		w.rowVersion = versions[id{WavesTable, strconv.Itoa(w.Number)}]
 	}
 	for _, bj := range b.jobs {
-		if v, ok := versions[id{JobsTable, bj.job.ID}]; ok {
-			bj.job.row.jobVersion = v
+		if bj.touchesJob {
+			bj.job.row.jobVersion = versions[id{JobsTable, bj.job.ID}]
 		}
-		if v, ok := versions[id{ProgressTable, bj.job.ID}]; ok {
-			bj.job.row.progressVersion = v
+		if bj.touchesProgress {
+			bj.job.row.progressVersion = versions[id{ProgressTable, bj.job.ID}]
 		}
 	}
-	s.emit(Decision{Name: "row_versions_adopted", Detail: "an earlier write of unknown outcome was applied"})
+	s.emit(Decision{Name: "row_versions_adopted", Detail: fmt.Sprintf("%d rows, %d present", len(b.jobs)+len(b.workers), len(rows))})
 }
 
 // commitFailed refuses the jobs that surely were not stored; those of unknown outcome stay.
--- a/internal/decision/berylscheduler/journal_test.go
+++ b/internal/decision/berylscheduler/journal_test.go
@@ -20,6 +20,10 @@
 		if r.Table == DutyTable {
 			version = r.Version
 		}
+		if version == 0 {
+			// The store names present rows only.
+			continue
+		}
 		out = append(out, beryllatch.DataRow{Table: r.Table, Part: r.Part, Key: r.Key, Version: version})
 	}
 	w.apply(Committed{Err: &beryllatch.RowConflictError{Rows: out}})
@@ -101,3 +105,29 @@
 	w.pass(5 * time.Second)
 	assert.Equal(t, len(w.starts), 0)
 }
+
+// The transaction that ends a job deletes its row; if its answer is lost, the store no longer names that row.
+func TestLostAnswerToTheEndOfAJob(t *testing.T) {
+	w := newWorld(t)
+	w.register("a")
+	w.accept(oneTask("0000000000000001"))
+	start := w.confirm()[0]
+	w.pass(time.Second)
+	w.answerHolds(map[string]beryllatch.WorkerLists{"a": {Finished: []beryllatch.FinishedEntry{
+		{Number: 1, Task: start.Order.Task, Run: start.Order.Run, End: beryllatch.RunDone},
+	}}})
+	w.commits = nil
+	w.apply(Committed{Err: &beryllatch.UnknownOutcomeError{}})
+	for range 5 {
+		w.pass(100 * time.Millisecond)
+		if len(w.commits) > 0 {
+			if c := w.commits[0].Transaction; len(c.Deletes) > 0 {
+				w.conflict(map[string]int64{ProgressTable + "/0000000000000001": 160})
+				continue
+			}
+			w.store()
+		}
+	}
+	state, _ := w.s.JobState("0000000000000001")
+	assert.Equal(t, state, beryllatch.JobDone)
+}
