Follow the store's answer times, and take jobs while single answers get lost

Cause: a lost answer cost 700 ms, and new jobs were refused meanwhile; 504 answers followed. Ruled out: a fixed shorter time-out (a store 100 times slower would never be heard). Change: the time-out is six mean answer times, doubled after each miss; new jobs are refused once failures last 0.5 s.

--- a/internal/decision/berylscheduler/fleet.go
+++ b/internal/decision/berylscheduler/fleet.go
@@ -164,7 +164,7 @@
 	if w.done {
 		status = "done"
 	}
-	if w.told == status || w.telling != "" || s.journal.failing {
+	if w.told == status || w.telling != "" || s.journal.away(s.now) {
 		return
 	}
 	w.telling = status
--- a/internal/decision/berylscheduler/journal.go
+++ b/internal/decision/berylscheduler/journal.go
@@ -28,6 +28,8 @@
 	maxBatchBytes = 500 << 10
 	// commitRetry is the pause after a failed transaction.
 	commitRetry = 150 * time.Millisecond
+	// lostGrace is how long new jobs are still taken while the store's answers get lost: the next try may succeed.
+	lostGrace = 500 * time.Millisecond
 	// conflictRetry is the pause after a transaction whose row versions were outdated.
 	conflictRetry = 20 * time.Millisecond
 	// outageRetry is when callers may come back that the store's outage has turned away.
@@ -66,6 +68,8 @@
 	batch *batch
 	// failing is true from a failed transaction to the next success.
 	failing bool
+	// since is when the present run of failures began.
+	since   time.Time
 	retryAt time.Time
 }
 
@@ -100,6 +104,9 @@
 	touchesJob, touchesProgress bool
 }
 
+// away reports whether the store has failed for longer than single lost answers explain.
+func (n *journal) away(now time.Time) bool { return n.failing && now.Sub(n.since) >= lostGrace }
+
 // changed notes that the rows of a job are behind.
 func (s *Scheduler) changed(j *job) {
 	j.row.change++
@@ -361,6 +368,7 @@
 func (s *Scheduler) commitFailed(b *batch, unknown bool) {
 	n := &s.journal
 	if !n.failing {
+		n.since = s.now
 		s.emit(Decision{Name: "store_failing"})
 	}
 	n.failing = true
--- a/internal/decision/berylscheduler/pool.go
+++ b/internal/decision/berylscheduler/pool.go
@@ -52,7 +52,7 @@
 // than its own pool holds, while the instances of the others are idle. Instances that no pool needs go to a standby pool.
 func (s *Scheduler) rebalance() {
 	// A new worker is used once its row is stored, so moves wait while the store fails.
-	if s.deployment == nil || s.unsettledWorkers() || s.journal.failing {
+	if s.deployment == nil || s.unsettledWorkers() || s.journal.away(s.now) {
 		return
 	}
 	pools := s.demands()
--- a/internal/decision/berylscheduler/submit.go
+++ b/internal/decision/berylscheduler/submit.go
@@ -52,7 +52,8 @@
 		}
 	}
 	// The first submission after the pause tries the store again.
-	if s.journal.failing && (s.journal.batch != nil || s.now.Before(s.journal.retryAt)) {
+	n := &s.journal
+	if n.away(s.now) && (n.batch != nil || s.now.Before(n.retryAt)) {
 		return notStored()
 	}
 	if size := len(encodeJob(&job{Job: *j})); s.Limits.RowBytes > 0 && size > s.Limits.RowBytes {
--- /dev/null
+++ b/internal/node/beryljobs/patience.go
@@ -0,0 +1,52 @@
+package beryljobs
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// leastPatience is many times the usual 4 ms of the store.
+	leastPatience = 120 * time.Millisecond
+	// mostPatience covers answers that take 100 times as long as usual.
+	mostPatience = 700 * time.Millisecond
+	// patienceFactor times the mean answer time covers nearly all answers.
+	patienceFactor = 6
+	// patienceRate weighs a new answer time against the mean.
+	patienceRate = 0.2
+)
+
+// patience adapts the time-out of calls to how fast they are answered: short while answers are lost, so that the next try
+// comes soon, and long while all answers are slow. Its zero value is ready for use.
+type patience struct {
+	mu   sync.Mutex
+	mean time.Duration
+	// doubled counts the time-outs in a row.
+	doubled int
+}
+
+// timeout returns the time-out for the next call.
+func (p *patience) timeout() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	d := max(patienceFactor*p.mean, leastPatience) << min(p.doubled, 3)
+	return min(d, mostPatience)
+}
+
+// answered notes the time that an answer has taken.
+func (p *patience) answered(took time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.mean == 0 {
+		p.mean = took
+	}
+	p.mean += time.Duration(patienceRate * float64(took-p.mean))
+	p.doubled = 0
+}
+
+// missed notes a time-out.
+func (p *patience) missed() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.doubled++
+}
--- a/internal/node/beryljobs/session.go
+++ b/internal/node/beryljobs/session.go
@@ -37,6 +37,7 @@
 	calls     map[uint64]chan error
 	lastCall  uint64
 	closed    bool
+	patience  patience
 	// committing counts transactions in flight.
 	committing sync.WaitGroup
 }
@@ -245,8 +246,16 @@
 func (s *session) commit(f berylscheduler.CommitRows) {
 	defer s.committing.Done()
 	sent := time.Now()
-	version, err := s.node.Store.Commit(s.ctx, f.Transaction)
-	if err == nil {
+	ctx, cancel := context.WithTimeout(s.ctx, s.patience.timeout())
+	defer cancel()
+	version, err := s.node.Store.Commit(ctx, f.Transaction)
+	var unknown *beryllatch.UnknownOutcomeError
+	var unavailable *beryllatch.UnavailableError
+	switch {
+	case errors.As(err, &unknown):
+		s.patience.missed()
+	case !errors.As(err, &unavailable):
+		s.patience.answered(time.Since(sent))
 		s.node.storeAnswered()
 	}
 	s.node.Metrics.Time("store.commit", time.Since(sent))
