Fill workers one after the other, and notice a silent holder of the duty sooner

Change: the fullest worker that has room gets the task; an unregistered worker without a listed instance is over; the last row of a key counts; the holder beats every 0.3 s and is taken to be silent after 0.9 s.

--- a/internal/decision/berylscheduler/journal_test.go
+++ b/internal/decision/berylscheduler/journal_test.go
@@ -131,3 +131,34 @@
 	state, _ := w.s.JobState("0000000000000001")
 	assert.Equal(t, state, beryllatch.JobDone)
 }
+
+// The rows of workers that have left must go: after a takeover each row without a worker would cost a lease.
+func TestRowsOfWorkersThatLeftAreDeleted(t *testing.T) {
+	w := newWorld(t)
+	w.register("a", "b")
+	w.accept(oneTask("0000000000000001"))
+	start := w.confirm()[0]
+	id := start.Worker.ID
+	info := workerInfo(id)
+	info.Draining = true
+	w.apply(RegistryChanged{Workers: []beryllatch.WorkerInfo{info}})
+	w.pass(time.Second)
+	w.answerHolds(map[string]beryllatch.WorkerLists{id: {Finished: []beryllatch.FinishedEntry{
+		{Number: 1, Task: start.Order.Task, Run: start.Order.Run, End: beryllatch.RunDone},
+	}}})
+	w.store()
+	w.pass(time.Second)
+	w.answerHolds(nil)
+	w.apply(RegistryChanged{Removed: []string{id}})
+	deleted := false
+	for range 100 {
+		w.pass(100 * time.Millisecond)
+		for _, c := range w.commits {
+			for _, d := range c.Transaction.Deletes {
+				deleted = deleted || d.Table == WorkersTable && d.Key == id
+			}
+		}
+		w.store()
+	}
+	assert.Assert(t, deleted)
+}
--- a/internal/decision/berylscheduler/place.go
+++ b/internal/decision/berylscheduler/place.go
@@ -186,14 +186,15 @@
 // The costs of a placement, in shares of a task's duration.
 const (
 	failedHereCost = 2.0
-	fullCost       = 0.5
+	// freeCost fills workers one after the other, so that idle instances can move.
+	freeCost = 0.5
 	// companionCost keeps long-running tasks together, so that the other instances can move.
 	companionCost = 0.4
 	// siblingCost keeps tasks of a step apart that must not miss at the same time.
 	siblingCost = 1.0
 )
 
-// cost estimates what a placement costs: distance from the data, a worker that has failed the task, a crowded worker.
+// cost estimates what a placement costs: distance from the data, a worker that has failed the task, an idle instance kept busy.
 func (s *Scheduler) cost(t *task, w *worker) float64 {
 	cost := 0.0
 	if rack := t.step.spec.DataRack; rack != "" && !w.info.HasLabel(rack) {
@@ -209,7 +210,7 @@
 		cost += siblingCost * float64(s.onWorker(t.step, w))
 	}
 	if w.info.Capacity.CPUMilli > 0 {
-		cost += fullCost * float64(w.used.CPUMilli) / float64(w.info.Capacity.CPUMilli)
+		cost += freeCost * float64(w.info.Capacity.CPUMilli-w.used.CPUMilli) / float64(w.info.Capacity.CPUMilli)
 	}
 	return cost
 }
--- a/internal/decision/berylscheduler/worker.go
+++ b/internal/decision/berylscheduler/worker.go
@@ -186,7 +186,11 @@
 func (s *Scheduler) checkLives(asked time.Time) {
 	for _, w := range s.ordered {
 		i, ok := s.fleet.instances[w.info.Instance]
-		if !ok || w.info.Instance == "" || !w.since.Before(asked) {
+		if w.info.Instance == "" || !w.since.Before(asked) {
+			continue
+		}
+		if !ok && w.registered {
+			// It may have joined too late for the list.
 			continue
 		}
 		if i.State != beryllatch.FleetInstanceUp || i.Worker != w.info.ID {
--- a/internal/node/beryljobs/duty.go
+++ b/internal/node/beryljobs/duty.go
@@ -13,18 +13,20 @@
 
 const (
 	// probeInterval is how often a node asks the holder whether it still schedules.
-	probeInterval = 300 * time.Millisecond
+	probeInterval = 250 * time.Millisecond
 	// probeTimeout bounds a probe.
-	probeTimeout = 400 * time.Millisecond
+	probeTimeout = 300 * time.Millisecond
 	// holderStoreAge is for how long the holder may be without the store while this node reaches it: three beats.
 	holderStoreAge = 1300 * time.Millisecond
 	// storeWatch is for how long this node must have reached the store meanwhile, which rules out an outage that has just
 	// ended.
 	storeWatch = 600 * time.Millisecond
 	// beatInterval is how often the holder renews its sign of life at the store.
-	beatInterval = 500 * time.Millisecond
-	// silence is how long the holder's sign of life must not change before another node takes over.
-	silence = 1400 * time.Millisecond
+	beatInterval = 300 * time.Millisecond
+	// silence is how long the holder's sign of life must not change before another node takes over: three beats, and
+	// slowFactor times the time that the store takes to answer.
+	silence    = 900 * time.Millisecond
+	slowFactor = 2
 	// spread keeps nodes from taking over all at once.
 	spread = 120 * time.Millisecond
 	// beatTable holds the holder's sign of life, in a part of its own.
@@ -119,6 +121,7 @@
 		return time.Since(watch.cutSince) >= storeWatch+delay
 	}
 	watch.cutSince = time.Time{}
+	asked := time.Now()
 	beat, err := n.Store.Row(ctx, beatTable, beatTable, berylscheduler.OwnerKey)
 	if err != nil {
 		return false
@@ -127,7 +130,7 @@
 		*watch = silenceWatch{epoch: h.Epoch, version: beat.Version, since: time.Now()}
 		return false
 	}
-	return time.Since(watch.since) >= silence+delay
+	return time.Since(watch.since) >= silence+slowFactor*time.Since(asked)+delay
 }
 
 // spreadOf returns a node's own part of the spread.
--- a/internal/node/beryljobs/session.go
+++ b/internal/node/beryljobs/session.go
@@ -307,13 +307,20 @@
 	}
 }
 
+// applyRegistry applies changed rows, of which the last one of each key counts.
 func (s *session) applyRegistry(rows []beryllatch.DataRow) {
+	last := make(map[string]int, len(rows))
+	for i, r := range rows {
+		last[r.Key] = i
+	}
 	var e berylscheduler.RegistryChanged
 	var present []beryllatch.DataRow
-	for _, r := range rows {
-		if r.Deleted {
+	for i, r := range rows {
+		switch {
+		case last[r.Key] != i:
+		case r.Deleted:
 			e.Removed = append(e.Removed, r.Key)
-		} else {
+		default:
 			present = append(present, r)
 		}
 	}
