Judge a holder only by a probe of its own epoch

Ruled out: processor time (0.19 of a core at most). Change: a probe counts for the epoch that it was made in; nodes with more of a core take over first. Tests run whole nodes on a paused clock with a store and a network in memory; the one for the chain fails without the change.

--- a/internal/node/berylentry/entry.go
+++ b/internal/node/berylentry/entry.go
@@ -95,6 +95,7 @@
 	b := settings.Bounds
 	e.node = &beryljobs.Node{
 		Name: settings.Node, Address: net.JoinHostPort(settings.IP, strconv.Itoa(settings.FirstPort)),
+		CPUShare: settings.CPUShare,
 		Limits: berylscheduler.Limits{
 			MaxLease: b.MaxLease, StopTimeout: b.StopTimeout, JobRetention: b.JobRetention, RemoteFactor: b.RemoteFactor,
 			MoveTime: b.MoveTime, MaintenanceTime: b.MaintenanceTime, NoticeTime: b.NoticeTime, Heartbeat: b.Heartbeat,
--- a/internal/node/beryljobs/duty.go
+++ b/internal/node/beryljobs/duty.go
@@ -28,7 +28,9 @@
 	silence    = 900 * time.Millisecond
 	slowFactor = 2
 	// spread keeps nodes from taking over all at once.
-	spread = 120 * time.Millisecond
+	spread = 60 * time.Millisecond
+	// smallDelay holds back a node without a processor share; one with a whole core waits for nothing.
+	smallDelay = 250 * time.Millisecond
 	// beatTable holds the holder's sign of life, in a part of its own.
 	beatTable = "beat"
 )
@@ -40,6 +42,7 @@
 		if n.stopping.Load() {
 			n.waitWake(ctx, probeInterval)
 		}
+		probed := n.knownEpoch()
 		found := n.probeHolder(ctx)
 		if found == holderWell {
 			watch = silenceWatch{}
@@ -51,6 +54,11 @@
 			n.waitWake(ctx, readRetry)
 			continue
 		}
+		if h.Epoch != probed {
+			// Another node has taken over meanwhile: what the probe has found is about its predecessor.
+			watch = silenceWatch{}
+			continue
+		}
 		if n.stopping.Load() || !n.mayTakeOver(ctx, h, found, &watch) {
 			n.waitWake(ctx, readRetry)
 			continue
@@ -60,6 +68,13 @@
 	}
 }
 
+// knownEpoch returns the epoch of the holder that this node knows.
+func (n *Node) knownEpoch() int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.holder.Epoch
+}
+
 func (n *Node) waitWake(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
@@ -106,7 +121,7 @@
 
 // mayTakeOver reports whether the holder has given up or has surely fallen silent.
 func (n *Node) mayTakeOver(ctx context.Context, h holder, found holderState, watch *silenceWatch) bool {
-	delay := spreadOf(n.Name)
+	delay := n.takeoverDelay()
 	if h.Epoch == 0 || h.Released {
 		return pause(ctx, delay)
 	}
@@ -133,11 +148,12 @@
 	return time.Since(watch.since) >= silence+slowFactor*time.Since(asked)+delay
 }
 
-// spreadOf returns a node's own part of the spread.
-func spreadOf(name string) time.Duration {
+// takeoverDelay orders the nodes: those with more of a core first, each with its own part of the spread.
+func (n *Node) takeoverDelay() time.Duration {
 	h := fnv.New32a()
-	_, _ = h.Write([]byte(name)) // A hash never fails.
-	return time.Duration(h.Sum32()%uint32(spread.Milliseconds())) * time.Millisecond
+	_, _ = h.Write([]byte(n.Name)) // A hash never fails.
+	own := time.Duration(h.Sum32()%uint32(spread.Milliseconds())) * time.Millisecond
+	return own + time.Duration(float64(smallDelay)*max(0, 1-n.CPUShare))
 }
 
 // takeOver claims the duty in a new epoch, and schedules until the epoch ends.
--- /dev/null
+++ b/internal/node/beryljobs/duty_test.go
@@ -0,0 +1,293 @@
+package beryljobs
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/beryllatch/beryllatch"
+	"github.com/beryllatch/beryllatch/internal/common/berylmetrics"
+	"github.com/beryllatch/beryllatch/internal/decision/berylscheduler"
+	"github.com/beryllatch/beryllatch/internal/rpc/berylwire"
+	"gotest.tools/v3/assert"
+)
+
+// memoryStore is a row store in memory; cut nodes get no answer of it.
+type memoryStore struct {
+	mu      sync.Mutex
+	rows    map[string]beryllatch.DataRow
+	version int64
+}
+
+func rowName(table, part, key string) string { return table + "/" + part + "/" + key }
+
+func (m *memoryStore) Commit(_ context.Context, tx beryllatch.RowTransaction) (int64, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, c := range tx.Conditions {
+		if m.rows[rowName(c.Table, c.Part, c.Key)].Version != c.Version {
+			conflict := &beryllatch.RowConflictError{}
+			for _, c := range tx.Conditions {
+				if r, ok := m.rows[rowName(c.Table, c.Part, c.Key)]; ok {
+					conflict.Rows = append(conflict.Rows, r)
+				}
+			}
+			return 0, conflict
+		}
+	}
+	m.version++
+	for _, r := range tx.Puts {
+		r.Version = m.version
+		m.rows[rowName(r.Table, r.Part, r.Key)] = r
+	}
+	for _, r := range tx.Deletes {
+		delete(m.rows, rowName(r.Table, r.Part, r.Key))
+	}
+	return m.version, nil
+}
+
+func (m *memoryStore) Rows(_ context.Context, table, part string) ([]beryllatch.DataRow, int64, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []beryllatch.DataRow
+	for _, r := range m.rows {
+		if r.Table == table && r.Part == part {
+			out = append(out, r)
+		}
+	}
+	return out, m.version, nil
+}
+
+func (m *memoryStore) Row(_ context.Context, table, part, key string) (beryllatch.DataRow, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.rows[rowName(table, part, key)], nil
+}
+
+func (m *memoryStore) Changes(ctx context.Context, _ string, after int64, wait time.Duration) ([]beryllatch.DataRow, int64, error) {
+	pause(ctx, wait)
+	return nil, after, ctx.Err()
+}
+
+// reachable is a node's way to the store, which a test can cut.
+type reachable struct {
+	*memoryStore
+	mu  sync.Mutex
+	cut bool
+}
+
+func (r *reachable) setCut(cut bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cut = cut
+}
+
+func (r *reachable) err() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.cut {
+		return &beryllatch.UnavailableError{Err: fmt.Errorf("cut")}
+	}
+	return nil
+}
+
+func (r *reachable) Commit(ctx context.Context, tx beryllatch.RowTransaction) (int64, error) {
+	if err := r.err(); err != nil {
+		return 0, err
+	}
+	return r.memoryStore.Commit(ctx, tx)
+}
+
+func (r *reachable) Rows(ctx context.Context, table, part string) ([]beryllatch.DataRow, int64, error) {
+	if err := r.err(); err != nil {
+		return nil, 0, err
+	}
+	return r.memoryStore.Rows(ctx, table, part)
+}
+
+func (r *reachable) Row(ctx context.Context, table, part, key string) (beryllatch.DataRow, error) {
+	if err := r.err(); err != nil {
+		return beryllatch.DataRow{}, err
+	}
+	return r.memoryStore.Row(ctx, table, part, key)
+}
+
+func (r *reachable) Changes(ctx context.Context, table string, after int64, wait time.Duration) ([]beryllatch.DataRow, int64, error) {
+	if err := r.err(); err != nil {
+		return nil, 0, err
+	}
+	return r.memoryStore.Changes(ctx, table, after, wait)
+}
+
+// plainView decodes nothing: these tests have neither a configuration nor workers.
+type plainView struct{}
+
+func (plainView) Deployment(beryllatch.DataRow) (*beryllatch.Deployment, error) {
+	return beryllatch.Deployment{}.WithIndex(), nil
+}
+func (plainView) ConfigurationKey() string { return "config" }
+func (plainView) OperationsTable() string  { return "operations" }
+func (plainView) ApplyOperation(o beryllatch.Operations, _ beryllatch.DataRow) (beryllatch.Operations, error) {
+	return o, nil
+}
+func (plainView) WorkersTable() string { return "workers" }
+func (plainView) Worker(beryllatch.DataRow) (beryllatch.WorkerInfo, error) {
+	return beryllatch.WorkerInfo{}, nil
+}
+func (plainView) WaveStatus(int, bool) beryllatch.DataRow { return beryllatch.DataRow{} }
+
+// noInstances is a platform without instances.
+type noInstances struct{}
+
+func (noInstances) Instances(context.Context) ([]beryllatch.FleetInstance, error) { return nil, nil }
+func (noInstances) Move(context.Context, string, int64, string, string) error     { return nil }
+func (noInstances) Maintain(context.Context, string, int64, string, int) error    { return nil }
+
+// mesh carries calls between nodes in memory; cut nodes answer nobody.
+type mesh struct {
+	mu       sync.Mutex
+	handlers map[string]http.Handler
+	silent   map[string]bool
+}
+
+func (m *mesh) RoundTrip(r *http.Request) (*http.Response, error) {
+	m.mu.Lock()
+	h, silent := m.handlers[r.URL.Host], m.silent[r.URL.Host]
+	m.mu.Unlock()
+	if silent {
+		<-r.Context().Done()
+		return nil, r.Context().Err()
+	}
+	w := newRecorder()
+	h.ServeHTTP(w, r)
+	return w.response(r), nil
+}
+
+// cluster is a set of nodes on one store.
+type cluster struct {
+	store *memoryStore
+	mesh  *mesh
+	nodes []*Node
+	ways  []*reachable
+}
+
+func newCluster(ctx context.Context, wg *sync.WaitGroup, n int) *cluster {
+	c := &cluster{
+		store: &memoryStore{rows: make(map[string]beryllatch.DataRow)},
+		mesh:  &mesh{handlers: make(map[string]http.Handler), silent: make(map[string]bool)},
+	}
+	for i := range n {
+		way := &reachable{memoryStore: c.store}
+		node := &Node{
+			Name: fmt.Sprintf("n%d", i), Address: fmt.Sprintf("n%d", i), CPUShare: 0.4, Store: way, View: plainView{},
+			Instances: noInstances{}, Peers: &http.Client{Transport: c.mesh}, Log: &DecisionLog{}, Metrics: berylmetrics.New(),
+			Limits: berylscheduler.Limits{MaxLease: 10 * time.Second, StopTimeout: 200 * time.Millisecond},
+		}
+		c.mesh.handlers[node.Address] = berylwire.NewJobsServer(Server{Node: node})
+		c.nodes = append(c.nodes, node)
+		c.ways = append(c.ways, way)
+		wg.Go(func() { node.Run(ctx) })
+	}
+	return c
+}
+
+// holders returns the nodes that schedule.
+func (c *cluster) holders() []int {
+	var out []int
+	for i, n := range c.nodes {
+		if n.local() != nil {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+func (c *cluster) epoch() int64 {
+	var epoch int64
+	for _, n := range c.nodes {
+		epoch = max(epoch, n.knownEpoch())
+	}
+	return epoch
+}
+
+func testCluster(t *testing.T, nodes int, f func(c *cluster)) {
+	t.Helper()
+	synctest.Test(t, func(*testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		var wg sync.WaitGroup
+		c := newCluster(ctx, &wg, nodes)
+		time.Sleep(2 * time.Second)
+		f(c)
+		cancel()
+		wg.Wait()
+	})
+}
+
+func TestOneNodeSchedules(t *testing.T) {
+	testCluster(t, 8, func(c *cluster) {
+		assert.Equal(t, len(c.holders()), 1)
+		time.Sleep(time.Minute)
+		assert.Equal(t, len(c.holders()), 1)
+		assert.Equal(t, c.epoch(), int64(1), "nobody takes over from a holder that is well")
+	})
+}
+
+// When the holder alone loses the store, exactly one other node takes over: a chain of takeovers would stop all work.
+func TestOneTakeoverFromACutHolder(t *testing.T) {
+	testCluster(t, 16, func(c *cluster) {
+		first := c.holders()[0]
+		c.ways[first].setCut(true)
+		time.Sleep(4 * time.Second)
+		assert.Equal(t, c.epoch(), int64(2))
+		var others []int
+		for _, i := range c.holders() {
+			if i != first {
+				others = append(others, i)
+			}
+		}
+		assert.Equal(t, len(others), 1)
+	})
+}
+
+// An outage of the store for all nodes changes no holder, neither meanwhile nor at its end.
+func TestOutageOfTheStoreKeepsTheHolder(t *testing.T) {
+	testCluster(t, 8, func(c *cluster) {
+		for _, w := range c.ways {
+			w.setCut(true)
+		}
+		time.Sleep(20 * time.Second)
+		for _, w := range c.ways {
+			w.setCut(false)
+		}
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, c.epoch(), int64(1))
+	})
+}
+
+// A silent holder is replaced within three seconds, by one node.
+func TestTakeoverFromASilentHolder(t *testing.T) {
+	testCluster(t, 8, func(c *cluster) {
+		first := c.holders()[0]
+		c.mesh.mu.Lock()
+		c.mesh.silent[c.nodes[first].Address] = true
+		c.mesh.mu.Unlock()
+		c.ways[first].setCut(true)
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, c.epoch(), int64(2))
+	})
+}
+
+// A node that stops gives the duty up, so that another one takes over at once.
+func TestStoppingNodeHandsOver(t *testing.T) {
+	testCluster(t, 8, func(c *cluster) {
+		first := c.holders()[0]
+		c.nodes[first].Stop()
+		time.Sleep(time.Second)
+		assert.Equal(t, c.epoch(), int64(2))
+		assert.Assert(t, len(c.holders()) == 1 && c.holders()[0] != first)
+	})
+}
--- a/internal/node/beryljobs/node.go
+++ b/internal/node/beryljobs/node.go
@@ -20,7 +20,9 @@
 type Node struct {
 	Name string
 	// Address is where the other nodes reach this one.
-	Address   string
+	Address string
+	// CPUShare is the part of a core that the node may use; nodes with more take the duty over sooner.
+	CPUShare  float64
 	Limits    berylscheduler.Limits
 	Store     beryllatch.RowStore
 	View      beryllatch.FleetView
