Keep the row of an ended job until its last run has ended

Change: rows go with the last run; a run that nobody can name takes the whole worker; the first holds of an epoch go out at once.

--- a/internal/decision/berylscheduler/job.go
+++ b/internal/decision/berylscheduler/job.go
@@ -21,6 +21,8 @@
 	// opened counts the occurrences that have become due.
 	opened int
 	begun  bool
+	// running counts the runs in the books, also those that are being stopped.
+	running int
 
 	row storedJob
 }
@@ -202,6 +204,7 @@
 	}
 	s.removeActive(j)
 	s.finished = append(s.finished, j)
+	s.lingering = append(s.lingering, j)
 	s.emit(Decision{Name: "job_" + string(state), Job: j.ID, Detail: detail, Age: s.now.Sub(j.Accepted)})
 }
 
@@ -276,3 +279,17 @@
 
 // retentionMargin keeps a finished job's state readable for callers that count from their last look.
 const retentionMargin = 10 * time.Second
+
+// dropRows deletes the rows of final jobs that run nothing any more. Until then a node that takes over needs them, to know
+// what the runs that it finds take.
+func (s *Scheduler) dropRows() {
+	s.lingering = slices.DeleteFunc(s.lingering, func(j *job) bool {
+		if j.running > 0 || !j.row.final || !s.settled(j, j.pool) {
+			return false
+		}
+		if j.row.jobVersion > 0 {
+			s.changed(j)
+		}
+		return true
+	})
+}
--- a/internal/decision/berylscheduler/journal.go
+++ b/internal/decision/berylscheduler/journal.go
@@ -100,6 +100,8 @@
 	change uint64
 	final  bool
 	put    bool
+	// drop is true for the deletion of the job's own row.
+	drop bool
 	// touchesJob and touchesProgress tell which rows the transaction has a condition for.
 	touchesJob, touchesProgress bool
 }
@@ -222,7 +224,8 @@
 		remove(tx, ProgressTable, j.ID, j.row.progressVersion)
 		b.touchesProgress = true
 		return b, 0
-	case b.final && j.row.jobVersion > 0:
+	case b.final && j.row.jobVersion > 0 && j.running == 0 && j.row.final:
+		b.drop = true
 		remove(tx, JobsTable, j.ID, j.row.jobVersion)
 		b.touchesJob = true
 	case !b.final && j.row.jobVersion == 0:
@@ -299,7 +302,9 @@
 			continue
 		case bj.final:
 			j.row.final = true
-			j.row.jobVersion = 0
+			if bj.drop {
+				j.row.jobVersion = 0
+			}
 		case bj.put:
 			j.row.jobVersion = version
 		}
--- a/internal/decision/berylscheduler/recover.go
+++ b/internal/decision/berylscheduler/recover.go
@@ -30,10 +30,15 @@
 	for _, j := range s.jobs {
 		if j.state.Final() {
 			s.finished = append(s.finished, j)
+			if j.row.jobVersion > 0 {
+				s.lingering = append(s.lingering, j)
+			}
 		} else {
 			s.active = append(s.active, j)
 		}
 	}
+	byID := func(a, b *job) int { return strings.Compare(a.ID, b.ID) }
+	slices.SortFunc(s.lingering, byID)
 	slices.SortFunc(s.finished, func(a, b *job) int {
 		return firstNonZero(a.ended.Compare(b.ended), strings.Compare(a.ID, b.ID))
 	})
--- a/internal/decision/berylscheduler/run.go
+++ b/internal/decision/berylscheduler/run.go
@@ -84,6 +84,10 @@
 		t.lastRun = max(t.lastRun, id.n)
 		t.step.lastRun = max(t.step.lastRun, id.n)
 		t.step.job.begun = true
+		t.step.job.running++
+	} else {
+		// Nobody knows what the run takes: the worker gets nothing else until it has ended.
+		r.booked = w.info.Capacity
 	}
 	if w.runs == nil {
 		w.runs = make(map[runID]*run)
@@ -110,6 +114,7 @@
 	if t == nil {
 		return
 	}
+	t.step.job.running--
 	t.runs = slices.DeleteFunc(t.runs, func(o *run) bool { return o == r })
 	if len(t.runs) == 0 && !t.done {
 		t.step.waiting++
@@ -320,12 +325,7 @@
 func (s *Scheduler) adopt(w *worker, id runID) *run {
 	t := s.find(id.task)
 	wanted := t != nil && !t.done && !t.step.job.state.Final() && (len(t.runs) == 0 || t.step.spec.Speculative)
-	var r *run
-	if t != nil && !t.done {
-		r = s.book(w, t, id)
-	} else {
-		r = s.book(w, nil, id)
-	}
+	r := s.book(w, t, id)
 	s.emit(Decision{Name: "run_adopted", Task: id.task, Worker: w.info.ID, Run: id.n})
 	if !wanted {
 		s.stop(r, "run is not wanted")
--- a/internal/decision/berylscheduler/scheduler.go
+++ b/internal/decision/berylscheduler/scheduler.go
@@ -53,6 +53,8 @@
 	active []*job
 	// finished holds the final jobs in the order of their ends.
 	finished []*job
+	// lingering holds the final jobs whose own rows are still stored.
+	lingering []*job
 
 	workers map[string]*worker
 	// ordered holds the workers by ID, since the order of a map differs between runs.
@@ -159,6 +161,7 @@
 	for _, j := range s.active {
 		s.openOccurrences(j)
 	}
+	s.dropRows()
 	s.expireJobs()
 	s.tickFleet()
 	s.expireAdvice()
--- a/internal/decision/berylscheduler/worker.go
+++ b/internal/decision/berylscheduler/worker.go
@@ -102,6 +102,9 @@
 	for _, i := range workers {
 		s.register(i)
 	}
+	for _, w := range s.ordered {
+		s.holdDue(w)
+	}
 }
 
 func (s *Scheduler) changeRegistry(e RegistryChanged) {
