Schedule on large machines, and let order time-outs follow answer times

Change: nodes tell their share of a core with their probes; larger ones take over first, and a small holder hands over after 4 s; its successor gives instances no order for the hand-over pause. Orders time out after six mean answer times.

--- a/internal/decision/berylscheduler/fleet.go
+++ b/internal/decision/berylscheduler/fleet.go
@@ -146,7 +146,7 @@
 		f.listing, f.asked = true, s.now
 		s.emit(ListInstances{})
 	}
-	if f.listed.IsZero() {
+	if f.listed.IsZero() || s.now.Sub(s.began) < s.QuietInstances {
 		return
 	}
 	s.advanceOrders()
--- a/internal/decision/berylscheduler/scheduler.go
+++ b/internal/decision/berylscheduler/scheduler.go
@@ -19,7 +19,9 @@
 
 // Limits are the deployment's figures that the scheduler keeps to.
 type Limits struct {
-	MaxLease        time.Duration
+	MaxLease time.Duration
+	// HandoverPause is the least time between orders for an instance of two holders that are both in touch.
+	HandoverPause   time.Duration
 	StopTimeout     time.Duration
 	JobRetention    time.Duration
 	RemoteFactor    float64
@@ -41,6 +43,8 @@
 	// OwnerVersion is the version of the row that makes the node the scheduling one; each transaction requires it.
 	OwnerVersion int64
 	Limits       Limits
+	// QuietInstances is how long no instance gets an order, since the predecessor may still be in touch.
+	QuietInstances time.Duration
 
 	now        time.Time
 	began      time.Time
--- a/internal/node/berylentry/entry.go
+++ b/internal/node/berylentry/entry.go
@@ -97,7 +97,7 @@
 		Name: settings.Node, Address: net.JoinHostPort(settings.IP, strconv.Itoa(settings.FirstPort)),
 		CPUShare: settings.CPUShare,
 		Limits: berylscheduler.Limits{
-			MaxLease: b.MaxLease, StopTimeout: b.StopTimeout, JobRetention: b.JobRetention, RemoteFactor: b.RemoteFactor,
+			MaxLease: b.MaxLease, HandoverPause: b.HandoverPause, StopTimeout: b.StopTimeout, JobRetention: b.JobRetention, RemoteFactor: b.RemoteFactor,
 			MoveTime: b.MoveTime, MaintenanceTime: b.MaintenanceTime, NoticeTime: b.NoticeTime, Heartbeat: b.Heartbeat,
 			GangTimeout: b.GangTimeout, InstanceCallsPerSecond: settings.InstanceCallsPerSecond, RowBytes: settings.RowBytes,
 		},
--- a/internal/node/beryljobs/duty.go
+++ b/internal/node/beryljobs/duty.go
@@ -5,10 +5,13 @@
 	"encoding/json"
 	"errors"
 	"hash/fnv"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/beryllatch/beryllatch"
 	"github.com/beryllatch/beryllatch/internal/decision/berylscheduler"
+	"github.com/beryllatch/beryllatch/internal/rpc/berylwire"
 )
 
 const (
@@ -29,8 +32,16 @@
 	slowFactor = 2
 	// spread keeps nodes from taking over all at once.
 	spread = 60 * time.Millisecond
-	// smallDelay holds back a node without a processor share; one with a whole core waits for nothing.
-	smallDelay = 250 * time.Millisecond
+	// smallDelay holds nodes back while others have more of a core: longer than the others take to notice.
+	smallDelay = 350 * time.Millisecond
+	// heirDelay keeps a released duty for the node that is named to take it.
+	heirDelay = 800 * time.Millisecond
+	// shareFactor is by how much more of a core makes a node the better one to schedule.
+	shareFactor = 1.5
+	// handBackAfter is the least time before a node hands the duty to a larger one.
+	handBackAfter = 4 * time.Second
+	// peerAge is how long the holder remembers a node that no longer probes it.
+	peerAge = 2 * time.Second
 	// beatTable holds the holder's sign of life, in a part of its own.
 	beatTable = "beat"
 )
@@ -123,6 +134,12 @@
 func (n *Node) mayTakeOver(ctx context.Context, h holder, found holderState, watch *silenceWatch) bool {
 	delay := n.takeoverDelay()
 	if h.Epoch == 0 || h.Released {
+		if h.Heir == n.Name {
+			return true
+		}
+		if h.Heir != "" {
+			delay += heirDelay
+		}
 		return pause(ctx, delay)
 	}
 	if h.Node == n.Name && h.Incarnation != n.incarnation {
@@ -148,17 +165,64 @@
 	return time.Since(watch.since) >= silence+slowFactor*time.Since(asked)+delay
 }
 
-// takeoverDelay orders the nodes: those with more of a core first, each with its own part of the spread.
+// takeoverDelay lets nodes with more of a core go first, each with its own part of the spread.
 func (n *Node) takeoverDelay() time.Duration {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(n.Name)) // A hash never fails.
-	own := time.Duration(h.Sum32()%uint32(spread.Milliseconds())) * time.Millisecond
-	return own + time.Duration(float64(smallDelay)*max(0, 1-n.CPUShare))
+	delay := time.Duration(h.Sum32()%uint32(spread.Milliseconds())) * time.Millisecond
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.larger > 0 {
+		delay += smallDelay
+	}
+	return delay
+}
+
+// notePeer remembers a node that probes the holder, and counts those with more of a core that could take over.
+func (n *Node) notePeer(r *berylwire.ProbeRequest) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.peers == nil {
+		n.peers = make(map[string]peer)
+	}
+	n.peers[r.GetNode()] = peer{r.GetCpuShare(), time.Duration(r.GetStoreAgeMs()) * time.Millisecond, time.Now()}
+	larger := 0
+	if n.CPUShare > shareFactor*r.GetCpuShare() {
+		larger++
+	}
+	for name, p := range n.peers {
+		if time.Since(p.at) > peerAge {
+			delete(n.peers, name)
+			continue
+		}
+		if p.cpuShare > shareFactor*r.GetCpuShare() && p.storeAge < staleAfter {
+			larger++
+		}
+	}
+	return larger
+}
+
+// findHeir returns the node with far more of a core than this one that should schedule instead, if there is one and this
+// node has held the duty for long enough.
+func (n *Node) findHeir(began time.Time) string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if time.Since(began) < max(handBackAfter, n.Limits.HandoverPause) {
+		return ""
+	}
+	heir, share := "", shareFactor*n.CPUShare
+	for _, name := range slices.Sorted(maps.Keys(n.peers)) {
+		p := n.peers[name]
+		if time.Since(p.at) <= probeInterval+probeTimeout && p.storeAge < staleAfter && p.cpuShare > share {
+			heir, share = name, p.cpuShare
+		}
+	}
+	return heir
 }
 
 // takeOver claims the duty in a new epoch, and schedules until the epoch ends.
 func (n *Node) takeOver(ctx context.Context, old holder) {
-	h := holder{Node: n.Name, Address: n.Address, Incarnation: n.incarnation, Epoch: old.Epoch + 1}
+	h := holder{Node: n.Name, Address: n.Address, Incarnation: n.incarnation, Epoch: old.Epoch + 1, handed: old.Heir != ""}
 	version, err := n.Store.Commit(ctx, beryllatch.RowTransaction{
 		Conditions: []beryllatch.RowCondition{dutyCondition(old.version)},
 		Puts:       []beryllatch.DataRow{dutyRow(h)},
@@ -203,7 +267,7 @@
 	s, err := n.newSession(ctx, h)
 	if err != nil {
 		n.Log.Event("takeover_failed", n.Name, err.Error())
-		n.release(ctx, h)
+		n.release(ctx, h, "")
 		return
 	}
 	n.mu.Lock()
@@ -220,15 +284,15 @@
 	n.holderHeard = time.Time{}
 	n.mu.Unlock()
 	s.close()
-	if n.stopping.Load() {
-		n.release(context.WithoutCancel(ctx), h)
+	if n.stopping.Load() || s.heir != "" {
+		n.release(context.WithoutCancel(ctx), h, s.heir)
 	}
 }
 
-// release tells the other nodes that the duty is free.
-func (n *Node) release(ctx context.Context, h holder) {
+// release tells the other nodes that the duty is free, and who should take it.
+func (n *Node) release(ctx context.Context, h holder, heir string) {
 	free := h
-	free.Released = true
+	free.Released, free.Heir = true, heir
 	version, err := n.Store.Commit(ctx, beryllatch.RowTransaction{
 		Conditions: []beryllatch.RowCondition{dutyCondition(h.version)},
 		Puts:       []beryllatch.DataRow{dutyRow(free)},
@@ -238,7 +302,7 @@
 		return
 	}
 	free.version = version
-	n.Log.Event("duty_released", n.Name, "")
+	n.Log.Event("duty_released", n.Name, "heir "+heir)
 }
 
 // beat renews the holder's sign of life.
--- a/internal/node/beryljobs/duty_test.go
+++ b/internal/node/beryljobs/duty_test.go
@@ -214,21 +214,23 @@
 	return epoch
 }
 
-func testCluster(t *testing.T, nodes int, f func(c *cluster)) {
+func testCluster(t *testing.T, nodes int, f func(t *testing.T, c *cluster)) {
 	t.Helper()
-	synctest.Test(t, func(*testing.T) {
+	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		var wg sync.WaitGroup
 		c := newCluster(ctx, &wg, nodes)
 		time.Sleep(2 * time.Second)
-		f(c)
-		cancel()
-		wg.Wait()
+		defer func() {
+			cancel()
+			wg.Wait()
+		}()
+		f(t, c)
 	})
 }
 
 func TestOneNodeSchedules(t *testing.T) {
-	testCluster(t, 8, func(c *cluster) {
+	testCluster(t, 8, func(t *testing.T, c *cluster) {
 		assert.Equal(t, len(c.holders()), 1)
 		time.Sleep(time.Minute)
 		assert.Equal(t, len(c.holders()), 1)
@@ -238,7 +240,7 @@
 
 // When the holder alone loses the store, exactly one other node takes over: a chain of takeovers would stop all work.
 func TestOneTakeoverFromACutHolder(t *testing.T) {
-	testCluster(t, 16, func(c *cluster) {
+	testCluster(t, 16, func(t *testing.T, c *cluster) {
 		first := c.holders()[0]
 		c.ways[first].setCut(true)
 		time.Sleep(4 * time.Second)
@@ -255,7 +257,7 @@
 
 // An outage of the store for all nodes changes no holder, neither meanwhile nor at its end.
 func TestOutageOfTheStoreKeepsTheHolder(t *testing.T) {
-	testCluster(t, 8, func(c *cluster) {
+	testCluster(t, 8, func(t *testing.T, c *cluster) {
 		for _, w := range c.ways {
 			w.setCut(true)
 		}
@@ -270,7 +272,7 @@
 
 // A silent holder is replaced within three seconds, by one node.
 func TestTakeoverFromASilentHolder(t *testing.T) {
-	testCluster(t, 8, func(c *cluster) {
+	testCluster(t, 8, func(t *testing.T, c *cluster) {
 		first := c.holders()[0]
 		c.mesh.mu.Lock()
 		c.mesh.silent[c.nodes[first].Address] = true
@@ -283,7 +285,7 @@
 
 // A node that stops gives the duty up, so that another one takes over at once.
 func TestStoppingNodeHandsOver(t *testing.T) {
-	testCluster(t, 8, func(c *cluster) {
+	testCluster(t, 8, func(t *testing.T, c *cluster) {
 		first := c.holders()[0]
 		c.nodes[first].Stop()
 		time.Sleep(time.Second)
@@ -291,3 +293,15 @@
 		assert.Assert(t, len(c.holders()) == 1 && c.holders()[0] != first)
 	})
 }
+
+// Small machines cannot carry the scheduling of a large deployment: one that has taken the duty hands it to a larger one.
+func TestSmallNodeHandsTheDutyToALargerOne(t *testing.T) {
+	testCluster(t, 6, func(t *testing.T, c *cluster) {
+		first := c.holders()[0]
+		large := (first + 1) % len(c.nodes)
+		c.nodes[large].CPUShare = 0.8
+		time.Sleep(10 * time.Second)
+		assert.DeepEqual(t, c.holders(), []int{large})
+		assert.Equal(t, c.epoch(), int64(2))
+	})
+}
--- a/internal/node/beryljobs/node.go
+++ b/internal/node/beryljobs/node.go
@@ -45,7 +45,10 @@
 	// holderHeard is when the scheduling node last confirmed this node's configuration.
 	holderHeard time.Time
 	holder      holder
-	session     *session
+	// larger is how many nodes with more of a core the holder last knew.
+	larger  int
+	peers   map[string]peer
+	session *session
 	// wake makes the duty loop look at once.
 	wake chan struct{}
 }
@@ -58,7 +61,18 @@
 	Epoch       int64  `json:"epoch"`
 	// Released is true once the holder has given the duty up.
 	Released bool `json:"released,omitempty"`
-	version  int64
+	// Heir is the node that should take a released duty.
+	Heir    string `json:"heir,omitempty"`
+	version int64
+	// handed is true if the predecessor has handed the duty over and goes on running.
+	handed bool
+}
+
+// peer is what the holder knows of a node that probes it.
+type peer struct {
+	cpuShare float64
+	storeAge time.Duration
+	at       time.Time
 }
 
 // Run takes part in the deployment until ctx is cancelled.
--- a/internal/node/beryljobs/patience.go
+++ b/internal/node/beryljobs/patience.go
@@ -6,10 +6,13 @@
 )
 
 const (
-	// leastPatience is many times the usual 4 ms of the store.
-	leastPatience = 120 * time.Millisecond
-	// mostPatience covers answers that take 100 times as long as usual.
-	mostPatience = 700 * time.Millisecond
+	// leastStorePatience is many times the usual 4 ms of the store; mostStorePatience covers answers 100 times slower.
+	leastStorePatience = 120 * time.Millisecond
+	mostStorePatience  = 700 * time.Millisecond
+	// leastOrderPatience is many times the round trip and the handling of an order; mostOrderPatience covers a node that is
+	// short of processor time, below a third of the lease.
+	leastOrderPatience = 350 * time.Millisecond
+	mostOrderPatience  = 1400 * time.Millisecond
 	// patienceFactor times the mean answer time covers nearly all answers.
 	patienceFactor = 6
 	// patienceRate weighs a new answer time against the mean.
@@ -17,8 +20,10 @@
 )
 
 // patience adapts the time-out of calls to how fast they are answered: short while answers are lost, so that the next try
-// comes soon, and long while all answers are slow. Its zero value is ready for use.
+// comes soon, and long while all answers are slow.
 type patience struct {
+	least, most time.Duration
+
 	mu   sync.Mutex
 	mean time.Duration
 	// doubled counts the time-outs in a row.
@@ -29,8 +34,8 @@
 func (p *patience) timeout() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	d := max(patienceFactor*p.mean, leastPatience) << min(p.doubled, 3)
-	return min(d, mostPatience)
+	d := max(patienceFactor*p.mean, p.least) << min(p.doubled, 3)
+	return min(d, p.most)
 }
 
 // answered notes the time that an answer has taken.
--- a/internal/node/beryljobs/remote.go
+++ b/internal/node/beryljobs/remote.go
@@ -118,7 +118,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	r, err := n.client(h).Probe(ctx, &berylwire.ProbeRequest{Node: n.Name, ConfigVersion: n.configVersion()})
+	r, err := n.client(h).Probe(ctx, &berylwire.ProbeRequest{
+		Node: n.Name, ConfigVersion: n.configVersion(), CpuShare: n.CPUShare, StoreAgeMs: n.storeAge().Milliseconds(),
+	})
 	if err != nil || r.GetEpoch() < h.Epoch {
 		return holderSilent
 	}
@@ -128,6 +130,7 @@
 	age := time.Duration(r.GetStoreAgeMs()) * time.Millisecond
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.larger = int(r.GetLargerNodes())
 	if age < staleAfter {
 		n.holderHeard = time.Now()
 	}
@@ -246,6 +249,7 @@
 	out := &berylwire.ProbeResponse{ConfigVersion: n.configVersion(), StoreAgeMs: n.storeAge().Milliseconds()}
 	if s := n.local(); s != nil {
 		out.Epoch = s.holder.Epoch
+		out.LargerNodes = int32(n.notePeer(r))
 	}
 	if row := n.configRow.Load(); row != nil && r.GetConfigVersion() < out.GetConfigVersion() {
 		out.Config = row.Value
--- a/internal/node/beryljobs/session.go
+++ b/internal/node/beryljobs/session.go
@@ -17,8 +17,6 @@
 	registryPause = 150 * time.Millisecond
 	// registryWait bounds how long the registry's feed may be silent.
 	registryWait = time.Second
-	// orderTimeout is many times the round trip and the handling of an order.
-	orderTimeout = 350 * time.Millisecond
 	// holdMargin is added to the time that a worker may delay its answer to a hold.
 	holdMargin = 500 * time.Millisecond
 	// flushTimeout bounds the last transaction of an epoch.
@@ -29,6 +27,7 @@
 type session struct {
 	node   *Node
 	holder holder
+	began  time.Time
 	ctx    context.Context
 	end    context.CancelFunc
 
@@ -37,7 +36,10 @@
 	calls     map[uint64]chan error
 	lastCall  uint64
 	closed    bool
-	patience  patience
+	// storePatience and orderPatience give the time-outs of transactions and of orders.
+	storePatience, orderPatience patience
+	// heir is the node that the duty is handed to.
+	heir string
 	// committing counts transactions in flight.
 	committing sync.WaitGroup
 }
@@ -45,8 +47,15 @@
 // newSession reads what earlier epochs have stored.
 func (n *Node) newSession(ctx context.Context, h holder) (*session, error) {
 	ctx, end := context.WithCancel(ctx)
-	s := &session{node: n, holder: h, ctx: ctx, end: end, calls: make(map[uint64]chan error)}
+	s := &session{
+		node: n, holder: h, began: time.Now(), ctx: ctx, end: end, calls: make(map[uint64]chan error),
+		storePatience: patience{least: leastStorePatience, most: mostStorePatience},
+		orderPatience: patience{least: leastOrderPatience, most: mostOrderPatience},
+	}
 	s.scheduler = berylscheduler.Scheduler{Epoch: h.Epoch, OwnerVersion: h.version, Limits: n.Limits}
+	if h.handed {
+		s.scheduler.QuietInstances = n.Limits.HandoverPause
+	}
 	var e berylscheduler.Recovered
 	var registry []beryllatch.WorkerInfo
 	for _, read := range []func() error{
@@ -107,6 +116,9 @@
 		case <-s.ctx.Done():
 		case <-ticker.C:
 			s.apply(berylscheduler.Ticked{})
+			if s.heir = s.node.findHeir(s.began); s.heir != "" {
+				s.end()
+			}
 		case <-s.node.wake:
 		}
 	}
@@ -210,33 +222,49 @@
 	}
 }
 
-func (s *session) start(f berylscheduler.StartRun) {
-	ctx, cancel := context.WithTimeout(s.ctx, orderTimeout)
+// order calls a worker with the time-out of orders.
+func (s *session) order(call func(ctx context.Context) error) error {
+	ctx, cancel := context.WithTimeout(s.ctx, s.orderPatience.timeout())
 	defer cancel()
-	clock, err := s.node.Workers.Start(ctx, f.Worker, f.Order)
-	s.apply(berylscheduler.StartEnded{
-		Worker: f.Worker.ID, Born: f.Born, Task: f.Order.Task, Run: f.Order.Run, Clock: clock, Err: err,
+	sent := time.Now()
+	err := call(ctx)
+	var rejected *beryllatch.OrderRejectedError
+	if err == nil || errors.As(err, &rejected) && rejected.Reason != beryllatch.RejectUnsent {
+		s.orderPatience.answered(time.Since(sent))
+		s.node.Metrics.Time("orders.answer", time.Since(sent))
+	}
+	return err
+}
+
+func (s *session) start(f berylscheduler.StartRun) {
+	e := berylscheduler.StartEnded{Worker: f.Worker.ID, Born: f.Born, Task: f.Order.Task, Run: f.Order.Run}
+	e.Err = s.order(func(ctx context.Context) (err error) {
+		e.Clock, err = s.node.Workers.Start(ctx, f.Worker, f.Order)
+		return err
 	})
+	s.apply(e)
 }
 
 func (s *session) stop(f berylscheduler.StopRun) {
-	ctx, cancel := context.WithTimeout(s.ctx, orderTimeout)
-	defer cancel()
-	_, err := s.node.Workers.Stop(ctx, f.Worker, f.Order)
-	s.apply(berylscheduler.StopEnded{Worker: f.Worker.ID, Born: f.Born, Task: f.Order.Task, Run: f.Order.Run, Err: err})
+	e := berylscheduler.StopEnded{Worker: f.Worker.ID, Born: f.Born, Task: f.Order.Task, Run: f.Order.Run}
+	e.Err = s.order(func(ctx context.Context) error {
+		_, err := s.node.Workers.Stop(ctx, f.Worker, f.Order)
+		return err
+	})
+	s.apply(e)
 }
 
 func (s *session) pace(f berylscheduler.PaceRun) {
-	ctx, cancel := context.WithTimeout(s.ctx, orderTimeout)
-	defer cancel()
-	_, err := s.node.Workers.Pace(ctx, f.Worker, f.Order)
-	s.apply(berylscheduler.PaceEnded{
-		Worker: f.Worker.ID, Born: f.Born, Task: f.Order.Task, Run: f.Order.Run, Percent: f.Order.Percent, Err: err,
+	e := berylscheduler.PaceEnded{Worker: f.Worker.ID, Born: f.Born, Task: f.Order.Task, Run: f.Order.Run, Percent: f.Order.Percent}
+	e.Err = s.order(func(ctx context.Context) error {
+		_, err := s.node.Workers.Pace(ctx, f.Worker, f.Order)
+		return err
 	})
+	s.apply(e)
 }
 
 func (s *session) hold(f berylscheduler.HoldWorker) {
-	ctx, cancel := context.WithTimeout(s.ctx, f.Order.Wait+holdMargin)
+	ctx, cancel := context.WithTimeout(s.ctx, f.Order.Wait+holdMargin+s.orderPatience.timeout()-leastOrderPatience)
 	defer cancel()
 	sent := time.Now()
 	lists, err := s.node.Workers.Hold(ctx, f.Worker, f.Order)
@@ -246,16 +274,16 @@
 func (s *session) commit(f berylscheduler.CommitRows) {
 	defer s.committing.Done()
 	sent := time.Now()
-	ctx, cancel := context.WithTimeout(s.ctx, s.patience.timeout())
+	ctx, cancel := context.WithTimeout(s.ctx, s.storePatience.timeout())
 	defer cancel()
 	version, err := s.node.Store.Commit(ctx, f.Transaction)
 	var unknown *beryllatch.UnknownOutcomeError
 	var unavailable *beryllatch.UnavailableError
 	switch {
 	case errors.As(err, &unknown):
-		s.patience.missed()
+		s.storePatience.missed()
 	case !errors.As(err, &unavailable):
-		s.patience.answered(time.Since(sent))
+		s.storePatience.answered(time.Since(sent))
 		s.node.storeAnswered()
 	}
 	s.node.Metrics.Time("store.commit", time.Since(sent))
