Store acceptances first, with more transactions in flight while the store is slow

Ruled out: larger transactions (100 entries are the store's limit). Change: jobs that callers wait for go first; up to four transactions with disjoint rows while answers take over 40 ms; a node repeats a caller's call while its outcome is open, and waits 1.2 s for a node that schedules.

--- a/internal/decision/berylscheduler/effect.go
+++ b/internal/decision/berylscheduler/effect.go
@@ -37,8 +37,12 @@
 	Order  beryllatch.HoldOrder
 }
 
-// CommitRows stores rows; the scheduler waits for its outcome before the next one.
-type CommitRows struct{ Transaction beryllatch.RowTransaction }
+// CommitRows stores rows.
+type CommitRows struct {
+	// Batch identifies the transaction in its outcome.
+	Batch       uint64
+	Transaction beryllatch.RowTransaction
+}
 
 // AnswerCall ends the wait of a caller; Err is nil, a *beryllatch.Refusal or a *beryllatch.UnknownJobError.
 type AnswerCall struct {
--- a/internal/decision/berylscheduler/event.go
+++ b/internal/decision/berylscheduler/event.go
@@ -86,6 +86,7 @@
 
 // Committed is the outcome of a CommitRows effect.
 type Committed struct {
+	Batch   uint64
 	Version int64
 	Err     error
 }
--- a/internal/decision/berylscheduler/fleet.go
+++ b/internal/decision/berylscheduler/fleet.go
@@ -62,6 +62,9 @@
 	told, telling string
 	rowVersion    int64
 	queued        bool
+	flying        bool
+	// change counts the changes of what the row holds.
+	change int
 }
 
 // waveRow is the stored form of a wave's progress.
@@ -92,6 +95,7 @@
 		return
 	}
 	delete(w.left, instance)
+	w.change++
 	s.journal.markWave(w)
 }
 
--- a/internal/decision/berylscheduler/journal.go
+++ b/internal/decision/berylscheduler/journal.go
@@ -1,6 +1,7 @@
 package berylscheduler
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -26,6 +27,9 @@
 	maxBatchRows = 45
 	// maxBatchBytes keeps a transaction, in base64, under the store's 1 MB.
 	maxBatchBytes = 500 << 10
+	// maxBatches bounds the transactions in flight; slowCommit is when an answer counts as slow.
+	maxBatches = 4
+	slowCommit = 40 * time.Millisecond
 	// commitRetry is the pause after a failed transaction.
 	commitRetry = 150 * time.Millisecond
 	// lostGrace is how long new jobs are still taken while the store's answers get lost: the next try may succeed.
@@ -47,6 +51,8 @@
 	// unsure is true after a transaction of unknown outcome: a job that is not known yet may be stored.
 	unsure bool
 	queued bool
+	// flying is true while a transaction with a row of the job is in flight.
+	flying bool
 	// expired asks to delete what is left of the job.
 	expired bool
 	calls   []waitingCall
@@ -58,14 +64,19 @@
 	change uint64
 }
 
-// journal stores changes in groups, one transaction at a time.
+// journal stores changes in groups. A second transaction is sent beside the first only while the store is slow; no row is
+// in two of them.
 type journal struct {
+	// fresh are jobs that callers wait for; they go before the progress of others.
+	fresh   []*job
 	dirty   []*job
 	workers []*storedWorker
 	waves   []*wave
 	// rows holds the rows of workers by ID; the lives of an ID share one.
-	rows  map[string]*storedWorker
-	batch *batch
+	rows map[string]*storedWorker
+	// batches are the transactions in flight by their number, of which last is the latest.
+	batches map[uint64]*batch
+	last    uint64
 	// failing is true from a failed transaction to the next success.
 	failing bool
 	// since is when the present run of failures began.
@@ -73,11 +84,18 @@
 	retryAt time.Time
 }
 
-// batch is the transaction in flight.
+// batch is a transaction in flight.
 type batch struct {
+	sent    time.Time
 	jobs    []batchJob
 	workers []batchWorker
-	waves   []*wave
+	waves   []waveChange
+}
+
+// waveChange is a wave with the change that a transaction stores.
+type waveChange struct {
+	*wave
+	change int
 }
 
 // storedWorker is the row of a worker that may be used.
@@ -88,6 +106,7 @@
 	// value is what the row should hold; nil deletes it.
 	value  []byte
 	queued bool
+	flying bool
 }
 
 type batchWorker struct {
@@ -116,14 +135,32 @@
 }
 
 func (n *journal) mark(j *job) {
-	if !j.row.queued {
+	switch {
+	case j.row.queued || j.row.flying:
+	case !j.row.known || len(j.row.calls) > 0:
+		j.row.queued = true
+		n.fresh = append(n.fresh, j)
+	default:
 		j.row.queued = true
 		n.dirty = append(n.dirty, j)
 	}
 }
 
+// mayCommit reports whether another transaction may be sent now.
+func (n *journal) mayCommit(now time.Time) bool {
+	if now.Before(n.retryAt) || len(n.batches) >= maxBatches {
+		return false
+	}
+	for _, b := range n.batches {
+		if now.Sub(b.sent) < slowCommit {
+			return false
+		}
+	}
+	return len(n.fresh)+len(n.dirty)+len(n.workers)+len(n.waves) > 0
+}
+
 func (n *journal) markWave(w *wave) {
-	if !w.queued {
+	if !w.queued && !w.flying {
 		w.queued = true
 		n.waves = append(n.waves, w)
 	}
@@ -150,7 +187,7 @@
 }
 
 func (n *journal) markWorker(r *storedWorker) {
-	if !r.queued {
+	if !r.queued && !r.flying {
 		r.queued = true
 		n.workers = append(n.workers, r)
 	}
@@ -159,10 +196,10 @@
 // commit sends the next transaction if none is in flight.
 func (s *Scheduler) commit() {
 	n := &s.journal
-	if s.resigned || n.batch != nil || s.now.Before(n.retryAt) || len(n.dirty)+len(n.workers)+len(n.waves) == 0 {
+	if s.resigned || !n.mayCommit(s.now) {
 		return
 	}
-	b := &batch{}
+	b := &batch{sent: s.now}
 	tx := beryllatch.RowTransaction{Conditions: []beryllatch.RowCondition{
 		{Table: DutyTable, Part: Part, Key: OwnerKey, Version: s.OwnerVersion},
 	}}
@@ -180,6 +217,7 @@
 			delete(n.rows, r.id)
 			continue
 		}
+		r.flying = true
 		b.workers = append(b.workers, batchWorker{r, r.value})
 		rows++
 	}
@@ -188,20 +226,28 @@
 		n.waves = n.waves[1:]
 		w.queued = false
 		put(&tx, WavesTable, strconv.Itoa(w.Number), w.rowVersion, w.encode())
-		b.waves = append(b.waves, w)
+		w.flying = true
+		b.waves = append(b.waves, waveChange{w, w.change})
 		rows++
 	}
-	for len(n.dirty) > 0 && rows+2 <= maxBatchRows && size < maxBatchBytes {
-		j := n.dirty[0]
-		n.dirty = n.dirty[1:]
-		j.row.queued = false
-		bj, bytes := addJob(&tx, j)
-		b.jobs = append(b.jobs, bj)
-		size += bytes
-		rows += 2
+	for _, queue := range []*[]*job{&n.fresh, &n.dirty} {
+		for len(*queue) > 0 && rows+2 <= maxBatchRows && size < maxBatchBytes {
+			j := (*queue)[0]
+			*queue = (*queue)[1:]
+			j.row.queued, j.row.flying = false, true
+			before := len(tx.Conditions)
+			bj, length := addJob(&tx, j)
+			b.jobs = append(b.jobs, bj)
+			size += length
+			rows += len(tx.Conditions) - before
+		}
+	}
+	if n.batches == nil {
+		n.batches = make(map[uint64]*batch)
 	}
-	n.batch = b
-	s.emit(CommitRows{tx})
+	n.last++
+	n.batches[n.last] = b
+	s.emit(CommitRows{Batch: n.last, Transaction: tx})
 }
 
 func put(tx *beryllatch.RowTransaction, table, key string, version int64, value []byte) {
@@ -246,11 +292,20 @@
 // committed takes the outcome of the transaction in flight.
 func (s *Scheduler) committed(e Committed) {
 	n := &s.journal
-	b := n.batch
-	n.batch = nil
+	b := n.batches[e.Batch]
 	if b == nil {
 		return
 	}
+	delete(n.batches, e.Batch)
+	for _, bj := range b.jobs {
+		bj.job.row.flying = false
+	}
+	for _, w := range b.workers {
+		w.row.flying = false
+	}
+	for _, w := range b.waves {
+		w.flying = false
+	}
 	if e.Err == nil {
 		n.failing = false
 		s.stored(b, e.Version)
@@ -271,7 +326,7 @@
 		n.markWorker(w.row)
 	}
 	for _, w := range b.waves {
-		n.markWave(w)
+		n.markWave(w.wave)
 	}
 	for _, bj := range b.jobs {
 		if s.jobs[bj.job.ID] == bj.job {
@@ -289,10 +344,16 @@
 				delete(s.journal.rows, w.row.id)
 			}
 		}
+		if !bytes.Equal(w.row.value, w.value) {
+			s.journal.markWorker(w.row)
+		}
 		s.placeable = true
 	}
 	for _, w := range b.waves {
 		w.rowVersion = version
+		if w.wave.change != w.change {
+			s.journal.markWave(w.wave)
+		}
 	}
 	for _, bj := range b.jobs {
 		j := bj.job
@@ -319,6 +380,9 @@
 		j.row.unsure = false
 		j.row.stored = bj.change
 		s.answerStored(j)
+		if j.row.change != bj.change {
+			s.journal.mark(j)
+		}
 	}
 	for _, w := range s.ordered {
 		s.holdDue(w)
--- a/internal/decision/berylscheduler/journal_test.go
+++ b/internal/decision/berylscheduler/journal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -26,7 +27,7 @@
 		}
 		out = append(out, beryllatch.DataRow{Table: r.Table, Part: r.Part, Key: r.Key, Version: version})
 	}
-	w.apply(Committed{Err: &beryllatch.RowConflictError{Rows: out}})
+	w.apply(Committed{Batch: c.Batch, Err: &beryllatch.RowConflictError{Rows: out}})
 }
 
 // A worker that goes and comes back under its ID before its row is deleted must not appear twice in one transaction: the
@@ -63,8 +64,7 @@
 	w := newWorld(t)
 	w.register("a")
 	w.submit(oneTask("0000000000000001"))
-	w.commits = nil
-	w.apply(Committed{Err: &beryllatch.UnknownOutcomeError{}})
+	w.failCommit(&beryllatch.UnknownOutcomeError{})
 	_, answered := w.answers[w.call]
 	assert.Assert(t, !answered, "the job may be stored")
 	assert.Equal(t, len(w.starts), 0, "a job starts once it is stored")
@@ -81,8 +81,7 @@
 	w := newWorld(t)
 	w.register("a")
 	w.submit(oneTask("0000000000000001"))
-	w.commits = nil
-	w.apply(Committed{Err: &beryllatch.UnavailableError{Err: errors.New("refused")}})
+	w.failCommit(&beryllatch.UnavailableError{Err: errors.New("refused")})
 	var refusal *beryllatch.Refusal
 	assert.Assert(t, errors.As(w.answers[w.call], &refusal))
 	assert.Equal(t, refusal.RunState, beryllatch.RunStateNotRun)
@@ -96,10 +95,9 @@
 	w := newWorld(t)
 	w.register("a")
 	w.submit(oneTask("0000000000000001"))
-	w.commits = nil
-	w.apply(Committed{Err: &beryllatch.RowConflictError{Rows: []beryllatch.DataRow{
+	w.failCommit(&beryllatch.RowConflictError{Rows: []beryllatch.DataRow{
 		{Table: DutyTable, Part: Part, Key: OwnerKey, Version: 99},
-	}}})
+	}})
 	_, resigned := w.others[len(w.others)-1].(Resign)
 	assert.Assert(t, resigned)
 	w.pass(5 * time.Second)
@@ -116,8 +114,7 @@
 	w.answerHolds(map[string]beryllatch.WorkerLists{"a": {Finished: []beryllatch.FinishedEntry{
 		{Number: 1, Task: start.Order.Task, Run: start.Order.Run, End: beryllatch.RunDone},
 	}}})
-	w.commits = nil
-	w.apply(Committed{Err: &beryllatch.UnknownOutcomeError{}})
+	w.failCommit(&beryllatch.UnknownOutcomeError{})
 	for range 5 {
 		w.pass(100 * time.Millisecond)
 		if len(w.commits) > 0 {
@@ -162,3 +159,39 @@
 	}
 	assert.Assert(t, deleted)
 }
+
+// While the store is slow, a burst of ends must not keep callers waiting for the acceptance of their jobs.
+func TestAcceptanceGoesBeforeProgressOnASlowStore(t *testing.T) {
+	w := newWorld(t)
+	w.register("a", "b", "c", "d")
+	jobs := make(map[string]bool)
+	for n := range 60 {
+		j := oneTask(fmt.Sprintf("%016x", n))
+		j.Steps[0].Needs.CPUMilli = 100
+		j.Steps[0].Count = 2
+		w.accept(j)
+		jobs[j.ID] = true
+	}
+	lists := make(map[string]beryllatch.WorkerLists)
+	for n, f := range w.confirm() {
+		l := lists[f.Worker.ID]
+		if f.Order.Task[len(f.Order.Task)-1] == '0' {
+			l.Finished = append(l.Finished, beryllatch.FinishedEntry{Number: int64(n + 1), Task: f.Order.Task, Run: f.Order.Run, End: beryllatch.RunDone})
+		} else {
+			l.Running = append(l.Running, beryllatch.RunningEntry{Task: f.Order.Task, Run: f.Order.Run})
+		}
+		lists[f.Worker.ID] = l
+	}
+	w.pass(100 * time.Millisecond)
+	w.answerHolds(lists)
+	w.submit(oneTask("00000000000000ff"))
+	w.pass(100 * time.Millisecond)
+	assert.Assert(t, len(w.commits) > 1, "a slow store gets more than one transaction")
+	found := false
+	for _, c := range w.commits[:2] {
+		for _, p := range c.Transaction.Puts {
+			found = found || p.Table == JobsTable && p.Key == "00000000000000ff"
+		}
+	}
+	assert.Assert(t, found)
+}
--- a/internal/decision/berylscheduler/lease_test.go
+++ b/internal/decision/berylscheduler/lease_test.go
@@ -83,7 +83,6 @@
 			{Number: int64(n + 1), Task: starts[0].Order.Task, Run: starts[0].Order.Run, End: beryllatch.RunDone},
 		}}})
 		assert.Equal(t, len(w.commits), 1, "one transaction at a time")
-		w.commits = nil
-		w.apply(Committed{Err: &beryllatch.UnknownOutcomeError{Err: context.DeadlineExceeded}})
+		w.failCommit(&beryllatch.UnknownOutcomeError{Err: context.DeadlineExceeded})
 	}
 }
--- a/internal/decision/berylscheduler/submit.go
+++ b/internal/decision/berylscheduler/submit.go
@@ -27,8 +27,9 @@
 	s.active = append(s.active, j)
 	s.openOccurrences(j)
 	s.noteArrival(j)
+	// The wait is entered first: changes that callers wait for are stored before others.
+	s.await(j, e.Call, j.row.change+1)
 	s.changed(j)
-	s.await(j, e.Call, j.row.change)
 }
 
 // await answers the call when the change is stored.
@@ -53,7 +54,7 @@
 	}
 	// The first submission after the pause tries the store again.
 	n := &s.journal
-	if n.away(s.now) && (n.batch != nil || s.now.Before(n.retryAt)) {
+	if n.away(s.now) && (len(n.batches) > 0 || s.now.Before(n.retryAt)) {
 		return notStored()
 	}
 	if size := len(encodeJob(&job{Job: *j})); s.Limits.RowBytes > 0 && size > s.Limits.RowBytes {
@@ -72,8 +73,10 @@
 		s.emit(AnswerCall{e.Call, &beryllatch.UnknownJobError{ID: e.ID}})
 		return
 	}
-	if !j.state.Final() {
-		s.end(j, beryllatch.JobCancelled, "")
+	if j.state.Final() {
+		s.await(j, e.Call, j.row.change)
+		return
 	}
-	s.await(j, e.Call, j.row.change)
+	s.await(j, e.Call, j.row.change+1)
+	s.end(j, beryllatch.JobCancelled, "")
 }
--- a/internal/decision/berylscheduler/takeover_test.go
+++ b/internal/decision/berylscheduler/takeover_test.go
@@ -35,11 +35,11 @@
 func (w *world) storeInto(r rows) {
 	w.t.Helper()
 	for len(w.commits) > 0 {
-		tx := w.commits[0].Transaction
+		tx, batch := w.commits[0].Transaction, w.commits[0].Batch
 		w.commits = w.commits[1:]
 		w.version++
 		r.apply(tx, w.version)
-		w.apply(Committed{Version: w.version})
+		w.apply(Committed{Batch: batch, Version: w.version})
 	}
 }
 
--- a/internal/decision/berylscheduler/world_test.go
+++ b/internal/decision/berylscheduler/world_test.go
@@ -100,12 +100,21 @@
 func (w *world) store() {
 	w.t.Helper()
 	for len(w.commits) > 0 {
+		batch := w.commits[0].Batch
 		w.commits = w.commits[1:]
 		w.version++
-		w.apply(Committed{Version: w.version})
+		w.apply(Committed{Batch: batch, Version: w.version})
 	}
 }
 
+// failCommit answers the first waiting transaction with an error.
+func (w *world) failCommit(err error) {
+	w.t.Helper()
+	batch := w.commits[0].Batch
+	w.commits = w.commits[1:]
+	w.apply(Committed{Batch: batch, Err: err})
+}
+
 func workerInfo(id string) beryllatch.WorkerInfo {
 	return beryllatch.WorkerInfo{
 		ID: id, Born: 1, Instance: "m-" + id, Pool: "p", Address: "10.0.0.1:1", DataCentre: "dc1", Rack: "r1",
--- a/internal/node/beryljobs/service.go
+++ b/internal/node/beryljobs/service.go
@@ -3,18 +3,44 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"time"
 
 	"github.com/beryllatch/beryllatch"
 	"github.com/beryllatch/beryllatch/internal/decision/berylscheduler"
 )
 
-// holderRetry is when callers may come back while no node schedules; a takeover takes up to 2 s.
-const holderRetry = 2 * time.Second
+const (
+	// holderRetry is when callers may come back while no node schedules; a takeover takes up to 2 s.
+	holderRetry = 2 * time.Second
+	// holderWait is how long a call waits for a node that schedules before it is refused.
+	holderWait = 1200 * time.Millisecond
+	// againPause spaces the tries of a call.
+	againPause = 100 * time.Millisecond
+)
 
 func noHolder(detail string) error {
 	return &beryllatch.Refusal{
-		Reason: beryllatch.ReasonPlatformUnavailable, RunState: beryllatch.RunStateNotRun, RetryAfter: holderRetry, Detail: detail,
+		Reason: beryllatch.ReasonNoScheduler, RunState: beryllatch.RunStateNotRun, RetryAfter: holderRetry, Detail: detail,
+	}
+}
+
+// again repeats a call while its outcome is open, or while no node schedules and one is about to take over. A job's ID makes
+// the repeats harmless.
+func (n *Node) again(ctx context.Context, call func() error) error {
+	began := time.Now()
+	for {
+		err := call()
+		var f *beryllatch.Refusal
+		if !errors.As(err, &f) {
+			return err
+		}
+		open := f.RunState == beryllatch.RunStateUnknown
+		waiting := f.Reason == beryllatch.ReasonNoScheduler && time.Since(began) < holderWait
+		if !open && !waiting || !pause(ctx, againPause) {
+			return err
+		}
+		n.Metrics.Count("retried."+string(f.Reason), 1)
 	}
 }
 
@@ -35,7 +61,7 @@
 // Submit implements beryllatch.JobService.
 func (n *Node) Submit(ctx context.Context, j beryllatch.Job) error {
 	start := time.Now()
-	err := n.submit(ctx, j)
+	err := n.again(ctx, func() error { return n.submit(ctx, j) })
 	n.Metrics.Time("calls.submit", time.Since(start))
 	n.Log.Call("submit", j.Queue, j.ID, j.Team, time.Since(start), err)
 	return err
@@ -125,7 +151,7 @@
 // Cancel implements beryllatch.JobService.
 func (n *Node) Cancel(ctx context.Context, queue, id string) error {
 	start := time.Now()
-	err := n.cancel(ctx, queue, id)
+	err := n.again(ctx, func() error { return n.cancel(ctx, queue, id) })
 	n.Metrics.Time("calls.cancel", time.Since(start))
 	n.Log.Call("cancel", queue, id, "", time.Since(start), err)
 	return err
--- a/internal/node/beryljobs/session.go
+++ b/internal/node/beryljobs/session.go
@@ -287,7 +287,7 @@
 		s.node.storeAnswered()
 	}
 	s.node.Metrics.Time("store.commit", time.Since(sent))
-	s.apply(berylscheduler.Committed{Version: version, Err: err})
+	s.apply(berylscheduler.Committed{Batch: f.Batch, Version: version, Err: err})
 }
 
 func (s *session) readRegistry(ctx context.Context) ([]beryllatch.WorkerInfo, error) {
--- a/refusal.go
+++ b/refusal.go
@@ -31,6 +31,7 @@
 	ReasonAnswerNotKept       Reason = "answer_not_kept"
 	ReasonUnknownTask         Reason = "unknown_task"
 	ReasonTaskNotFinished     Reason = "task_not_finished"
+	ReasonNoScheduler         Reason = "no_scheduler"
 )
 
 // Lasting reports whether a repeat of the same call gets the same refusal.
