Gather events before a pass over the waiting tasks, and never call an open try not run

Cause: a pass over all waiting steps followed each event, a log line cost a system call, and each end its own answer: the scheduling node ran out of processor time in bursts of the grown deployments. Change: a pass at most every 5 ms; log lines are written in batches, never blocking; ends of a busy worker are gathered for 40 ms; after an open try only a node that schedules can say "not run".

--- a/cmd/beryljobd/main.go
+++ b/cmd/beryljobd/main.go
@@ -15,12 +15,17 @@
 	var flags berylentry.Flags
 	kong.Parse(&flags, kong.Name("beryljobd"), kong.UsageOnError(),
 		kong.Description("Entry daemon for jobs of the beryllatch fleet capacity and maintenance manager."))
-	logger := &log.Logger{Level: log.InfoLevel, TimeFormat: "2006-01-02T15:04:05.000Z07:00", Writer: log.IOWriter{Writer: os.Stdout}}
+	buffer := &berylentry.LogBuffer{Out: os.Stdout}
+	logger := &log.Logger{Level: log.InfoLevel, TimeFormat: "2006-01-02T15:04:05.000Z07:00", Writer: log.IOWriter{Writer: buffer}}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	entry := berylentry.Entry{Flags: flags, Log: logger}
-	if err := entry.Run(ctx, hangups(ctx)); err != nil {
+	err := entry.Run(ctx, hangups(ctx))
+	if err != nil {
 		logger.Error().Err(err).Msg("start_failed")
+	}
+	buffer.Flush()
+	if err != nil {
 		os.Exit(1) //nolint:gocritic // Nothing is left to clean up.
 	}
 }
--- a/internal/decision/berylscheduler/effect.go
+++ b/internal/decision/berylscheduler/effect.go
@@ -74,6 +74,9 @@
 	Workers []string
 }
 
+// WakeAfter asks for a Woken event.
+type WakeAfter struct{ Wait time.Duration }
+
 // Resign ends the epoch at this node.
 type Resign struct{ Reason string }
 
@@ -99,5 +102,6 @@
 func (MaintainInstance) effect() {}
 func (WriteWaveStatus) effect()  {}
 func (AskAdvice) effect()        {}
+func (WakeAfter) effect()        {}
 func (Resign) effect()           {}
 func (Decision) effect()         {}
--- a/internal/decision/berylscheduler/event.go
+++ b/internal/decision/berylscheduler/event.go
@@ -122,6 +122,9 @@
 // Ticked lets time pass.
 type Ticked struct{}
 
+// Woken is the outcome of a WakeAfter effect.
+type Woken struct{}
+
 func (Recovered) event()          {}
 func (DeploymentChanged) event()  {}
 func (OperationsChanged) event()  {}
@@ -139,3 +142,4 @@
 func (StatusWritten) event()      {}
 func (AdviceReceived) event()     {}
 func (Ticked) event()             {}
+func (Woken) event()              {}
--- a/internal/decision/berylscheduler/scheduler.go
+++ b/internal/decision/berylscheduler/scheduler.go
@@ -15,6 +15,8 @@
 	clockDrift = 0.02
 	// leaseMargin covers the rounding of clocks to milliseconds and late timers.
 	leaseMargin = 150 * time.Millisecond
+	// placeInterval bounds the passes over the waiting tasks; it is short beside the shortest task.
+	placeInterval = 5 * time.Millisecond
 )
 
 // Limits are the deployment's figures that the scheduler keeps to.
@@ -68,10 +70,13 @@
 	teams   map[string]*teamUse
 	learned map[string]*runTime
 
-	journal   journal
-	fleet     fleet
-	advice    map[string]*stepAdvice
+	journal journal
+	fleet   fleet
+	advice  map[string]*stepAdvice
+	// placeable is true when a task may have become placeable since the last pass over them, at placed.
 	placeable bool
+	placed    time.Time
+	waking    bool
 	resigned  bool
 }
 
@@ -90,14 +95,27 @@
 		s.start()
 	}
 	s.apply(e)
-	if s.placeable && s.deployment != nil {
-		s.placeable = false
-		s.place()
-	}
+	s.placeSoon()
 	s.commit()
 	return s.effects
 }
 
+// placeSoon places waiting tasks, at most once in placeInterval: a pass looks at all waiting steps.
+func (s *Scheduler) placeSoon() {
+	if !s.placeable || s.deployment == nil || s.resigned {
+		return
+	}
+	if wait := placeInterval - s.now.Sub(s.placed); wait > 0 {
+		if !s.waking {
+			s.waking = true
+			s.emit(WakeAfter{wait})
+		}
+		return
+	}
+	s.placeable, s.placed = false, s.now
+	s.place()
+}
+
 func (s *Scheduler) start() {
 	s.began = s.now
 	s.jobs = make(map[string]*job)
@@ -148,6 +166,11 @@
 		s.adviceReceived(e)
 	case Ticked:
 		s.tick()
+	case Woken:
+		s.waking = false
+		for _, w := range s.ordered {
+			s.holdDue(w)
+		}
 	}
 }
 
--- a/internal/decision/berylscheduler/worker.go
+++ b/internal/decision/berylscheduler/worker.go
@@ -16,6 +16,8 @@
 	watchWait = 400 * time.Millisecond
 	// outagePause spaces the looks at a worker whose ends cannot be stored.
 	outagePause = 100 * time.Millisecond
+	// endPause gathers the ends on a busy worker into one answer.
+	endPause = 40 * time.Millisecond
 	// holdRetry spaces the attempts to reach a worker that does not answer.
 	holdRetry = 300 * time.Millisecond
 	// registryGrace is how long an entry may take to come back after an outage of the store.
@@ -347,6 +349,10 @@
 		s.placeable = true
 	}
 	w.holdNext = time.Time{}
+	if len(e.Lists.Finished) > 0 && len(e.Lists.Running) > 0 {
+		w.holdNext = s.now.Add(endPause)
+		s.emit(WakeAfter{endPause})
+	}
 	w.setClock(e.Lists.Clock, s.now)
 	if !w.known {
 		w.known = true
--- a/internal/decision/berylscheduler/world_test.go
+++ b/internal/decision/berylscheduler/world_test.go
@@ -22,6 +22,8 @@
 	commits []CommitRows
 	answers map[uint64]error
 	others  []Effect
+	// wake is when the scheduler wants to be woken.
+	wake time.Time
 	// decisions are the names of all decisions.
 	decisions []string
 	call      uint64
@@ -65,7 +67,18 @@
 	}.WithIndex()
 }
 
+// apply applies the event, and lets the short time pass in which the scheduler gathers events.
 func (w *world) apply(e Event) {
+	w.t.Helper()
+	w.applyOne(e)
+	if !w.wake.IsZero() {
+		w.now = w.wake
+		w.wake = time.Time{}
+		w.applyOne(Woken{})
+	}
+}
+
+func (w *world) applyOne(e Event) {
 	w.t.Helper()
 	for _, f := range w.s.Apply(w.now, e) {
 		switch f := f.(type) {
@@ -79,6 +92,8 @@
 			w.commits = append(w.commits, f)
 		case AnswerCall:
 			w.answers[f.Call] = f.Err
+		case WakeAfter:
+			w.wake = w.now.Add(f.Wait)
 		case Decision:
 			w.decisions = append(w.decisions, f.Name)
 		default:
--- a/internal/node/beryljobs/service.go
+++ b/internal/node/beryljobs/service.go
@@ -26,18 +26,29 @@
 }
 
 // again repeats a call while its outcome is open, or while no node schedules and one is about to take over. A job's ID makes
-// the repeats harmless.
+// the repeats harmless. Once a try was open, only a node that schedules can tell that nothing was done.
 func (n *Node) again(ctx context.Context, call func() error) error {
 	began := time.Now()
+	var unsettled error
 	for {
 		err := call()
 		var f *beryllatch.Refusal
 		if !errors.As(err, &f) {
 			return err
 		}
-		open := f.RunState == beryllatch.RunStateUnknown
-		waiting := f.Reason == beryllatch.ReasonNoScheduler && time.Since(began) < holderWait
-		if !open && !waiting || !pause(ctx, againPause) {
+		absent := f.Reason == beryllatch.ReasonNoScheduler
+		if f.RunState == beryllatch.RunStateUnknown {
+			unsettled = err
+		} else if !absent {
+			return err
+		}
+		if unsettled == nil && time.Since(began) >= holderWait {
+			return err
+		}
+		if !pause(ctx, againPause) {
+			if unsettled != nil {
+				return unsettled
+			}
 			return err
 		}
 		n.Metrics.Count("retried."+string(f.Reason), 1)
--- a/internal/node/beryljobs/session.go
+++ b/internal/node/beryljobs/session.go
@@ -213,6 +213,12 @@
 			tickets, valid, err := n.Advisor.Advise(s.ctx, f.Step, f.Workers)
 			s.apply(berylscheduler.AdviceReceived{Step: f.Step, Workers: f.Workers, Tickets: tickets, Valid: valid, Err: err})
 		}()
+	case berylscheduler.WakeAfter:
+		time.AfterFunc(f.Wait, func() {
+			if s.ctx.Err() == nil {
+				s.apply(berylscheduler.Woken{})
+			}
+		})
 	case berylscheduler.Resign:
 		n.Log.Event("resigned", n.Name, f.Reason)
 		s.end()
