--- a/internal/decision/berylscheduler/health.go
+++ b/internal/decision/berylscheduler/health.go
@@ -33,7 +33,8 @@
 			kept = append(kept, f)
 		}
 	}
-	h.failedJobs = append(kept, failedJob{job, now})
+	kept = append(kept, failedJob{job, now})
+	h.failedJobs = kept
 	if len(h.failedJobs) >= suspectFailures {
 		h.until = now.Add(quarantine)
 	}
--- a/internal/decision/berylscheduler/job.go
+++ b/internal/decision/berylscheduler/job.go
@@ -195,7 +195,7 @@
 		for _, st := range o.steps {
 			for _, t := range st.tasks {
 				for _, r := range t.runs {
-					if !(st.spec.Gang && t.done) {
+					if !st.spec.Gang || !t.done {
 						s.stop(r, "job is "+string(state))
 					}
 				}
--- a/internal/decision/berylscheduler/run.go
+++ b/internal/decision/berylscheduler/run.go
@@ -275,14 +275,14 @@
 	}
 	for _, r := range s.runsOf(w) {
 		if !listed[r.id] {
-			s.checkMissing(w, r, e.Sent)
+			s.checkMissing(r, e.Sent)
 		}
 	}
 	s.checkPace(w)
 }
 
 // checkMissing handles a run that a worker does not list, by a look that was sent at the given time.
-func (s *Scheduler) checkMissing(w *worker, r *run, sent time.Time) {
+func (s *Scheduler) checkMissing(r *run, sent time.Time) {
 	switch {
 	case r.phase == runStopping && !r.stopAnswered.IsZero() && sent.After(r.stopAnswered.Add(s.Limits.StopTimeout)):
 		s.release(r)
--- a/internal/node/beryljobs/duty.go
+++ b/internal/node/beryljobs/duty.go
@@ -51,18 +51,18 @@
 	var watch silenceWatch
 	for ctx.Err() == nil {
 		if n.stopping.Load() {
-			n.waitWake(ctx, probeInterval)
+			n.waitWake(ctx)
 		}
 		probed := n.knownEpoch()
 		found := n.probeHolder(ctx)
 		if found == holderWell {
 			watch = silenceWatch{}
-			n.waitWake(ctx, probeInterval)
+			n.waitWake(ctx)
 			continue
 		}
 		h, err := n.readHolder(ctx)
 		if err != nil {
-			n.waitWake(ctx, readRetry)
+			n.waitWake(ctx)
 			continue
 		}
 		if h.Epoch != probed {
@@ -71,7 +71,7 @@
 			continue
 		}
 		if n.stopping.Load() || !n.mayTakeOver(ctx, h, found, &watch) {
-			n.waitWake(ctx, readRetry)
+			n.waitWake(ctx)
 			continue
 		}
 		watch = silenceWatch{}
@@ -86,8 +86,9 @@
 	return n.holder.Epoch
 }
 
-func (n *Node) waitWake(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
+// waitWake waits until the next probe is due, or until it is needed at once.
+func (n *Node) waitWake(ctx context.Context) {
+	t := time.NewTimer(probeInterval)
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
--- a/run.go
+++ b/run.go
@@ -206,12 +206,12 @@
 
 // The reasons of rejected instance orders.
 const (
-	InstanceFenced   InstanceRejection = "fence"
-	InstanceBusy     InstanceRejection = "busy"
+	InstanceFenced    InstanceRejection = "fence"
+	InstanceBusy      InstanceRejection = "busy"
 	InstanceNotInWave InstanceRejection = "not_in_wave"
-	InstanceInvalid  InstanceRejection = "invalid"
-	InstanceLimited  InstanceRejection = "rate_limited"
-	InstanceUnsent   InstanceRejection = "unsent"
+	InstanceInvalid   InstanceRejection = "invalid"
+	InstanceLimited   InstanceRejection = "rate_limited"
+	InstanceUnsent    InstanceRejection = "unsent"
 )
 
 // InstanceRejectedError reports an instance order that surely had no effect.
