Soak real daemons in faults from outside

A stand-in of the platform (row store, workers under leases, instance list) and a soak that kills, pauses and stops daemons, crashes workers, and delays, resets, cuts one way or silences connections through a proxy. It checks double runs, starts after an acknowledged end, capacities, refusals that say not run, and that accepted jobs are done.

--- /dev/null
+++ b/internal/bench/berylsoak/daemon.go
@@ -0,0 +1,107 @@
+package berylsoak
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// The ports of a daemon, on an address of its own.
+const (
+	callersPort   = 18340
+	readinessPort = 18343
+	internalPort  = 17000
+)
+
+// daemon is a process that the soak started.
+type daemon struct {
+	program, dir string
+	ip           string
+	name         string
+	store        *proxy
+	instances    string
+
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	stopped bool
+	done    chan struct{}
+}
+
+func (d *daemon) settings() string {
+	return fmt.Sprintf(`node_name: %q
+ip: %q
+zone: "z1"
+listen: {frontend: "%s:%d", readiness: "%s:%d"}
+internal_ports: [%d, %d]
+heartbeat_ms: 500
+orders: "call"
+limits: {cpu_share: 0.4}
+platform: {address: %q, form: "table", row_bytes: 65536}
+cloud_api: {address: %q, duties_per_s: 64.0}
+bounds: {grace_s: 4, hold_max_ms: 10000, stop_timeout_ms: 200, status_s: 120, lease_ms: 3000, remote_factor: 1.5,
+  notice_ms: 4500, migrate_s: 1.5, maintenance_s: 2, gang_timeout_ms: 3000}
+`, d.name, d.ip, d.ip, callersPort, d.ip, readinessPort, internalPort, internalPort+15, d.store.address(), d.instances)
+}
+
+// start starts the process; a running one stays.
+func (d *daemon) start() error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.cmd != nil || d.stopped {
+		return nil
+	}
+	path := filepath.Join(d.dir, d.name+".yaml")
+	if err := os.WriteFile(path, []byte(d.settings()), 0o600); err != nil {
+		return err
+	}
+	out, err := os.OpenFile(filepath.Join(d.dir, d.name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	cmd := exec.Command(d.program, "--settings="+path) //nolint:noctx // The soak ends it by signals.
+	cmd.Stdout, cmd.Stderr = out, out
+	if err := cmd.Start(); err != nil {
+		_ = out.Close() // Nothing was written.
+		return err
+	}
+	done := make(chan struct{})
+	d.cmd, d.done = cmd, done
+	go func() {
+		_ = cmd.Wait() // Its end by a signal is what the soak wants.
+		_ = out.Close()
+		d.mu.Lock()
+		d.cmd = nil
+		d.mu.Unlock()
+		close(done)
+	}()
+	return nil
+}
+
+// signal sends a signal to the process, if it runs.
+func (d *daemon) signal(s syscall.Signal) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.cmd != nil {
+		_ = d.cmd.Process.Signal(s) // It may have ended meanwhile.
+	}
+}
+
+// end kills the process for good and waits for its end.
+func (d *daemon) end() {
+	d.mu.Lock()
+	d.stopped = true
+	done := d.done
+	d.mu.Unlock()
+	d.signal(syscall.SIGCONT)
+	d.signal(syscall.SIGKILL)
+	if done != nil {
+		select {
+		case <-done:
+		case <-time.After(5 * time.Second):
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/berylfleet/store.go
@@ -0,0 +1,196 @@
+package berylfleet
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// maxPage is the most rows that one answer holds.
+const maxPage = 500
+
+// Row is a row of the store as it is on the wire.
+type Row struct {
+	Table   string `json:"table"`
+	Part    string `json:"part"`
+	Key     string `json:"key"`
+	Value   []byte `json:"value,omitempty"`
+	Ver     int64  `json:"ver"`
+	Deleted bool   `json:"deleted,omitempty"`
+}
+
+// Store is a transactional row store in memory; its zero value is empty.
+type Store struct {
+	mu      sync.Mutex
+	rows    map[string]Row
+	log     []Row
+	version int64
+	changed chan struct{}
+}
+
+func name(r Row) string { return r.Table + "\x00" + r.Part + "\x00" + r.Key }
+
+// Put stores a row from outside, as operators and workers do.
+func (s *Store) Put(r Row) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.put(r)
+	s.wake()
+}
+
+// Remove deletes a row from outside.
+func (s *Store) Remove(r Row) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.remove(r)
+	s.wake()
+}
+
+func (s *Store) put(r Row) {
+	if s.rows == nil {
+		s.rows = make(map[string]Row)
+	}
+	r.Ver, r.Deleted = s.version, false
+	s.rows[name(r)] = r
+	s.log = append(s.log, r)
+}
+
+func (s *Store) remove(r Row) {
+	delete(s.rows, name(r))
+	r.Ver, r.Deleted, r.Value = s.version, true, nil
+	s.log = append(s.log, r)
+}
+
+func (s *Store) wake() {
+	if s.changed != nil {
+		close(s.changed)
+	}
+	s.changed = nil
+}
+
+// ServeHTTP serves the store's calls.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case "/v1/rows-tx":
+		s.transact(w, r)
+	case "/v1/rows-get":
+		s.get(w, r)
+	case "/v1/rows-feed":
+		s.feed(w, r)
+	default:
+		http.NotFound(w, r)
+	}
+}
+
+type transaction struct {
+	Precondition, Writes, Remove []Row
+}
+
+func (s *Store) transact(w http.ResponseWriter, r *http.Request) {
+	var tx transaction
+	if err := json.NewDecoder(r.Body).Decode(&tx); err != nil || repeats(tx) {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	status := http.StatusOK
+	var present []Row
+	for _, c := range tx.Precondition {
+		have, ok := s.rows[name(c)]
+		if ok {
+			present = append(present, have)
+		}
+		if have.Ver != c.Ver {
+			status = http.StatusPreconditionFailed
+		}
+	}
+	if status != http.StatusOK {
+		answer(w, status, map[string]any{"rows": present, "ver": s.version})
+		return
+	}
+	s.version++
+	for _, p := range tx.Writes {
+		s.put(p)
+	}
+	for _, d := range tx.Remove {
+		s.remove(d)
+	}
+	s.wake()
+	answer(w, status, map[string]any{"ver": s.version})
+}
+
+// repeats reports whether a transaction names a row twice among its changes.
+func repeats(tx transaction) bool {
+	seen := make(map[string]bool)
+	for _, r := range slices.Concat(tx.Writes, tx.Remove) {
+		if seen[name(r)] {
+			return true
+		}
+		seen[name(r)] = true
+	}
+	return len(tx.Precondition)+len(tx.Writes)+len(tx.Remove) > 100
+}
+
+func (s *Store) get(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	s.mu.Lock()
+	var out []Row
+	for _, row := range s.rows {
+		if row.Table == q.Get("table") && row.Part == q.Get("part") && row.Key >= q.Get("from") && (q.Get("to") == "" || row.Key < q.Get("to")) {
+			out = append(out, row)
+		}
+	}
+	version := s.version
+	s.mu.Unlock()
+	slices.SortFunc(out, func(a, b Row) int { return strings.Compare(a.Key, b.Key) })
+	more := len(out) > maxPage
+	answer(w, http.StatusOK, map[string]any{"rows": out[:min(len(out), maxPage)], "has_more": more, "ver": version})
+}
+
+func (s *Store) feed(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	after, _ := strconv.ParseInt(q.Get("after"), 10, 64)
+	wait, _ := strconv.ParseInt(q.Get("wait_ms"), 10, 64)
+	deadline := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		var out []Row
+		for i := len(s.log) - 1; i >= 0 && s.log[i].Ver > after; i-- {
+			if s.log[i].Table == q.Get("table") {
+				out = append(out, s.log[i])
+			}
+		}
+		slices.Reverse(out)
+		if s.changed == nil {
+			s.changed = make(chan struct{})
+		}
+		version, changed := s.version, s.changed
+		s.mu.Unlock()
+		if len(out) > 0 {
+			answer(w, http.StatusOK, map[string]any{"rows": out, "ver": version})
+			return
+		}
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		case <-deadline:
+			answer(w, http.StatusOK, map[string]any{"rows": []Row{}, "ver": version})
+			return
+		}
+	}
+}
+
+func answer(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A caller that has gone away needs no answer.
+	_ = json.NewEncoder(w).Encode(body)
+}
