--- a/internal/client/berylcommand/cli.go
+++ b/internal/client/berylcommand/cli.go
@@ -39,6 +39,7 @@
 	Wave       waveCommand       `cmd:"" help:"Maintenance waves."`
 	Task       taskCommand       `cmd:"" help:"Tasks that wait for an operator."`
 	Status     statusCommand     `cmd:"" help:"State of the fleet, a team or a task."`
+	Explain    explainCommand    `cmd:"" help:"What the nodes' logs say about a job, in the order of time."`
 	Completion completionCommand `cmd:"" help:"Print a completion script for bash."`
 	Docs       docsCommand       `cmd:"" hidden:"" help:"Print the reference page of the client."`
 }
