--- /dev/null
+++ b/internal/decision/berylscheduler/rules_test.go
@@ -0,0 +1,287 @@
+package berylscheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/beryllatch/beryllatch"
+	"gotest.tools/v3/assert"
+)
+
+// finish lists the runs as ended and lets the answer be taken.
+func (w *world) finish(end beryllatch.RunEnd, starts ...StartRun) {
+	w.t.Helper()
+	lists := make(map[string]beryllatch.WorkerLists)
+	for _, f := range starts {
+		l := lists[f.Worker.ID]
+		w.ends++
+		l.Finished = append(l.Finished, beryllatch.FinishedEntry{Number: w.ends, Task: f.Order.Task, Run: f.Order.Run, End: end})
+		lists[f.Worker.ID] = l
+	}
+	w.pass(200 * time.Millisecond)
+	w.answerHolds(lists)
+	w.store()
+}
+
+func TestStepsRunInOrder(t *testing.T) {
+	w := newWorld(t)
+	w.register("a", "b")
+	j := oneTask("0000000000000001")
+	j.Steps[0].Count = 2
+	j.Steps = append(j.Steps, j.Steps[0])
+	j.Steps[1].After = []int{0}
+	w.accept(j)
+	first := w.confirm()
+	assert.Equal(t, len(first), 2)
+	w.finish(beryllatch.RunDone, first[0])
+	assert.Equal(t, len(w.starts), 0, "the second step waits for both tasks of the first")
+	w.finish(beryllatch.RunDone, first[1])
+	second := w.confirm()
+	assert.Equal(t, len(second), 2)
+	w.finish(beryllatch.RunDone, second...)
+	state, _ := w.s.JobState(j.ID)
+	assert.Equal(t, state, beryllatch.JobDone)
+}
+
+func TestOccurrencesStartWhenDue(t *testing.T) {
+	w := newWorld(t)
+	w.register("a")
+	j := oneTask("0000000000000001")
+	j.Repeat, j.First, j.Interval = 2, w.now.Add(3*time.Second), 2*time.Second
+	w.accept(j)
+	due := j.First
+	for n := range 2 {
+		for w.now.Before(due) {
+			assert.Equal(t, len(w.starts), 0, "occurrence %d starts %s early", n, due.Sub(w.now))
+			w.pass(100 * time.Millisecond)
+		}
+		w.pass(200 * time.Millisecond)
+		w.finish(beryllatch.RunDone, w.confirm()...)
+		due = due.Add(j.Interval)
+	}
+	state, _ := w.s.JobState(j.ID)
+	assert.Equal(t, state, beryllatch.JobDone)
+}
+
+func TestCeilingHolds(t *testing.T) {
+	w := newWorld(t)
+	w.register("a", "b", "c")
+	j := oneTask("0000000000000001")
+	j.Steps[0].Count, j.Steps[0].Needs.CPUMilli = 10, 4000
+	w.accept(j)
+	assert.Equal(t, len(w.confirm()), 5, "the ceiling is 20 cores; 48 are there")
+}
+
+func TestGangStartsTogetherOrNotAtAll(t *testing.T) {
+	w := newWorld(t)
+	w.register("a")
+	j := oneTask("0000000000000001")
+	j.Steps[0].Count, j.Steps[0].Gang, j.Steps[0].Needs.CPUMilli = 3, true, 6000
+	w.accept(j)
+	w.pass(time.Second)
+	assert.Equal(t, len(w.starts), 0, "two of three members fit")
+	w.register("b")
+	starts := w.confirm()
+	assert.Equal(t, len(starts), 3)
+	for _, f := range starts {
+		assert.Equal(t, f.Order.Run, starts[0].Order.Run)
+	}
+	w.finish(beryllatch.RunDone, starts[0])
+	state, _ := w.s.JobState(j.ID)
+	assert.Equal(t, state, beryllatch.JobDone, "one member's end stands for all")
+}
+
+// A cancellation stops what runs, starts nothing, and repeats stop orders that were not answered.
+func TestCancelStopsEverything(t *testing.T) {
+	w := newWorld(t)
+	w.register("a")
+	j := oneTask("0000000000000001")
+	j.Steps[0].Count, j.Steps[0].Needs.CPUMilli = 3, 8000
+	w.accept(j)
+	starts := w.confirm()
+	assert.Equal(t, len(starts), 2)
+	w.call++
+	w.apply(CancelRequested{Call: w.call, ID: j.ID})
+	assert.Equal(t, len(w.stops), 2)
+	w.store()
+	assert.NilError(t, w.answers[w.call])
+	for _, f := range w.stops {
+		w.apply(StopEnded{Worker: f.Worker.ID, Born: f.Born, Task: f.Order.Task, Run: f.Order.Run, Err: beryllatchTimeout{}})
+	}
+	w.pass(time.Second)
+	assert.Equal(t, len(w.stops), 4)
+	w.finish(beryllatch.RunStopped, starts...)
+	w.pass(time.Second)
+	assert.Equal(t, len(w.starts), 0)
+	state, _ := w.s.JobState(j.ID)
+	assert.Equal(t, state, beryllatch.JobCancelled)
+}
+
+// beryllatchTimeout is an order without an answer.
+type beryllatchTimeout struct{}
+
+func (beryllatchTimeout) Error() string { return "no answer" }
+
+func TestDrainingAndEvacuatedWorkersGetNothing(t *testing.T) {
+	for name, change := range map[string]func(w *world){
+		"draining": func(w *world) {
+			info := workerInfo("a")
+			info.Draining = true
+			w.apply(RegistryChanged{Workers: []beryllatch.WorkerInfo{info}})
+		},
+		"evacuated": func(w *world) {
+			w.apply(OperationsChanged{beryllatch.Operations{Evacuated: map[string]bool{"dc1": true}}})
+		},
+		"unregistered": func(w *world) {
+			w.apply(RegistryChanged{Removed: []string{"a"}})
+			w.pass(registryGrace)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t)
+			w.t = t
+			w.register("a")
+			change(w)
+			w.accept(oneTask("0000000000000001"))
+			w.pass(time.Second)
+			assert.Equal(t, len(w.starts), 0)
+		})
+	}
+}
+
+// A start without an answer may be carried out later: the task starts elsewhere only once a stop for the run is answered.
+func TestUnansweredStartIsSettledFirst(t *testing.T) {
+	w := newWorld(t)
+	w.register("a", "b")
+	w.accept(oneTask("0000000000000001"))
+	first := w.starts[0]
+	w.starts = nil
+	w.apply(StartEnded{Worker: first.Worker.ID, Born: first.Born, Task: first.Order.Task, Run: first.Order.Run, Err: beryllatchTimeout{}})
+	for range 5 {
+		w.pass(300 * time.Millisecond)
+		w.answerHolds(nil)
+		assert.Equal(t, len(w.starts), 0)
+	}
+	assert.Assert(t, len(w.stops) > 0)
+	stop := w.stops[0]
+	w.apply(StopEnded{Worker: stop.Worker.ID, Born: stop.Born, Task: stop.Order.Task, Run: stop.Order.Run})
+	for range 5 {
+		w.pass(300 * time.Millisecond)
+		w.answerHolds(nil)
+	}
+	assert.Equal(t, len(w.starts), 1)
+	assert.Assert(t, w.starts[0].Order.Run > first.Order.Run)
+}
+
+func TestTicketIsNeeded(t *testing.T) {
+	w := newWorld(t)
+	d := testDeployment()
+	q := d.Queues["q"]
+	q.Restricted, q.TicketLife = true, 3*time.Second
+	d.Queues["q"] = q
+	w.apply(DeploymentChanged{d})
+	w.register("a", "b")
+	w.accept(oneTask("0000000000000001"))
+	assert.Equal(t, len(w.starts), 0)
+	ask, ok := w.others[len(w.others)-1].(AskAdvice)
+	assert.Assert(t, ok)
+	assert.Equal(t, ask.Step, "0000000000000001.0.0")
+	w.apply(AdviceReceived{
+		Step: ask.Step, Workers: ask.Workers, Valid: 3 * time.Second,
+		Tickets: []beryllatch.PlacementTicket{{Worker: "b", Ticket: "c81e"}},
+	})
+	assert.Equal(t, len(w.starts), 1)
+	assert.Equal(t, w.starts[0].Worker.ID, "b")
+	assert.Equal(t, w.starts[0].Order.Ticket, "c81e")
+}
+
+func TestFillersSlowDown(t *testing.T) {
+	w := newWorld(t)
+	w.register("a")
+	serving := oneTask("0000000000000001")
+	serving.Steps[0].LongRunning, serving.Steps[0].TailTarget = true, 100*time.Millisecond
+	w.accept(serving)
+	filler := oneTask("0000000000000002")
+	filler.Steps[0].Filler = true
+	w.accept(filler)
+	starts := w.confirm()
+	assert.Equal(t, len(starts), 2)
+	lists := running(starts, 100)
+	l := lists["a"]
+	for i := range l.Running {
+		if l.Running[i].Task[:16] == serving.ID {
+			l.Running[i].Load = 95
+		}
+	}
+	w.pass(500 * time.Millisecond)
+	w.answerHolds(lists)
+	pace, ok := w.others[len(w.others)-1].(PaceRun)
+	assert.Assert(t, ok)
+	assert.Equal(t, pace.Order.Percent, 50)
+	assert.Equal(t, pace.Order.Task[:16], filler.ID)
+}
+
+// A burst beyond what a pool holds brings instances from standby at once, by the work that arrives and not only by what waits.
+func TestBurstBringsInstances(t *testing.T) {
+	w := newWorld(t)
+	w.register("a", "b", "c")
+	w.pass(time.Second)
+	var list []beryllatch.FleetInstance
+	for _, id := range []string{"a", "b", "c"} {
+		list = append(list, beryllatch.FleetInstance{
+			Name: "m-" + id, Pool: "p", State: beryllatch.FleetInstanceUp, Worker: id, Capacity: workerInfo(id).Capacity,
+		})
+	}
+	for _, id := range []string{"x", "y", "z"} {
+		list = append(list, beryllatch.FleetInstance{
+			Name: "m-" + id, Pool: "spare", State: beryllatch.FleetInstanceUp, Capacity: workerInfo(id).Capacity,
+		})
+	}
+	w.apply(InstancesListed{Instances: list})
+	d := testDeployment()
+	team := d.Teams["team"]
+	team.Ceiling = beryllatch.Resources{}
+	d.Teams["team"] = team
+	w.apply(DeploymentChanged{d})
+	for n := range 12 {
+		j := oneTask("000000000000000" + string("0123456789abcdef"[n]))
+		j.Steps[0].Count, j.Steps[0].Needs.CPUMilli = 8, 1000
+		w.accept(j)
+	}
+	w.pass(300 * time.Millisecond)
+	moved := 0
+	for _, f := range w.others {
+		if m, ok := f.(MoveInstance); ok && m.Pool == "p" {
+			moved++
+		}
+	}
+	assert.Equal(t, moved, 3)
+}
+
+// A worker that fails tasks of different jobs gets no new ones for a while, so that it does not use up their attempts.
+func TestBadWorkerIsTakenOut(t *testing.T) {
+	w := newWorld(t)
+	w.register("a", "b")
+	bad := ""
+	for n := range suspectFailures {
+		w.accept(oneTask("000000000000000" + string("0123456789abcdef"[n])))
+		start := w.confirm()[0]
+		if bad == "" {
+			bad = start.Worker.ID
+		}
+		if start.Worker.ID == bad {
+			w.finish(beryllatch.RunFailed, start)
+		}
+		for _, again := range w.confirm() {
+			if again.Worker.ID != bad {
+				w.finish(beryllatch.RunDone, again)
+			}
+		}
+	}
+	w.accept(oneTask("00000000000000ff"))
+	for _, f := range w.starts {
+		if f.Order.Task[:16] == "00000000000000ff" {
+			assert.Assert(t, f.Worker.ID != bad)
+		}
+	}
+}
--- a/internal/decision/berylscheduler/world_test.go
+++ b/internal/decision/berylscheduler/world_test.go
@@ -27,6 +27,8 @@
 	// decisions are the names of all decisions.
 	decisions []string
 	call      uint64
+	// ends numbers the ends that workers list.
+	ends int64
 }
 
 // sentHold is a hold that waits for its answer.
--- a/internal/node/beryljobs/duty_test.go
+++ b/internal/node/beryljobs/duty_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -305,3 +306,26 @@
 		assert.Equal(t, c.epoch(), int64(2))
 	})
 }
+
+// versionView decodes a configuration whose row holds its version as text.
+type versionView struct{ plainView }
+
+func (versionView) Deployment(r beryllatch.DataRow) (*beryllatch.Deployment, error) {
+	n, err := strconv.ParseInt(string(r.Value), 10, 64)
+	return beryllatch.Deployment{Version: n}.WithIndex(), err
+}
+
+// A read that is behind, from the store or from another node, must not bring an older configuration back.
+func TestConfigurationNeverReverts(t *testing.T) {
+	n := &Node{View: versionView{}, Log: &DecisionLog{}}
+	row := func(value string, version int64) beryllatch.DataRow {
+		return beryllatch.DataRow{Key: "config", Value: []byte(value), Version: version}
+	}
+	n.takeOperations([]beryllatch.DataRow{row("5", 10)}, true, 10)
+	n.takeOperations([]beryllatch.DataRow{row("4", 8)}, true, 9)
+	n.takeConfiguration(row("3", 0))
+	n.takeConfiguration(row("broken", 11))
+	assert.Equal(t, n.configVersion(), int64(5))
+	n.takeConfiguration(row("6", 12))
+	assert.Equal(t, n.configVersion(), int64(6))
+}
