Confirm with the store that a job is unknown

Ruled out: a lost row (the job ran to its end). Change: the holder reads the job's rows before it denies a job; the same for cancellations. Conclusion: the test fails without the change.

--- a/internal/node/beryljobs/duty_test.go
+++ b/internal/node/beryljobs/duty_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -124,11 +125,11 @@
 	return r.memoryStore.Changes(ctx, table, after, wait)
 }
 
-// plainView decodes nothing: these tests have neither a configuration nor workers.
+// plainView decodes every configuration as one with a queue; these tests have no workers.
 type plainView struct{}
 
 func (plainView) Deployment(beryllatch.DataRow) (*beryllatch.Deployment, error) {
-	return beryllatch.Deployment{}.WithIndex(), nil
+	return beryllatch.Deployment{Version: 1, Queues: map[string]beryllatch.JobQueue{"q": {Name: "q", Pool: "p", MaxAttempts: 1}}}.WithIndex(), nil
 }
 func (plainView) ConfigurationKey() string { return "config" }
 func (plainView) OperationsTable() string  { return "operations" }
@@ -178,8 +179,10 @@
 
 func newCluster(ctx context.Context, wg *sync.WaitGroup, n int) *cluster {
 	c := &cluster{
-		store: &memoryStore{rows: make(map[string]beryllatch.DataRow)},
-		mesh:  &mesh{handlers: make(map[string]http.Handler), silent: make(map[string]bool)},
+		store: &memoryStore{version: 1, rows: map[string]beryllatch.DataRow{
+			rowName("operations", "", "config"): {Table: "operations", Key: "config", Version: 1},
+		}},
+		mesh: &mesh{handlers: make(map[string]http.Handler), silent: make(map[string]bool)},
 	}
 	for i := range n {
 		way := &reachable{memoryStore: c.store}
@@ -329,3 +332,31 @@
 	n.takeConfiguration(row("6", 12))
 	assert.Equal(t, n.configVersion(), int64(6))
 }
+
+// A holder that was paused, and has lost the duty meanwhile, must not deny jobs that its successor has accepted.
+func TestPausedHolderDoesNotDenyJobs(t *testing.T) {
+	testCluster(t, 4, func(t *testing.T, c *cluster) {
+		first := c.holders()[0]
+		c.ways[first].setCut(true)
+		time.Sleep(4 * time.Second)
+		var second int
+		for _, i := range c.holders() {
+			if i != first {
+				second = i
+			}
+		}
+		assert.Assert(t, c.nodes[first].local() != nil, "the first holder does not know yet")
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		defer cancel()
+		j := beryllatch.Job{ID: "0000000000000001", Queue: "q", Steps: []beryllatch.JobStep{{Count: 1}}}
+		assert.NilError(t, c.nodes[second].Submit(ctx, j))
+		c.ways[first].setCut(false)
+		state, err := c.nodes[first].JobState(ctx, "q", j.ID)
+		assert.NilError(t, err)
+		assert.Equal(t, state, beryllatch.JobQueued)
+		var unknown *beryllatch.UnknownJobError
+		assert.Assert(t, !errors.As(c.nodes[first].Cancel(ctx, "q", j.ID), &unknown))
+		_, err = c.nodes[first].JobState(ctx, "q", "00000000000000ff")
+		assert.Assert(t, errors.As(err, &unknown))
+	})
+}
--- a/internal/node/beryljobs/remote.go
+++ b/internal/node/beryljobs/remote.go
@@ -206,13 +206,17 @@
 }
 
 // GetJob implements berylwire.Jobs.
-func (v Server) GetJob(_ context.Context, r *berylwire.JobRequest) (*berylwire.GetJobResponse, error) {
+func (v Server) GetJob(ctx context.Context, r *berylwire.JobRequest) (*berylwire.GetJobResponse, error) {
 	s := v.Node.local()
 	if s == nil {
 		return &berylwire.GetJobResponse{Refusal: refusalOf(noHolder("the node does not schedule"))}, nil
 	}
-	state, ok := s.state(r.GetId())
-	return &berylwire.GetJobResponse{State: string(state), UnknownJob: !ok}, nil
+	state, err := v.Node.heldState(ctx, s, r.GetId())
+	var unknown *beryllatch.UnknownJobError
+	if err != nil && !errors.As(err, &unknown) {
+		return &berylwire.GetJobResponse{Refusal: refusalOf(err)}, nil
+	}
+	return &berylwire.GetJobResponse{State: string(state), UnknownJob: err != nil}, nil
 }
 
 // CancelJob implements berylwire.Jobs.
@@ -223,7 +227,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(r.GetPatienceMs())*time.Millisecond)
 	defer cancel()
-	err := s.cancel(ctx, r.GetId())
+	err := v.Node.heldCancel(ctx, s, r.GetId())
 	var unknown *beryllatch.UnknownJobError
 	if errors.As(err, &unknown) {
 		return &berylwire.CancelJobResponse{UnknownJob: true}, nil
--- a/internal/node/beryljobs/service.go
+++ b/internal/node/beryljobs/service.go
@@ -106,10 +106,7 @@
 
 func (n *Node) jobState(ctx context.Context, queue, id string) (beryllatch.JobState, error) {
 	if s := n.local(); s != nil {
-		if state, ok := s.state(id); ok {
-			return state, nil
-		}
-		return "", &beryllatch.UnknownJobError{ID: id}
+		return n.heldState(ctx, s, id)
 	}
 	if h, ok := n.remote(); ok {
 		state, answered, err := n.stateRemote(ctx, h, queue, id)
@@ -120,6 +117,15 @@
 	return n.storedState(ctx, id)
 }
 
+// heldState returns the state of a job at the holder. That a job is unknown is confirmed by the store: a node that was paused
+// may have lost the duty without knowing, and its successor may have accepted the job.
+func (n *Node) heldState(ctx context.Context, s *session, id string) (beryllatch.JobState, error) {
+	if state, ok := s.state(id); ok {
+		return state, nil
+	}
+	return n.storedState(ctx, id)
+}
+
 func (s *session) state(id string) (beryllatch.JobState, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -170,7 +176,7 @@
 
 func (n *Node) cancel(ctx context.Context, queue, id string) error {
 	if s := n.local(); s != nil {
-		return s.cancel(ctx, id)
+		return n.heldCancel(ctx, s, id)
 	}
 	h, ok := n.remote()
 	if !ok {
@@ -179,6 +185,19 @@
 	return n.cancelRemote(ctx, h, queue, id)
 }
 
+// heldCancel cancels a job at the holder; that a job is unknown is confirmed by the store, as in heldState.
+func (n *Node) heldCancel(ctx context.Context, s *session, id string) error {
+	err := s.cancel(ctx, id)
+	var unknown *beryllatch.UnknownJobError
+	if !errors.As(err, &unknown) {
+		return err
+	}
+	if _, err := n.storedState(ctx, id); err != nil {
+		return err
+	}
+	return noHolder("the job is stored, but not known to this node")
+}
+
 func (s *session) cancel(ctx context.Context, id string) error {
 	return s.ask(ctx, func(call uint64) berylscheduler.Event { return berylscheduler.CancelRequested{Call: call, ID: id} })
 }
