--- a/internal/bench/berylsoak/proxy.go
+++ b/internal/bench/berylsoak/proxy.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"sync"
 	"time"
@@ -132,9 +131,6 @@
 			}
 		}
 		if err != nil {
-			if err != io.EOF || !lost {
-				return
-			}
 			return
 		}
 	}
