--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 export PATH := $(shell $(GO) env GOPATH)/bin:$(PATH)
 GOLANGCI_LINT_VERSION := v2.15.0
 
-.PHONY: build demo prove test bench bench-slopes measure lint tools
+.PHONY: build demo prove test soak bench bench-slopes measure lint tools
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -18,6 +18,10 @@
 test:
 	$(GO) test -race ./...
 
+# Runs real nodes against a stand-in of the users' platform, under faults from outside; SOAK_FLAGS="--seed=1 --seeds=50".
+soak: build
+	bin/berylsoak --program=bin/beryljobd $(SOAK_FLAGS)
+
 bench: build
 	bin/berylload request --duration=2s --repeats=3
 	bin/berylload stream
