--- a/internal/bench/berylsoak/client.go
+++ b/internal/bench/berylsoak/client.go
@@ -37,8 +37,8 @@
 	if err != nil {
 		return 0, "", err
 	}
-	req.Host = "soak.example"
-	req.Header.Set("Authorization", "Token soak-key")
+	req.Host = soakHost
+	req.Header.Set("Authorization", "Token "+soakKey)
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return 0, "", err
--- a/internal/bench/berylsoak/daemon.go
+++ b/internal/bench/berylsoak/daemon.go
@@ -1,13 +1,14 @@
 package berylsoak
 
 import (
-	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/beryllatch/beryllatch/internal/standin/berylfleet"
 )
 
 // The ports of a daemon, on an address of its own.
@@ -32,19 +33,10 @@
 }
 
 func (d *daemon) settings() string {
-	return fmt.Sprintf(`node_name: %q
-ip: %q
-zone: "z1"
-listen: {frontend: "%s:%d", readiness: "%s:%d"}
-internal_ports: [%d, %d]
-heartbeat_ms: 500
-orders: "call"
-limits: {cpu_share: 0.4}
-platform: {address: %q, form: "table", row_bytes: 65536}
-cloud_api: {address: %q, duties_per_s: 64.0}
-bounds: {grace_s: 4, hold_max_ms: 10000, stop_timeout_ms: 200, status_s: 120, lease_ms: 3000, remote_factor: 1.5,
-  notice_ms: 4500, migrate_s: 1.5, maintenance_s: 2, gang_timeout_ms: 3000}
-`, d.name, d.ip, d.ip, callersPort, d.ip, readinessPort, internalPort, internalPort+15, d.store.address(), d.instances)
+	return berylfleet.Settings{
+		Node: d.name, IP: d.ip, CallersPort: callersPort, ReadinessPort: readinessPort, InternalPort: internalPort,
+		StoreAddress: d.store.address(), InstancesAddress: d.instances,
+	}.YAML()
 }
 
 // start starts the process; a running one stays.
--- a/internal/bench/berylsoak/soak.go
+++ b/internal/bench/berylsoak/soak.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -20,6 +19,9 @@
 	heartbeat = 500 * time.Millisecond
 	// settleTime is how long accepted jobs may take to end after the last fault.
 	settleTime = 40 * time.Second
+	// soakHost and soakKey are what the clients call with.
+	soakHost = "soak.example"
+	soakKey  = "soak-key"
 	// startTime lets the daemons find each other before the first job.
 	startTime = 2 * time.Second
 )
@@ -100,7 +102,7 @@
 }
 
 func (r *run) setUp() error {
-	r.configure()
+	r.store.Put(berylfleet.Configuration(soakHost, soakKey))
 	store, err := serve(r.ctx, r.store)
 	if err != nil {
 		return err
@@ -147,24 +149,6 @@
 	return nil
 }
 
-func (r *run) configure() {
-	b, err := json.Marshal(map[string]any{
-		"version": 1,
-		"routes": []map[string]any{{
-			"name": "q", "host": "soak.example", "prefix": "/q/", "service": "p", "max_attempts": 3, "slack_factor": 1.6,
-			"target_latency_ms": 600,
-		}},
-		"services": []map[string]any{{"name": "p"}},
-		"tenants": []map[string]any{{
-			"name": "t", "api_keys": []string{"soak-key"}, "weight": 1, "maximum": map[string]int{"cpu": 40000},
-		}},
-	})
-	if err != nil {
-		panic(err) // The map has only texts and numbers.
-	}
-	r.store.Put(berylfleet.Row{Table: "op", Key: "config", Value: b})
-}
-
 func (r *run) beat() {
 	for n := 1; r.ctx.Err() == nil; n++ {
 		r.fleet.Heartbeat(n)
--- a/internal/decision/berylscheduler/place.go
+++ b/internal/decision/berylscheduler/place.go
@@ -32,6 +32,9 @@
 		}
 	}
 	for _, c := range s.candidates(pools) {
+		if s.starting >= maxStarting {
+			return
+		}
 		s.placeStep(c, pools[c.pool])
 	}
 }
@@ -113,6 +116,9 @@
 		if t.done || len(t.runs) > 0 || s.now.Before(t.notBefore) {
 			continue
 		}
+		if s.starting >= maxStarting {
+			return
+		}
 		if !s.underCeiling(t.step.job.Team, t.step.spec.Needs) {
 			return
 		}
@@ -163,6 +169,9 @@
 // fits reports whether a worker has room for a task and may run it.
 func (s *Scheduler) fits(t *task, w *worker) bool {
 	spec := t.step.spec
+	if w.starting >= maxStartingOnWorker && !spec.Gang {
+		return false
+	}
 	if !w.used.Plus(spec.Booked()).Fits(w.info.Capacity) {
 		return false
 	}
--- a/internal/decision/berylscheduler/rules_test.go
+++ b/internal/decision/berylscheduler/rules_test.go
@@ -1,6 +1,7 @@
 package berylscheduler
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -285,3 +286,34 @@
 		}
 	}
 }
+
+// While orders are not answered, starts must not pile up: a node short of processor time would only add time-outs.
+func TestStartsInFlightAreBounded(t *testing.T) {
+	w := newWorld(t)
+	d := testDeployment()
+	team := d.Teams["team"]
+	team.Ceiling = beryllatch.Resources{}
+	d.Teams["team"] = team
+	w.apply(DeploymentChanged{d})
+	var ids []string
+	for n := range 40 {
+		ids = append(ids, fmt.Sprintf("w%02d", n))
+	}
+	w.register(ids...)
+	for n := range 40 {
+		j := oneTask(fmt.Sprintf("%016x", n))
+		j.Steps[0].Count, j.Steps[0].Needs.CPUMilli = 20, 500
+		w.accept(j)
+	}
+	w.pass(time.Second)
+	assert.Assert(t, len(w.starts) <= maxStarting)
+	perWorker := make(map[string]int)
+	for _, f := range w.starts {
+		perWorker[f.Worker.ID]++
+		assert.Assert(t, perWorker[f.Worker.ID] <= maxStartingOnWorker)
+	}
+	before := len(w.starts)
+	w.confirm()
+	w.pass(100 * time.Millisecond)
+	assert.Assert(t, len(w.starts) > 0 && before > 0, "answers make room")
+}
--- a/internal/decision/berylscheduler/run.go
+++ b/internal/decision/berylscheduler/run.go
@@ -140,6 +140,8 @@
 func (s *Scheduler) startTask(w *worker, t *task, n int, ticket string) {
 	r := s.book(w, t, runID{t.name, n})
 	t.stopped = false
+	s.starting++
+	w.starting++
 	s.emit(StartRun{Worker: w.address(), Born: w.info.Born, Order: beryllatch.StartOrder{
 		Task: t.name, Run: n, Payload: t.step.job.Payload, LeaseEnd: s.grant(w), Fence: s.Epoch,
 		Checkpoint: t.saved, Ticket: ticket,
@@ -152,10 +154,13 @@
 }
 
 func (s *Scheduler) startEnded(e StartEnded) {
+	s.starting--
+	s.placeable = true
 	w := s.workers[e.Worker]
 	if w == nil || w.info.Born != e.Born {
 		return
 	}
+	w.starting--
 	r := w.runs[runID{e.Task, e.Run}]
 	if e.Err == nil {
 		w.setClock(e.Clock, s.now)
--- a/internal/decision/berylscheduler/scheduler.go
+++ b/internal/decision/berylscheduler/scheduler.go
@@ -17,6 +17,14 @@
 	leaseMargin = 150 * time.Millisecond
 	// placeInterval bounds the passes over the waiting tasks; it is short beside the shortest task.
 	placeInterval = 5 * time.Millisecond
+	// placeCost lengthens the interval by ten times what a pass takes for an unfinished job, about 1 µs.
+	placeCost = 10 * time.Microsecond
+	// maxStarting bounds the start orders in flight, so that a node short of processor time is not buried under time-outs.
+	maxStarting = 160
+	// maxStartingOnWorker leaves connections of a worker for holds and stops.
+	maxStartingOnWorker = 8
+	// maxActive bounds the unfinished jobs: ten times what the largest measured burst leaves waiting.
+	maxActive = 2500
 )
 
 // Limits are the deployment's figures that the scheduler keeps to.
@@ -77,7 +85,9 @@
 	placeable bool
 	placed    time.Time
 	waking    bool
-	resigned  bool
+	// starting counts the start orders without an outcome.
+	starting int
+	resigned bool
 }
 
 // teamUse is what a team has booked on all workers.
@@ -105,7 +115,7 @@
 	if !s.placeable || s.deployment == nil || s.resigned {
 		return
 	}
-	if wait := placeInterval - s.now.Sub(s.placed); wait > 0 {
+	if wait := placeInterval + time.Duration(len(s.active))*placeCost - s.now.Sub(s.placed); wait > 0 {
 		if !s.waking {
 			s.waking = true
 			s.emit(WakeAfter{wait})
--- a/internal/decision/berylscheduler/submit.go
+++ b/internal/decision/berylscheduler/submit.go
@@ -52,6 +52,12 @@
 			Detail: fmt.Sprintf("queue %q is not in version %d of the configuration", j.Queue, s.deployment.Version),
 		}
 	}
+	if len(s.active) >= maxActive {
+		return &beryllatch.Refusal{
+			Reason: beryllatch.ReasonQueueFull, RunState: beryllatch.RunStateNotRun, RetryAfter: outageRetry,
+			Detail: fmt.Sprintf("%d jobs are unfinished", len(s.active)),
+		}
+	}
 	// The first submission after the pause tries the store again.
 	n := &s.journal
 	if n.away(s.now) && (len(n.batches) > 0 || s.now.Before(n.retryAt)) {
--- a/internal/decision/berylscheduler/worker.go
+++ b/internal/decision/berylscheduler/worker.go
@@ -39,7 +39,9 @@
 	// inherited workers may have runs of an earlier epoch.
 	inherited bool
 	runs      map[runID]*run
-	used      beryllatch.Resources
+	// starting counts the start orders without an outcome.
+	starting int
+	used     beryllatch.Resources
 
 	holding  bool
 	holdNext time.Time
@@ -215,7 +217,7 @@
 		s.requeue(r, "worker restarted")
 	}
 	w.info.Born = born
-	w.seen, w.acknowledged, w.sentAck, w.ends = 0, 0, 0, nil
+	w.seen, w.acknowledged, w.sentAck, w.ends, w.starting = 0, 0, 0, nil, 0
 	w.clockAt, w.failures, w.known, w.health = time.Time{}, 0, true, health{}
 	s.placeable = true
 }
--- a/internal/node/berylentry/entry.go
+++ b/internal/node/berylentry/entry.go
@@ -33,6 +33,8 @@
 	stopMargin = time.Second
 	// orderConnections is how many idle connections are kept to a worker: one holds, the others start and stop.
 	orderConnections = 4
+	// peerConnections carries the callers' requests of a node to the scheduling one.
+	peerConnections = 8
 	// storeConnections serves the feeds, the transactions and the beat.
 	storeConnections = 6
 )
@@ -113,7 +115,7 @@
 		Advisor: &adapter.Advisor{
 			Exchange: adapter.NewExchange(1), Address: address(func(s *adapter.Settings) string { return s.AdvisorAddress }),
 		},
-		Peers:   adapter.NewExchange(orderConnections).Client(),
+		Peers:   adapter.NewExchange(peerConnections).Client(),
 		Log:     &beryljobs.DecisionLog{Logger: e.Log, LinesPerSecond: e.Flags.LogLines},
 		Metrics: e.metrics,
 	}
--- /dev/null
+++ b/internal/standin/berylfleet/operator.go
@@ -0,0 +1,48 @@
+package berylfleet
+
+import (
+	"encoding/json"
+	"fmt"
+)
+
+// Settings is what the platform tells a node.
+type Settings struct {
+	Node, IP                                 string
+	CallersPort, ReadinessPort, InternalPort int
+	StoreAddress, InstancesAddress           string
+}
+
+// YAML returns the platform's settings file.
+func (s Settings) YAML() string {
+	return fmt.Sprintf(`node_name: %q
+ip: %q
+zone: "z1"
+listen: {frontend: "%s:%d", readiness: "%s:%d"}
+internal_ports: [%d, %d]
+heartbeat_ms: 500
+orders: "call"
+limits: {cpu_share: 0.4}
+platform: {address: %q, form: "table", row_bytes: 65536}
+cloud_api: {address: %q, duties_per_s: 64.0}
+bounds: {grace_s: 4, hold_max_ms: 10000, stop_timeout_ms: 200, status_s: 120, lease_ms: 3000, remote_factor: 1.5,
+  notice_ms: 4500, migrate_s: 1.5, maintenance_s: 2, gang_timeout_ms: 3000}
+`, s.Node, s.IP, s.IP, s.CallersPort, s.IP, s.ReadinessPort, s.InternalPort, s.InternalPort+15, s.StoreAddress, s.InstancesAddress)
+}
+
+// Configuration returns an operator's configuration row: one queue under the prefix /q/, one pool, one team.
+func Configuration(host, key string) Row {
+	b, err := json.Marshal(map[string]any{
+		"version": 1,
+		"routes": []map[string]any{{
+			"name": "q", "host": host, "prefix": "/q/", "service": "p", "max_attempts": 3, "slack_factor": 1.6, "target_latency_ms": 600,
+		}},
+		"services": []map[string]any{{"name": "p"}},
+		"tenants": []map[string]any{{
+			"name": "t", "api_keys": []string{key}, "weight": 1, "maximum": map[string]int{"cpu": 40000},
+		}},
+	})
+	if err != nil {
+		panic(err) // The map has only texts and numbers.
+	}
+	return Row{Table: "op", Key: "config", Value: b}
+}
