--- a/internal/decision/berylscheduler/job.go
+++ b/internal/decision/berylscheduler/job.go
@@ -65,10 +65,6 @@
 	lastRun    int
 	// notBefore delays a restart after quick failures.
 	notBefore time.Time
-	// atWork is when a long-running task last was at full work.
-	atWork time.Time
-	// stopped is true while a planned stop keeps a long-running task away from work.
-	stopped bool
 }
 
 func (t *task) key() beryllatch.TaskKey {
--- a/internal/decision/berylscheduler/recover.go
+++ b/internal/decision/berylscheduler/recover.go
@@ -53,7 +53,7 @@
 		}
 		row := s.journal.workerRow(info.ID)
 		row.version, row.value = r.Version, r.Value
-		s.addWorker(&worker{info: info, leaseBound: s.now.Add(s.lapse()), inherited: true, since: s.now})
+		s.addWorker(&worker{info: info, leaseBound: s.now.Add(s.lapse()), since: s.now})
 	}
 	s.recoverWaves(e.Waves)
 	for _, j := range s.active {
--- a/internal/decision/berylscheduler/run.go
+++ b/internal/decision/berylscheduler/run.go
@@ -52,7 +52,6 @@
 	stopAnswered time.Time
 	stopSent     bool
 	percent      int
-	progressed   time.Time
 	load         int
 	pace         int
 	pacing       bool
@@ -139,7 +138,6 @@
 // startTask orders a run of the task.
 func (s *Scheduler) startTask(w *worker, t *task, n int, ticket string) {
 	r := s.book(w, t, runID{t.name, n})
-	t.stopped = false
 	s.starting++
 	w.starting++
 	s.emit(StartRun{Worker: w.address(), Born: w.info.Born, Order: beryllatch.StartOrder{
@@ -175,7 +173,7 @@
 			r.phase = runPresent
 		}
 		if r.present.IsZero() {
-			r.present, r.progressed = s.now, s.now
+			r.present = s.now
 		}
 	case errors.As(e.Err, &rejected):
 		s.startRejected(w, r, rejected)
@@ -312,18 +310,13 @@
 		r.phase = runPresent
 	}
 	if r.present.IsZero() {
-		r.present, r.progressed = s.now, s.now
-	}
-	if l.Percent != r.percent {
-		r.percent, r.progressed = l.Percent, s.now
+		r.present = s.now
 	}
+	r.percent = l.Percent
 	r.load = l.Load
 	if l.Checkpoint != "" {
 		r.checkpoint = l.Checkpoint
 	}
-	if t := r.task; t != nil && l.Percent >= 100 {
-		t.atWork = s.now
-	}
 }
 
 // adopt books a run that the scheduler has not started: one of an earlier epoch, or an order that arrived late.
--- a/internal/decision/berylscheduler/scheduler.go
+++ b/internal/decision/berylscheduler/scheduler.go
@@ -37,11 +37,6 @@
 	RemoteFactor    float64
 	MoveTime        time.Duration
 	MaintenanceTime time.Duration
-	NoticeTime      time.Duration
-	Heartbeat       time.Duration
-	GangTimeout     time.Duration
-	// InstanceCallsPerSecond limits moves and maintenance calls.
-	InstanceCallsPerSecond float64
 	// RowBytes limits a row's value.
 	RowBytes int
 }
--- a/internal/decision/berylscheduler/worker.go
+++ b/internal/decision/berylscheduler/worker.go
@@ -36,9 +36,7 @@
 	row *storedWorker
 	// known is true once the worker's lists of this epoch have been read, or it surely runs nothing of before.
 	known bool
-	// inherited workers may have runs of an earlier epoch.
-	inherited bool
-	runs      map[runID]*run
+	runs  map[runID]*run
 	// starting counts the start orders without an outcome.
 	starting int
 	used     beryllatch.Resources
@@ -140,7 +138,7 @@
 		w = &worker{info: i, registered: true, since: s.now}
 		if s.now.Sub(s.began) < s.lapse() {
 			// An earlier epoch may have used it without its row being read.
-			w.inherited, w.leaseBound = true, s.began.Add(s.lapse())
+			w.leaseBound = s.began.Add(s.lapse())
 		} else {
 			w.known = true
 		}
--- a/internal/decision/berylscheduler/world_test.go
+++ b/internal/decision/berylscheduler/world_test.go
@@ -51,8 +51,8 @@
 func testScheduler(epoch, version int64) *Scheduler {
 	return &Scheduler{Epoch: epoch, OwnerVersion: version, Limits: Limits{
 		MaxLease: 10 * time.Second, StopTimeout: 200 * time.Millisecond, JobRetention: 120 * time.Second, RemoteFactor: 1.5,
-		MoveTime: 1500 * time.Millisecond, MaintenanceTime: 2 * time.Second, NoticeTime: 4500 * time.Millisecond,
-		Heartbeat: 1500 * time.Millisecond, GangTimeout: 3 * time.Second, InstanceCallsPerSecond: 64, RowBytes: 65536,
+		MoveTime: 1500 * time.Millisecond, MaintenanceTime: 2 * time.Second,
+		RowBytes: 65536,
 	}}
 }
 
--- a/internal/node/berylentry/entry.go
+++ b/internal/node/berylentry/entry.go
@@ -100,8 +100,8 @@
 		CPUShare: settings.CPUShare,
 		Limits: berylscheduler.Limits{
 			MaxLease: b.MaxLease, HandoverPause: b.HandoverPause, StopTimeout: b.StopTimeout, JobRetention: b.JobRetention, RemoteFactor: b.RemoteFactor,
-			MoveTime: b.MoveTime, MaintenanceTime: b.MaintenanceTime, NoticeTime: b.NoticeTime, Heartbeat: b.Heartbeat,
-			GangTimeout: b.GangTimeout, InstanceCallsPerSecond: settings.InstanceCallsPerSecond, RowBytes: settings.RowBytes,
+			MoveTime: b.MoveTime, MaintenanceTime: b.MaintenanceTime,
+			RowBytes: settings.RowBytes,
 		},
 		Store: &adapter.Store{
 			Exchange: adapter.NewExchange(storeConnections),
