Walk the waiting steps in one place, and order by cmp.Or

Placement and the demand of pools walked the due steps with waiting tasks by the same nested loops, and firstNonZero did what cmp.Or of the standard library does. Behaviour is the same; the tests are unchanged.

--- a/internal/decision/berylscheduler/fleet.go
+++ b/internal/decision/berylscheduler/fleet.go
@@ -251,7 +251,7 @@
 		losses[i] = s.loss(i)
 	}
 	slices.SortFunc(free, func(a, b string) int {
-		return firstNonZero(cmp.Compare(losses[a], losses[b]), strings.Compare(a, b))
+		return cmp.Or(cmp.Compare(losses[a], losses[b]), strings.Compare(a, b))
 	})
 	for _, i := range free {
 		if room == 0 {
--- a/internal/decision/berylscheduler/job.go
+++ b/internal/decision/berylscheduler/job.go
@@ -112,6 +112,20 @@
 	return true
 }
 
+// waitingSteps yields the due steps with tasks that wait for a worker.
+func (j *job) waitingSteps(yield func(*occurrence, *stepRun) bool) {
+	for _, o := range j.occurrences[:j.opened] {
+		if o == nil || o.left == 0 {
+			continue
+		}
+		for _, st := range o.steps {
+			if st.waiting > 0 && st.left > 0 && st.ready() && !yield(o, st) {
+				return
+			}
+		}
+	}
+}
+
 // openOccurrences makes due occurrences ready to start.
 func (s *Scheduler) openOccurrences(j *job) {
 	for j.opened < len(j.occurrences) {
--- a/internal/decision/berylscheduler/place.go
+++ b/internal/decision/berylscheduler/place.go
@@ -50,15 +50,8 @@
 		if !ok || len(pools[q.Pool]) == 0 || !s.settled(j, q.Pool) {
 			continue
 		}
-		for _, o := range j.occurrences[:j.opened] {
-			if o == nil || o.left == 0 {
-				continue
-			}
-			for _, st := range o.steps {
-				if st.waiting > 0 && st.left > 0 && st.ready() {
-					out = append(out, s.candidate(q, st, o))
-				}
-			}
+		for o, st := range j.waitingSteps {
+			out = append(out, s.candidate(q, st, o))
 		}
 	}
 	slices.SortStableFunc(out, func(a, b candidate) int {
@@ -276,7 +269,7 @@
 			racks[w.info.Rack] = append(racks[w.info.Rack], w)
 		}
 		slices.SortFunc(names, func(a, b string) int {
-			return firstNonZero(dataLast(st, a)-dataLast(st, b), cmp.Compare(a, b))
+			return cmp.Or(dataLast(st, a)-dataLast(st, b), cmp.Compare(a, b))
 		})
 		for _, n := range names {
 			if placed := s.planMembers(st, racks[n]); placed != nil {
--- a/internal/decision/berylscheduler/pool.go
+++ b/internal/decision/berylscheduler/pool.go
@@ -182,21 +182,13 @@
 		if !ok || !j.row.known {
 			continue
 		}
-		for _, o := range j.occurrences[:j.opened] {
-			if o == nil || o.left == 0 {
-				continue
-			}
-			for _, st := range o.steps {
-				if st.waiting == 0 || st.left == 0 || !st.ready() {
-					continue
-				}
-				cpu := st.spec.Booked().CPUMilli * st.waiting
-				if t, ok := s.deployment.Teams[j.Team]; ok && t.Ceiling.CPUMilli > 0 {
-					cpu = min(cpu, max(room[j.Team], 0))
-					room[j.Team] -= cpu
-				}
-				needs[q.Pool] += cpu
+		for _, st := range j.waitingSteps {
+			cpu := st.spec.Booked().CPUMilli * st.waiting
+			if t, ok := s.deployment.Teams[j.Team]; ok && t.Ceiling.CPUMilli > 0 {
+				cpu = min(cpu, max(room[j.Team], 0))
+				room[j.Team] -= cpu
 			}
+			needs[q.Pool] += cpu
 		}
 	}
 	return needs
--- a/internal/decision/berylscheduler/recover.go
+++ b/internal/decision/berylscheduler/recover.go
@@ -1,6 +1,7 @@
 package berylscheduler
 
 import (
+	"cmp"
 	"encoding/json"
 	"slices"
 	"strconv"
@@ -40,10 +41,10 @@
 	byID := func(a, b *job) int { return strings.Compare(a.ID, b.ID) }
 	slices.SortFunc(s.lingering, byID)
 	slices.SortFunc(s.finished, func(a, b *job) int {
-		return firstNonZero(a.ended.Compare(b.ended), strings.Compare(a.ID, b.ID))
+		return cmp.Or(a.ended.Compare(b.ended), strings.Compare(a.ID, b.ID))
 	})
 	slices.SortFunc(s.active, func(a, b *job) int {
-		return firstNonZero(a.Accepted.Compare(b.Accepted), strings.Compare(a.ID, b.ID))
+		return cmp.Or(a.Accepted.Compare(b.Accepted), strings.Compare(a.ID, b.ID))
 	})
 	for _, r := range e.Workers {
 		var info beryllatch.WorkerInfo
@@ -77,13 +78,6 @@
 	}
 }
 
-func firstNonZero(a, b int) int {
-	if a != 0 {
-		return a
-	}
-	return b
-}
-
 func (s *Scheduler) recoverProgress(r beryllatch.DataRow) {
 	var row progressRow
 	if err := json.Unmarshal(r.Value, &row); err != nil {
--- a/internal/decision/berylscheduler/run.go
+++ b/internal/decision/berylscheduler/run.go
@@ -1,6 +1,7 @@
 package berylscheduler
 
 import (
+	"cmp"
 	"errors"
 	"slices"
 	"strings"
@@ -67,7 +68,7 @@
 	for _, r := range w.runs {
 		out = append(out, r)
 	}
-	slices.SortFunc(out, func(a, b *run) int { return firstNonZero(strings.Compare(a.id.task, b.id.task), a.id.n-b.id.n) })
+	slices.SortFunc(out, func(a, b *run) int { return cmp.Or(strings.Compare(a.id.task, b.id.task), a.id.n-b.id.n) })
 	return out
 }
 
