Send one transaction at a time while the store fails

Time-outs of 120 ms left up to four transactions in its queue, which it carries out one after another; their repeats kept the queue full, and every job was refused for five seconds although the store worked. Ruled out: the takeover by another node (the holder stayed), the row size (2 to 31 rows take 8 to 13 ms alike). Change: one transaction in flight from an open outcome to the next answer; the patience grows to 16 times 120 ms; a conflict counts as an answer; new jobs are taken for 1.2 s of failures, which is four tries. Conclusion: jobs accepted in the slow seconds are still late, since a transaction takes about 0.7 s.

--- a/internal/decision/berylscheduler/journal.go
+++ b/internal/decision/berylscheduler/journal.go
@@ -27,13 +27,16 @@
 	maxBatchRows = 45
 	// maxBatchBytes keeps a transaction, in base64, under the store's 1 MB.
 	maxBatchBytes = 500 << 10
-	// maxBatches bounds the transactions in flight; slowCommit is when an answer counts as slow.
-	maxBatches = 4
+	// maxBatches bounds the transactions in flight: the store carries out those of a part one after another, and two cover
+	// the way there and back.
+	maxBatches = 3
+	// slowCommit is when an answer counts as slow.
 	slowCommit = 40 * time.Millisecond
 	// commitRetry is the pause after a failed transaction.
 	commitRetry = 150 * time.Millisecond
-	// lostGrace is how long new jobs are still taken while the store's answers get lost: the next try may succeed.
-	lostGrace = 500 * time.Millisecond
+	// lostGrace is how long new jobs are still taken while the store's answers get lost, or come late: four tries, each with
+	// twice the patience of the one before.
+	lostGrace = 1200 * time.Millisecond
 	// conflictRetry is the pause after a transaction whose row versions were outdated.
 	conflictRetry = 20 * time.Millisecond
 	// outageRetry is when callers may come back that the store's outage has turned away.
@@ -65,7 +68,7 @@
 }
 
 // journal stores changes in groups. A second transaction is sent beside the first only while the store is slow; no row is
-// in two of them.
+// in two of them. While the store fails there is one: repeats of transactions that wait in its queue would keep it full.
 type journal struct {
 	// fresh are jobs that callers wait for; they go before the progress of others.
 	fresh   []*job
@@ -148,7 +151,11 @@
 
 // mayCommit reports whether another transaction may be sent now.
 func (n *journal) mayCommit(now time.Time) bool {
-	if now.Before(n.retryAt) || len(n.batches) >= maxBatches {
+	limit := maxBatches
+	if n.failing {
+		limit = 1
+	}
+	if now.Before(n.retryAt) || len(n.batches) >= limit {
 		return false
 	}
 	for _, b := range n.batches {
@@ -315,6 +322,7 @@
 	var unknown *beryllatch.UnknownOutcomeError
 	switch {
 	case errors.As(e.Err, &conflict):
+		n.failing = false
 		n.retryAt = s.now.Add(conflictRetry)
 		s.adoptVersions(b, conflict.Rows)
 	case errors.As(e.Err, &unknown):
--- /dev/null
+++ b/internal/decision/berylscheduler/slow_store_test.go
@@ -0,0 +1,139 @@
+package berylscheduler
+
+import (
+	"container/heap"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/beryllatch/beryllatch"
+	"gotest.tools/v3/assert"
+)
+
+// timedEvent is an event that reaches the scheduler at a time.
+type timedEvent struct {
+	at    time.Time
+	event Event
+}
+
+type timedEvents []timedEvent
+
+func (q timedEvents) Len() int           { return len(q) }
+func (q timedEvents) Less(i, j int) bool { return q[i].at.Before(q[j].at) }
+func (q timedEvents) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
+func (q *timedEvents) Push(x any)        { *q = append(*q, x.(timedEvent)) }
+func (q *timedEvents) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+// serialStore carries out the transactions of a part one after another, as the users' platform does, and answers late. A
+// caller that does not wait for its answer leaves the transaction in the queue.
+type serialStore struct {
+	w *world
+	// transaction is what one transaction takes, distance what its way takes.
+	transaction, distance time.Duration
+	// patience is how long the caller waits; it doubles with each time-out in a row and follows the answers.
+	patience time.Duration
+	missed   int
+	free     time.Time
+	version  int64
+	rows     map[string]int64
+	events   timedEvents
+}
+
+func (s *serialStore) take() {
+	for _, c := range s.w.commits {
+		s.free = later(s.free, s.w.now).Add(s.transaction)
+		answer, timeout := s.free.Add(s.distance), s.w.now.Add(min(s.patience<<min(s.missed, 4), 1500*time.Millisecond))
+		err := s.carryOut(c.Transaction)
+		e := Committed{Batch: c.Batch, Version: s.version, Err: err}
+		if timeout.Before(answer) {
+			answer, e.Err = timeout, &beryllatch.UnknownOutcomeError{Err: fmt.Errorf("no answer")}
+		} else {
+			s.patience = max(s.patience, 6*answer.Sub(s.w.now))
+		}
+		heap.Push(&s.events, timedEvent{answer, e})
+	}
+	s.w.commits = nil
+}
+
+func (s *serialStore) carryOut(tx beryllatch.RowTransaction) error {
+	conflict := &beryllatch.RowConflictError{}
+	failed := false
+	for _, c := range tx.Conditions {
+		version := s.rows[c.Table+"/"+c.Key]
+		if c.Table == DutyTable {
+			version = c.Version
+		}
+		failed = failed || version != c.Version
+		if version != 0 {
+			conflict.Rows = append(conflict.Rows, beryllatch.DataRow{Table: c.Table, Part: c.Part, Key: c.Key, Version: version})
+		}
+	}
+	if failed {
+		return conflict
+	}
+	s.version++
+	for _, r := range tx.Puts {
+		s.rows[r.Table+"/"+r.Key] = s.version
+	}
+	for _, r := range tx.Deletes {
+		delete(s.rows, r.Table+"/"+r.Key)
+	}
+	return nil
+}
+
+// run lets time pass, with a job every interval.
+func (s *serialStore) run(d, interval time.Duration) (submitted int) {
+	end, next := s.w.now.Add(d), s.w.now
+	for s.w.now.Before(end) {
+		s.w.now = s.w.now.Add(10 * time.Millisecond)
+		for len(s.events) > 0 && !s.events[0].at.After(s.w.now) {
+			e := heap.Pop(&s.events).(timedEvent).event
+			if c, ok := e.(Committed); ok {
+				s.missed++
+				if _, unknown := c.Err.(*beryllatch.UnknownOutcomeError); !unknown {
+					s.missed = 0
+				}
+			}
+			s.w.applyOne(e)
+			s.take()
+		}
+		if s.w.now.After(next) {
+			next = next.Add(interval)
+			submitted++
+			s.w.submit(oneTask(fmt.Sprintf("%016x", submitted)))
+			s.take()
+		}
+		s.w.applyOne(Ticked{})
+		s.take()
+	}
+	return submitted
+}
+
+// A store whose transactions take many times as long answers in the end: jobs that arrive meanwhile are stored, and repeats
+// of transactions whose answer was not awaited do not fill the store's queue.
+func TestSlowStoreTakesJobs(t *testing.T) {
+	for _, slow := range []int{1, 26, 60} {
+		t.Run(fmt.Sprint(slow), func(t *testing.T) {
+			w := newWorld(t)
+			w.store()
+			s := &serialStore{
+				w: w, transaction: time.Duration(slow) * 3 * time.Millisecond, distance: time.Duration(slow) * 4 * time.Millisecond,
+				rows:     make(map[string]int64),
+				patience: 120 * time.Millisecond,
+			}
+			submitted := s.run(5*time.Second, 40*time.Millisecond)
+			s.run(2*time.Second, time.Hour)
+			stored := 0
+			for _, err := range w.answers {
+				if err == nil {
+					stored++
+				}
+			}
+			assert.Assert(t, stored >= submitted*95/100, "%d of %d jobs were stored", stored, submitted)
+		})
+	}
+}
--- a/internal/node/beryljobs/patience.go
+++ b/internal/node/beryljobs/patience.go
@@ -6,15 +6,18 @@
 )
 
 const (
-	// leastStorePatience is many times the usual 4 ms of the store; mostStorePatience covers answers 100 times slower.
+	// leastStorePatience is many times the usual 8 ms of a transaction; mostStorePatience covers one that takes 100 times as
+	// long and waits for others in the store's queue.
 	leastStorePatience = 120 * time.Millisecond
-	mostStorePatience  = 700 * time.Millisecond
+	mostStorePatience  = leastStorePatience << mostDoublings
 	// leastOrderPatience is many times the round trip and the handling of an order; mostOrderPatience covers a node that is
 	// short of processor time, below a third of the lease.
 	leastOrderPatience = 350 * time.Millisecond
 	mostOrderPatience  = 1400 * time.Millisecond
 	// patienceFactor times the mean answer time covers nearly all answers.
 	patienceFactor = 6
+	// mostDoublings lengthens a time-out up to 16 times while nothing is answered.
+	mostDoublings = 4
 	// patienceRate weighs a new answer time against the mean.
 	patienceRate = 0.2
 )
@@ -34,7 +37,7 @@
 func (p *patience) timeout() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	d := max(patienceFactor*p.mean, p.least) << min(p.doubled, 3)
+	d := max(patienceFactor*p.mean, p.least) << min(p.doubled, mostDoublings)
 	return min(d, p.most)
 }
 
