--- a/internal/node/berylentry/entry.go
+++ b/internal/node/berylentry/entry.go
@@ -14,6 +14,7 @@
 	"github.com/beryllatch/beryllatch/internal/common/berylmetrics"
 	"github.com/beryllatch/beryllatch/internal/decision/berylscheduler"
 	"github.com/beryllatch/beryllatch/internal/node/beryljobs"
+	"github.com/beryllatch/beryllatch/internal/node/berylrelay"
 	"github.com/beryllatch/beryllatch/internal/rpc/berylwire"
 	adapter "github.com/beryllatch/beryllatch/platform"
 	"github.com/gorilla/mux"
@@ -134,6 +135,7 @@
 	ready.HandleFunc(adapter.ReadinessPath, e.ready)
 	peers := mux.NewRouter()
 	peers.PathPrefix(berylwire.JobsPathPrefix).Handler(berylwire.NewJobsServer(beryljobs.Server{Node: e.node}))
+	peers.PathPrefix(berylwire.RowsPathPrefix).Handler(berylwire.NewRowsServer(berylrelay.Server{Store: e.node.Store}))
 	metrics := e.Flags.MetricsAddress
 	if metrics == "" {
 		metrics = net.JoinHostPort(settings.IP, strconv.Itoa(settings.FirstPort+1))
--- a/internal/node/beryljobs/duty.go
+++ b/internal/node/beryljobs/duty.go
@@ -1,6 +1,7 @@
 package beryljobs
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -26,6 +27,8 @@
 	storeWatch = 600 * time.Millisecond
 	// beatInterval is how often the holder renews its sign of life at the store.
 	beatInterval = 300 * time.Millisecond
+	// beatTimeout bounds a beat: a slow store answers within 100 times its usual 8 ms.
+	beatTimeout = 700 * time.Millisecond
 	// silence is how long the holder's sign of life must not change before another node takes over: three beats, and
 	// slowFactor times the time that the store takes to answer.
 	silence    = 900 * time.Millisecond
@@ -108,7 +111,7 @@
 
 // readHolder reads the duty row and remembers the holder.
 func (n *Node) readHolder(ctx context.Context) (holder, error) {
-	row, err := n.Store.Row(ctx, berylscheduler.DutyTable, berylscheduler.Part, berylscheduler.OwnerKey)
+	row, err := n.rows().Row(ctx, berylscheduler.DutyTable, berylscheduler.Part, berylscheduler.OwnerKey)
 	if err != nil {
 		return holder{}, err
 	}
@@ -155,7 +158,7 @@
 	}
 	watch.cutSince = time.Time{}
 	asked := time.Now()
-	beat, err := n.Store.Row(ctx, beatTable, beatTable, berylscheduler.OwnerKey)
+	beat, err := n.rows().Row(ctx, beatTable, beatTable, berylscheduler.OwnerKey)
 	if err != nil {
 		return false
 	}
@@ -186,7 +189,9 @@
 	if n.peers == nil {
 		n.peers = make(map[string]peer)
 	}
-	n.peers[r.GetNode()] = peer{r.GetCpuShare(), time.Duration(r.GetStoreAgeMs()) * time.Millisecond, time.Now()}
+	n.peers[r.GetNode()] = peer{
+		address: r.GetAddress(), cpuShare: r.GetCpuShare(), storeAge: time.Duration(r.GetStoreAgeMs()) * time.Millisecond, at: time.Now(),
+	}
 	larger := 0
 	if n.CPUShare > shareFactor*r.GetCpuShare() {
 		larger++
@@ -203,6 +208,25 @@
 	return larger
 }
 
+// lenders returns the nodes whose last probe has reached this node in time and that have lately reached the store, those that have heard from the store last first.
+func (n *Node) lenders() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var near []peer
+	for _, name := range slices.Sorted(maps.Keys(n.peers)) {
+		p := n.peers[name]
+		if p.address != "" && time.Since(p.at) <= probeInterval+probeTimeout && p.storeAge < staleAfter {
+			near = append(near, p)
+		}
+	}
+	slices.SortStableFunc(near, func(a, b peer) int { return cmp.Compare(a.storeAge, b.storeAge) })
+	out := make([]string, len(near))
+	for i, p := range near {
+		out[i] = p.address
+	}
+	return out
+}
+
 // findHeir returns the node with far more of a core than this one that should schedule instead, if there is one and this
 // node has held the duty for long enough.
 func (n *Node) findHeir(began time.Time) string {
@@ -224,7 +248,7 @@
 // takeOver claims the duty in a new epoch, and schedules until the epoch ends.
 func (n *Node) takeOver(ctx context.Context, old holder) {
 	h := holder{Node: n.Name, Address: n.Address, Incarnation: n.incarnation, Epoch: old.Epoch + 1, handed: old.Heir != ""}
-	version, err := n.Store.Commit(ctx, beryllatch.RowTransaction{
+	version, err := n.rows().Commit(ctx, beryllatch.RowTransaction{
 		Conditions: []beryllatch.RowCondition{dutyCondition(old.version)},
 		Puts:       []beryllatch.DataRow{dutyRow(h)},
 	})
@@ -294,7 +318,7 @@
 func (n *Node) release(ctx context.Context, h holder, heir string) {
 	free := h
 	free.Released, free.Heir = true, heir
-	version, err := n.Store.Commit(ctx, beryllatch.RowTransaction{
+	version, err := n.rows().Commit(ctx, beryllatch.RowTransaction{
 		Conditions: []beryllatch.RowCondition{dutyCondition(h.version)},
 		Puts:       []beryllatch.DataRow{dutyRow(free)},
 	})
@@ -310,9 +334,7 @@
 func (n *Node) beat(ctx context.Context, h holder) {
 	failing := false
 	for {
-		_, err := n.Store.Commit(ctx, beryllatch.RowTransaction{Puts: []beryllatch.DataRow{
-			{Table: beatTable, Part: beatTable, Key: berylscheduler.OwnerKey, Value: []byte(h.Incarnation)},
-		}})
+		err := n.renewBeat(ctx, h)
 		switch {
 		case err == nil:
 			n.storeAnswered()
@@ -326,3 +348,12 @@
 		}
 	}
 }
+
+func (n *Node) renewBeat(ctx context.Context, h holder) error {
+	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
+	defer cancel()
+	_, err := n.rows().CommitDirectly(ctx, beryllatch.RowTransaction{Puts: []beryllatch.DataRow{
+		{Table: beatTable, Part: beatTable, Key: berylscheduler.OwnerKey, Value: []byte(h.Incarnation)},
+	}})
+	return err
+}
--- a/internal/node/beryljobs/node.go
+++ b/internal/node/beryljobs/node.go
@@ -10,6 +10,7 @@
 	"github.com/beryllatch/beryllatch"
 	"github.com/beryllatch/beryllatch/internal/common/berylmetrics"
 	"github.com/beryllatch/beryllatch/internal/decision/berylscheduler"
+	"github.com/beryllatch/beryllatch/internal/node/berylrelay"
 	"github.com/google/uuid"
 )
 
@@ -22,8 +23,9 @@
 	// Address is where the other nodes reach this one.
 	Address string
 	// CPUShare is the part of a core that the node may use; nodes with more take the duty over sooner.
-	CPUShare  float64
-	Limits    berylscheduler.Limits
+	CPUShare float64
+	Limits   berylscheduler.Limits
+	// Store is the node's own way to the row store.
 	Store     beryllatch.RowStore
 	View      beryllatch.FleetView
 	Workers   beryllatch.RunClient
@@ -33,6 +35,8 @@
 	Log       *DecisionLog
 	Metrics   *berylmetrics.Registry
 
+	relay       berylrelay.Relay
+	relayOnce   sync.Once
 	incarnation string
 	stopping    atomic.Bool
 	configRow   atomic.Pointer[beryllatch.DataRow]
@@ -70,6 +74,7 @@
 
 // peer is what the holder knows of a node that probes it.
 type peer struct {
+	address  string
 	cpuShare float64
 	storeAge time.Duration
 	at       time.Time
@@ -87,6 +92,14 @@
 	wg.Wait()
 }
 
+// rows returns the row store, which the holder also reaches through the nodes that probe it.
+func (n *Node) rows() *berylrelay.Relay {
+	n.relayOnce.Do(func() {
+		n.relay = berylrelay.Relay{Direct: n.Store, Lenders: n.lenders, Client: n.Peers, Log: n.Log.Event}
+	})
+	return &n.relay
+}
+
 // Stop gives the duty up; the node goes on to serve callers.
 func (n *Node) Stop() {
 	n.stopping.Store(true)
--- a/internal/node/beryljobs/operations.go
+++ b/internal/node/beryljobs/operations.go
@@ -48,10 +48,10 @@
 // readOperations reads the whole table without a version, and the changes after it otherwise.
 func (n *Node) readOperations(ctx context.Context, version int64) ([]beryllatch.DataRow, int64, bool, error) {
 	if version >= 0 {
-		rows, next, err := n.Store.Changes(ctx, n.View.OperationsTable(), version, operationsWait)
+		rows, next, err := n.rows().Changes(ctx, n.View.OperationsTable(), version, operationsWait)
 		return rows, next, false, err
 	}
-	rows, next, err := n.Store.Rows(ctx, n.View.OperationsTable(), "")
+	rows, next, err := n.rows().Rows(ctx, n.View.OperationsTable(), "")
 	return rows, next, true, err
 }
 
--- a/internal/node/beryljobs/remote.go
+++ b/internal/node/beryljobs/remote.go
@@ -120,6 +120,7 @@
 	defer cancel()
 	r, err := n.client(h).Probe(ctx, &berylwire.ProbeRequest{
 		Node: n.Name, ConfigVersion: n.configVersion(), CpuShare: n.CPUShare, StoreAgeMs: n.storeAge().Milliseconds(),
+		Address: n.Address,
 	})
 	if err != nil || r.GetEpoch() < h.Epoch {
 		return holderSilent
@@ -197,7 +198,7 @@
 	if version <= n.configVersion() {
 		return
 	}
-	row, err := n.Store.Row(ctx, n.View.OperationsTable(), "", n.View.ConfigurationKey())
+	row, err := n.rows().Row(ctx, n.View.OperationsTable(), "", n.View.ConfigurationKey())
 	if err != nil {
 		n.Log.Event("configuration_unknown", n.Name, err.Error())
 		return
--- a/internal/node/beryljobs/service.go
+++ b/internal/node/beryljobs/service.go
@@ -134,7 +134,7 @@
 
 // storedState reads the state of a job from its rows, while no node schedules.
 func (n *Node) storedState(ctx context.Context, id string) (beryllatch.JobState, error) {
-	progress, err := n.Store.Row(ctx, berylscheduler.ProgressTable, berylscheduler.Part, id)
+	progress, err := n.rows().Row(ctx, berylscheduler.ProgressTable, berylscheduler.Part, id)
 	if err != nil {
 		return "", noHolder(err.Error())
 	}
@@ -150,7 +150,7 @@
 		}
 		return beryllatch.JobRunning, nil
 	}
-	job, err := n.Store.Row(ctx, berylscheduler.JobsTable, berylscheduler.Part, id)
+	job, err := n.rows().Row(ctx, berylscheduler.JobsTable, berylscheduler.Part, id)
 	if err != nil {
 		return "", noHolder(err.Error())
 	}
@@ -158,7 +158,7 @@
 		return beryllatch.JobQueued, nil
 	}
 	// Its rows may have changed places between the two reads.
-	progress, err = n.Store.Row(ctx, berylscheduler.ProgressTable, berylscheduler.Part, id)
+	progress, err = n.rows().Row(ctx, berylscheduler.ProgressTable, berylscheduler.Part, id)
 	if err != nil || progress.Version > 0 {
 		return "", noHolder("the state of the job has just changed")
 	}
--- a/internal/node/beryljobs/session.go
+++ b/internal/node/beryljobs/session.go
@@ -60,19 +60,19 @@
 	var registry []beryllatch.WorkerInfo
 	for _, read := range []func() error{
 		func() (err error) {
-			e.Jobs, _, err = n.Store.Rows(ctx, berylscheduler.JobsTable, berylscheduler.Part)
+			e.Jobs, _, err = n.rows().Rows(ctx, berylscheduler.JobsTable, berylscheduler.Part)
 			return err
 		},
 		func() (err error) {
-			e.Progress, _, err = n.Store.Rows(ctx, berylscheduler.ProgressTable, berylscheduler.Part)
+			e.Progress, _, err = n.rows().Rows(ctx, berylscheduler.ProgressTable, berylscheduler.Part)
 			return err
 		},
 		func() (err error) {
-			e.Workers, _, err = n.Store.Rows(ctx, berylscheduler.WorkersTable, berylscheduler.Part)
+			e.Workers, _, err = n.rows().Rows(ctx, berylscheduler.WorkersTable, berylscheduler.Part)
 			return err
 		},
 		func() (err error) {
-			e.Waves, _, err = n.Store.Rows(ctx, berylscheduler.WavesTable, berylscheduler.Part)
+			e.Waves, _, err = n.rows().Rows(ctx, berylscheduler.WavesTable, berylscheduler.Part)
 			return err
 		},
 		func() (err error) {
@@ -111,14 +111,12 @@
 	wg.Go(func() { s.watchRegistry(s.ctx) })
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	for s.ctx.Err() == nil && ctx.Err() == nil && !s.node.stopping.Load() {
+	for s.ctx.Err() == nil && ctx.Err() == nil && !s.node.stopping.Load() && s.heir == "" {
 		select {
 		case <-s.ctx.Done():
 		case <-ticker.C:
 			s.apply(berylscheduler.Ticked{})
-			if s.heir = s.node.findHeir(s.began); s.heir != "" {
-				s.end()
-			}
+			s.heir = s.node.findHeir(s.began)
 		case <-s.node.wake:
 		}
 	}
@@ -158,7 +156,11 @@
 	s.applyLocked(e)
 }
 
+// applyLocked drops what comes after the end of the epoch: its orders and transactions could only fail.
 func (s *session) applyLocked(e berylscheduler.Event) {
+	if s.ctx.Err() != nil {
+		return
+	}
 	for _, f := range s.scheduler.Apply(time.Now(), e) {
 		s.carryOut(f)
 	}
@@ -205,7 +207,7 @@
 		}()
 	case berylscheduler.WriteWaveStatus:
 		go func() {
-			_, err := n.Store.Commit(s.ctx, beryllatch.RowTransaction{Puts: []beryllatch.DataRow{n.View.WaveStatus(f.Wave, f.Done)}})
+			_, err := n.rows().Commit(s.ctx, beryllatch.RowTransaction{Puts: []beryllatch.DataRow{n.View.WaveStatus(f.Wave, f.Done)}})
 			s.apply(berylscheduler.StatusWritten{Wave: f.Wave, Done: f.Done, Err: err})
 		}()
 	case berylscheduler.AskAdvice:
@@ -282,7 +284,7 @@
 	sent := time.Now()
 	ctx, cancel := context.WithTimeout(s.ctx, s.storePatience.timeout())
 	defer cancel()
-	version, err := s.node.Store.Commit(ctx, f.Transaction)
+	version, err := s.node.rows().Commit(ctx, f.Transaction)
 	var unknown *beryllatch.UnknownOutcomeError
 	var unavailable *beryllatch.UnavailableError
 	switch {
@@ -297,7 +299,7 @@
 }
 
 func (s *session) readRegistry(ctx context.Context) ([]beryllatch.WorkerInfo, error) {
-	rows, _, err := s.node.Store.Rows(ctx, s.node.View.WorkersTable(), "")
+	rows, _, err := s.node.rows().Rows(ctx, s.node.View.WorkersTable(), "")
 	return s.decodeWorkers(rows), err
 }
 
@@ -320,13 +322,13 @@
 	version := int64(-1)
 	for ctx.Err() == nil {
 		if version < 0 {
-			rows, next, err := s.node.Store.Rows(ctx, table, "")
+			rows, next, err := s.node.rows().Rows(ctx, table, "")
 			if err == nil {
 				version = next
 				s.apply(berylscheduler.RegistryRead{Workers: s.decodeWorkers(rows)})
 			}
 		} else {
-			rows, next, err := s.node.Store.Changes(ctx, table, version, registryWait)
+			rows, next, err := s.node.rows().Changes(ctx, table, version, registryWait)
 			var lost *beryllatch.HistoryLostError
 			if errors.As(err, &lost) {
 				version = -1
--- /dev/null
+++ b/internal/node/berylrelay/doc.go
@@ -0,0 +1,2 @@
+// Package berylrelay reaches the row store through other nodes while it turns this one away.
+package berylrelay
--- a/internal/rpc/berylwire/job.twirp.go
+++ b/internal/rpc/berylwire/job.twirp.go
@@ -1643,6 +1643,782 @@
 	return baseServicePath(s.pathPrefix, "beryllatch.job.v1", "Jobs")
 }
 
+// ==============
+// Rows Interface
+// ==============
+
+// Rows lends a node's way to the row store to a node that the store turns away.
+type Rows interface {
+	// CommitRows applies a transaction.
+	CommitRows(context.Context, *CommitRowsRequest) (*CommitRowsResponse, error)
+
+	// ReadRows returns a row, all rows of a part, or waits for changed rows of a table.
+	ReadRows(context.Context, *ReadRowsRequest) (*ReadRowsResponse, error)
+}
+
+// ====================
+// Rows Protobuf Client
+// ====================
+
+type rowsProtobufClient struct {
+	client      HTTPClient
+	urls        [2]string
+	interceptor twirp.Interceptor
+	opts        twirp.ClientOptions
+}
+
+// NewRowsProtobufClient creates a Protobuf client that implements the Rows interface.
+// It communicates using Protobuf and can be configured with a custom HTTPClient.
+func NewRowsProtobufClient(baseURL string, client HTTPClient, opts ...twirp.ClientOption) Rows {
+	if c, ok := client.(*http.Client); ok {
+		client = withoutRedirects(c)
+	}
+
+	clientOpts := twirp.ClientOptions{}
+	for _, o := range opts {
+		o(&clientOpts)
+	}
+
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	literalURLs := false
+	_ = clientOpts.ReadOpt("literalURLs", &literalURLs)
+	var pathPrefix string
+	if ok := clientOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
+	}
+
+	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
+	serviceURL := sanitizeBaseURL(baseURL)
+	serviceURL += baseServicePath(pathPrefix, "beryllatch.job.v1", "Rows")
+	urls := [2]string{
+		serviceURL + "CommitRows",
+		serviceURL + "ReadRows",
+	}
+
+	return &rowsProtobufClient{
+		client:      client,
+		urls:        urls,
+		interceptor: twirp.ChainInterceptors(clientOpts.Interceptors...),
+		opts:        clientOpts,
+	}
+}
+
+func (c *rowsProtobufClient) CommitRows(ctx context.Context, in *CommitRowsRequest) (*CommitRowsResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "beryllatch.job.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Rows")
+	ctx = ctxsetters.WithMethodName(ctx, "CommitRows")
+	caller := c.callCommitRows
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *CommitRowsRequest) (*CommitRowsResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*CommitRowsRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*CommitRowsRequest) when calling interceptor")
+					}
+					return c.callCommitRows(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*CommitRowsResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*CommitRowsResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *rowsProtobufClient) callCommitRows(ctx context.Context, in *CommitRowsRequest) (*CommitRowsResponse, error) {
+	out := new(CommitRowsResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *rowsProtobufClient) ReadRows(ctx context.Context, in *ReadRowsRequest) (*ReadRowsResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "beryllatch.job.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Rows")
+	ctx = ctxsetters.WithMethodName(ctx, "ReadRows")
+	caller := c.callReadRows
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ReadRowsRequest) (*ReadRowsResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ReadRowsRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ReadRowsRequest) when calling interceptor")
+					}
+					return c.callReadRows(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ReadRowsResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ReadRowsResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *rowsProtobufClient) callReadRows(ctx context.Context, in *ReadRowsRequest) (*ReadRowsResponse, error) {
+	out := new(ReadRowsResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+// ================
+// Rows JSON Client
+// ================
+
+type rowsJSONClient struct {
+	client      HTTPClient
+	urls        [2]string
+	interceptor twirp.Interceptor
+	opts        twirp.ClientOptions
+}
+
+// NewRowsJSONClient creates a JSON client that implements the Rows interface.
+// It communicates using JSON and can be configured with a custom HTTPClient.
+func NewRowsJSONClient(baseURL string, client HTTPClient, opts ...twirp.ClientOption) Rows {
+	if c, ok := client.(*http.Client); ok {
+		client = withoutRedirects(c)
+	}
+
+	clientOpts := twirp.ClientOptions{}
+	for _, o := range opts {
+		o(&clientOpts)
+	}
+
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	literalURLs := false
+	_ = clientOpts.ReadOpt("literalURLs", &literalURLs)
+	var pathPrefix string
+	if ok := clientOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
+	}
+
+	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
+	serviceURL := sanitizeBaseURL(baseURL)
+	serviceURL += baseServicePath(pathPrefix, "beryllatch.job.v1", "Rows")
+	urls := [2]string{
+		serviceURL + "CommitRows",
+		serviceURL + "ReadRows",
+	}
+
+	return &rowsJSONClient{
+		client:      client,
+		urls:        urls,
+		interceptor: twirp.ChainInterceptors(clientOpts.Interceptors...),
+		opts:        clientOpts,
+	}
+}
+
+func (c *rowsJSONClient) CommitRows(ctx context.Context, in *CommitRowsRequest) (*CommitRowsResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "beryllatch.job.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Rows")
+	ctx = ctxsetters.WithMethodName(ctx, "CommitRows")
+	caller := c.callCommitRows
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *CommitRowsRequest) (*CommitRowsResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*CommitRowsRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*CommitRowsRequest) when calling interceptor")
+					}
+					return c.callCommitRows(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*CommitRowsResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*CommitRowsResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *rowsJSONClient) callCommitRows(ctx context.Context, in *CommitRowsRequest) (*CommitRowsResponse, error) {
+	out := new(CommitRowsResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *rowsJSONClient) ReadRows(ctx context.Context, in *ReadRowsRequest) (*ReadRowsResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "beryllatch.job.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Rows")
+	ctx = ctxsetters.WithMethodName(ctx, "ReadRows")
+	caller := c.callReadRows
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ReadRowsRequest) (*ReadRowsResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ReadRowsRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ReadRowsRequest) when calling interceptor")
+					}
+					return c.callReadRows(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ReadRowsResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ReadRowsResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *rowsJSONClient) callReadRows(ctx context.Context, in *ReadRowsRequest) (*ReadRowsResponse, error) {
+	out := new(ReadRowsResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+// ===================
+// Rows Server Handler
+// ===================
+
+type rowsServer struct {
+	Rows
+	interceptor      twirp.Interceptor
+	hooks            *twirp.ServerHooks
+	pathPrefix       string // prefix for routing
+	jsonSkipDefaults bool   // do not include unpopulated fields (default values) in the response
+	jsonCamelCase    bool   // JSON fields are serialized as lowerCamelCase rather than keeping the original proto names
+}
+
+// NewRowsServer builds a TwirpServer that can be used as an http.Handler to handle
+// HTTP requests that are routed to the right method in the provided svc implementation.
+// The opts are twirp.ServerOption modifiers, for example twirp.WithServerHooks(hooks).
+func NewRowsServer(svc Rows, opts ...interface{}) TwirpServer {
+	serverOpts := newServerOpts(opts)
+
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	jsonSkipDefaults := false
+	_ = serverOpts.ReadOpt("jsonSkipDefaults", &jsonSkipDefaults)
+	jsonCamelCase := false
+	_ = serverOpts.ReadOpt("jsonCamelCase", &jsonCamelCase)
+	var pathPrefix string
+	if ok := serverOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
+	}
+
+	return &rowsServer{
+		Rows:             svc,
+		hooks:            serverOpts.Hooks,
+		interceptor:      twirp.ChainInterceptors(serverOpts.Interceptors...),
+		pathPrefix:       pathPrefix,
+		jsonSkipDefaults: jsonSkipDefaults,
+		jsonCamelCase:    jsonCamelCase,
+	}
+}
+
+// writeError writes an HTTP response with a valid Twirp error format, and triggers hooks.
+// If err is not a twirp.Error, it will get wrapped with twirp.InternalErrorWith(err)
+func (s *rowsServer) writeError(ctx context.Context, resp http.ResponseWriter, err error) {
+	writeError(ctx, resp, err, s.hooks)
+}
+
+// handleRequestBodyError is used to handle error when the twirp server cannot read request
+func (s *rowsServer) handleRequestBodyError(ctx context.Context, resp http.ResponseWriter, msg string, err error) {
+	if context.Canceled == ctx.Err() {
+		s.writeError(ctx, resp, twirp.NewError(twirp.Canceled, "failed to read request: context canceled"))
+		return
+	}
+	if context.DeadlineExceeded == ctx.Err() {
+		s.writeError(ctx, resp, twirp.NewError(twirp.DeadlineExceeded, "failed to read request: deadline exceeded"))
+		return
+	}
+	s.writeError(ctx, resp, twirp.WrapError(malformedRequestError(msg), err))
+}
+
+// RowsPathPrefix is a convenience constant that may identify URL paths.
+// Should be used with caution, it only matches routes generated by Twirp Go clients,
+// with the default "/twirp" prefix and default CamelCase service and method names.
+// More info: https://twitchtv.github.io/twirp/docs/routing.html
+const RowsPathPrefix = "/twirp/beryllatch.job.v1.Rows/"
+
+func (s *rowsServer) ServeHTTP(resp http.ResponseWriter, req *http.Request) {
+	ctx := req.Context()
+	ctx = ctxsetters.WithPackageName(ctx, "beryllatch.job.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Rows")
+	ctx = ctxsetters.WithResponseWriter(ctx, resp)
+
+	var err error
+	ctx, err = callRequestReceived(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	if req.Method != "POST" {
+		msg := fmt.Sprintf("unsupported method %q (only POST is allowed)", req.Method)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+
+	// Verify path format: [<prefix>]/<package>.<Service>/<Method>
+	prefix, pkgService, method := parseTwirpPath(req.URL.Path)
+	if pkgService != "beryllatch.job.v1.Rows" {
+		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+	if prefix != s.pathPrefix {
+		msg := fmt.Sprintf("invalid path prefix %q, expected %q, on path %q", prefix, s.pathPrefix, req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+
+	switch method {
+	case "CommitRows":
+		s.serveCommitRows(ctx, resp, req)
+		return
+	case "ReadRows":
+		s.serveReadRows(ctx, resp, req)
+		return
+	default:
+		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+}
+
+func (s *rowsServer) serveCommitRows(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveCommitRowsJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveCommitRowsProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *rowsServer) serveCommitRowsJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "CommitRows")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(CommitRowsRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Rows.CommitRows
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *CommitRowsRequest) (*CommitRowsResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*CommitRowsRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*CommitRowsRequest) when calling interceptor")
+					}
+					return s.Rows.CommitRows(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*CommitRowsResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*CommitRowsResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *CommitRowsResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *CommitRowsResponse and nil error while calling CommitRows. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *rowsServer) serveCommitRowsProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "CommitRows")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(CommitRowsRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Rows.CommitRows
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *CommitRowsRequest) (*CommitRowsResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*CommitRowsRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*CommitRowsRequest) when calling interceptor")
+					}
+					return s.Rows.CommitRows(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*CommitRowsResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*CommitRowsResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *CommitRowsResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *CommitRowsResponse and nil error while calling CommitRows. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *rowsServer) serveReadRows(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveReadRowsJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveReadRowsProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *rowsServer) serveReadRowsJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "ReadRows")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(ReadRowsRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Rows.ReadRows
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ReadRowsRequest) (*ReadRowsResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ReadRowsRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ReadRowsRequest) when calling interceptor")
+					}
+					return s.Rows.ReadRows(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ReadRowsResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ReadRowsResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ReadRowsResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ReadRowsResponse and nil error while calling ReadRows. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *rowsServer) serveReadRowsProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "ReadRows")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(ReadRowsRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Rows.ReadRows
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ReadRowsRequest) (*ReadRowsResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ReadRowsRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ReadRowsRequest) when calling interceptor")
+					}
+					return s.Rows.ReadRows(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ReadRowsResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ReadRowsResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ReadRowsResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ReadRowsResponse and nil error while calling ReadRows. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *rowsServer) ServiceDescriptor() ([]byte, int) {
+	return twirpFileDescriptor0, 1
+}
+
+func (s *rowsServer) ProtocGenTwirpVersion() string {
+	return "v8.1.3"
+}
+
+// PathPrefix returns the base service path, in the form: "/<prefix>/<package>.<Service>/"
+// that is everything in a Twirp route except for the <Method>. This can be used for routing,
+// for example to identify the requests that are targeted to this service in a mux.
+func (s *rowsServer) PathPrefix() string {
+	return baseServicePath(s.pathPrefix, "beryllatch.job.v1", "Rows")
+}
+
 // =====
 // Utils
 // =====
@@ -2209,44 +2985,73 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 617 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xac, 0x55, 0x4f, 0x4f, 0xdb, 0x4e,
-	0x10, 0x95, 0xe3, 0x04, 0xc8, 0x60, 0x22, 0xd8, 0x1f, 0xfa, 0x29, 0xa2, 0xaa, 0x08, 0x2e, 0x6d,
-	0x91, 0x2a, 0x05, 0x95, 0x1e, 0x50, 0x8f, 0x94, 0x43, 0xa5, 0xa8, 0x54, 0xc8, 0x91, 0x38, 0xf4,
-	0x62, 0xd9, 0xce, 0x90, 0x2c, 0x75, 0x76, 0xcd, 0xfe, 0x01, 0x71, 0x6a, 0x8f, 0xfd, 0x2a, 0x7c,
-	0xcb, 0x6a, 0x77, 0x1d, 0x48, 0x1d, 0x03, 0x95, 0xca, 0x6d, 0xe7, 0x79, 0x76, 0xe6, 0xcd, 0xdb,
-	0x37, 0x32, 0xb4, 0x2f, 0x78, 0xda, 0x2f, 0x04, 0x57, 0x9c, 0x6c, 0xa4, 0x28, 0x6e, 0xf2, 0x3c,
-	0x51, 0xd9, 0xa4, 0x6f, 0xd0, 0xab, 0xf7, 0xe1, 0x0f, 0x80, 0x01, 0x4f, 0x23, 0x3c, 0xd7, 0x32,
-	0xc9, 0xc9, 0xff, 0xb0, 0x24, 0x30, 0x91, 0x9c, 0x75, 0xbd, 0x9e, 0xb7, 0xd7, 0x8e, 0xca, 0x88,
-	0xbc, 0x80, 0xb6, 0xd0, 0x2c, 0x96, 0x2a, 0x51, 0xd8, 0x6d, 0xd8, 0x4f, 0x2b, 0x42, 0xb3, 0xa1,
-	0x89, 0xc9, 0x2e, 0x74, 0x04, 0x2a, 0x71, 0x13, 0x27, 0xe7, 0x0a, 0x45, 0x3c, 0x95, 0x5d, 0xbf,
-	0xe7, 0xed, 0xf9, 0x51, 0x60, 0xd1, 0x23, 0x03, 0x9e, 0x48, 0x53, 0x7a, 0x84, 0x2a, 0xa1, 0x79,
-	0xb7, 0xe9, 0x4a, 0xbb, 0x28, 0xcc, 0x61, 0x7d, 0xa8, 0xd3, 0x29, 0x55, 0x96, 0xc6, 0xa5, 0x46,
-	0xa9, 0xc8, 0x3a, 0xf8, 0x17, 0x3c, 0xb5, 0x1c, 0x82, 0xc8, 0x1c, 0xc9, 0x36, 0xac, 0x16, 0x89,
-	0xa2, 0xc8, 0x32, 0x34, 0x0d, 0x1a, 0xb6, 0x01, 0xcc, 0xa0, 0x13, 0x49, 0x5e, 0x43, 0x27, 0xe3,
-	0xec, 0x9c, 0x8e, 0xe3, 0x2b, 0x14, 0x92, 0x72, 0x56, 0x92, 0x58, 0x73, 0xe8, 0x99, 0x03, 0xc3,
-	0x2f, 0xb0, 0x31, 0xd7, 0x4d, 0x16, 0x9c, 0x49, 0x24, 0x87, 0xb0, 0x2c, 0x9c, 0x00, 0xb6, 0xe5,
-	0xea, 0xc1, 0xcb, 0xfe, 0x82, 0x50, 0xfd, 0x7b, 0x95, 0xa2, 0x59, 0x76, 0x38, 0x2c, 0xc5, 0x73,
-	0xac, 0x37, 0xa1, 0x75, 0xa9, 0x51, 0x63, 0xa9, 0x9d, 0x0b, 0x48, 0x07, 0x1a, 0x74, 0x54, 0x6a,
-	0xd6, 0xa0, 0xa3, 0xea, 0x24, 0x7e, 0x75, 0x92, 0xf0, 0xa7, 0x07, 0x9d, 0xcf, 0xf8, 0x2c, 0x04,
-	0x0d, 0xa5, 0xf9, 0x37, 0x73, 0x81, 0xa1, 0xa0, 0xd9, 0x77, 0xc6, 0xaf, 0x59, 0x6c, 0x64, 0x36,
-	0x14, 0x56, 0x22, 0x28, 0xa1, 0x01, 0x4f, 0xc3, 0x29, 0x6c, 0x1c, 0x27, 0x2c, 0xc3, 0xfc, 0x59,
-	0x48, 0x54, 0xda, 0x35, 0x16, 0xda, 0xbd, 0x83, 0xff, 0x8e, 0xb9, 0x66, 0xea, 0x14, 0xd9, 0x88,
-	0xb2, 0xf1, 0xa3, 0x7a, 0x86, 0x14, 0x36, 0xff, 0x4c, 0xfe, 0x57, 0x7a, 0x5d, 0x58, 0x2e, 0x5c,
-	0x2d, 0x4b, 0xad, 0x15, 0xcd, 0xc2, 0xf0, 0x97, 0x07, 0xc1, 0xa9, 0xe0, 0x29, 0xce, 0x18, 0x11,
-	0x68, 0x32, 0x3e, 0x9a, 0x11, 0xb2, 0xe7, 0x1a, 0xe3, 0x35, 0x6a, 0x8c, 0x67, 0x36, 0x28, 0x2b,
-	0x74, 0x2c, 0x27, 0x89, 0x40, 0xab, 0xb8, 0x17, 0xad, 0x64, 0x85, 0x1e, 0x9a, 0x98, 0xf4, 0x20,
-	0x90, 0x8a, 0x0b, 0x8c, 0x93, 0xb1, 0x35, 0x45, 0xd3, 0x99, 0xc2, 0x62, 0x47, 0x63, 0x63, 0x8a,
-	0x5b, 0x0f, 0xd6, 0x4a, 0x2a, 0xe5, 0xbc, 0x9b, 0xd0, 0xc2, 0x82, 0x67, 0x13, 0x4b, 0xc6, 0x8f,
-	0x5c, 0xf0, 0xb7, 0x6c, 0xaa, 0x0d, 0xfd, 0x6a, 0x43, 0xb3, 0xae, 0xee, 0x8a, 0x25, 0x13, 0x44,
-	0x65, 0x44, 0x76, 0x20, 0xc8, 0x13, 0x31, 0x46, 0x11, 0x9b, 0xe9, 0x65, 0xb7, 0x65, 0x25, 0x5b,
-	0x75, 0xd8, 0x57, 0x03, 0x1d, 0xdc, 0xfa, 0xd0, 0x1c, 0xf0, 0x54, 0x92, 0x33, 0x68, 0xdf, 0x2d,
-	0x1b, 0x79, 0x55, 0xf3, 0x1c, 0xd5, 0xc5, 0xdf, 0xda, 0x7d, 0x3c, 0xa9, 0x1c, 0x7d, 0x00, 0x4b,
-	0x6e, 0x41, 0xc8, 0x83, 0x6f, 0xec, 0xca, 0xed, 0xd4, 0x7c, 0xae, 0xac, 0xd6, 0x29, 0xb4, 0xef,
-	0xac, 0xfe, 0x54, 0xb9, 0x3a, 0x76, 0x8b, 0x7b, 0x12, 0x43, 0x30, 0x6f, 0x50, 0xf2, 0xa6, 0xee,
-	0xd6, 0xa2, 0xdd, 0xb7, 0xde, 0x3e, 0x99, 0x77, 0x37, 0x7e, 0xcb, 0x5a, 0x81, 0x6c, 0xd7, 0xdc,
-	0x98, 0xf7, 0xeb, 0x56, 0xef, 0xe1, 0x04, 0x57, 0xeb, 0xd3, 0xc7, 0x6f, 0x87, 0x63, 0xaa, 0x26,
-	0x3a, 0xed, 0x67, 0x7c, 0xba, 0x7f, 0x9f, 0x3d, 0x7f, 0xa4, 0x4c, 0xa1, 0x60, 0x49, 0xbe, 0x2f,
-	0x8a, 0xcc, 0xe1, 0xd7, 0x54, 0x60, 0xba, 0x64, 0xff, 0x29, 0x1f, 0x7e, 0x07, 0x00, 0x00, 0xff,
-	0xff, 0xa0, 0x96, 0x68, 0xb4, 0x60, 0x06, 0x00, 0x00,
+	// 1079 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xd4, 0x56, 0xcd, 0x6e, 0xdb, 0x46,
+	0x10, 0x0e, 0x45, 0x4a, 0xb6, 0xc6, 0xb2, 0x42, 0x6d, 0x9c, 0x94, 0x71, 0x92, 0xc6, 0x61, 0x92,
+	0xd6, 0x48, 0x01, 0x3b, 0x75, 0x81, 0xa6, 0x05, 0x7a, 0x51, 0x14, 0x37, 0xfe, 0x95, 0x8c, 0x95,
+	0x63, 0x23, 0xbd, 0x10, 0xfc, 0x59, 0xcb, 0x8c, 0x29, 0xae, 0x42, 0x2e, 0x2d, 0xf8, 0xd4, 0xbe,
+	0x42, 0x81, 0x3e, 0x41, 0x6f, 0x39, 0x14, 0x28, 0x7a, 0xe8, 0xd3, 0xf4, 0x61, 0x8a, 0xdd, 0x25,
+	0x2d, 0x4a, 0xa2, 0xad, 0x00, 0xcd, 0xa5, 0x37, 0xce, 0xec, 0xfc, 0x7c, 0xfb, 0xed, 0xa7, 0x19,
+	0x41, 0xf5, 0x1d, 0x75, 0xd6, 0x06, 0x11, 0x65, 0x14, 0x35, 0x1c, 0x12, 0x5d, 0x04, 0x81, 0xcd,
+	0xdc, 0xd3, 0x35, 0xee, 0x3d, 0xff, 0xda, 0xfc, 0x19, 0x60, 0x87, 0x3a, 0x98, 0x9c, 0x24, 0xb1,
+	0x1d, 0xa0, 0x3b, 0x50, 0x89, 0x88, 0x1d, 0xd3, 0xd0, 0x50, 0x56, 0x94, 0xd5, 0x2a, 0x4e, 0x2d,
+	0x74, 0x0f, 0xaa, 0x51, 0x12, 0x5a, 0x31, 0xb3, 0x19, 0x31, 0x4a, 0xe2, 0x68, 0x3e, 0x4a, 0xc2,
+	0x2e, 0xb7, 0xd1, 0x13, 0xa8, 0x47, 0x84, 0x45, 0x17, 0x96, 0x7d, 0xc2, 0x48, 0x64, 0xf5, 0x63,
+	0x43, 0x5d, 0x51, 0x56, 0x55, 0x5c, 0x13, 0xde, 0x26, 0x77, 0xee, 0xc7, 0xbc, 0xb4, 0x47, 0x98,
+	0xed, 0x07, 0x86, 0x26, 0x4b, 0x4b, 0xcb, 0x0c, 0x40, 0xef, 0x26, 0x4e, 0xdf, 0x67, 0x02, 0xc6,
+	0xfb, 0x84, 0xc4, 0x0c, 0xe9, 0xa0, 0xbe, 0xa3, 0x8e, 0xc0, 0x50, 0xc3, 0xfc, 0x13, 0x3d, 0x84,
+	0x85, 0x81, 0xcd, 0x7c, 0x12, 0xba, 0x84, 0x37, 0x28, 0x89, 0x06, 0x90, 0xb9, 0xf6, 0x63, 0xf4,
+	0x14, 0xea, 0x2e, 0x0d, 0x4f, 0xfc, 0x9e, 0x75, 0x4e, 0xa2, 0xd8, 0xa7, 0x61, 0x0a, 0x62, 0x51,
+	0x7a, 0x8f, 0xa4, 0xd3, 0xdc, 0x83, 0x46, 0xae, 0x5b, 0x3c, 0xa0, 0x61, 0x4c, 0xd0, 0x0b, 0x98,
+	0x8b, 0x24, 0x01, 0xa2, 0xe5, 0xc2, 0xc6, 0x83, 0xb5, 0x29, 0xa2, 0xd6, 0x46, 0x2c, 0xe1, 0x2c,
+	0xda, 0xec, 0xa6, 0xe4, 0x49, 0xd4, 0x4b, 0x50, 0x7e, 0x9f, 0x90, 0x84, 0xa4, 0xdc, 0x49, 0x03,
+	0xd5, 0xa1, 0xe4, 0x7b, 0x29, 0x67, 0x25, 0xdf, 0x9b, 0xbc, 0x89, 0x3a, 0x79, 0x13, 0xf3, 0x17,
+	0x05, 0xea, 0xaf, 0xc9, 0x27, 0x01, 0xc8, 0x21, 0xe5, 0xdf, 0x4c, 0x1a, 0x1c, 0x42, 0x12, 0x9e,
+	0x85, 0x74, 0x18, 0x5a, 0x9c, 0x66, 0x0e, 0x61, 0x1e, 0x43, 0xea, 0xda, 0xa1, 0x8e, 0xd9, 0x87,
+	0x46, 0xcb, 0x0e, 0x5d, 0x12, 0x7c, 0x12, 0x10, 0x13, 0xed, 0x4a, 0x53, 0xed, 0xbe, 0x82, 0x5b,
+	0x2d, 0x9a, 0x84, 0xec, 0x80, 0x84, 0x9e, 0x1f, 0xf6, 0xae, 0xe5, 0xd3, 0xf4, 0x61, 0x69, 0x3c,
+	0xf8, 0xbf, 0xc2, 0x33, 0x60, 0x6e, 0x20, 0x6b, 0x09, 0x68, 0x65, 0x9c, 0x99, 0xe6, 0xef, 0x0a,
+	0xd4, 0x0e, 0x22, 0xea, 0x90, 0x0c, 0x11, 0x02, 0x2d, 0xa4, 0x5e, 0x06, 0x48, 0x7c, 0x17, 0x08,
+	0xaf, 0x54, 0x20, 0x3c, 0xfe, 0x0b, 0x72, 0x07, 0x89, 0x15, 0x9f, 0xda, 0x11, 0x11, 0x8c, 0x2b,
+	0x78, 0xde, 0x1d, 0x24, 0x5d, 0x6e, 0xa3, 0x15, 0xa8, 0xc5, 0x8c, 0x46, 0xc4, 0xb2, 0x7b, 0x42,
+	0x14, 0x9a, 0x14, 0x85, 0xf0, 0x35, 0x7b, 0x5c, 0xde, 0x06, 0xcc, 0xd9, 0x9e, 0x17, 0x91, 0x38,
+	0x36, 0xca, 0xa2, 0x79, 0x66, 0x9a, 0x1f, 0x14, 0x58, 0x4c, 0x41, 0xa6, 0x4c, 0x2c, 0x41, 0x99,
+	0x0c, 0xa8, 0x7b, 0x2a, 0x60, 0xaa, 0x58, 0x1a, 0x1f, 0x8b, 0x73, 0x12, 0x8a, 0x3a, 0x05, 0xe5,
+	0x0e, 0x54, 0x64, 0x8a, 0x80, 0x59, 0xc3, 0xa9, 0x85, 0x1e, 0x41, 0x2d, 0xb0, 0xa3, 0x1e, 0x89,
+	0x2c, 0xce, 0x8b, 0xc4, 0x59, 0xc6, 0x0b, 0xd2, 0xd7, 0xe6, 0x2e, 0xf3, 0x57, 0x05, 0xaa, 0x5d,
+	0x5e, 0xc9, 0xc3, 0x74, 0xc8, 0x71, 0x32, 0xdb, 0x09, 0x2e, 0xdf, 0x57, 0x18, 0x9c, 0xe3, 0x81,
+	0x1d, 0xb1, 0x54, 0xb1, 0xe2, 0x9b, 0xcf, 0x83, 0x33, 0x72, 0x21, 0xb0, 0x54, 0x31, 0xff, 0xe4,
+	0xb9, 0xe7, 0x76, 0x90, 0x90, 0x14, 0x83, 0x34, 0x38, 0x4b, 0xd9, 0xe5, 0xca, 0x02, 0x77, 0x66,
+	0xf2, 0x13, 0x8f, 0x04, 0x84, 0x11, 0xcf, 0xa8, 0x08, 0xfd, 0x65, 0xa6, 0xf9, 0x8f, 0x02, 0x8d,
+	0x16, 0xed, 0xf7, 0x7d, 0x86, 0xe9, 0x30, 0xce, 0x5e, 0xfa, 0x07, 0x00, 0x97, 0x86, 0x9e, 0xcf,
+	0x7c, 0x1a, 0xc6, 0x86, 0xb2, 0xa2, 0xae, 0x2e, 0x6c, 0xdc, 0x2f, 0x10, 0xd4, 0xe5, 0x6d, 0x70,
+	0x2e, 0x1e, 0x3d, 0x07, 0x6d, 0x90, 0x30, 0x3e, 0xa6, 0x66, 0xe7, 0x89, 0x48, 0xf4, 0x6d, 0x86,
+	0x8f, 0x33, 0x3e, 0x3b, 0x29, 0x0b, 0x9e, 0x9c, 0x26, 0xda, 0xd4, 0x34, 0xf9, 0x4b, 0x01, 0x94,
+	0xbf, 0x5e, 0xaa, 0x91, 0xef, 0x60, 0x8e, 0x26, 0xcc, 0xa5, 0x7d, 0xc9, 0x7e, 0x7d, 0xe3, 0xf3,
+	0x82, 0x7e, 0x3c, 0xa3, 0x23, 0xa3, 0x70, 0x16, 0x9e, 0x9b, 0xe3, 0xa5, 0xfc, 0x1c, 0xcf, 0x73,
+	0xaf, 0x8e, 0x73, 0xff, 0x1c, 0xb4, 0x88, 0x0e, 0x39, 0xb8, 0x8f, 0x60, 0x83, 0x47, 0x9a, 0x7f,
+	0x28, 0x70, 0x13, 0x13, 0xdb, 0xcb, 0xbf, 0xc8, 0x3a, 0x68, 0x67, 0x7e, 0xe8, 0xa5, 0x70, 0xef,
+	0x15, 0xc1, 0x25, 0xb6, 0xb7, 0xeb, 0x87, 0x1e, 0x16, 0x81, 0x23, 0x79, 0x95, 0x8a, 0xe4, 0xa5,
+	0x4e, 0xcb, 0x4b, 0x1b, 0x93, 0x97, 0x58, 0x66, 0xa9, 0x8c, 0xa4, 0x81, 0x3e, 0x83, 0xb9, 0xa1,
+	0xed, 0x33, 0x4e, 0x74, 0x45, 0xf8, 0x2b, 0xdc, 0xdc, 0x8f, 0xcd, 0x3f, 0x15, 0xd0, 0x47, 0x78,
+	0xff, 0x0f, 0x14, 0x3f, 0xfb, 0x4d, 0x81, 0x85, 0x5c, 0x73, 0x64, 0xc0, 0x12, 0xee, 0x1c, 0x77,
+	0xad, 0xce, 0x9b, 0xc3, 0x56, 0x67, 0x7f, 0xd3, 0x7a, 0xd3, 0xde, 0x6d, 0x77, 0x8e, 0xdb, 0xfa,
+	0x0d, 0x74, 0x0b, 0x6e, 0x8e, 0x9d, 0x74, 0x76, 0x75, 0x05, 0xdd, 0x85, 0xdb, 0x63, 0xce, 0x56,
+	0xa7, 0xfd, 0xe3, 0xde, 0x76, 0xeb, 0x50, 0x2f, 0xa1, 0xfb, 0x60, 0x4c, 0x54, 0x6a, 0x1e, 0x35,
+	0xb7, 0xf7, 0x9a, 0x2f, 0xf7, 0x36, 0x75, 0x15, 0x3d, 0x80, 0xbb, 0x63, 0xa7, 0x5b, 0xdb, 0xdd,
+	0xc3, 0x0e, 0x7e, 0x6b, 0xed, 0x75, 0xba, 0x87, 0xba, 0xf6, 0x6c, 0x0b, 0xe6, 0xb3, 0x67, 0x44,
+	0x0d, 0x58, 0xc4, 0x9b, 0xcd, 0x57, 0xd6, 0xee, 0x76, 0xfb, 0x95, 0x85, 0x3b, 0xc7, 0xfa, 0x0d,
+	0x84, 0xa0, 0x3e, 0x72, 0x1d, 0x34, 0xf1, 0xa1, 0xae, 0xa0, 0xdb, 0xd0, 0x18, 0xf9, 0x5a, 0x5b,
+	0xcd, 0xf6, 0xeb, 0xcd, 0xae, 0x5e, 0xda, 0xf8, 0xa0, 0x82, 0xb6, 0x43, 0x9d, 0x18, 0x1d, 0x41,
+	0xf5, 0x72, 0xe5, 0xa3, 0xc7, 0x45, 0xd4, 0x4c, 0xfc, 0xfd, 0x58, 0x7e, 0x72, 0x7d, 0x50, 0xfa,
+	0xbe, 0x3b, 0x50, 0x91, 0x6b, 0x1a, 0x5d, 0xb9, 0x69, 0x64, 0xb9, 0x47, 0x05, 0xc7, 0x13, 0x0b,
+	0xfe, 0x00, 0xaa, 0x97, 0x0b, 0x77, 0x56, 0xb9, 0x22, 0x74, 0xd3, 0xdb, 0xda, 0x82, 0x5a, 0x7e,
+	0x4d, 0xa2, 0x2f, 0x8a, 0xb2, 0xa6, 0x97, 0xee, 0xf2, 0x97, 0x33, 0xe3, 0x2e, 0xaf, 0x5f, 0x16,
+	0x6b, 0x07, 0x3d, 0x2c, 0xc8, 0xc8, 0x6f, 0xcd, 0xe5, 0x95, 0xab, 0x03, 0x64, 0xad, 0x8d, 0xbf,
+	0x15, 0xd0, 0xb8, 0x18, 0xd1, 0x5b, 0x80, 0xd1, 0xb0, 0x42, 0x85, 0x37, 0x9d, 0x1c, 0xd5, 0xcb,
+	0x4f, 0x67, 0x44, 0xa5, 0x78, 0xbb, 0x52, 0x59, 0xa2, 0xb0, 0x79, 0xc5, 0xf4, 0xc8, 0x97, 0x7d,
+	0x7c, 0x6d, 0x8c, 0x2c, 0xfa, 0xf2, 0xfb, 0x9f, 0x5e, 0xf4, 0x7c, 0x76, 0x9a, 0x38, 0x6b, 0x2e,
+	0xed, 0xaf, 0x8f, 0x12, 0xf2, 0x9f, 0x7e, 0xc8, 0x48, 0x14, 0xda, 0xc1, 0x7a, 0x34, 0x70, 0xa5,
+	0x7f, 0xe8, 0x47, 0xc4, 0xa9, 0x88, 0xbf, 0xe4, 0xdf, 0xfc, 0x1b, 0x00, 0x00, 0xff, 0xff, 0xb6,
+	0xd3, 0xbb, 0xfb, 0x9f, 0x0b, 0x00, 0x00,
 }
