--- a/internal/decision/berylscheduler/slow_store_test.go
+++ b/internal/decision/berylscheduler/slow_store_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -94,7 +95,8 @@
 			e := heap.Pop(&s.events).(timedEvent).event
 			if c, ok := e.(Committed); ok {
 				s.missed++
-				if _, unknown := c.Err.(*beryllatch.UnknownOutcomeError); !unknown {
+				var unknown *beryllatch.UnknownOutcomeError
+				if !errors.As(c.Err, &unknown) {
 					s.missed = 0
 				}
 			}
