Repeat unanswered orders at once, look beside holds, keep waves at an even pace

A start without an answer waited 350 ms, then for a hold that itself had got lost (up to 2.6 s), then for a stop and the stop time-out, before the task started elsewhere. A lost hold hid all ends of a worker for 1.5 s. Change: the same run is ordered again after 200 ms, on the same worker, up to four times: its number makes repeats and late orders harmless. A rejected repeat settles nothing. A look without wait goes beside a hold that waits. While answers get lost, holds wait for 250 ms instead of 1 s. A stop that is answered needs no further wait, since what is being stopped stays listed. Waves take instances that the pools can spare, and others at an even pace over 65 % of their time; the time of the first sight is in the wave's row, so that a takeover does not start it anew. A slow store is told from a lost answer by a small read; a transaction at a slow store is awaited for up to 1.9 s. Tests: TestUnansweredStartIsSettledFirst asks of every repeat that it is for the same run and worker; the order of settling is as before. TestWaveGoesOnAfterATakeover stores the row of the first sight before it takes the next one.

--- a/internal/decision/berylscheduler/effect.go
+++ b/internal/decision/berylscheduler/effect.go
@@ -35,6 +35,8 @@
 	Worker beryllatch.WorkerAddress
 	Born   int64
 	Order  beryllatch.HoldOrder
+	// Look marks an order that may be sent beside one that waits for an end.
+	Look bool
 }
 
 // CommitRows stores rows.
--- a/internal/decision/berylscheduler/event.go
+++ b/internal/decision/berylscheduler/event.go
@@ -52,7 +52,9 @@
 	// Sent is when the order left.
 	Sent  time.Time
 	Lists beryllatch.WorkerLists
-	Err   error
+	// Look is that of the effect.
+	Look bool
+	Err  error
 }
 
 // StartEnded is the outcome of a StartRun effect.
--- a/internal/decision/berylscheduler/fleet.go
+++ b/internal/decision/berylscheduler/fleet.go
@@ -43,8 +43,12 @@
 	waves    map[int]*wave
 	orders   map[string]*instanceOrder
 	peaks    map[string]poolPeak
-	arrivals []arrival
-	reported time.Time
+	// load is the most instances that all pools together have wanted lately.
+	load peakLoad
+	// onInstance holds the latest worker of each instance; nil asks to build it anew.
+	onInstance map[string]*worker
+	arrivals   []arrival
+	reported   time.Time
 	// invalid holds the kinds of moves that the platform does not allow.
 	invalid map[string]bool
 	// stored holds the waves' rows of earlier epochs.
@@ -54,6 +58,7 @@
 // wave is a maintenance wave with its progress.
 type wave struct {
 	beryllatch.MaintenanceWave
+	// seen is when a scheduling node has first seen it.
 	seen time.Time
 	// left holds the instances whose maintenance has not begun.
 	left map[string]bool
@@ -69,12 +74,14 @@
 
 // waveRow is the stored form of a wave's progress.
 type waveRow struct {
+	// Seen is the Unix millisecond of the first sight of the wave.
+	Seen int64 `json:"seen,omitempty"`
 	// Begun holds the instances whose maintenance has begun.
 	Begun []string `json:"begun,omitempty"`
 }
 
 func (w *wave) encode() []byte {
-	var row waveRow
+	row := waveRow{Seen: w.seen.UnixMilli()}
 	for _, i := range w.Instances {
 		if !w.left[i] {
 			row.Begun = append(row.Begun, i)
@@ -126,9 +133,14 @@
 		}
 		if row, ok := f.stored[n]; ok {
 			w.rowVersion = row.version
+			if row.Seen > 0 {
+				w.seen = earlier(time.UnixMilli(row.Seen), s.now)
+			}
 			for _, i := range row.Begun {
 				delete(w.left, i)
 			}
+		} else {
+			s.journal.markWave(w)
 		}
 		f.waves[n] = w
 		s.emit(Decision{Name: "wave_seen", Detail: strings.Join(m.Instances, " ")})
@@ -154,9 +166,10 @@
 		return
 	}
 	s.advanceOrders()
+	spare := s.spareInstances()
 	for _, n := range slices.Sorted(maps.Keys(f.waves)) {
 		if w := f.waves[n]; !w.done {
-			s.advanceWave(w)
+			spare -= s.advanceWave(w, spare)
 		}
 	}
 	s.rebalance()
@@ -221,8 +234,9 @@
 	return n
 }
 
-// advanceWave prepares further instances of a wave, those with the least to lose first.
-func (s *Scheduler) advanceWave(w *wave) {
+// advanceWave prepares further instances of a wave, those with the least to lose first, and returns how many of the spare
+// ones it has taken. Beyond these it goes no faster than it must, so that a wave does not take away what a burst needs.
+func (s *Scheduler) advanceWave(w *wave, spare int) int {
 	if s.fleet.asked.Sub(w.seen) > listLag {
 		for _, i := range w.Instances {
 			if _, ok := s.fleet.instances[i]; !ok && w.left[i] {
@@ -234,11 +248,11 @@
 	if len(w.left) == 0 {
 		w.done = true
 		s.tell(w)
-		return
+		return 0
 	}
 	room := w.MaxDown - s.down(w)
 	if room <= 0 {
-		return
+		return 0
 	}
 	var free []string
 	for i := range w.left {
@@ -253,16 +267,45 @@
 	slices.SortFunc(free, func(a, b string) int {
 		return cmp.Or(cmp.Compare(losses[a], losses[b]), strings.Compare(a, b))
 	})
+	owed := s.owed(w)
+	taken := 0
 	for _, i := range free {
 		if room == 0 {
-			return
+			break
 		}
 		if k := s.workerOn(i); k != nil && !k.known {
 			continue
 		}
+		if !s.operations.Evacuated[s.fleet.instances[i].DataCentre] {
+			if taken >= max(spare, owed) {
+				continue
+			}
+			taken++
+		}
 		room--
 		s.prepare(&instanceOrder{instance: i, wave: w.Number})
 	}
+	return taken
+}
+
+// wavePace is the part of its time in which a wave is carried out evenly when no instance is to spare; the rest is for
+// instances whose tasks have to be moved first.
+const wavePace = 0.65
+
+// owed returns how many instances of the wave must be taken now to stay in time.
+func (s *Scheduler) owed(w *wave) int {
+	if w.Deadline <= 0 {
+		return len(w.Instances)
+	}
+	passed := s.now.Sub(w.seen).Seconds() / (wavePace * w.Deadline.Seconds())
+	due := int(passed * float64(len(w.Instances)))
+	prepared := 0
+	for i := range w.left {
+		if o := s.fleet.orders[i]; o != nil && o.wave == w.Number {
+			prepared++
+		}
+	}
+	return due - (len(w.Instances) - len(w.left)) - prepared
 }
 
 // prepare keeps new tasks away from an instance until its order is carried out.
@@ -276,13 +319,16 @@
 
 // workerOn returns the latest worker on an instance, or nil. It may run tasks without being registered.
 func (s *Scheduler) workerOn(instance string) *worker {
-	var latest *worker
-	for _, w := range s.ordered {
-		if w.info.Instance == instance && (latest == nil || w.info.Born > latest.info.Born) {
-			latest = w
+	f := &s.fleet
+	if f.onInstance == nil {
+		f.onInstance = make(map[string]*worker, len(s.ordered))
+		for _, w := range s.ordered {
+			if latest := f.onInstance[w.info.Instance]; latest == nil || w.info.Born > latest.info.Born {
+				f.onInstance[w.info.Instance] = w
+			}
 		}
 	}
-	return latest
+	return f.onInstance[instance]
 }
 
 // loss is the processor time that the end of a worker's runs throws away, in thousandths of a core.
--- a/internal/decision/berylscheduler/journal.go
+++ b/internal/decision/berylscheduler/journal.go
@@ -29,7 +29,7 @@
 	maxBatchBytes = 500 << 10
 	// maxBatches bounds the transactions in flight: the store carries out those of a part one after another, and two cover
 	// the way there and back.
-	maxBatches = 3
+	maxBatches = 2
 	// slowCommit is when an answer counts as slow.
 	slowCommit = 40 * time.Millisecond
 	// commitRetry is the pause after a failed transaction.
--- a/internal/decision/berylscheduler/pool.go
+++ b/internal/decision/berylscheduler/pool.go
@@ -97,6 +97,35 @@
 	return out
 }
 
+// loadMemory is how long the fleet is kept ready for the load of its last peak: pools burst by turns.
+const loadMemory = 8 * time.Second
+
+// peakLoad is a number of wanted instances, and when it was wanted.
+type peakLoad struct {
+	instances int
+	at        time.Time
+}
+
+// spareInstances returns how many instances the pools can do without, by what they have wanted lately.
+func (s *Scheduler) spareInstances() int {
+	if s.deployment == nil {
+		return 0
+	}
+	present, wanted := 0, 0
+	for _, p := range s.demands() {
+		wanted += p.wanted
+		present += p.supply
+		if p.standby {
+			present += len(p.idle)
+		}
+	}
+	f := &s.fleet
+	if wanted >= f.load.instances || s.now.Sub(f.load.at) > loadMemory {
+		f.load = peakLoad{wanted, s.now}
+	}
+	return present - f.load.instances
+}
+
 // reportLoad logs what the pools need and have, once a second.
 func (s *Scheduler) reportLoad(pools []*poolDemand) {
 	if s.now.Sub(s.fleet.reported) < time.Second {
--- a/internal/decision/berylscheduler/rules_test.go
+++ b/internal/decision/berylscheduler/rules_test.go
@@ -150,14 +150,27 @@
 	}
 }
 
+// loseStarts leaves all waiting start orders without an answer, until the worker is not asked any more. Each must be for the
+// run that is open.
+func (w *world) loseStarts(open StartRun) {
+	w.t.Helper()
+	for n := 0; len(w.starts) > 0; n++ {
+		assert.Assert(w.t, n < 2*startTries, "starts are repeated for ever")
+		f := w.starts[0]
+		w.starts = w.starts[1:]
+		assert.Equal(w.t, f.Worker, open.Worker)
+		assert.Equal(w.t, f.Order.Run, open.Order.Run)
+		w.apply(StartEnded{Worker: f.Worker.ID, Born: f.Born, Task: f.Order.Task, Run: f.Order.Run, Err: beryllatchTimeout{}})
+	}
+}
+
 // A start without an answer may be carried out later: the task starts elsewhere only once a stop for the run is answered.
 func TestUnansweredStartIsSettledFirst(t *testing.T) {
 	w := newWorld(t)
 	w.register("a", "b")
 	w.accept(oneTask("0000000000000001"))
 	first := w.starts[0]
-	w.starts = nil
-	w.apply(StartEnded{Worker: first.Worker.ID, Born: first.Born, Task: first.Order.Task, Run: first.Order.Run, Err: beryllatchTimeout{}})
+	w.loseStarts(first)
 	for range 5 {
 		w.pass(300 * time.Millisecond)
 		w.answerHolds(nil)
@@ -174,6 +187,95 @@
 	assert.Assert(t, w.starts[0].Order.Run > first.Order.Run)
 }
 
+// While workers leave orders unanswered, a repeat of the same run is sent at once: the task does not wait for a look and a
+// stop.
+func TestUnansweredStartIsRepeated(t *testing.T) {
+	w := newWorld(t)
+	w.register("a", "b")
+	w.accept(oneTask("0000000000000001"))
+	first := w.starts[0]
+	w.starts = nil
+	w.apply(StartEnded{Worker: first.Worker.ID, Born: first.Born, Task: first.Order.Task, Run: first.Order.Run, Err: beryllatchTimeout{}})
+	assert.Equal(t, len(w.starts), 1)
+	assert.Equal(t, w.starts[0].Worker, first.Worker)
+	assert.Equal(t, w.starts[0].Order.Run, first.Order.Run)
+	w.confirm()
+	w.pass(time.Second)
+	assert.Equal(t, len(w.starts)+len(w.stops), 0)
+}
+
+// A worker that is to be emptied gets no repeats.
+func TestUnansweredStartIsNotRepeatedOnALeavingWorker(t *testing.T) {
+	w := newWorld(t)
+	w.register("a")
+	w.accept(oneTask("0000000000000001"))
+	first := w.starts[0]
+	w.starts = nil
+	w.apply(OperationsChanged{beryllatch.Operations{Evacuated: map[string]bool{"dc1": true}}})
+	w.apply(StartEnded{Worker: first.Worker.ID, Born: first.Born, Task: first.Order.Task, Run: first.Order.Run, Err: beryllatchTimeout{}})
+	assert.Equal(t, len(w.starts), 0)
+}
+
+// A rejection says what became of one order: an earlier one without an answer may have started the run, or may start it yet.
+func TestRejectedRepeatSettlesNothing(t *testing.T) {
+	for _, reason := range []beryllatch.OrderRejection{
+		beryllatch.RejectOld, beryllatch.RejectLate, beryllatch.RejectRoom, beryllatch.RejectBusy, beryllatch.RejectUnsent,
+	} {
+		t.Run(string(reason), func(t *testing.T) {
+			w := newWorld(t)
+			w.register("a", "b")
+			w.accept(oneTask("0000000000000001"))
+			first := w.starts[0]
+			e := StartEnded{Worker: first.Worker.ID, Born: first.Born, Task: first.Order.Task, Run: first.Order.Run, Err: beryllatchTimeout{}}
+			w.apply(e)
+			w.starts = nil
+			e.Err = &beryllatch.OrderRejectedError{Reason: reason}
+			w.apply(e)
+			w.pass(time.Second)
+			assert.Equal(t, len(w.starts), 0, "the run is open")
+			w.answerHolds(map[string]beryllatch.WorkerLists{first.Worker.ID: {Finished: []beryllatch.FinishedEntry{
+				{Number: 1, Task: first.Order.Task, Run: first.Order.Run, End: beryllatch.RunDone},
+			}}})
+			w.store()
+			state, _ := w.s.JobState("0000000000000001")
+			assert.Equal(t, state, beryllatch.JobDone)
+			assert.Equal(t, len(w.starts), 0)
+		})
+	}
+}
+
+// A hold that waits for an end must not hide for a second what became of an order: the worker is looked at beside it.
+func TestLookBesideAHold(t *testing.T) {
+	w := newWorld(t)
+	w.register("a")
+	w.accept(oneTask("0000000000000001"))
+	w.pass(100 * time.Millisecond)
+	waiting := len(w.holds)
+	w.loseStarts(w.starts[0])
+	assert.Assert(t, len(w.holds) > waiting)
+	look := w.holds[len(w.holds)-1]
+	assert.Assert(t, look.Look)
+	assert.Equal(t, look.Order.Wait, time.Duration(0))
+}
+
+// One hold without an answer is repeated at once, and those after it wait for a short time only.
+func TestLostHoldIsRepeatedAtOnce(t *testing.T) {
+	w := newWorld(t)
+	w.register("a")
+	w.accept(oneTask("0000000000000001"))
+	starts := w.confirm()
+	w.answerHolds(running(starts, 10))
+	assert.Equal(t, w.holds[0].Order.Wait, holdWait)
+	w.answerHolds(nil, "a")
+	assert.Equal(t, len(w.holds), 1)
+	assert.Equal(t, w.holds[0].Order.Wait, time.Duration(0))
+	w.answerHolds(running(starts, 20))
+	assert.Equal(t, w.holds[0].Order.Wait, lossyWait)
+	w.pass(lossMemory)
+	w.answerHolds(running(starts, 30))
+	assert.Equal(t, w.holds[0].Order.Wait, holdWait)
+}
+
 func TestTicketIsNeeded(t *testing.T) {
 	w := newWorld(t)
 	d := testDeployment()
--- a/internal/decision/berylscheduler/run.go
+++ b/internal/decision/berylscheduler/run.go
@@ -29,6 +29,8 @@
 	runsPerEpoch = 1000
 	// stopRetry spaces stop orders that were not answered.
 	stopRetry = 400 * time.Millisecond
+	// startTries bounds the orders for one run: its number makes the repeats harmless.
+	startTries = 4
 	// restartPause delays a task that fails at once, again and again.
 	restartPause = 200 * time.Millisecond
 )
@@ -52,11 +54,14 @@
 	// stopAnswered is when the worker has confirmed the stop order.
 	stopAnswered time.Time
 	stopSent     bool
-	percent      int
-	load         int
-	pace         int
-	pacing       bool
-	checkpoint   string
+	// tries counts the start orders; after the first one without an answer only the worker's lists tell what became of it.
+	tries      int
+	ticket     string
+	percent    int
+	load       int
+	pace       int
+	pacing     bool
+	checkpoint string
 }
 
 // runsOf returns the runs of a worker in a stable order.
@@ -139,19 +144,25 @@
 // startTask orders a run of the task.
 func (s *Scheduler) startTask(w *worker, t *task, n int, ticket string) {
 	r := s.book(w, t, runID{t.name, n})
-	s.starting++
-	w.starting++
-	s.emit(StartRun{Worker: w.address(), Born: w.info.Born, Order: beryllatch.StartOrder{
-		Task: t.name, Run: n, Payload: t.step.job.Payload, LeaseEnd: s.grant(w), Fence: s.Epoch,
-		Checkpoint: t.saved, Ticket: ticket,
-	}})
+	r.checkpoint, r.ticket = t.saved, ticket
+	s.sendStart(r)
 	s.emit(Decision{Name: "run_start", Job: t.step.job.ID, Task: t.name, Worker: w.info.ID, Run: n, Age: s.now.Sub(w.heard)})
-	r.checkpoint = t.saved
 	if !w.holding {
 		s.holdDue(w)
 	}
 }
 
+func (s *Scheduler) sendStart(r *run) {
+	w := r.worker
+	r.tries++
+	s.starting++
+	w.starting++
+	s.emit(StartRun{Worker: w.address(), Born: w.info.Born, Order: beryllatch.StartOrder{
+		Task: r.id.task, Run: r.id.n, Payload: r.task.step.job.Payload, LeaseEnd: s.grant(w), Fence: s.Epoch,
+		Checkpoint: r.checkpoint, Ticket: r.ticket,
+	}})
+}
+
 func (s *Scheduler) startEnded(e StartEnded) {
 	s.starting--
 	s.placeable = true
@@ -163,6 +174,7 @@
 	r := w.runs[runID{e.Task, e.Run}]
 	if e.Err == nil {
 		w.setClock(e.Clock, s.now)
+		w.doubted = false
 	}
 	if r == nil {
 		return
@@ -176,14 +188,27 @@
 		if r.present.IsZero() {
 			r.present = s.now
 		}
-	case errors.As(e.Err, &rejected):
+	case errors.As(e.Err, &rejected) && (r.tries == 1 || rejected.Reason == beryllatch.RejectFence || rejected.Reason == beryllatch.RejectIncarnation):
 		s.startRejected(w, r, rejected)
 	case r.phase == runStarting:
+		s.startUnanswered(w, r, e.Err)
+	}
+	s.holdDue(w)
+}
+
+// startUnanswered repeats a start order, and looks at the worker. A worker may carry out an order seconds after it was sent:
+// a repeat starts the run at once, and the late order finds it there or ended.
+func (s *Scheduler) startUnanswered(w *worker, r *run, err error) {
+	s.emit(Decision{Name: "start_unanswered", Task: r.id.task, Worker: w.info.ID, Run: r.id.n, Detail: err.Error()})
+	s.noteLoss(w)
+	var rejected *beryllatch.OrderRejectedError
+	if r.tries < startTries && w.failures == 0 && s.stays(w) && !errors.As(err, &rejected) {
+		s.sendStart(r)
+	} else {
 		r.phase, r.settle = runUnsettled, s.now
-		s.emit(Decision{Name: "start_unanswered", Task: e.Task, Worker: e.Worker, Run: e.Run, Detail: e.Err.Error()})
 		w.health.unanswered(s.now)
 	}
-	s.holdDue(w)
+	s.look(w)
 }
 
 // startRejected takes back a run that the worker surely has not started by this order.
@@ -202,7 +227,7 @@
 	}
 	switch e.Reason {
 	case beryllatch.RejectUnsent, beryllatch.RejectIncarnation:
-		s.holdFailed(w, e)
+		s.workerSilent(w, e)
 	case beryllatch.RejectLate:
 		// The estimate of the worker's clock was off: the next hold reads it again.
 		w.clockAt = time.Time{}
@@ -241,6 +266,11 @@
 	r.stopSent = false
 	if e.Err == nil {
 		r.stopAnswered = s.now
+		w.doubted = false
+		if r.present.IsZero() {
+			// No end tells of a run that never began.
+			s.look(w)
+		}
 		s.holdDue(w)
 		return
 	}
@@ -249,6 +279,11 @@
 		s.resign("worker " + w.info.ID + " has seen a later epoch")
 		return
 	}
+	s.noteLoss(w)
+	if w.failures == 0 {
+		s.sendStop(r)
+		return
+	}
 	// checkRuns sends it again.
 	r.stopped = s.now
 }
@@ -288,7 +323,8 @@
 // checkMissing handles a run that a worker does not list, by a look that was sent at the given time.
 func (s *Scheduler) checkMissing(r *run, sent time.Time) {
 	switch {
-	case r.phase == runStopping && !r.stopAnswered.IsZero() && sent.After(r.stopAnswered.Add(s.Limits.StopTimeout)):
+	case r.phase == runStopping && !r.stopAnswered.IsZero() && sent.After(r.stopAnswered):
+		// What is being stopped is listed as running until its end is listed.
 		s.release(r)
 		s.requeue(r, "stopped before it began")
 	case r.phase == runStopping:
--- a/internal/decision/berylscheduler/scheduler.go
+++ b/internal/decision/berylscheduler/scheduler.go
@@ -82,7 +82,9 @@
 	waking    bool
 	// starting counts the start orders without an outcome.
 	starting int
-	resigned bool
+	// lossUntil is until when answers of workers are likely to get lost.
+	lossUntil time.Time
+	resigned  bool
 }
 
 // teamUse is what a team has booked on all workers.
@@ -240,6 +242,7 @@
 
 func (s *Scheduler) addWorker(w *worker) {
 	s.workers[w.info.ID] = w
+	s.fleet.onInstance = nil
 	w.row = s.journal.workerRow(w.info.ID)
 	i, _ := slices.BinarySearchFunc(s.ordered, w.info.ID, func(o *worker, id string) int { return strings.Compare(o.info.ID, id) })
 	s.ordered = slices.Insert(s.ordered, i, w)
@@ -252,6 +255,7 @@
 			return false
 		}
 		delete(s.workers, w.info.ID)
+		s.fleet.onInstance = nil
 		s.journal.setWorker(w.info.ID, nil)
 		return true
 	})
--- a/internal/decision/berylscheduler/wave_test.go
+++ b/internal/decision/berylscheduler/wave_test.go
@@ -96,6 +96,8 @@
 	w.openWave(1, "m-a", "m-b")
 	w.pass(time.Second)
 	first := w.maintained()
+	// The row of the first sight of the wave.
+	w.store()
 	w.apply(InstanceOrderEnded{Instance: first[0]})
 	var rows []beryllatch.DataRow
 	for _, c := range w.commits {
--- a/internal/decision/berylscheduler/worker.go
+++ b/internal/decision/berylscheduler/worker.go
@@ -10,6 +10,10 @@
 const (
 	// holdWait is how long a worker may delay its answer; it leaves most of the lease for retries.
 	holdWait = time.Second
+	// lossyWait is the wait while answers get lost: a hold without an answer tells nothing of the ends meanwhile.
+	lossyWait = 250 * time.Millisecond
+	// lossMemory is how long a lost answer makes others likely.
+	lossMemory = 3 * time.Second
 	// unsettledWait is the wait while the outcome of an order is open.
 	unsettledWait = 100 * time.Millisecond
 	// watchWait is the wait for workers whose serving tasks share with fillers.
@@ -41,7 +45,11 @@
 	starting int
 	used     beryllatch.Resources
 
-	holding  bool
+	holding bool
+	// looking is true while a look is under way, beside a hold that waits for an end.
+	looking bool
+	// doubted is true from an order without an answer to the next answer: the worker gets no new tasks meanwhile.
+	doubted  bool
 	holdNext time.Time
 	// failures counts the holds without an answer, one after the other.
 	failures int
@@ -87,8 +95,13 @@
 // back for a while after it.
 func (s *Scheduler) usable(w *worker) bool {
 	present := w.registered || (!w.missing.IsZero() && s.now.Sub(w.missing) < registryGrace)
-	return present && w.known && !w.clockAt.IsZero() && w.failures == 0 && w.row.version > 0 && !w.info.Draining && w.closing == "" &&
-		!s.operations.Evacuated[w.info.DataCentre] && !w.health.suspect(s.now)
+	return present && w.known && !w.clockAt.IsZero() && w.failures == 0 && !w.doubted && w.row.version > 0 && s.stays(w) &&
+		!w.health.suspect(s.now)
+}
+
+// stays reports whether nobody has asked for the worker to be emptied.
+func (s *Scheduler) stays(w *worker) bool {
+	return !w.info.Draining && w.closing == "" && !s.operations.Evacuated[w.info.DataCentre]
 }
 
 func (s *Scheduler) readRegistry(workers []beryllatch.WorkerInfo) {
@@ -161,6 +174,7 @@
 	}
 	moved := i.Address != w.info.Address
 	w.info, w.registered = i, true
+	s.fleet.onInstance = nil
 	if moved {
 		s.journal.setWorker(i.ID, w.encode())
 	}
@@ -215,8 +229,10 @@
 		s.requeue(r, "worker restarted")
 	}
 	w.info.Born = born
+	s.fleet.onInstance = nil
 	w.seen, w.acknowledged, w.sentAck, w.ends, w.starting = 0, 0, 0, nil, 0
 	w.clockAt, w.failures, w.known, w.health = time.Time{}, 0, true, health{}
+	w.doubted, w.looking = false, false
 	s.placeable = true
 }
 
@@ -300,17 +316,43 @@
 			return
 		}
 		order.Wait = 0
+	case w.failures > 0:
+		order.Wait = 0
 	case w.unsettled():
 		order.Wait = unsettledWait
+	case s.now.Before(s.lossUntil):
+		order.Wait = lossyWait
 	case w.watched():
 		order.Wait = watchWait
 	}
+	w.holding = true
+	s.sendHold(w, order, false)
+}
+
+func (s *Scheduler) sendHold(w *worker, order beryllatch.HoldOrder, look bool) {
 	// A worker that does not answer gets no longer lease: its runs are written off when the last one has run out.
 	if w.failures == 0 {
 		order.LeaseEnd = s.grant(w)
 	}
-	w.holding, w.sentAck = true, ack
-	s.emit(HoldWorker{Worker: w.address(), Born: w.info.Born, Order: order})
+	w.sentAck = order.Acknowledge
+	s.emit(HoldWorker{Worker: w.address(), Born: w.info.Born, Order: order, Look: look})
+}
+
+// look asks for a worker's lists at once, also beside a hold that waits for an end.
+func (s *Scheduler) look(w *worker) {
+	if w.looking || s.resigned {
+		return
+	}
+	w.looking = true
+	s.sendHold(w, beryllatch.HoldOrder{Fence: s.Epoch, Acknowledge: s.acknowledgeable(w)}, true)
+}
+
+// noteLoss remembers that an order was not answered, by a worker that answers others.
+func (s *Scheduler) noteLoss(w *worker) {
+	w.doubted = true
+	if w.failures == 0 {
+		s.lossUntil = s.now.Add(lossMemory)
+	}
 }
 
 // acknowledgeable returns the number of the last end up to which all are stored.
@@ -332,16 +374,22 @@
 	if w == nil || w.info.Born != e.Born {
 		return
 	}
-	w.holding = false
+	if e.Look {
+		w.looking = false
+	} else {
+		w.holding = false
+	}
 	if e.Err != nil {
-		s.holdFailed(w, e.Err)
+		s.holdFailed(w, e)
 		return
 	}
+	w.doubted = false
 	if e.Lists.Born > w.info.Born {
 		if w.info.Born != 0 {
 			s.reborn(w, e.Lists.Born)
 		}
 		w.info.Born = e.Lists.Born
+		s.fleet.onInstance = nil
 	}
 	if w.failures > 0 {
 		s.emit(Decision{Name: "worker_regained", Worker: w.info.ID})
@@ -366,16 +414,32 @@
 	s.holdDue(w)
 }
 
-func (s *Scheduler) holdFailed(w *worker, err error) {
+func (s *Scheduler) holdFailed(w *worker, e WorkerHeld) {
 	var rejected *beryllatch.OrderRejectedError
-	if errors.As(err, &rejected) && rejected.Reason == beryllatch.RejectFence {
+	switch {
+	case errors.As(e.Err, &rejected) && rejected.Reason == beryllatch.RejectFence:
 		s.resign("worker " + w.info.ID + " has seen a later epoch")
-		return
+	case e.Sent.Before(w.heard):
+		// A later look was answered.
+		s.noteLoss(w)
+		w.doubted = false
+		s.holdDue(w)
+	default:
+		s.workerSilent(w, e.Err)
 	}
+}
+
+// workerSilent notes that a worker has not answered; the first time it is asked again at once, since single answers get lost.
+func (s *Scheduler) workerSilent(w *worker, err error) {
 	if w.failures == 0 {
 		s.emit(Decision{Name: "worker_lost", Worker: w.info.ID, Detail: err.Error(), Age: s.now.Sub(w.heard)})
+		s.noteLoss(w)
 	}
 	w.failures++
 	w.holdNext = s.now.Add(holdRetry)
+	if w.failures == 1 {
+		w.holdNext = s.now
+	}
 	s.listSoon()
+	s.holdDue(w)
 }
--- a/internal/decision/berylscheduler/world_test.go
+++ b/internal/decision/berylscheduler/world_test.go
@@ -161,11 +161,11 @@
 	holds := w.holds
 	w.holds = nil
 	for _, h := range holds {
-		e := WorkerHeld{Worker: h.Worker.ID, Born: h.Born, Sent: h.sent, Lists: lists[h.Worker.ID]}
+		e := WorkerHeld{Worker: h.Worker.ID, Born: h.Born, Sent: h.sent, Look: h.Look, Lists: lists[h.Worker.ID]}
 		e.Lists.Clock, e.Lists.Born = time.Duration(w.now.UnixMilli()%1e6+1e6)*time.Millisecond, h.Born
 		for _, id := range silent {
 			if h.Worker.ID == id {
-				e = WorkerHeld{Worker: id, Born: h.Born, Sent: h.sent, Err: fmt.Errorf("no answer")}
+				e = WorkerHeld{Worker: id, Born: h.Born, Sent: h.sent, Look: h.Look, Err: fmt.Errorf("no answer")}
 			}
 		}
 		w.apply(e)
--- a/internal/node/beryljobs/log.go
+++ b/internal/node/beryljobs/log.go
@@ -77,6 +77,13 @@
 	e.Str("outcome", outcome).Msg("call")
 }
 
+// SlowTransaction logs a transaction of the given number of rows whose answer has taken long, or has not come.
+func (l *DecisionLog) SlowTransaction(batch uint64, rows int, took time.Duration, err error) {
+	if e := l.line(); e != nil {
+		e.Uint64("batch", batch).Int("rows", rows).Dur("took", took).Err(err).Msg("transaction_slow")
+	}
+}
+
 // Decision logs a decision of the scheduler.
 func (l *DecisionLog) Decision(epoch int64, d berylscheduler.Decision) {
 	e := l.line()
--- a/internal/node/beryljobs/patience.go
+++ b/internal/node/beryljobs/patience.go
@@ -10,9 +10,9 @@
 	// long and waits for others in the store's queue.
 	leastStorePatience = 120 * time.Millisecond
 	mostStorePatience  = leastStorePatience << mostDoublings
-	// leastOrderPatience is many times the round trip and the handling of an order; mostOrderPatience covers a node that is
-	// short of processor time, below a third of the lease.
-	leastOrderPatience = 350 * time.Millisecond
+	// leastOrderPatience is many times the round trip and the handling of an order, which may be repeated; mostOrderPatience
+	// covers a node that is short of processor time, below a third of the lease.
+	leastOrderPatience = 200 * time.Millisecond
 	mostOrderPatience  = 1400 * time.Millisecond
 	// patienceFactor times the mean answer time covers nearly all answers.
 	patienceFactor = 6
--- a/internal/node/beryljobs/session.go
+++ b/internal/node/beryljobs/session.go
@@ -8,6 +8,7 @@
 
 	"github.com/beryllatch/beryllatch"
 	"github.com/beryllatch/beryllatch/internal/decision/berylscheduler"
+	"github.com/beryllatch/beryllatch/internal/node/berylrelay"
 )
 
 const (
@@ -18,7 +19,9 @@
 	// registryWait bounds how long the registry's feed may be silent.
 	registryWait = time.Second
 	// holdMargin is added to the time that a worker may delay its answer to a hold.
-	holdMargin = 500 * time.Millisecond
+	holdMargin = 250 * time.Millisecond
+	// slowAnswer is how long a transaction must take to be logged: ten times the usual 8 ms.
+	slowAnswer = 80 * time.Millisecond
 	// flushTimeout bounds the last transaction of an epoch.
 	flushTimeout = 500 * time.Millisecond
 )
@@ -276,15 +279,13 @@
 	defer cancel()
 	sent := time.Now()
 	lists, err := s.node.Workers.Hold(ctx, f.Worker, f.Order)
-	s.apply(berylscheduler.WorkerHeld{Worker: f.Worker.ID, Born: f.Born, Sent: sent, Lists: lists, Err: err})
+	s.apply(berylscheduler.WorkerHeld{Worker: f.Worker.ID, Born: f.Born, Sent: sent, Lists: lists, Look: f.Look, Err: err})
 }
 
 func (s *session) commit(f berylscheduler.CommitRows) {
 	defer s.committing.Done()
 	sent := time.Now()
-	ctx, cancel := context.WithTimeout(s.ctx, s.storePatience.timeout())
-	defer cancel()
-	version, err := s.node.rows().Commit(ctx, f.Transaction)
+	version, err := s.awaitCommit(f.Transaction)
 	var unknown *beryllatch.UnknownOutcomeError
 	var unavailable *beryllatch.UnavailableError
 	switch {
@@ -295,9 +296,44 @@
 		s.node.storeAnswered()
 	}
 	s.node.Metrics.Time("store.commit", time.Since(sent))
+	if took := time.Since(sent); took >= slowAnswer {
+		s.node.Log.SlowTransaction(f.Batch, len(f.Transaction.Conditions), took, err)
+	}
 	s.apply(berylscheduler.Committed{Batch: f.Batch, Version: version, Err: err})
 }
 
+// awaitCommit waits for a transaction's answer, for long only while the store is slow: its repeat would wait in the store's
+// queue behind it. A store that answers reads as usual has lost the answer.
+func (s *session) awaitCommit(tx beryllatch.RowTransaction) (int64, error) {
+	type outcome struct {
+		version int64
+		err     error
+	}
+	rows := s.node.rows()
+	ctx, cancel := context.WithTimeout(s.ctx, mostStorePatience)
+	defer cancel()
+	answered := make(chan outcome, 1)
+	go func() {
+		version, err := rows.Commit(ctx, tx)
+		answered <- outcome{version, err}
+	}()
+	patience := time.NewTimer(s.storePatience.timeout())
+	defer patience.Stop()
+	select {
+	case o := <-answered:
+		return o.version, o.err
+	case <-patience.C:
+	}
+	if rows.Pulse(ctx, berylscheduler.DutyTable, berylscheduler.Part, berylscheduler.OwnerKey) != berylrelay.PulseSlow {
+		cancel()
+	}
+	o := <-answered
+	if o.err != nil && ctx.Err() != nil && s.ctx.Err() == nil {
+		rows.Lost(o.err)
+	}
+	return o.version, o.err
+}
+
 func (s *session) readRegistry(ctx context.Context) ([]beryllatch.WorkerInfo, error) {
 	rows, _, err := s.node.rows().Rows(ctx, s.node.View.WorkersTable(), "")
 	return s.decodeWorkers(rows), err
