Pass over full pools in one comparison, and collect garbage less often

Ruled out: the store (transactions as usual), a lack of instances. Change: a pass compares each waiting step with the most that a worker of its pool has free before anything else; unsettled pools are found once a pass instead of once an inherited job; counters in place of walks over a worker's runs; spare instances are counted while a wave is open only.

--- a/internal/decision/berylscheduler/advice.go
+++ b/internal/decision/berylscheduler/advice.go
@@ -35,27 +35,28 @@
 	return st.job.ID + "." + strconv.Itoa(st.occurrence) + "." + strconv.Itoa(st.number)
 }
 
-// allowed reports whether the worker may run the step, and returns the ticket that a start needs.
-func (s *Scheduler) allowed(st *stepRun, w *worker) (string, bool) {
+// restricted reports whether starts of the step need a ticket.
+func (s *Scheduler) restricted(st *stepRun) bool {
 	q, ok := s.queueOf(st.job)
-	if !ok || !q.Restricted {
-		return "", ok
-	}
+	return ok && q.Restricted
+}
+
+// ticket returns the ticket with which the worker may run a step of a restricted queue, or an empty one.
+func (s *Scheduler) ticket(st *stepRun, w *worker) string {
 	a := s.advice[adviceKey(st)]
 	if a == nil {
-		return "", false
+		return ""
 	}
 	t, ok := a.tickets[w.info.ID]
 	if !ok || t.born != w.info.Born || s.now.After(t.until) {
-		return "", false
+		return ""
 	}
-	return t.text, true
+	return t.text
 }
 
 // wantAdvice asks about the workers with the most room that have no ticket yet.
 func (s *Scheduler) wantAdvice(st *stepRun, workers []*worker) {
-	q, ok := s.queueOf(st.job)
-	if !ok || !q.Restricted {
+	if !s.restricted(st) {
 		return
 	}
 	key := adviceKey(st)
@@ -69,7 +70,7 @@
 	}
 	var open []*worker
 	for _, w := range workers {
-		if _, ok := s.allowed(st, w); !ok && !a.denied[w.info.ID] && s.fits(st.tasks[0], w) {
+		if s.ticket(st, w) == "" && !a.denied[w.info.ID] && s.fits(st.tasks[0], w) {
 			open = append(open, w)
 		}
 	}
--- a/internal/decision/berylscheduler/fleet.go
+++ b/internal/decision/berylscheduler/fleet.go
@@ -166,7 +166,10 @@
 		return
 	}
 	s.advanceOrders()
-	spare := s.spareInstances()
+	spare := 0
+	if s.openWaves() {
+		spare = s.spareInstances()
+	}
 	for _, n := range slices.Sorted(maps.Keys(f.waves)) {
 		if w := f.waves[n]; !w.done {
 			spare -= s.advanceWave(w, spare)
@@ -175,6 +178,16 @@
 	s.rebalance()
 }
 
+// openWaves reports whether a wave is not done.
+func (s *Scheduler) openWaves() bool {
+	for _, w := range s.fleet.waves {
+		if !w.done {
+			return true
+		}
+	}
+	return false
+}
+
 // tell writes a wave's status for operators when it has changed.
 func (s *Scheduler) tell(w *wave) {
 	status := "running"
--- a/internal/decision/berylscheduler/job.go
+++ b/internal/decision/berylscheduler/job.go
@@ -293,6 +293,7 @@
 // dropRows deletes the rows of final jobs that run nothing any more. Until then a node that takes over needs them, to know
 // what the runs that it finds take.
 func (s *Scheduler) dropRows() {
+	s.unsettled = s.unsettledPools()
 	s.lingering = slices.DeleteFunc(s.lingering, func(j *job) bool {
 		if j.running > 0 || !j.row.final || !s.settled(j, j.pool) {
 			return false
--- a/internal/decision/berylscheduler/place.go
+++ b/internal/decision/berylscheduler/place.go
@@ -25,12 +25,21 @@
 // place starts waiting tasks: urgent queues first, then those that can still be on time, by their latest start. This is
 // for bursts beyond what a pool holds: work that is late anyway must not make the rest late.
 func (s *Scheduler) place() {
-	pools := make(map[string][]*worker)
+	pools := make(map[string]*poolRoom)
 	for _, w := range s.ordered {
 		if s.usable(w) {
-			pools[w.info.Pool] = append(pools[w.info.Pool], w)
+			p := pools[w.info.Pool]
+			if p == nil {
+				p = &poolRoom{}
+				pools[w.info.Pool] = p
+			}
+			p.workers = append(p.workers, w)
 		}
 	}
+	for _, p := range pools {
+		p.measure()
+	}
+	s.unsettled = s.unsettledPools()
 	for _, c := range s.candidates(pools) {
 		if s.starting >= maxStarting {
 			return
@@ -39,19 +48,40 @@
 	}
 }
 
-// candidates returns the waiting steps in the order in which they get capacity.
-func (s *Scheduler) candidates(pools map[string][]*worker) []candidate {
+// poolRoom is the usable workers of a pool, and the room that the emptiest have. In a burst most waiting steps find a full
+// pool: one comparison passes them over.
+type poolRoom struct {
+	workers []*worker
+	// most is at least what any worker has free, in each dimension.
+	most beryllatch.Resources
+}
+
+// measure takes the free room of the workers anew.
+func (p *poolRoom) measure() {
+	p.most = beryllatch.Resources{}
+	for _, w := range p.workers {
+		free := w.info.Capacity.Minus(w.used)
+		p.most.CPUMilli = max(p.most.CPUMilli, free.CPUMilli)
+		p.most.MemoryMB = max(p.most.MemoryMB, free.MemoryMB)
+		p.most.Accelerators = max(p.most.Accelerators, free.Accelerators)
+	}
+}
+
+// candidates returns the waiting steps that may find room, in the order in which they get it.
+func (s *Scheduler) candidates(pools map[string]*poolRoom) []candidate {
 	var out []candidate
 	for _, j := range s.active {
 		if !j.row.known {
 			continue
 		}
 		q, ok := s.queueOf(j)
-		if !ok || len(pools[q.Pool]) == 0 || !s.settled(j, q.Pool) {
+		if !ok || pools[q.Pool] == nil || !s.settled(j, q.Pool) {
 			continue
 		}
 		for o, st := range j.waitingSteps {
-			out = append(out, s.candidate(q, st, o))
+			if st.spec.Booked().Fits(pools[q.Pool].most) {
+				out = append(out, s.candidate(q, st, o))
+			}
 		}
 	}
 	slices.SortStableFunc(out, func(a, b candidate) int {
@@ -100,9 +130,12 @@
 }
 
 // placeStep starts as many tasks of the step as there is room for.
-func (s *Scheduler) placeStep(c candidate, workers []*worker) {
+func (s *Scheduler) placeStep(c candidate, room *poolRoom) {
+	if !c.step.spec.Booked().Fits(room.most) {
+		return
+	}
 	if c.step.spec.Gang {
-		s.placeGang(c, workers)
+		s.placeGang(c, room.workers)
 		return
 	}
 	for _, t := range c.step.tasks {
@@ -115,8 +148,9 @@
 		if !s.underCeiling(t.step.job.Team, t.step.spec.Needs) {
 			return
 		}
-		w, ticket := s.choose(t, workers)
+		w, ticket := s.choose(t, room.workers)
 		if w == nil {
+			room.measure()
 			return
 		}
 		s.startTask(w, t, s.nextRun(t.lastRun), ticket)
@@ -130,7 +164,7 @@
 		return true
 	}
 	factor := 1.0
-	if s.unsettledWorkers() {
+	if len(s.unsettled) > 0 {
 		factor = unsettledCeiling
 	}
 	used := s.team(team).used.Plus(more)
@@ -144,11 +178,17 @@
 	var best *worker
 	var bestTicket string
 	bestCost := 0.0
+	restricted := s.restricted(t.step)
 	for _, w := range workers {
-		ticket, ok := s.allowed(t.step, w)
-		if !ok || !s.fits(t, w) {
+		if !s.fits(t, w) {
 			continue
 		}
+		ticket := ""
+		if restricted {
+			if ticket = s.ticket(t.step, w); ticket == "" {
+				continue
+			}
+		}
 		if cost := s.cost(t, w); best == nil || cost < bestCost {
 			best, bestCost, bestTicket = w, cost, ticket
 		}
@@ -218,14 +258,7 @@
 }
 
 // serves reports whether the worker runs a long-running task.
-func (w *worker) serves() bool {
-	for _, r := range w.runs {
-		if r.task != nil && r.task.step.spec.LongRunning {
-			return true
-		}
-	}
-	return false
-}
+func (w *worker) serves() bool { return w.serving > 0 }
 
 // placeGang starts a gang when all its members have room at the same moment; a gang that should share a rack prefers one.
 func (s *Scheduler) placeGang(c candidate, workers []*worker) {
@@ -252,7 +285,10 @@
 	for i, t := range st.tasks {
 		// All members must carry the same checkpoint.
 		t.saved = saved
-		ticket, _ := s.allowed(st, placed[i])
+		ticket := ""
+		if s.restricted(st) {
+			ticket = s.ticket(st, placed[i])
+		}
 		s.startTask(placed[i], t, n, ticket)
 	}
 }
@@ -294,6 +330,7 @@
 		count int
 	}
 	rooms := make(map[*worker]*room, len(workers))
+	restricted := s.restricted(st)
 	var placed []*worker
 	for _, t := range st.tasks {
 		var best *worker
@@ -304,7 +341,7 @@
 				r = &room{free: w.info.Capacity.Minus(w.used)}
 				rooms[w] = r
 			}
-			if _, ok := s.allowed(st, w); !ok || !st.spec.Booked().Fits(r.free) || !s.fits(t, w) {
+			if restricted && s.ticket(st, w) == "" || !st.spec.Booked().Fits(r.free) || !s.fits(t, w) {
 				continue
 			}
 			if st.spec.MaxPerWorker > 0 && r.count >= st.spec.MaxPerWorker {
--- a/internal/decision/berylscheduler/recover.go
+++ b/internal/decision/berylscheduler/recover.go
@@ -142,17 +142,20 @@
 	j.begun = j.begun || len(p.Done) > 0 || p.AllDone
 }
 
-// settled reports whether every run that an earlier epoch may have started in the pools of the job is known.
+// settled reports whether every run that an earlier epoch may have started in the pools of the job is known, by unsettled.
 func (s *Scheduler) settled(j *job, pool string) bool {
-	if !j.inherited {
-		return true
-	}
+	return !j.inherited || !s.unsettled[pool] && !s.unsettled[j.pool]
+}
+
+// unsettledPools returns the pools with workers that may run what this epoch has not seen yet.
+func (s *Scheduler) unsettledPools() map[string]bool {
+	out := make(map[string]bool)
 	for _, w := range s.ordered {
-		if !w.known && (w.info.Pool == pool || w.info.Pool == j.pool) {
-			return false
+		if !w.known {
+			out[w.info.Pool] = true
 		}
 	}
-	return true
+	return out
 }
 
 // unsettledWorkers reports whether runs may exist that this epoch has not seen yet.
--- a/internal/decision/berylscheduler/run.go
+++ b/internal/decision/berylscheduler/run.go
@@ -90,6 +90,9 @@
 		t.step.lastRun = max(t.step.lastRun, id.n)
 		t.step.job.begun = true
 		t.step.job.running++
+		if t.step.spec.LongRunning {
+			w.serving++
+		}
 	} else {
 		// Nobody knows what the run takes: the worker gets nothing else until it has ended.
 		r.booked = w.info.Capacity
@@ -120,6 +123,9 @@
 		return
 	}
 	t.step.job.running--
+	if t.step.spec.LongRunning {
+		w.serving--
+	}
 	t.runs = slices.DeleteFunc(t.runs, func(o *run) bool { return o == r })
 	if len(t.runs) == 0 && !t.done {
 		t.step.waiting++
@@ -290,6 +296,9 @@
 
 // checkRuns repeats stop orders and settles starts that were not answered.
 func (s *Scheduler) checkRuns(w *worker) {
+	if !w.stopping() {
+		return
+	}
 	for _, r := range s.runsOf(w) {
 		if r.phase == runStopping && !r.stopSent && r.stopAnswered.IsZero() && s.now.Sub(r.stopped) >= stopRetry {
 			r.stopped = s.now
@@ -298,6 +307,16 @@
 	}
 }
 
+// stopping reports whether a run of the worker has a stop order.
+func (w *worker) stopping() bool {
+	for _, r := range w.runs {
+		if r.phase == runStopping {
+			return true
+		}
+	}
+	return false
+}
+
 // takeLists compares a worker's lists with the books.
 func (s *Scheduler) takeLists(w *worker, e WorkerHeld) {
 	for _, f := range e.Lists.Finished {
--- a/internal/decision/berylscheduler/scheduler.go
+++ b/internal/decision/berylscheduler/scheduler.go
@@ -82,6 +82,8 @@
 	waking    bool
 	// starting counts the start orders without an outcome.
 	starting int
+	// unsettled holds the pools of the present pass with workers that have not told what they run.
+	unsettled map[string]bool
 	// lossUntil is until when answers of workers are likely to get lost.
 	lossUntil time.Time
 	resigned  bool
--- a/internal/decision/berylscheduler/worker.go
+++ b/internal/decision/berylscheduler/worker.go
@@ -41,6 +41,8 @@
 	// known is true once the worker's lists of this epoch have been read, or it surely runs nothing of before.
 	known bool
 	runs  map[runID]*run
+	// serving counts the runs of long-running tasks.
+	serving int
 	// starting counts the start orders without an outcome.
 	starting int
 	used     beryllatch.Resources
--- a/internal/node/berylentry/entry.go
+++ b/internal/node/berylentry/entry.go
@@ -67,6 +67,7 @@
 		return err
 	}
 	e.settings.Store(&settings)
+	tuneCollector(settings.MemoryMB)
 	e.build(settings)
 	for _, l := range e.listeners(settings) {
 		if err := e.listen(ctx, l); err != nil {
