Send a second transaction sooner for jobs that callers wait for than for progress

Change: progress gets a second transaction 120 ms after the first, jobs that callers wait for after 40 ms.

--- a/internal/decision/berylscheduler/journal.go
+++ b/internal/decision/berylscheduler/journal.go
@@ -28,10 +28,11 @@
 	// maxBatchBytes keeps a transaction, in base64, under the store's 1 MB.
 	maxBatchBytes = 500 << 10
 	// maxBatches bounds the transactions in flight: the store carries out those of a part one after another, and two cover
-	// the way there and back. Jobs that callers wait for get one more.
+	// the way there and back.
 	maxBatches = 2
-	// slowCommit is when an answer counts as slow.
-	slowCommit = 40 * time.Millisecond
+	// slowCommit is when another transaction is sent for jobs that callers wait for, slowProgress when one is sent for progress.
+	slowCommit   = 40 * time.Millisecond
+	slowProgress = 120 * time.Millisecond
 	// commitRetry is the pause after a failed transaction.
 	commitRetry = 150 * time.Millisecond
 	// lostGrace is how long new jobs are still taken while the store's answers get lost, or come late: four tries, each with
@@ -152,17 +153,18 @@
 // mayCommit reports whether another transaction may be sent now.
 func (n *journal) mayCommit(now time.Time) bool {
 	limit := maxBatches
-	if len(n.fresh) > 0 {
-		limit++
-	}
 	if n.failing {
 		limit = 1
 	}
 	if now.Before(n.retryAt) || len(n.batches) >= limit {
 		return false
 	}
+	slow := slowProgress
+	if len(n.fresh) > 0 {
+		slow = slowCommit
+	}
 	for _, b := range n.batches {
-		if now.Sub(b.sent) < slowCommit {
+		if now.Sub(b.sent) < slow {
 			return false
 		}
 	}
