Refuse jobs at once while the store is silent, and replace an ended holder without waiting for its beat

The holder before had been stopped hard: nothing listened at its address, and the others waited 1.1 s for its beat. Two or three processes outlived their grace time: a release of the duty through a silent lender had no time-out. Ruled out: a job stored elsewhere than at the store (workers keep nothing beyond their lives). Change: an open transaction while no read is answered counts as an outage at once. A refused connection, or another life of the process, tells that the holder has ended. The release takes a second at most, a lender's answer is awaited for a second, and the process ends half a second after its listeners.

--- a/internal/decision/berylscheduler/event.go
+++ b/internal/decision/berylscheduler/event.go
@@ -90,7 +90,9 @@
 type Committed struct {
 	Batch   uint64
 	Version int64
-	Err     error
+	// Silent is true if the store answered nothing else either.
+	Silent bool
+	Err    error
 }
 
 // InstancesListed is the outcome of a ListInstances effect.
--- a/internal/decision/berylscheduler/journal.go
+++ b/internal/decision/berylscheduler/journal.go
@@ -332,6 +332,10 @@
 		s.adoptVersions(b, conflict.Rows)
 	case errors.As(e.Err, &unknown):
 		s.commitFailed(b, true)
+		if e.Silent {
+			// More tries would only keep callers waiting.
+			n.since = earliest(n.since, s.now.Add(-lostGrace))
+		}
 	default:
 		s.commitFailed(b, false)
 	}
@@ -476,6 +480,13 @@
 	}
 }
 
+func earliest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 func notStored() error {
 	return &beryllatch.Refusal{
 		Reason: beryllatch.ReasonPlatformUnavailable, RunState: beryllatch.RunStateNotRun, RetryAfter: outageRetry,
--- a/internal/decision/berylscheduler/journal_test.go
+++ b/internal/decision/berylscheduler/journal_test.go
@@ -76,6 +76,23 @@
 	assert.Equal(t, len(w.starts), 1)
 }
 
+// A store that answers nothing at all refuses jobs at once: they would only wait.
+func TestSilentStoreRefusesJobsAtOnce(t *testing.T) {
+	w := newWorld(t)
+	w.register("a")
+	w.submit(oneTask("0000000000000001"))
+	batch := w.commits[0].Batch
+	w.commits = w.commits[1:]
+	w.apply(Committed{Batch: batch, Silent: true, Err: &beryllatch.UnknownOutcomeError{}})
+	w.submit(oneTask("0000000000000002"))
+	var f *beryllatch.Refusal
+	assert.Assert(t, errors.As(w.answers[w.call], &f))
+	assert.Equal(t, f.RunState, beryllatch.RunStateNotRun)
+	assert.Assert(t, f.RetryAfter > 0)
+	_, answered := w.answers[w.call-1]
+	assert.Assert(t, !answered, "the first job may be stored")
+}
+
 // A job that surely was not stored is refused as not run, and never starts.
 func TestUnavailableStoreRefusesJobs(t *testing.T) {
 	w := newWorld(t)
--- a/internal/node/berylentry/entry.go
+++ b/internal/node/berylentry/entry.go
@@ -85,7 +85,11 @@
 	<-ctx.Done()
 	e.stop(runCtx, settings)
 	cancel()
-	<-done
+	select {
+	case <-done:
+	case <-time.After(stopMargin / 2):
+		e.Log.Warn().Str("node", settings.Node).Msg("node_stopped_early")
+	}
 	e.Log.Info().Str("node", settings.Node).Msg("stopped")
 	return nil
 }
@@ -102,7 +106,8 @@
 		CPUShare: settings.CPUShare,
 		Limits: berylscheduler.Limits{
 			MaxLease: b.MaxLease, HandoverPause: b.HandoverPause, StopTimeout: b.StopTimeout, JobRetention: b.JobRetention, RemoteFactor: b.RemoteFactor,
-			MoveTime: b.MoveTime, MaintenanceTime: b.MaintenanceTime,
+			RestoreTime: b.RestoreTime,
+			MoveTime:    b.MoveTime, MaintenanceTime: b.MaintenanceTime,
 			RowBytes: settings.RowBytes,
 		},
 		Store: &adapter.Store{
--- a/internal/node/beryljobs/duty.go
+++ b/internal/node/beryljobs/duty.go
@@ -45,6 +45,8 @@
 	handBackAfter = 4 * time.Second
 	// peerAge is how long the holder remembers a node that no longer probes it.
 	peerAge = 2 * time.Second
+	// releaseTimeout bounds the release of the duty: after it the other nodes notice that the holder has gone.
+	releaseTimeout = time.Second
 	// beatTable holds the holder's sign of life, in a part of its own.
 	beatTable = "beat"
 )
@@ -134,7 +136,7 @@
 	return h, nil
 }
 
-// mayTakeOver reports whether the holder has given up or has surely fallen silent.
+// mayTakeOver reports whether the holder has given up, has ended, or has surely fallen silent.
 func (n *Node) mayTakeOver(ctx context.Context, h holder, found holderState, watch *silenceWatch) bool {
 	delay := n.takeoverDelay()
 	if h.Epoch == 0 || h.Released {
@@ -150,6 +152,9 @@
 		// An earlier incarnation of this very node.
 		return true
 	}
+	if found == holderGone {
+		return pause(ctx, delay)
+	}
 	if found == holderCut {
 		if watch.cutSince.IsZero() {
 			watch.cutSince = time.Now()
@@ -316,6 +321,8 @@
 
 // release tells the other nodes that the duty is free, and who should take it.
 func (n *Node) release(ctx context.Context, h holder, heir string) {
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
 	free := h
 	free.Released, free.Heir = true, heir
 	version, err := n.rows().Commit(ctx, beryllatch.RowTransaction{
--- a/internal/node/beryljobs/duty_test.go
+++ b/internal/node/beryljobs/duty_test.go
@@ -4,9 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -165,6 +168,8 @@
 	handlers map[string]http.Handler
 	silent   map[string]bool
 	deaf     map[string]bool
+	// ended holds nodes whose process is gone: nothing listens at their address.
+	ended map[string]bool
 }
 
 func (m *mesh) deafen(node string) {
@@ -181,8 +186,11 @@
 
 func (m meshEnd) RoundTrip(r *http.Request) (*http.Response, error) {
 	m.mu.Lock()
-	h, silent := m.handlers[r.URL.Host], m.silent[r.URL.Host] || m.deaf[m.node]
+	h, silent, ended := m.handlers[r.URL.Host], m.silent[r.URL.Host] || m.deaf[m.node], m.ended[r.URL.Host]
 	m.mu.Unlock()
+	if ended {
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
+	}
 	if silent {
 		<-r.Context().Done()
 		return nil, r.Context().Err()
@@ -206,7 +214,10 @@
 		store: &memoryStore{version: 1, rows: map[string]beryllatch.DataRow{
 			rowName("operations", "", "config"): {Table: "operations", Key: "config", Version: 1},
 		}},
-		mesh: &mesh{handlers: make(map[string]http.Handler), silent: make(map[string]bool), deaf: make(map[string]bool)},
+		mesh: &mesh{
+			handlers: make(map[string]http.Handler), silent: make(map[string]bool), deaf: make(map[string]bool),
+			ended: make(map[string]bool),
+		},
 	}
 	c.run = func(node *Node) { wg.Go(func() { node.Run(ctx) }) }
 	for range n {
@@ -332,6 +343,20 @@
 	})
 }
 
+// A holder whose process has ended, so that nothing listens at its address, is replaced without waiting for its beat.
+func TestTakeoverFromAnEndedHolder(t *testing.T) {
+	testCluster(t, 8, func(t *testing.T, c *cluster) {
+		first := c.holders()[0]
+		c.mesh.mu.Lock()
+		c.mesh.ended[c.nodes[first].Address] = true
+		c.mesh.mu.Unlock()
+		c.ways[first].setCut(true)
+		c.mesh.deafen(c.nodes[first].Name)
+		time.Sleep(600 * time.Millisecond)
+		assert.Equal(t, c.epoch(), int64(2))
+	})
+}
+
 // A silent holder is replaced within three seconds, by one node.
 func TestTakeoverFromASilentHolder(t *testing.T) {
 	testCluster(t, 8, func(t *testing.T, c *cluster) {
--- a/internal/node/beryljobs/remote.go
+++ b/internal/node/beryljobs/remote.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"net"
+	"syscall"
 	"time"
 
 	"github.com/beryllatch/beryllatch"
@@ -105,6 +106,8 @@
 	holderWell
 	// holderCut schedules without the store.
 	holderCut
+	// holderGone has ended: nothing listens at its address, or another life of the process does.
+	holderGone
 )
 
 // probeHolder asks the holder whether it schedules.
@@ -122,7 +125,14 @@
 		Node: n.Name, ConfigVersion: n.configVersion(), CpuShare: n.CPUShare, StoreAgeMs: n.storeAge().Milliseconds(),
 		Address: n.Address,
 	})
-	if err != nil || r.GetEpoch() < h.Epoch {
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return holderGone
+	case err != nil:
+		return holderSilent
+	case r.GetIncarnation() != "" && r.GetIncarnation() != h.Incarnation:
+		return holderGone
+	case r.GetEpoch() < h.Epoch:
 		return holderSilent
 	}
 	if len(r.GetConfig()) > 0 {
@@ -251,7 +261,7 @@
 // Probe implements berylwire.Jobs.
 func (v Server) Probe(_ context.Context, r *berylwire.ProbeRequest) (*berylwire.ProbeResponse, error) {
 	n := v.Node
-	out := &berylwire.ProbeResponse{ConfigVersion: n.configVersion(), StoreAgeMs: n.storeAge().Milliseconds()}
+	out := &berylwire.ProbeResponse{ConfigVersion: n.configVersion(), StoreAgeMs: n.storeAge().Milliseconds(), Incarnation: n.incarnation}
 	if s := n.local(); s != nil {
 		out.Epoch = s.holder.Epoch
 		out.LargerNodes = int32(n.notePeer(r))
--- a/internal/node/beryljobs/session.go
+++ b/internal/node/beryljobs/session.go
@@ -285,7 +285,7 @@
 func (s *session) commit(f berylscheduler.CommitRows) {
 	defer s.committing.Done()
 	sent := time.Now()
-	version, err := s.awaitCommit(f.Transaction)
+	version, silent, err := s.awaitCommit(f.Transaction)
 	var unknown *beryllatch.UnknownOutcomeError
 	var unavailable *beryllatch.UnavailableError
 	switch {
@@ -299,12 +299,12 @@
 	if took := time.Since(sent); took >= slowAnswer {
 		s.node.Log.SlowTransaction(f.Batch, len(f.Transaction.Conditions), took, err)
 	}
-	s.apply(berylscheduler.Committed{Batch: f.Batch, Version: version, Err: err})
+	s.apply(berylscheduler.Committed{Batch: f.Batch, Version: version, Silent: silent, Err: err})
 }
 
 // awaitCommit waits for a transaction's answer, for long only while the store is slow: its repeat would wait in the store's
-// queue behind it. A store that answers reads as usual has lost the answer.
-func (s *session) awaitCommit(tx beryllatch.RowTransaction) (int64, error) {
+// queue behind it. A store that answers reads as usual has lost the answer; silent is true if it answers none.
+func (s *session) awaitCommit(tx beryllatch.RowTransaction) (version int64, silent bool, err error) {
 	type outcome struct {
 		version int64
 		err     error
@@ -321,17 +321,18 @@
 	defer patience.Stop()
 	select {
 	case o := <-answered:
-		return o.version, o.err
+		return o.version, false, o.err
 	case <-patience.C:
 	}
-	if rows.Pulse(ctx, berylscheduler.DutyTable, berylscheduler.Part, berylscheduler.OwnerKey) != berylrelay.PulseSlow {
+	pulse := rows.Pulse(ctx, berylscheduler.DutyTable, berylscheduler.Part, berylscheduler.OwnerKey)
+	if pulse != berylrelay.PulseSlow {
 		cancel()
 	}
 	o := <-answered
 	if o.err != nil && ctx.Err() != nil && s.ctx.Err() == nil {
 		rows.Lost(o.err)
 	}
-	return o.version, o.err
+	return o.version, o.err != nil && pulse == berylrelay.PulseNone, o.err
 }
 
 func (s *session) readRegistry(ctx context.Context) ([]beryllatch.WorkerInfo, error) {
--- a/internal/node/beryljobs/session_test.go
+++ b/internal/node/beryljobs/session_test.go
@@ -66,7 +66,8 @@
 					storePatience: patience{least: leastStorePatience, most: mostStorePatience},
 				}
 				start := time.Now()
-				_, err := s.awaitCommit(beryllatch.RowTransaction{})
+				_, silent, err := s.awaitCommit(beryllatch.RowTransaction{})
+				assert.Equal(t, silent, name == "nothing answers")
 				assert.Assert(t, time.Since(start) <= c.within, "after %v", time.Since(start))
 				assert.Equal(t, c.store.commits, 1)
 				if c.stored {
--- a/internal/node/berylrelay/relay.go
+++ b/internal/node/berylrelay/relay.go
@@ -125,6 +125,11 @@
 
 func (r *Relay) commitThrough(ctx context.Context, tx beryllatch.RowTransaction) (int64, error) {
 	version := int64(0)
+	if _, ok := ctx.Deadline(); !ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, defaultPatience)
+		defer cancel()
+	}
 	err := r.through(ctx, func(c berylwire.Rows) error {
 		a, err := c.CommitRows(ctx, commitRequest(ctx, tx))
 		var op *net.OpError
--- a/internal/node/berylrelay/relay_test.go
+++ b/internal/node/berylrelay/relay_test.go
@@ -149,3 +149,23 @@
 	assert.Assert(t, errors.As(err, &lost))
 	assert.Assert(t, !r.detour())
 }
+
+// silence never answers.
+type silence struct{}
+
+func (silence) RoundTrip(r *http.Request) (*http.Response, error) {
+	<-r.Context().Done()
+	return nil, r.Context().Err()
+}
+
+// A lender that falls silent must not hold up a caller without a deadline, as a stopping node is one.
+func TestSilentLenderHoldsNobodyUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := testRelay(&scriptedStore{err: errUnavailable}, nil)
+		r.Client = &http.Client{Transport: silence{}}
+		start := time.Now()
+		_, err := r.Commit(t.Context(), beryllatch.RowTransaction{})
+		assert.Equal(t, outcomeName(err), berylwire.RowsOutcome_ROWS_OUTCOME_UNKNOWN.String())
+		assert.Assert(t, time.Since(start) <= lenderTries*defaultPatience)
+	})
+}
