Start tasks that stand still or crawl elsewhere

Slow workers got tasks like any other. Change: a task without progress for a second, or one that takes far longer than the others of its step on a worker whose tasks all crawl, is started again: as a copy beside it where copies are allowed, else after its stop. Slow workers cost more in placement. Two rescues a task.

--- a/internal/decision/berylscheduler/job.go
+++ b/internal/decision/berylscheduler/job.go
@@ -49,6 +49,7 @@
 	// failedRuns are the numbers of the failed runs of a gang.
 	failedRuns []int
 	lastRun    int
+	time       stepTime
 }
 
 // task is one task of a step.
@@ -62,7 +63,9 @@
 	saved      string
 	runs       []*run
 	failedOn   []string
-	lastRun    int
+	// rescued counts the restarts of a run that did not advance.
+	rescued int
+	lastRun int
 	// notBefore delays a restart after quick failures.
 	notBefore time.Time
 }
--- a/internal/decision/berylscheduler/learn.go
+++ b/internal/decision/berylscheduler/learn.go
@@ -25,6 +25,8 @@
 		return
 	}
 	took := s.now.Sub(r.present)
+	st.time.done += took
+	st.time.count++
 	l := s.learned[kindOf(st)]
 	if l == nil {
 		l = &runTime{mean: took}
--- a/internal/decision/berylscheduler/place.go
+++ b/internal/decision/berylscheduler/place.go
@@ -245,6 +245,7 @@
 	if slices.Contains(t.failedOn, w.info.ID) {
 		cost += failedHereCost
 	}
+	cost += s.slowness(w) - 1
 	if t.step.spec.LongRunning {
 		if !w.serves() {
 			cost += companionCost
--- a/internal/decision/berylscheduler/run.go
+++ b/internal/decision/berylscheduler/run.go
@@ -55,9 +55,13 @@
 	stopAnswered time.Time
 	stopSent     bool
 	// tries counts the start orders; after the first one without an answer only the worker's lists tell what became of it.
-	tries      int
-	ticket     string
-	percent    int
+	tries   int
+	ticket  string
+	percent int
+	// advanced is when percent has last changed.
+	advanced time.Time
+	// resumed runs load a checkpoint before they work.
+	resumed    bool
 	load       int
 	pace       int
 	pacing     bool
@@ -150,7 +154,7 @@
 // startTask orders a run of the task.
 func (s *Scheduler) startTask(w *worker, t *task, n int, ticket string) {
 	r := s.book(w, t, runID{t.name, n})
-	r.checkpoint, r.ticket = t.saved, ticket
+	r.checkpoint, r.ticket, r.resumed = t.saved, ticket, t.saved != ""
 	s.sendStart(r)
 	s.emit(Decision{Name: "run_start", Job: t.step.job.ID, Task: t.name, Worker: w.info.ID, Run: n, Age: s.now.Sub(w.heard)})
 	if !w.holding {
@@ -337,6 +341,7 @@
 		}
 	}
 	s.checkPace(w)
+	s.watchProgress(w)
 }
 
 // checkMissing handles a run that a worker does not list, by a look that was sent at the given time.
@@ -368,7 +373,7 @@
 	if r.present.IsZero() {
 		r.present = s.now
 	}
-	r.percent = l.Percent
+	s.noteProgress(r, l.Percent)
 	r.load = l.Load
 	if l.Checkpoint != "" {
 		r.checkpoint = l.Checkpoint
--- a/internal/decision/berylscheduler/scheduler.go
+++ b/internal/decision/berylscheduler/scheduler.go
@@ -31,10 +31,12 @@
 type Limits struct {
 	MaxLease time.Duration
 	// HandoverPause is the least time between orders for an instance of two holders that are both in touch.
-	HandoverPause   time.Duration
-	StopTimeout     time.Duration
-	JobRetention    time.Duration
-	RemoteFactor    float64
+	HandoverPause time.Duration
+	StopTimeout   time.Duration
+	JobRetention  time.Duration
+	RemoteFactor  float64
+	// RestoreTime is how long a resumed task takes to load its checkpoint.
+	RestoreTime     time.Duration
 	MoveTime        time.Duration
 	MaintenanceTime time.Duration
 	// RowBytes limits a row's value.
--- a/internal/decision/berylscheduler/worker.go
+++ b/internal/decision/berylscheduler/worker.go
@@ -68,6 +68,7 @@
 	ends                        []pendingEnd
 
 	health health
+	speed  speed
 	// closing is the instance's name while an order for it is being prepared; such a worker gets no new tasks.
 	closing string
 	// leaving is true once the order has been sent.
@@ -234,6 +235,7 @@
 	s.fleet.onInstance = nil
 	w.seen, w.acknowledged, w.sentAck, w.ends, w.starting = 0, 0, 0, nil, 0
 	w.clockAt, w.failures, w.known, w.health = time.Time{}, 0, true, health{}
+	w.speed = speed{}
 	w.doubted, w.looking = false, false
 	s.placeable = true
 }
