Scale what pools want beyond their steady load to what is there, and move at the platform's rate

Eight moves a tick bound large fleets to 80 moves a second, though their platform takes 215, and exceeded the 64 of the small ones. Change: the need and the load of the last 1.5 s come first; what the last half second adds is scaled to 85 % of the instances there are. Orders for instances keep to 80 % of the platform's rate, with a reserve of 0.25 s.

--- a/internal/decision/berylscheduler/fleet.go
+++ b/internal/decision/berylscheduler/fleet.go
@@ -49,6 +49,7 @@
 	onInstance map[string]*worker
 	arrivals   []arrival
 	reported   time.Time
+	budget     orderBudget
 	// invalid holds the kinds of moves that the platform does not allow.
 	invalid map[string]bool
 	// stored holds the waves' rows of earlier epochs.
--- a/internal/decision/berylscheduler/pool.go
+++ b/internal/decision/berylscheduler/pool.go
@@ -20,8 +20,12 @@
 	poolReserve = 3
 	// burstSize is how many instances beyond the reserve make a burst: pools that have had none keep what operators gave them.
 	burstSize = 3
-	// movesPerTick bounds the moves that are begun at once.
-	movesPerTick = 8
+	// orderShare is the part of the platform's rate of instance orders that moves and waves use: the rest is for repeats.
+	orderShare = 0.8
+	// orderBurst is for how long the orders that were not given may be given later, at once.
+	orderBurst = 250 * time.Millisecond
+	// fallbackOrders is the rate of instance orders, a second, where the platform names none.
+	fallbackOrders = 60.0
 )
 
 // poolDemand is what a pool needs, and what it has.
@@ -57,22 +61,48 @@
 	}
 	pools := s.demands()
 	s.reportLoad(pools)
-	moves := 0
+	budget := &s.fleet.budget
+	budget.refill(s.now, s.Limits.InstanceOrders)
 	for _, p := range pools {
-		for missing := p.wanted - p.supply; missing > 0 && moves < movesPerTick; missing-- {
+		for missing := p.wanted - p.supply; missing > 0 && budget.left(); missing-- {
 			instance := s.donor(pools, p)
 			if instance == "" {
 				break
 			}
 			s.prepare(&instanceOrder{instance: instance, pool: p.name})
 			p.supply++
-			moves++
+			budget.take()
 		}
 	}
-	s.parkIdle(pools, moves)
+	s.parkIdle(pools)
 	s.advanceOrders()
 }
 
+// orderBudget spreads the moves over time: the platform takes so many orders a second from all nodes together.
+type orderBudget struct {
+	orders float64
+	at     time.Time
+}
+
+// refill adds what the rate, in orders a second, gives for the time since the last refill.
+func (b *orderBudget) refill(now time.Time, rate float64) {
+	if rate <= 0 {
+		rate = fallbackOrders
+	}
+	rate *= orderShare
+	most := max(rate*orderBurst.Seconds(), 1)
+	if b.at.IsZero() {
+		b.orders = most
+	} else {
+		b.orders = min(b.orders+rate*now.Sub(b.at).Seconds(), most)
+	}
+	b.at = now
+}
+
+func (b *orderBudget) left() bool { return b.orders >= 1 }
+
+func (b *orderBudget) take() { b.orders-- }
+
 // demands returns the pools, those that lack most first.
 func (s *Scheduler) demands() []*poolDemand {
 	byName := make(map[string]*poolDemand, len(s.deployment.Pools))
@@ -81,18 +111,16 @@
 	}
 	capacity := s.countInstances(byName)
 	needs := s.neededCPU()
-	arriving := s.arrivingCPU()
+	steady, sudden := s.arrivingCPU()
 	out := make([]*poolDemand, 0, len(byName))
 	for _, name := range slices.Sorted(maps.Keys(byName)) {
 		p := byName[name]
-		if !p.standby && capacity > 0 {
-			p.need, p.arriving = needs[name], arriving[name]
-			p.wanted = int(float64(max(p.need, p.arriving))/(loadTarget*float64(capacity)) + 1)
-			p.wanted = max(s.peak(name, p.wanted), poolReserve)
-			p.bursts = s.fleet.peaks[name].bursts
-		}
+		p.need, p.arriving = needs[name], max(steady[name], sudden[name])
 		out = append(out, p)
 	}
+	if capacity > 0 {
+		s.shareOut(out, steady, loadTarget*float64(capacity))
+	}
 	slices.SortStableFunc(out, func(a, b *poolDemand) int { return cmp.Compare(b.wanted-b.supply, a.wanted-a.supply) })
 	return out
 }
@@ -126,6 +154,38 @@
 	return present - f.load.instances
 }
 
+// usableShare is the part of all instances that is given out by what may arrive; the rest is left for the next burst.
+const usableShare = 0.85
+
+// shareOut sets what the pools want. What they need, and what has arrived for some time, comes first: while instances are
+// short, a few large jobs in one pool must not take what another one needs next.
+func (s *Scheduler) shareOut(pools []*poolDemand, steady map[string]int, instance float64) {
+	count := func(cpu int) int { return int(float64(cpu)/instance + 1) }
+	present, firm, eager := 0, 0, 0
+	for _, p := range pools {
+		present += p.supply
+		if p.standby {
+			present += len(p.idle)
+			continue
+		}
+		firm += count(max(p.need, steady[p.name]))
+		eager += count(max(p.need, p.arriving))
+	}
+	share := 1.0
+	if eager > firm {
+		share = min(max(usableShare*float64(present)-float64(firm), 0)/float64(eager-firm), 1)
+	}
+	for _, p := range pools {
+		if p.standby {
+			continue
+		}
+		least := count(max(p.need, steady[p.name]))
+		p.wanted = least + int(share*float64(count(max(p.need, p.arriving))-least))
+		p.wanted = max(s.peak(p.name, p.wanted), poolReserve)
+		p.bursts = s.fleet.peaks[p.name].bursts
+	}
+}
+
 // reportLoad logs what the pools need and have, once a second.
 func (s *Scheduler) reportLoad(pools []*poolDemand) {
 	if s.now.Sub(s.fleet.reported) < time.Second {
@@ -275,7 +335,7 @@
 }
 
 // parkIdle puts instances on standby that no pool needs.
-func (s *Scheduler) parkIdle(pools []*poolDemand, moves int) {
+func (s *Scheduler) parkIdle(pools []*poolDemand) {
 	standby := ""
 	for _, p := range pools {
 		if p.standby {
@@ -286,7 +346,7 @@
 		return
 	}
 	for _, p := range pools {
-		for !p.standby && p.bursts && p.supply > p.wanted && len(p.idle) > 0 && moves < movesPerTick {
+		for !p.standby && p.bursts && p.supply > p.wanted && len(p.idle) > 0 && s.fleet.budget.left() {
 			i := p.idle[len(p.idle)-1]
 			p.idle = p.idle[:len(p.idle)-1]
 			if s.inWave(i) || s.fleet.invalid[moveKind(s.fleet.instances[i], standby)] {
@@ -294,7 +354,7 @@
 			}
 			s.prepare(&instanceOrder{instance: i, pool: standby})
 			p.supply--
-			moves++
+			s.fleet.budget.take()
 		}
 	}
 }
@@ -320,9 +380,12 @@
 	s.fleet.invalid[moveKind(s.fleet.instances[o.instance], o.pool)] = true
 }
 
-// arrivalWindows are the spans over which the arriving work is averaged: the short one sees a burst begin, the long one
-// bridges the gaps between large jobs.
-var arrivalWindows = [...]time.Duration{500 * time.Millisecond, 1500 * time.Millisecond}
+// The spans over which the arriving work is averaged: the short one sees a burst begin, the long one bridges the gaps between
+// large jobs.
+const (
+	suddenWindow = 500 * time.Millisecond
+	steadyWindow = 1500 * time.Millisecond
+)
 
 // arrival is the work of an accepted job.
 type arrival struct {
@@ -343,24 +406,26 @@
 	s.fleet.arrivals = append(s.fleet.arrivals, arrival{s.now, j.pool, work})
 }
 
-// arrivingCPU returns the capacity, in thousandths of a core, that keeps up with the work that arrives at each pool.
-func (s *Scheduler) arrivingCPU() map[string]int {
+// arrivingCPU returns the capacity, in thousandths of a core, that keeps up with the work that arrives at each pool, over the
+// long and over the short span.
+func (s *Scheduler) arrivingCPU() (steady, sudden map[string]int) {
 	f := &s.fleet
-	longest := arrivalWindows[len(arrivalWindows)-1]
-	for len(f.arrivals) > 0 && s.now.Sub(f.arrivals[0].at) > longest {
+	for len(f.arrivals) > 0 && s.now.Sub(f.arrivals[0].at) > steadyWindow {
 		f.arrivals = f.arrivals[1:]
 	}
-	out := make(map[string]int)
-	for _, window := range arrivalWindows {
-		sums := make(map[string]float64)
-		for _, a := range f.arrivals {
-			if s.now.Sub(a.at) <= window {
-				sums[a.pool] += a.work
-			}
-		}
-		for pool, work := range sums {
-			out[pool] = max(out[pool], int(work/window.Seconds()))
+	return f.arrivalRate(s.now, steadyWindow), f.arrivalRate(s.now, suddenWindow)
+}
+
+func (f *fleet) arrivalRate(now time.Time, window time.Duration) map[string]int {
+	sums := make(map[string]float64)
+	for _, a := range f.arrivals {
+		if now.Sub(a.at) <= window {
+			sums[a.pool] += a.work
 		}
 	}
+	out := make(map[string]int, len(sums))
+	for pool, work := range sums {
+		out[pool] = int(work / window.Seconds())
+	}
 	return out
 }
--- /dev/null
+++ b/internal/decision/berylscheduler/pool_test.go
@@ -0,0 +1,63 @@
+package berylscheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Several queues burst by turns, and a few large jobs look like a burst of their own: what they might need must not take the
+// instances that another pool needs now.
+func TestScarceInstancesGoToWhatIsNeeded(t *testing.T) {
+	const instance = 10000.0
+	for name, c := range map[string]struct {
+		// supply counts the instances of both pools, spare those on standby.
+		supply, spare   int
+		need, arriving  [2]int
+		steady          map[string]int
+		atLeast, atMost [2]int
+	}{
+		"enough for both":             {10, 90, [2]int{100_000, 50_000}, [2]int{300_000, 50_000}, nil, [2]int{31, 6}, [2]int{31, 6}},
+		"scarce":                      {10, 30, [2]int{100_000, 100_000}, [2]int{900_000, 100_000}, nil, [2]int{11, 11}, [2]int{24, 11}},
+		"less than what is needed":    {10, 5, [2]int{100_000, 100_000}, [2]int{900_000, 100_000}, nil, [2]int{11, 11}, [2]int{11, 11}},
+		"a burst that has lasted":     {10, 30, [2]int{50_000, 50_000}, [2]int{900_000, 50_000}, map[string]int{"a": 200_000}, [2]int{21, 6}, [2]int{30, 6}},
+		"nothing needed, or arriving": {10, 30, [2]int{}, [2]int{}, nil, [2]int{poolReserve, poolReserve}, [2]int{poolReserve, poolReserve}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := testScheduler(1, 1)
+			s.now = time.Unix(1_800_000_000, 0)
+			spare := &poolDemand{name: "spare", standby: true}
+			for n := range c.spare {
+				spare.idle = append(spare.idle, fmt.Sprint(n))
+			}
+			pools := []*poolDemand{
+				{name: "a", supply: c.supply / 2, need: c.need[0], arriving: c.arriving[0]},
+				{name: "b", supply: c.supply / 2, need: c.need[1], arriving: c.arriving[1]}, spare,
+			}
+			s.shareOut(pools, c.steady, instance)
+			for i, p := range pools[:2] {
+				assert.Check(t, p.wanted >= c.atLeast[i] && p.wanted <= c.atMost[i], "pool %s wants %d", p.name, p.wanted)
+			}
+		})
+	}
+}
+
+// The platform takes so many orders a second from all nodes together; further ones would be refused.
+func TestMovesKeepToTheRateOfOrders(t *testing.T) {
+	const rate = 50.0
+	var b orderBudget
+	now := time.Unix(1_800_000_000, 0)
+	taken := 0
+	for range 100 {
+		b.refill(now, rate)
+		for b.left() {
+			b.take()
+			taken++
+		}
+		now = now.Add(100 * time.Millisecond)
+	}
+	assert.Assert(t, taken <= int(10.5*rate), "%d orders in 10 s", taken)
+	assert.Assert(t, taken >= int(10*rate*orderShare)-1)
+}
--- a/internal/decision/berylscheduler/scheduler.go
+++ b/internal/decision/berylscheduler/scheduler.go
@@ -36,7 +36,9 @@
 	JobRetention  time.Duration
 	RemoteFactor  float64
 	// RestoreTime is how long a resumed task takes to load its checkpoint.
-	RestoreTime     time.Duration
+	RestoreTime time.Duration
+	// InstanceOrders is how many orders for instances the platform takes a second, from all nodes together.
+	InstanceOrders  float64
 	MoveTime        time.Duration
 	MaintenanceTime time.Duration
 	// RowBytes limits a row's value.
--- a/internal/node/berylentry/entry.go
+++ b/internal/node/berylentry/entry.go
@@ -36,6 +36,8 @@
 	orderConnections = 4
 	// peerConnections carries the callers' requests of a node to the scheduling one.
 	peerConnections = 8
+	// instanceConnections carries the list of instances and the orders for them, also while the platform answers slowly.
+	instanceConnections = 4
 	// storeConnections serves the feeds, the transactions and the beat.
 	storeConnections = 6
 )
@@ -106,8 +108,8 @@
 		CPUShare: settings.CPUShare,
 		Limits: berylscheduler.Limits{
 			MaxLease: b.MaxLease, HandoverPause: b.HandoverPause, StopTimeout: b.StopTimeout, JobRetention: b.JobRetention, RemoteFactor: b.RemoteFactor,
-			RestoreTime: b.RestoreTime,
-			MoveTime:    b.MoveTime, MaintenanceTime: b.MaintenanceTime,
+			RestoreTime: b.RestoreTime, InstanceOrders: settings.InstanceOrders,
+			MoveTime: b.MoveTime, MaintenanceTime: b.MaintenanceTime,
 			RowBytes: settings.RowBytes,
 		},
 		Store: &adapter.Store{
@@ -117,7 +119,7 @@
 		View:    adapter.View{},
 		Workers: &adapter.Workers{Exchange: adapter.NewExchange(orderConnections)},
 		Instances: &adapter.Instances{
-			Exchange: adapter.NewExchange(1), Address: address(func(s *adapter.Settings) string { return s.InstancesAddress }),
+			Exchange: adapter.NewExchange(instanceConnections), Address: address(func(s *adapter.Settings) string { return s.InstancesAddress }),
 		},
 		Advisor: &adapter.Advisor{
 			Exchange: adapter.NewExchange(1), Address: address(func(s *adapter.Settings) string { return s.AdvisorAddress }),
