--- a/internal/decision/berylscheduler/pool_test.go
+++ b/internal/decision/berylscheduler/pool_test.go
@@ -34,7 +34,8 @@
 			}
 			pools := []*poolDemand{
 				{name: "a", supply: c.supply / 2, need: c.need[0], arriving: c.arriving[0]},
-				{name: "b", supply: c.supply / 2, need: c.need[1], arriving: c.arriving[1]}, spare,
+				{name: "b", supply: c.supply / 2, need: c.need[1], arriving: c.arriving[1]},
+				spare,
 			}
 			s.shareOut(pools, c.steady, instance)
 			for i, p := range pools[:2] {
