Put jobs beyond a team's share behind those of other teams

Cause: weights did nothing: when all was full, the team that sent most got most. Change: a job that comes when its team has used up its share (weight jobs a second, two seconds of it kept) waits behind on-time jobs of teams within theirs; it is not refused. Test: TestTeamBeyondItsShareWaits.

--- a/internal/decision/berylscheduler/job.go
+++ b/internal/decision/berylscheduler/job.go
@@ -21,6 +21,8 @@
 	// opened counts the occurrences that have become due.
 	opened int
 	begun  bool
+	// beyond marks a job beyond its team's share.
+	beyond bool
 	// running counts the runs in the books, also those that are being stopped.
 	running int
 
--- a/internal/decision/berylscheduler/place.go
+++ b/internal/decision/berylscheduler/place.go
@@ -18,12 +18,15 @@
 	priority int
 	// late steps cannot meet their objective any more.
 	late bool
+	// beyond marks steps of jobs beyond their team's share.
+	beyond bool
 	// startBy is the latest start that meets the objective.
 	startBy time.Time
 }
 
-// place starts waiting tasks: urgent queues first, then those that can still be on time, by their latest start. This is
-// for bursts beyond what a pool holds: work that is late anyway must not make the rest late.
+// place starts waiting tasks: urgent queues first, then those that can still be on time, of teams within their share before
+// others, by their latest start. This is for bursts beyond what a pool holds: work that is late anyway must not make the rest
+// late.
 func (s *Scheduler) place() {
 	pools := make(map[string]*poolRoom)
 	for _, w := range s.ordered {
@@ -88,21 +91,26 @@
 		if a.priority != b.priority {
 			return a.priority - b.priority
 		}
-		if a.late != b.late {
-			if b.late {
-				return -1
-			}
-			return 1
-		}
-		return a.startBy.Compare(b.startBy)
+		return cmp.Or(lastOf(a.late, b.late), lastOf(a.beyond, b.beyond), a.startBy.Compare(b.startBy))
 	})
 	return out
 }
 
+// lastOf orders what is marked behind what is not.
+func lastOf(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
+}
+
 func (s *Scheduler) candidate(q beryllatch.JobQueue, st *stepRun, o *occurrence) candidate {
 	total, rest := s.chains(o)
 	due := o.due.Add(time.Duration(q.Slack*float64(total)) + q.Latency)
-	c := candidate{step: st, pool: q.Pool, priority: q.Priority, startBy: due.Add(-rest)}
+	c := candidate{step: st, pool: q.Pool, priority: q.Priority, beyond: st.job.beyond, startBy: due.Add(-rest)}
 	c.late = !st.spec.LongRunning && s.now.After(c.startBy)
 	if st.spec.LongRunning {
 		c.startBy = o.due
--- a/internal/decision/berylscheduler/rules_test.go
+++ b/internal/decision/berylscheduler/rules_test.go
@@ -419,3 +419,44 @@
 	w.pass(100 * time.Millisecond)
 	assert.Assert(t, len(w.starts) > 0 && before > 0, "answers make room")
 }
+
+// When all is full, a team that sends more than its share waits behind one that keeps to it.
+func TestTeamBeyondItsShareWaits(t *testing.T) {
+	w := newWorld(t)
+	d := testDeployment()
+	d.Teams["team"] = beryllatch.JobTeam{Name: "team", Weight: 2}
+	d.Teams["other"] = beryllatch.JobTeam{Name: "other", Weight: 2}
+	w.apply(DeploymentChanged{d})
+	w.register("a")
+	full := oneTask("00000000000000ff")
+	full.Steps[0].Needs.CPUMilli = 16000
+	w.accept(full)
+	first := w.confirm()
+	for n := range 6 {
+		w.accept(oneTask(fmt.Sprintf("%016x", n)))
+	}
+	w.call++
+	j := oneTask("00000000000000aa")
+	j.Queue, j.Team = "q", "other"
+	w.apply(JobSubmitted{Call: w.call, Job: j})
+	w.store()
+	assert.Equal(t, len(w.starts), 0)
+	w.pass(300 * time.Millisecond)
+	w.answerHolds(map[string]beryllatch.WorkerLists{"a": {Finished: []beryllatch.FinishedEntry{
+		{Number: 1, Task: first[0].Order.Task, Run: first[0].Order.Run, End: beryllatch.RunDone},
+	}}})
+	w.pass(100 * time.Millisecond)
+	order := make(map[string]int)
+	for i, f := range w.starts {
+		order[f.Order.Task[:16]] = i
+	}
+	assert.Equal(t, len(order), 7)
+	behind := 0
+	for n := range 6 {
+		if order[fmt.Sprintf("%016x", n)] > order["00000000000000aa"] {
+			behind++
+		}
+	}
+	// Two seconds of two jobs, less the one that fills the worker, are within the share.
+	assert.Equal(t, behind, 3)
+}
--- a/internal/decision/berylscheduler/scheduler.go
+++ b/internal/decision/berylscheduler/scheduler.go
@@ -93,8 +93,11 @@
 	resigned  bool
 }
 
-// teamUse is what a team has booked on all workers.
-type teamUse struct{ used beryllatch.Resources }
+// teamUse is what a team has booked on all workers, and what is left of its share.
+type teamUse struct {
+	used  beryllatch.Resources
+	share teamShare
+}
 
 // Apply takes an event and returns what to do; the slice is valid until the next call.
 func (s *Scheduler) Apply(now time.Time, e Event) []Effect {
--- a/internal/decision/berylscheduler/submit.go
+++ b/internal/decision/berylscheduler/submit.go
@@ -23,6 +23,7 @@
 	if q, ok := s.queueOf(j); ok {
 		j.pool = q.Pool
 	}
+	j.beyond = s.beyondShare(j.Team)
 	s.jobs[j.ID] = j
 	s.active = append(s.active, j)
 	s.openOccurrences(j)
