Keep room for long-running and large tasks, and bring the labels that they require

Instances were moved by number alone, and its old worker stayed closed to it while the wave waited for the other tasks of its step. Ruled out: starvation by small tasks (keeping room alone left the rule broken; it is kept for the load that its test replays). Change: a long-running task leaves its worker only when another one can take it. A task that no worker of its pool suits brings an instance with its label.

--- a/internal/decision/berylscheduler/fleet.go
+++ b/internal/decision/berylscheduler/fleet.go
@@ -50,6 +50,8 @@
 	arrivals   []arrival
 	reported   time.Time
 	budget     orderBudget
+	// labels holds when a pool has last lacked a label.
+	labels map[labelNeed]time.Time
 	// invalid holds the kinds of moves that the platform does not allow.
 	invalid map[string]bool
 	// stored holds the waves' rows of earlier epochs.
@@ -406,19 +408,34 @@
 	return false
 }
 
-// vacate moves one long-running task away from a worker, if its step can spare it.
+// vacate moves one long-running task away from a worker, if its step can spare it and another worker can take it.
 func (s *Scheduler) vacate(w *worker) {
 	for _, r := range s.runsOf(w) {
 		if r.task == nil || !r.task.step.spec.LongRunning || r.phase != runPresent {
 			continue
 		}
-		if s.mayTakeAway(r.task, nil) {
-			s.stop(r, "worker is vacated")
-			return
+		if !s.mayTakeAway(r.task, nil) {
+			continue
+		}
+		if !s.finds(r.task, w) {
+			s.needLabel(r.task)
+			continue
 		}
+		s.stop(r, "worker is vacated")
+		return
 	}
 }
 
+// finds reports whether another usable worker of the pool can have room for the task.
+func (s *Scheduler) finds(t *task, except *worker) bool {
+	for _, w := range s.ordered {
+		if w != except && w.info.Pool == except.info.Pool && s.usable(w) && s.suits(t, w) && s.roomy(t, w) {
+			return true
+		}
+	}
+	return false
+}
+
 // advanceOrders sends prepared orders once the short tasks have ended, and forgets those whose instance is back.
 func (s *Scheduler) advanceOrders() {
 	f := &s.fleet
--- a/internal/decision/berylscheduler/job.go
+++ b/internal/decision/berylscheduler/job.go
@@ -52,6 +52,11 @@
 	failedRuns []int
 	lastRun    int
 	time       stepTime
+	// blocked is since when its tasks find no room, and keeps the worker that was kept free for them last.
+	blocked time.Time
+	keeps   *worker
+	// reported is when the wait was last logged.
+	reported time.Time
 }
 
 // task is one task of a step.
--- a/internal/decision/berylscheduler/place.go
+++ b/internal/decision/berylscheduler/place.go
@@ -30,6 +30,7 @@
 func (s *Scheduler) place() {
 	pools := make(map[string]*poolRoom)
 	for _, w := range s.ordered {
+		w.reserved = nil
 		if s.usable(w) {
 			p := pools[w.info.Pool]
 			if p == nil {
@@ -57,6 +58,8 @@
 	workers []*worker
 	// most is at least what any worker has free, in each dimension.
 	most beryllatch.Resources
+	// reserved counts the workers that are kept free for a step.
+	reserved int
 }
 
 // measure takes the free room of the workers anew.
@@ -82,7 +85,7 @@
 			continue
 		}
 		for o, st := range j.waitingSteps {
-			if st.spec.Booked().Fits(pools[q.Pool].most) {
+			if st.spec.LongRunning || !st.blocked.IsZero() || st.spec.Booked().Fits(pools[q.Pool].most) {
 				out = append(out, s.candidate(q, st, o))
 			}
 		}
@@ -139,9 +142,6 @@
 
 // placeStep starts as many tasks of the step as there is room for.
 func (s *Scheduler) placeStep(c candidate, room *poolRoom) {
-	if !c.step.spec.Booked().Fits(room.most) {
-		return
-	}
 	if c.step.spec.Gang {
 		s.placeGang(c, room.workers)
 		return
@@ -156,11 +156,19 @@
 		if !s.underCeiling(t.step.job.Team, t.step.spec.Needs) {
 			return
 		}
-		w, ticket := s.choose(t, room.workers)
+		var w *worker
+		var ticket string
+		if t.step.spec.Booked().Fits(room.most) {
+			w, ticket = s.choose(t, room.workers)
+		}
 		if w == nil {
 			room.measure()
+			if !c.late {
+				s.keepRoom(t, room)
+			}
 			return
 		}
+		t.step.blocked = time.Time{}
 		s.startTask(w, t, s.nextRun(t.lastRun), ticket)
 	}
 }
@@ -210,12 +218,15 @@
 // fits reports whether a worker has room for a task and may run it.
 func (s *Scheduler) fits(t *task, w *worker) bool {
 	spec := t.step.spec
-	if w.starting >= maxStartingOnWorker && !spec.Gang {
-		return false
-	}
-	if !w.used.Plus(spec.Booked()).Fits(w.info.Capacity) {
+	if w.starting >= maxStartingOnWorker && !spec.Gang || w.reserved != nil && w.reserved != t.step {
 		return false
 	}
+	return w.used.Plus(spec.Booked()).Fits(w.info.Capacity) && s.suits(t, w)
+}
+
+// suits reports whether a worker may run a task, whatever room it has.
+func (s *Scheduler) suits(t *task, w *worker) bool {
+	spec := t.step.spec
 	if spec.RequiredLabel != "" && !w.info.HasLabel(spec.RequiredLabel) {
 		return false
 	}
--- a/internal/decision/berylscheduler/pool.go
+++ b/internal/decision/berylscheduler/pool.go
@@ -63,9 +63,10 @@
 	s.reportLoad(pools)
 	budget := &s.fleet.budget
 	budget.refill(s.now, s.Limits.InstanceOrders)
+	s.bringLabels(pools)
 	for _, p := range pools {
 		for missing := p.wanted - p.supply; missing > 0 && budget.left(); missing-- {
-			instance := s.donor(pools, p)
+			instance := s.donor(pools, p, "")
 			if instance == "" {
 				break
 			}
@@ -78,6 +79,56 @@
 	s.advanceOrders()
 }
 
+// labelNeed asks for an instance with a label in a pool.
+type labelNeed struct{ pool, label string }
+
+// labelMemory is how long a need for a label holds after it was last noted.
+const labelMemory = time.Second
+
+// needLabel notes that no worker of a pool can take a task that requires a label.
+func (s *Scheduler) needLabel(t *task) {
+	q, ok := s.queueOf(t.step.job)
+	if label := t.step.spec.RequiredLabel; ok && label != "" {
+		if s.fleet.labels == nil {
+			s.fleet.labels = make(map[labelNeed]time.Time)
+		}
+		s.fleet.labels[labelNeed{q.Pool, label}] = s.now
+	}
+}
+
+// bringLabels moves instances into pools that lack the label that a waiting task requires: the number of instances alone does
+// not tell that.
+func (s *Scheduler) bringLabels(pools []*poolDemand) {
+	byName := func(a, b labelNeed) int {
+		return cmp.Or(strings.Compare(a.pool, b.pool), strings.Compare(a.label, b.label))
+	}
+	for _, need := range slices.SortedFunc(maps.Keys(s.fleet.labels), byName) {
+		if s.now.Sub(s.fleet.labels[need]) > labelMemory {
+			delete(s.fleet.labels, need)
+			continue
+		}
+		n := slices.IndexFunc(pools, func(p *poolDemand) bool { return p.name == need.pool && !p.standby })
+		if n < 0 || !s.fleet.budget.left() || s.labelComes(need) {
+			continue
+		}
+		if instance := s.donor(pools, pools[n], need.label); instance != "" {
+			s.prepare(&instanceOrder{instance: instance, pool: need.pool})
+			pools[n].supply++
+			s.fleet.budget.take()
+		}
+	}
+}
+
+// labelComes reports whether an instance with the label is on its way to the pool.
+func (s *Scheduler) labelComes(need labelNeed) bool {
+	for name, o := range s.fleet.orders {
+		if o.wave == 0 && o.pool == need.pool && slices.Contains(s.fleet.instances[name].Labels, need.label) {
+			return true
+		}
+	}
+	return false
+}
+
 // orderBudget spreads the moves over time: the platform takes so many orders a second from all nodes together.
 type orderBudget struct {
 	orders float64
@@ -284,16 +335,27 @@
 }
 
 // donor returns an instance that another pool can spare best: one on standby, an idle one, one with short tasks.
-func (s *Scheduler) donor(pools []*poolDemand, to *poolDemand) string {
+// Instances that a wave still waits for come after others of the same list, since they leave once more soon. With a label,
+// only instances that carry it count.
+func (s *Scheduler) donor(pools []*poolDemand, to *poolDemand, label string) string {
 	take := func(list *[]string, from *poolDemand) string {
-		for n, i := range *list {
-			if s.fleet.orders[i] == nil && !s.fleet.invalid[moveKind(s.fleet.instances[i], to.name)] && !s.inWave(i) {
-				*list = slices.Delete(*list, n, n+1)
-				from.supply--
-				return i
+		best := -1
+		for n, name := range *list {
+			i := s.fleet.instances[name]
+			if s.fleet.orders[name] != nil || s.fleet.invalid[moveKind(i, to.name)] || label != "" && !slices.Contains(i.Labels, label) {
+				continue
 			}
+			if best = n; !s.inWave(name) {
+				break
+			}
+		}
+		if best < 0 {
+			return ""
 		}
-		return ""
+		name := (*list)[best]
+		*list = slices.Delete(*list, best, best+1)
+		from.supply--
+		return name
 	}
 	for _, from := range pools {
 		if from.standby && from != to {
--- a/internal/decision/berylscheduler/run.go
+++ b/internal/decision/berylscheduler/run.go
@@ -96,6 +96,7 @@
 		t.step.job.running++
 		if t.step.spec.LongRunning {
 			w.serving++
+			w.lasting = w.lasting.Plus(r.booked)
 		}
 	} else {
 		// Nobody knows what the run takes: the worker gets nothing else until it has ended.
@@ -129,6 +130,7 @@
 	t.step.job.running--
 	if t.step.spec.LongRunning {
 		w.serving--
+		w.lasting = w.lasting.Minus(r.booked)
 	}
 	t.runs = slices.DeleteFunc(t.runs, func(o *run) bool { return o == r })
 	if len(t.runs) == 0 && !t.done {
--- a/internal/decision/berylscheduler/worker.go
+++ b/internal/decision/berylscheduler/worker.go
@@ -41,8 +41,11 @@
 	// known is true once the worker's lists of this epoch have been read, or it surely runs nothing of before.
 	known bool
 	runs  map[runID]*run
-	// serving counts the runs of long-running tasks.
+	// serving counts the runs of long-running tasks, and lasting is what they take.
 	serving int
+	lasting beryllatch.Resources
+	// reserved is the step that the worker is kept free for, in the present pass.
+	reserved *stepRun
 	// starting counts the start orders without an outcome.
 	starting int
 	used     beryllatch.Resources
