--- a/internal/decision/berylscheduler/pool.go
+++ b/internal/decision/berylscheduler/pool.go
@@ -20,12 +20,6 @@
 	poolReserve = 3
 	// burstSize is how many instances beyond the reserve make a burst: pools that have had none keep what operators gave them.
 	burstSize = 3
-	// orderShare is the part of the platform's rate of instance orders that moves and waves use: the rest is for repeats.
-	orderShare = 0.8
-	// orderBurst is for how long the orders that were not given may be given later, at once.
-	orderBurst = 250 * time.Millisecond
-	// fallbackOrders is the rate of instance orders, a second, where the platform names none.
-	fallbackOrders = 60.0
 )
 
 // poolDemand is what a pool needs, and what it has.
@@ -79,81 +73,6 @@
 	s.advanceOrders()
 }
 
-// labelNeed asks for an instance with a label in a pool.
-type labelNeed struct{ pool, label string }
-
-// labelMemory is how long a need for a label holds after it was last noted.
-const labelMemory = time.Second
-
-// needLabel notes that no worker of a pool can take a task that requires a label.
-func (s *Scheduler) needLabel(t *task) {
-	q, ok := s.queueOf(t.step.job)
-	if label := t.step.spec.RequiredLabel; ok && label != "" {
-		if s.fleet.labels == nil {
-			s.fleet.labels = make(map[labelNeed]time.Time)
-		}
-		s.fleet.labels[labelNeed{q.Pool, label}] = s.now
-	}
-}
-
-// bringLabels moves instances into pools that lack the label that a waiting task requires: the number of instances alone does
-// not tell that.
-func (s *Scheduler) bringLabels(pools []*poolDemand) {
-	byName := func(a, b labelNeed) int {
-		return cmp.Or(strings.Compare(a.pool, b.pool), strings.Compare(a.label, b.label))
-	}
-	for _, need := range slices.SortedFunc(maps.Keys(s.fleet.labels), byName) {
-		if s.now.Sub(s.fleet.labels[need]) > labelMemory {
-			delete(s.fleet.labels, need)
-			continue
-		}
-		n := slices.IndexFunc(pools, func(p *poolDemand) bool { return p.name == need.pool && !p.standby })
-		if n < 0 || !s.fleet.budget.left() || s.labelComes(need) {
-			continue
-		}
-		if instance := s.donor(pools, pools[n], need.label); instance != "" {
-			s.prepare(&instanceOrder{instance: instance, pool: need.pool})
-			pools[n].supply++
-			s.fleet.budget.take()
-		}
-	}
-}
-
-// labelComes reports whether an instance with the label is on its way to the pool.
-func (s *Scheduler) labelComes(need labelNeed) bool {
-	for name, o := range s.fleet.orders {
-		if o.wave == 0 && o.pool == need.pool && slices.Contains(s.fleet.instances[name].Labels, need.label) {
-			return true
-		}
-	}
-	return false
-}
-
-// orderBudget spreads the moves over time: the platform takes so many orders a second from all nodes together.
-type orderBudget struct {
-	orders float64
-	at     time.Time
-}
-
-// refill adds what the rate, in orders a second, gives for the time since the last refill.
-func (b *orderBudget) refill(now time.Time, rate float64) {
-	if rate <= 0 {
-		rate = fallbackOrders
-	}
-	rate *= orderShare
-	most := max(rate*orderBurst.Seconds(), 1)
-	if b.at.IsZero() {
-		b.orders = most
-	} else {
-		b.orders = min(b.orders+rate*now.Sub(b.at).Seconds(), most)
-	}
-	b.at = now
-}
-
-func (b *orderBudget) left() bool { return b.orders >= 1 }
-
-func (b *orderBudget) take() { b.orders-- }
-
 // demands returns the pools, those that lack most first.
 func (s *Scheduler) demands() []*poolDemand {
 	byName := make(map[string]*poolDemand, len(s.deployment.Pools))
@@ -441,53 +360,3 @@
 	}
 	s.fleet.invalid[moveKind(s.fleet.instances[o.instance], o.pool)] = true
 }
-
-// The spans over which the arriving work is averaged: the short one sees a burst begin, the long one bridges the gaps between
-// large jobs.
-const (
-	suddenWindow = 500 * time.Millisecond
-	steadyWindow = 1500 * time.Millisecond
-)
-
-// arrival is the work of an accepted job.
-type arrival struct {
-	at   time.Time
-	pool string
-	// work is in thousandths of a core times seconds.
-	work float64
-}
-
-// noteArrival remembers the work of an accepted job.
-func (s *Scheduler) noteArrival(j *job) {
-	work := 0.0
-	for _, st := range j.open(0).steps {
-		if !st.spec.LongRunning {
-			work += float64(st.spec.Booked().CPUMilli*st.spec.Count) * s.expected(st).Seconds()
-		}
-	}
-	s.fleet.arrivals = append(s.fleet.arrivals, arrival{s.now, j.pool, work})
-}
-
-// arrivingCPU returns the capacity, in thousandths of a core, that keeps up with the work that arrives at each pool, over the
-// long and over the short span.
-func (s *Scheduler) arrivingCPU() (steady, sudden map[string]int) {
-	f := &s.fleet
-	for len(f.arrivals) > 0 && s.now.Sub(f.arrivals[0].at) > steadyWindow {
-		f.arrivals = f.arrivals[1:]
-	}
-	return f.arrivalRate(s.now, steadyWindow), f.arrivalRate(s.now, suddenWindow)
-}
-
-func (f *fleet) arrivalRate(now time.Time, window time.Duration) map[string]int {
-	sums := make(map[string]float64)
-	for _, a := range f.arrivals {
-		if now.Sub(a.at) <= window {
-			sums[a.pool] += a.work
-		}
-	}
-	out := make(map[string]int, len(sums))
-	for pool, work := range sums {
-		out[pool] = int(work / window.Seconds())
-	}
-	return out
-}
