Prepare workers only when work needs them

A node that takes over asked every registered worker for its runs at once, and stored a row of each worker at its registration. Rows, holds and connections followed the fleet, not the work.

A row that ends early or is read before the write: the duty row is claimed first, and every write of the previous epoch has a condition on it.

A takeover has at most 96 holds to unsynced workers in flight, and a worker counts as settled by its expired lease only after a hold to it has failed. A registered worker without a stored row has no runs of earlier epochs, since the row is stored before the first start.

--- a/cmd/berylload/main.go
+++ b/cmd/berylload/main.go
@@ -19,6 +19,8 @@
 	Kind    kindCmd    `cmd:"" help:"Table rows that each kind of work reads and writes."`
 	Urgent  urgentCmd  `cmd:"" help:"Time to the start of urgent requests while others overload the fleet."`
 	Idle    idleCmd    `cmd:"" help:"Processor time, memory and table calls of a daemon at rest."`
+
+	Schedule scheduleCmd `cmd:"" help:"Processor time of a scheduling node for each started task."`
 }
 
 type requestCmd struct {
@@ -100,6 +102,22 @@
 	})
 }
 
+type scheduleCmd struct {
+	Program  string        `default:"bin/beryljobd" type:"existingfile" help:"The daemon to measure."`
+	Duration time.Duration `default:"10s" help:"Length of the measured window."`
+	Workers  int           `default:"540" help:"Workers."`
+	Starts   []int         `default:"1000,2000,4000" help:"Offered tasks per second, a daemon for each rate."`
+}
+
+// Run measures scheduling nodes under load.
+func (c *scheduleCmd) Run(ctx context.Context) error {
+	return withTempDir(func(dir string) error {
+		return berylload.Schedule{
+			Program: c.Program, Dir: dir, Duration: c.Duration, Workers: c.Workers, Starts: c.Starts, Out: os.Stdout,
+		}.Run(ctx)
+	})
+}
+
 // withTempDir calls f with a new directory for the logs of the processes and removes it afterwards.
 func withTempDir(f func(dir string) error) error {
 	dir, err := os.MkdirTemp("", "berylload")
--- a/internal/bench/berylsoak/soak.go
+++ b/internal/bench/berylsoak/soak.go
@@ -24,6 +24,8 @@
 	soakKey  = "soak-key"
 	// startTime is the time that the daemons get to find each other before the first job.
 	startTime = 2 * time.Second
+	// teamCeiling is the ceiling of the clients' team, in thousandths of a core.
+	teamCeiling = 40000
 )
 
 // Soak is a soak test that a seed determines; its fields are also flags of the command.
@@ -102,7 +104,7 @@
 }
 
 func (r *soakRun) setUp() error {
-	r.store.Put(berylfleet.Configuration(soakHost, soakKey))
+	r.store.Put(berylfleet.Configuration(soakHost, soakKey, teamCeiling))
 	store, err := serve(r.ctx, r.store)
 	if err != nil {
 		return err
--- a/internal/decision/berylscheduler/advice.go
+++ b/internal/decision/berylscheduler/advice.go
@@ -54,6 +54,12 @@
 	return t.text
 }
 
+// advisedAgainst reports whether the advisor has given no ticket of the step for the worker.
+func (s *Scheduler) advisedAgainst(st *stepState, w *worker) bool {
+	a := s.advice[adviceKey(st)]
+	return a != nil && a.denied[w.info.ID]
+}
+
 // requestAdvice asks the advisor about workers that could take a task of the step but have no ticket, the emptiest first.
 func (s *Scheduler) requestAdvice(st *stepState, workers []*worker) {
 	if !s.restricted(st) {
--- a/internal/decision/berylscheduler/fleet.go
+++ b/internal/decision/berylscheduler/fleet.go
@@ -237,6 +237,7 @@
 			return true
 		}
 	}
+	s.prepareAlternative(t, except)
 	return false
 }
 
--- a/internal/decision/berylscheduler/harness_test.go
+++ b/internal/decision/berylscheduler/harness_test.go
@@ -139,7 +139,7 @@
 	}
 }
 
-// register registers workers, stores their rows and answers their holds with empty lists.
+// register registers and prepares workers: it stores their rows and answers their holds with empty lists.
 func (h *harness) register(ids ...string) {
 	h.t.Helper()
 	var infos []beryllatch.WorkerInfo
@@ -149,6 +149,12 @@
 	pending := h.holds
 	h.holds = nil
 	h.apply(RegistryChanged{Workers: infos})
+	for _, id := range ids {
+		if w := h.s.workers[id]; !w.prepared() {
+			h.s.journal.setWorkerRow(id, w.encode())
+		}
+	}
+	h.apply(Ticked{})
 	h.storeAll()
 	h.answerHolds(nil)
 	h.holds = append(pending, h.holds...)
--- a/internal/decision/berylscheduler/place.go
+++ b/internal/decision/berylscheduler/place.go
@@ -32,15 +32,22 @@
 	pools := make(map[string]*poolWorkers)
 	for _, w := range s.sortedWorkers {
 		w.reserved = nil
-		if s.usable(w) {
-			p := pools[w.info.Pool]
-			if p == nil {
-				p = &poolWorkers{}
-				pools[w.info.Pool] = p
-			}
+		usable := s.usable(w)
+		if !usable && !s.canPrepare(w) {
+			continue
+		}
+		p := pools[w.info.Pool]
+		if p == nil {
+			p = &poolWorkers{}
+			pools[w.info.Pool] = p
+		}
+		if usable {
 			p.workers = append(p.workers, w)
+		} else {
+			p.unprepared = append(p.unprepared, w)
 		}
 	}
+	s.prepareWorkers(pools)
 	for _, p := range pools {
 		p.updateMaxFree()
 	}
@@ -53,10 +60,13 @@
 	}
 }
 
-// poolWorkers is the usable workers of a pool. In a burst most waiting steps find a full pool; one comparison with maxFree
-// rules them out.
+// poolWorkers is the usable workers of a pool, and those that are not prepared yet. In a burst most waiting steps find a full
+// pool; one comparison with maxFree rules them out.
 type poolWorkers struct {
-	workers []*worker
+	workers, preparing, unprepared []*worker
+	// demands is the room that waiting tasks need; demandMet is true once workers have been prepared for it.
+	demands   []*roomDemand
+	demandMet bool
 	// maxFree is, for each resource, at least the largest free amount on any worker.
 	maxFree beryllatch.Resources
 	// reservations counts the workers that are kept free for a step in this pass.
@@ -82,7 +92,7 @@
 			continue
 		}
 		q, ok := s.queueOf(j)
-		if !ok || pools[q.Pool] == nil || !s.jobSynced(j, q.Pool) {
+		if !ok || pools[q.Pool] == nil || len(pools[q.Pool].workers) == 0 || !s.jobSynced(j, q.Pool) {
 			continue
 		}
 		for o, st := range j.waitingSteps {
@@ -170,6 +180,9 @@
 			}
 			return
 		}
+		if s.awaitsDataRack(t, w, pool) {
+			return
+		}
 		t.step.blockedSince = time.Time{}
 		s.startTask(w, t, s.nextRun(t.lastRun), ticket)
 	}
--- /dev/null
+++ b/internal/decision/berylscheduler/prepare_test.go
@@ -0,0 +1,130 @@
+package berylscheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/beryllatch/beryllatch"
+	"gotest.tools/v3/assert"
+)
+
+func workerInfos(n int) []beryllatch.WorkerInfo {
+	var out []beryllatch.WorkerInfo
+	for i := range n {
+		info := workerInfo(fmt.Sprintf("w%03d", i))
+		info.Rack = fmt.Sprintf("r%d", i%20)
+		info.Labels = []string{"a", info.Rack}
+		out = append(out, info)
+	}
+	return out
+}
+
+// Rows and holds must follow the work and not the number of workers.
+func TestWorkersWithoutWorkAreLeftAlone(t *testing.T) {
+	h := newHarness(t)
+	stored := make(storedRows)
+	h.apply(RegistryRead{Workers: workerInfos(200)})
+	h.storeInto(stored)
+	assert.Equal(t, len(stored.table(WorkersTable)), poolReserve)
+	assert.Equal(t, len(h.holds), poolReserve)
+}
+
+// When a queue rises to many times its mean, its tasks must not wait for workers to be prepared one by one.
+func TestWorkersArePreparedForABurst(t *testing.T) {
+	h := newHarness(t)
+	stored := make(storedRows)
+	h.apply(RegistryRead{Workers: workerInfos(200)})
+	h.storeInto(stored)
+	h.answerHolds(nil)
+	began := h.now
+	for n := range 10 {
+		j := singleTaskJob(fmt.Sprintf("%016x", n))
+		j.Steps[0].Count, j.Steps[0].Needs.CPUMilli = 8, 4000
+		h.submit(j)
+		h.s.deployment.Teams["team"] = beryllatch.JobTeam{Name: "team"}
+	}
+	for range 10 {
+		h.storeInto(stored)
+		h.answerHolds(nil)
+		h.apply(Woken{})
+	}
+	assert.Equal(t, len(h.starts), 80, "after %s", h.now.Sub(began))
+	prepared := len(stored.table(WorkersTable))
+	assert.Assert(t, prepared >= 20 && prepared <= 60, "%d workers are prepared for the work of 20", prepared)
+}
+
+// A task whose data is on a rack without prepared workers must still run there.
+func TestWorkersArePreparedOnTheRackOfTheData(t *testing.T) {
+	h := newHarness(t)
+	h.apply(RegistryRead{Workers: workerInfos(100)})
+	h.storeAll()
+	h.answerHolds(nil)
+	j := singleTaskJob("0000000000000001")
+	j.Steps[0].DataRack = "r17"
+	h.submit(j)
+	h.answerHolds(nil)
+	h.storeAll()
+	h.tickFor(100 * time.Millisecond)
+	assert.Equal(t, len(h.starts), 1)
+	assert.Equal(t, h.s.workers[h.starts[0].Worker.ID].info.Rack, "r17")
+}
+
+// usedWorkers returns the rows of n workers, of which the first has done the only task of a job.
+func usedWorkers(t *testing.T, n int) (*harness, storedRows, StartRun) {
+	t.Helper()
+	h := newHarness(t)
+	stored := make(storedRows)
+	h.apply(RegistryRead{Workers: workerInfos(n)})
+	for _, w := range h.s.sortedWorkers {
+		h.s.journal.setWorkerRow(w.info.ID, w.encode())
+	}
+	for range 3 {
+		h.apply(Ticked{})
+		h.storeInto(stored)
+	}
+	h.answerHolds(nil)
+	h.submit(singleTaskJob("0000000000000001"))
+	h.storeInto(stored)
+	return h, stored, h.confirmStarts()[0]
+}
+
+// A node that has just taken over and is slow to ask the workers must not start a task again that a worker has finished: the
+// completion may be listed already, and not stored.
+func TestTakeoverAsksTheWorkerBeforeItsTaskStartsAgain(t *testing.T) {
+	h, stored, start := usedWorkers(t, 2)
+	next := h.takeOver(stored)
+	next.apply(RegistryRead{Workers: workerInfos(2)})
+	holds := next.holds
+	next.tickFor(2 * next.s.leaseExpiryBound())
+	assert.Equal(t, len(next.starts), 0, "no answer is known")
+	next.holds = holds
+	next.answerHolds(map[string]beryllatch.WorkerLists{start.Worker.ID: {Finished: []beryllatch.FinishedEntry{
+		{Number: 1, Task: start.Order.Task, Run: start.Order.Run, Outcome: beryllatch.RunDone},
+	}}})
+	next.storeInto(stored)
+	next.tickFor(time.Second)
+	assert.Equal(t, len(next.starts), 0)
+	state, _ := next.s.JobState("0000000000000001")
+	assert.Equal(t, state, beryllatch.JobDone)
+}
+
+// A node that takes over a large fleet must not ask all workers at once: it could not handle the answers in time.
+func TestTakeoverAsksAFewWorkersAtATime(t *testing.T) {
+	const workers = 300
+	h, stored, _ := usedWorkers(t, workers)
+	next := h.takeOver(stored)
+	next.apply(RegistryRead{Workers: workerInfos(workers)})
+	asked := 0
+	for len(next.holds) > 0 {
+		assert.Assert(t, len(next.holds) <= maxUnsyncedHolds, "%d holds are in flight", len(next.holds))
+		hold := next.holds[0]
+		next.holds = next.holds[1:]
+		asked++
+		next.apply(WorkerHeld{Worker: hold.Worker.ID, Incarnation: hold.Incarnation, Sent: hold.sent, Lists: beryllatch.WorkerLists{Clock: time.Hour, Incarnation: 1}})
+		if asked == workers {
+			break
+		}
+	}
+	assert.Assert(t, !next.s.hasUnsyncedWorkers())
+}
--- a/internal/decision/berylscheduler/scheduler.go
+++ b/internal/decision/berylscheduler/scheduler.go
@@ -96,6 +96,8 @@
 	pendingStarts int
 	// unsyncedPools holds the pools with unsynced workers, as of the last check.
 	unsyncedPools map[string]bool
+	// unsyncedHolds holds the holds for unsynced workers that are in flight.
+	unsyncedHolds map[heldWorker]bool
 	// lossyUntil is the time until which answers of workers are likely to get lost.
 	lossyUntil time.Time
 	resigned   bool
--- a/internal/decision/berylscheduler/wave_test.go
+++ b/internal/decision/berylscheduler/wave_test.go
@@ -38,8 +38,11 @@
 // not be taken.
 func TestWaveWaitsForUnsettledWorkers(t *testing.T) {
 	h := newHarness(t)
+	stored := make(storedRows)
 	h.apply(RegistryChanged{Workers: []beryllatch.WorkerInfo{workerInfo("a"), workerInfo("b")}})
-	h.storeAll()
+	h.storeInto(stored)
+	h = h.takeOver(stored)
+	h.apply(RegistryRead{Workers: []beryllatch.WorkerInfo{workerInfo("a"), workerInfo("b")}})
 	h.answerHolds(nil, "a")
 	h.openWave(2, "m-a", "m-b")
 	h.tickFor(time.Second)
--- a/internal/decision/berylscheduler/worker.go
+++ b/internal/decision/berylscheduler/worker.go
@@ -41,7 +41,8 @@
 	unregisteredAt time.Time
 	// discoveredAt is when the scheduler learned of the worker.
 	discoveredAt time.Time
-	// row is the worker's row, shared by all incarnations of its ID. The worker gets no runs before the row is stored.
+	// row is the worker's row, shared by all incarnations of its ID. The worker gets no runs before the row is stored, see
+	// prepareWorkers.
 	row *workerRow
 	// synced is true once the scheduler knows all runs on the worker: its lists have been read in this epoch, or it cannot have
 	// runs of an earlier one.
@@ -161,16 +162,10 @@
 	}
 	w := s.workers[i.ID]
 	if w == nil {
-		w = &worker{info: i, registered: true, discoveredAt: s.now}
-		if s.now.Sub(s.startedAt) < s.leaseExpiryBound() {
-			// An earlier epoch may have used the worker without storing a row that this epoch has read.
-			w.leasesExpireBy = s.startedAt.Add(s.leaseExpiryBound())
-		} else {
-			w.synced = true
-		}
+		// Earlier epochs have stored a row of each worker with runs, and this epoch has read all rows.
+		w = &worker{info: i, registered: true, discoveredAt: s.now, synced: true}
 		s.endEarlierIncarnations(w)
 		s.addWorker(w)
-		s.journal.setWorkerRow(i.ID, w.encode())
 		s.emit(Decision{Name: "worker_registered", Worker: i.ID, Detail: i.Pool})
 		s.placementDue = true
 		s.sendHoldIfDue(w)
@@ -188,7 +183,7 @@
 	moved := i.Address != w.info.Address
 	w.info, w.registered = i, true
 	s.fleet.workerByInstance = nil
-	if moved {
+	if moved && w.prepared() {
 		s.journal.setWorkerRow(i.ID, w.encode())
 	}
 	s.placementDue = true
@@ -256,6 +251,10 @@
 	if s.now.Before(w.leasesExpireBy) {
 		return
 	}
+	if !w.synced && w.failedHolds == 0 {
+		// The worker has not been asked yet, and may list a completion that an earlier epoch did not store.
+		return
+	}
 	if !w.synced {
 		w.synced = true
 		s.emit(Decision{Name: "worker_settled", Worker: w.info.ID, Detail: "its longest lease has run out"})
@@ -318,7 +317,7 @@
 	}
 	ack := s.storedCompletions(w)
 	unstored := len(w.unacknowledged) > 0
-	if w.synced && len(w.runs) == 0 && ack == w.sentAcknowledge && !w.clockAt.IsZero() {
+	if w.synced && len(w.runs) == 0 && ack == w.sentAcknowledge && (!w.clockAt.IsZero() || !w.prepared()) {
 		return
 	}
 	order := beryllatch.HoldOrder{Fence: s.Epoch, Acknowledge: ack, Wait: holdWait}
@@ -341,10 +340,56 @@
 	case w.mustPaceFillers():
 		order.Wait = fillerHoldWait
 	}
+	if !w.synced && !s.mayAskUnsynced(w) {
+		return
+	}
 	w.holdPending = true
 	s.sendHold(w, order, false)
 }
 
+// maxUnsyncedHolds limits the holds for unsynced workers in flight. A node that has just taken over would otherwise ask all of
+// them at once, and have too little processor time to handle the answers before its own time-outs.
+const maxUnsyncedHolds = 96
+
+// heldWorker identifies a hold in flight.
+type heldWorker struct {
+	id          string
+	incarnation int64
+}
+
+// mayAskUnsynced counts a hold for an unsynced worker, and reports whether it may be sent now.
+func (s *Scheduler) mayAskUnsynced(w *worker) bool {
+	if len(s.unsyncedHolds) >= maxUnsyncedHolds {
+		return false
+	}
+	if s.unsyncedHolds == nil {
+		s.unsyncedHolds = make(map[heldWorker]bool)
+	}
+	s.unsyncedHolds[heldWorker{w.info.ID, w.info.Incarnation}] = true
+	return true
+}
+
+// unsyncedHoldEnded sends the next hold for an unsynced worker, if the one that has ended was for such a worker.
+func (s *Scheduler) unsyncedHoldEnded(e WorkerHeld) {
+	h := heldWorker{e.Worker, e.Incarnation}
+	if e.Probe || !s.unsyncedHolds[h] {
+		return
+	}
+	full := len(s.unsyncedHolds) >= maxUnsyncedHolds
+	delete(s.unsyncedHolds, h)
+	if !full {
+		return
+	}
+	for _, w := range s.sortedWorkers {
+		if !w.synced && !w.holdPending {
+			s.sendHoldIfDue(w)
+			if len(s.unsyncedHolds) >= maxUnsyncedHolds {
+				return
+			}
+		}
+	}
+}
+
 func (s *Scheduler) sendHold(w *worker, order beryllatch.HoldOrder, probe bool) {
 	// A worker that does not answer gets no new lease, so that its runs can be written off once its last lease has expired.
 	if w.failedHolds == 0 {
@@ -387,6 +432,7 @@
 
 // workerHeld handles the outcome of a hold.
 func (s *Scheduler) workerHeld(e WorkerHeld) {
+	defer s.unsyncedHoldEnded(e)
 	w := s.workers[e.Worker]
 	if w == nil || w.info.Incarnation != e.Incarnation {
 		return
@@ -418,6 +464,9 @@
 		w.nextHold = s.now.Add(completionBatchPause)
 		s.emit(WakeAfter{completionBatchPause})
 	}
+	if w.clockAt.IsZero() {
+		s.placementDue = true
+	}
 	w.setClock(e.Lists.Clock, s.now)
 	if !w.synced {
 		w.synced = true
--- a/internal/standin/berylfleet/fleet.go
+++ b/internal/standin/berylfleet/fleet.go
@@ -27,8 +27,10 @@
 	// acknowledgedDone holds the tasks whose completion was acknowledged.
 	acknowledgedDone map[string]bool
 	// starts counts the started runs, by job.
-	starts     map[string]int
-	violations []string
+	starts map[string]int
+	// started and finished count the started runs, and the runs that have ended.
+	started, finished int
+	violations        []string
 }
 
 // NewFleet returns a fleet without workers.
@@ -160,6 +162,7 @@
 	defer f.mu.Unlock()
 	job := jobOf(o.Task)
 	f.starts[job]++
+	f.started++
 	if other := f.runningOn[o.Task]; other != nil {
 		f.addViolation("task %s run %d starts on %s while it runs on %s", o.Task, o.RunID, w.ID, other.ID)
 	}
@@ -184,6 +187,7 @@
 func (f *Fleet) recordEnd(w *Worker, r *run, _ string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.finished++
 	if f.runningOn[r.task] == w {
 		delete(f.runningOn, r.task)
 	}
@@ -216,3 +220,17 @@
 	defer f.mu.Unlock()
 	return f.starts[job]
 }
+
+// Started returns how many runs have started.
+func (f *Fleet) Started() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.started
+}
+
+// Finished returns how many runs have ended.
+func (f *Fleet) Finished() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.finished
+}
--- a/internal/standin/berylfleet/operator.go
+++ b/internal/standin/berylfleet/operator.go
@@ -10,6 +10,8 @@
 	Node, IP                                 string
 	CallersPort, ReadinessPort, InternalPort int
 	StoreAddress, InstancesAddress           string
+	// MemoryMB is the node's memory limit; 0 means that there is none.
+	MemoryMB int
 }
 
 // YAML returns the settings file.
@@ -21,16 +23,17 @@
 internal_ports: [%d, %d]
 heartbeat_ms: 500
 orders: "call"
-limits: {cpu_share: 0.4}
+limits: {cpu_share: 0.4, memory_mb: %d}
 platform: {address: %q, form: "table", row_bytes: 65536}
 cloud_api: {address: %q, duties_per_s: 64.0}
 bounds: {grace_s: 4, hold_max_ms: 10000, stop_timeout_ms: 200, status_s: 120, lease_ms: 3000, remote_factor: 1.5,
   notice_ms: 4500, migrate_s: 1.5, maintenance_s: 2, gang_timeout_ms: 3000}
-`, s.Node, s.IP, s.IP, s.CallersPort, s.IP, s.ReadinessPort, s.InternalPort, s.InternalPort+15, s.StoreAddress, s.InstancesAddress)
+`, s.Node, s.IP, s.IP, s.CallersPort, s.IP, s.ReadinessPort, s.InternalPort, s.InternalPort+15, s.MemoryMB, s.StoreAddress, s.InstancesAddress)
 }
 
-// Configuration returns the configuration row of an operator: one queue with the prefix /q/, one pool, one team.
-func Configuration(host, key string) Row {
+// Configuration returns the configuration row of an operator: one queue with the prefix /q/, one pool, one team. The
+// team's ceiling is in thousandths of a core; 0 means that it has none.
+func Configuration(host, key string, ceiling int) Row {
 	b, err := json.Marshal(map[string]any{
 		"version": 1,
 		"routes": []map[string]any{{
@@ -38,7 +41,7 @@
 		}},
 		"services": []map[string]any{{"name": "p"}},
 		"tenants": []map[string]any{{
-			"name": "t", "api_keys": []string{key}, "weight": 1, "maximum": map[string]int{"cpu": 40000},
+			"name": "t", "api_keys": []string{key}, "weight": 1, "maximum": map[string]int{"cpu": ceiling},
 		}},
 	})
 	if err != nil {
