--- a/internal/decision/berylscheduler/journal.go
+++ b/internal/decision/berylscheduler/journal.go
@@ -407,9 +407,7 @@
 			s.journal.queueJob(j)
 		}
 	}
-	for _, w := range s.sortedWorkers {
-		s.sendHoldIfDue(w)
-	}
+	s.acknowledgeStored()
 }
 
 // answerStored answers the callers whose change is stored.
--- a/internal/decision/berylscheduler/pace.go
+++ b/internal/decision/berylscheduler/pace.go
@@ -16,6 +16,9 @@
 // adjustPace sets the pace of the fillers on a worker by the serving task that is closest to its tail latency target: they slow
 // down fast and speed up slowly.
 func (s *Scheduler) adjustPace(w *worker) {
+	if !w.runsFiller() {
+		return
+	}
 	worst := 0.0
 	var fillers []*run
 	for _, r := range s.runsOf(w) {
@@ -50,6 +53,16 @@
 	}
 }
 
+// runsFiller reports whether the worker has a run of a filler.
+func (w *worker) runsFiller() bool {
+	for _, r := range w.runs {
+		if r.task != nil && r.task.step.spec.Filler {
+			return true
+		}
+	}
+	return false
+}
+
 // mustPaceFillers reports whether the worker has both fillers and tasks with a tail latency target, which need frequent answers.
 func (w *worker) mustPaceFillers() bool {
 	serving, filling := false, false
--- a/internal/decision/berylscheduler/run.go
+++ b/internal/decision/berylscheduler/run.go
@@ -53,6 +53,8 @@
 	// unconfirmedSince is when the last start order went unanswered.
 	unconfirmedSince time.Time
 	stopSentAt       time.Time
+	// listing is the number of the last list that names the run.
+	listing uint64
 	// stopConfirmedAt is when the worker confirmed the stop order.
 	stopConfirmedAt time.Time
 	stopPending     bool
@@ -338,14 +340,12 @@
 			s.recordCompletion(w, f)
 		}
 	}
-	listed := make(map[runID]bool, len(e.Lists.Running))
+	s.listings++
 	for _, l := range e.Lists.Running {
-		id := runID{l.Task, l.Run}
-		listed[id] = true
-		s.recordRunning(w, id, l)
+		s.recordRunning(w, runID{l.Task, l.Run}, l).listing = s.listings
 	}
 	for _, r := range s.runsOf(w) {
-		if !listed[r.id] {
+		if r.listing != s.listings {
 			s.checkMissing(r, e.Sent)
 		}
 	}
@@ -371,7 +371,7 @@
 }
 
 // recordRunning applies an entry of the list of running runs.
-func (s *Scheduler) recordRunning(w *worker, id runID, l beryllatch.RunningEntry) {
+func (s *Scheduler) recordRunning(w *worker, id runID, l beryllatch.RunningEntry) *run {
 	r := w.runs[id]
 	if r == nil {
 		r = s.adopt(w, id)
@@ -387,6 +387,7 @@
 	if l.Checkpoint != "" {
 		r.checkpoint = l.Checkpoint
 	}
+	return r
 }
 
 // adopt books a run that the scheduler does not know: one of an earlier epoch, or one whose start order arrived late. The run
@@ -417,6 +418,10 @@
 		pending.job, pending.change = t.step.job, t.step.job.rows.latestChange
 	}
 	w.unacknowledged = append(w.unacknowledged, pending)
+	if !w.unstoredListed {
+		w.unstoredListed = true
+		s.unstored = append(s.unstored, w)
+	}
 }
 
 // applyCompletion updates the task, its job and the worker's health with the outcome of a run; r is nil if the run is not
--- a/internal/decision/berylscheduler/scheduler.go
+++ b/internal/decision/berylscheduler/scheduler.go
@@ -96,6 +96,14 @@
 	pendingStarts int
 	// unsyncedPools holds the pools with unsynced workers, as of the last check.
 	unsyncedPools map[string]bool
+	// delayedHolds holds the workers whose next hold waits for completionBatchPause, the earliest first.
+	delayedHolds []*worker
+	// holdWakeAt is when the last requested wake for delayedHolds comes.
+	holdWakeAt time.Time
+	// listings counts the lists of workers that were applied.
+	listings uint64
+	// unstored holds the workers with completions that are not stored, or not acknowledged since.
+	unstored []*worker
 	// unsyncedHolds holds the holds for unsynced workers that are in flight.
 	unsyncedHolds map[heldWorker]bool
 	// lossyUntil is the time until which answers of workers are likely to get lost.
@@ -195,9 +203,7 @@
 		s.tick()
 	case Woken:
 		s.wakePending = false
-		for _, w := range s.sortedWorkers {
-			s.sendHoldIfDue(w)
-		}
+		s.sendDelayedHolds()
 	}
 }
 
--- a/internal/decision/berylscheduler/worker.go
+++ b/internal/decision/berylscheduler/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/beryllatch/beryllatch"
@@ -77,6 +78,8 @@
 	// acknowledged, which has been sent up to sentAcknowledge.
 	lastCompletion, acknowledged, sentAcknowledge int64
 	unacknowledged                                []unacknowledgedCompletion
+	// unstoredListed is true while the worker is in Scheduler.unstored.
+	unstoredListed bool
 
 	health health
 	speed  speed
@@ -390,6 +393,41 @@
 	}
 }
 
+// delayHold delays the worker's next hold by completionBatchPause.
+func (s *Scheduler) delayHold(w *worker) {
+	w.nextHold = s.now.Add(completionBatchPause)
+	s.delayedHolds = append(s.delayedHolds, w)
+	s.wakeForHolds()
+}
+
+// wakeForHolds requests a wake for the first delayed hold, unless one is under way.
+func (s *Scheduler) wakeForHolds() {
+	if len(s.delayedHolds) > 0 && !s.now.Before(s.holdWakeAt) {
+		s.holdWakeAt = laterTime(s.delayedHolds[0].nextHold, s.now.Add(time.Millisecond))
+		s.emit(WakeAfter{s.holdWakeAt.Sub(s.now)})
+	}
+}
+
+// sendDelayedHolds sends the delayed holds that are due.
+func (s *Scheduler) sendDelayedHolds() {
+	due := 0
+	for due < len(s.delayedHolds) && !s.now.Before(s.delayedHolds[due].nextHold) {
+		s.sendHoldIfDue(s.delayedHolds[due])
+		due++
+	}
+	s.delayedHolds = slices.Delete(s.delayedHolds, 0, due)
+	s.wakeForHolds()
+}
+
+// acknowledgeStored sends holds to the workers whose completions have been stored meanwhile.
+func (s *Scheduler) acknowledgeStored() {
+	s.unstored = slices.DeleteFunc(s.unstored, func(w *worker) bool {
+		s.sendHoldIfDue(w)
+		w.unstoredListed = s.storedCompletions(w) != w.sentAcknowledge || len(w.unacknowledged) > 0
+		return !w.unstoredListed
+	})
+}
+
 func (s *Scheduler) sendHold(w *worker, order beryllatch.HoldOrder, probe bool) {
 	// A worker that does not answer gets no new lease, so that its runs can be written off once its last lease has expired.
 	if w.failedHolds == 0 {
@@ -461,8 +499,7 @@
 	}
 	w.nextHold = time.Time{}
 	if len(e.Lists.Finished) > 0 && len(e.Lists.Running) > 0 {
-		w.nextHold = s.now.Add(completionBatchPause)
-		s.emit(WakeAfter{completionBatchPause})
+		s.delayHold(w)
 	}
 	if w.clockAt.IsZero() {
 		s.placementDue = true
--- a/internal/node/berylentry/entry.go
+++ b/internal/node/berylentry/entry.go
@@ -32,9 +32,6 @@
 	shutdownDelay = 3 * time.Second
 	// exitMargin is the part of the grace period that is reserved for the exit of the process.
 	exitMargin = time.Second
-	// workerConnections is how many idle connections are kept to a worker: one for the hold call, which waits, and the
-	// others for starts and stops.
-	workerConnections = 4
 	// peerConnections is how many idle connections are kept to another node, for callers' requests to the scheduling
 	// node.
 	peerConnections = 8
@@ -121,7 +118,7 @@
 			Address:  address(func(s *adapter.Settings) string { return s.StoreAddress }),
 		},
 		View:    adapter.View{},
-		Workers: &adapter.Workers{Exchange: adapter.NewExchange(workerConnections)},
+		Workers: &adapter.Workers{},
 		Instances: &adapter.Instances{
 			Exchange: adapter.NewExchange(instanceConnections), Address: address(func(s *adapter.Settings) string { return s.InstancesAddress }),
 		},
