Confirm the epoch after a pause, and survive panics

A scheduling node that was paused or suspended for seconds went on with starts and instance orders as soon as it woke up: by its own clock the leases of its workers had expired, and workers that its successor had not reached yet would have carried the orders out. A panic in a call, an event or a loop ended the process.

The fence alone: it protects only workers that the successor has reached, and the calls' own time-outs do not start before the pause ends.

After 0.7 s without an event (ticks come ten times a second), by the monotonic or the wall clock, the scheduler starts and moves nothing until the store has confirmed its epoch; holds go on. Panics in calls become unanswered calls, a panic in the scheduler ends the epoch, loops are started again; each is logged and counted.

--- /dev/null
+++ b/internal/decision/berylscheduler/confirm_test.go
@@ -0,0 +1,77 @@
+package berylscheduler
+
+import (
+	"errors"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// resumeAfter stops all events for the given time, as in a paused process, and then sends a tick.
+func (h *harness) resumeAfter(pause time.Duration) {
+	h.t.Helper()
+	h.deferConfirmation = true
+	h.now = h.now.Add(pause)
+	h.apply(Ticked{})
+}
+
+// A process that was paused for longer than its leases must not start their tasks again before the store has confirmed that no
+// other node has taken over.
+func TestPausedNodeStartsNothingUnconfirmed(t *testing.T) {
+	for name, c := range map[string]struct {
+		outcome EpochConfirmed
+		starts  int
+		resigns bool
+	}{
+		"still scheduling":    {EpochConfirmed{Current: true}, 1, false},
+		"replaced":            {EpochConfirmed{}, 0, true},
+		"no answer":           {EpochConfirmed{Err: errors.New("the store is away")}, 0, false},
+		"error despite a row": {EpochConfirmed{Current: true, Err: errors.New("cut off")}, 0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.register("a", "b")
+			h.accept(singleTaskJob("0000000000000001"))
+			h.confirmStarts()
+			h.resumeAfter(2 * h.s.leaseExpiryBound())
+			assert.Equal(t, h.confirmations, 1)
+			h.answerHolds(nil)
+			h.tickFor(time.Second)
+			assert.Equal(t, len(h.starts), 0, "nothing may start before the epoch is confirmed")
+			assert.Equal(t, h.confirmations, 1, "one request is in flight")
+			h.confirmations = 0
+			h.apply(c.outcome)
+			h.answerHolds(nil)
+			h.tickFor(time.Second)
+			assert.Equal(t, len(h.starts), c.starts)
+			assert.Equal(t, slices.ContainsFunc(h.otherEffects, func(f Effect) bool { _, ok := f.(Resign); return ok }), c.resigns)
+		})
+	}
+}
+
+// A suspended machine's monotonic clock stands still; the wall clock shows the pause.
+func TestSuspensionIsAPause(t *testing.T) {
+	h := newHarness(t)
+	h.deferConfirmation = true
+	began := time.Now()
+	h.s = testScheduler(1, 7)
+	h.s.Apply(began, Recovered{})
+	h.s.Apply(began.Add(100*time.Millisecond), Ticked{})
+	assert.Assert(t, h.s.confirmed)
+	h.s.lastEvent = h.s.lastEvent.Round(0).Add(-5 * time.Second)
+	h.s.Apply(began.Add(200*time.Millisecond), Ticked{})
+	assert.Assert(t, !h.s.confirmed)
+}
+
+// A slow tick is no pause.
+func TestTicksGoOnUnconfirmed(t *testing.T) {
+	h := newHarness(t)
+	h.deferConfirmation = true
+	for range 20 {
+		h.now = h.now.Add(pauseThreshold - time.Millisecond)
+		h.apply(Ticked{})
+	}
+	assert.Equal(t, h.confirmations, 0)
+}
--- a/internal/decision/berylscheduler/effect.go
+++ b/internal/decision/berylscheduler/effect.go
@@ -79,6 +79,9 @@
 // WakeAfter asks for a Woken event after the given time.
 type WakeAfter struct{ Wait time.Duration }
 
+// ConfirmEpoch reads the row that names the scheduling node.
+type ConfirmEpoch struct{}
+
 // Resign releases the scheduling role; the scheduler ignores all events after it.
 type Resign struct{ Reason string }
 
@@ -105,5 +108,6 @@
 func (WriteWaveStatus) effect()  {}
 func (AskAdvice) effect()        {}
 func (WakeAfter) effect()        {}
+func (ConfirmEpoch) effect()     {}
 func (Resign) effect()           {}
 func (Decision) effect()         {}
--- a/internal/decision/berylscheduler/event.go
+++ b/internal/decision/berylscheduler/event.go
@@ -123,6 +123,13 @@
 	Err     error
 }
 
+// EpochConfirmed is the outcome of a ConfirmEpoch effect.
+type EpochConfirmed struct {
+	// Current is true if the row that names the scheduling node still has the version of this epoch.
+	Current bool
+	Err     error
+}
+
 // Ticked is sent at regular intervals, for everything that depends on the time alone.
 type Ticked struct{}
 
@@ -145,5 +152,6 @@
 func (InstanceOrderEnded) event() {}
 func (StatusWritten) event()      {}
 func (AdviceReceived) event()     {}
+func (EpochConfirmed) event()     {}
 func (Ticked) event()             {}
 func (Woken) event()              {}
--- a/internal/decision/berylscheduler/harness_test.go
+++ b/internal/decision/berylscheduler/harness_test.go
@@ -27,6 +27,10 @@
 	// decisions holds the names of all decisions.
 	decisions []string
 	lastCall  uint64
+	// confirmations counts the requests to confirm the epoch without an outcome so far; deferConfirmation leaves the outcome to
+	// the test.
+	confirmations     int
+	deferConfirmation bool
 	// completions is the number of the last completion that a worker has listed.
 	completions int64
 }
@@ -73,6 +77,10 @@
 func (h *harness) apply(e Event) {
 	h.t.Helper()
 	h.applyOne(e)
+	for h.confirmations > 0 && !h.deferConfirmation {
+		h.confirmations--
+		h.applyOne(EpochConfirmed{Current: true})
+	}
 	if !h.wakeAt.IsZero() {
 		h.now = h.wakeAt
 		h.wakeAt = time.Time{}
@@ -96,6 +104,8 @@
 			h.answers[f.Call] = f.Err
 		case WakeAfter:
 			h.wakeAt = h.now.Add(f.Wait)
+		case ConfirmEpoch:
+			h.confirmations++
 		case Decision:
 			h.decisions = append(h.decisions, f.Name)
 		default:
--- a/internal/decision/berylscheduler/scheduler.go
+++ b/internal/decision/berylscheduler/scheduler.go
@@ -108,7 +108,11 @@
 	unsyncedHolds map[heldWorker]bool
 	// lossyUntil is the time until which answers of workers are likely to get lost.
 	lossyUntil time.Time
-	resigned   bool
+	// lastEvent is when the last event was handled. confirmed is false from a pause of the process until the store has confirmed
+	// the epoch, and confirming is true while that is requested.
+	lastEvent             time.Time
+	confirmed, confirming bool
+	resigned              bool
 }
 
 // teamUsage is the capacity that a team's runs use on all workers, and what is left of the team's share of jobs.
@@ -128,6 +132,7 @@
 	if s.jobs == nil {
 		s.start()
 	}
+	s.checkPause()
 	s.apply(e)
 	s.placeIfDue()
 	s.commit()
@@ -137,7 +142,7 @@
 // placeIfDue places waiting tasks if one may have become placeable. It limits the rate, since each pass covers all waiting
 // steps.
 func (s *Scheduler) placeIfDue() {
-	if !s.placementDue || s.deployment == nil || s.resigned {
+	if !s.placementDue || s.deployment == nil || s.resigned || !s.confirmed {
 		return
 	}
 	if wait := placeInterval + time.Duration(len(s.active))*placeIntervalPerJob - s.now.Sub(s.lastPlacement); wait > 0 {
@@ -153,6 +158,7 @@
 
 func (s *Scheduler) start() {
 	s.startedAt = s.now
+	s.confirmed = true
 	s.jobs = make(map[string]*job)
 	s.workers = make(map[string]*worker)
 	s.endedIncarnations = make(map[string]int64)
@@ -197,6 +203,8 @@
 		s.instanceOrderEnded(e)
 	case StatusWritten:
 		s.statusWritten(e)
+	case EpochConfirmed:
+		s.epochConfirmed(e)
 	case AdviceReceived:
 		s.adviceReceived(e)
 	case Ticked:
@@ -209,10 +217,11 @@
 
 // tick does everything that depends on the time alone.
 func (s *Scheduler) tick() {
+	s.requestConfirmation()
 	for _, w := range s.sortedWorkers {
 		s.checkLease(w)
 		s.repeatStops(w)
-		if w.info.Draining {
+		if w.info.Draining && s.confirmed {
 			s.vacateOneTask(w)
 		}
 		s.sendHoldIfDue(w)
--- a/internal/node/beryljobs/node.go
+++ b/internal/node/beryljobs/node.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/beryllatch/beryllatch"
+	"github.com/beryllatch/beryllatch/internal/common/berylguard"
 	"github.com/beryllatch/beryllatch/internal/common/berylmetrics"
 	"github.com/beryllatch/beryllatch/internal/decision/berylscheduler"
 	"github.com/beryllatch/beryllatch/internal/node/berylrelay"
@@ -92,8 +94,8 @@
 	n.wake = make(chan struct{}, 1)
 	n.mu.Unlock()
 	var wg sync.WaitGroup
-	wg.Go(func() { n.watchOperations(ctx) })
-	wg.Go(func() { n.watchSchedulingNode(ctx) })
+	wg.Go(func() { n.keepRunning(ctx, "operations", n.watchOperations) })
+	wg.Go(func() { n.keepRunning(ctx, "scheduling node", n.watchSchedulingNode) })
 	wg.Wait()
 }
 
@@ -142,6 +144,24 @@
 	n.lastStoreAnswer = time.Now()
 }
 
+// guard calls f and returns its error. A panic is logged, counted and returned as a *berylguard.PanicError.
+func (n *Node) guard(work string, f func() error) error {
+	err := berylguard.Call(f)
+	var p *berylguard.PanicError
+	if errors.As(err, &p) {
+		n.Log.Event("panic", work, p.Error()+"\n"+string(p.Stack))
+		n.Metrics.Count("panics", 1)
+	}
+	return err
+}
+
+// keepRunning calls f, and again after each panic, until ctx is cancelled.
+func (n *Node) keepRunning(ctx context.Context, work string, f func(context.Context)) {
+	for n.guard(work, func() error { f(ctx); return nil }) != nil && pause(ctx, retryPause) {
+		n.Log.Event("restarted", work, "")
+	}
+}
+
 // storeAge returns how long ago the store last answered this node.
 func (n *Node) storeAge() time.Duration {
 	n.mu.Lock()
--- a/internal/node/beryljobs/session.go
+++ b/internal/node/beryljobs/session.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
 	"github.com/beryllatch/beryllatch"
+	"github.com/beryllatch/beryllatch/internal/common/berylguard"
 	"github.com/beryllatch/beryllatch/internal/decision/berylscheduler"
 	"github.com/beryllatch/beryllatch/internal/node/berylrelay"
 )
@@ -22,6 +24,8 @@
 	holdMargin = 250 * time.Millisecond
 	// slowCommit is how long a transaction must take to be logged: ten times the usual 8 ms.
 	slowCommit = 80 * time.Millisecond
+	// confirmTimeout bounds the read that confirms the epoch after a pause of the process.
+	confirmTimeout = time.Second
 	// flushTimeout bounds the wait for the last transaction of an epoch.
 	flushTimeout = 500 * time.Millisecond
 )
@@ -113,8 +117,10 @@
 // successor is found.
 func (s *session) run(ctx context.Context) {
 	var wg sync.WaitGroup
-	wg.Go(func() { s.node.sendHeartbeats(s.ctx, s.self) })
-	wg.Go(func() { s.watchRegistry(s.ctx) })
+	wg.Go(func() {
+		s.node.keepRunning(s.ctx, "heartbeats", func(ctx context.Context) { s.node.sendHeartbeats(ctx, s.self) })
+	})
+	wg.Go(func() { s.node.keepRunning(s.ctx, "registry", s.watchRegistry) })
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for s.ctx.Err() == nil && ctx.Err() == nil && !s.node.stopping.Load() && s.successor == "" {
@@ -163,16 +169,33 @@
 }
 
 // applyLocked is apply for callers that hold the lock. It drops events after the end of the epoch: the calls and
-// transactions that they would cause could only fail.
+// transactions that they would cause could only fail. A panic ends the epoch, since the scheduler's state can't be trusted any
+// more; the next epoch, here or on another node, continues from the stored rows.
 func (s *session) applyLocked(e berylscheduler.Event) {
 	if s.ctx.Err() != nil {
 		return
 	}
-	for _, f := range s.scheduler.Apply(time.Now(), e) {
-		s.carryOut(f)
+	err := s.node.guard("scheduler", func() error {
+		for _, f := range s.scheduler.Apply(time.Now(), e) {
+			s.carryOut(f)
+		}
+		return nil
+	})
+	if err != nil {
+		n := s.node
+		n.Log.Event("resigned", n.Name, fmt.Sprintf("event %T caused a panic", e))
+		s.endEpoch()
 	}
 }
 
+// confirm reads whether this node still schedules.
+func (s *session) confirm() {
+	ctx, cancel := context.WithTimeout(s.ctx, confirmTimeout)
+	defer cancel()
+	sn, err := s.node.readSchedulingNode(ctx)
+	s.apply(berylscheduler.EpochConfirmed{Current: sn.version == s.self.version, Err: err})
+}
+
 // carryOut starts an effect without waiting for its result, which comes back as an event.
 func (s *session) carryOut(f berylscheduler.Effect) {
 	n := s.node
@@ -199,27 +222,39 @@
 		}
 	case berylscheduler.ListInstances:
 		go func() {
-			list, err := n.Instances.Instances(s.ctx)
+			var list []beryllatch.FleetInstance
+			err := n.guard("list of instances", func() (err error) {
+				list, err = n.Instances.Instances(s.ctx)
+				return err
+			})
 			s.apply(berylscheduler.InstancesListed{Instances: list, Err: err})
 		}()
 	case berylscheduler.MoveInstance:
 		go func() {
-			err := n.Instances.Move(s.ctx, n.Name, s.self.Epoch, f.Instance, f.Pool)
+			err := n.guard("move", func() error { return n.Instances.Move(s.ctx, n.Name, s.self.Epoch, f.Instance, f.Pool) })
 			s.apply(berylscheduler.InstanceOrderEnded{Instance: f.Instance, Err: err})
 		}()
 	case berylscheduler.MaintainInstance:
 		go func() {
-			err := n.Instances.Maintain(s.ctx, n.Name, s.self.Epoch, f.Instance, f.Wave)
+			err := n.guard("maintenance", func() error { return n.Instances.Maintain(s.ctx, n.Name, s.self.Epoch, f.Instance, f.Wave) })
 			s.apply(berylscheduler.InstanceOrderEnded{Instance: f.Instance, Err: err})
 		}()
 	case berylscheduler.WriteWaveStatus:
 		go func() {
-			_, err := n.rows().Commit(s.ctx, beryllatch.RowTransaction{Puts: []beryllatch.DataRow{n.View.WaveStatus(f.Wave, f.Done)}})
+			err := n.guard("wave status", func() error {
+				_, err := n.rows().Commit(s.ctx, beryllatch.RowTransaction{Puts: []beryllatch.DataRow{n.View.WaveStatus(f.Wave, f.Done)}})
+				return err
+			})
 			s.apply(berylscheduler.StatusWritten{Wave: f.Wave, Done: f.Done, Err: err})
 		}()
 	case berylscheduler.AskAdvice:
 		go func() {
-			tickets, valid, err := n.Advisor.Advise(s.ctx, f.Step, f.Workers)
+			var tickets []beryllatch.PlacementTicket
+			var valid time.Duration
+			err := n.guard("advice", func() (err error) {
+				tickets, valid, err = n.Advisor.Advise(s.ctx, f.Step, f.Workers)
+				return err
+			})
 			s.apply(berylscheduler.AdviceReceived{Step: f.Step, Workers: f.Workers, Tickets: tickets, Valid: valid, Err: err})
 		}()
 	case berylscheduler.WakeAfter:
@@ -228,6 +263,8 @@
 				s.apply(berylscheduler.Woken{})
 			}
 		})
+	case berylscheduler.ConfirmEpoch:
+		go s.confirm()
 	case berylscheduler.Resign:
 		n.Log.Event("resigned", n.Name, f.Reason)
 		s.endEpoch()
@@ -242,7 +279,7 @@
 	ctx, cancel := context.WithTimeout(s.ctx, s.workerTimeout.next())
 	defer cancel()
 	sent := time.Now()
-	err := call(ctx)
+	err := s.node.guard("call to a worker", func() error { return call(ctx) })
 	var rejected *beryllatch.OrderRejectedError
 	if err == nil || errors.As(err, &rejected) && rejected.Reason != beryllatch.RejectUnsent {
 		s.workerTimeout.recordAnswer(time.Since(sent))
@@ -282,7 +319,11 @@
 	ctx, cancel := context.WithTimeout(s.ctx, f.Order.Wait+holdMargin+s.workerTimeout.next()-minWorkerTimeout)
 	defer cancel()
 	sent := time.Now()
-	lists, err := s.node.Workers.Hold(ctx, f.Worker, f.Order)
+	var lists beryllatch.WorkerLists
+	err := s.node.guard("call to a worker", func() (err error) {
+		lists, err = s.node.Workers.Hold(ctx, f.Worker, f.Order)
+		return err
+	})
 	s.apply(berylscheduler.WorkerHeld{Worker: f.Worker.ID, Incarnation: f.Incarnation, Sent: sent, Lists: lists, Probe: f.Probe, Err: err})
 }
 
@@ -320,7 +361,15 @@
 	defer cancel()
 	answered := make(chan outcome, 1)
 	go func() {
-		version, err := rows.Commit(ctx, tx)
+		var version int64
+		err := s.node.guard("transaction", func() (err error) {
+			version, err = rows.Commit(ctx, tx)
+			return err
+		})
+		var p *berylguard.PanicError
+		if errors.As(err, &p) {
+			err = &beryllatch.UnknownOutcomeError{Err: err}
+		}
 		answered <- outcome{version, err}
 	}()
 	timer := time.NewTimer(s.storeTimeout.next())
