--- a/internal/decision/berylscheduler/job.go
+++ b/internal/decision/berylscheduler/job.go
@@ -21,6 +21,8 @@
 	// openedOccurrences counts the occurrences that have become due.
 	openedOccurrences int
 	started           bool
+	// heldBack is true if the stored rows of the job can't be read.
+	heldBack bool
 	// exceedsShare marks a job that was accepted when its team had used up its share.
 	exceedsShare bool
 	// bookedRuns counts the runs for which capacity is booked, including those that are being stopped.
--- a/internal/decision/berylscheduler/journal.go
+++ b/internal/decision/berylscheduler/journal.go
@@ -139,6 +139,10 @@
 
 // markChanged records a change of the job that has to be stored.
 func (s *Scheduler) markChanged(j *job) {
+	if j.heldBack && !j.state.Final() {
+		// What is stored must not be replaced by the little that is known.
+		return
+	}
 	j.rows.latestChange++
 	s.journal.queueJob(j)
 }
--- a/internal/decision/berylscheduler/recover.go
+++ b/internal/decision/berylscheduler/recover.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"fmt"
 	"slices"
 	"strconv"
 	"strings"
@@ -16,8 +17,9 @@
 func (s *Scheduler) recover(e Recovered) {
 	for _, r := range e.Jobs {
 		var row jobRow
-		if err := json.Unmarshal(r.Value, &row); err != nil {
-			s.emit(Decision{Name: "row_unreadable", Job: r.Key, Detail: err.Error()})
+		if err := json.Unmarshal(r.Value, &row); err != nil || row.ID != r.Key {
+			s.holdBack(r.Key, fmt.Sprintf("job row: %v", err))
+			s.jobs[r.Key].rows.jobVersion = r.Version
 			continue
 		}
 		j := newJob(row.Job)
@@ -29,6 +31,9 @@
 		s.recoverProgress(r)
 	}
 	for _, j := range s.jobs {
+		if j.heldBack {
+			continue
+		}
 		if j.state.Final() {
 			s.finished = append(s.finished, j)
 			if j.rows.jobVersion > 0 {
@@ -62,6 +67,19 @@
 	}
 }
 
+// holdBack keeps a job whose stored rows can't be read: it stays known and unfinished, and none of its tasks start, since some of
+// them may be done already. A node with a program that can read the rows continues it.
+func (s *Scheduler) holdBack(id, detail string) {
+	s.emit(Decision{Name: "row_unreadable", Job: id, Detail: detail})
+	j := s.jobs[id]
+	if j == nil {
+		j = newJob(beryllatch.Job{ID: id})
+		s.jobs[id] = j
+	}
+	j.heldBack, j.started = true, true
+	j.rows.jobStored, j.rows.latestChange, j.rows.storedChange = true, 1, 1
+}
+
 func (s *Scheduler) recoverWaves(rows []beryllatch.DataRow) {
 	s.fleet.storedWaves = make(map[int]storedWave)
 	for _, r := range rows {
@@ -81,7 +99,8 @@
 func (s *Scheduler) recoverProgress(r beryllatch.DataRow) {
 	var row progressRow
 	if err := json.Unmarshal(r.Value, &row); err != nil {
-		s.emit(Decision{Name: "row_unreadable", Job: r.Key, Detail: err.Error()})
+		s.holdBack(r.Key, fmt.Sprintf("progress row: %v", err))
+		s.jobs[r.Key].rows.progressVersion = r.Version
 		return
 	}
 	j := s.jobs[r.Key]
