--- a/internal/standin/berylplatform/server.go
+++ b/internal/standin/berylplatform/server.go
@@ -15,8 +15,9 @@
 
 	mu      sync.Mutex
 	address string
-	// httpServer is nil while the server is closed.
+	// httpServer and listener are nil while the server is closed.
 	httpServer *http.Server
+	listener   net.Listener
 }
 
 // Listen starts a server for the named service on the address. SetFaults closes it for an outage of kind "refuse" and opens
@@ -53,8 +54,12 @@
 	if s.httpServer == nil {
 		return nil
 	}
-	err := s.httpServer.Close()
-	s.httpServer = nil
+	// The HTTP server does not know the listener before its goroutine has run.
+	err := s.listener.Close()
+	if serverErr := s.httpServer.Close(); !errors.Is(serverErr, net.ErrClosed) {
+		err = errors.Join(err, serverErr)
+	}
+	s.httpServer, s.listener = nil, nil
 	return err
 }
 
@@ -76,7 +81,7 @@
 	if err != nil {
 		return err
 	}
-	s.address = l.Addr().String()
+	s.address, s.listener = l.Addr().String(), l
 	s.httpServer = &http.Server{Handler: s.handler, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute}
 	// Serve returns when the server is closed, with an error that only says so.
 	go func(s *http.Server) { _ = s.Serve(l) }(s.httpServer)
