--- a/internal/decision/berylscheduler/takeover_test.go
+++ b/internal/decision/berylscheduler/takeover_test.go
@@ -112,6 +112,27 @@
 	assert.Equal(t, state, beryllatch.JobDone)
 }
 
+// A worker that has left must not be used again by a node that finds its row.
+func TestTakeoverIgnoresWorkersThatHaveLeft(t *testing.T) {
+	h, stored, start := usedWorkers(t, 2)
+	gone := start.Worker.ID
+	next := h.takeOver(stored)
+	var infos []beryllatch.WorkerInfo
+	for _, i := range workerInfos(2) {
+		if i.ID != gone {
+			infos = append(infos, i)
+		}
+	}
+	next.apply(RegistryRead{Workers: infos})
+	for range 20 {
+		next.tickFor(500 * time.Millisecond)
+		next.answerHolds(nil)
+		next.storeInto(stored)
+	}
+	assert.Equal(t, len(next.starts), 1)
+	assert.Assert(t, next.starts[0].Worker.ID != gone)
+}
+
 // A failed run that is listed again after each takeover must count only once against the attempts.
 func TestTakeoverCountsFailuresOnce(t *testing.T) {
 	h := newHarness(t)
--- a/internal/node/beryljobs/node.go
+++ b/internal/node/beryljobs/node.go
@@ -125,7 +125,7 @@
 func (n *Node) Deployment() *beryllatch.Deployment {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.session == nil && time.Since(n.lastStoreAnswer) > staleAfter && time.Since(n.lastConfirmed) > staleAfter {
+	if n.session == nil && elapsed(n.lastStoreAnswer) > staleAfter && elapsed(n.lastConfirmed) > staleAfter {
 		return nil
 	}
 	return n.deployment.Load()
@@ -169,6 +169,13 @@
 	return time.Since(n.lastStoreAnswer)
 }
 
+// elapsed returns the time since t by the monotonic or the wall clock, whichever shows more: the monotonic clock stands still
+// while the machine is suspended, and the wall clock may be set back.
+func elapsed(t time.Time) time.Duration {
+	now := time.Now()
+	return max(now.Sub(t), now.Round(0).Sub(t.Round(0)))
+}
+
 // pause waits for d and returns true, or returns false as soon as ctx is cancelled.
 func pause(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
