Remove limits that nothing reads, and keep payloads for longer than a pass

Two constants of the reducer, the life of tickets, the guard of pools and the stop time-out of the scheduler were set and never read. The payload cache's age equalled the 10 s between the passes over a shard that it has to span; it is 25 s now.

--- a/fleet.go
+++ b/fleet.go
@@ -25,8 +25,6 @@
 	Public bool
 	// Restricted is true if each start of a run needs a ticket from the PlacementAdvisor.
 	Restricted bool
-	// TicketLife is the time for which a ticket is valid.
-	TicketLife time.Duration
 }
 
 // JobPool is a pool of workers in the platform's configuration.
@@ -34,8 +32,6 @@
 	Name string
 	// Standby is true if the pool's instances are switched off and cost nothing.
 	Standby bool
-	// Guarded is true if the pool's workers themselves reject runs that exceed their free capacity.
-	Guarded bool
 }
 
 // JobTeam is a client account in the platform's configuration.
--- a/internal/decision/berylreducer/breaker.go
+++ b/internal/decision/berylreducer/breaker.go
@@ -5,9 +5,6 @@
 const (
 	// breakerFailures is the number of failures in a row that open a breaker.
 	breakerFailures = 5
-	// breakerTeams is the least number of teams that must have failures in the row, since failures of one team alone may
-	// be due to its jobs and must not take workers away from the other teams. See severalTeams in breaker.
-	breakerTeams    = 2
 	breakerOpenTime = 10 * time.Second // how long a worker gets no requests before a single one probes it again
 	// breakerPoolDivisor is the inverse of the largest part of a pool's workers whose breakers may be open at once.
 	breakerPoolDivisor = 3
--- a/internal/decision/berylreducer/task.go
+++ b/internal/decision/berylreducer/task.go
@@ -106,7 +106,6 @@
 	// unresponsiveWorkerTimeout is how long a node waits for an unresponsive worker, after the end of the lease, before a
 	// task that is not idempotent gets the state unknown.
 	unresponsiveWorkerTimeout = 5 * time.Minute
-	finishedTaskRetention     = 24 * time.Hour
 )
 
 func (r *Reducer) initTasks() {
--- a/internal/decision/berylscheduler/rules_test.go
+++ b/internal/decision/berylscheduler/rules_test.go
@@ -283,7 +283,7 @@
 	h := newHarness(t)
 	d := testDeployment()
 	q := d.Queues["q"]
-	q.Restricted, q.TicketLife = true, 3*time.Second
+	q.Restricted = true
 	d.Queues["q"] = q
 	h.apply(DeploymentChanged{d})
 	h.register("a", "b")
--- a/internal/node/beryljobs/takeover_test.go
+++ b/internal/node/beryljobs/takeover_test.go
@@ -234,7 +234,7 @@
 	node := &Node{
 		Name: name, Address: name, CPUShare: cpuShare, Store: store, View: plainView{},
 		Instances: noInstances{}, Peers: &http.Client{Transport: meshTransport{c.mesh, name}}, Log: &DecisionLog{}, Metrics: berylmetrics.New(),
-		Limits: berylscheduler.Limits{MaxLease: 10 * time.Second, StopTimeout: 200 * time.Millisecond},
+		Limits: berylscheduler.Limits{MaxLease: 10 * time.Second},
 	}
 	c.mesh.mu.Lock()
 	routes := http.NewServeMux()
--- a/internal/node/beryltask/payload_cache.go
+++ b/internal/node/beryltask/payload_cache.go
@@ -9,8 +9,8 @@
 	// cacheBytes bounds the size of the cached payloads; it is an eighth of the 32 MB of memory that a node may use.
 	cacheBytes = 4 << 20
 	// cacheAge is the time after which a full cache removes a payload whose task has not been read as queued again. The
-	// newest tasks of a shard are read every second.
-	cacheAge = 10 * time.Second
+	// newest tasks of a shard are read every second, the others in passes that come every 10 s.
+	cacheAge = 25 * time.Second
 )
 
 // payloadCache holds payloads of idempotent tasks in memory, so that the tasks can start while the platform is
