Leave the scheduling to large nodes after a restart, claim it once, and probe it rarely from the rear

At 42.3 s, 60 nodes claimed a role that had a new holder already. All 97 nodes probe the scheduling node four times a second.

The duty row holds the share of a core of the scheduling node, and smaller nodes wait 350 ms before they take over from a larger one; a claim is preceded by a read; nodes behind larger ones, or behind 24 equal ones, probe once a second.

--- a/internal/node/beryljobs/node.go
+++ b/internal/node/beryljobs/node.go
@@ -69,6 +69,8 @@
 	Address     string `json:"address"`
 	Incarnation string `json:"incarnation"`
 	Epoch       int64  `json:"epoch"`
+	// CPUShare is the part of a core that the node may use.
+	CPUShare float64 `json:"cpu_share,omitempty"`
 	// Released is true once the node has released the scheduling role.
 	Released bool `json:"released,omitempty"`
 	// Successor is the node that should take over a released role; the stored row calls it the heir.
--- a/internal/node/beryljobs/takeover.go
+++ b/internal/node/beryljobs/takeover.go
@@ -18,6 +18,11 @@
 const (
 	// probeInterval is how often a node asks the scheduling node whether it still schedules.
 	probeInterval = 250 * time.Millisecond
+	// rearProbeInterval is the interval of nodes that others should take over before. On a large deployment their probes
+	// would take a considerable part of the scheduling node's processor time.
+	rearProbeInterval = time.Second
+	// maxFrontNodes is how many nodes of the same share of a core are first to take over.
+	maxFrontNodes = 24
 	// probeTimeout bounds a probe.
 	probeTimeout = 300 * time.Millisecond
 	// maxStoreAge is how long the scheduling node may go without an answer of the store, while this node gets answers,
@@ -68,7 +73,7 @@
 		result := n.probeSchedulingNode(ctx)
 		if result == probeOK {
 			watch = failureWatch{}
-			n.waitForProbe(ctx)
+			n.waitForNextProbe(ctx)
 			continue
 		}
 		sn, err := n.readSchedulingNode(ctx)
@@ -98,9 +103,22 @@
 	return n.schedulingNode.Epoch
 }
 
+// waitForNextProbe waits after a successful probe; nodes that others should take over before wait longer.
+func (n *Node) waitForNextProbe(ctx context.Context) {
+	n.mu.Lock()
+	interval := probeInterval
+	if n.largerNodes > 0 && n.session == nil {
+		interval = rearProbeInterval
+	}
+	n.mu.Unlock()
+	n.wait(ctx, interval)
+}
+
 // waitForProbe waits until the next probe is due, or until wakeLoop asks for one at once.
-func (n *Node) waitForProbe(ctx context.Context) {
-	t := time.NewTimer(probeInterval)
+func (n *Node) waitForProbe(ctx context.Context) { n.wait(ctx, probeInterval) }
+
+func (n *Node) wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
@@ -148,7 +166,7 @@
 // ended, or it has failed for so long that a delay or an outage of the store is ruled out. For some of these it first
 // waits for takeoverDelay.
 func (n *Node) mayTakeOver(ctx context.Context, sn schedulingNode, result probeResult, watch *failureWatch) bool {
-	delay := n.takeoverDelay()
+	delay := n.takeoverDelay(sn)
 	if sn.Epoch == 0 || sn.Released {
 		if sn.Successor == n.Name {
 			return true
@@ -184,22 +202,23 @@
 	return time.Since(watch.unchangedSince) >= heartbeatExpiry+storeDelayFactor*time.Since(sent)+delay
 }
 
-// takeoverDelay returns how long this node waits before a takeover. Nodes with a larger share of a core go first, and
-// the part that is derived from the name keeps equal nodes apart.
-func (n *Node) takeoverDelay() time.Duration {
+// takeoverDelay returns how long this node waits before it takes over from the given node. Nodes with a larger share of a
+// core go first. A node that has just started has not been told of them, and goes by the share of the previous scheduling
+// node. The part that is derived from the name keeps equal nodes apart.
+func (n *Node) takeoverDelay(previous schedulingNode) time.Duration {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(n.Name)) // A hash never fails.
 	delay := time.Duration(h.Sum32()%uint32(takeoverSpread.Milliseconds())) * time.Millisecond
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.largerNodes > 0 {
+	if n.largerNodes > 0 || previous.CPUShare > largerFactor*n.CPUShare {
 		delay += smallNodeDelay
 	}
 	return delay
 }
 
-// recordPeer records a node that probes this one, and returns how many nodes with a larger share of a core than that
-// node could take over instead of it.
+// recordPeer records a node that probes this one, and returns how many nodes should take over before it: those with a larger
+// share of a core, and one more if maxFrontNodes equal ones have lower names.
 func (n *Node) recordPeer(r *berylwire.ProbeRequest) int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -209,7 +228,7 @@
 	n.peers[r.GetNode()] = peer{
 		address: r.GetAddress(), cpuShare: r.GetCpuShare(), storeAge: time.Duration(r.GetStoreAgeMs()) * time.Millisecond, probedAt: time.Now(),
 	}
-	largerNodes := 0
+	largerNodes, equalNodes := 0, 0
 	if n.CPUShare > largerFactor*r.GetCpuShare() {
 		largerNodes++
 	}
@@ -218,10 +237,17 @@
 			delete(n.peers, name)
 			continue
 		}
-		if p.cpuShare > largerFactor*r.GetCpuShare() && p.storeAge < staleAfter {
+		switch {
+		case p.storeAge >= staleAfter:
+		case p.cpuShare > largerFactor*r.GetCpuShare():
 			largerNodes++
+		case p.cpuShare >= r.GetCpuShare() && name < r.GetNode():
+			equalNodes++
 		}
 	}
+	if equalNodes >= maxFrontNodes {
+		largerNodes++
+	}
 	return largerNodes
 }
 
@@ -265,7 +291,15 @@
 
 // takeOver claims the duty row in a new epoch, and schedules until the epoch ends.
 func (n *Node) takeOver(ctx context.Context, previous schedulingNode) {
-	sn := schedulingNode{Node: n.Name, Address: n.Address, Incarnation: n.incarnation, Epoch: previous.Epoch + 1, handedOver: previous.Successor != ""}
+	// Other nodes may have claimed the row during the delay. A claim that fails takes as much of the store's time as one that
+	// succeeds, and delays the first transactions of the new scheduling node.
+	if current, err := n.readSchedulingNode(ctx); err != nil || current.version != previous.version {
+		return
+	}
+	sn := schedulingNode{
+		Node: n.Name, Address: n.Address, Incarnation: n.incarnation, Epoch: previous.Epoch + 1, CPUShare: n.CPUShare,
+		handedOver: previous.Successor != "",
+	}
 	version, err := n.rows().Commit(ctx, beryllatch.RowTransaction{
 		Conditions: []beryllatch.RowCondition{dutyCondition(previous.version)},
 		Puts:       []beryllatch.DataRow{dutyRow(sn)},
