--- a/internal/decision/berylscheduler/arrival_test.go
+++ b/internal/decision/berylscheduler/arrival_test.go
@@ -76,3 +76,36 @@
 	assert.Equal(t, s.takeDonor(pools, next, ""), "", "the pool keeps what it needs now")
 	assert.Equal(t, s.takeDonor(pools, past, ""), "", "a pool is not its own donor")
 }
+
+// An instance that has just become idle must not go to standby: the burst passes to the next queue, and the instance would reach
+// that pool only after a second move.
+func TestInstancesWaitBeforeTheyGoToStandby(t *testing.T) {
+	h := newHarness(t)
+	var list []beryllatch.FleetInstance
+	var ids []string
+	for n := range 10 {
+		id := fmt.Sprintf("w%d", n)
+		ids = append(ids, id)
+		list = append(list, beryllatch.FleetInstance{
+			Name: "m-" + id, Pool: "p", State: beryllatch.FleetInstanceUp, Worker: id, Capacity: workerInfo(id).Capacity, DataCentre: "dc1",
+		})
+	}
+	h.register(ids...)
+	h.s.fleet.peaks = map[string]poolPeak{"p": {hadBurst: true}}
+	moved := func() int {
+		n := 0
+		for _, f := range h.otherEffects {
+			if m, ok := f.(MoveInstance); ok {
+				assert.Equal(t, m.Pool, "spare")
+				n++
+			}
+		}
+		return n
+	}
+	h.tickFor(100 * time.Millisecond)
+	h.apply(InstancesListed{Instances: list})
+	h.tickFor(standbyDelay - time.Second)
+	assert.Equal(t, moved(), 0)
+	h.tickFor(2 * time.Second)
+	assert.Equal(t, moved(), len(ids)-poolReserve)
+}
--- a/internal/decision/berylscheduler/pool.go
+++ b/internal/decision/berylscheduler/pool.go
@@ -334,6 +334,10 @@
 	return strings.Join(i.Labels[:min(1, len(i.Labels))], "") + ">" + pool
 }
 
+// standbyDelay is how long an instance must have been idle before it goes into a standby pool. A burst passes from one queue to
+// the next within that time, and an instance on its way to standby reaches the next pool only after a second move.
+const standbyDelay = 2 * time.Second
+
 // moveIdleToStandby moves idle instances above their pool's target into a standby pool, from pools that have had a burst.
 func (s *Scheduler) moveIdleToStandby(pools []*poolDemand) {
 	standby := ""
@@ -346,10 +350,15 @@
 		return
 	}
 	for _, p := range pools {
-		for !p.standby && p.hadBurst && p.supply > p.target && len(p.idleInstances) > 0 && s.fleet.budget.allowsOrder() {
-			i := p.idleInstances[len(p.idleInstances)-1]
-			p.idleInstances = p.idleInstances[:len(p.idleInstances)-1]
-			if s.awaitsWave(i) || s.fleet.invalidMoves[moveKind(s.fleet.instances[i], standby)] {
+		if p.standby || !p.hadBurst {
+			continue
+		}
+		for _, i := range slices.Backward(p.idleInstances) {
+			if p.supply <= p.target || !s.fleet.budget.allowsOrder() {
+				break
+			}
+			w := s.workerOn(i)
+			if w == nil || s.now.Sub(w.idleSince) < standbyDelay || s.awaitsWave(i) || s.fleet.invalidMoves[moveKind(s.fleet.instances[i], standby)] {
 				continue
 			}
 			s.prepareInstanceOrder(&instanceOrder{instance: i, pool: standby})
--- a/internal/decision/berylscheduler/recover.go
+++ b/internal/decision/berylscheduler/recover.go
@@ -59,7 +59,7 @@
 		}
 		row := s.journal.workerRow(info.ID)
 		row.version, row.value = r.Version, r.Value
-		s.addWorker(&worker{info: info, leasesExpireBy: s.now.Add(s.leaseExpiryBound()), discoveredAt: s.now})
+		s.addWorker(&worker{info: info, leasesExpireBy: s.now.Add(s.leaseExpiryBound()), discoveredAt: s.now, idleSince: s.now})
 	}
 	s.recoverWaves(e.Waves)
 	for _, j := range s.active {
--- a/internal/decision/berylscheduler/run.go
+++ b/internal/decision/berylscheduler/run.go
@@ -127,6 +127,7 @@
 		return
 	}
 	delete(w.runs, r.id)
+	w.idleSince = s.now
 	w.used = w.used.Minus(r.booked)
 	team := s.team(r.team)
 	team.used = team.used.Minus(r.charged)
--- a/internal/decision/berylscheduler/worker.go
+++ b/internal/decision/berylscheduler/worker.go
@@ -49,6 +49,8 @@
 	// runs of an earlier one.
 	synced bool
 	runs   map[runID]*run
+	// idleSince is when the last run ended; before the first run, it is when the scheduler learned of the worker.
+	idleSince time.Time
 	// longRunningRuns counts the runs of long-running tasks, and longRunningUse is the capacity booked for them.
 	longRunningRuns int
 	longRunningUse  beryllatch.Resources
@@ -166,7 +168,7 @@
 	w := s.workers[i.ID]
 	if w == nil {
 		// Earlier epochs have stored a row of each worker with runs, and this epoch has read all rows.
-		w = &worker{info: i, registered: true, discoveredAt: s.now, synced: true}
+		w = &worker{info: i, registered: true, discoveredAt: s.now, idleSince: s.now, synced: true}
 		s.endEarlierIncarnations(w)
 		s.addWorker(w)
 		s.emit(Decision{Name: "worker_registered", Worker: i.ID, Detail: i.Pool})
