--- a/internal/decision/berylscheduler/fleet.go
+++ b/internal/decision/berylscheduler/fleet.go
@@ -222,6 +222,7 @@
 			continue
 		}
 		if !s.hasAlternativeWorker(r.task, w) {
+			s.prepareAlternative(r.task, w)
 			s.recordLabelNeed(r.task)
 			continue
 		}
@@ -237,7 +238,6 @@
 			return true
 		}
 	}
-	s.prepareAlternative(t, except)
 	return false
 }
 
--- /dev/null
+++ b/internal/decision/berylscheduler/hold.go
@@ -0,0 +1,270 @@
+package berylscheduler
+
+import (
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/beryllatch/beryllatch"
+)
+
+const (
+	// holdWait is how long a worker may wait for a completion before it answers a hold; it leaves most of the lease for
+	// retries.
+	holdWait = time.Second
+	// lossyHoldWait is the wait while answers get lost. If the answer to a hold is lost, the scheduler learns of no completion
+	// until the hold has timed out.
+	lossyHoldWait = 250 * time.Millisecond
+	// lossyPeriod is how long after a lost answer further ones are likely to be lost.
+	lossyPeriod = 3 * time.Second
+	// unconfirmedHoldWait is the wait while a start or a stop on the worker is not confirmed.
+	unconfirmedHoldWait = 100 * time.Millisecond
+	// fillerHoldWait is the wait for workers that run both fillers and tasks with a tail latency target. The answers are needed
+	// often, to slow the fillers down in time.
+	fillerHoldWait = 400 * time.Millisecond
+	// unstoredHoldPause is the pause between holds for a worker with completions that are not stored yet.
+	unstoredHoldPause = 100 * time.Millisecond
+	// completionBatchPause is the pause after a completion on a worker with other runs, so that one answer reports several
+	// completions.
+	completionBatchPause = 80 * time.Millisecond
+	// holdRetryPause is the pause between holds for a worker that does not answer.
+	holdRetryPause = 300 * time.Millisecond
+)
+
+// sendHoldIfDue sends a hold if the worker has leases to extend, lists to read or completions to acknowledge.
+func (s *Scheduler) sendHoldIfDue(w *worker) {
+	if w.holdPending || s.now.Before(w.nextHold) || s.resigned {
+		return
+	}
+	if !w.registered && w.synced && len(w.runs) == 0 {
+		return
+	}
+	ack := s.storedCompletions(w)
+	unstored := len(w.unacknowledged) > 0
+	if w.synced && len(w.runs) == 0 && ack == w.sentAcknowledge && (!w.clockAt.IsZero() || !w.prepared()) {
+		return
+	}
+	order := beryllatch.HoldOrder{Fence: s.Epoch, Acknowledge: ack, Wait: holdWait}
+	switch {
+	case !w.synced || w.clockAt.IsZero() || len(w.runs) == 0:
+		order.Wait = 0
+	case unstored:
+		// The worker would answer at once, since it lists completions until they are acknowledged. Waiting for the store saves
+		// useless holds.
+		if s.now.Sub(w.lastContact) < unstoredHoldPause {
+			return
+		}
+		order.Wait = 0
+	case w.failedHolds > 0:
+		order.Wait = 0
+	case w.hasUnconfirmedRun():
+		order.Wait = unconfirmedHoldWait
+	case s.now.Before(s.lossyUntil):
+		order.Wait = lossyHoldWait
+	case w.mustPaceFillers():
+		order.Wait = fillerHoldWait
+	}
+	if !w.synced && !s.mayAskUnsynced(w) {
+		return
+	}
+	w.holdPending = true
+	s.sendHold(w, order, false)
+}
+
+// maxUnsyncedHolds limits the holds for unsynced workers in flight. A node that has just taken over would otherwise ask all of
+// them at once, and have too little processor time to handle the answers before its own time-outs.
+const maxUnsyncedHolds = 96
+
+// heldWorker identifies a hold in flight.
+type heldWorker struct {
+	id          string
+	incarnation int64
+}
+
+// mayAskUnsynced counts a hold for an unsynced worker, and reports whether it may be sent now.
+func (s *Scheduler) mayAskUnsynced(w *worker) bool {
+	if len(s.unsyncedHolds) >= maxUnsyncedHolds {
+		return false
+	}
+	if s.unsyncedHolds == nil {
+		s.unsyncedHolds = make(map[heldWorker]bool)
+	}
+	s.unsyncedHolds[heldWorker{w.info.ID, w.info.Incarnation}] = true
+	return true
+}
+
+// unsyncedHoldEnded sends the next hold for an unsynced worker, if the one that has ended was for such a worker.
+func (s *Scheduler) unsyncedHoldEnded(e WorkerHeld) {
+	h := heldWorker{e.Worker, e.Incarnation}
+	if e.Probe || !s.unsyncedHolds[h] {
+		return
+	}
+	full := len(s.unsyncedHolds) >= maxUnsyncedHolds
+	delete(s.unsyncedHolds, h)
+	if !full {
+		return
+	}
+	for _, w := range s.sortedWorkers {
+		if !w.synced && !w.holdPending {
+			s.sendHoldIfDue(w)
+			if len(s.unsyncedHolds) >= maxUnsyncedHolds {
+				return
+			}
+		}
+	}
+}
+
+// delayHold delays the worker's next hold by completionBatchPause.
+func (s *Scheduler) delayHold(w *worker) {
+	w.nextHold = s.now.Add(completionBatchPause)
+	s.delayedHolds = append(s.delayedHolds, w)
+	s.wakeForHolds()
+}
+
+// wakeForHolds requests a wake for the first delayed hold, unless one is under way.
+func (s *Scheduler) wakeForHolds() {
+	if len(s.delayedHolds) > 0 && !s.now.Before(s.holdWakeAt) {
+		s.holdWakeAt = laterTime(s.delayedHolds[0].nextHold, s.now.Add(time.Millisecond))
+		s.emit(WakeAfter{s.holdWakeAt.Sub(s.now)})
+	}
+}
+
+// sendDelayedHolds sends the delayed holds that are due.
+func (s *Scheduler) sendDelayedHolds() {
+	due := 0
+	for due < len(s.delayedHolds) && !s.now.Before(s.delayedHolds[due].nextHold) {
+		s.sendHoldIfDue(s.delayedHolds[due])
+		due++
+	}
+	s.delayedHolds = slices.Delete(s.delayedHolds, 0, due)
+	s.wakeForHolds()
+}
+
+// acknowledgeStored sends holds to the workers whose completions have been stored meanwhile.
+func (s *Scheduler) acknowledgeStored() {
+	s.unstored = slices.DeleteFunc(s.unstored, func(w *worker) bool {
+		s.sendHoldIfDue(w)
+		w.unstoredListed = s.storedCompletions(w) != w.sentAcknowledge || len(w.unacknowledged) > 0
+		return !w.unstoredListed
+	})
+}
+
+func (s *Scheduler) sendHold(w *worker, order beryllatch.HoldOrder, probe bool) {
+	// A worker that does not answer gets no new lease, so that its runs can be written off once its last lease has expired.
+	if w.failedHolds == 0 {
+		order.LeaseEnd = s.grantLease(w)
+	}
+	w.sentAcknowledge = order.Acknowledge
+	s.emit(HoldWorker{Worker: w.address(), Incarnation: w.info.Incarnation, Order: order, Probe: probe})
+}
+
+// probe requests a worker's lists at once, even while a hold waits for a completion.
+func (s *Scheduler) probe(w *worker) {
+	if w.probePending || s.resigned {
+		return
+	}
+	w.probePending = true
+	s.sendHold(w, beryllatch.HoldOrder{Fence: s.Epoch, Acknowledge: s.storedCompletions(w)}, true)
+}
+
+// recordLostAnswer records an unanswered order. If the worker answers its holds, single answers are getting lost, and further
+// losses are likely.
+func (s *Scheduler) recordLostAnswer(w *worker) {
+	w.answerMissing = true
+	if w.failedHolds == 0 {
+		s.lossyUntil = s.now.Add(lossyPeriod)
+	}
+}
+
+// storedCompletions returns the number up to which all completions are stored.
+func (s *Scheduler) storedCompletions(w *worker) int64 {
+	for len(w.unacknowledged) > 0 {
+		p := w.unacknowledged[0]
+		if p.job != nil && p.job.rows.storedChange < p.change && s.jobs[p.job.ID] == p.job {
+			break
+		}
+		w.acknowledged = p.number
+		w.unacknowledged = w.unacknowledged[1:]
+	}
+	return w.acknowledged
+}
+
+// workerHeld handles the outcome of a hold.
+func (s *Scheduler) workerHeld(e WorkerHeld) {
+	defer s.unsyncedHoldEnded(e)
+	w := s.workers[e.Worker]
+	if w == nil || w.info.Incarnation != e.Incarnation {
+		return
+	}
+	if e.Probe {
+		w.probePending = false
+	} else {
+		w.holdPending = false
+	}
+	if e.Err != nil {
+		s.holdFailed(w, e)
+		return
+	}
+	w.answerMissing = false
+	if e.Lists.Incarnation > w.info.Incarnation {
+		if w.info.Incarnation != 0 {
+			s.resetForIncarnation(w, e.Lists.Incarnation)
+		}
+		w.info.Incarnation = e.Lists.Incarnation
+		s.fleet.workerByInstance = nil
+	}
+	if w.failedHolds > 0 {
+		s.emit(Decision{Name: "worker_regained", Worker: w.info.ID})
+		w.failedHolds = 0
+		s.placementDue = true
+	}
+	w.nextHold = time.Time{}
+	if len(e.Lists.Finished) > 0 && len(e.Lists.Running) > 0 {
+		s.delayHold(w)
+	}
+	if w.clockAt.IsZero() {
+		s.placementDue = true
+	}
+	w.setClock(e.Lists.Clock, s.now)
+	if !w.synced {
+		w.synced = true
+		s.placementDue = true
+		s.emit(Decision{Name: "worker_settled", Worker: w.info.ID, Detail: "its lists are read"})
+	}
+	if e.Sent.After(w.lastContact) || w.lastContact.IsZero() {
+		w.lastContact = e.Sent
+		s.applyLists(w, e)
+	}
+	s.sendHoldIfDue(w)
+}
+
+func (s *Scheduler) holdFailed(w *worker, e WorkerHeld) {
+	var rejected *beryllatch.OrderRejectedError
+	switch {
+	case errors.As(e.Err, &rejected) && rejected.Reason == beryllatch.RejectFence:
+		s.resign("worker " + w.info.ID + " has seen a later epoch")
+	case e.Sent.Before(w.lastContact):
+		// A hold that was sent later has been answered, so the worker is reachable.
+		s.recordLostAnswer(w)
+		w.answerMissing = false
+		s.sendHoldIfDue(w)
+	default:
+		s.holdUnanswered(w, e.Err)
+	}
+}
+
+// holdUnanswered counts a hold without an answer. After the first one the worker is asked again at once, since single answers
+// get lost.
+func (s *Scheduler) holdUnanswered(w *worker, err error) {
+	if w.failedHolds == 0 {
+		s.emit(Decision{Name: "worker_lost", Worker: w.info.ID, Detail: err.Error(), Age: s.now.Sub(w.lastContact)})
+		s.recordLostAnswer(w)
+	}
+	w.failedHolds++
+	w.nextHold = s.now.Add(holdRetryPause)
+	if w.failedHolds == 1 {
+		w.nextHold = s.now
+	}
+	s.listSoon()
+	s.sendHoldIfDue(w)
+}
--- a/internal/decision/berylscheduler/place.go
+++ b/internal/decision/berylscheduler/place.go
@@ -64,9 +64,8 @@
 // pool; one comparison with maxFree rules them out.
 type poolWorkers struct {
 	workers, preparing, unprepared []*worker
-	// demands is the room that waiting tasks need; demandMet is true once workers have been prepared for it.
-	demands   []*roomDemand
-	demandMet bool
+	// demands is the room that waiting tasks need.
+	demands []*roomDemand
 	// maxFree is, for each resource, at least the largest free amount on any worker.
 	maxFree beryllatch.Resources
 	// reservations counts the workers that are kept free for a step in this pass.
--- a/internal/decision/berylscheduler/prepare.go
+++ b/internal/decision/berylscheduler/prepare.go
@@ -1,6 +1,7 @@
 package berylscheduler
 
 import (
+	"maps"
 	"math"
 	"slices"
 
@@ -66,12 +67,8 @@
 			pools[q.Pool].addDemand(s, st)
 		}
 	}
-	for _, w := range s.sortedWorkers {
-		p := pools[w.info.Pool]
-		if p == nil || len(p.unprepared) == 0 || p.demandMet {
-			continue
-		}
-		p.demandMet = true
+	for _, name := range slices.Sorted(maps.Keys(pools)) {
+		p := pools[name]
 		s.prepareIdle(p)
 		for _, d := range p.demands {
 			s.prepareForDemand(p, d)
--- a/internal/node/beryljobs/session.go
+++ b/internal/node/beryljobs/session.go
@@ -220,43 +220,9 @@
 			c <- f.Err
 			delete(s.calls, f.Call)
 		}
-	case berylscheduler.ListInstances:
-		go func() {
-			var list []beryllatch.FleetInstance
-			err := n.guard("list of instances", func() (err error) {
-				list, err = n.Instances.Instances(s.ctx)
-				return err
-			})
-			s.apply(berylscheduler.InstancesListed{Instances: list, Err: err})
-		}()
-	case berylscheduler.MoveInstance:
-		go func() {
-			err := n.guard("move", func() error { return n.Instances.Move(s.ctx, n.Name, s.self.Epoch, f.Instance, f.Pool) })
-			s.apply(berylscheduler.InstanceOrderEnded{Instance: f.Instance, Err: err})
-		}()
-	case berylscheduler.MaintainInstance:
-		go func() {
-			err := n.guard("maintenance", func() error { return n.Instances.Maintain(s.ctx, n.Name, s.self.Epoch, f.Instance, f.Wave) })
-			s.apply(berylscheduler.InstanceOrderEnded{Instance: f.Instance, Err: err})
-		}()
-	case berylscheduler.WriteWaveStatus:
-		go func() {
-			err := n.guard("wave status", func() error {
-				_, err := n.rows().Commit(s.ctx, beryllatch.RowTransaction{Puts: []beryllatch.DataRow{n.View.WaveStatus(f.Wave, f.Done)}})
-				return err
-			})
-			s.apply(berylscheduler.StatusWritten{Wave: f.Wave, Done: f.Done, Err: err})
-		}()
-	case berylscheduler.AskAdvice:
-		go func() {
-			var tickets []beryllatch.PlacementTicket
-			var valid time.Duration
-			err := n.guard("advice", func() (err error) {
-				tickets, valid, err = n.Advisor.Advise(s.ctx, f.Step, f.Workers)
-				return err
-			})
-			s.apply(berylscheduler.AdviceReceived{Step: f.Step, Workers: f.Workers, Tickets: tickets, Valid: valid, Err: err})
-		}()
+	case berylscheduler.ListInstances, berylscheduler.MoveInstance, berylscheduler.MaintainInstance, berylscheduler.WriteWaveStatus,
+		berylscheduler.AskAdvice:
+		go func() { s.apply(s.callPlatform(f)) }()
 	case berylscheduler.WakeAfter:
 		time.AfterFunc(f.Wait, func() {
 			if s.ctx.Err() == nil {
@@ -274,6 +240,39 @@
 	}
 }
 
+// callPlatform carries out an effect at the platform's instance interface, its store or its advisor, and returns its outcome.
+func (s *session) callPlatform(f berylscheduler.Effect) berylscheduler.Event {
+	n := s.node
+	switch f := f.(type) {
+	case berylscheduler.MoveInstance:
+		return berylscheduler.InstanceOrderEnded{Instance: f.Instance, Err: n.guard("move", func() error {
+			return n.Instances.Move(s.ctx, n.Name, s.self.Epoch, f.Instance, f.Pool)
+		})}
+	case berylscheduler.MaintainInstance:
+		return berylscheduler.InstanceOrderEnded{Instance: f.Instance, Err: n.guard("maintenance", func() error {
+			return n.Instances.Maintain(s.ctx, n.Name, s.self.Epoch, f.Instance, f.Wave)
+		})}
+	case berylscheduler.WriteWaveStatus:
+		return berylscheduler.StatusWritten{Wave: f.Wave, Done: f.Done, Err: n.guard("wave status", func() error {
+			_, err := n.rows().Commit(s.ctx, beryllatch.RowTransaction{Puts: []beryllatch.DataRow{n.View.WaveStatus(f.Wave, f.Done)}})
+			return err
+		})}
+	case berylscheduler.AskAdvice:
+		e := berylscheduler.AdviceReceived{Step: f.Step, Workers: f.Workers}
+		e.Err = n.guard("advice", func() (err error) {
+			e.Tickets, e.Valid, err = n.Advisor.Advise(s.ctx, f.Step, f.Workers)
+			return err
+		})
+		return e
+	}
+	var e berylscheduler.InstancesListed
+	e.Err = n.guard("list of instances", func() (err error) {
+		e.Instances, err = n.Instances.Instances(s.ctx)
+		return err
+	})
+	return e
+}
+
 // callWorker makes a call to a worker, bounded by workerTimeout, and records the time of an answer.
 func (s *session) callWorker(call func(ctx context.Context) error) error {
 	ctx, cancel := context.WithTimeout(s.ctx, s.workerTimeout.next())
