Move instances by the labels that waiting tasks require

A need for a label was recorded only for tasks that could still be in time, and one instance a label was moved at a time.

A pool's shortage is counted for each required label and filled first; what no instance can help does not count. Late tasks and gangs record their label, too.

On deployments without labels nothing changes but the last donors.

--- a/internal/decision/berylscheduler/label.go
+++ b/internal/decision/berylscheduler/label.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/beryllatch/beryllatch"
 )
 
 // labelNeed is a pool's need for an instance with a label.
@@ -57,3 +59,52 @@
 	}
 	return false
 }
+
+// countLabelShortages fills in by how much the waiting tasks of each pool that require a label exceed what is free there.
+func (s *Scheduler) countLabelShortages(pools map[string]*poolDemand, instanceCPU int) {
+	for _, j := range s.active {
+		q, ok := s.queueOf(j)
+		if !ok || !j.rows.jobStored || pools[q.Pool] == nil {
+			continue
+		}
+		p := pools[q.Pool]
+		for _, st := range j.waitingSteps {
+			if label := st.spec.RequiredLabel; label != "" {
+				if p.labelShortage == nil {
+					p.labelShortage, p.instanceCPU = make(map[string]int), instanceCPU
+				}
+				p.labelShortage[label] += st.spec.ReservedCapacity().CPUMilli * st.tasksWaiting
+			}
+		}
+	}
+	for name, i := range s.fleet.instances {
+		if o := s.fleet.orders[name]; o != nil {
+			if p := pools[o.pool]; o.wave == 0 && p != nil {
+				p.addLabelled(i)
+			}
+		} else if w := s.workerOn(name); w != nil && w.registered && pools[w.info.Pool] != nil {
+			i.Capacity.CPUMilli -= w.used.CPUMilli
+			pools[w.info.Pool].addLabelled(i)
+		}
+	}
+}
+
+// addLabelled reduces the shortages by the capacity of an instance.
+func (p *poolDemand) addLabelled(i beryllatch.FleetInstance) {
+	for _, label := range i.Labels {
+		if _, ok := p.labelShortage[label]; ok {
+			p.labelShortage[label] -= i.Capacity.CPUMilli
+		}
+	}
+}
+
+// scarcestLabel returns the label with the largest shortage, or "" if no label is short.
+func (p *poolDemand) scarcestLabel() string {
+	scarcest := ""
+	for _, label := range slices.Sorted(maps.Keys(p.labelShortage)) {
+		if n := p.labelShortage[label]; n > 0 && (scarcest == "" || n > p.labelShortage[scarcest]) {
+			scarcest = label
+		}
+	}
+	return scarcest
+}
--- a/internal/decision/berylscheduler/pool.go
+++ b/internal/decision/berylscheduler/pool.go
@@ -37,6 +37,10 @@
 	hadBurst bool
 	// usedCPU is in use, neededCPU adds what waiting tasks need, arrivingCPU keeps up with arriving work; all in millicores.
 	usedCPU, neededCPU, arrivingCPU int
+	// labelShortage is, for each label that waiting tasks require, by how much they exceed the free capacity with that label, in
+	// millicores. instanceCPU is the mean capacity of an instance.
+	labelShortage map[string]int
+	instanceCPU   int
 	// idleInstances holds the instances without runs, busyInstances those with short runs only.
 	idleInstances, busyInstances []string
 }
@@ -62,20 +66,35 @@
 	budget.refill(s.now, s.Limits.InstanceOrders)
 	s.moveLabelledInstances(pools)
 	for _, p := range pools {
-		for missing := p.target - p.supply; missing > 0 && budget.allowsOrder(); missing-- {
-			instance := s.takeDonor(pools, p, "")
-			if instance == "" {
-				break
-			}
-			s.prepareInstanceOrder(&instanceOrder{instance: instance, pool: p.name})
-			p.supply++
-			budget.takeOrder()
-		}
+		s.fillPool(pools, p)
 	}
 	s.moveIdleToStandby(pools)
 	s.advanceInstanceOrders()
 }
 
+// fillPool moves instances to a pool until it has its target. Those with a label that waiting tasks require come first; tasks that
+// no instance can help don't count.
+func (s *Scheduler) fillPool(pools []*poolDemand, p *poolDemand) {
+	missing := p.target - p.supply
+	for missing > 0 && s.fleet.budget.allowsOrder() {
+		label := p.scarcestLabel()
+		instance := s.takeDonor(pools, p, label)
+		switch {
+		case instance == "" && label == "":
+			return
+		case instance == "":
+			missing -= p.labelShortage[label]/max(p.instanceCPU, 1) + 1
+			delete(p.labelShortage, label)
+			continue
+		}
+		s.prepareInstanceOrder(&instanceOrder{instance: instance, pool: p.name})
+		p.addLabelled(s.fleet.instances[instance])
+		p.supply++
+		missing--
+		s.fleet.budget.takeOrder()
+	}
+}
+
 // poolDemands returns the demand of all pools, those that lack the most instances first.
 func (s *Scheduler) poolDemands() []*poolDemand {
 	byName := make(map[string]*poolDemand, len(s.deployment.Pools))
@@ -92,6 +111,7 @@
 		p.neededCPU, p.arrivingCPU = needs[name], max(longTerm[name], shortTerm[name], forecast[name])
 		out = append(out, p)
 	}
+	s.countLabelShortages(byName, capacity)
 	if capacity > 0 {
 		s.setTargets(out, longTerm, loadTarget*float64(capacity))
 	}
@@ -263,8 +283,9 @@
 }
 
 // takeDonor removes the instance that is easiest to spare from its pool's demand and returns it: one on standby, else an idle
-// one, else one with short tasks only, else an idle one that its pool keeps only for the case that its last peak comes back. Instances that a wave still has to maintain come last in each of these groups, since
-// they would soon leave again. With a label, only instances with that label are considered.
+// one, else one with short tasks only, else an idle one that its pool keeps only for the case that its last peak comes back, else
+// one that its pool cannot use. Instances that a wave still has to maintain come last in each of these groups, since they would
+// soon leave again. With a label, only instances with that label are considered.
 func (s *Scheduler) takeDonor(pools []*poolDemand, to *poolDemand, label string) string {
 	take := func(list *[]string, from *poolDemand) string {
 		best := -1
@@ -315,9 +336,26 @@
 			return i
 		}
 	}
+	// An instance that stays idle although its pool lacks capacity does not suit the tasks that wait there.
+	for _, from := range pools {
+		if from.standby || from == to || from.supply <= poolReserve {
+			continue
+		}
+		unsuitable := slices.DeleteFunc(slices.Clone(from.idleInstances), func(i string) bool { return !s.idleFor(i, standbyDelay) })
+		if i := take(&unsuitable, from); i != "" {
+			from.idleInstances = slices.DeleteFunc(from.idleInstances, func(o string) bool { return o == i })
+			return i
+		}
+	}
 	return ""
 }
 
+// idleFor reports whether the instance's worker has had no run for the given time.
+func (s *Scheduler) idleFor(instance string, d time.Duration) bool {
+	w := s.workerOn(instance)
+	return w != nil && len(w.runs) == 0 && s.now.Sub(w.idleSince) >= d
+}
+
 // awaitsWave reports whether the instance is still to be maintained by a wave that may take another instance down.
 func (s *Scheduler) awaitsWave(instance string) bool {
 	for _, w := range s.fleet.waves {
@@ -357,8 +395,7 @@
 			if p.supply <= p.target || !s.fleet.budget.allowsOrder() {
 				break
 			}
-			w := s.workerOn(i)
-			if w == nil || s.now.Sub(w.idleSince) < standbyDelay || s.awaitsWave(i) || s.fleet.invalidMoves[moveKind(s.fleet.instances[i], standby)] {
+			if !s.idleFor(i, standbyDelay) || s.awaitsWave(i) || s.fleet.invalidMoves[moveKind(s.fleet.instances[i], standby)] {
 				continue
 			}
 			s.prepareInstanceOrder(&instanceOrder{instance: i, pool: standby})
