Bound the work for restricted queues when workers are prepared

Each waiting step of a restricted queue counted its own demand against all prepared workers in each pass, and built the key of its advice for each of them. At most 8 such steps of a pool are looked at in a pass now, and the advice is looked up once.

--- a/internal/decision/berylscheduler/advice.go
+++ b/internal/decision/berylscheduler/advice.go
@@ -54,10 +54,10 @@
 	return t.text
 }
 
-// advisedAgainst reports whether the advisor has given no ticket of the step for the worker.
-func (s *Scheduler) advisedAgainst(st *stepState, w *worker) bool {
+// notAdvisedAgainst returns a function that reports whether the advisor has not ruled a worker out for the step.
+func (s *Scheduler) notAdvisedAgainst(st *stepState) func(*worker) bool {
 	a := s.advice[adviceKey(st)]
-	return a != nil && a.denied[w.info.ID]
+	return func(w *worker) bool { return a == nil || !a.denied[w.info.ID] }
 }
 
 // requestAdvice asks the advisor about workers that could take a task of the step but have no ticket, the emptiest first.
--- a/internal/decision/berylscheduler/place.go
+++ b/internal/decision/berylscheduler/place.go
@@ -64,8 +64,9 @@
 // pool; one comparison with maxFree rules them out.
 type poolWorkers struct {
 	workers, preparing, unprepared []*worker
-	// demands is the room that waiting tasks need.
-	demands []*roomDemand
+	// demands is the room that waiting tasks need, restricted the number of steps of restricted queues among them.
+	demands    []*roomDemand
+	restricted int
 	// maxFree is, for each resource, at least the largest free amount on any worker.
 	maxFree beryllatch.Resources
 	// reservations counts the workers that are kept free for a step in this pass.
--- a/internal/decision/berylscheduler/prepare.go
+++ b/internal/decision/berylscheduler/prepare.go
@@ -18,6 +18,9 @@
 	preparedFactor = 2.0
 	// maxPreparing limits the workers of a pool that are being prepared at the same time.
 	maxPreparing = 96
+	// maxRestrictedDemands limits the steps of restricted queues that are looked at in a pass. Each has workers of its own that
+	// the advisor has ruled out, so that their demands cannot be added up.
+	maxRestrictedDemands = 8
 )
 
 // prepared reports whether the worker's row is stored or about to be.
@@ -89,8 +92,11 @@
 		d.distinct = (spec.Count + spec.MaxPerWorker - 1) / spec.MaxPerWorker
 	}
 	if s.restricted(st) {
+		if p.restricted++; p.restricted > maxRestrictedDemands {
+			return
+		}
 		d.distinct = max(d.distinct, maxAdviceWorkers)
-		d.suits = func(w *worker) bool { return !s.advisedAgainst(st, w) }
+		d.suits = s.notAdvisedAgainst(st)
 	}
 	if !st.blockedSince.IsZero() {
 		// The step has found no room, for a reason that free capacity may not show.
--- a/internal/decision/berylscheduler/prepare_test.go
+++ b/internal/decision/berylscheduler/prepare_test.go
@@ -128,3 +128,43 @@
 	}
 	assert.Assert(t, !next.s.hasUnsyncedWorkers())
 }
+
+// A queue whose policy rules most workers out needs more prepared workers than its tasks have room for, until one is allowed.
+func TestWorkersArePreparedUntilTheAdvisorAllowsOne(t *testing.T) {
+	h := newHarness(t)
+	q := h.s.deployment.Queues["q"]
+	q.Restricted = true
+	h.s.deployment.Queues["q"] = q
+	h.apply(RegistryRead{Workers: workerInfos(60)})
+	h.storeAll()
+	h.answerHolds(nil)
+	for n := range 20 {
+		h.submit(singleTaskJob(fmt.Sprintf("%016x", n)))
+	}
+	const allowed = "w050"
+	for range 100 {
+		h.storeAll()
+		h.answerHolds(nil)
+		h.tickFor(100 * time.Millisecond)
+		effects := h.otherEffects
+		h.otherEffects = nil
+		for _, f := range effects {
+			ask, ok := f.(AskAdvice)
+			if !ok {
+				continue
+			}
+			e := AdviceReceived{Step: ask.Step, Workers: ask.Workers, Valid: time.Minute}
+			for _, id := range ask.Workers {
+				if id == allowed {
+					e.Tickets = append(e.Tickets, beryllatch.PlacementTicket{Worker: id, Ticket: "t"})
+				}
+			}
+			h.apply(e)
+		}
+		for _, f := range h.confirmStarts() {
+			assert.Equal(t, f.Worker.ID, allowed)
+			return
+		}
+	}
+	t.Fatal("no task has started")
+}
