--- a/internal/bench/berylload/schedule.go
+++ b/internal/bench/berylload/schedule.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -72,7 +71,6 @@
 	fleet     *berylfleet.Fleet
 	callers   string
 	client    *http.Client
-	accepted  atomic.Int64
 	refused   atomic.Int64
 	submitted sync.WaitGroup
 }
@@ -86,17 +84,17 @@
 		fleet:  berylfleet.NewFleet(store),
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, MaxConnsPerHost: 256}, Timeout: 10 * time.Second},
 	}
-	storeAddress, err := serve(ctx, store)
+	storeAddress, err := berylfleet.Serve(ctx, store)
 	if err != nil {
 		return err
 	}
-	instancesAddress, err := serve(ctx, l.fleet)
+	instancesAddress, err := berylfleet.Serve(ctx, l.fleet)
 	if err != nil {
 		return err
 	}
 	for i := range m.Workers {
 		instance := fmt.Sprintf("m-%d", i)
-		address, err := serve(ctx, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		address, err := berylfleet.Serve(ctx, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			l.fleet.Current(instance).ServeHTTP(w, r)
 		}))
 		if err != nil {
@@ -186,7 +184,6 @@
 				l.refused.Add(1)
 				return
 			}
-			l.accepted.Add(1)
 			for range statePolls {
 				if wait(ctx, time.Second) != nil || !l.call(ctx, http.MethodGet, id, "") {
 					return
@@ -212,19 +209,3 @@
 	_, err = io.Copy(io.Discard, resp.Body)
 	return err == nil && resp.StatusCode == http.StatusOK
 }
-
-// serve serves the handler on a loopback address until ctx ends, and returns the address.
-func serve(ctx context.Context, h http.Handler) (string, error) {
-	var cfg net.ListenConfig
-	ln, err := cfg.Listen(ctx, "tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", eris.Wrap(err, "listen")
-	}
-	server := &http.Server{Handler: h, ReadHeaderTimeout: settleTime}
-	go func() { _ = server.Serve(ln) }() // It ends with ctx.
-	go func() {
-		<-ctx.Done()
-		_ = server.Close() // The measurement is over.
-	}()
-	return ln.Addr().String(), nil
-}
--- a/internal/bench/berylsoak/proxy.go
+++ b/internal/bench/berylsoak/proxy.go
@@ -136,8 +136,7 @@
 				time.Sleep(proxyDelay)
 			case m == modeDropAll, m == modeDropAnswers && answers:
 				dropping = true
-			}
-			if answers && p.currentMode() == modeMalformed {
+			case m == modeMalformed && answers:
 				spoilBody(b[:n])
 			}
 			if !dropping {
--- a/internal/bench/berylsoak/soak.go
+++ b/internal/bench/berylsoak/soak.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"sync"
@@ -90,34 +89,19 @@
 	return r.execute(), nil
 }
 
-func serve(ctx context.Context, h http.Handler) (string, error) {
-	var cfg net.ListenConfig
-	ln, err := cfg.Listen(ctx, "tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	server := &http.Server{Handler: h, ReadHeaderTimeout: callTimeout}
-	go func() { _ = server.Serve(ln) }() // It ends with the soak.
-	go func() {
-		<-ctx.Done()
-		_ = server.Close() // The soak is over.
-	}()
-	return ln.Addr().String(), nil
-}
-
 func (r *soakRun) setUp() error {
 	r.store.Put(berylfleet.Configuration(soakHost, soakKey, teamCeiling))
-	store, err := serve(r.ctx, r.store)
+	store, err := berylfleet.Serve(r.ctx, r.store)
 	if err != nil {
 		return err
 	}
-	instances, err := serve(r.ctx, r.fleet)
+	instances, err := berylfleet.Serve(r.ctx, r.fleet)
 	if err != nil {
 		return err
 	}
 	for i := range r.Workers {
 		instance := fmt.Sprintf("m-%d", i)
-		address, err := serve(r.ctx, http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		address, err := berylfleet.Serve(r.ctx, http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 			if worker := r.fleet.Current(instance); worker != nil {
 				worker.ServeHTTP(w, req)
 				return
--- a/internal/decision/berylscheduler/label.go
+++ b/internal/decision/berylscheduler/label.go
@@ -62,6 +62,7 @@
 
 // countLabelShortages fills in by how much the waiting tasks of each pool that require a label exceed what is free there.
 func (s *Scheduler) countLabelShortages(pools map[string]*poolDemand, instanceCPU int) {
+	found := false
 	for _, j := range s.active {
 		q, ok := s.queueOf(j)
 		if !ok || !j.rows.jobStored || pools[q.Pool] == nil {
@@ -73,10 +74,14 @@
 				if p.labelShortage == nil {
 					p.labelShortage, p.instanceCPU = make(map[string]int), instanceCPU
 				}
+				found = true
 				p.labelShortage[label] += st.spec.ReservedCapacity().CPUMilli * st.tasksWaiting
 			}
 		}
 	}
+	if !found {
+		return
+	}
 	for name, i := range s.fleet.instances {
 		if o := s.fleet.orders[name]; o != nil {
 			if p := pools[o.pool]; o.wave == 0 && p != nil {
--- a/internal/decision/berylscheduler/pace.go
+++ b/internal/decision/berylscheduler/pace.go
@@ -65,14 +65,11 @@
 
 // mustPaceFillers reports whether the worker has both fillers and tasks with a tail latency target, which need frequent answers.
 func (w *worker) mustPaceFillers() bool {
-	serving, filling := false, false
+	serving := false
 	for _, r := range w.runs {
-		if r.task != nil {
-			serving = serving || r.task.step.spec.TailTarget > 0
-			filling = filling || r.task.step.spec.Filler
-		}
+		serving = serving || r.task != nil && r.task.step.spec.TailTarget > 0
 	}
-	return serving && filling
+	return serving && w.runsFiller()
 }
 
 func (s *Scheduler) paceEnded(e PaceEnded) {
--- a/internal/decision/berylscheduler/pool.go
+++ b/internal/decision/berylscheduler/pool.go
@@ -287,11 +287,12 @@
 // one that its pool cannot use. Instances that a wave still has to maintain come last in each of these groups, since they would
 // soon leave again. With a label, only instances with that label are considered.
 func (s *Scheduler) takeDonor(pools []*poolDemand, to *poolDemand, label string) string {
-	take := func(list *[]string, from *poolDemand) string {
+	anyInstance := func(string) bool { return true }
+	take := func(list *[]string, from *poolDemand, suits func(string) bool) string {
 		best := -1
 		for n, name := range *list {
 			i := s.fleet.instances[name]
-			if s.fleet.orders[name] != nil || s.fleet.invalidMoves[moveKind(i, to.name)] || label != "" && !slices.Contains(i.Labels, label) {
+			if s.fleet.orders[name] != nil || s.fleet.invalidMoves[moveKind(i, to.name)] || label != "" && !slices.Contains(i.Labels, label) || !suits(name) {
 				continue
 			}
 			if best = n; !s.awaitsWave(name) {
@@ -308,7 +309,7 @@
 	}
 	for _, from := range pools {
 		if from.standby && from != to {
-			if i := take(&from.idleInstances, from); i != "" {
+			if i := take(&from.idleInstances, from, anyInstance); i != "" {
 				return i
 			}
 		}
@@ -322,7 +323,7 @@
 			if from.standby || from == to || from.supply <= from.target {
 				continue
 			}
-			if i := take(list(from), from); i != "" {
+			if i := take(list(from), from, anyInstance); i != "" {
 				return i
 			}
 		}
@@ -332,7 +333,7 @@
 		if from.standby || from == to || from.supply <= from.minimum {
 			continue
 		}
-		if i := take(&from.idleInstances, from); i != "" {
+		if i := take(&from.idleInstances, from, anyInstance); i != "" {
 			return i
 		}
 	}
@@ -341,9 +342,7 @@
 		if from.standby || from == to || from.supply <= poolReserve {
 			continue
 		}
-		unsuitable := slices.DeleteFunc(slices.Clone(from.idleInstances), func(i string) bool { return !s.idleFor(i, standbyDelay) })
-		if i := take(&unsuitable, from); i != "" {
-			from.idleInstances = slices.DeleteFunc(from.idleInstances, func(o string) bool { return o == i })
+		if i := take(&from.idleInstances, from, func(i string) bool { return s.idleFor(i, standbyDelay) }); i != "" {
 			return i
 		}
 	}
--- a/internal/decision/berylscheduler/worker.go
+++ b/internal/decision/berylscheduler/worker.go
@@ -232,11 +232,11 @@
 	if s.now.Before(w.leasesExpireBy) {
 		return
 	}
-	if !w.synced && w.failedHolds == 0 {
-		// The worker has not been asked yet, and may list a completion that an earlier epoch did not store.
-		return
-	}
 	if !w.synced {
+		if w.failedHolds == 0 {
+			// The worker has not been asked yet, and may list a completion that an earlier epoch did not store.
+			return
+		}
 		w.synced = true
 		s.emit(Decision{Name: "worker_settled", Worker: w.info.ID, Detail: "its longest lease has run out"})
 		s.placementDue = true
