--- a/internal/bench/berylload/schedule.go
+++ b/internal/bench/berylload/schedule.go
@@ -25,6 +25,8 @@
 	tasksPerJob = 16
 	// taskCPU and taskMemory are what each task reserves, in thousandths of a core and in MB.
 	taskCPU, taskMemory = 1000, 200
+	// commitTime is how long the store takes for a transaction, as the users' platform does.
+	commitTime = 8 * time.Millisecond
 	// registrationInterval is how often the workers renew their registrations.
 	registrationInterval = 1500 * time.Millisecond
 	// statePolls is how often a client asks for the state of each of its jobs.
@@ -78,7 +80,7 @@
 func (m Schedule) measure(ctx context.Context, rate, number int) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	store := &berylfleet.Store{}
+	store := &berylfleet.Store{CommitTime: commitTime}
 	store.Put(berylfleet.Configuration(scheduleHost, scheduleKey, 0))
 	l := &scheduleLoad{
 		fleet:  berylfleet.NewFleet(store),
--- a/internal/bench/berylsoak/proxy.go
+++ b/internal/bench/berylsoak/proxy.go
@@ -1,6 +1,7 @@
 package berylsoak
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"sync"
@@ -22,6 +23,9 @@
 	// modeReset closes connections.
 	modeReset
 	modeCount
+	// modeMalformed passes answers with bodies that cannot be decoded. It follows modeCount, so that a seed that draws from the
+	// modes before it still gives the same faults.
+	modeMalformed
 )
 
 // proxyDelay is how late a proxy in modeDelay passes data.
@@ -107,6 +111,14 @@
 	p.mu.Unlock()
 }
 
+// spoilBody replaces the first byte of an HTTP body, if the data holds one.
+func spoilBody(data []byte) {
+	const headerEnd = "\r\n\r\n"
+	if i := bytes.Index(data, []byte(headerEnd)); i >= 0 && i+len(headerEnd) < len(data) {
+		data[i+len(headerEnd)] = 0
+	}
+}
+
 // forward copies the data of one direction. Once it has dropped data it also drops all that follows, since the stream
 // would have a gap.
 func (p *proxy) forward(to, from net.Conn, answers bool) {
@@ -125,6 +137,9 @@
 			case m == modeDropAll, m == modeDropAnswers && answers:
 				dropping = true
 			}
+			if answers && p.currentMode() == modeMalformed {
+				spoilBody(b[:n])
+			}
 			if !dropping {
 				if _, err := to.Write(b[:n]); err != nil {
 					return
--- a/internal/bench/berylsoak/soak_test.go
+++ b/internal/bench/berylsoak/soak_test.go
@@ -29,6 +29,22 @@
 	return program
 }
 
+// Answers that cannot be decoded must neither end a process nor break a promise.
+func TestSoakWithMalformedAnswers(t *testing.T) {
+	program := buildDaemon(t)
+	for _, seed := range []uint64{801, 802} {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			r, err := Soak{
+				Program: program, Seed: seed, Daemons: 4, Workers: 6, Jobs: 60, Duration: 15 * time.Second, Logs: t.TempDir(), Malformed: true,
+			}.Run(context.Background())
+			assert.NilError(t, err)
+			assert.Check(t, len(r.Violations) == 0, "%v after %v", r.Violations, r.Faults)
+			assert.Check(t, r.Done > 0)
+		})
+	}
+}
+
 func TestShortSoak(t *testing.T) {
 	program := buildDaemon(t)
 	for seed, cause := range seeds {
--- a/internal/decision/berylscheduler/arrival.go
+++ b/internal/decision/berylscheduler/arrival.go
@@ -1,6 +1,9 @@
 package berylscheduler
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // The windows over which arriving work is averaged: the short one shows the start of a burst, the long one bridges the gaps
 // between large jobs.
@@ -38,6 +41,49 @@
 	return f.arrivalRate(s.now, longArrivalWindow), f.arrivalRate(s.now, shortArrivalWindow)
 }
 
+const (
+	// trendWindow is the length of the two windows that are compared to see whether the arriving work grows.
+	trendWindow = 400 * time.Millisecond
+	// trendSignificance is by how many standard deviations the numbers of jobs in the two windows must differ: few large jobs
+	// vary by chance.
+	trendSignificance = 2.0
+	// maxGrowth limits a forecast to a multiple of the present rate.
+	maxGrowth = 2.5
+)
+
+// forecastCPU returns, for each pool with growing work, the processor capacity in millicores that would keep up with the work
+// that arrives when an instance ordered now has joined the pool. The load that it answers is the first seconds of a burst: the
+// work grows for about as long as a move takes, so that instances ordered for the present rate are always too few.
+func (s *Scheduler) forecastCPU() map[string]int {
+	type window struct {
+		work float64
+		jobs int
+	}
+	recent, before := make(map[string]window), make(map[string]window)
+	for _, a := range s.fleet.arrivals {
+		w := recent
+		switch age := s.now.Sub(a.at); {
+		case age > 2*trendWindow:
+			continue
+		case age > trendWindow:
+			w = before
+		}
+		w[a.pool] = window{w[a.pool].work + a.work, w[a.pool].jobs + 1}
+	}
+	horizon := (s.Limits.MoveTime + registrationMargin + trendWindow/2).Seconds()
+	out := make(map[string]int)
+	for pool, r := range recent {
+		b := before[pool]
+		if float64(r.jobs-b.jobs) < trendSignificance*math.Sqrt(float64(r.jobs+b.jobs)) {
+			continue
+		}
+		rate := r.work / trendWindow.Seconds()
+		growth := (r.work - b.work) / trendWindow.Seconds() / trendWindow.Seconds()
+		out[pool] = int(min(rate+growth*horizon, maxGrowth*rate))
+	}
+	return out
+}
+
 func (f *fleet) arrivalRate(now time.Time, window time.Duration) map[string]int {
 	sums := make(map[string]float64)
 	for _, a := range f.arrivals {
--- a/internal/decision/berylscheduler/pool.go
+++ b/internal/decision/berylscheduler/pool.go
@@ -28,8 +28,9 @@
 type poolDemand struct {
 	name    string
 	standby bool
-	// target is the number of instances that the pool should have.
-	target int
+	// target is the number of instances that the pool should have. minimum is the same without those of the last peak: a pool
+	// with less than its target may have the idle instances above it.
+	target, minimum int
 	// supply counts the instances that serve the pool or are being moved to it.
 	supply int
 	// hadBurst is true once the pool has needed far more than its reserve.
@@ -84,10 +85,11 @@
 	capacity := s.countInstances(byName)
 	needs := s.neededCPU()
 	longTerm, shortTerm := s.arrivingCPU()
+	forecast := s.forecastCPU()
 	out := make([]*poolDemand, 0, len(byName))
 	for _, name := range slices.Sorted(maps.Keys(byName)) {
 		p := byName[name]
-		p.neededCPU, p.arrivingCPU = needs[name], max(longTerm[name], shortTerm[name])
+		p.neededCPU, p.arrivingCPU = needs[name], max(longTerm[name], shortTerm[name], forecast[name])
 		out = append(out, p)
 	}
 	if capacity > 0 {
@@ -157,6 +159,7 @@
 		}
 		minimum := count(max(p.neededCPU, longTerm[p.name]))
 		p.target = minimum + int(share*float64(count(max(p.neededCPU, p.arrivingCPU))-minimum))
+		p.minimum = max(p.target, poolReserve)
 		p.target = max(s.recentPeakTarget(p.name, p.target), poolReserve)
 		p.hadBurst = s.fleet.peaks[p.name].hadBurst
 	}
@@ -260,7 +263,7 @@
 }
 
 // takeDonor removes the instance that is easiest to spare from its pool's demand and returns it: one on standby, else an idle
-// one, else one with short tasks only. Instances that a wave still has to maintain come last in each of these groups, since
+// one, else one with short tasks only, else an idle one that its pool keeps only for the case that its last peak comes back. Instances that a wave still has to maintain come last in each of these groups, since
 // they would soon leave again. With a label, only instances with that label are considered.
 func (s *Scheduler) takeDonor(pools []*poolDemand, to *poolDemand, label string) string {
 	take := func(list *[]string, from *poolDemand) string {
@@ -303,6 +306,15 @@
 			}
 		}
 	}
+	for n := len(pools) - 1; n >= 0; n-- {
+		from := pools[n]
+		if from.standby || from == to || from.supply <= from.minimum {
+			continue
+		}
+		if i := take(&from.idleInstances, from); i != "" {
+			return i
+		}
+	}
 	return ""
 }
 
--- a/internal/decision/berylscheduler/prepare.go
+++ b/internal/decision/berylscheduler/prepare.go
@@ -97,7 +97,7 @@
 	}
 	if !st.blockedSince.IsZero() {
 		// The step has found no room, for a reason that free capacity may not show.
-		d.workers += 1
+		d.workers++
 	}
 	p.addRoomDemand(d)
 	for _, label := range []string{spec.DataRack, spec.RequiredLabel} {
--- a/internal/standin/berylfleet/store.go
+++ b/internal/standin/berylfleet/store.go
@@ -25,6 +25,9 @@
 
 // Store is a transactional row store in memory; its zero value is empty.
 type Store struct {
+	// CommitTime is how long a transaction takes; 0 means that it is carried out at once.
+	CommitTime time.Duration
+
 	mu      sync.Mutex
 	rows    map[string]Row
 	log     []Row // All changes in order, for the feed.
@@ -99,6 +102,7 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	time.Sleep(s.CommitTime)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	status := http.StatusOK
