Leave the transfer of an answer the time that its link takes

On links of 2 Mbit/s 1,400 queues suffice.

Cause: a read had one deadline of 0.7 s (the change feed 2.2 s from its start) for waiting, answer and transfer. The row of 3,000 queues is 0.98 MB on the wire and takes 0.8 s on such a link; each repeat starts from the beginning, so it never arrives. The class of fault is a fixed deadline on work whose length depends on size; the same bound stood on reads through other nodes (0.4 s) and on the lists that a node reads when it takes over (pages of 1 MB).

Change: berylstall ends a call whose answer doesn't begin within a limit, or pauses for longer than one. As long as bytes come, the transfer may take 8 s. An answer that trickles on past that still ends.

--- /dev/null
+++ b/internal/common/berylstall/doc.go
@@ -0,0 +1,2 @@
+// Package berylstall ends HTTP calls whose answer makes no progress.
+package berylstall
--- a/internal/node/berylrelay/relay.go
+++ b/internal/node/berylrelay/relay.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/beryllatch/beryllatch"
+	"github.com/beryllatch/beryllatch/internal/common/berylstall"
 	"github.com/beryllatch/beryllatch/internal/rpc/berylwire"
 	"github.com/rotisserie/eris"
 )
@@ -20,9 +21,13 @@
 	peerBackoff = 500 * time.Millisecond
 	// maxPeers bounds the peers that one call tries.
 	maxPeers = 2
-	// peerReadTimeout bounds a read through a peer, on top of the time that it may wait for changes: 50 times the usual
-	// 8 ms.
-	peerReadTimeout = 400 * time.Millisecond
+	// rowTimeout bounds the time until a peer answers a read of one row, and each pause in its answers: 50 times the usual 8 ms.
+	rowTimeout = 400 * time.Millisecond
+	// tableTimeout bounds the time until a peer answers a read of a table, on top of the time that it may wait for changes. The
+	// peer has the whole answer of the store first, over its own link.
+	tableTimeout = 1500 * time.Millisecond
+	// transferTimeout bounds the transfer of an answer.
+	transferTimeout = 8 * time.Second
 	// defaultTimeout bounds a transaction through a peer for callers without a deadline.
 	defaultTimeout = time.Second
 )
@@ -111,8 +116,11 @@
 	var rows []beryllatch.DataRow
 	version := int64(0)
 	err := r.viaPeer(ctx, func(c berylwire.Rows) error {
-		wait := time.Duration(q.GetWaitMs())*time.Millisecond + peerReadTimeout
-		ctx, cancel := context.WithTimeout(ctx, wait)
+		first := rowTimeout
+		if q.GetKind() != berylwire.ReadKind_READ_KIND_ROW {
+			first = tableTimeout + time.Duration(q.GetWaitMs())*time.Millisecond
+		}
+		ctx, cancel := context.WithTimeout(berylstall.WithLimits(ctx, first, rowTimeout), first+transferTimeout)
 		defer cancel()
 		a, err := c.ReadRows(ctx, q)
 		if err != nil {
