Close idle connections to an address where a call has timed out

What callers would see: after all open connections have gone silent, a node works by its last configuration until it has tried them one by one.

Cause: a call that times out closes its own connection only, and the next call takes the most recent idle one, which is as silent. With 6 connections to the store and 0.95 s a try (time-out and pause) that can take 5.7 s, more than the 3 s in which a change must be in force. For calls to other nodes it is 8 connections.

Change: a timeout closes the idle connections of that client, so that the next call opens a new one.

Evidence: TestSilentConnectionsCostOneTimeout failed before (the second call timed out too) and passes.

--- a/internal/common/berylstall/transport.go
+++ b/internal/common/berylstall/transport.go
@@ -29,16 +29,21 @@
 }
 
 // Transport is an http.RoundTripper that applies the limits of a call's context.
+//
+// When a call has timed out, it closes the idle connections: if they have gone silent as well, each of the next calls would time out
+// on one of them.
 type Transport struct{ Base http.RoundTripper }
 
 // RoundTrip implements http.RoundTripper; the answer's body returns a *StalledError when it has made no progress.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	l, ok := r.Context().Value(limitsKey{}).(limits)
 	if !ok {
-		return t.Base.RoundTrip(r)
+		resp, err := t.Base.RoundTrip(r)
+		t.closeAfterTimeout(err)
+		return resp, err
 	}
 	ctx, cancel := context.WithCancelCause(r.Context())
-	b := &body{limit: l.next, ctx: ctx, cancel: cancel}
+	b := &body{transport: t, limit: l.next, ctx: ctx, cancel: cancel}
 	b.timer = time.AfterFunc(l.first, func() { cancel(&StalledError{Bytes: b.n.Load()}) })
 	resp, err := t.Base.RoundTrip(r.WithContext(ctx))
 	if err != nil {
@@ -49,6 +54,14 @@
 	return resp, nil
 }
 
+// closeAfterTimeout closes the idle connections if err is a timeout.
+func (t *Transport) closeAfterTimeout(err error) {
+	var stalled *StalledError
+	if errors.As(err, &stalled) || errors.Is(err, context.DeadlineExceeded) {
+		t.CloseIdleConnections()
+	}
+}
+
 // CloseIdleConnections closes the idle connections of the base transport.
 func (t *Transport) CloseIdleConnections() {
 	if c, ok := t.Base.(interface{ CloseIdleConnections() }); ok {
@@ -59,11 +72,12 @@
 // body is the body of an answer with limits.
 type body struct {
 	io.ReadCloser
-	limit  time.Duration
-	ctx    context.Context
-	cancel context.CancelCauseFunc
-	timer  *time.Timer
-	n      atomic.Int64
+	transport *Transport
+	limit     time.Duration
+	ctx       context.Context
+	cancel    context.CancelCauseFunc
+	timer     *time.Timer
+	n         atomic.Int64
 }
 
 func (b *body) Read(p []byte) (int, error) {
@@ -92,5 +106,6 @@
 		err = stalled
 	}
 	b.cancel(nil)
+	b.transport.closeAfterTimeout(err)
 	return err
 }
