Trust a configuration for as long as nothing newer can be due

Cause: any answer of the store, about whatever row, counted as proof that the configuration was current, and so did an answer of the scheduling node that had heard from the store up to 3 s before; the two ages added up to 6 s, beyond the 2 or 3 s in which a change must be in force. A scheduling node never doubted its configuration. The class of fault is freshness that is inferred from something else than the data in question. Ruled out: that the time-outs alone are to blame; the nodes had 518 failed reads of the configuration and went on.

Change: the age of a configuration counts from the moment at which the last answered read of it was sent, or from the same moment at the scheduling node, which sends its age with each answer to a probe. A node without a configuration that is younger than config_apply_ms, less 0.1 s, refuses as not run and isn't ready; that holds for the scheduling node too. The table is read at least four times in that time. An unreadable version is no proof either.

--- a/internal/node/berylentry/entry.go
+++ b/internal/node/berylentry/entry.go
@@ -106,7 +106,7 @@
 	b := settings.Bounds
 	e.node = &beryljobs.Node{
 		Name: settings.Node, Address: net.JoinHostPort(settings.IP, strconv.Itoa(settings.FirstPort)),
-		CPUShare: settings.CPUShare,
+		CPUShare: settings.CPUShare, ConfigurationDelay: b.ConfigurationDelay,
 		Limits: berylscheduler.Limits{
 			MaxLease: b.MaxLease, HandoverPause: b.HandoverPause, JobRetention: b.JobRetention, RemoteFactor: b.RemoteFactor,
 			RestoreTime: b.RestoreTime, InstanceOrders: settings.InstanceOrders,
--- a/internal/node/beryljobs/node.go
+++ b/internal/node/beryljobs/node.go
@@ -1,6 +1,7 @@
 package beryljobs
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
@@ -16,9 +17,16 @@
 	"github.com/google/uuid"
 )
 
-// staleAfter is how long a node trusts its configuration without an answer of the store or a confirmation by the
-// scheduling node.
-const staleAfter = 3 * time.Second
+const (
+	// staleAfter is how long a node counts as connected to the store after an answer of it.
+	staleAfter = 3 * time.Second
+	// defaultConfigurationDelay is used if the settings give none.
+	defaultConfigurationDelay = 2 * time.Second
+	// configurationMargin is the part of the configuration delay that is left for requests on their way.
+	configurationMargin = 100 * time.Millisecond
+	// configurationReads is how often the configuration is read in a configuration delay while nothing changes.
+	configurationReads = 4
+)
 
 // Node is an entry node; its exported fields are set before Run.
 type Node struct {
@@ -27,7 +35,10 @@
 	Address string
 	// CPUShare is the part of a core that the node may use. Nodes with a larger one are preferred for scheduling.
 	CPUShare float64
-	Limits   berylscheduler.Limits
+	// ConfigurationDelay is how long after its confirmation a change of the configuration may come into force; 0 means
+	// defaultConfigurationDelay.
+	ConfigurationDelay time.Duration
+	Limits             berylscheduler.Limits
 	// Store is the node's own connection to the row store.
 	Store     beryllatch.RowStore
 	View      beryllatch.FleetView
@@ -49,8 +60,11 @@
 	operations beryllatch.Operations
 	// lastStoreAnswer is when the store last answered.
 	lastStoreAnswer time.Time
-	// lastConfirmed is when the scheduling node last confirmed this node's configuration by an answer to a probe, while
-	// it had itself had a recent answer of the store.
+	// operationsRead is when the last read of the configuration and the operators' requests that was answered was sent: this node knows
+	// all changes of before.
+	operationsRead time.Time
+	// lastConfirmed is the time up to which this node knows all changes of the configuration by the scheduling node's answers to
+	// its probes.
 	lastConfirmed  time.Time
 	schedulingNode schedulingNode
 	// largerNodes is how many nodes could take over and have a larger share of a core, by the last answer of the
@@ -123,21 +137,35 @@
 	}
 }
 
-// Deployment returns the configuration in force, or nil while it may be outdated.
+// Deployment returns the configuration in force, or nil while a newer one may have been in force for longer than the configuration
+// delay.
 func (n *Node) Deployment() *beryllatch.Deployment {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.session == nil && elapsed(n.lastStoreAnswer) > staleAfter && elapsed(n.lastConfirmed) > staleAfter {
+	if n.ConfigurationAge() > n.configurationDelay()-configurationMargin {
 		return nil
 	}
 	return n.deployment.Load()
 }
 
-// ConfigurationAge returns the time since this node's configuration was last taken as confirmed.
+// ConfigurationAge returns the time since which a configuration may have been confirmed that this node doesn't know.
 func (n *Node) ConfigurationAge() time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return min(elapsed(n.lastStoreAnswer), elapsed(n.lastConfirmed))
+	return min(elapsed(n.operationsRead), elapsed(n.lastConfirmed))
+}
+
+func (n *Node) configurationDelay() time.Duration {
+	return cmp.Or(n.ConfigurationDelay, defaultConfigurationDelay)
+}
+
+// operationsWait is how long the store may delay its answer while nothing has changed. It bounds the time until a node notices that
+// the store no longer answers.
+func (n *Node) operationsWait() time.Duration { return n.configurationDelay() / configurationReads }
+
+// recordOperationsRead records that a read of the configuration and the operators' requests, sent at that time, has been applied.
+func (n *Node) recordOperationsRead(sent time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.operationsRead = sent
 }
 
 // Ready reports whether callers should come to this node.
--- a/internal/node/beryljobs/operations.go
+++ b/internal/node/beryljobs/operations.go
@@ -9,13 +9,8 @@
 	"github.com/beryllatch/beryllatch/internal/decision/berylscheduler"
 )
 
-const (
-	// operationsWait is how long the store may delay its answer while nothing has changed. It bounds the time until a
-	// node notices that the store no longer answers.
-	operationsWait = 1500 * time.Millisecond
-	// readRetry is the pause before a failed read is repeated.
-	readRetry = 250 * time.Millisecond
-)
+// readRetry is the pause before a failed read is repeated.
+const readRetry = 250 * time.Millisecond
 
 // watchOperations follows the table that holds the configuration and the operators' requests.
 func (n *Node) watchOperations(ctx context.Context) {
@@ -46,7 +41,12 @@
 		}
 		failing = false
 		n.storeAnswered()
-		n.applyOperations(rows, complete, next)
+		if !n.applyOperations(rows, complete, next) {
+			version = -1
+			pause(ctx, readRetry)
+			continue
+		}
+		n.recordOperationsRead(sent)
 		version = next
 	}
 }
@@ -55,30 +55,31 @@
 // second result is the version to continue from; the third is true if the whole table was read.
 func (n *Node) readOperations(ctx context.Context, version int64) ([]beryllatch.DataRow, int64, bool, error) {
 	if version >= 0 {
-		rows, next, err := n.rows().Changes(ctx, n.View.OperationsTable(), version, operationsWait)
+		rows, next, err := n.rows().Changes(ctx, n.View.OperationsTable(), version, n.operationsWait())
 		return rows, next, false, err
 	}
 	rows, next, err := n.rows().Rows(ctx, n.View.OperationsTable(), "")
 	return rows, next, true, err
 }
 
-// applyOperations applies rows. A read of the whole table replaces the present state, unless it shows an older one.
-func (n *Node) applyOperations(rows []beryllatch.DataRow, complete bool, version int64) {
+// applyOperations applies rows. A read of the whole table replaces the present state, unless it shows an older one. The result is false
+// if the present state is not that of the read.
+func (n *Node) applyOperations(rows []beryllatch.DataRow, complete bool, version int64) bool {
 	n.mu.Lock()
 	ops := n.operations
 	n.mu.Unlock()
 	if complete {
 		if version < n.minReadVersion() {
 			n.Log.Event("stale_read_ignored", n.View.OperationsTable(), "")
-			return
+			return false
 		}
 		ops = beryllatch.Operations{}
 	}
-	changed := complete
+	changed, readable := complete, true
 	for _, r := range rows {
 		if r.Key == n.View.ConfigurationKey() {
 			if !r.Deleted {
-				n.applyConfiguration(r, sourceStore)
+				readable = n.applyConfiguration(r, sourceStore)
 			}
 			continue
 		}
@@ -96,6 +97,7 @@
 	if changed && s != nil {
 		s.apply(berylscheduler.OperationsChanged{Operations: ops})
 	}
+	return readable
 }
 
 // minReadVersion returns the version of the configuration row. A read of the whole table that returns a lower version
@@ -117,17 +119,17 @@
 	sourceCatchUp configSource = "catch_up"
 )
 
-// applyConfiguration puts a configuration in force if it is newer than the present one.
-func (n *Node) applyConfiguration(r beryllatch.DataRow, source configSource) {
+// applyConfiguration puts a configuration in force if it is newer than the present one. The result is false if it can't be read.
+func (n *Node) applyConfiguration(r beryllatch.DataRow, source configSource) bool {
 	d, err := n.View.Deployment(r)
 	if err != nil {
 		n.Log.Event("configuration_unreadable", r.Key, err.Error())
-		return
+		return false
 	}
 	n.mu.Lock()
 	if old := n.deployment.Load(); old != nil && old.Version >= d.Version {
 		n.mu.Unlock()
-		return
+		return true
 	}
 	n.deployment.Store(d)
 	n.configRow.Store(&r)
@@ -138,4 +140,5 @@
 	if s != nil {
 		s.apply(berylscheduler.DeploymentChanged{Deployment: d})
 	}
+	return true
 }
--- a/internal/node/beryljobs/remote.go
+++ b/internal/node/beryljobs/remote.go
@@ -126,6 +126,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
+	sent := time.Now()
 	r, err := n.client(sn).Probe(ctx, &berylwire.ProbeRequest{
 		Node: n.Name, ConfigVersion: n.configVersion(), CpuShare: n.CPUShare, StoreAgeMs: n.storeAge().Milliseconds(),
 		Address: n.Address,
@@ -147,8 +148,10 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.largerNodes = int(r.GetLargerNodes())
-	if age < staleAfter {
-		n.lastConfirmed = time.Now()
+	// A scheduling node of an older build gives no age of its configuration.
+	confirmed := sent.Add(-max(age, time.Duration(r.GetConfigAgeMs())*time.Millisecond))
+	if r.GetConfigVersion() <= n.configVersion() && confirmed.After(n.lastConfirmed) {
+		n.lastConfirmed = confirmed
 	}
 	if age > maxStoreAge {
 		return probeNoStore
@@ -266,7 +269,12 @@
 // Probe implements berylwire.Jobs.
 func (v Server) Probe(_ context.Context, r *berylwire.ProbeRequest) (*berylwire.ProbeResponse, error) {
 	n := v.Node
-	out := &berylwire.ProbeResponse{ConfigVersion: n.configVersion(), StoreAgeMs: n.storeAge().Milliseconds(), Incarnation: n.incarnation}
+	// The age first: the version that is read after it is at least as new.
+	age := n.ConfigurationAge()
+	out := &berylwire.ProbeResponse{
+		ConfigAgeMs: age.Milliseconds(), ConfigVersion: n.configVersion(), StoreAgeMs: n.storeAge().Milliseconds(),
+		Incarnation: n.incarnation,
+	}
 	if s := n.localSession(); s != nil {
 		out.Epoch = s.self.Epoch
 		out.LargerNodes = int32(n.recordPeer(r))
--- a/internal/node/beryljobs/stale_test.go
+++ b/internal/node/beryljobs/stale_test.go
@@ -13,12 +13,12 @@
 func TestConfigurationIsStaleAfterASuspension(t *testing.T) {
 	n := &Node{Log: &DecisionLog{}}
 	n.deployment.Store(&beryllatch.Deployment{Version: 1})
-	n.storeAnswered()
+	n.recordOperationsRead(time.Now())
 	assert.Assert(t, n.Ready())
 	// Without its monotonic reading, a time is compared by the wall clock.
-	n.lastStoreAnswer = n.lastStoreAnswer.Round(0).Add(-staleAfter - time.Second)
+	n.operationsRead = n.operationsRead.Round(0).Add(-staleAfter - time.Second)
 	assert.Assert(t, !n.Ready())
 	assert.Assert(t, n.Deployment() == nil)
-	n.storeAnswered()
+	n.recordOperationsRead(time.Now())
 	assert.Assert(t, n.Ready())
 }
--- a/internal/node/beryljobs/takeover.go
+++ b/internal/node/beryljobs/takeover.go
@@ -107,7 +107,9 @@
 func (n *Node) waitForNextProbe(ctx context.Context) {
 	n.mu.Lock()
 	interval := probeInterval
-	if n.largerNodes > 0 && n.session == nil {
+	// A node that doesn't get the configuration from the store gets it with the answers to its probes.
+	reading := elapsed(n.operationsRead) <= 2*n.operationsWait()+probeInterval
+	if n.largerNodes > 0 && n.session == nil && reading {
 		interval = rearProbeInterval
 	}
 	n.mu.Unlock()
--- a/internal/node/beryljobs/takeover_test.go
+++ b/internal/node/beryljobs/takeover_test.go
@@ -94,6 +94,8 @@
 	*memoryStore
 	mu  sync.Mutex
 	cut bool
+	// noOperations fails the reads of the operations table alone.
+	noOperations bool
 }
 
 func (r *nodeStore) setCut(cut bool) {
@@ -102,38 +104,44 @@
 	r.cut = cut
 }
 
-func (r *nodeStore) err() error {
+func (r *nodeStore) setNoOperations() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.cut {
+	r.noOperations = true
+}
+
+func (r *nodeStore) err(table string) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.cut || r.noOperations && table == (plainView{}).OperationsTable() {
 		return &beryllatch.UnavailableError{Err: fmt.Errorf("cut")}
 	}
 	return nil
 }
 
 func (r *nodeStore) Commit(ctx context.Context, tx beryllatch.RowTransaction) (int64, error) {
-	if err := r.err(); err != nil {
+	if err := r.err(""); err != nil {
 		return 0, err
 	}
 	return r.memoryStore.Commit(ctx, tx)
 }
 
 func (r *nodeStore) Rows(ctx context.Context, table, part string) ([]beryllatch.DataRow, int64, error) {
-	if err := r.err(); err != nil {
+	if err := r.err(table); err != nil {
 		return nil, 0, err
 	}
 	return r.memoryStore.Rows(ctx, table, part)
 }
 
 func (r *nodeStore) Row(ctx context.Context, table, part, key string) (beryllatch.DataRow, error) {
-	if err := r.err(); err != nil {
+	if err := r.err(table); err != nil {
 		return beryllatch.DataRow{}, err
 	}
 	return r.memoryStore.Row(ctx, table, part, key)
 }
 
 func (r *nodeStore) Changes(ctx context.Context, table string, after int64, wait time.Duration) ([]beryllatch.DataRow, int64, error) {
-	if err := r.err(); err != nil {
+	if err := r.err(table); err != nil {
 		return nil, 0, err
 	}
 	return r.memoryStore.Changes(ctx, table, after, wait)
