Make the scheduler use the node's newest configuration at each event

What callers would see: a job is refused, or run by the pool of before, although the scheduling node already has a newer version, until the next change.

Cause: versions were compared under the node's lock and passed to the scheduler after it, from the change feed, from calls of other nodes and at the start of an epoch. The scheduler took whatever came last. In a storm of changes the call of another node and the feed do so at once; and while the feed's goroutine waited for a busy session's lock, jobs were judged by the version before. The class of fault is a check and its effect under different locks.

Change: the session compares the node's configuration and operators' requests with those of the scheduler under its own lock, before each event. The scheduler ignores an older version besides.

Evidence: TestOlderConfigurationIsIgnored (the queue of version 6 was refused by version 5) and TestJobIsJudgedByTheNewestConfiguration (refused by version 1) failed before and pass.

--- a/internal/decision/berylscheduler/rules_test.go
+++ b/internal/decision/berylscheduler/rules_test.go
@@ -466,3 +466,16 @@
 	// three of the six jobs are within the share and start first.
 	assert.Equal(t, behind, 3)
 }
+
+// Two goroutines may pass on two versions of the configuration in either order.
+func TestOlderConfigurationIsIgnored(t *testing.T) {
+	h := newHarness(t)
+	newer, older := testDeployment(), testDeployment()
+	newer.Version, older.Version = 6, 5
+	delete(older.Queues, "q")
+	h.apply(DeploymentChanged{newer})
+	h.apply(DeploymentChanged{older})
+	h.register("a")
+	h.accept(singleTaskJob("0000000000000001"))
+	assert.Equal(t, len(h.starts), 1)
+}
--- a/internal/decision/berylscheduler/scheduler.go
+++ b/internal/decision/berylscheduler/scheduler.go
@@ -172,6 +172,9 @@
 	case Recovered:
 		s.recover(e)
 	case DeploymentChanged:
+		if s.deployment != nil && e.Deployment.Version < s.deployment.Version {
+			return
+		}
 		s.deployment = e.Deployment
 		s.placementDue = true
 	case OperationsChanged:
--- a/internal/node/beryljobs/node.go
+++ b/internal/node/beryljobs/node.go
@@ -55,9 +55,9 @@
 	stopping    atomic.Bool
 	configRow   atomic.Pointer[beryllatch.DataRow]
 	deployment  atomic.Pointer[beryllatch.Deployment]
+	operations  atomic.Pointer[beryllatch.Operations]
 
-	mu         sync.Mutex
-	operations beryllatch.Operations
+	mu sync.Mutex
 	// lastStoreAnswer is when the store last answered.
 	lastStoreAnswer time.Time
 	// operationsRead is when the last read of the configuration and the operators' requests that was answered was sent: this node knows
--- a/internal/node/beryljobs/operations.go
+++ b/internal/node/beryljobs/operations.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/beryllatch/beryllatch"
-	"github.com/beryllatch/beryllatch/internal/decision/berylscheduler"
 )
 
 // readRetry is the pause before a failed read is repeated.
@@ -65,15 +64,13 @@
 // applyOperations applies rows. A read of the whole table replaces the present state, unless it shows an older one. The result is false
 // if the present state is not that of the read.
 func (n *Node) applyOperations(rows []beryllatch.DataRow, complete bool, version int64) bool {
-	n.mu.Lock()
-	ops := n.operations
-	n.mu.Unlock()
-	if complete {
-		if version < n.minReadVersion() {
-			n.Log.Event("stale_read_ignored", n.View.OperationsTable(), "")
-			return false
-		}
-		ops = beryllatch.Operations{}
+	var ops beryllatch.Operations
+	if old := n.operations.Load(); old != nil && !complete {
+		ops = *old
+	}
+	if complete && version < n.minReadVersion() {
+		n.Log.Event("stale_read_ignored", n.View.OperationsTable(), "")
+		return false
 	}
 	changed, readable := complete, true
 	for _, r := range rows {
@@ -90,12 +87,9 @@
 		}
 		ops, changed = o, true
 	}
-	n.mu.Lock()
-	n.operations = ops
-	s := n.session
-	n.mu.Unlock()
-	if changed && s != nil {
-		s.apply(berylscheduler.OperationsChanged{Operations: ops})
+	if changed {
+		n.operations.Store(&ops)
+		n.updateSession()
 	}
 	return readable
 }
@@ -133,12 +127,16 @@
 	}
 	n.deployment.Store(d)
 	n.configRow.Store(&r)
-	s := n.session
 	n.mu.Unlock()
 	n.Metrics.Gauge("configuration.version", d.Version)
 	n.Log.Configuration(d.Version, len(d.Queues), source)
-	if s != nil {
-		s.apply(berylscheduler.DeploymentChanged{Deployment: d})
-	}
+	n.updateSession()
 	return true
 }
+
+// updateSession makes the scheduler, if this node schedules, use the present configuration and operators' requests.
+func (n *Node) updateSession() {
+	if s := n.localSession(); s != nil {
+		s.update()
+	}
+}
--- a/internal/node/beryljobs/session.go
+++ b/internal/node/beryljobs/session.go
@@ -41,6 +41,11 @@
 
 	mu        sync.Mutex
 	scheduler berylscheduler.Scheduler
+	// recovered is true once the scheduler has the rows of earlier epochs. From then on deployment and operations are those that it
+	// uses.
+	recovered  bool
+	deployment *beryllatch.Deployment
+	operations *beryllatch.Operations
 	// calls holds the channel for the answer of each waiting call, by the call's number.
 	calls    map[uint64]chan error
 	lastCall uint64
@@ -96,6 +101,9 @@
 	}
 	s.apply(e)
 	s.apply(berylscheduler.RegistryRead{Workers: registry})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.recovered = true
 	return s, nil
 }
 
@@ -161,17 +169,45 @@
 	}
 }
 
-// apply passes an event to the scheduler and carries out the effects.
+// apply is applyLocked under the lock.
 func (s *session) apply(e berylscheduler.Event) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.applyLocked(e)
 }
 
-// applyLocked is apply for callers that hold the lock. It drops events after the end of the epoch: the calls and
+// applyLocked passes an event to the scheduler, after the node's present configuration: it doesn't matter then which goroutine gets
+// the session's lock first.
+func (s *session) applyLocked(e berylscheduler.Event) {
+	s.updateLocked()
+	s.reduce(e)
+}
+
+// update makes the scheduler use the node's present configuration and operators' requests.
+func (s *session) update() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.updateLocked()
+}
+
+func (s *session) updateLocked() {
+	if !s.recovered {
+		return
+	}
+	if d := s.node.deployment.Load(); d != s.deployment {
+		s.deployment = d
+		s.reduce(berylscheduler.DeploymentChanged{Deployment: d})
+	}
+	if o := s.node.operations.Load(); o != s.operations {
+		s.operations = o
+		s.reduce(berylscheduler.OperationsChanged{Operations: *o})
+	}
+}
+
+// reduce passes an event to the scheduler and carries out the effects. It drops events after the end of the epoch: the calls and
 // transactions that they would cause could only fail. A panic ends the epoch, since the scheduler's state can't be trusted any
 // more; the next epoch, here or on another node, continues from the stored rows.
-func (s *session) applyLocked(e berylscheduler.Event) {
+func (s *session) reduce(e berylscheduler.Event) {
 	if s.ctx.Err() != nil {
 		return
 	}
--- a/internal/node/beryljobs/takeover.go
+++ b/internal/node/beryljobs/takeover.go
@@ -351,12 +351,8 @@
 	}
 	n.mu.Lock()
 	n.schedulingNode, n.session = sn, s
-	operations := n.operations
 	n.mu.Unlock()
-	if d := n.deployment.Load(); d != nil {
-		s.apply(berylscheduler.DeploymentChanged{Deployment: d})
-	}
-	s.apply(berylscheduler.OperationsChanged{Operations: operations})
+	s.update()
 	s.run(ctx)
 	n.mu.Lock()
 	n.session = nil
--- a/internal/node/beryljobs/takeover_test.go
+++ b/internal/node/beryljobs/takeover_test.go
@@ -472,3 +472,16 @@
 		assert.Equal(t, c.store.commitAttempts(), before)
 	})
 }
+
+// A job must be judged by the node's newest configuration, also while the goroutine that has read it waits for the session's lock.
+func TestJobIsJudgedByTheNewestConfiguration(t *testing.T) {
+	testCluster(t, 1, func(t *testing.T, c *cluster) {
+		n := c.nodes[0]
+		d := &beryllatch.Deployment{Version: 2, Queues: map[string]beryllatch.JobQueue{"added": {Name: "added", Pool: "p", MaxAttempts: 1}}}
+		n.deployment.Store(d.WithIndex())
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		j := beryllatch.Job{ID: "0000000000000001", Queue: "added", Steps: []beryllatch.JobStep{{Count: 1}}}
+		assert.NilError(t, n.localSession().submit(ctx, j))
+	})
+}
