Never go back to an older state of the operators' requests

What callers would see: an evacuation or a maintenance wave ends early, or a node takes an old configuration for a current one.

Cause: a read of the whole table was compared with the version of the configuration's row only, not with what the feed had shown since, and a configuration that came from the scheduling node set that version to 0. After a compaction, an outdated full read was taken, counted as proof, and set the feed's place back, which the store answers with "history lost": all nodes then read without a pause.

Change: the node keeps the highest version of the store that it has applied; a read of an older one is ignored, counted (operations.stale_read), proves nothing and is repeated after a pause. After lost history a node waits up to 0.1 s, each its own time.

Evidence: TestStaleReadDoesNotEndAnEvacuation and TestStaleReadsAreNoProofAndPause failed before and pass.

--- a/internal/node/beryljobs/node.go
+++ b/internal/node/beryljobs/node.go
@@ -57,6 +57,10 @@
 	deployment  atomic.Pointer[beryllatch.Deployment]
 	operations  atomic.Pointer[beryllatch.Operations]
 
+	operationsMu sync.Mutex
+	// operationsVersion is the version of the store that operations show.
+	operationsVersion int64
+
 	mu sync.Mutex
 	// lastStoreAnswer is when the store last answered.
 	lastStoreAnswer time.Time
--- a/internal/node/beryljobs/operations.go
+++ b/internal/node/beryljobs/operations.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"github.com/beryllatch/beryllatch"
@@ -11,18 +13,23 @@
 // readRetry is the pause before a failed read is repeated.
 const readRetry = 250 * time.Millisecond
 
+// historyPause bounds the pause before the whole table is read because the changes are no longer known. It differs from node to node,
+// as all nodes lose the history at once.
+const historyPause = 100 * time.Millisecond
+
 // watchOperations follows the table that holds the configuration and the operators' requests.
 func (n *Node) watchOperations(ctx context.Context) {
-	version := int64(-1)
+	after := int64(-1)
 	failing := false
 	for ctx.Err() == nil {
 		sent := time.Now()
-		rows, next, complete, err := n.readOperations(ctx, version)
+		rows, version, complete, err := n.readOperations(ctx, after)
 		var lost *beryllatch.HistoryLostError
 		switch {
 		case errors.As(err, &lost):
 			n.Log.Event("history_lost", lost.Table, "")
-			version = -1
+			after = -1
+			pause(ctx, rand.N(historyPause))
 			continue
 		case err != nil:
 			if !failing && ctx.Err() == nil {
@@ -31,22 +38,22 @@
 			failing = true
 			n.Metrics.Count("operations.read_failed", 1)
 			if ctx.Err() == nil {
-				n.Log.ReadFailed(complete, version, time.Since(sent), err)
+				n.Log.ReadFailed(complete, after, time.Since(sent), err)
 			}
 			// A failed read may have missed changes, so the next one reads the whole table.
-			version = -1
+			after = -1
 			pause(ctx, readRetry)
 			continue
 		}
 		failing = false
 		n.storeAnswered()
-		if !n.applyOperations(rows, complete, next) {
-			version = -1
+		if !n.applyOperations(rows, complete, version) {
+			after = -1
 			pause(ctx, readRetry)
 			continue
 		}
 		n.recordOperationsRead(sent)
-		version = next
+		after = version
 	}
 }
 
@@ -61,17 +68,21 @@
 	return rows, next, true, err
 }
 
-// applyOperations applies rows. A read of the whole table replaces the present state, unless it shows an older one. The result is false
-// if the present state is not that of the read.
+// applyOperations applies rows that were read at a version of the store. A read of the whole table replaces the present state, unless it
+// shows an older one. The result is false if the present state is not that of the read.
 func (n *Node) applyOperations(rows []beryllatch.DataRow, complete bool, version int64) bool {
+	n.operationsMu.Lock()
+	defer n.operationsMu.Unlock()
+	if version < n.operationsVersion {
+		n.Log.Event("stale_read_ignored", n.View.OperationsTable(), fmt.Sprintf("version %d after %d", version, n.operationsVersion))
+		n.Metrics.Count("operations.stale_read", 1)
+		return false
+	}
+	n.operationsVersion = version
 	var ops beryllatch.Operations
 	if old := n.operations.Load(); old != nil && !complete {
 		ops = *old
 	}
-	if complete && version < n.minReadVersion() {
-		n.Log.Event("stale_read_ignored", n.View.OperationsTable(), "")
-		return false
-	}
 	changed, readable := complete, true
 	for _, r := range rows {
 		if r.Key == n.View.ConfigurationKey() {
@@ -94,15 +105,6 @@
 	return readable
 }
 
-// minReadVersion returns the version of the configuration row. A read of the whole table that returns a lower version
-// was answered from an outdated state.
-func (n *Node) minReadVersion() int64 {
-	if r := n.configRow.Load(); r != nil {
-		return r.Version
-	}
-	return 0
-}
-
 // configSource tells where a configuration was read.
 type configSource string
 
--- a/internal/node/beryljobs/stale_cluster_test.go
+++ b/internal/node/beryljobs/stale_cluster_test.go
@@ -1,9 +1,14 @@
 package beryljobs
 
 import (
+	"context"
+	"maps"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/beryllatch/beryllatch"
+	"github.com/beryllatch/beryllatch/internal/common/berylmetrics"
 	"gotest.tools/v3/assert"
 )
 
@@ -34,3 +39,66 @@
 		})
 	}
 }
+
+// evacuationView decodes each row but the configuration as an evacuated data centre.
+type evacuationView struct{ versionView }
+
+func (evacuationView) ApplyOperation(o beryllatch.Operations, r beryllatch.DataRow) (beryllatch.Operations, error) {
+	o.Evacuated = maps.Clone(o.Evacuated)
+	if o.Evacuated == nil {
+		o.Evacuated = make(map[string]bool)
+	}
+	o.Evacuated[r.Key] = true
+	return o, nil
+}
+
+// A read of the whole table that was answered from an older state must not end an evacuation, whichever node the configuration came
+// from.
+func TestStaleReadDoesNotEndAnEvacuation(t *testing.T) {
+	n := &Node{View: evacuationView{}, Log: &DecisionLog{}, Metrics: berylmetrics.New()}
+	config := beryllatch.DataRow{Key: "config", Value: []byte("5"), Version: 10}
+	n.applyOperations([]beryllatch.DataRow{config}, true, 10)
+	n.applyOperations([]beryllatch.DataRow{{Key: "dc1", Version: 20}}, false, 20)
+	n.applyOperations([]beryllatch.DataRow{config}, true, 15)
+	assert.Assert(t, n.operations.Load().Evacuated["dc1"])
+	n.applyConfiguration(beryllatch.DataRow{Key: "config", Value: []byte("6")}, sourceSchedulingNode)
+	n.applyOperations([]beryllatch.DataRow{config}, true, 15)
+	assert.Assert(t, n.operations.Load().Evacuated["dc1"])
+	n.applyOperations([]beryllatch.DataRow{config}, true, 30)
+	assert.Assert(t, !n.operations.Load().Evacuated["dc1"])
+}
+
+// staleStore answers reads of the operations table from an old state, whose changes are no longer known.
+type staleStore struct {
+	*memoryStore
+	reads int
+}
+
+func (s *staleStore) Rows(_ context.Context, _, _ string) ([]beryllatch.DataRow, int64, error) {
+	s.reads++
+	time.Sleep(5 * time.Millisecond)
+	return []beryllatch.DataRow{{Key: "config", Value: []byte("6"), Version: 20}}, 25, nil
+}
+
+func (s *staleStore) Changes(_ context.Context, table string, _ int64, _ time.Duration) ([]beryllatch.DataRow, int64, error) {
+	s.reads++
+	time.Sleep(5 * time.Millisecond)
+	return nil, 0, &beryllatch.HistoryLostError{Table: table}
+}
+
+// Reads from an old state prove nothing, and are not repeated without a pause.
+func TestStaleReadsAreNoProofAndPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &staleStore{memoryStore: &memoryStore{}}
+		n := &Node{View: evacuationView{}, Store: s, Log: &DecisionLog{}, Metrics: berylmetrics.New()}
+		n.applyOperations([]beryllatch.DataRow{{Key: "config", Value: []byte("6"), Version: 20}}, true, 20)
+		n.applyOperations(nil, false, 30)
+		ctx, cancel := context.WithCancel(t.Context())
+		go n.watchOperations(ctx)
+		time.Sleep(5 * time.Second)
+		cancel()
+		synctest.Wait()
+		assert.Assert(t, n.Deployment() == nil)
+		assert.Assert(t, s.reads <= 5*8, "%d reads in 5 s", s.reads)
+	})
+}
