Fetch a missing configuration from the scheduling node, compressed and apart from the probe

What callers would see: nodes that the store refuses keep an old configuration, or refuse everything, when the configuration is large; and they take the scheduling node for failed.

Cause: a newer configuration came with the answer to a probe, which has 0.3 s. 1,400 queues (0.34 MB) take 0.27 s over a link of 10 Mbit/s that also gets the same configuration from the store.

Change: the answer names the version only. Nodes of older builds still get it with the answer.

--- a/internal/node/beryljobs/node.go
+++ b/internal/node/beryljobs/node.go
@@ -56,6 +56,9 @@
 	configRow   atomic.Pointer[beryllatch.DataRow]
 	deployment  atomic.Pointer[beryllatch.Deployment]
 	operations  atomic.Pointer[beryllatch.Operations]
+	// packedConfig is the compressed configuration for other nodes.
+	packedConfig atomic.Pointer[packedConfig]
+	fetching     atomic.Bool
 
 	operationsMu sync.Mutex
 	// operationsVersion is the version of the store that operations show.
@@ -69,7 +72,9 @@
 	operationsRead time.Time
 	// lastConfirmed is the time up to which this node knows all changes of the configuration by the scheduling node's answers to
 	// its probes.
-	lastConfirmed  time.Time
+	lastConfirmed time.Time
+	// missingSince is since when the scheduling node has had a newer configuration; zero if it has none.
+	missingSince   time.Time
 	schedulingNode schedulingNode
 	// largerNodes is how many nodes could take over and have a larger share of a core, by the last answer of the
 	// scheduling node.
--- a/internal/node/beryljobs/remote.go
+++ b/internal/node/beryljobs/remote.go
@@ -129,7 +129,7 @@
 	sent := time.Now()
 	r, err := n.client(sn).Probe(ctx, &berylwire.ProbeRequest{
 		Node: n.Name, ConfigVersion: n.configVersion(), CpuShare: n.CPUShare, StoreAgeMs: n.storeAge().Milliseconds(),
-		Address: n.Address,
+		Address: n.Address, SeparateConfig: true,
 	})
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
@@ -144,6 +144,7 @@
 	if len(r.GetConfig()) > 0 {
 		n.applyConfiguration(beryllatch.DataRow{Key: n.View.ConfigurationKey(), Value: r.GetConfig()}, sourceSchedulingNode)
 	}
+	n.compareConfiguration(sn, r.GetConfigVersion())
 	age := time.Duration(r.GetStoreAgeMs()) * time.Millisecond
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -279,7 +280,7 @@
 		out.Epoch = s.self.Epoch
 		out.LargerNodes = int32(n.recordPeer(r))
 	}
-	if row := n.configRow.Load(); row != nil && r.GetConfigVersion() < out.GetConfigVersion() {
+	if row := n.configRow.Load(); row != nil && r.GetConfigVersion() < out.GetConfigVersion() && !r.GetSeparateConfig() {
 		out.Config = row.Value
 	}
 	return out, nil
--- a/internal/node/beryljobs/stale_cluster_test.go
+++ b/internal/node/beryljobs/stale_cluster_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -102,3 +103,34 @@
 		assert.Assert(t, s.reads <= 5*8, "%d reads in 5 s", s.reads)
 	})
 }
+
+// A node that the store refuses must get a configuration from the scheduling node that takes longer to send as it is than a probe may
+// take, and stay in contact meanwhile.
+func TestLargeConfigurationComesFromTheSchedulingNode(t *testing.T) {
+	testCluster(t, 0, func(t *testing.T, c *cluster) {
+		c.view = versionView{}
+		row := beryllatch.DataRow{Table: "operations", Key: "config", Value: []byte("1"), Version: 1}
+		c.store.rows[rowName(row.Table, row.Part, row.Key)] = row
+		for range 4 {
+			c.join(0.4)
+		}
+		time.Sleep(2 * time.Second)
+		first := c.schedulingNodes()[0]
+		for i := range c.nodes {
+			if i != first {
+				c.stores[i].setNoOperations()
+			}
+		}
+		time.Sleep(time.Second)
+		c.mesh.mu.Lock()
+		c.mesh.bandwidth = 1 << 20
+		c.mesh.mu.Unlock()
+		row.Value = []byte("2" + strings.Repeat(" ", 1<<20))
+		c.nodes[first].applyConfiguration(row, sourceStore)
+		time.Sleep(defaultConfigurationDelay)
+		for i, n := range c.nodes {
+			assert.Equal(t, n.configVersion(), int64(2), "node %d", i)
+			assert.Assert(t, n.Ready(), "node %d", i)
+		}
+	})
+}
--- a/internal/node/beryljobs/takeover.go
+++ b/internal/node/beryljobs/takeover.go
@@ -107,9 +107,9 @@
 func (n *Node) waitForNextProbe(ctx context.Context) {
 	n.mu.Lock()
 	interval := probeInterval
-	// A node that doesn't get the configuration from the store gets it with the answers to its probes.
-	reading := elapsed(n.operationsRead) <= 2*n.operationsWait()+probeInterval
-	if n.largerNodes > 0 && n.session == nil && reading {
+	// A node that doesn't get the configuration from the store gets it by its probes.
+	current := n.missingSince.IsZero() && !n.readsLate()
+	if n.largerNodes > 0 && n.session == nil && current {
 		interval = rearProbeInterval
 	}
 	n.mu.Unlock()
--- a/internal/node/beryljobs/takeover_test.go
+++ b/internal/node/beryljobs/takeover_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -180,6 +181,8 @@
 	noAnswers    map[string]bool
 	// ended holds nodes whose process has ended: nothing listens at their address.
 	ended map[string]bool
+	// bandwidth is the bytes a second at which a node gets answers; 0 is no limit.
+	bandwidth int
 }
 
 func (m *mesh) dropAnswersTo(node string) {
@@ -197,6 +200,7 @@
 func (m meshTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	m.mu.Lock()
 	h, noAnswer, ended := m.handlers[r.URL.Host], m.unresponsive[r.URL.Host] || m.noAnswers[m.node], m.ended[r.URL.Host]
+	bandwidth := m.bandwidth
 	m.mu.Unlock()
 	if ended {
 		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
@@ -207,6 +211,9 @@
 	}
 	w := newRecorder()
 	h.ServeHTTP(w, r)
+	if bandwidth > 0 && !pause(r.Context(), time.Duration(w.Body.Len())*time.Second/time.Duration(bandwidth)) {
+		return nil, r.Context().Err()
+	}
 	return w.response(r), nil
 }
 
@@ -216,11 +223,13 @@
 	mesh      *mesh
 	nodes     []*Node
 	stores    []*nodeStore
+	view      beryllatch.FleetView
 	startNode func(*Node)
 }
 
 func newCluster(ctx context.Context, wg *sync.WaitGroup, n int) *cluster {
 	c := &cluster{
+		view: plainView{},
 		store: &memoryStore{version: 1, rows: map[string]beryllatch.DataRow{
 			rowName("operations", "", "config"): {Table: "operations", Key: "config", Version: 1},
 		}},
@@ -241,7 +250,7 @@
 	name := fmt.Sprintf("n%d", len(c.nodes))
 	store := &nodeStore{memoryStore: c.store}
 	node := &Node{
-		Name: name, Address: name, CPUShare: cpuShare, Store: store, View: plainView{},
+		Name: name, Address: name, CPUShare: cpuShare, Store: store, View: c.view,
 		Instances: noInstances{}, Peers: &http.Client{Transport: &berylstall.Transport{Base: meshTransport{c.mesh, name}}}, Log: &DecisionLog{}, Metrics: berylmetrics.New(),
 		Limits: berylscheduler.Limits{MaxLease: 10 * time.Second},
 	}
@@ -410,7 +419,7 @@
 type versionView struct{ plainView }
 
 func (versionView) Deployment(r beryllatch.DataRow) (*beryllatch.Deployment, error) {
-	n, err := strconv.ParseInt(string(r.Value), 10, 64)
+	n, err := strconv.ParseInt(strings.TrimSpace(string(r.Value)), 10, 64)
 	return beryllatch.Deployment{Version: n}.WithIndex(), err
 }
 
