Judge no job by an older configuration than that of the node which took it

What callers would see: a job for a queue that has just changed its pool is run by the pool of before, or refused, depending on which node took it. In a storm of changes every job that reaches a scheduling node which is behind costs it one more read of the configuration.

Cause: the scheduling node read the configuration again if the other node had a newer one, each call for itself, and went on with the older one if that failed.

Change: one read for all calls that wait for it. If the version is still missing, the call is refused as not run, and the node that took it repeats it as it does while no node schedules.

Evidence: TestSchedulingNodeCatchesUpOnce failed before (40 reads for 40 jobs; no job refused while the read failed) and passes.

--- a/internal/node/beryljobs/configuration.go
+++ b/internal/node/beryljobs/configuration.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"compress/gzip"
 	"context"
+	"fmt"
 	"io"
 	"time"
 
@@ -75,6 +76,35 @@
 	return nil
 }
 
+// catchUp reads the configuration again if another node has a newer version, once for all calls that wait for it. The error is a refusal:
+// a job must not be judged by an older configuration than the node that took it has.
+func (n *Node) catchUp(ctx context.Context, version int64) error {
+	if version <= n.configVersion() {
+		return nil
+	}
+	select {
+	case n.catchingUp <- struct{}{}:
+		defer func() { <-n.catchingUp }()
+	case <-ctx.Done():
+		return noScheduler("the scheduling node waits for a newer configuration")
+	}
+	if version <= n.configVersion() {
+		return nil
+	}
+	row, err := n.rows().Row(ctx, n.View.OperationsTable(), "", n.View.ConfigurationKey())
+	if err == nil && !n.applyConfiguration(row, sourceCatchUp) {
+		err = eris.New("the configuration is unreadable")
+	}
+	if err == nil && version > n.configVersion() {
+		err = eris.Errorf("the store has version %d", n.configVersion())
+	}
+	if err != nil {
+		n.Log.Event("configuration_unknown", n.Name, err.Error())
+		return noScheduler(fmt.Sprintf("the scheduling node does not have version %d of the configuration: %v", version, err))
+	}
+	return nil
+}
+
 // GetConfiguration implements berylwire.Jobs.
 func (v Server) GetConfiguration(_ context.Context, _ *berylwire.GetConfigurationRequest) (*berylwire.GetConfigurationResponse, error) {
 	b, err := v.Node.packConfiguration()
--- a/internal/node/beryljobs/node.go
+++ b/internal/node/beryljobs/node.go
@@ -59,6 +59,8 @@
 	// packedConfig is the compressed configuration for other nodes.
 	packedConfig atomic.Pointer[packedConfig]
 	fetching     atomic.Bool
+	// catchingUp holds a value while a call reads a newer configuration that another node has.
+	catchingUp chan struct{}
 
 	operationsMu sync.Mutex
 	// operationsVersion is the version of the store that operations show.
@@ -117,6 +119,7 @@
 	n.incarnation = uuid.NewString()
 	n.mu.Lock()
 	n.wake = make(chan struct{}, 1)
+	n.catchingUp = make(chan struct{}, 1)
 	n.mu.Unlock()
 	var wg sync.WaitGroup
 	wg.Go(func() { n.keepRunning(ctx, "operations", n.watchOperations) })
--- a/internal/node/beryljobs/remote.go
+++ b/internal/node/beryljobs/remote.go
@@ -205,24 +205,14 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(r.GetPatienceMs())*time.Millisecond)
 	defer cancel()
-	v.Node.catchUp(ctx, r.GetConfigVersion())
-	if err := s.submit(ctx, j); err != nil {
-		return &berylwire.SubmitJobResponse{Refusal: refusalOf(err)}, nil
+	err := v.Node.catchUp(ctx, r.GetConfigVersion())
+	if err == nil {
+		err = s.submit(ctx, j)
 	}
-	return &berylwire.SubmitJobResponse{}, nil
-}
-
-// catchUp reads the configuration again if another node has a newer version.
-func (n *Node) catchUp(ctx context.Context, version int64) {
-	if version <= n.configVersion() {
-		return
-	}
-	row, err := n.rows().Row(ctx, n.View.OperationsTable(), "", n.View.ConfigurationKey())
 	if err != nil {
-		n.Log.Event("configuration_unknown", n.Name, err.Error())
-		return
+		return &berylwire.SubmitJobResponse{Refusal: refusalOf(err)}, nil
 	}
-	n.applyConfiguration(row, sourceCatchUp)
+	return &berylwire.SubmitJobResponse{}, nil
 }
 
 // GetJob implements berylwire.Jobs.
--- a/internal/node/beryljobs/stale_cluster_test.go
+++ b/internal/node/beryljobs/stale_cluster_test.go
@@ -4,12 +4,15 @@
 	"context"
 	"maps"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/beryllatch/beryllatch"
 	"github.com/beryllatch/beryllatch/internal/common/berylmetrics"
+	"github.com/beryllatch/beryllatch/internal/rpc/berylwire"
 	"gotest.tools/v3/assert"
 )
 
@@ -134,3 +137,48 @@
 		}
 	})
 }
+
+// While the scheduling node is behind, the jobs of nodes with a newer configuration must wait for one read of it, and are not judged by the
+// older one if that read fails.
+func TestSchedulingNodeCatchesUpOnce(t *testing.T) {
+	for name, c := range map[string]struct {
+		fails bool
+		reads int64
+	}{
+		"the store answers":   {false, 1},
+		"the store is silent": {true, 40},
+	} {
+		t.Run(name, func(t *testing.T) {
+			testCluster(t, 0, func(t *testing.T, c2 *cluster) {
+				c2.view = versionView{}
+				row := beryllatch.DataRow{Table: "operations", Key: "config", Value: []byte("1"), Version: 1}
+				c2.store.rows[rowName(row.Table, row.Part, row.Key)] = row
+				c2.join(0.4)
+				time.Sleep(2 * time.Second)
+				n := c2.nodes[0]
+				if c.fails {
+					c2.stores[0].setNoOperations()
+				}
+				c2.store.mu.Lock()
+				row.Value = []byte("2")
+				c2.store.rows[rowName(row.Table, row.Part, row.Key)] = row
+				c2.store.mu.Unlock()
+				var wg sync.WaitGroup
+				var refused atomic.Int64
+				for range 40 {
+					wg.Go(func() {
+						r, err := Server{Node: n}.SubmitJob(t.Context(), &berylwire.SubmitJobRequest{Job: []byte(`{}`), PatienceMs: 1000, ConfigVersion: 2})
+						assert.Check(t, err)
+						if r.GetRefusal().GetReason() == string(beryllatch.ReasonNoScheduler) && r.GetRefusal().GetRunState() == string(beryllatch.RunStateNotRun) {
+							refused.Add(1)
+						}
+					})
+				}
+				wg.Wait()
+				assert.Equal(t, refused.Load() == 40, c.fails, "%d refused", refused.Load())
+				reads := c2.stores[0].configReads.Load()
+				assert.Assert(t, reads <= c.reads, "%d reads", reads)
+			})
+		})
+	}
+}
--- a/internal/node/beryljobs/takeover_test.go
+++ b/internal/node/beryljobs/takeover_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -97,6 +98,8 @@
 	cut bool
 	// noOperations fails the reads of the operations table alone.
 	noOperations bool
+	// configReads counts the reads of the configuration's row alone.
+	configReads atomic.Int64
 }
 
 func (r *nodeStore) setCut(cut bool) {
@@ -135,6 +138,10 @@
 }
 
 func (r *nodeStore) Row(ctx context.Context, table, part, key string) (beryllatch.DataRow, error) {
+	if table == (plainView{}).OperationsTable() {
+		r.configReads.Add(1)
+		pause(ctx, 5*time.Millisecond)
+	}
 	if err := r.err(table); err != nil {
 		return beryllatch.DataRow{}, err
 	}
