Read the configuration anew before an outdated node schedules

What callers would see: after a takeover by a node that was paused or cut off, tasks start on workers of an evacuated data centre, or by a queue's former pool.

Cause: a new epoch began with the configuration that the node had, however old. The class is a permission that ran out during a pause, one of the six cases in DEVELOPERS.md.

Change: a node whose configuration may be outdated reads the table with the other rows of a takeover. Others start as before.

Evidence: TestOutdatedNodeReadsTheConfigurationBeforeItSchedules failed before (version 1 instead of 2) and passes.

--- a/internal/node/beryljobs/node.go
+++ b/internal/node/beryljobs/node.go
@@ -177,7 +177,9 @@
 func (n *Node) recordOperationsRead(sent time.Time) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.operationsRead = sent
+	if sent.After(n.operationsRead) {
+		n.operationsRead = sent
+	}
 }
 
 // Ready reports whether callers should come to this node.
--- a/internal/node/beryljobs/operations.go
+++ b/internal/node/beryljobs/operations.go
@@ -68,6 +68,19 @@
 	return rows, next, true, err
 }
 
+// refreshOperations reads the whole table, for a node that is about to schedule with a configuration that may be outdated.
+func (n *Node) refreshOperations(ctx context.Context) error {
+	sent := time.Now()
+	rows, version, complete, err := n.readOperations(ctx, -1)
+	if err != nil {
+		return err
+	}
+	if n.applyOperations(rows, complete, version) {
+		n.recordOperationsRead(sent)
+	}
+	return nil
+}
+
 // applyOperations applies rows that were read at a version of the store. A read of the whole table replaces the present state, unless it
 // shows an older one. The result is false if the present state is not that of the read.
 func (n *Node) applyOperations(rows []beryllatch.DataRow, complete bool, version int64) bool {
--- a/internal/node/beryljobs/session.go
+++ b/internal/node/beryljobs/session.go
@@ -93,6 +93,12 @@
 			registry, err = s.readRegistry(ctx)
 			return err
 		},
+		func() error {
+			if n.Deployment() != nil {
+				return nil
+			}
+			return n.refreshOperations(ctx)
+		},
 	} {
 		if err := retryRead(ctx, read); err != nil {
 			end()
--- a/internal/node/beryljobs/stale_cluster_test.go
+++ b/internal/node/beryljobs/stale_cluster_test.go
@@ -182,3 +182,22 @@
 		})
 	}
 }
+
+// A node that was paused or cut off for some seconds must not schedule by the configuration of before.
+func TestOutdatedNodeReadsTheConfigurationBeforeItSchedules(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &memoryStore{version: 7, rows: map[string]beryllatch.DataRow{
+			rowName("operations", "", "config"): {Table: "operations", Key: "config", Value: []byte("2"), Version: 7},
+		}}
+		n := &Node{View: versionView{}, Store: store, Log: &DecisionLog{}, Metrics: berylmetrics.New()}
+		n.applyOperations([]beryllatch.DataRow{{Key: "config", Value: []byte("1"), Version: 3}}, true, 3)
+		n.recordOperationsRead(time.Now())
+		time.Sleep(5 * time.Second)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		s, err := n.newSession(ctx, schedulingNode{Epoch: 2})
+		assert.NilError(t, err)
+		s.endEpoch()
+		assert.Equal(t, n.configVersion(), int64(2))
+	})
+}
