Soak changes of the configuration, over slow links, and check each answer against the versions

The soak never changed the configuration, so that it could not find the incident. Each answer 200, 401 or 404 must be one that a version allows which may be in force: confirmed no more than 2 s before it was replaced, whatever happens to the node.

--- a/internal/bench/berylload/schedule.go
+++ b/internal/bench/berylload/schedule.go
@@ -79,7 +79,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	store := &berylfleet.Store{CommitTime: commitTime}
-	store.Put(berylfleet.Configuration(scheduleHost, scheduleKey, 0))
+	store.Put(berylfleet.Configuration{Version: 1, Host: scheduleHost, Keys: []string{scheduleKey}}.Row())
 	l := &scheduleLoad{
 		fleet:  berylfleet.NewFleet(store),
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, MaxConnsPerHost: 256}, Timeout: 10 * time.Second},
--- a/internal/bench/berylsoak/proxy.go
+++ b/internal/bench/berylsoak/proxy.go
@@ -39,6 +39,10 @@
 	mu    sync.Mutex
 	mode  mode
 	conns map[net.Conn]bool
+	// bandwidth is the bytes a second at which answers pass, for all connections together; 0 is no limit. linkFree is when the
+	// answers of before have passed.
+	bandwidth int
+	linkFree  time.Time
 }
 
 func newProxy(ctx context.Context, target string) (*proxy, error) {
@@ -72,6 +76,27 @@
 	}
 }
 
+// setBandwidth limits the bytes a second at which answers pass.
+func (p *proxy) setBandwidth(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.bandwidth = n
+}
+
+// reserveLink returns how long n bytes of an answer need, behind those that are on their way.
+func (p *proxy) reserveLink(n int) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.bandwidth == 0 {
+		return 0
+	}
+	if now := time.Now(); p.linkFree.Before(now) {
+		p.linkFree = now
+	}
+	p.linkFree = p.linkFree.Add(time.Duration(n) * time.Second / time.Duration(p.bandwidth))
+	return time.Until(p.linkFree)
+}
+
 func (p *proxy) accept(ctx context.Context) {
 	go func() {
 		<-ctx.Done()
@@ -139,6 +164,9 @@
 			case m == modeMalformed && answers:
 				spoilBody(b[:n])
 			}
+			if answers {
+				time.Sleep(p.reserveLink(n))
+			}
 			if !dropping {
 				if _, err := to.Write(b[:n]); err != nil {
 					return
--- a/internal/bench/berylsoak/soak.go
+++ b/internal/bench/berylsoak/soak.go
@@ -36,15 +36,19 @@
 	Duration time.Duration `default:"15s" help:"How long jobs come and faults last."`
 	Jobs     int           `default:"60" help:"Jobs."`
 	// Malformed adds answers that cannot be decoded, from the store and from workers.
-	Malformed bool   `help:"Also send malformed answers."`
-	Logs      string `help:"Folder for the daemons' logs; default: a temporary one."`
+	Malformed bool `help:"Also send malformed answers."`
+	// Changes adds changes of the configuration, over links that are slow for half of the daemons.
+	Changes bool   `help:"Also change the configuration, and check by which version callers are answered."`
+	Logs    string `help:"Folder for the daemons' logs; default: a temporary one."`
 }
 
 // Result is the outcome of a soak.
 type Result struct {
 	Accepted, Refused, Done int
-	Faults                  []string
-	Violations              []string
+	// Checked is how many answers were compared with the configurations that might be in force.
+	Checked    int
+	Faults     []string
+	Violations []string
 }
 
 // soakRun is the state of one soak.
@@ -56,6 +60,7 @@
 	fleet   *berylfleet.Fleet
 	daemons []*daemon
 	proxies []*proxy
+	changes changes
 
 	mu     sync.Mutex
 	faults []string
@@ -90,7 +95,7 @@
 }
 
 func (r *soakRun) setUp() error {
-	r.store.Put(berylfleet.Configuration(soakHost, soakKey, teamCeiling))
+	r.store.Put(berylfleet.Configuration{Version: 1, Host: soakHost, Keys: []string{soakKey}, Ceiling: teamCeiling}.Row())
 	store, err := berylfleet.Serve(r.ctx, r.store)
 	if err != nil {
 		return err
@@ -125,6 +130,9 @@
 			return err
 		}
 		r.proxies = append(r.proxies, p)
+		if r.Changes && i%2 == 1 {
+			p.setBandwidth(slowLink)
+		}
 		d := &daemon{
 			program: r.Program, dir: r.Logs, name: fmt.Sprintf("n%d", i), store: p, instances: instances,
 			ip: fmt.Sprintf("127.%d.%d.%d", 40+os.Getpid()%200, 1+r.Seed%250, 10+i),
@@ -153,6 +161,10 @@
 	if r.Malformed {
 		faults.Go(func() { r.spoilAnswers(end) })
 	}
+	if r.Changes {
+		faults.Go(func() { r.changeConfiguration(end) })
+		faults.Go(func() { r.checkConfiguration(end) })
+	}
 	jobs := make([]*job, r.Jobs)
 	done := make([]bool, r.Jobs)
 	c := &client{http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}}
@@ -187,6 +199,9 @@
 // evaluate compares what the clients were answered with what the workers ran.
 func (r *soakRun) evaluate(jobs []*job, done []bool) Result {
 	result := Result{Faults: r.faults, Violations: r.fleet.Violations()}
+	if r.Changes {
+		result.Checked, result.Violations = r.changes.evaluate(result.Violations)
+	}
 	for i, j := range jobs {
 		if j.violation != "" {
 			result.Violations = append(result.Violations, j.violation)
--- a/internal/bench/berylsoak/soak_test.go
+++ b/internal/bench/berylsoak/soak_test.go
@@ -45,6 +45,27 @@
 	}
 }
 
+// outdatedConfiguration is the cause of failures with changes of the configuration: any answer of the store, and any answer of a scheduling
+// node that had heard of it, counted as proof that a node's configuration was current.
+const outdatedConfiguration = "nodes answered by an outdated configuration"
+
+// Each answer that depends on the configuration must be one that a version allows which may be in force, also right after a restart, a pause
+// or a cut, and over slow links.
+func TestSoakWithChangesOfTheConfiguration(t *testing.T) {
+	program := buildDaemon(t)
+	for seed, cause := range map[uint64]string{2003: outdatedConfiguration, 2021: outdatedConfiguration, 2022: outdatedConfiguration, 2041: "never failed"} {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			r, err := Soak{
+				Program: program, Seed: seed, Daemons: 4, Workers: 6, Jobs: 60, Duration: 15 * time.Second, Logs: t.TempDir(), Changes: true,
+			}.Run(context.Background())
+			assert.NilError(t, err)
+			assert.Check(t, len(r.Violations) == 0, "%s: %v after %v", cause, r.Violations, r.Faults)
+			assert.Check(t, r.Done > 0 && r.Checked > 100, "%d done, %d checked", r.Done, r.Checked)
+		})
+	}
+}
+
 func TestShortSoak(t *testing.T) {
 	program := buildDaemon(t)
 	for seed, cause := range seeds {
--- a/internal/standin/berylfleet/operator.go
+++ b/internal/standin/berylfleet/operator.go
@@ -27,25 +27,43 @@
 platform: {address: %q, form: "table", row_bytes: 65536}
 cloud_api: {address: %q, duties_per_s: 64.0}
 bounds: {grace_s: 4, hold_max_ms: 10000, stop_timeout_ms: 200, status_s: 120, lease_ms: 3000, remote_factor: 1.5,
-  notice_ms: 4500, migrate_s: 1.5, maintenance_s: 2, gang_timeout_ms: 3000}
+  config_apply_ms: 2000, notice_ms: 4500, migrate_s: 1.5, maintenance_s: 2, gang_timeout_ms: 3000}
 `, s.Node, s.IP, s.IP, s.CallersPort, s.IP, s.ReadinessPort, s.InternalPort, s.InternalPort+15, s.MemoryMB, s.StoreAddress, s.InstancesAddress)
 }
 
-// Configuration returns the configuration row of an operator: one queue with the prefix /q/, one pool, one team. The
-// team's ceiling is in thousandths of a core; 0 means that it has none.
-func Configuration(host, key string, ceiling int) Row {
+// Configuration is what an operator stores as the configuration: one pool, the queue /q/ of one team, and public queues.
+type Configuration struct {
+	Version int
+	Host    string
+	Keys    []string
+	// Ceiling is the team's, in thousandths of a core; 0 means that it has none.
+	Ceiling int
+	// Public holds the prefixes of the public queues.
+	Public []string
+}
+
+// Row returns the configuration as a row of the store.
+func (c Configuration) Row() Row {
+	queue := func(name, prefix string, public bool) map[string]any {
+		return map[string]any{
+			"name": name, "host": c.Host, "prefix": prefix, "service": "p", "max_attempts": 3, "slack_factor": 1.6,
+			"target_latency_ms": 600, "public": public,
+		}
+	}
+	queues := []map[string]any{queue("q", "/q/", false)}
+	for _, prefix := range c.Public {
+		queues = append(queues, queue("public"+prefix, prefix, true))
+	}
 	b, err := json.Marshal(map[string]any{
-		"version": 1,
-		"routes": []map[string]any{{
-			"name": "q", "host": host, "prefix": "/q/", "service": "p", "max_attempts": 3, "slack_factor": 1.6, "target_latency_ms": 600,
-		}},
+		"version":  c.Version,
+		"routes":   queues,
 		"services": []map[string]any{{"name": "p"}},
 		"tenants": []map[string]any{{
-			"name": "t", "api_keys": []string{key}, "weight": 1, "maximum": map[string]int{"cpu": ceiling},
+			"name": "t", "api_keys": c.Keys, "weight": 1, "maximum": map[string]int{"cpu": c.Ceiling},
 		}},
 	})
 	if err != nil {
-		panic(err) // The map has only texts and numbers.
+		panic(err) // The map has only texts, numbers and booleans.
 	}
 	return Row{Table: "op", Key: "config", Value: b}
 }
