Order instances for tasks that no worker of their pool can take

Cause: a pool got instances by the capacity that its tasks need, or by a label. A limit per worker, workers that are full of long-running tasks, a gang that needs its places at once, and a worker that is to be emptied while no other may take its tasks are not visible in either. The class of fault is a wait without an event that can end it.

Change: for each waiting step, places are counted on the workers of its pool as they would be without short tasks; where too few have been there for half a second (at once if no worker has the label), instances on which the tasks fit are moved in, less those on their way. no_instance_suits says why none can. This replaces the needs by label.

--- a/internal/decision/berylscheduler/arrival_test.go
+++ b/internal/decision/berylscheduler/arrival_test.go
@@ -71,10 +71,10 @@
 	next := &poolDemand{name: "next", supply: 3, target: 20, minimum: 20}
 	pools := []*poolDemand{next, past}
 	for range 6 {
-		assert.Assert(t, s.takeDonor(pools, next, "") != "")
+		assert.Assert(t, s.takeDonor(pools, next, donorFilter{}) != "")
 	}
-	assert.Equal(t, s.takeDonor(pools, next, ""), "", "the pool keeps what it needs now")
-	assert.Equal(t, s.takeDonor(pools, past, ""), "", "a pool is not its own donor")
+	assert.Equal(t, s.takeDonor(pools, next, donorFilter{}), "", "the pool keeps what it needs now")
+	assert.Equal(t, s.takeDonor(pools, past, donorFilter{}), "", "a pool is not its own donor")
 }
 
 // An instance that has just become idle must not go to standby: the burst passes to the next queue, and the instance would reach
--- a/internal/decision/berylscheduler/fleet.go
+++ b/internal/decision/berylscheduler/fleet.go
@@ -50,8 +50,9 @@
 	arrivals         []arrival
 	loadLoggedAt     time.Time
 	budget           orderBudget
-	// labelNeeds holds when a pool last lacked an instance with a label.
-	labelNeeds map[labelNeed]time.Time
+	// alternatives holds the steps with a task on a worker that is to be emptied, and when no other worker could last take it.
+	alternatives       map[*stepState]time.Time
+	noInstanceLoggedAt time.Time
 	// invalidMoves holds the kinds of moves that the platform has rejected as not allowed.
 	invalidMoves map[string]bool
 	// storedWaves holds the rows of waves that earlier epochs have stored.
@@ -223,7 +224,7 @@
 		}
 		if !s.hasAlternativeWorker(r.task, w) {
 			s.prepareAlternative(r.task, w)
-			s.recordLabelNeed(r.task)
+			s.requestAlternative(r.task)
 			continue
 		}
 		s.stop(r, "worker is vacated")
--- a/internal/decision/berylscheduler/job.go
+++ b/internal/decision/berylscheduler/job.go
@@ -58,6 +58,8 @@
 	// last kept free for the step.
 	blockedSince   time.Time
 	reservedWorker *worker
+	// shortSince is since when the pool has had too few workers that can take the step's waiting tasks.
+	shortSince time.Time
 	// waitLoggedAt is when the wait was last logged.
 	waitLoggedAt time.Time
 }
--- a/internal/decision/berylscheduler/place.go
+++ b/internal/decision/berylscheduler/place.go
@@ -73,12 +73,6 @@
 	reservations int
 }
 
-// hasLabelled reports whether a worker of the pool has the label; each has the empty one.
-func (p *poolWorkers) hasLabelled(label string) bool {
-	has := func(w *worker) bool { return label == "" || w.info.HasLabel(label) }
-	return slices.ContainsFunc(p.workers, has) || slices.ContainsFunc(p.preparing, has) || slices.ContainsFunc(p.unprepared, has)
-}
-
 // updateMaxFree computes maxFree from the present use of the workers.
 func (p *poolWorkers) updateMaxFree() {
 	p.maxFree = beryllatch.Resources{}
@@ -181,9 +175,6 @@
 		}
 		if w == nil {
 			pool.updateMaxFree()
-			if !pool.hasLabelled(t.step.spec.RequiredLabel) {
-				s.recordLabelNeed(t)
-			}
 			if !c.late {
 				s.reserveWorker(t, pool)
 			}
@@ -321,7 +312,6 @@
 	placed := s.planGang(st, workers)
 	if placed == nil {
 		s.requestAdvice(st, workers)
-		s.recordLabelNeed(st.tasks[0])
 		return
 	}
 	n := s.nextRun(st.lastRun)
--- a/internal/decision/berylscheduler/pool.go
+++ b/internal/decision/berylscheduler/pool.go
@@ -64,10 +64,10 @@
 	s.logPoolLoad(pools)
 	budget := &s.fleet.budget
 	budget.refill(s.now, s.Limits.InstanceOrders)
-	s.moveLabelledInstances(pools)
 	for _, p := range pools {
 		s.fillPool(pools, p)
 	}
+	s.movePlaces(pools)
 	s.moveIdleToStandby(pools)
 	s.advanceInstanceOrders()
 }
@@ -78,7 +78,7 @@
 	missing := p.target - p.supply
 	for missing > 0 && s.fleet.budget.allowsOrder() {
 		label := p.scarcestLabel()
-		instance := s.takeDonor(pools, p, label)
+		instance := s.takeDonor(pools, p, donorFilter{label: label})
 		switch {
 		case instance == "" && label == "":
 			return
@@ -282,17 +282,27 @@
 	return needs
 }
 
+// donorFilter allows instances with a label, unless it is empty, and with a capacity of at least room.
+type donorFilter struct {
+	label string
+	room  beryllatch.Resources
+}
+
+func (f donorFilter) allows(i beryllatch.FleetInstance) bool {
+	return (f.label == "" || slices.Contains(i.Labels, f.label)) && f.room.Fits(i.Capacity)
+}
+
 // takeDonor removes the instance that is easiest to spare from its pool's demand and returns it: one on standby, else an idle
 // one, else one with short tasks only, else an idle one that its pool keeps only for the case that its last peak comes back, else
 // one that its pool cannot use. Instances that a wave still has to maintain come last in each of these groups, since they would
-// soon leave again. With a label, only instances with that label are considered.
-func (s *Scheduler) takeDonor(pools []*poolDemand, to *poolDemand, label string) string {
+// soon leave again. Only instances that the filter allows are considered.
+func (s *Scheduler) takeDonor(pools []*poolDemand, to *poolDemand, filter donorFilter) string {
 	anyInstance := func(string) bool { return true }
 	take := func(list *[]string, from *poolDemand, suits func(string) bool) string {
 		best := -1
 		for n, name := range *list {
 			i := s.fleet.instances[name]
-			if s.fleet.orders[name] != nil || s.fleet.invalidMoves[moveKind(i, to.name)] || label != "" && !slices.Contains(i.Labels, label) || !suits(name) {
+			if s.fleet.orders[name] != nil || s.fleet.invalidMoves[moveKind(i, to.name)] || !filter.allows(i) || !suits(name) {
 				continue
 			}
 			if best = n; !s.awaitsWave(name) {
--- a/internal/decision/berylscheduler/reserve.go
+++ b/internal/decision/berylscheduler/reserve.go
@@ -29,7 +29,6 @@
 	}
 	w := s.workerToReserve(t, pool)
 	if w == nil {
-		s.recordLabelNeed(t)
 		return
 	}
 	pool.reservations++
