Never go back to an older state of the workers' registrations

A new epoch also read the table twice.

Change: the session keeps the version of the store that its registry shows, follows the changes from there, and ignores an older read of the whole table (registry.stale_read), which it repeats after a pause.

Evidence: TestStaleReadBringsNoWorkerBack failed before (a worker that had left was registered again) and passes.

--- a/internal/node/beryljobs/session.go
+++ b/internal/node/beryljobs/session.go
@@ -52,6 +52,8 @@
 	closed   bool
 	// storeTimeout and workerTimeout give the time-outs of transactions and of calls to workers.
 	storeTimeout, workerTimeout adaptiveTimeout
+	// registryVersion is the version of the store that the scheduler's registry shows.
+	registryVersion int64
 	// successor is the node that the scheduling role is handed to; "" while there is none.
 	successor string
 	// committing counts transactions in flight.
@@ -90,7 +92,7 @@
 			return err
 		},
 		func() (err error) {
-			registry, err = s.readRegistry(ctx)
+			registry, s.registryVersion, err = s.readRegistry(ctx)
 			return err
 		},
 		func() error {
@@ -431,9 +433,9 @@
 	return o.version, o.err != nil && speed == berylrelay.StoreNoAnswer, o.err
 }
 
-func (s *session) readRegistry(ctx context.Context) ([]beryllatch.WorkerInfo, error) {
-	rows, _, err := s.node.rows().Rows(ctx, s.node.View.WorkersTable(), "")
-	return s.decodeWorkers(rows), err
+func (s *session) readRegistry(ctx context.Context) ([]beryllatch.WorkerInfo, int64, error) {
+	rows, version, err := s.node.rows().Rows(ctx, s.node.View.WorkersTable(), "")
+	return s.decodeWorkers(rows), version, err
 }
 
 func (s *session) decodeWorkers(rows []beryllatch.DataRow) []beryllatch.WorkerInfo {
@@ -449,33 +451,47 @@
 	return out
 }
 
-// watchRegistry follows the table of the workers' registrations.
+// watchRegistry follows the table of the workers' registrations from registryVersion on.
 func (s *session) watchRegistry(ctx context.Context) {
-	table := s.node.View.WorkersTable()
-	version := int64(-1)
+	complete := false
 	for ctx.Err() == nil {
-		if version < 0 {
-			rows, next, err := s.node.rows().Rows(ctx, table, "")
-			if err == nil {
-				version = next
-				s.apply(berylscheduler.RegistryRead{Workers: s.decodeWorkers(rows)})
-			}
-		} else {
-			rows, next, err := s.node.rows().Changes(ctx, table, version, registryWait)
-			var lost *beryllatch.HistoryLostError
-			if errors.As(err, &lost) {
-				version = -1
-				continue
-			}
-			if err == nil {
-				version = next
-				s.applyRegistry(rows)
-			}
+		if complete {
+			complete = !s.rereadRegistry(ctx)
+			pause(ctx, registryPause)
+			continue
+		}
+		rows, version, err := s.node.rows().Changes(ctx, s.node.View.WorkersTable(), s.registryVersion, registryWait)
+		var lost *beryllatch.HistoryLostError
+		if errors.As(err, &lost) {
+			s.node.Log.Event("history_lost", lost.Table, "")
+			complete = true
+			continue
+		}
+		if err == nil {
+			s.registryVersion = version
+			s.applyRegistry(rows)
 		}
 		pause(ctx, registryPause)
 	}
 }
 
+// rereadRegistry reads the whole table. The result is false if that failed, or showed an older state than the present one: it would bring
+// workers back that have left.
+func (s *session) rereadRegistry(ctx context.Context) bool {
+	workers, version, err := s.readRegistry(ctx)
+	if err != nil {
+		return false
+	}
+	if version < s.registryVersion {
+		s.node.Log.Event("stale_read_ignored", s.node.View.WorkersTable(), fmt.Sprintf("version %d after %d", version, s.registryVersion))
+		s.node.Metrics.Count("registry.stale_read", 1)
+		return false
+	}
+	s.registryVersion = version
+	s.apply(berylscheduler.RegistryRead{Workers: workers})
+	return true
+}
+
 // applyRegistry applies changed rows. If a key has changed more than once, its last row counts.
 func (s *session) applyRegistry(rows []beryllatch.DataRow) {
 	last := make(map[string]int, len(rows))
--- a/internal/node/beryljobs/stale_cluster_test.go
+++ b/internal/node/beryljobs/stale_cluster_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/beryllatch/beryllatch"
 	"github.com/beryllatch/beryllatch/internal/common/berylmetrics"
+	"github.com/beryllatch/beryllatch/internal/decision/berylscheduler"
 	"github.com/beryllatch/beryllatch/internal/rpc/berylwire"
 	"gotest.tools/v3/assert"
 )
@@ -201,3 +202,53 @@
 		assert.Equal(t, n.configVersion(), int64(2))
 	})
 }
+
+// registryView decodes each registration as a worker with the row's key as ID.
+type registryView struct{ versionView }
+
+func (registryView) Worker(r beryllatch.DataRow) (beryllatch.WorkerInfo, error) {
+	return beryllatch.WorkerInfo{ID: r.Key, Pool: "p"}, nil
+}
+
+// staleRegistry has lost the history of the registrations, and answers the first reads of all of them from an old state.
+type staleRegistry struct {
+	*memoryStore
+	stale int
+}
+
+func (s *staleRegistry) Rows(ctx context.Context, table, part string) ([]beryllatch.DataRow, int64, error) {
+	if table != (registryView{}).WorkersTable() {
+		return s.memoryStore.Rows(ctx, table, part)
+	}
+	if s.stale--; s.stale >= 0 {
+		return []beryllatch.DataRow{{Table: table, Key: "left"}, {Table: table, Key: "stays"}}, 10, nil
+	}
+	return []beryllatch.DataRow{{Table: table, Key: "stays"}}, 30, nil
+}
+
+func (s *staleRegistry) Changes(ctx context.Context, table string, after int64, wait time.Duration) ([]beryllatch.DataRow, int64, error) {
+	if after < 30 {
+		return nil, 0, &beryllatch.HistoryLostError{Table: table}
+	}
+	return s.memoryStore.Changes(ctx, table, after, wait)
+}
+
+// A worker that has left must not come back by a read of the registry that was answered from an older state.
+func TestStaleReadBringsNoWorkerBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &staleRegistry{memoryStore: &memoryStore{}, stale: 2}
+		n := &Node{View: registryView{}, Store: store, Log: &DecisionLog{}, Metrics: berylmetrics.New()}
+		ctx, cancel := context.WithCancel(t.Context())
+		s := &session{node: n, ctx: ctx, endEpoch: cancel, registryVersion: 20}
+		s.apply(berylscheduler.Recovered{})
+		s.apply(berylscheduler.RegistryRead{Workers: []beryllatch.WorkerInfo{{ID: "stays", Pool: "p"}}})
+		go s.watchRegistry(ctx)
+		for range 20 {
+			time.Sleep(100 * time.Millisecond)
+			assert.Equal(t, n.Metrics.Counter("decisions.worker_registered"), int64(1))
+		}
+		cancel()
+		synctest.Wait()
+		assert.Equal(t, s.registryVersion, int64(30))
+	})
+}
