Count no task as at work while an earlier epoch's stop may end it

Cause: a worker takes up to stop_timeout_ms (0.9 s there) for a stop, and lists the run as running meanwhile. A new epoch doesn't know of stops that the one before has ordered.

Change: until a worker that had runs of an earlier epoch has known the new one for stop_timeout_ms and 0.3 s, its tasks count as away when another task of their step is to be stopped.

Evidence: TestTakeoverWaitsForStopsOfTheEarlierEpoch failed before (an instance was maintained at once) and passes.

--- a/internal/decision/berylscheduler/fleet.go
+++ b/internal/decision/berylscheduler/fleet.go
@@ -194,7 +194,7 @@
 	}
 	missing := 0
 	for _, o := range st.tasks {
-		if o != t && !o.hasFullRun(vacated) {
+		if o != t && !s.hasFullRun(o, vacated) {
 			missing++
 		}
 	}
@@ -202,10 +202,11 @@
 }
 
 // hasFullRun reports whether a long-running task has a run at full performance on a worker that answers, is not about to be
-// moved or maintained, and is not the vacated one.
-func (t *task) hasFullRun(vacated *worker) bool {
+// moved or maintained, is not the vacated one, and stops no run on an order of an earlier epoch.
+func (s *Scheduler) hasFullRun(t *task, vacated *worker) bool {
 	for _, r := range t.runs {
-		if r.percent >= 100 && r.phase == runPresent && r.worker != vacated && !r.worker.instanceOrderSent && r.worker.failedHolds == 0 {
+		w := r.worker
+		if r.percent >= 100 && r.phase == runPresent && w != vacated && !w.instanceOrderSent && w.failedHolds == 0 && !s.now.Before(w.stopsEndBy) {
 			return true
 		}
 	}
--- a/internal/decision/berylscheduler/harness_test.go
+++ b/internal/decision/berylscheduler/harness_test.go
@@ -54,7 +54,7 @@
 
 func testScheduler(epoch, version int64) *Scheduler {
 	return &Scheduler{Epoch: epoch, OwnerVersion: version, Limits: Limits{
-		MaxLease: 10 * time.Second, JobRetention: 120 * time.Second, RemoteFactor: 1.5,
+		MaxLease: 10 * time.Second, StopTimeout: 200 * time.Millisecond, JobRetention: 120 * time.Second, RemoteFactor: 1.5,
 		MoveTime: 1500 * time.Millisecond, MaintenanceTime: 2 * time.Second,
 		RowBytes: 65536,
 	}}
--- a/internal/decision/berylscheduler/scheduler.go
+++ b/internal/decision/berylscheduler/scheduler.go
@@ -35,7 +35,9 @@
 	// HandoverPause is the least time between the last instance order of one scheduling node and the first one of the next, if
 	// both are connected to the platform.
 	HandoverPause time.Duration
-	JobRetention  time.Duration
+	// StopTimeout is how long a worker may take to stop a run.
+	StopTimeout  time.Duration
+	JobRetention time.Duration
 	// RemoteFactor is how many times longer a task takes on another rack than its data.
 	RemoteFactor float64
 	// RestoreTime is how long a resumed task takes to load its checkpoint.
--- a/internal/decision/berylscheduler/wave_test.go
+++ b/internal/decision/berylscheduler/wave_test.go
@@ -1,6 +1,7 @@
 package berylscheduler
 
 import (
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -124,3 +125,38 @@
 	assert.Equal(t, len(next.maintainedInstances()), 1)
 	assert.Assert(t, next.maintainedInstances()[0] != first[0])
 }
+
+// After a takeover, a worker may still be stopping a task on an order of the previous scheduling node, and lists it as running. No other task
+// may be stopped that its step could then not do without.
+func TestTakeoverWaitsForStopsOfTheEarlierEpoch(t *testing.T) {
+	h := newHarness(t)
+	stored := make(storedRows)
+	h.apply(RegistryChanged{Workers: []beryllatch.WorkerInfo{workerInfo("a"), workerInfo("b")}})
+	h.storeInto(stored)
+	j := singleTaskJob("0000000000000001")
+	j.Steps[0].Count, j.Steps[0].LongRunning, j.Steps[0].MaxPerWorker, j.Steps[0].MaxMissing = 2, true, 1, 1
+	h.submit(j)
+	for range 3 {
+		h.storeInto(stored)
+		h.answerHolds(nil)
+		h.tickFor(100 * time.Millisecond)
+	}
+	starts := h.confirmStarts()
+	assert.Equal(t, len(starts), 2)
+	h.storeInto(stored)
+
+	next := h.takeOver(stored)
+	next.apply(RegistryRead{Workers: []beryllatch.WorkerInfo{workerInfo("a"), workerInfo("b")}})
+	next.answerHolds(runningLists(starts, 100))
+	next.openWave(2, "m-a", "m-b")
+	next.tickFor(100 * time.Millisecond)
+	assert.DeepEqual(t, next.maintainedInstances(), []string(nil))
+	// The task on a was being stopped; the one on b must stay.
+	onB := starts[slices.IndexFunc(starts, func(f StartRun) bool { return f.Worker.ID == "b" })]
+	for range 10 {
+		next.answerHolds(runningLists([]StartRun{onB}, 100))
+		next.tickFor(100 * time.Millisecond)
+		assert.Assert(t, !slices.Contains(next.maintainedInstances(), "m-b"))
+	}
+	assert.DeepEqual(t, next.maintainedInstances(), []string{"m-a"})
+}
--- a/internal/decision/berylscheduler/worker.go
+++ b/internal/decision/berylscheduler/worker.go
@@ -10,6 +10,9 @@
 // and come back.
 const registryGrace = 2500 * time.Millisecond
 
+// stopMargin is the time in which the end of a run is listed and read.
+const stopMargin = 300 * time.Millisecond
+
 // worker is a registered or formerly registered worker with its runs and booked capacity.
 type worker struct {
 	info beryllatch.WorkerInfo
@@ -25,6 +28,8 @@
 	// runs of an earlier one.
 	synced bool
 	runs   map[runID]*run
+	// stopsEndBy is when the stops have ended that an earlier epoch ordered before the worker knew of this one.
+	stopsEndBy time.Time
 	// idleSince is when the last run ended; before the first run, it is when the scheduler learned of the worker.
 	idleSince time.Time
 	// longRunningRuns counts the runs of long-running tasks, and longRunningUse is the capacity booked for them.
--- a/internal/node/berylentry/entry.go
+++ b/internal/node/berylentry/entry.go
@@ -108,7 +108,7 @@
 		Name: settings.Node, Address: net.JoinHostPort(settings.IP, strconv.Itoa(settings.FirstPort)),
 		CPUShare: settings.CPUShare, ConfigurationDelay: b.ConfigurationDelay,
 		Limits: berylscheduler.Limits{
-			MaxLease: b.MaxLease, HandoverPause: b.HandoverPause, JobRetention: b.JobRetention, RemoteFactor: b.RemoteFactor,
+			MaxLease: b.MaxLease, HandoverPause: b.HandoverPause, StopTimeout: b.StopTimeout, JobRetention: b.JobRetention, RemoteFactor: b.RemoteFactor,
 			RestoreTime: b.RestoreTime, InstanceOrders: settings.InstanceOrders,
 			MoveTime: b.MoveTime, MaintenanceTime: b.MaintenanceTime,
 			RowBytes: settings.RowBytes,
