Move the registry's reads into a file of their own

A registry loop that is restarted after a panic reads the whole table first again, as it did before it followed the changes from the session's start.

--- a/internal/node/beryljobs/session.go
+++ b/internal/node/beryljobs/session.go
@@ -16,10 +16,6 @@
 const (
 	// tickInterval is the time between the Ticked events, which trigger the decisions that depend on time alone.
 	tickInterval = 100 * time.Millisecond
-	// registryPause is the pause between reads of the registry, which changes all the time.
-	registryPause = 150 * time.Millisecond
-	// registryWait is how long the store may delay its answer while the registry has not changed.
-	registryWait = time.Second
 	// holdMargin is added to the time for which a worker may delay its answer to a hold call.
 	holdMargin = 250 * time.Millisecond
 	// slowCommit is how long a transaction must take to be logged: ten times the usual 8 ms.
@@ -54,6 +50,8 @@
 	storeTimeout, workerTimeout adaptiveTimeout
 	// registryVersion is the version of the store that the scheduler's registry shows.
 	registryVersion int64
+	// registryWatched is true once watchRegistry has been called.
+	registryWatched bool
 	// successor is the node that the scheduling role is handed to; "" while there is none.
 	successor string
 	// committing counts transactions in flight.
@@ -433,86 +431,6 @@
 	return o.version, o.err != nil && speed == berylrelay.StoreNoAnswer, o.err
 }
 
-func (s *session) readRegistry(ctx context.Context) ([]beryllatch.WorkerInfo, int64, error) {
-	rows, version, err := s.node.rows().Rows(ctx, s.node.View.WorkersTable(), "")
-	return s.decodeWorkers(rows), version, err
-}
-
-func (s *session) decodeWorkers(rows []beryllatch.DataRow) []beryllatch.WorkerInfo {
-	var out []beryllatch.WorkerInfo
-	for _, r := range rows {
-		w, err := s.node.View.Worker(r)
-		if err != nil {
-			s.node.Log.Event("registration_unreadable", r.Key, err.Error())
-			continue
-		}
-		out = append(out, w)
-	}
-	return out
-}
-
-// watchRegistry follows the table of the workers' registrations from registryVersion on.
-func (s *session) watchRegistry(ctx context.Context) {
-	complete := false
-	for ctx.Err() == nil {
-		if complete {
-			complete = !s.rereadRegistry(ctx)
-			pause(ctx, registryPause)
-			continue
-		}
-		rows, version, err := s.node.rows().Changes(ctx, s.node.View.WorkersTable(), s.registryVersion, registryWait)
-		var lost *beryllatch.HistoryLostError
-		if errors.As(err, &lost) {
-			s.node.Log.Event("history_lost", lost.Table, "")
-			complete = true
-			continue
-		}
-		if err == nil {
-			s.registryVersion = version
-			s.applyRegistry(rows)
-		}
-		pause(ctx, registryPause)
-	}
-}
-
-// rereadRegistry reads the whole table. The result is false if that failed, or showed an older state than the present one: it would bring
-// workers back that have left.
-func (s *session) rereadRegistry(ctx context.Context) bool {
-	workers, version, err := s.readRegistry(ctx)
-	if err != nil {
-		return false
-	}
-	if version < s.registryVersion {
-		s.node.Log.Event("stale_read_ignored", s.node.View.WorkersTable(), fmt.Sprintf("version %d after %d", version, s.registryVersion))
-		s.node.Metrics.Count("registry.stale_read", 1)
-		return false
-	}
-	s.registryVersion = version
-	s.apply(berylscheduler.RegistryRead{Workers: workers})
-	return true
-}
-
-// applyRegistry applies changed rows. If a key has changed more than once, its last row counts.
-func (s *session) applyRegistry(rows []beryllatch.DataRow) {
-	last := make(map[string]int, len(rows))
-	for i, r := range rows {
-		last[r.Key] = i
-	}
-	var e berylscheduler.RegistryChanged
-	var present []beryllatch.DataRow
-	for i, r := range rows {
-		switch {
-		case last[r.Key] != i:
-		case r.Deleted:
-			e.Removed = append(e.Removed, r.Key)
-		default:
-			present = append(present, r)
-		}
-	}
-	e.Workers = s.decodeWorkers(present)
-	s.apply(e)
-}
-
 // applyAndWait applies an event that carries the number of a call, and waits for the scheduler to answer that call.
 func (s *session) applyAndWait(ctx context.Context, event func(call uint64) berylscheduler.Event) error {
 	answer := make(chan error, 1)
