Don't let a busy scheduler make the node's configuration look old

Found by reading the change: the loop that reads the configuration waited for the session's lock before it recorded the read, so that a scheduling node under load would have refused its own callers.

Change: the session is updated in a goroutine of its own; the order doesn't matter, since it takes what is newest. Only the last version of a batch is decoded.

--- a/internal/node/beryljobs/node.go
+++ b/internal/node/beryljobs/node.go
@@ -58,7 +58,8 @@
 	operations  atomic.Pointer[beryllatch.Operations]
 	// packedConfig is the compressed configuration for other nodes.
 	packedConfig atomic.Pointer[packedConfig]
-	fetching     atomic.Bool
+	// fetching is true while a fetch of the configuration from the scheduling node is under way.
+	fetching atomic.Bool
 	// catchingUp holds a value while a call reads a newer configuration that another node has.
 	catchingUp chan struct{}
 
@@ -69,8 +70,8 @@
 	mu sync.Mutex
 	// lastStoreAnswer is when the store last answered.
 	lastStoreAnswer time.Time
-	// operationsRead is when the last read of the configuration and the operators' requests that was answered was sent: this node knows
-	// all changes of before.
+	// operationsRead is when the last answered read of the configuration and the operators' requests was sent. The node knows all
+	// changes up to then.
 	operationsRead time.Time
 	// lastConfirmed is the time up to which this node knows all changes of the configuration by the scheduling node's answers to
 	// its probes.
--- a/internal/node/beryljobs/operations.go
+++ b/internal/node/beryljobs/operations.go
@@ -96,12 +96,11 @@
 	if old := n.operations.Load(); old != nil && !complete {
 		ops = *old
 	}
-	changed, readable := complete, true
+	changed, config := complete, beryllatch.DataRow{Deleted: true}
 	for _, r := range rows {
 		if r.Key == n.View.ConfigurationKey() {
-			if !r.Deleted {
-				readable = n.applyConfiguration(r, sourceStore)
-			}
+			// Only the last one of several versions counts.
+			config = r
 			continue
 		}
 		o, err := n.View.ApplyOperation(ops, r)
@@ -115,7 +114,7 @@
 		n.operations.Store(&ops)
 		n.updateSession()
 	}
-	return readable
+	return config.Deleted || n.applyConfiguration(config, sourceStore)
 }
 
 // configSource tells where a configuration was read.
@@ -149,9 +148,10 @@
 	return true
 }
 
-// updateSession makes the scheduler, if this node schedules, use the present configuration and operators' requests.
+// updateSession makes the scheduler, if this node schedules, use the present configuration and operators' requests. It doesn't wait for
+// the session's lock: a busy scheduler must not make the node's configuration look old.
 func (n *Node) updateSession() {
 	if s := n.localSession(); s != nil {
-		s.update()
+		go s.update()
 	}
 }
