Hand the scheduling over from a machine that has become slow

Cause: a scheduling node is replaced if it ends, is silent, or loses the store. A slow one goes on to renew its heartbeat.

Change: each node compares the time of a fixed computation (8 KB hashed, the shortest of four runs, median of nine samples) with the least such median so far; three times as much is slow. It tells so with its probes. A scheduling node that is slow hands over to a node with no smaller share of a core that isn't, after 1.5 s of scheduling at the earliest.

Ruled out: the least single sample as the reference.

--- a/internal/node/beryljobs/node.go
+++ b/internal/node/beryljobs/node.go
@@ -52,6 +52,7 @@
 	relay       berylrelay.Relay
 	relayOnce   sync.Once
 	incarnation string
+	speed       speedMeter
 	stopping    atomic.Bool
 	configRow   atomic.Pointer[beryllatch.DataRow]
 	deployment  atomic.Pointer[beryllatch.Deployment]
@@ -111,6 +112,7 @@
 type peer struct {
 	address  string
 	cpuShare float64
+	slow     bool
 	storeAge time.Duration
 	probedAt time.Time
 }
--- a/internal/node/beryljobs/remote.go
+++ b/internal/node/beryljobs/remote.go
@@ -124,12 +124,13 @@
 	if !ok {
 		return probeFailed
 	}
+	n.speed.sample()
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	sent := time.Now()
 	r, err := n.client(sn).Probe(ctx, &berylwire.ProbeRequest{
 		Node: n.Name, ConfigVersion: n.configVersion(), CpuShare: n.CPUShare, StoreAgeMs: n.storeAge().Milliseconds(),
-		Address: n.Address, SeparateConfig: true,
+		Address: n.Address, SeparateConfig: true, Slow: n.speed.slow(),
 	})
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
--- a/internal/node/beryljobs/session.go
+++ b/internal/node/beryljobs/session.go
@@ -141,6 +141,7 @@
 		select {
 		case <-s.ctx.Done():
 		case <-ticker.C:
+			s.node.speed.sample()
 			s.apply(berylscheduler.Ticked{})
 			s.successor = s.node.findSuccessor(s.began)
 		case <-s.node.wake:
--- a/internal/node/beryljobs/takeover.go
+++ b/internal/node/beryljobs/takeover.go
@@ -53,6 +53,8 @@
 	largerFactor = 1.5
 	// minSchedulingTime is the least time that a node schedules before it hands over to a larger one.
 	minSchedulingTime = 4 * time.Second
+	// minSlowSchedulingTime is the same on a machine that has become slow.
+	minSlowSchedulingTime = 1500 * time.Millisecond
 	// peerExpiry is how long the scheduling node remembers a node that no longer probes it.
 	peerExpiry = 2 * time.Second
 	// releaseTimeout bounds the release of the scheduling role. If it fails, the other nodes find out by their probes
@@ -228,7 +230,7 @@
 		n.peers = make(map[string]peer)
 	}
 	n.peers[r.GetNode()] = peer{
-		address: r.GetAddress(), cpuShare: r.GetCpuShare(), storeAge: time.Duration(r.GetStoreAgeMs()) * time.Millisecond, probedAt: time.Now(),
+		address: r.GetAddress(), cpuShare: r.GetCpuShare(), slow: r.GetSlow(), storeAge: time.Duration(r.GetStoreAgeMs()) * time.Millisecond, probedAt: time.Now(),
 	}
 	largerNodes, equalNodes := 0, 0
 	if n.CPUShare > largerFactor*r.GetCpuShare() {
@@ -273,21 +275,33 @@
 	return out
 }
 
-// findSuccessor returns the node with a much larger share of a core that should schedule instead of this one. It
-// returns "" if there is none, or if this node has not yet scheduled for long enough.
+// findSuccessor returns the node that should schedule instead of this one: one with a much larger share of a core or, if this machine
+// has become slow, one that has not and has no smaller share. It returns "" if there is none, or if this node has not yet scheduled for
+// long enough.
 func (n *Node) findSuccessor(began time.Time) string {
+	slow := n.speed.slow()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if time.Since(began) < max(minSchedulingTime, n.Limits.HandoverPause) {
+	wait := max(minSchedulingTime, n.Limits.HandoverPause)
+	if slow {
+		wait = minSlowSchedulingTime
+	}
+	if time.Since(began) < wait {
 		return ""
 	}
-	successor, largest := "", largerFactor*n.CPUShare
+	successor, largest := "", 0.0
 	for _, name := range slices.Sorted(maps.Keys(n.peers)) {
 		p := n.peers[name]
-		if time.Since(p.probedAt) <= probeInterval+probeTimeout && p.storeAge < staleAfter && p.cpuShare > largest {
+		if p.slow || time.Since(p.probedAt) > probeInterval+probeTimeout || p.storeAge >= staleAfter || p.cpuShare <= largest {
+			continue
+		}
+		if p.cpuShare > largerFactor*n.CPUShare || slow && p.cpuShare >= n.CPUShare {
 			successor, largest = name, p.cpuShare
 		}
 	}
+	if slow && successor != "" {
+		n.Log.Event("slow_machine", n.Name, "hands over to "+successor)
+	}
 	return successor
 }
 
