--- a/internal/node/beryljobs/stale_cluster_test.go
+++ b/internal/node/beryljobs/stale_cluster_test.go
@@ -142,7 +142,7 @@
 // While the scheduling node is behind, the jobs of nodes with a newer configuration must wait for one read of it, and are not judged by the
 // older one if that read fails.
 func TestSchedulingNodeCatchesUpOnce(t *testing.T) {
-	for name, c := range map[string]struct {
+	for name, tc := range map[string]struct {
 		fails bool
 		reads int64
 	}{
@@ -150,20 +150,20 @@
 		"the store is silent": {true, 40},
 	} {
 		t.Run(name, func(t *testing.T) {
-			testCluster(t, 0, func(t *testing.T, c2 *cluster) {
-				c2.view = versionView{}
+			testCluster(t, 0, func(t *testing.T, c *cluster) {
+				c.view = versionView{}
 				row := beryllatch.DataRow{Table: "operations", Key: "config", Value: []byte("1"), Version: 1}
-				c2.store.rows[rowName(row.Table, row.Part, row.Key)] = row
-				c2.join(0.4)
+				c.store.rows[rowName(row.Table, row.Part, row.Key)] = row
+				c.join(0.4)
 				time.Sleep(2 * time.Second)
-				n := c2.nodes[0]
-				if c.fails {
-					c2.stores[0].setNoOperations()
+				n := c.nodes[0]
+				if tc.fails {
+					c.stores[0].setNoOperations()
 				}
-				c2.store.mu.Lock()
+				c.store.mu.Lock()
 				row.Value = []byte("2")
-				c2.store.rows[rowName(row.Table, row.Part, row.Key)] = row
-				c2.store.mu.Unlock()
+				c.store.rows[rowName(row.Table, row.Part, row.Key)] = row
+				c.store.mu.Unlock()
 				var wg sync.WaitGroup
 				var refused atomic.Int64
 				for range 40 {
@@ -176,9 +176,9 @@
 					})
 				}
 				wg.Wait()
-				assert.Equal(t, refused.Load() == 40, c.fails, "%d refused", refused.Load())
-				reads := c2.stores[0].configReads.Load()
-				assert.Assert(t, reads <= c.reads, "%d reads", reads)
+				assert.Equal(t, refused.Load() == 40, tc.fails, "%d refused", refused.Load())
+				reads := c.stores[0].configReads.Load()
+				assert.Assert(t, reads <= tc.reads, "%d reads", reads)
 			})
 		})
 	}
