Share the order of a move, and the check for reads of an older state

From a reading of the whole change: fillPool and movePlaces ordered a move in the same three lines, and the two loops that read tables compared, logged and counted older states alike. readsLate says that its caller holds the lock. Behaviour, names of counters and logs stay.

--- a/internal/decision/berylscheduler/place_need.go
+++ b/internal/decision/berylscheduler/place_need.go
@@ -54,9 +54,7 @@
 				s.logNoInstance(need, needs[need])
 				break
 			}
-			s.prepareInstanceOrder(&instanceOrder{instance: instance, pool: need.pool})
-			pools[n].supply++
-			s.fleet.budget.takeOrder()
+			s.orderMove(instance, pools[n])
 		}
 	}
 }
--- a/internal/decision/berylscheduler/pool.go
+++ b/internal/decision/berylscheduler/pool.go
@@ -87,14 +87,19 @@
 			delete(p.labelShortage, label)
 			continue
 		}
-		s.prepareInstanceOrder(&instanceOrder{instance: instance, pool: p.name})
+		s.orderMove(instance, p)
 		p.addLabelled(s.fleet.instances[instance])
-		p.supply++
 		missing--
-		s.fleet.budget.takeOrder()
 	}
 }
 
+// orderMove orders the move of an instance to a pool.
+func (s *Scheduler) orderMove(instance string, to *poolDemand) {
+	s.prepareInstanceOrder(&instanceOrder{instance: instance, pool: to.name})
+	to.supply++
+	s.fleet.budget.takeOrder()
+}
+
 // poolDemands returns the demand of all pools, those that lack the most instances first.
 func (s *Scheduler) poolDemands() []*poolDemand {
 	byName := make(map[string]*poolDemand, len(s.deployment.Pools))
--- a/internal/node/beryljobs/configuration.go
+++ b/internal/node/beryljobs/configuration.go
@@ -31,7 +31,8 @@
 	bytes []byte
 }
 
-// readsLate reports whether the store has not answered this node's reads of the configuration as often as it should.
+// readsLate reports whether the store has not answered this node's reads of the configuration as often as it should. The caller holds
+// n.mu.
 func (n *Node) readsLate() bool {
 	return elapsed(n.operationsRead) > 2*n.operationsWait()+probeInterval
 }
--- a/internal/node/beryljobs/operations.go
+++ b/internal/node/beryljobs/operations.go
@@ -86,9 +86,7 @@
 func (n *Node) applyOperations(rows []beryllatch.DataRow, complete bool, version int64) bool {
 	n.operationsMu.Lock()
 	defer n.operationsMu.Unlock()
-	if version < n.operationsVersion {
-		n.Log.Event("stale_read_ignored", n.View.OperationsTable(), fmt.Sprintf("version %d after %d", version, n.operationsVersion))
-		n.Metrics.Count("operations.stale_read", 1)
+	if n.isStaleRead("operations", n.View.OperationsTable(), version, n.operationsVersion) {
 		return false
 	}
 	n.operationsVersion = version
@@ -117,6 +115,16 @@
 	return config.Deleted || n.applyConfiguration(config, sourceStore)
 }
 
+// isStaleRead reports whether a read of a table at a version of the store shows an older state than the known one, and logs and counts it.
+func (n *Node) isStaleRead(what, table string, version, known int64) bool {
+	if version >= known {
+		return false
+	}
+	n.Log.Event("stale_read_ignored", table, fmt.Sprintf("version %d after %d", version, known))
+	n.Metrics.Count(what+".stale_read", 1)
+	return true
+}
+
 // configSource tells where a configuration was read.
 type configSource string
 
--- a/internal/node/beryljobs/registry.go
+++ b/internal/node/beryljobs/registry.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"time"
 
 	"github.com/beryllatch/beryllatch"
@@ -66,12 +65,7 @@
 // workers back that have left.
 func (s *session) rereadRegistry(ctx context.Context) bool {
 	workers, version, err := s.readRegistry(ctx)
-	if err != nil {
-		return false
-	}
-	if version < s.registryVersion {
-		s.node.Log.Event("stale_read_ignored", s.node.View.WorkersTable(), fmt.Sprintf("version %d after %d", version, s.registryVersion))
-		s.node.Metrics.Count("registry.stale_read", 1)
+	if err != nil || s.node.isStaleRead("registry", s.node.View.WorkersTable(), version, s.registryVersion) {
 		return false
 	}
 	s.registryVersion = version
