--- a/internal/decision/berylscheduler/place_need_test.go
+++ b/internal/decision/berylscheduler/place_need_test.go
@@ -113,3 +113,26 @@
 	}
 	assert.DeepEqual(t, h.moves(), []string{spare.Name})
 }
+
+// A task that fits on no instance must not keep another step of its pool from getting one.
+func TestTaskThatFitsNowhereHidesNoOtherNeed(t *testing.T) {
+	h := newHarness(t)
+	ids := []string{"0", "1", "2", "3", "4"}
+	var instances []beryllatch.FleetInstance
+	for _, id := range ids {
+		_, i := labelledWorker(id, "p", "a")
+		instances = append(instances, i)
+	}
+	_, spare := labelledWorker("s", "spare", "a")
+	spare.Worker = ""
+	h.register(ids...)
+	h.apply(InstancesListed{Instances: append(instances, spare)})
+	h.accept(beryllatch.Job{ID: "0000000000000001", Steps: []beryllatch.JobStep{{
+		Count: 1, Needs: beryllatch.Resources{CPUMilli: 18000, MemoryMB: 100}, Estimate: time.Second,
+	}}})
+	h.accept(beryllatch.Job{ID: "0000000000000002", Steps: []beryllatch.JobStep{{
+		Count: len(ids) + 1, Needs: beryllatch.Resources{CPUMilli: 100, MemoryMB: 100}, LongRunning: true, MaxPerWorker: 1,
+	}}})
+	h.holdTicks(3*time.Second, h.confirmStarts())
+	assert.DeepEqual(t, h.moves(), []string{spare.Name})
+}
