Review: stand-ins of the platform, its workers and its clients

The rig runs the entry nodes with the run line of the deploy file against a small store, workers with leases and an interface for machines, and checks the rule TWICE from what the workers see.

--- /dev/null
+++ b/review/rig/fleet.go
@@ -0,0 +1,164 @@
+package rig
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Service is the name of the only service.
+const Service = "quotes"
+
+// Fleet is the platform's workers, and the record of what ran on them.
+type Fleet struct {
+	Store *Store
+	rec   *Record
+	// Quiet is true if single starts and ends are not recorded.
+	Quiet   bool
+	Workers []*Worker
+
+	mu        sync.Mutex
+	durations map[string]time.Duration // By job.
+	running   map[string]map[*run]*Worker
+	doneAt    map[string]time.Time // When a run of the task ended done.
+	notedDone map[string]bool      // Whether such an end was taken note of.
+	again     map[string]string    // A start after a run had ended done, by task.
+	done      map[string]int       // Ended runs, by job.
+	starts    map[string]int
+	noted     int
+}
+
+func newFleet(store *Store, rec *Record) *Fleet {
+	return &Fleet{
+		Store: store, rec: rec, durations: make(map[string]time.Duration), running: make(map[string]map[*run]*Worker),
+		doneAt: make(map[string]time.Time), notedDone: make(map[string]bool), again: make(map[string]string), done: make(map[string]int),
+		starts: make(map[string]int),
+	}
+}
+
+// AddWorker starts a worker.
+func (f *Fleet) AddWorker(id, rack string, cpu int, rate float64) (*Worker, error) {
+	w := &Worker{ID: id, Machine: "m-" + id, Rack: rack, CPU: cpu, Rate: rate, fleet: f}
+	f.mu.Lock()
+	f.Workers = append(f.Workers, w)
+	f.mu.Unlock()
+	return w, w.boot()
+}
+
+// Expect tells how long the tasks of a job take.
+func (f *Fleet) Expect(job string, d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.durations[job] = d
+}
+
+func jobOf(task string) string {
+	job, _, _ := strings.Cut(task, ".")
+	return job
+}
+
+func (f *Fleet) duration(task string) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.durations[jobOf(task)]
+}
+
+// runStarted records a start and checks the rule TWICE.
+func (f *Fleet) runStarted(w *Worker, _ *life, r *run) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.starts[jobOf(r.task)]++
+	if !f.Quiet {
+		f.rec.Add("worker %s starts %s run %d", w.ID, r.task, r.id)
+	}
+	for other, on := range f.running[r.task] {
+		f.rec.Break("TWICE: %s run %d starts on %s while run %d, begun %.1f s ago, is at work on %s, which is up",
+			r.task, r.id, w.ID, other.id, time.Since(other.began).Seconds(), on.ID)
+	}
+	if at, ok := f.doneAt[r.task]; ok {
+		text := fmt.Sprintf("%s run %d starts on %s, %.3f s after a run had ended done", r.task, r.id, w.ID, time.Since(at).Seconds())
+		f.again[r.task] = text
+		if f.notedDone[r.task] {
+			f.rec.Break("TWICE: %s, and that end was taken note of before", text)
+		}
+	}
+	if f.running[r.task] == nil {
+		f.running[r.task] = make(map[*run]*Worker)
+	}
+	f.running[r.task][r] = w
+}
+
+func (f *Fleet) runEnded(w *Worker, r *run, how string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.running[r.task], r)
+	if how == "done" {
+		f.doneAt[r.task] = time.Now()
+		f.done[jobOf(r.task)]++
+	}
+	if !f.Quiet {
+		f.rec.Add("worker %s: %s run %d ends %s", w.ID, r.task, r.id, how)
+	}
+}
+
+// endNoted records that ack_cursor has reached an end.
+func (f *Fleet) endNoted(e end) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.noted++
+	if e.how != "done" || f.notedDone[e.task] {
+		return
+	}
+	f.notedDone[e.task] = true
+	if text, ok := f.again[e.task]; ok {
+		f.rec.Break("TWICE: %s; the end was taken note of later", text)
+	}
+}
+
+// Done returns how many runs of a job have ended done, and Starts how many were started.
+func (f *Fleet) Done(job string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.done[job]
+}
+
+// Starts returns how many runs of a job were started.
+func (f *Fleet) Starts(job string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.starts[job]
+}
+
+// Noted returns how many listed ends were taken note of.
+func (f *Fleet) Noted() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.noted
+}
+
+// ServeHTTP serves the interface for machines; it refuses every move and upkeep as busy.
+func (f *Fleet) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != "/v1/machines" {
+		reply(w, http.StatusConflict, map[string]string{"reason": "busy"})
+		return
+	}
+	f.mu.Lock()
+	workers := append([]*Worker(nil), f.Workers...)
+	f.mu.Unlock()
+	machines := []map[string]any{}
+	for _, k := range workers {
+		k.mu.Lock()
+		state := "up"
+		if k.life == nil || k.life.over {
+			state = "down"
+		}
+		machines = append(machines, map[string]any{
+			"machine": k.Machine, "pool": Service, "state": state, "zone": "nbo-a", "labels": []string{"a", k.Rack},
+			"capacity": map[string]int{"cpu": k.CPU, "mem_mb": 65536, "gpu": 0}, "id": k.ID,
+		})
+		k.mu.Unlock()
+	}
+	reply(w, http.StatusOK, map[string]any{"machines": machines, "next_token": nil})
+}
