--- a/review/1/main.go
+++ b/review/1/main.go
@@ -46,7 +46,7 @@
 	if trouble && os.Getenv("SKIP_RESTART") == "" {
 		first.Crash()
 		time.Sleep(restartTime)
-		if err := first.Restart(); err != nil {
+		if err := first.Restart(0); err != nil {
 			return err
 		}
 	}
--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -28,13 +28,14 @@
 	done      map[string]int       // Ended runs, by job.
 	starts    map[string]int
 	noted     int
+	born      map[string]int64 // The last registered life, by worker.
 }
 
 func newFleet(store *Store, rec *Record) *Fleet {
 	return &Fleet{
 		Store: store, rec: rec, durations: make(map[string]time.Duration), running: make(map[string]map[*run]*Worker),
 		doneAt: make(map[string]time.Time), notedDone: make(map[string]bool), again: make(map[string]string), done: make(map[string]int),
-		starts: make(map[string]int),
+		starts: make(map[string]int), born: make(map[string]int64),
 	}
 }
 
@@ -44,7 +45,16 @@
 	f.mu.Lock()
 	f.Workers = append(f.Workers, w)
 	f.mu.Unlock()
-	return w, w.boot()
+	return w, w.boot(0)
+}
+
+// registered notes the registration of a life, and reports whether it is its first one.
+func (f *Fleet) registered(id string, born int64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	first := f.born[id] != born
+	f.born[id] = born
+	return first
 }
 
 // Expect tells how long the tasks of a job take.
@@ -131,6 +141,19 @@
 	return f.starts[job]
 }
 
+// Running returns how many runs of a job are at work.
+func (f *Fleet) Running(job string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for task, runs := range f.running {
+		if jobOf(task) == job {
+			n += len(runs)
+		}
+	}
+	return n
+}
+
 // Noted returns how many listed ends were taken note of.
 func (f *Fleet) Noted() int {
 	f.mu.Lock()
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -77,8 +77,8 @@
 	return time.Duration(float64(time.Since(l.began)) * w.Rate)
 }
 
-// boot begins a new life, and registers the worker.
-func (w *Worker) boot() error {
+// boot begins a new life; the worker registers after the given time.
+func (w *Worker) boot(registerAfter time.Duration) error {
 	ln, err := net.Listen("tcp", w.listenAddress())
 	if err != nil {
 		return err
@@ -101,7 +101,11 @@
 	go func() { _ = server.Serve(ln) }()
 	go w.work(l)
 	w.fleet.rec.Add("worker %s boots at %s", w.ID, w.address)
-	w.register()
+	if registerAfter == 0 {
+		w.register()
+	} else {
+		time.AfterFunc(registerAfter, w.register)
+	}
 	return nil
 }
 
@@ -127,8 +131,8 @@
 	w.fleet.rec.Add("worker %s crashes", w.ID)
 }
 
-// Restart boots the worker again under its ID and address.
-func (w *Worker) Restart() error { return w.boot() }
+// Restart boots the worker again under its ID and address; it registers after the given time, which is below heartbeat_ms.
+func (w *Worker) Restart(registerAfter time.Duration) error { return w.boot(registerAfter) }
 
 // Cut cuts the worker off from all nodes for d; it runs on.
 func (w *Worker) Cut(d time.Duration) {
@@ -191,6 +195,9 @@
 	}
 	w.mu.Unlock()
 	w.fleet.Store.Put("servers", w.ID, row)
+	if registered := w.fleet.registered(w.ID, row["born"].(int64)); registered {
+		w.fleet.rec.Add("worker %s registers, born %d", w.ID, row["born"])
+	}
 }
 
 func (w *Worker) finish(l *life, r *run, how string) {
