--- /dev/null
+++ b/review/5/main.go
@@ -0,0 +1,81 @@
+// Command case-5 restarts a worker without runs under its ID, and hands a job in before the worker has registered again.
+package main
+
+import (
+	"errors"
+	"time"
+
+	"review/rig"
+)
+
+const (
+	job      = "5c0e7a21d94b36f8"
+	taskTime = 12 * time.Second
+	// restartTime is how long the worker's process is away.
+	restartTime = 100 * time.Millisecond
+	// registerAfter is when the worker writes its first registration after its start; heartbeat_ms is 1,500.
+	registerAfter = 300 * time.Millisecond
+	// submitAfter is when the job comes after the start of the worker.
+	submitAfter = 100 * time.Millisecond
+	// finish is finish_s, which is longer than the job takes; nothing else is handed in meanwhile.
+	finish = 14 * time.Second
+	// idleTime is how long a job with a task whose turn has come may have nothing running.
+	idleTime = 3 * time.Second
+)
+
+func main() {
+	rig.Main("review/5/record.txt", 3, run)
+}
+
+func run(w *rig.World, trouble bool) error {
+	var first *rig.Worker
+	for _, id := range []string{"i-7f3a91c1", "i-7f3a91c2", "i-7f3a91c3"} {
+		k, err := w.Fleet.AddWorker(id, "r1-"+id[len(id)-1:], 16000, 1)
+		if err != nil {
+			return err
+		}
+		if first == nil {
+			first = k
+		}
+	}
+	if err := w.Ready(); err != nil {
+		return err
+	}
+	warm := map[string]any{"spec": "warm", "steps": []map[string]any{{"count": 24, "cpu": 2000, "mem_mb": 256, "estimate_ms": 1000}}}
+	if !w.Submit("00000000000000a1", time.Second, warm, 5) || !w.AwaitState("00000000000000a1", "done", 15*time.Second) {
+		return errors.New("the first job has not run")
+	}
+	time.Sleep(6 * time.Second)
+	if trouble {
+		first.Crash()
+		time.Sleep(restartTime)
+		if err := first.Restart(registerAfter); err != nil {
+			return err
+		}
+		time.Sleep(submitAfter)
+	}
+	// The data of the job is on the rack of the first worker.
+	body := map[string]any{"spec": "restart", "steps": []map[string]any{{
+		"count": 4, "cpu": 2000, "mem_mb": 256, "estimate_ms": taskTime.Milliseconds(), "affinity": first.Rack,
+	}}}
+	if !w.Submit(job, taskTime, body, 5) {
+		return errors.New("the job was not accepted")
+	}
+	time.Sleep(finish)
+	if !w.AwaitState(job, "done", 20*time.Second) {
+		checkIdle(w)
+	}
+	w.Record.Add("job %s: %d runs were started for 4 tasks", job, w.Fleet.Starts(job))
+	return nil
+}
+
+// checkIdle checks whether nothing of the job runs for idleTime. All workers are empty, and there is no other job.
+func checkIdle(w *rig.World) {
+	for began := time.Now(); time.Since(began) < idleTime+time.Second; time.Sleep(20 * time.Millisecond) {
+		if w.Fleet.Running(job) > 0 {
+			return
+		}
+	}
+	w.Record.Break("LOST: nothing of job %s runs for %v, all workers are empty, and %d of its 4 tasks have ended done",
+		job, idleTime+time.Second, w.Fleet.Done(job))
+}
