--- a/review/1/main.go
+++ b/review/1/main.go
@@ -1,4 +1,4 @@
-// Command case-1 restarts a worker under its ID, and later kills the scheduling node while that worker is cut off.
+// Command case-1 restarts a worker under its ID, and later stops the scheduling node while that worker is cut off.
 package main
 
 import (
@@ -14,7 +14,6 @@
 	job      = "5c0e7a21d94b36f8"
 	taskTime = 12 * time.Second
 	cutTime  = 5 * time.Second
-	downTime = 3 * time.Second
 	// restartTime is how long the worker's process is away.
 	restartTime = 100 * time.Millisecond
 )
@@ -68,9 +67,8 @@
 		leader := w.Leader()
 		first.Cut(cutTime)
 		time.Sleep(200 * time.Millisecond)
-		leader.Signal(syscall.SIGKILL)
+		leader.Signal(syscall.SIGTERM)
 		leader.Wait()
-		time.Sleep(downTime)
 		if err := leader.Start(); err != nil {
 			return err
 		}
--- a/review/5/main.go
+++ b/review/5/main.go
@@ -14,9 +14,9 @@
 	// restartTime is how long the worker's process is away.
 	restartTime = 100 * time.Millisecond
 	// registerAfter is when the worker writes its first registration after its start; heartbeat_ms is 1,500.
-	registerAfter = 300 * time.Millisecond
+	registerAfter = 100 * time.Millisecond
 	// submitAfter is when the job comes after the start of the worker.
-	submitAfter = 100 * time.Millisecond
+	submitAfter = 20 * time.Millisecond
 	// finish is finish_s, which is longer than the job takes; nothing else is handed in meanwhile.
 	finish = 14 * time.Second
 	// idleTime is how long a job with a task whose turn has come may have nothing running.
