--- a/review/1/main.go
+++ b/review/1/main.go
@@ -1,21 +1,27 @@
-// Command case-1 restarts a worker under its ID, and later stops the scheduling node while that worker is cut off.
+// Command case-1 hands in a job that repeats often, and then cancels other jobs.
 package main
 
 import (
 	"errors"
-	"os"
-	"syscall"
+	"fmt"
+	"net/http"
+	"sync"
 	"time"
 
 	"review/rig"
 )
 
 const (
-	job      = "5c0e7a21d94b36f8"
-	taskTime = 12 * time.Second
-	cutTime  = 5 * time.Second
-	// restartTime is how long the worker's process is away.
-	restartTime = 100 * time.Millisecond
+	scheduled   = "5c0e7a21d94b36f8"
+	steps       = 10
+	interval    = 200 * time.Millisecond
+	occurrences = 2000
+	// growTime is how long the job runs before the others are cancelled: about 290 of its occurrences are done then.
+	growTime = 58 * time.Second
+	// occurrencesWithoutTrouble makes the same job a short one.
+	occurrencesWithoutTrouble = 30
+	cancels                   = 4
+	ackTimeout                = 4 * time.Second // ack_timeout_ms
 )
 
 func main() {
@@ -23,57 +29,86 @@
 }
 
 func run(w *rig.World, trouble bool) error {
-	var first *rig.Worker
+	w.Fleet.Quiet = true
 	for _, id := range []string{"i-7f3a91c1", "i-7f3a91c2", "i-7f3a91c3"} {
-		k, err := w.Fleet.AddWorker(id, "r1-"+id[len(id)-1:], 16000, 1)
-		if err != nil {
+		if _, err := w.Fleet.AddWorker(id, "r1-1", 16000, 1); err != nil {
 			return err
 		}
-		if first == nil {
-			first = k
-		}
 	}
 	if err := w.Ready(); err != nil {
 		return err
 	}
-	// All three workers run tasks once.
-	warm := map[string]any{"spec": "warm", "steps": []map[string]any{{"count": 24, "cpu": 2000, "mem_mb": 256, "estimate_ms": 1000}}}
-	if !w.Submit("00000000000000a1", time.Second, warm, 5) || !w.AwaitState("00000000000000a1", "done", 15*time.Second) {
-		return errors.New("the first job has not run")
-	}
-	// SKIP_RESTART leaves the restart out, to see what it contributes.
-	if trouble && os.Getenv("SKIP_RESTART") == "" {
-		first.Crash()
-		time.Sleep(restartTime)
-		if err := first.Restart(0); err != nil {
-			return err
+	lasting := map[string]any{"spec": "lasting", "steps": []map[string]any{{"count": 1, "cpu": 500, "mem_mb": 256, "long_running": true}}}
+	for i := range cancels {
+		if !w.Submit(lastingID(i), time.Hour, lasting, 5) {
+			return errors.New("a job was not accepted")
 		}
 	}
-	time.Sleep(6 * time.Second)
-	// The data of the job is on the rack of the first worker.
-	body := map[string]any{"spec": "cut", "steps": []map[string]any{{
-		"count": 4, "cpu": 2000, "mem_mb": 256, "estimate_ms": taskTime.Milliseconds(), "affinity": first.Rack,
-	}}}
-	if !w.Submit(job, taskTime, body, 5) {
-		return errors.New("the job was not accepted")
+	repeat := occurrences
+	if !trouble {
+		repeat = occurrencesWithoutTrouble
 	}
-	for deadline := time.Now().Add(5 * time.Second); first.Running() < 4; time.Sleep(20 * time.Millisecond) {
-		if time.Now().After(deadline) {
-			return errors.New("the job does not run on the first worker")
-		}
+	all := []map[string]any{}
+	for range steps {
+		all = append(all, map[string]any{"count": 1, "cpu": 100, "mem_mb": 64, "estimate_ms": 50})
 	}
-	time.Sleep(time.Second)
-	if trouble {
-		leader := w.Leader()
-		first.Cut(cutTime)
-		time.Sleep(200 * time.Millisecond)
-		leader.Signal(syscall.SIGTERM)
-		leader.Wait()
-		if err := leader.Start(); err != nil {
-			return err
-		}
+	body := map[string]any{
+		"spec": "scheduled", "steps": all, "repeat_count": repeat,
+		"first_ms": time.Now().Add(time.Second).UnixMilli(), "interval_ms": interval.Milliseconds(),
+	}
+	if !w.Submit(scheduled, 50*time.Millisecond, body, 5) {
+		return errors.New("the scheduled job was not accepted")
+	}
+	// Half-way, everything works.
+	if !w.Submit("00000000000000b1", 50*time.Millisecond, plain(), 5) || !w.AwaitState("00000000000000b1", "done", 10*time.Second) {
+		return errors.New("an ordinary job has not run at the start")
 	}
-	w.AwaitState(job, "done", 40*time.Second)
-	w.Record.Add("job %s: %d runs were started for 4 tasks", job, w.Fleet.Starts(job))
+	time.Sleep(growTime)
+	w.Record.Add("%d runs of the scheduled job have ended done, %d listed ends of all jobs were taken note of",
+		w.Fleet.Done(scheduled), w.Fleet.Noted())
+	accepted := w.Submit("00000000000000b2", 50*time.Millisecond, plain(), 5)
+	w.Record.Add("an ordinary job is accepted within five tries: %v", accepted)
+	checkCancels(w)
+	time.Sleep(ackTimeout)
+	ended, noted := w.Fleet.Done(scheduled)+w.Fleet.Done("00000000000000b1")+w.Fleet.Done("00000000000000b2"), w.Fleet.Noted()
+	w.Record.Add("%d runs have ended done, %d ends were taken note of", ended, noted)
+	if float64(ended-noted) > 0.2*float64(ended) {
+		w.Record.Break("Acks: %d of %d ends that workers list aren't taken note of", ended-noted, ended)
+	}
+	w.Record.Add("client: GET job %s: %s", scheduled, w.State(w.Nodes[0], scheduled))
 	return nil
 }
+
+func lastingID(i int) string { return fmt.Sprintf("00000000000000c%d", i) }
+
+func plain() map[string]any {
+	return map[string]any{"spec": "plain", "steps": []map[string]any{{"count": 2, "cpu": 500, "mem_mb": 256, "estimate_ms": 50}}}
+}
+
+// checkCancels cancels the lasting jobs; each cancel is repeated until it has an answer or twice the time-out is over.
+func checkCancels(w *rig.World) {
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	missing := 0
+	for i := range cancels {
+		wg.Go(func() {
+			began := time.Now()
+			for try := 0; time.Since(began) < 2*ackTimeout; try++ {
+				n := w.Nodes[(i+try)%len(w.Nodes)]
+				status, body := w.Call(n, http.MethodDelete, lastingID(i), nil, 3*time.Second)
+				w.Record.Add("client: DELETE job %s at %s: %d %s", lastingID(i), n.Name, status, body)
+				if status/100 == 2 || status == http.StatusGone {
+					return
+				}
+				time.Sleep(300 * time.Millisecond)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			missing++
+		})
+	}
+	wg.Wait()
+	if missing >= 3 {
+		w.Record.Break("Acks: %d of %d cancels of accepted jobs have no 2xx or 410 after %v", missing, cancels, 2*ackTimeout)
+	}
+}
--- a/review/5/main.go
+++ b/review/5/main.go
@@ -1,26 +1,20 @@
-// Command case-5 restarts a worker without runs under its ID, and hands a job in before the worker has registered again.
+// Command case-5 freezes the scheduling node while more than 500 short tasks end on one worker.
 package main
 
 import (
 	"errors"
+	"fmt"
+	"syscall"
 	"time"
 
 	"review/rig"
 )
 
 const (
-	job      = "5c0e7a21d94b36f8"
-	taskTime = 12 * time.Second
-	// restartTime is how long the worker's process is away.
-	restartTime = 100 * time.Millisecond
-	// registerAfter is when the worker writes its first registration after its start; heartbeat_ms is 1,500.
-	registerAfter = 100 * time.Millisecond
-	// submitAfter is when the job comes after the start of the worker.
-	submitAfter = 20 * time.Millisecond
-	// finish is finish_s, which is longer than the job takes; nothing else is handed in meanwhile.
-	finish = 14 * time.Second
-	// idleTime is how long a job with a task whose turn has come may have nothing running.
-	idleTime = 3 * time.Second
+	job        = "5c0e7a21d94b36f8"
+	taskTime   = 1300 * time.Millisecond
+	tasks      = 4000
+	freezeTime = 4 * time.Second
 )
 
 func main() {
@@ -28,54 +22,37 @@
 }
 
 func run(w *rig.World, trouble bool) error {
-	var first *rig.Worker
-	for _, id := range []string{"i-7f3a91c1", "i-7f3a91c2", "i-7f3a91c3"} {
-		k, err := w.Fleet.AddWorker(id, "r1-"+id[len(id)-1:], 16000, 1)
-		if err != nil {
-			return err
-		}
-		if first == nil {
-			first = k
-		}
-	}
-	if err := w.Ready(); err != nil {
+	w.Fleet.Quiet = true
+	k, err := w.Fleet.AddWorker("i-7f3a91c1", "r1-1", 16000, 1)
+	if err != nil {
 		return err
 	}
-	warm := map[string]any{"spec": "warm", "steps": []map[string]any{{"count": 24, "cpu": 2000, "mem_mb": 256, "estimate_ms": 1000}}}
-	if !w.Submit("00000000000000a1", time.Second, warm, 5) || !w.AwaitState("00000000000000a1", "done", 15*time.Second) {
-		return errors.New("the first job has not run")
+	if _, err := w.Fleet.AddWorker("i-7f3a91c2", "r1-2", 16000, 1); err != nil {
+		return err
 	}
-	time.Sleep(6 * time.Second)
-	if trouble {
-		first.Crash()
-		time.Sleep(restartTime)
-		if err := first.Restart(registerAfter); err != nil {
-			return err
-		}
-		time.Sleep(submitAfter)
+	if err := w.Ready(); err != nil {
+		return err
 	}
-	// The data of the job is on the rack of the first worker.
-	body := map[string]any{"spec": "restart", "steps": []map[string]any{{
-		"count": 4, "cpu": 2000, "mem_mb": 256, "estimate_ms": taskTime.Milliseconds(), "affinity": first.Rack,
-	}}}
+	time.Sleep(2 * time.Second)
+	body := map[string]any{"spec": "many", "steps": []map[string]any{{"count": tasks, "cpu": 10, "mem_mb": 20, "estimate_ms": taskTime.Milliseconds()}}}
 	if !w.Submit(job, taskTime, body, 5) {
 		return errors.New("the job was not accepted")
 	}
-	time.Sleep(finish)
-	if !w.AwaitState(job, "done", 20*time.Second) {
-		checkIdle(w)
+	began := time.Now()
+	for k.Running() < 900 && time.Since(began) < taskTime-50*time.Millisecond {
+		time.Sleep(5 * time.Millisecond)
 	}
-	w.Record.Add("job %s: %d runs were started for 4 tasks", job, w.Fleet.Starts(job))
-	return nil
-}
-
-// checkIdle checks whether nothing of the job runs for idleTime. All workers are empty, and there is no other job.
-func checkIdle(w *rig.World) {
-	for began := time.Now(); time.Since(began) < idleTime+time.Second; time.Sleep(20 * time.Millisecond) {
-		if w.Fleet.Running(job) > 0 {
-			return
-		}
+	if k.Running() < 560 {
+		return fmt.Errorf("only %d tasks run on the worker", k.Running())
 	}
-	w.Record.Break("LOST: nothing of job %s runs for %v, all workers are empty, and %d of its 4 tasks have ended done",
-		job, idleTime+time.Second, w.Fleet.Done(job))
+	w.Record.Add("%v after the answer the first worker has %d runs", time.Since(began).Round(time.Millisecond), k.Running())
+	if trouble {
+		leader := w.Leader()
+		leader.Signal(syscall.SIGSTOP)
+		time.Sleep(freezeTime)
+		leader.Signal(syscall.SIGCONT)
+	}
+	w.AwaitState(job, "done", 40*time.Second)
+	w.Record.Add("job %s: %d runs were started for %d tasks, %d have ended done", job, w.Fleet.Starts(job), tasks, w.Fleet.Done(job))
+	return nil
 }
