Review: the checker counts an end only for its own run, and not after a lapsed lease

A random run of the rig showed that the check blamed starts for ends that the rule excuses, or for the end of the later run.

--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -61,6 +61,8 @@
 	task string
 	run  int
 	how  string
+	// lapsed is true if the worker's lease has lapsed since.
+	lapsed bool
 }
 
 type order struct {
@@ -169,6 +171,9 @@
 			return
 		}
 		lapsed := w.clock(l) >= l.leaseEnd
+		for i := range l.ends {
+			l.ends[i].lapsed = l.ends[i].lapsed || lapsed
+		}
 		for _, r := range l.runs {
 			switch {
 			case lapsed:
@@ -207,7 +212,7 @@
 	delete(l.runs, r.task)
 	l.highest[r.task] = max(l.highest[r.task], r.id)
 	l.last++
-	l.ends = append(l.ends, end{l.last, r.task, r.id, how})
+	l.ends = append(l.ends, end{n: l.last, task: r.task, run: r.id, how: how})
 	w.fleet.runEnded(w, r, how)
 	close(l.changed)
 	l.changed = make(chan struct{})
