--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -47,9 +47,14 @@
 	again string
 }
 
-// AddWorker starts a worker.
+// AddWorker starts a worker of the kind a.
 func (f *Fleet) AddWorker(id, rack string, cpu int, rate float64) (*Worker, error) {
-	w := &Worker{ID: id, Machine: "m-" + id, Rack: rack, CPU: cpu, Rate: rate, fleet: f}
+	return f.AddKind("a", id, rack, cpu, rate)
+}
+
+// AddKind starts a worker of a kind.
+func (f *Fleet) AddKind(kind, id, rack string, cpu int, rate float64) (*Worker, error) {
+	w := &Worker{ID: id, Machine: "m-" + id, Rack: rack, Kind: kind, CPU: cpu, Rate: rate, fleet: f}
 	f.mu.Lock()
 	f.Workers = append(f.Workers, w)
 	f.mu.Unlock()
@@ -195,7 +200,7 @@
 			state = "down"
 		}
 		machines = append(machines, map[string]any{
-			"machine": k.Machine, "pool": Service, "state": state, "zone": "nbo-a", "labels": []string{"a", k.Rack},
+			"machine": k.Machine, "pool": Service, "state": state, "zone": "nbo-a", "labels": []string{k.Kind, k.Rack},
 			"capacity": map[string]int{"cpu": k.CPU, "mem_mb": 65536, "gpu": 0}, "id": k.ID,
 		})
 		k.mu.Unlock()
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -19,6 +19,8 @@
 // Worker is a worker of the platform, over its lives.
 type Worker struct {
 	ID, Machine, Rack string
+	// Kind is the label that names the worker's kind.
+	Kind string
 	CPU               int // Thousandths of a core.
 	// Rate is the speed of the worker's own steady clock; a clock may be 2% slow.
 	Rate float64
@@ -195,7 +197,7 @@
 	w.sequence++
 	row := map[string]any{
 		"service": Service, "address": w.address, "zone": "nbo-a", "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0,
-		"capacity": map[string]int{"cpu": w.CPU, "mem_mb": 65536, "gpu": 0}, "labels": []string{"a", w.Rack},
+		"capacity": map[string]int{"cpu": w.CPU, "mem_mb": 65536, "gpu": 0}, "labels": []string{w.Kind, w.Rack},
 		"clock_ms": w.clock(w.life).Milliseconds(), "sequence": w.sequence, "machine": w.Machine, "born": w.life.began.UnixMilli(),
 	}
 	w.mu.Unlock()
