--- a/review/1/main.go
+++ b/review/1/main.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"time"
 
-	"review/rig"
+	"github.com/beryllatch/beryllatch/review/rig"
 )
 
 const (
--- a/review/3/main.go
+++ b/review/3/main.go
@@ -6,7 +6,7 @@
 	"os"
 	"time"
 
-	"review/rig"
+	"github.com/beryllatch/beryllatch/review/rig"
 )
 
 const (
--- a/review/4/main.go
+++ b/review/4/main.go
@@ -5,7 +5,7 @@
 	"errors"
 	"time"
 
-	"review/rig"
+	"github.com/beryllatch/beryllatch/review/rig"
 )
 
 const (
--- a/review/5/main.go
+++ b/review/5/main.go
@@ -7,7 +7,7 @@
 	"syscall"
 	"time"
 
-	"review/rig"
+	"github.com/beryllatch/beryllatch/review/rig"
 )
 
 const (
