A lease granted by an old reading of a worker's clock ends in time

Cause: grantLease took the worker's clock to be as fast as its own since the last reading. A worker without runs gets no holds, so the reading may be minutes old, and a clock that is 2% slow is then overestimated by 20 ms for each second. The lease outlasted leaseExpiryBound, which covers the drift during the lease only.

Ruled out: late answers of the worker; they make the reading too low, which shortens a lease.

Change: a lease is granted by the least time that the clock can show, so that no age of the reading lengthens it. A reading older than a minute, by which a lease would be shorter by more than 1.2 s, is replaced by an answer without runs before the worker gets a task.

--- a/internal/decision/berylscheduler/hold.go
+++ b/internal/decision/berylscheduler/hold.go
@@ -41,7 +41,7 @@
 	}
 	ack := s.storedCompletions(w)
 	unstored := len(w.unacknowledged) > 0
-	if w.synced && len(w.runs) == 0 && ack == w.sentAcknowledge && (!w.clockAt.IsZero() || !w.prepared()) {
+	if w.synced && len(w.runs) == 0 && ack == w.sentAcknowledge && (s.hasRecentClock(w) || !w.prepared()) {
 		return
 	}
 	order := beryllatch.HoldOrder{Fence: s.Epoch, Acknowledge: ack, Wait: holdWait}
@@ -222,7 +222,7 @@
 	if len(e.Lists.Finished) > 0 && len(e.Lists.Running) > 0 {
 		s.delayHold(w)
 	}
-	if w.clockAt.IsZero() {
+	if !s.hasRecentClock(w) {
 		s.placementDue = true
 	}
 	w.setClock(e.Lists.Clock, s.now)
--- a/internal/decision/berylscheduler/prepare.go
+++ b/internal/decision/berylscheduler/prepare.go
@@ -33,7 +33,7 @@
 
 // isPreparing reports whether the worker will be usable once its row is stored and its clock is read.
 func (s *Scheduler) isPreparing(w *worker) bool {
-	return w.prepared() && w.registered && w.synced && w.failedHolds == 0 && s.inService(w) && (w.row.version == 0 || w.clockAt.IsZero())
+	return w.prepared() && w.registered && w.synced && w.failedHolds == 0 && s.inService(w) && (w.row.version == 0 || !s.hasRecentClock(w))
 }
 
 func (s *Scheduler) prepareWorker(w *worker) {
--- a/internal/decision/berylscheduler/worker.go
+++ b/internal/decision/berylscheduler/worker.go
@@ -94,7 +94,7 @@
 // usable reports whether the worker may get new runs. A registration that has disappeared still counts for registryGrace.
 func (s *Scheduler) usable(w *worker) bool {
 	present := w.registered || (!w.unregisteredAt.IsZero() && s.now.Sub(w.unregisteredAt) < registryGrace)
-	return present && w.synced && !w.clockAt.IsZero() && w.failedHolds == 0 && !w.answerMissing && w.row.version > 0 && s.inService(w) &&
+	return present && w.synced && s.hasRecentClock(w) && w.failedHolds == 0 && !w.answerMissing && w.row.version > 0 && s.inService(w) &&
 		!w.health.isSuspect(s.now)
 }
 
@@ -252,12 +252,21 @@
 	}
 }
 
-// clockNow estimates the worker's clock; it returns false before the clock was first read.
-func (s *Scheduler) clockNow(w *worker) (time.Duration, bool) {
+// maxClockAge is how old a reading of a worker's clock may be before it is read again. A lease that is granted by a reading of
+// that age is shorter by 1.2 s, and the worker's next answer holds a new reading.
+const maxClockAge = time.Minute
+
+// clockAtLeast returns the least time that the worker's clock can show now; it returns false before the clock was first read.
+func (s *Scheduler) clockAtLeast(w *worker) (time.Duration, bool) {
 	if w.clockAt.IsZero() {
 		return 0, false
 	}
-	return w.clock + s.now.Sub(w.clockAt), true
+	return w.clock + time.Duration(float64(s.now.Sub(w.clockAt))*(1-clockDrift)), true
+}
+
+// hasRecentClock reports whether the worker's clock has been read within maxClockAge.
+func (s *Scheduler) hasRecentClock(w *worker) bool {
+	return !w.clockAt.IsZero() && s.now.Sub(w.clockAt) <= maxClockAge
 }
 
 func (w *worker) setClock(clock time.Duration, at time.Time) {
@@ -266,9 +275,10 @@
 	}
 }
 
-// grantLease returns the end of a new lease by the worker's clock, or 0 if that clock is unknown.
+// grantLease returns the end of a new lease by the worker's clock, or 0 if that clock is unknown. However old the reading of
+// that clock is, the lease is not longer than leaseLength.
 func (s *Scheduler) grantLease(w *worker) time.Duration {
-	clock, ok := s.clockNow(w)
+	clock, ok := s.clockAtLeast(w)
 	if !ok {
 		return 0
 	}
