A worker that has restarted under its ID is asked for its runs

Cause: register took a registration with a later incarnation for proof that the worker has no runs, and set synced. The row of a used worker names the incarnation that it was prepared in, so that after a takeover each worker that had restarted since counted as synced at once, although the earlier epoch had started runs on its present incarnation.

Ruled out: the row that is not rewritten at a restart. With a new row the same happens when a worker restarts while no node schedules.

Change: what belongs to an incarnation is one value that is replaced as a whole, and the next one is not synced before its lists are read or the leases have expired. Runs stay booked over a restart, since the orders for them may have reached the new incarnation; its lists show which are there. The outcome of a hold that was sent to the one before no longer keeps the next from being asked.

--- a/internal/decision/berylscheduler/harness_test.go
+++ b/internal/decision/berylscheduler/harness_test.go
@@ -1,7 +1,7 @@
 package berylscheduler
 
 import (
-	"fmt"
+	"errors"
 	"testing"
 	"time"
 
@@ -43,6 +43,8 @@
 
 const testLease = leaseTime
 
+var errNoAnswer = errors.New("no answer")
+
 func newHarness(t *testing.T) *harness {
 	t.Helper()
 	h := &harness{t: t, now: time.Unix(1_800_000_000, 0), version: 100, answers: make(map[uint64]error)}
@@ -181,7 +183,7 @@
 		e.Lists.Clock, e.Lists.Incarnation = time.Duration(h.now.UnixMilli()%1e6+1e6)*time.Millisecond, hold.Incarnation
 		for _, id := range unanswered {
 			if hold.Worker.ID == id {
-				e = WorkerHeld{Worker: id, Incarnation: hold.Incarnation, Sent: hold.sent, Probe: hold.Probe, Err: fmt.Errorf("no answer")}
+				e = WorkerHeld{Worker: id, Incarnation: hold.Incarnation, Sent: hold.sent, Probe: hold.Probe, Err: errNoAnswer}
 			}
 		}
 		h.apply(e)
--- a/internal/decision/berylscheduler/hold.go
+++ b/internal/decision/berylscheduler/hold.go
@@ -193,7 +193,7 @@
 func (s *Scheduler) workerHeld(e WorkerHeld) {
 	defer s.unsyncedHoldEnded(e)
 	w := s.workers[e.Worker]
-	if w == nil || w.info.Incarnation != e.Incarnation {
+	if w == nil {
 		return
 	}
 	if e.Probe {
@@ -201,17 +201,18 @@
 	} else {
 		w.holdPending = false
 	}
+	if e.Incarnation != w.info.Incarnation {
+		// Another incarnation has been seen since, which has not been asked.
+		s.sendHoldIfDue(w)
+		return
+	}
 	if e.Err != nil {
 		s.holdFailed(w, e)
 		return
 	}
 	w.answerMissing = false
 	if e.Lists.Incarnation > w.info.Incarnation {
-		if w.info.Incarnation != 0 {
-			s.resetForIncarnation(w, e.Lists.Incarnation)
-		}
-		w.info.Incarnation = e.Lists.Incarnation
-		s.fleet.workerByInstance = nil
+		s.beginIncarnation(w, e.Lists.Incarnation)
 	}
 	if w.failedHolds > 0 {
 		s.emit(Decision{Name: "worker_regained", Worker: w.info.ID})
--- /dev/null
+++ b/internal/decision/berylscheduler/incarnation.go
@@ -0,0 +1,84 @@
+package berylscheduler
+
+import (
+	"fmt"
+	"time"
+)
+
+// incarnation is what is known of one incarnation of a worker: a process that knows nothing of the one before. It is replaced as a
+// whole when another incarnation is seen, so that nothing outlives the process that it was learned from.
+type incarnation struct {
+	// discoveredAt is when the scheduler learned of the incarnation.
+	discoveredAt time.Time
+	// synced is true once the scheduler knows all runs on the worker: its lists have been read in this epoch, all leases that it
+	// can hold have expired, or it cannot have had runs before this epoch.
+	synced bool
+	// stopsEndBy is when the stops have ended that an earlier epoch ordered before the worker knew of this one.
+	stopsEndBy time.Time
+
+	// answerMissing is true from an unanswered order to the next answer; meanwhile the worker gets no new tasks.
+	answerMissing bool
+	// failedHolds counts the holds without an answer since the last answer.
+	failedHolds int
+	// lastContact is when the last hold that was answered was sent.
+	lastContact time.Time
+	// clock is the worker's clock as read at clockAt.
+	clock   time.Duration
+	clockAt time.Time
+
+	// lastCompletion is the number of the last completion that was applied. The worker may forget completions up to
+	// acknowledged, which has been sent up to sentAcknowledge.
+	lastCompletion, acknowledged, sentAcknowledge int64
+	unacknowledged                                []unacknowledgedCompletion
+
+	health health
+	speed  speed
+}
+
+// unacknowledgedCompletion is a completion that may be acknowledged once the change of the job is stored.
+type unacknowledgedCompletion struct {
+	number int64
+	job    *job
+	change uint64
+}
+
+// beginIncarnation replaces what is known of the worker's incarnation. The runs stay booked: the orders for them may have reached the
+// new incarnation, and its lists show which of them it has.
+func (s *Scheduler) beginIncarnation(w *worker, number int64) {
+	if number == w.info.Incarnation {
+		return
+	}
+	if w.info.Incarnation == 0 {
+		w.info.Incarnation = number
+		return
+	}
+	s.emit(Decision{Name: "worker_restarted", Worker: w.info.ID, Detail: fmt.Sprintf("incarnation %d after %d", number, w.info.Incarnation)})
+	w.info.Incarnation = number
+	w.incarnation = incarnation{discoveredAt: s.now}
+	w.nextHold = time.Time{}
+	s.fleet.workerByInstance = nil
+	s.placementDue = true
+}
+
+// maxClockAge is how old a reading of a worker's clock may be before it is read again. A lease that is granted by a reading of
+// that age is shorter by 1.2 s, and the worker's next answer holds a new reading.
+const maxClockAge = time.Minute
+
+// clockAtLeast returns the least time that the worker's clock can show now; it returns false before the clock was first read.
+func (s *Scheduler) clockAtLeast(w *worker) (time.Duration, bool) {
+	if w.clockAt.IsZero() {
+		return 0, false
+	}
+	return w.clock + time.Duration(float64(s.now.Sub(w.clockAt))*(1-clockDrift)), true
+}
+
+// hasRecentClock reports whether the worker's clock has been read within maxClockAge.
+func (s *Scheduler) hasRecentClock(w *worker) bool {
+	return !w.clockAt.IsZero() && s.now.Sub(w.clockAt) <= maxClockAge
+}
+
+func (w *worker) setClock(clock time.Duration, at time.Time) {
+	if clock > 0 {
+		w.clock, w.clockAt = clock, at
+	}
+}
--- /dev/null
+++ b/internal/decision/berylscheduler/incarnation_test.go
@@ -0,0 +1,63 @@
+package berylscheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/beryllatch/beryllatch"
+	"gotest.tools/v3/assert"
+)
+
+// restartedInfo is the registration of a worker that has started again under its ID.
+func restartedInfo(id string, incarnation int64) beryllatch.WorkerInfo {
+	i := workerInfo(id)
+	i.Incarnation = incarnation
+	return i
+}
+
+// Guards against review/5: a takeover took a worker that had restarted under its ID in an earlier epoch for one without runs, and
+// started its tasks a second time while they were at work.
+func TestTakeoverWaitsForAWorkerThatHasRestarted(t *testing.T) {
+	h := newHarness(t)
+	stored := make(storedRows)
+	h.apply(RegistryChanged{Workers: []beryllatch.WorkerInfo{workerInfo("a")}})
+	h.storeInto(stored)
+	h.answerHolds(nil)
+	h.apply(RegistryChanged{Workers: []beryllatch.WorkerInfo{restartedInfo("a", 2)}})
+	h.tickFor(100 * time.Millisecond)
+	h.answerHolds(nil)
+	h.tickFor(100 * time.Millisecond)
+	h.submit(singleTaskJob("0000000000000001"))
+	h.storeInto(stored)
+	starts := h.confirmStarts()
+	assert.Equal(t, len(starts), 1)
+
+	next := h.takeOver(stored)
+	began := next.now
+	next.apply(RegistryRead{Workers: []beryllatch.WorkerInfo{restartedInfo("a", 2), workerInfo("b")}})
+	for next.now.Sub(began) < testLease {
+		next.tickFor(100 * time.Millisecond)
+		next.answerHolds(nil, "a")
+		next.storeInto(stored)
+		assert.Equal(t, len(next.starts), 0, "after %s", next.now.Sub(began))
+	}
+}
+
+// A run on a worker that restarts must start elsewhere as soon as the new incarnation's lists show that it is gone.
+func TestRunOfAnEndedIncarnationStartsAgain(t *testing.T) {
+	h := newHarness(t)
+	h.register("a")
+	h.accept(singleTaskJob("0000000000000001"))
+	first := h.confirmStarts()[0]
+	h.tickFor(100 * time.Millisecond)
+	h.holds = nil
+	h.apply(RegistryChanged{Workers: []beryllatch.WorkerInfo{restartedInfo("a", 2)}})
+	assert.Equal(t, len(h.starts), 0, "the new incarnation has not been asked")
+	h.apply(WorkerHeld{Worker: "a", Incarnation: 1, Sent: h.now.Add(-time.Second), Err: errNoAnswer})
+	assert.Equal(t, len(h.holds), 1)
+	h.answerHolds(nil)
+	h.tickFor(100 * time.Millisecond)
+	assert.Equal(t, len(h.starts), 1)
+	assert.Equal(t, h.starts[0].Order.Task, first.Order.Task)
+	assert.Assert(t, h.starts[0].Order.Run > first.Order.Run)
+}
--- a/internal/decision/berylscheduler/label_test.go
+++ b/internal/decision/berylscheduler/label_test.go
@@ -30,7 +30,7 @@
 		s.fleet.instances[i.Name] = i
 		info := workerInfo(fmt.Sprintf("%02d", n))
 		info.Pool = "other"
-		s.addWorker(&worker{info: info, registered: true, synced: true, idleSince: s.now})
+		s.addWorker(&worker{incarnation: incarnation{synced: true}, info: info, registered: true, idleSince: s.now})
 		other.idleInstances = append(other.idleInstances, i.Name)
 	}
 	return s, other, &poolDemand{name: "p", target: 20, minimum: 20, instanceCPU: 16000}
--- a/internal/decision/berylscheduler/recover.go
+++ b/internal/decision/berylscheduler/recover.go
@@ -59,7 +59,9 @@
 		}
 		row := s.journal.workerRow(info.ID)
 		row.version, row.value = r.Version, r.Value
-		s.addWorker(&worker{info: info, leasesExpireBy: s.now.Add(s.leaseExpiryBound()), discoveredAt: s.now, idleSince: s.now})
+		s.addWorker(&worker{
+			incarnation: incarnation{discoveredAt: s.now}, info: info, leasesExpireBy: s.now.Add(s.leaseExpiryBound()), idleSince: s.now,
+		})
 	}
 	s.recoverWaves(e.Waves)
 	for _, j := range s.active {
--- a/internal/decision/berylscheduler/worker.go
+++ b/internal/decision/berylscheduler/worker.go
@@ -13,23 +13,22 @@
 // stopMargin is the time in which the end of a run is listed and read.
 const stopMargin = 300 * time.Millisecond
 
-// worker is a registered or formerly registered worker with its runs and booked capacity.
+// worker is a registered or formerly registered worker with its runs and booked capacity. Its fields belong to the worker's ID or
+// to the calls in flight; what belongs to one incarnation of it is in incarnation.
 type worker struct {
+	incarnation
 	info beryllatch.WorkerInfo
 	// registered is true while the worker has a registration; unregisteredAt is when it lost its last one.
 	registered     bool
 	unregisteredAt time.Time
-	// discoveredAt is when the scheduler learned of the worker.
-	discoveredAt time.Time
 	// row is the worker's row, shared by all incarnations of its ID. The worker gets no runs before the row is stored, see
 	// prepareWorkers.
 	row *workerRow
-	// synced is true once the scheduler knows all runs on the worker: its lists have been read in this epoch, or it cannot have
-	// runs of an earlier one.
-	synced bool
-	runs   map[runID]*run
-	// stopsEndBy is when the stops have ended that an earlier epoch ordered before the worker knew of this one.
-	stopsEndBy time.Time
+	// runs holds the booked runs. An order may have reached any incarnation, so that only lists, or leases that have expired, end
+	// a booking.
+	runs map[runID]*run
+	// leasesExpireBy is when all leases that the worker may hold have expired.
+	leasesExpireBy time.Time
 	// idleSince is when the last run ended; before the first run, it is when the scheduler learned of the worker.
 	idleSince time.Time
 	// longRunningRuns counts the runs of long-running tasks, and longRunningUse is the capacity booked for them.
@@ -37,48 +36,24 @@
 	longRunningUse  beryllatch.Resources
 	// reserved is the step that the worker is kept free for in the present pass.
 	reserved *stepState
+	used     beryllatch.Resources
+
 	// pendingStarts counts the start orders in flight.
 	pendingStarts int
-	used          beryllatch.Resources
-
+	// holdPending is true while a hold is in flight.
 	holdPending bool
 	// probePending is true while a probe is in flight, possibly beside a hold that waits for a completion.
 	probePending bool
-	// answerMissing is true from an unanswered order to the next answer; meanwhile the worker gets no new tasks.
-	answerMissing bool
-	nextHold      time.Time
-	// failedHolds counts the holds without an answer since the last answer.
-	failedHolds int
-	// lastContact is when the last hold that was answered was sent.
-	lastContact time.Time
-	// clock is the worker's clock as read at clockAt.
-	clock   time.Duration
-	clockAt time.Time
-	// leasesExpireBy is when all leases that the worker may hold have expired.
-	leasesExpireBy time.Time
-
-	// lastCompletion is the number of the last completion that was applied. The worker may forget completions up to
-	// acknowledged, which has been sent up to sentAcknowledge.
-	lastCompletion, acknowledged, sentAcknowledge int64
-	unacknowledged                                []unacknowledgedCompletion
+	nextHold     time.Time
 	// unstoredListed is true while the worker is in Scheduler.unstored.
 	unstoredListed bool
 
-	health health
-	speed  speed
 	// preparedFor is the name of the worker's instance while there is an order for it; the worker gets no new tasks.
 	preparedFor string
 	// instanceOrderSent is true once that order has been sent.
 	instanceOrderSent bool
 }
 
-// unacknowledgedCompletion is a completion that may be acknowledged once the change of the job is stored.
-type unacknowledgedCompletion struct {
-	number int64
-	job    *job
-	change uint64
-}
-
 // runID identifies a run.
 type runID struct {
 	task string
@@ -149,7 +124,7 @@
 	w := s.workers[i.ID]
 	if w == nil {
 		// Earlier epochs have stored a row of each worker with runs, and this epoch has read all rows.
-		w = &worker{info: i, registered: true, discoveredAt: s.now, idleSince: s.now, synced: true}
+		w = &worker{incarnation: incarnation{discoveredAt: s.now, synced: true}, info: i, registered: true, idleSince: s.now}
 		s.endEarlierIncarnations(w)
 		s.addWorker(w)
 		s.emit(Decision{Name: "worker_registered", Worker: i.ID, Detail: i.Pool})
@@ -158,7 +133,7 @@
 		return
 	}
 	if i.Incarnation != 0 && w.info.Incarnation != 0 && i.Incarnation > w.info.Incarnation {
-		s.resetForIncarnation(w, i.Incarnation)
+		s.beginIncarnation(w, i.Incarnation)
 	}
 	if i.Incarnation != 0 && i.Incarnation < w.info.Incarnation {
 		return
@@ -173,6 +148,7 @@
 		s.journal.setWorkerRow(i.ID, w.encode())
 	}
 	s.placementDue = true
+	s.sendHoldIfDue(w)
 }
 
 // endEarlierIncarnations ends the workers that ran on the same instance before the new worker.
@@ -190,7 +166,11 @@
 // endIncarnation writes off a worker that certainly has no runs any more. Its registration may stay for a while and is ignored.
 func (s *Scheduler) endIncarnation(w *worker) {
 	s.endedIncarnations[w.info.ID] = w.info.Incarnation
-	s.resetForIncarnation(w, w.info.Incarnation)
+	for _, r := range s.runsOf(w) {
+		s.release(r)
+		s.recordLostRun(r, "worker ended")
+	}
+	w.incarnation = incarnation{discoveredAt: s.now, synced: true}
 	w.leasesExpireBy = s.now
 	s.unregister(w)
 }
@@ -216,22 +196,6 @@
 	}
 }
 
-// resetForIncarnation writes off the runs of the worker's previous incarnation, and resets what was known about it.
-func (s *Scheduler) resetForIncarnation(w *worker, incarnation int64) {
-	s.emit(Decision{Name: "worker_restarted", Worker: w.info.ID})
-	for _, r := range s.runsOf(w) {
-		s.release(r)
-		s.recordLostRun(r, "worker restarted")
-	}
-	w.info.Incarnation = incarnation
-	s.fleet.workerByInstance = nil
-	w.lastCompletion, w.acknowledged, w.sentAcknowledge, w.unacknowledged, w.pendingStarts = 0, 0, 0, nil, 0
-	w.clockAt, w.failedHolds, w.synced, w.health = time.Time{}, 0, true, health{}
-	w.speed = speed{}
-	w.answerMissing, w.probePending = false, false
-	s.placementDue = true
-}
-
 // checkLease writes off the runs of a worker once all its leases have expired.
 func (s *Scheduler) checkLease(w *worker) {
 	if s.now.Before(w.leasesExpireBy) {
@@ -252,29 +216,6 @@
 	}
 }
 
-// maxClockAge is how old a reading of a worker's clock may be before it is read again. A lease that is granted by a reading of
-// that age is shorter by 1.2 s, and the worker's next answer holds a new reading.
-const maxClockAge = time.Minute
-
-// clockAtLeast returns the least time that the worker's clock can show now; it returns false before the clock was first read.
-func (s *Scheduler) clockAtLeast(w *worker) (time.Duration, bool) {
-	if w.clockAt.IsZero() {
-		return 0, false
-	}
-	return w.clock + time.Duration(float64(s.now.Sub(w.clockAt))*(1-clockDrift)), true
-}
-
-// hasRecentClock reports whether the worker's clock has been read within maxClockAge.
-func (s *Scheduler) hasRecentClock(w *worker) bool {
-	return !w.clockAt.IsZero() && s.now.Sub(w.clockAt) <= maxClockAge
-}
-
-func (w *worker) setClock(clock time.Duration, at time.Time) {
-	if clock > 0 {
-		w.clock, w.clockAt = clock, at
-	}
-}
-
 // grantLease returns the end of a new lease by the worker's clock, or 0 if that clock is unknown. However old the reading of
 // that clock is, the lease is not longer than leaseLength.
 func (s *Scheduler) grantLease(w *worker) time.Duration {
