A worker that has not answered is asked until it does

Cause: sendHoldIfDue decided by what the scheduler wants of a worker: leases to extend, lists to read, completions to acknowledge. Once the runs of a silent worker were written off, nothing was wanted, no hold was sent, and failedHolds, which keeps it from being used, was never set back. answerMissing, which a lost answer to a stop or a start sets, has the same effect on a worker without runs.

Ruled out: the registration. The worker is registered all the while, and register changes neither field.

Change: holdDue asks what is in doubt, too. A registered worker with failedHolds or answerMissing is asked every 300 ms while it may have runs, every second without. Workers without work about which nothing is in doubt are left alone, as before.

--- a/internal/decision/berylscheduler/hold.go
+++ b/internal/decision/berylscheduler/hold.go
@@ -29,26 +29,25 @@
 	completionBatchPause = 80 * time.Millisecond
 	// holdRetryPause is the pause between holds for a worker that does not answer.
 	holdRetryPause = 300 * time.Millisecond
+	// idleRetryPause is the same for a worker without runs.
+	idleRetryPause = time.Second
 )
 
-// sendHoldIfDue sends a hold if the worker has leases to extend, lists to read or completions to acknowledge.
+// sendHoldIfDue sends a hold if the worker has leases to extend, lists to read or completions to acknowledge, or if it is not known
+// whether it answers.
 func (s *Scheduler) sendHoldIfDue(w *worker) {
 	if w.holdPending || s.now.Before(w.nextHold) || s.resigned {
 		return
 	}
-	if !w.registered && w.synced && len(w.runs) == 0 {
-		return
-	}
 	ack := s.storedCompletions(w)
-	unstored := len(w.unacknowledged) > 0
-	if w.synced && len(w.runs) == 0 && ack == w.sentAcknowledge && (s.hasRecentClock(w) || !w.prepared()) {
+	if !s.holdDue(w, ack) {
 		return
 	}
 	order := beryllatch.HoldOrder{Fence: s.Epoch, Acknowledge: ack, Wait: holdWait}
 	switch {
-	case !w.synced || w.clockAt.IsZero() || len(w.runs) == 0:
+	case !w.synced || !s.hasRecentClock(w) || len(w.runs) == 0:
 		order.Wait = 0
-	case unstored:
+	case len(w.unacknowledged) > 0:
 		// The worker would answer at once, since it lists completions until they are acknowledged. Waiting for the store saves
 		// useless holds.
 		if s.now.Sub(w.lastContact) < unstoredHoldPause {
@@ -71,6 +70,18 @@
 	s.sendHold(w, order, false)
 }
 
+// holdDue reports whether the worker has to be asked. Workers without work are left alone only as long as nothing about them is in
+// doubt: a worker that has not answered is asked until it answers or its registration is gone.
+func (s *Scheduler) holdDue(w *worker, ack int64) bool {
+	switch {
+	case !w.synced || len(w.runs) > 0:
+		return true
+	case !w.registered:
+		return false
+	}
+	return ack != w.sentAcknowledge || w.failedHolds > 0 || w.answerMissing || w.prepared() && !s.hasRecentClock(w)
+}
+
 // maxUnsyncedHolds limits the holds for unsynced workers in flight. A node that has just taken over would otherwise ask all of
 // them at once, and have too little processor time to handle the answers before its own time-outs.
 const maxUnsyncedHolds = 96
@@ -262,9 +273,13 @@
 		s.recordLostAnswer(w)
 	}
 	w.failedHolds++
-	w.nextHold = s.now.Add(holdRetryPause)
-	if w.failedHolds == 1 {
+	switch {
+	case w.failedHolds == 1:
 		w.nextHold = s.now
+	case w.synced && len(w.runs) == 0:
+		w.nextHold = s.now.Add(idleRetryPause)
+	default:
+		w.nextHold = s.now.Add(holdRetryPause)
 	}
 	s.listSoon()
 	s.sendHoldIfDue(w)
--- a/internal/decision/berylscheduler/lease_test.go
+++ b/internal/decision/berylscheduler/lease_test.go
@@ -87,3 +87,34 @@
 		h.failCommit(&beryllatch.UnknownOutcomeError{Err: context.DeadlineExceeded})
 	}
 }
+
+// Guards against review/1: a worker that did not answer for longer than its lease was never asked again, and a job that only it
+// could run stayed without a run.
+func TestLostWorkerIsUsedAgainOnceItAnswers(t *testing.T) {
+	h := newHarness(t)
+	h.register("a")
+	h.accept(singleTaskJob("0000000000000001"))
+	h.confirmStarts()
+	for end := h.now.Add(3 * testLease); h.now.Before(end); {
+		h.tickFor(100 * time.Millisecond)
+		h.answerHolds(nil, "a")
+	}
+	assert.Equal(t, len(h.starts), 0)
+	h.tickFor(idleRetryPause)
+	h.answerHolds(nil)
+	h.tickFor(100 * time.Millisecond)
+	assert.Equal(t, len(h.starts), 1, "the task starts again on the worker that answers again")
+}
+
+// A worker without runs must be asked after a lost answer, or it would get no tasks for good.
+func TestIdleWorkerIsAskedAfterALostAnswer(t *testing.T) {
+	h := newHarness(t)
+	h.register("a")
+	h.s.recordLostAnswer(h.s.workers["a"])
+	h.accept(singleTaskJob("0000000000000001"))
+	assert.Equal(t, len(h.starts), 0)
+	h.tickFor(100 * time.Millisecond)
+	h.answerHolds(nil)
+	h.tickFor(100 * time.Millisecond)
+	assert.Equal(t, len(h.starts), 1)
+}
