Answers and orders are matched to the incarnation that they belong to

Cause: outcomes were matched by the incarnation that an order was meant for, not by the one that answered. The outcome of a hold to the incarnation before was dropped with its flag set; that of a start was dropped without being counted (eight of them bar a worker from starts); a stop that the one before had confirmed counted for the next.

Ruled out: the address and the row of the worker, which don't change.

Change: lists count for the incarnation that they name, which may be the first sign of it; starts, stops and paces are counted whoever has answered, and only what the present incarnation said is believed; stops are sent again to the next one. A worker counts as about to be usable for 2 s at most.

--- a/internal/decision/berylscheduler/fleet.go
+++ b/internal/decision/berylscheduler/fleet.go
@@ -206,7 +206,7 @@
 func (s *Scheduler) hasFullRun(t *task, vacated *worker) bool {
 	for _, r := range t.runs {
 		w := r.worker
-		if r.percent >= 100 && r.phase == runPresent && w != vacated && !w.instanceOrderSent && w.failedHolds == 0 && !s.now.Before(w.stopsEndBy) {
+		if r.percent >= 100 && r.phase == runPresent && w != vacated && !w.instanceOrderSent && w.synced && w.failedHolds == 0 && !s.now.Before(w.stopsEndBy) {
 			return true
 		}
 	}
--- a/internal/decision/berylscheduler/hold.go
+++ b/internal/decision/berylscheduler/hold.go
@@ -212,19 +212,15 @@
 	} else {
 		w.holdPending = false
 	}
-	if e.Incarnation != w.info.Incarnation {
-		// Another incarnation has been seen since, which has not been asked.
-		s.sendHoldIfDue(w)
-		return
-	}
 	if e.Err != nil {
 		s.holdFailed(w, e)
 		return
 	}
-	w.answerMissing = false
-	if e.Lists.Incarnation > w.info.Incarnation {
-		s.beginIncarnation(w, e.Lists.Incarnation)
+	if !s.answersForPresent(w, e) {
+		s.sendHoldIfDue(w)
+		return
 	}
+	w.answerMissing = false
 	if w.failedHolds > 0 {
 		s.emit(Decision{Name: "worker_regained", Worker: w.info.ID})
 		w.failedHolds = 0
@@ -250,11 +246,28 @@
 	s.sendHoldIfDue(w)
 }
 
+// answersForPresent reports whether the lists are those of the worker's present incarnation, which they may be the first to show.
+// The lists name the incarnation that has answered; the hold may have been sent to the one before.
+func (s *Scheduler) answersForPresent(w *worker, e WorkerHeld) bool {
+	n := e.Lists.Incarnation
+	if n == 0 {
+		return e.Incarnation == w.info.Incarnation
+	}
+	if n < w.info.Incarnation && e.Sent.Before(w.discoveredAt) {
+		return false
+	}
+	s.beginIncarnation(w, n)
+	return true
+}
+
 func (s *Scheduler) holdFailed(w *worker, e WorkerHeld) {
 	var rejected *beryllatch.OrderRejectedError
 	switch {
 	case errors.As(e.Err, &rejected) && rejected.Reason == beryllatch.RejectFence:
 		s.resign("worker " + w.info.ID + " has seen a later epoch")
+	case e.Incarnation != w.info.Incarnation:
+		// Another incarnation has been seen since, which has not been asked.
+		s.sendHoldIfDue(w)
 	case e.Sent.Before(w.lastContact):
 		// A hold that was sent later has been answered, so the worker is reachable.
 		s.recordLostAnswer(w)
--- a/internal/decision/berylscheduler/incarnation.go
+++ b/internal/decision/berylscheduler/incarnation.go
@@ -31,8 +31,10 @@
 	lastCompletion, acknowledged, sentAcknowledge int64
 	unacknowledged                                []unacknowledgedCompletion
 
-	health health
-	speed  speed
+	// preparingSince is since when the worker has been prepared and not usable.
+	preparingSince time.Time
+	health         health
+	speed          speed
 }
 
 // unacknowledgedCompletion is a completion that may be acknowledged once the change of the job is stored.
@@ -56,6 +58,10 @@
 	w.info.Incarnation = number
 	w.incarnation = incarnation{discoveredAt: s.now}
 	w.nextHold = time.Time{}
+	for _, r := range w.runs {
+		// A stop that the incarnation before has confirmed is sent again, and a filler starts at its full speed.
+		r.stopConfirmedAt, r.pace = time.Time{}, 100
+	}
 	s.fleet.workerByInstance = nil
 	s.placementDue = true
 }
--- a/internal/decision/berylscheduler/incarnation_test.go
+++ b/internal/decision/berylscheduler/incarnation_test.go
@@ -1,6 +1,7 @@
 package berylscheduler
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -61,3 +62,46 @@
 	assert.Equal(t, h.starts[0].Order.Task, first.Order.Task)
 	assert.Assert(t, h.starts[0].Order.Run > first.Order.Run)
 }
+
+// Guards against review/3: when a worker restarted under its ID while a hold was in flight, its new runs were written off, and it was
+// never asked again.
+func TestRunsOfANewIncarnationAreKept(t *testing.T) {
+	for _, answeredBy := range []int64{1, 2} {
+		t.Run(fmt.Sprintf("hold answered by %d", answeredBy), func(t *testing.T) {
+			h := newHarness(t)
+			h.register("a")
+			h.accept(singleTaskJob("0000000000000001"))
+			starts := h.confirmStarts()
+			assert.Equal(t, len(starts), 1)
+			holds := h.holds
+			assert.Equal(t, len(holds), 1)
+			h.holds = nil
+			h.register("b")
+			h.apply(RegistryChanged{Workers: []beryllatch.WorkerInfo{restartedInfo("a", 2)}})
+			e := WorkerHeld{Worker: "a", Incarnation: 1, Sent: holds[0].sent}
+			e.Lists.Incarnation, e.Lists.Clock = answeredBy, time.Second
+			if answeredBy == 2 {
+				e.Lists.Running = runningLists(starts, 10)["a"].Running
+			}
+			h.apply(e)
+			for range 10 {
+				h.tickFor(100 * time.Millisecond)
+				h.answerHolds(runningLists(starts, 10))
+			}
+			assert.Equal(t, len(h.starts), 0, "the new incarnation has the run")
+			assert.Assert(t, h.s.workers["a"].leasesExpireBy.Sub(h.now) > testLease-time.Second, "the lease of the run is extended")
+		})
+	}
+}
+
+// The outcome of an order must be counted even if another incarnation has been seen meanwhile: starts in flight are limited for each
+// worker.
+func TestStartsInFlightEndWithTheirIncarnation(t *testing.T) {
+	h := newHarness(t)
+	h.register("a")
+	h.accept(singleTaskJob("0000000000000001"))
+	h.apply(RegistryChanged{Workers: []beryllatch.WorkerInfo{restartedInfo("a", 2)}})
+	h.confirmStarts()
+	assert.Equal(t, h.s.workers["a"].pendingStarts, 0)
+	assert.Equal(t, h.s.pendingStarts, 0)
+}
--- a/internal/decision/berylscheduler/pace.go
+++ b/internal/decision/berylscheduler/pace.go
@@ -74,7 +74,7 @@
 
 func (s *Scheduler) paceEnded(e PaceEnded) {
 	w := s.workers[e.Worker]
-	if w == nil || w.info.Incarnation != e.Incarnation {
+	if w == nil {
 		return
 	}
 	r := w.runs[runID{e.Task, e.Run}]
@@ -82,7 +82,7 @@
 		return
 	}
 	r.pacePending = false
-	if e.Err == nil {
+	if e.Err == nil && e.Incarnation == w.info.Incarnation {
 		r.pace = e.Percent
 	}
 }
--- a/internal/decision/berylscheduler/place.go
+++ b/internal/decision/berylscheduler/place.go
@@ -42,6 +42,7 @@
 			pools[w.info.Pool] = p
 		}
 		if usable {
+			w.preparingSince = time.Time{}
 			p.workers = append(p.workers, w)
 		} else {
 			p.unprepared = append(p.unprepared, w)
--- a/internal/decision/berylscheduler/prepare.go
+++ b/internal/decision/berylscheduler/prepare.go
@@ -4,6 +4,7 @@
 	"maps"
 	"math"
 	"slices"
+	"time"
 
 	"github.com/beryllatch/beryllatch"
 )
@@ -31,8 +32,14 @@
 	return w.registered && w.synced && !w.prepared() && s.inService(w) && !w.health.isSuspect(s.now)
 }
 
-// isPreparing reports whether the worker will be usable once its row is stored and its clock is read.
+// maxPreparationTime is how long tasks may count on a worker that is being prepared.
+const maxPreparationTime = 2 * time.Second
+
+// isPreparing reports whether the worker will be usable in a moment, once its row is stored and its clock is read.
 func (s *Scheduler) isPreparing(w *worker) bool {
+	if !w.preparingSince.IsZero() && s.now.Sub(w.preparingSince) > maxPreparationTime {
+		return false
+	}
 	return w.prepared() && w.registered && w.synced && w.failedHolds == 0 && s.inService(w) && (w.row.version == 0 || !s.hasRecentClock(w))
 }
 
@@ -58,6 +65,9 @@
 func (s *Scheduler) prepareWorkers(pools map[string]*poolWorkers) {
 	for _, w := range s.sortedWorkers {
 		if p := pools[w.info.Pool]; p != nil && s.isPreparing(w) {
+			if w.preparingSince.IsZero() {
+				w.preparingSince = s.now
+			}
 			p.preparing = append(p.preparing, w)
 		}
 	}
--- a/internal/decision/berylscheduler/prepare_test.go
+++ b/internal/decision/berylscheduler/prepare_test.go
@@ -168,3 +168,21 @@
 	}
 	t.Fatal("no task has started")
 }
+
+// A worker near a task's data that does not become usable must not keep the task waiting (review/3).
+func TestTaskWaitsForItsDataRackForAWhile(t *testing.T) {
+	h := newHarness(t)
+	h.register("b")
+	near := workerInfo("a")
+	near.Rack, near.Labels = "r9", []string{"a", "r9"}
+	h.apply(RegistryChanged{Workers: []beryllatch.WorkerInfo{near}})
+	h.holds = nil
+	j := singleTaskJob("0000000000000001")
+	j.Steps[0].DataRack = "r9"
+	h.accept(j)
+	h.tickFor(time.Second)
+	assert.Equal(t, len(h.starts), 0, "the worker near the data is being prepared")
+	h.tickFor(3 * time.Second)
+	assert.Equal(t, len(h.starts), 1)
+	assert.Equal(t, h.starts[0].Worker.ID, "b")
+}
--- a/internal/decision/berylscheduler/run.go
+++ b/internal/decision/berylscheduler/run.go
@@ -188,12 +188,14 @@
 	s.pendingStarts--
 	s.placementDue = true
 	w := s.workers[e.Worker]
-	if w == nil || w.info.Incarnation != e.Incarnation {
+	if w == nil {
 		return
 	}
-	w.pendingStarts--
+	w.pendingStarts = max(w.pendingStarts-1, 0)
+	// Another incarnation than the present one may have answered an order that was sent before this one was known.
+	present := w.info.Incarnation == e.Incarnation
 	r := w.runs[runID{e.Task, e.Run}]
-	if e.Err == nil {
+	if e.Err == nil && present {
 		w.setClock(e.Clock, s.now)
 		w.answerMissing = false
 	}
@@ -210,7 +212,7 @@
 			r.confirmedAt = s.now
 		}
 	case errors.As(e.Err, &rejected) && (r.startAttempts == 1 || rejected.Reason == beryllatch.RejectFence || rejected.Reason == beryllatch.RejectIncarnation):
-		s.startRejected(w, r, rejected)
+		s.startRejected(w, r, rejected, present)
 	case r.phase == runStarting:
 		s.startUnanswered(w, r, e.Err)
 	}
@@ -223,7 +225,7 @@
 	s.emit(Decision{Name: "start_unanswered", Task: r.id.task, Worker: w.info.ID, Run: r.id.n, Detail: err.Error()})
 	s.recordLostAnswer(w)
 	var rejected *beryllatch.OrderRejectedError
-	if r.startAttempts < maxStartAttempts && s.confirmed && w.failedHolds == 0 && s.inService(w) && !errors.As(err, &rejected) {
+	if r.startAttempts < maxStartAttempts && s.confirmed && w.synced && w.failedHolds == 0 && s.inService(w) && !errors.As(err, &rejected) {
 		s.sendStart(r)
 	} else {
 		r.phase, r.unconfirmedSince = runUnconfirmed, s.now
@@ -233,8 +235,8 @@
 }
 
 // startRejected removes a run that the worker has certainly not started: its first start order was rejected, or a repeated one
-// was rejected for its epoch or incarnation.
-func (s *Scheduler) startRejected(w *worker, r *run, e *beryllatch.OrderRejectedError) {
+// was rejected for its epoch or incarnation. present is true if the order was sent to the worker's present incarnation.
+func (s *Scheduler) startRejected(w *worker, r *run, e *beryllatch.OrderRejectedError, present bool) {
 	if e.Reason == beryllatch.RejectFence {
 		s.resign("worker " + w.info.ID + " has seen a later epoch")
 		return
@@ -247,6 +249,10 @@
 			s.dropTicket(r.task.step, w)
 		}
 	}
+	s.placementDue = true
+	if !present {
+		return
+	}
 	switch e.Reason {
 	case beryllatch.RejectUnsent, beryllatch.RejectIncarnation:
 		s.holdUnanswered(w, e)
@@ -256,7 +262,6 @@
 	case beryllatch.RejectBusy, beryllatch.RejectNoRoom, beryllatch.RejectOther:
 		w.health.recordRefusal(s.now)
 	}
-	s.placementDue = true
 }
 
 // stop sends a stop order for the run; its capacity stays booked until the worker lists the completion.
@@ -278,7 +283,7 @@
 
 func (s *Scheduler) stopEnded(e StopEnded) {
 	w := s.workers[e.Worker]
-	if w == nil || w.info.Incarnation != e.Incarnation {
+	if w == nil {
 		return
 	}
 	r := w.runs[runID{e.Task, e.Run}]
@@ -286,7 +291,13 @@
 		return
 	}
 	r.stopPending = false
-	if e.Err == nil {
+	var rejected *beryllatch.OrderRejectedError
+	switch {
+	case errors.As(e.Err, &rejected) && rejected.Reason == beryllatch.RejectFence:
+		s.resign("worker " + w.info.ID + " has seen a later epoch")
+	case w.info.Incarnation != e.Incarnation:
+		// repeatStops sends it to the present incarnation.
+	case e.Err == nil:
 		r.stopConfirmedAt = s.now
 		w.answerMissing = false
 		if r.confirmedAt.IsZero() {
@@ -294,20 +305,15 @@
 			s.probe(w)
 		}
 		s.sendHoldIfDue(w)
-		return
-	}
-	var rejected *beryllatch.OrderRejectedError
-	if errors.As(e.Err, &rejected) && rejected.Reason == beryllatch.RejectFence {
-		s.resign("worker " + w.info.ID + " has seen a later epoch")
-		return
-	}
-	s.recordLostAnswer(w)
-	if w.failedHolds == 0 {
-		s.sendStop(r)
-		return
+	default:
+		s.recordLostAnswer(w)
+		if w.failedHolds == 0 {
+			s.sendStop(r)
+			return
+		}
+		// repeatStops sends it again.
+		r.stopSentAt = s.now
 	}
-	// repeatStops sends it again.
-	r.stopSentAt = s.now
 }
 
 // repeatStops sends stop orders again that were not answered.
