--- a/internal/bench/berylload/schedule.go
+++ b/internal/bench/berylload/schedule.go
@@ -178,7 +178,7 @@
 			return
 		}
 		id := fmt.Sprintf("%016x", rng.Uint64())
-		l.fleet.Expect(id, taskCPU, taskMemory)
+		l.fleet.Expect(id, berylfleet.Needs{CPU: taskCPU, Memory: taskMemory})
 		l.submitted.Go(func() {
 			if !l.call(ctx, http.MethodPost, id, body) {
 				l.refused.Add(1)
--- a/internal/bench/berylsoak/soak_test.go
+++ b/internal/bench/berylsoak/soak_test.go
@@ -79,3 +79,24 @@
 		})
 	}
 }
+
+// restartedWorker is the cause of the first failures with incarnations: a scheduling node took a worker that had restarted under its ID
+// for one without runs.
+const restartedWorker = "runs of a worker that had restarted under its ID were started again"
+
+// Workers that restart under their IDs, with slow clocks, and cuts that outlast a lease must break no promise: no task runs on two workers
+// at once or again after its end was taken note of, and each accepted job is done.
+func TestSoakWithIncarnations(t *testing.T) {
+	program := buildDaemon(t)
+	for seed, cause := range map[uint64]string{9001: restartedWorker, 9002: "an accepted job was never done", 9003: restartedWorker} {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			r, err := Soak{
+				Program: program, Seed: seed, Daemons: 4, Workers: 6, Jobs: 80, Duration: 25 * time.Second, Logs: t.TempDir(), Incarnations: true,
+			}.Run(context.Background())
+			assert.NilError(t, err)
+			assert.Check(t, len(r.Violations) == 0, "%s: %v after %v", cause, r.Violations, r.Faults)
+			assert.Check(t, r.Done > 0)
+		})
+	}
+}
