--- a/internal/bench/berylsoak/incarnation.go
+++ b/internal/bench/berylsoak/incarnation.go
@@ -17,6 +17,8 @@
 	// minLongTask and longTaskRange give the durations of the tasks of long jobs, which outlast leases and cuts.
 	minLongTask   = 2 * time.Second
 	longTaskRange = 5 * time.Second
+	// longTaskShare divides the processor needs of long tasks.
+	longTaskShare = 4
 )
 
 // slowClocks makes the clocks of workers slow by up to maxClockDrift; half of them by the whole of it.
