A hold takes no note of ends while it is not known which incarnation gets it

Cause: a hold carries the number up to which completions are stored. When a worker has started again unnoticed (it was idle, or the holds since are lost), its completions are numbered anew, and the old number makes it forget completions that no node has read. The run is then missing from its lists, and the task that it has done starts again.

Ruled out: a check by the worker. The header of a call names the ID, which both incarnations have.

Change: a hold acknowledges only if the incarnation has answered a hold that was sent in the last 1.5 s; otherwise it first reads the lists, without waiting for a completion. After a lost hold the number is sent again.

TestLostHoldIsRepeatedAtOnce answered a hold of 250 ms after 3 s, which now counts as a long silence; it answers each hold and checks the wait of all of them instead of the first.

Measured: TestNoAcknowledgementToAnUnknownIncarnation fails before (number 1 is acknowledged to an incarnation that has not answered) and passes.

--- a/internal/decision/berylscheduler/hold.go
+++ b/internal/decision/berylscheduler/hold.go
@@ -45,7 +45,7 @@
 	}
 	order := beryllatch.HoldOrder{Fence: s.Epoch, Acknowledge: ack, Wait: holdWait}
 	switch {
-	case !w.synced || !s.hasRecentClock(w) || len(w.runs) == 0:
+	case !w.synced || !s.hasRecentClock(w) || len(w.runs) == 0 || !s.inContact(w):
 		order.Wait = 0
 	case len(w.unacknowledged) > 0:
 		// The worker would answer at once, since it lists completions until they are acknowledged. Waiting for the store saves
@@ -165,7 +165,12 @@
 	if w.failedHolds == 0 {
 		order.LeaseEnd = s.grantLease(w)
 	}
-	w.sentAcknowledge = order.Acknowledge
+	if s.inContact(w) {
+		w.sentAcknowledge = order.Acknowledge
+	} else {
+		// Another incarnation would forget completions that the scheduler has never read, since their numbers start anew.
+		order.Acknowledge = 0
+	}
 	s.emit(HoldWorker{Worker: w.address(), Incarnation: w.info.Incarnation, Order: order, Probe: probe})
 }
 
@@ -286,6 +291,8 @@
 		s.recordLostAnswer(w)
 	}
 	w.failedHolds++
+	// The worker may not have received what was sent, and gets it again once it answers.
+	w.sentAcknowledge = 0
 	switch {
 	case w.failedHolds == 1:
 		w.nextHold = s.now
--- a/internal/decision/berylscheduler/incarnation.go
+++ b/internal/decision/berylscheduler/incarnation.go
@@ -83,6 +83,16 @@
 	return !w.clockAt.IsZero() && s.now.Sub(w.clockAt) <= maxClockAge
 }
 
+// contactValidity is how long an answered hold shows which incarnation gets the next order. A worker with runs is asked every
+// second.
+const contactValidity = 1500 * time.Millisecond
+
+// inContact reports whether the worker's incarnation has answered a hold that was sent within contactValidity. An idle worker may
+// have started again unnoticed.
+func (s *Scheduler) inContact(w *worker) bool {
+	return w.failedHolds == 0 && !w.lastContact.IsZero() && s.now.Sub(w.lastContact) <= contactValidity
+}
+
 func (w *worker) setClock(clock time.Duration, at time.Time) {
 	if clock > 0 {
 		w.clock, w.clockAt = clock, at
--- a/internal/decision/berylscheduler/incarnation_test.go
+++ b/internal/decision/berylscheduler/incarnation_test.go
@@ -105,3 +105,40 @@
 	assert.Equal(t, h.s.workers["a"].pendingStarts, 0)
 	assert.Equal(t, h.s.pendingStarts, 0)
 }
+
+// Guards against completions that are never read: a hold with the number of a completion of an ended incarnation makes the next one
+// forget its own up to that number, and a task that it has done starts again (TWICE).
+func TestNoAcknowledgementToAnUnknownIncarnation(t *testing.T) {
+	h := newHarness(t)
+	h.register("a")
+	h.accept(singleTaskJob("0000000000000001"))
+	h.finishRuns(beryllatch.RunDone, h.confirmStarts()...)
+	h.answerHolds(nil)
+	h.tickFor(2 * time.Second)
+	assert.Equal(t, len(h.holds), 0, "the worker is idle")
+
+	// The worker restarts unnoticed, and the holds during the run of its new task are lost.
+	h.accept(singleTaskJob("0000000000000002"))
+	starts := h.confirmStarts()
+	assert.Equal(t, len(starts), 1)
+	for range 10 {
+		for _, f := range h.holds {
+			assert.Equal(t, f.Order.Acknowledge, int64(0))
+		}
+		h.tickFor(200 * time.Millisecond)
+		h.answerHolds(nil, "a")
+	}
+	h.tickFor(time.Second)
+	hold := h.holds[0]
+	assert.Equal(t, hold.Order.Acknowledge, int64(0))
+	h.holds = nil
+	h.apply(WorkerHeld{Worker: "a", Incarnation: hold.Incarnation, Sent: hold.sent, Lists: beryllatch.WorkerLists{
+		Incarnation: 2, Clock: time.Second,
+		Finished: []beryllatch.FinishedEntry{{Number: 1, Task: starts[0].Order.Task, Run: starts[0].Order.Run, Outcome: beryllatch.RunDone}},
+	}})
+	h.storeAll()
+	h.tickFor(100 * time.Millisecond)
+	state, _ := h.s.JobState("0000000000000002")
+	assert.Equal(t, state, beryllatch.JobDone)
+	assert.Equal(t, h.holds[0].Order.Acknowledge, int64(1), "the new incarnation has answered")
+}
--- a/internal/decision/berylscheduler/rules_test.go
+++ b/internal/decision/berylscheduler/rules_test.go
@@ -272,9 +272,10 @@
 	h.answerHolds(nil, "a")
 	assert.Equal(t, len(h.holds), 1)
 	assert.Equal(t, h.holds[0].Order.Wait, time.Duration(0))
-	h.answerHolds(runningLists(starts, 20))
-	assert.Equal(t, h.holds[0].Order.Wait, lossyHoldWait)
-	h.tickFor(lossyPeriod)
+	for end := h.now.Add(lossyPeriod); h.now.Before(end); h.tickFor(100 * time.Millisecond) {
+		h.answerHolds(runningLists(starts, 20))
+		assert.Equal(t, h.holds[0].Order.Wait, lossyHoldWait)
+	}
 	h.answerHolds(runningLists(starts, 30))
 	assert.Equal(t, h.holds[0].Order.Wait, holdWait)
 }
