A lease is granted for the longest time while it is not known who gets it

What callers would see: a task on two workers at once (TWICE); found by reading what is kept by a worker's ID.

Cause: the end of a lease is a time on the worker's clock, which starts anew with each incarnation. A worker that has started again unnoticed takes it for a time far ahead and shortens the lease to hold_max_ms (10 s), while its runs were written off after 4.74 s. After a takeover the next node assumed 4.74 s, too.

Change: a lease that is granted without contact in the last 3 s (longer than a hold may take) counts as the longest possible one until the incarnation has answered a hold that was sent later. After a takeover the longest lease counts from the start for workers that cannot be asked.

--- a/internal/decision/berylscheduler/confirm_test.go
+++ b/internal/decision/berylscheduler/confirm_test.go
@@ -35,7 +35,7 @@
 			h.register("a", "b")
 			h.accept(singleTaskJob("0000000000000001"))
 			h.confirmStarts()
-			h.resumeAfter(2 * h.s.leaseExpiryBound())
+			h.resumeAfter(2 * expiryBound(h.s.Limits.MaxLease))
 			assert.Equal(t, h.confirmations, 1)
 			h.answerHolds(nil)
 			h.tickFor(time.Second)
--- a/internal/decision/berylscheduler/hold.go
+++ b/internal/decision/berylscheduler/hold.go
@@ -261,6 +261,9 @@
 	if n < w.info.Incarnation && e.Sent.Before(w.discoveredAt) {
 		return false
 	}
+	if n == w.info.Incarnation {
+		w.noticeLeases(e.Sent)
+	}
 	s.beginIncarnation(w, n)
 	return true
 }
--- a/internal/decision/berylscheduler/incarnation.go
+++ b/internal/decision/berylscheduler/incarnation.go
@@ -83,9 +83,9 @@
 	return !w.clockAt.IsZero() && s.now.Sub(w.clockAt) <= maxClockAge
 }
 
-// contactValidity is how long an answered hold shows which incarnation gets the next order. A worker with runs is asked every
-// second.
-const contactValidity = 1500 * time.Millisecond
+// contactValidity is how long an answered hold shows which incarnation gets the next order. It is longer than a hold may take, so
+// that a worker with runs stays in contact.
+const contactValidity = 3 * time.Second
 
 // inContact reports whether the worker's incarnation has answered a hold that was sent within contactValidity. An idle worker may
 // have started again unnoticed.
--- a/internal/decision/berylscheduler/incarnation_test.go
+++ b/internal/decision/berylscheduler/incarnation_test.go
@@ -114,7 +114,7 @@
 	h.accept(singleTaskJob("0000000000000001"))
 	h.finishRuns(beryllatch.RunDone, h.confirmStarts()...)
 	h.answerHolds(nil)
-	h.tickFor(2 * time.Second)
+	h.tickFor(contactValidity)
 	assert.Equal(t, len(h.holds), 0, "the worker is idle")
 
 	// The worker restarts unnoticed, and the holds during the run of its new task are lost.
@@ -142,3 +142,36 @@
 	assert.Equal(t, state, beryllatch.JobDone)
 	assert.Equal(t, h.holds[0].Order.Acknowledge, int64(1), "the new incarnation has answered")
 }
+
+// A worker that has started again unnoticed takes the end of a new lease for a time far ahead on its clock, and shortens the lease to the
+// longest possible one: its runs must not be written off before that one has expired (TWICE).
+func TestLeaseOfAnUnknownIncarnationMayBeTheLongest(t *testing.T) {
+	h := newHarness(t)
+	h.register("a")
+	h.tickFor(time.Second + contactValidity)
+	h.accept(singleTaskJob("0000000000000001"))
+	h.confirmStarts()
+	granted := h.now
+	h.register("b")
+	for h.now.Sub(granted) < h.s.Limits.MaxLease {
+		h.tickFor(100 * time.Millisecond)
+		h.answerHolds(nil, "a")
+		assert.Equal(t, len(h.starts), 0, "after %s", h.now.Sub(granted))
+	}
+	h.tickFor(time.Second)
+	assert.Equal(t, len(h.starts), 1)
+}
+
+// The same for a worker that a node which takes over has not read: the epoch before may have granted such a lease.
+func TestTakeoverWaitsForTheLongestLease(t *testing.T) {
+	h, stored, start := usedWorkers(t, 2)
+	next := h.takeOver(stored)
+	began := next.now
+	next.apply(RegistryRead{Workers: workerInfos(2)})
+	for next.now.Sub(began) < next.s.Limits.MaxLease {
+		next.tickFor(100 * time.Millisecond)
+		next.answerHolds(nil, start.Worker.ID)
+		next.storeInto(stored)
+		assert.Equal(t, len(next.starts), 0, "after %s", next.now.Sub(began))
+	}
+}
--- a/internal/decision/berylscheduler/prepare_test.go
+++ b/internal/decision/berylscheduler/prepare_test.go
@@ -96,7 +96,7 @@
 	next := h.takeOver(stored)
 	next.apply(RegistryRead{Workers: workerInfos(2)})
 	holds := next.holds
-	next.tickFor(2 * next.s.leaseExpiryBound())
+	next.tickFor(2 * expiryBound(next.s.Limits.MaxLease))
 	assert.Equal(t, len(next.starts), 0, "no answer is known")
 	next.holds = holds
 	next.answerHolds(map[string]beryllatch.WorkerLists{start.Worker.ID: {Finished: []beryllatch.FinishedEntry{
--- a/internal/decision/berylscheduler/recover.go
+++ b/internal/decision/berylscheduler/recover.go
@@ -60,7 +60,7 @@
 		row := s.journal.workerRow(info.ID)
 		row.version, row.value = r.Version, r.Value
 		s.addWorker(&worker{
-			incarnation: incarnation{discoveredAt: s.now}, info: info, leasesExpireBy: s.now.Add(s.leaseExpiryBound()), idleSince: s.now,
+			incarnation: incarnation{discoveredAt: s.now}, info: info, leasesExpireBy: s.now.Add(expiryBound(s.Limits.MaxLease)), idleSince: s.now,
 		})
 	}
 	s.recoverWaves(e.Waves)
--- a/internal/decision/berylscheduler/recover_test.go
+++ b/internal/decision/berylscheduler/recover_test.go
@@ -27,7 +27,7 @@
 			next.submit(singleTaskJob("0000000000000001"))
 			next.storeInto(stored)
 			next.answerHolds(nil)
-			next.tickFor(2 * next.s.leaseExpiryBound())
+			next.tickFor(2 * expiryBound(next.s.Limits.MaxLease))
 			assert.Equal(t, len(next.starts), 0)
 			assert.DeepEqual(t, stored[key], row)
 			state, ok := next.s.JobState("0000000000000001")
--- a/internal/decision/berylscheduler/scheduler.go
+++ b/internal/decision/berylscheduler/scheduler.go
@@ -274,10 +274,10 @@
 // leaseLength returns the length of the leases that the scheduler grants.
 func (s *Scheduler) leaseLength() time.Duration { return min(leaseTime, s.Limits.MaxLease) }
 
-// leaseExpiryBound returns how long after its grant a lease has certainly expired on the worker, even if the worker's clock
-// runs slow.
-func (s *Scheduler) leaseExpiryBound() time.Duration {
-	return time.Duration(float64(s.leaseLength())/(1-clockDrift)) + leaseExpiryMargin
+// expiryBound returns how long after its grant a lease of the given length has certainly expired on the worker, even if the worker's
+// clock runs slow.
+func expiryBound(lease time.Duration) time.Duration {
+	return time.Duration(float64(lease)/(1-clockDrift)) + leaseExpiryMargin
 }
 
 func (s *Scheduler) addWorker(w *worker) {
@@ -291,7 +291,7 @@
 // dropWorkers removes workers that have no registration and certainly have no runs.
 func (s *Scheduler) dropWorkers() {
 	s.sortedWorkers = slices.DeleteFunc(s.sortedWorkers, func(w *worker) bool {
-		if w.registered || len(w.runs) > 0 || s.now.Before(w.leasesExpireBy) || !w.synced {
+		if w.registered || len(w.runs) > 0 || s.mayHoldLease(w) || !w.synced {
 			return false
 		}
 		delete(s.workers, w.info.ID)
--- a/internal/decision/berylscheduler/worker.go
+++ b/internal/decision/berylscheduler/worker.go
@@ -27,8 +27,10 @@
 	// runs holds the booked runs. An order may have reached any incarnation, so that only lists, or leases that have expired, end
 	// a booking.
 	runs map[runID]*run
-	// leasesExpireBy is when all leases that the worker may hold have expired.
-	leasesExpireBy time.Time
+	// leasesExpireBy is when all leases that the worker may hold have expired, unless it has started again unnoticed before one of
+	// them was granted: unnoticedLeasesExpireBy is when they have expired in that case. It is zero once the worker has answered a
+	// hold that was sent after leaseUnnoticedAt, the time of the last such grant.
+	leasesExpireBy, unnoticedLeasesExpireBy, leaseUnnoticedAt time.Time
 	// idleSince is when the last run ended; before the first run, it is when the scheduler learned of the worker.
 	idleSince time.Time
 	// longRunningRuns counts the runs of long-running tasks, and longRunningUse is the capacity booked for them.
@@ -171,7 +173,7 @@
 		s.recordLostRun(r, "worker ended")
 	}
 	w.incarnation = incarnation{discoveredAt: s.now, synced: true}
-	w.leasesExpireBy = s.now
+	w.leasesExpireBy, w.unnoticedLeasesExpireBy = s.now, time.Time{}
 	s.unregister(w)
 }
 
@@ -196,9 +198,14 @@
 	}
 }
 
+// mayHoldLease reports whether the worker may hold a lease that has not expired.
+func (s *Scheduler) mayHoldLease(w *worker) bool {
+	return s.now.Before(w.leasesExpireBy) || s.now.Before(w.unnoticedLeasesExpireBy)
+}
+
 // checkLease writes off the runs of a worker once all its leases have expired.
 func (s *Scheduler) checkLease(w *worker) {
-	if s.now.Before(w.leasesExpireBy) {
+	if s.mayHoldLease(w) {
 		return
 	}
 	if !w.synced {
@@ -223,10 +230,22 @@
 	if !ok {
 		return 0
 	}
-	w.leasesExpireBy = laterTime(w.leasesExpireBy, s.now.Add(s.leaseExpiryBound()))
+	w.leasesExpireBy = laterTime(w.leasesExpireBy, s.now.Add(expiryBound(s.leaseLength())))
+	if !s.inContact(w) {
+		// The clock of another incarnation started anew, so that the end is far ahead on it, and the worker shortens the lease to
+		// the longest possible one.
+		w.unnoticedLeasesExpireBy, w.leaseUnnoticedAt = s.now.Add(expiryBound(s.Limits.MaxLease)), s.now
+	}
 	return clock + s.leaseLength()
 }
 
+// noticeLeases records that the worker's present incarnation is the one to which the leases were granted before the given time.
+func (w *worker) noticeLeases(sent time.Time) {
+	if sent.After(w.leaseUnnoticedAt) {
+		w.unnoticedLeasesExpireBy = time.Time{}
+	}
+}
+
 func laterTime(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
