A worker whose row is being deleted gets no run

What callers would see: a task on two workers at once (TWICE); found by reading who may say that a worker cannot have runs of an earlier epoch.

Cause: a worker without a row is taken for one without runs after a takeover, and usable() took a row with a version for stored. When a worker's registration returns while its row is being deleted, the row still has its version, so that the worker could get a run and lose its row a moment later.

Change: a row counts as stored from a confirmed write to the next attempt to delete it.

Measured: TestReturnedWorkerNeedsItsRow fails before (a start while the deletion is in flight) and passes.

--- a/internal/decision/berylscheduler/journal.go
+++ b/internal/decision/berylscheduler/journal.go
@@ -110,6 +110,8 @@
 	id string
 	// version is the version of the stored row, 0 if there is none.
 	version int64
+	// stored is true while the store certainly has the row: from a confirmed write to the next attempt to delete it.
+	stored bool
 	// value is what the row should contain; nil means that it should not exist.
 	value    []byte
 	queued   bool
@@ -233,6 +235,7 @@
 		case r.value != nil:
 			addPut(&tx, WorkersTable, r.id, r.version, r.value)
 		case r.version > 0:
+			r.stored = false
 			addDelete(&tx, WorkersTable, r.id, r.version)
 		default:
 			delete(n.workerRows, r.id)
@@ -364,7 +367,7 @@
 
 func (s *Scheduler) applyStored(b *batch, version int64) {
 	for _, w := range b.workers {
-		w.row.version = version
+		w.row.version, w.row.stored = version, w.value != nil
 		if w.value == nil {
 			w.row.version = 0
 			if w.row.value == nil {
@@ -444,6 +447,7 @@
 	}
 	for _, w := range b.workers {
 		w.row.version = versions[id{WorkersTable, w.row.id}]
+		w.row.stored = w.row.stored && w.row.version > 0
 	}
 	for _, w := range b.waves {
 		w.rowVersion = versions[id{WavesTable, strconv.Itoa(w.Number)}]
--- a/internal/decision/berylscheduler/prepare.go
+++ b/internal/decision/berylscheduler/prepare.go
@@ -40,7 +40,7 @@
 	if !w.preparingSince.IsZero() && s.now.Sub(w.preparingSince) > maxPreparationTime {
 		return false
 	}
-	return w.prepared() && w.registered && w.synced && w.failedHolds == 0 && s.inService(w) && (w.row.version == 0 || !s.hasRecentClock(w))
+	return w.prepared() && w.registered && w.synced && w.failedHolds == 0 && s.inService(w) && (!w.row.stored || !s.hasRecentClock(w))
 }
 
 func (s *Scheduler) prepareWorker(w *worker) {
--- a/internal/decision/berylscheduler/prepare_test.go
+++ b/internal/decision/berylscheduler/prepare_test.go
@@ -186,3 +186,28 @@
 	assert.Equal(t, len(h.starts), 1)
 	assert.Equal(t, h.starts[0].Worker.ID, "b")
 }
+
+// A worker that returns while its row is being deleted must get no run before the row is stored again: a node that takes over
+// meanwhile would not know the worker, and start its tasks a second time.
+func TestReturnedWorkerNeedsItsRow(t *testing.T) {
+	h := newHarness(t)
+	h.register("a")
+	h.apply(RegistryChanged{Removed: []string{"a"}})
+	h.tickFor(2 * expiryBound(h.s.Limits.MaxLease))
+	assert.Equal(t, len(h.s.workers), 0)
+	assert.Equal(t, len(h.commits), 1, "the row is being deleted")
+	h.apply(RegistryChanged{Workers: []beryllatch.WorkerInfo{workerInfo("a")}})
+	h.submit(singleTaskJob("0000000000000001"))
+	h.tickFor(200 * time.Millisecond)
+	h.answerHolds(nil)
+	h.tickFor(200 * time.Millisecond)
+	second := h.commits[1].Batch
+	h.version++
+	h.apply(Committed{Batch: second, Version: h.version})
+	h.tickFor(200 * time.Millisecond)
+	assert.Equal(t, len(h.starts), 0)
+	h.storeAll()
+	h.tickFor(200 * time.Millisecond)
+	h.storeAll()
+	assert.Equal(t, len(h.starts), 1)
+}
--- a/internal/decision/berylscheduler/recover.go
+++ b/internal/decision/berylscheduler/recover.go
@@ -58,7 +58,7 @@
 			continue
 		}
 		row := s.journal.workerRow(info.ID)
-		row.version, row.value = r.Version, r.Value
+		row.version, row.value, row.stored = r.Version, r.Value, true
 		s.addWorker(&worker{
 			incarnation: incarnation{discoveredAt: s.now}, info: info, leasesExpireBy: s.now.Add(expiryBound(s.Limits.MaxLease)), idleSince: s.now,
 		})
--- a/internal/decision/berylscheduler/worker.go
+++ b/internal/decision/berylscheduler/worker.go
@@ -71,7 +71,7 @@
 // usable reports whether the worker may get new runs. A registration that has disappeared still counts for registryGrace.
 func (s *Scheduler) usable(w *worker) bool {
 	present := w.registered || (!w.unregisteredAt.IsZero() && s.now.Sub(w.unregisteredAt) < registryGrace)
-	return present && w.synced && s.hasRecentClock(w) && w.failedHolds == 0 && !w.answerMissing && w.row.version > 0 && s.inService(w) &&
+	return present && w.synced && s.hasRecentClock(w) && w.failedHolds == 0 && !w.answerMissing && w.row.stored && s.inService(w) &&
 		!w.health.isSuspect(s.now)
 }
 
