A list of 500 finished runs is not taken for the whole

Cause: a worker returns 500 ends at a time. The first answer of a worker counted as all that it knows, so that tasks started again whose ends were held back, and in the same epoch a run that was neither listed as running nor among the first 500 ends counted as lost.

Change: the adapter says that more may follow. Until an answer has fewer than 500 ends the worker is not synced and no run counts as missing; its ends are acknowledged as they are stored, and the rest is asked for.

--- a/internal/decision/berylscheduler/hold.go
+++ b/internal/decision/berylscheduler/hold.go
@@ -45,15 +45,15 @@
 	}
 	order := beryllatch.HoldOrder{Fence: s.Epoch, Acknowledge: ack, Wait: holdWait}
 	switch {
-	case !w.synced || !s.hasRecentClock(w) || len(w.runs) == 0 || !s.inContact(w):
-		order.Wait = 0
-	case len(w.unacknowledged) > 0:
+	case len(w.unacknowledged) > 0 && s.awaitsStore(w, ack):
 		// The worker would answer at once, since it lists completions until they are acknowledged. Waiting for the store saves
 		// useless holds.
 		if s.now.Sub(w.lastContact) < unstoredHoldPause {
 			return
 		}
 		order.Wait = 0
+	case !w.synced || !s.hasRecentClock(w) || len(w.runs) == 0 || !s.inContact(w):
+		order.Wait = 0
 	case w.failedHolds > 0:
 		order.Wait = 0
 	case w.hasUnconfirmedRun():
@@ -70,6 +70,14 @@
 	s.sendHold(w, order, false)
 }
 
+// awaitsStore reports whether the next hold can only bring the completions again that are being stored.
+func (s *Scheduler) awaitsStore(w *worker, ack int64) bool {
+	if !w.synced {
+		return ack == w.sentAcknowledge
+	}
+	return s.inContact(w) && s.hasRecentClock(w) && len(w.runs) > 0
+}
+
 // holdDue reports whether the worker has to be asked. Workers without work are left alone only as long as nothing about them is in
 // doubt: a worker that has not answered is asked until it answers or its registration is gone.
 func (s *Scheduler) holdDue(w *worker, ack int64) bool {
@@ -239,7 +247,7 @@
 		s.placementDue = true
 	}
 	w.setClock(e.Lists.Clock, s.now)
-	if !w.synced {
+	if !w.synced && !e.Lists.MoreFinished {
 		w.synced, w.stopsEndBy = true, s.now.Add(s.Limits.StopTimeout+stopMargin)
 		s.placementDue = true
 		s.emit(Decision{Name: "worker_settled", Worker: w.info.ID, Detail: "its lists are read"})
--- a/internal/decision/berylscheduler/run.go
+++ b/internal/decision/berylscheduler/run.go
@@ -351,9 +351,11 @@
 	for _, l := range e.Lists.Running {
 		s.recordRunning(w, runID{l.Task, l.Run}, l).listing = s.listings
 	}
-	for _, r := range s.runsOf(w) {
-		if r.listing != s.listings {
-			s.checkMissing(r, e.Sent)
+	if !e.Lists.MoreFinished {
+		for _, r := range s.runsOf(w) {
+			if r.listing != s.listings {
+				s.checkMissing(r, e.Sent)
+			}
 		}
 	}
 	s.adjustPace(w)
--- a/run.go
+++ b/run.go
@@ -125,6 +125,8 @@
 	Incarnation int64
 	Running     []RunningEntry
 	Finished    []FinishedEntry
+	// MoreFinished is true if the worker may have more finished runs than Finished holds; it lists them once these are acknowledged.
+	MoreFinished bool
 }
 
 // OrderRejection is the reason for which a worker did not carry out an order.
