Only the platform's list and leases show that an incarnation has ended

What callers would see: tasks on two workers at once (TWICE), and workers that get no work until the next takeover (LOST); found from the report of odd entries, and by asking on whose word runs are written off.

Cause: a registration was believed about other workers. One that names the instance of another worker and a later start ended that worker at once. One under the ID of a worker in use, with a start far in the future, made every later registration of the worker itself too old; with another instance, the list of instances seemed to show that the worker had ended. A list of instances that was requested before a start ended the run, although the worker may have been back when it got the order, and the incarnation after a restart was ignored for good if the list had ended it.

Change: a registration says only where to ask its worker. A new one on an instance puts the others there in doubt: they are asked at once, and the list of instances is requested. The list ends an incarnation if it names the worker nowhere, and only runs whose orders were answered before it was requested. Any other start time is another incarnation, whichever is later, since clocks jump and entries may be odd.

TestListedInstanceEndsASilentWorker used a list that had been requested before the start; it now requests one after it, and checks the same.

--- a/internal/decision/berylscheduler/fleet.go
+++ b/internal/decision/berylscheduler/fleet.go
@@ -112,6 +112,7 @@
 	for _, i := range e.Instances {
 		f.instances[i.Name] = i
 	}
+	f.workerByInstance = nil
 	s.checkInstances(f.listRequestedAt)
 	s.placementDue = true
 }
@@ -133,13 +134,13 @@
 	}
 }
 
-// workerOn returns the latest worker on an instance, or nil. The worker may have runs even if its registration is gone.
+// workerOn returns the worker on an instance, or nil. The worker may have runs even if its registration is gone.
 func (s *Scheduler) workerOn(instance string) *worker {
 	f := &s.fleet
 	if f.workerByInstance == nil {
 		f.workerByInstance = make(map[string]*worker, len(s.sortedWorkers))
 		for _, w := range s.sortedWorkers {
-			if latest := f.workerByInstance[w.info.Instance]; latest == nil || w.info.Incarnation > latest.info.Incarnation {
+			if o := f.workerByInstance[w.info.Instance]; o == nil || s.replaces(w, o) {
 				f.workerByInstance[w.info.Instance] = w
 			}
 		}
@@ -147,6 +148,18 @@
 	return f.workerByInstance[instance]
 }
 
+// replaces reports whether w rather than o is the worker on their instance: the one that the platform lists there, or else the one that
+// the scheduler learned of later.
+func (s *Scheduler) replaces(w, o *worker) bool {
+	switch s.fleet.instances[w.info.Instance].Worker {
+	case w.info.ID:
+		return true
+	case o.info.ID:
+		return false
+	}
+	return w.discoveredAt.After(o.discoveredAt)
+}
+
 // lostCPU ranks instances by how much work is lost when their runs stop: the booked processor capacity in millicores, plus one
 // for each run, plus mustMoveFirst if a long-running task has to move first.
 func (s *Scheduler) lostCPU(instance string) int {
--- a/internal/decision/berylscheduler/hold.go
+++ b/internal/decision/berylscheduler/hold.go
@@ -266,7 +266,7 @@
 	if n == 0 {
 		return e.Incarnation == w.info.Incarnation
 	}
-	if n < w.info.Incarnation && e.Sent.Before(w.discoveredAt) {
+	if n != w.info.Incarnation && e.Sent.Before(w.discoveredAt) {
 		return false
 	}
 	if n == w.info.Incarnation {
--- a/internal/decision/berylscheduler/lease_test.go
+++ b/internal/decision/berylscheduler/lease_test.go
@@ -44,6 +44,15 @@
 	}
 }
 
+// instancesOf returns the instances of workers, all of them up.
+func instancesOf(ids ...string) []beryllatch.FleetInstance {
+	var out []beryllatch.FleetInstance
+	for _, id := range ids {
+		out = append(out, beryllatch.FleetInstance{Name: "m-" + id, Pool: "p", State: beryllatch.FleetInstanceUp, Worker: id})
+	}
+	return out
+}
+
 // If the list of instances shows that the instance of a worker that does not answer is down, its tasks start elsewhere without
 // waiting for the lease.
 func TestListedInstanceEndsASilentWorker(t *testing.T) {
@@ -51,16 +60,15 @@
 	h.register("a", "b")
 	h.accept(singleTaskJob("0000000000000001"))
 	first := h.confirmStarts()[0]
+	h.apply(InstancesListed{Instances: instancesOf("a", "b")})
 	h.tickFor(500 * time.Millisecond)
 	h.answerHolds(nil, "a", "b")
 	h.tickFor(500 * time.Millisecond)
-	var list []beryllatch.FleetInstance
-	for _, id := range []string{"a", "b"} {
-		i := beryllatch.FleetInstance{Name: "m-" + id, Pool: "p", State: beryllatch.FleetInstanceUp, Worker: id}
-		if id == first.Worker.ID {
-			i.State = beryllatch.FleetInstanceDown
+	list := instancesOf("a", "b")
+	for n := range list {
+		if list[n].Worker == first.Worker.ID {
+			list[n].State = beryllatch.FleetInstanceDown
 		}
-		list = append(list, i)
 	}
 	h.answerHolds(nil, first.Worker.ID)
 	h.apply(InstancesListed{Instances: list})
--- a/internal/decision/berylscheduler/worker.go
+++ b/internal/decision/berylscheduler/worker.go
@@ -120,26 +120,25 @@
 }
 
 func (s *Scheduler) register(i beryllatch.WorkerInfo) {
-	if ended, ok := s.endedIncarnations[i.ID]; ok && i.Incarnation <= ended {
+	ended, wasEnded := s.endedIncarnations[i.ID]
+	if wasEnded && i.Incarnation == ended {
 		return
 	}
 	w := s.workers[i.ID]
 	if w == nil {
-		// Earlier epochs have stored a row of each worker with runs, and this epoch has read all rows.
-		w = &worker{incarnation: incarnation{discoveredAt: s.now, synced: true}, info: i, registered: true, idleSince: s.now}
-		s.endEarlierIncarnations(w)
+		// Earlier epochs have stored a row of each worker with runs, and this epoch has read all rows. A start order to an ended
+		// incarnation may have reached this one.
+		w = &worker{incarnation: incarnation{discoveredAt: s.now, synced: !wasEnded}, info: i, registered: true, idleSince: s.now}
+		s.doubtOthers(w)
 		s.addWorker(w)
 		s.emit(Decision{Name: "worker_registered", Worker: i.ID, Detail: i.Pool})
 		s.placementDue = true
 		s.sendHoldIfDue(w)
 		return
 	}
-	if i.Incarnation != 0 && w.info.Incarnation != 0 && i.Incarnation > w.info.Incarnation {
+	if i.Incarnation != 0 {
 		s.beginIncarnation(w, i.Incarnation)
 	}
-	if i.Incarnation != 0 && i.Incarnation < w.info.Incarnation {
-		return
-	}
 	if i.Draining && !w.info.Draining {
 		s.emit(Decision{Name: "worker_draining", Worker: i.ID})
 	}
@@ -153,47 +152,71 @@
 	s.sendHoldIfDue(w)
 }
 
-// endEarlierIncarnations ends the workers that ran on the same instance before the new worker.
-func (s *Scheduler) endEarlierIncarnations(n *worker) {
+// doubtOthers keeps the other workers on the instance of a new one from being used until they answer. Only the list of instances, or
+// their leases, show that they have ended: anyone may register a worker on an instance.
+func (s *Scheduler) doubtOthers(n *worker) {
 	if n.info.Instance == "" {
 		return
 	}
 	for _, w := range s.sortedWorkers {
-		if w.info.Instance == n.info.Instance && w.info.Incarnation < n.info.Incarnation {
-			s.endIncarnation(w)
+		if w.info.Instance == n.info.Instance {
+			w.answerMissing = true
+			s.listSoon()
+			s.sendHoldIfDue(w)
 		}
 	}
 }
 
-// endIncarnation writes off a worker that certainly has no runs any more. Its registration may stay for a while and is ignored.
-func (s *Scheduler) endIncarnation(w *worker) {
+// endIncarnation writes off a worker whose incarnation had ended at the given time. Its registration may stay for a while and is
+// ignored. Runs whose start orders were under way at that time may have reached another incarnation and stay booked.
+func (s *Scheduler) endIncarnation(w *worker, at time.Time) {
 	s.endedIncarnations[w.info.ID] = w.info.Incarnation
 	for _, r := range s.runsOf(w) {
-		s.release(r)
-		s.recordLostRun(r, "worker ended")
+		if r.startsEndedBefore(at) {
+			s.release(r)
+			s.recordLostRun(r, "worker ended")
+		}
+	}
+	w.incarnation = incarnation{discoveredAt: s.now, synced: len(w.runs) == 0}
+	if w.synced {
+		w.leasesExpireBy, w.unnoticedLeasesExpireBy = s.now, time.Time{}
 	}
-	w.incarnation = incarnation{discoveredAt: s.now, synced: true}
-	w.leasesExpireBy, w.unnoticedLeasesExpireBy = s.now, time.Time{}
 	s.unregister(w)
 }
 
+// startsEndedBefore reports whether no start order for the run was under way at the given time or later.
+func (r *run) startsEndedBefore(at time.Time) bool {
+	switch r.phase {
+	case runStarting:
+		return false
+	case runUnconfirmed:
+		return r.unconfirmedSince.Before(at)
+	}
+	return r.confirmedAt.Before(at)
+}
+
 // checkInstances ends the workers whose instance is not up or runs another worker, by a list of instances that was requested at
 // the given time.
 func (s *Scheduler) checkInstances(requestedAt time.Time) {
+	listed := make(map[string]bool, len(s.fleet.instances))
+	for _, i := range s.fleet.instances {
+		if i.State == beryllatch.FleetInstanceUp {
+			listed[i.Worker] = true
+		}
+	}
 	for _, w := range s.sortedWorkers {
 		i, ok := s.fleet.instances[w.info.Instance]
-		if w.info.Instance == "" || !w.discoveredAt.Before(requestedAt) {
+		// A registration may name an instance on which another worker runs, but the platform knows where each worker is.
+		if w.info.Instance == "" || listed[w.info.ID] || !w.discoveredAt.Before(requestedAt) {
 			continue
 		}
-		if !ok && w.registered {
-			// The worker may have registered too late for the list.
+		if !ok && w.registered || ok && i.State == "" {
+			// The worker may have registered too late for the list, or the state of its instance is not known.
 			continue
 		}
-		if i.State != beryllatch.FleetInstanceUp || i.Worker != w.info.ID {
-			if len(w.runs) > 0 || !w.synced || w.registered {
-				s.emit(Decision{Name: "worker_ended", Worker: w.info.ID, Detail: "instance is " + string(i.State)})
-				s.endIncarnation(w)
-			}
+		if len(w.runs) > 0 || !w.synced || w.registered {
+			s.emit(Decision{Name: "worker_ended", Worker: w.info.ID, Detail: "instance is " + string(i.State), Age: s.now.Sub(requestedAt)})
+			s.endIncarnation(w, requestedAt)
 		}
 	}
 }
