--- a/internal/node/beryljobs/registry.go
+++ b/internal/node/beryljobs/registry.go
@@ -19,20 +19,23 @@
 // readRegistry reads all registrations, and returns the version of the store that they show.
 func (s *session) readRegistry(ctx context.Context) ([]beryllatch.WorkerInfo, int64, error) {
 	rows, version, err := s.node.rows().Rows(ctx, s.node.View.WorkersTable(), "")
-	return s.decodeWorkers(rows), version, err
+	workers, _ := s.decodeWorkers(rows)
+	return workers, version, err
 }
 
-func (s *session) decodeWorkers(rows []beryllatch.DataRow) []beryllatch.WorkerInfo {
-	var out []beryllatch.WorkerInfo
+// decodeWorkers returns the workers that the rows name, and the keys of the rows that name none.
+func (s *session) decodeWorkers(rows []beryllatch.DataRow) (workers []beryllatch.WorkerInfo, unreadable []string) {
 	for _, r := range rows {
 		w, err := s.node.View.Worker(r)
 		if err != nil {
 			s.node.Log.Event("registration_unreadable", r.Key, err.Error())
+			s.node.Metrics.Count("registry.unreadable", 1)
+			unreadable = append(unreadable, r.Key)
 			continue
 		}
-		out = append(out, w)
+		workers = append(workers, w)
 	}
-	return out
+	return workers, unreadable
 }
 
 // watchRegistry follows the table of the workers' registrations from registryVersion on. When it is called again after a panic, it reads the
@@ -55,7 +58,7 @@
 		}
 		if err == nil {
 			s.registryVersion = version
-			s.applyRegistry(rows)
+			s.apply(s.registryChange(rows))
 		}
 		pause(ctx, registryPause)
 	}
@@ -73,8 +76,8 @@
 	return true
 }
 
-// applyRegistry applies changed rows. If a key has changed more than once, its last row counts.
-func (s *session) applyRegistry(rows []beryllatch.DataRow) {
+// registryChange returns the event for changed rows. If a key has changed more than once, its last row counts.
+func (s *session) registryChange(rows []beryllatch.DataRow) berylscheduler.RegistryChanged {
 	last := make(map[string]int, len(rows))
 	for i, r := range rows {
 		last[r.Key] = i
@@ -90,6 +93,8 @@
 			present = append(present, r)
 		}
 	}
-	e.Workers = s.decodeWorkers(present)
-	s.apply(e)
+	// A row that names no worker replaces the registration that was there, as it does in a read of the whole table.
+	workers, unreadable := s.decodeWorkers(present)
+	e.Workers, e.Removed = workers, append(e.Removed, unreadable...)
+	return e
 }
