--- a/internal/bench/berylsoak/incarnation.go
+++ b/internal/bench/berylsoak/incarnation.go
@@ -3,9 +3,12 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/beryllatch/beryllatch/internal/standin/berylfleet"
 )
 
 const (
@@ -49,6 +52,34 @@
 	}
 }
 
+// oddEntryInterval is the pause between odd entries in the registry.
+const oddEntryInterval = 700 * time.Millisecond
+
+// putOddEntries writes entries to the registry that name no worker, until the given time. Some lie beside those of the workers, on an
+// instance of which they claim to be a later worker; others replace the registration of a worker until it is renewed.
+func (r *soakRun) putOddEntries(end time.Time) {
+	rng := rand.New(rand.NewPCG(r.Seed, 1<<37)) //nolint:gosec // The same seed must give the same soak.
+	for n := 0; time.Now().Before(end) && r.ctx.Err() == nil; n++ {
+		worker := rng.IntN(r.Workers)
+		key := fmt.Sprintf("odd-%d", n)
+		if rng.IntN(3) == 0 {
+			if w := r.fleet.Current(fmt.Sprintf("m-%d", worker)); w != nil {
+				key = w.ID
+			}
+		}
+		entry := func(cpu, port string, born int64) string {
+			return fmt.Sprintf(`{"service":"p","address":"127.0.0.1:%s","zone":"z1","version":"v1","slots":8,"state":"ready","cold_left_ms":0,`+
+				`"capacity":{"cpu":%s,"mem_mb":16384,"gpu":0},"labels":["a","r1"],"sequence":1,"machine":"m-%d","born":%d}`, port, cpu, worker, born)
+		}
+		value := []string{
+			strings.Repeat("[", 20_000), entry("1e400", "9000", 1), entry("8000", "90000", 1), "\x00\xff",
+			entry("8000", "9", time.Now().Add(time.Hour).UnixMilli()),
+		}[rng.IntN(5)]
+		r.store.Put(berylfleet.Row{Table: "servers", Key: key, Value: []byte(value)})
+		sleep(r.ctx, oddEntryInterval)
+	}
+}
+
 // workerSeries is a series of faults of one worker.
 type workerSeries struct {
 	worker, restarts int
--- a/internal/bench/berylsoak/soak.go
+++ b/internal/bench/berylsoak/soak.go
@@ -173,6 +173,7 @@
 	}
 	if r.Incarnations {
 		faults.Go(func() { r.disturbWorkers(end, &faults) })
+		faults.Go(func() { r.putOddEntries(end) })
 	}
 	jobs := make([]*job, r.Jobs)
 	done := make([]bool, r.Jobs)
