Soak: jobs that are tied to a worker, and cuts right after a start

A quarter of the jobs can run on one worker only, a quarter has its data beside one, and a fourth of the series waits until a run starts on a worker that was idle for 5 s and cuts it off then. Before, other workers took the work of one that was never used again, and nothing was missed.

--- a/internal/bench/berylsoak/incarnation.go
+++ b/internal/bench/berylsoak/incarnation.go
@@ -47,6 +47,7 @@
 		if rng.IntN(3) > 0 {
 			s.cut = minCut + time.Duration(rng.Int64N(int64(cutRange)))
 		}
+		s.afterStart = s.takeover == noTakeover
 		wg.Go(func() { r.disturbWorker(s) })
 		sleep(r.ctx, time.Duration(500+rng.IntN(3000))*time.Millisecond)
 	}
@@ -87,8 +88,44 @@
 	down, pause time.Duration
 	// cut is how long the worker is cut off; 0 means that it isn't.
 	cut time.Duration
-	// takeover says what happens to daemons during the cut: one is stopped, one is killed, all are killed, or none is disturbed.
+	// takeover says what happens to daemons during the cut: one is stopped, one is killed, all are killed, or noTakeover.
 	takeover, daemon int
+	// afterStart is true if the cut waits until a run starts on the worker after it was idle.
+	afterStart bool
+}
+
+const (
+	// noTakeover means that no daemon is disturbed.
+	noTakeover = 3
+	// idleTime is how long a worker must have been idle before the start that a series waits for, startWait how long it waits.
+	idleTime  = 5 * time.Second
+	startWait = 20 * time.Second
+	// startPoll is the pause between two looks at a worker.
+	startPoll = 5 * time.Millisecond
+)
+
+// placeOfJob returns the fields that tie a step to the worker of one instance: it can run nowhere else, its data is there, or neither.
+func (r *soakRun) placeOfJob(rng *rand.Rand) string {
+	instance := fmt.Sprintf("m-%d", rng.IntN(r.Workers))
+	return []string{
+		fmt.Sprintf(`,"requires":"only-%s"`, instance), fmt.Sprintf(`,"affinity":"rack-%s"`, instance), "", "",
+	}[rng.IntN(4)]
+}
+
+// awaitStart waits until a run starts on the instance after it was idle for idleTime; it returns false after startWait.
+func (r *soakRun) awaitStart(instance string) bool {
+	idleSince := time.Now()
+	for end := time.Now().Add(startWait); time.Now().Before(end) && r.ctx.Err() == nil; sleep(r.ctx, startPoll) {
+		w := r.fleet.Current(instance)
+		if w == nil || w.Runs() == 0 {
+			continue
+		}
+		if time.Since(idleSince) >= idleTime {
+			return true
+		}
+		idleSince = time.Now()
+	}
+	return false
 }
 
 func (r *soakRun) disturbWorker(s workerSeries) {
@@ -98,6 +135,9 @@
 		r.fleet.Restart(instance, s.down)
 		sleep(r.ctx, s.pause)
 	}
+	if s.afterStart && !r.awaitStart(instance) {
+		return
+	}
 	if s.cut > 0 {
 		r.recordFault("worker on %s is cut off for %s", instance, s.cut)
 		r.proxies[s.worker].setMode(modeDropAll)
--- a/internal/bench/berylsoak/soak.go
+++ b/internal/bench/berylsoak/soak.go
@@ -99,6 +99,7 @@
 
 func (r *soakRun) setUp() error {
 	if r.Incarnations {
+		r.fleet.OwnRacks = true
 		r.slowClocks()
 	}
 	r.store.Put(berylfleet.Configuration{Version: 1, Host: soakHost, Keys: []string{soakKey}, Ceiling: teamCeiling}.Row())
@@ -192,9 +193,13 @@
 			needs = berylfleet.Needs{CPU: cpu, Memory: 200, Duration: minLongTask + time.Duration(rng.Int64N(int64(longTaskRange)))}
 			estimate = needs.Duration
 		}
+		place := ""
+		if r.Incarnations {
+			place = r.placeOfJob(rng)
+		}
 		r.fleet.Expect(j.id, needs)
-		body := fmt.Sprintf(`{"spec":"soak","steps":[{"count":%d,"cpu":%d,"mem_mb":200,"estimate_ms":%d},`+
-			`{"count":1,"cpu":%d,"mem_mb":200,"estimate_ms":%d,"after":[0]}]}`, width, cpu, estimate.Milliseconds(), cpu, estimate.Milliseconds())
+		body := fmt.Sprintf(`{"spec":"soak","steps":[{"count":%d,"cpu":%d,"mem_mb":200,"estimate_ms":%d%s},`+
+			`{"count":1,"cpu":%d,"mem_mb":200,"estimate_ms":%d,"after":[0]}]}`, width, cpu, estimate.Milliseconds(), place, cpu, estimate.Milliseconds())
 		clientRNG := rand.New(rand.NewPCG(r.Seed, uint64(i)+2)) //nolint:gosec // The same seed must give the same soak.
 		clients.Go(func() {
 			submit, cancel := context.WithTimeout(r.ctx, r.Duration)
--- a/internal/standin/berylfleet/fleet.go
+++ b/internal/standin/berylfleet/fleet.go
@@ -12,6 +12,8 @@
 // Fleet is the set of workers, the instance interface and the record of what ran; NewFleet makes one.
 type Fleet struct {
 	Store *Store
+	// OwnRacks gives each instance a rack and a label of its own, named after it with the prefixes "rack-" and "only-".
+	OwnRacks bool
 	// ClockRate returns the rate of the clock of the next worker; nil means that all clocks are exact.
 	ClockRate func() float64
 
@@ -144,7 +146,7 @@
 	f.mu.Unlock()
 	b, err := json.Marshal(map[string]any{
 		"service": w.Pool, "address": address, "zone": "z1", "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0,
-		"capacity": map[string]int{"cpu": w.CPU, "mem_mb": w.Memory, "gpu": 0}, "labels": []string{"a", "r1"},
+		"capacity": map[string]int{"cpu": w.CPU, "mem_mb": w.Memory, "gpu": 0}, "labels": f.labels(w.Instance),
 		"clock_ms": w.clock().Milliseconds(), "sequence": sequence, "machine": w.Instance, "born": w.startedAt.UnixMilli(),
 	})
 	if err != nil {
@@ -153,6 +155,14 @@
 	return b
 }
 
+// labels returns the labels of an instance: its rack is the last one.
+func (f *Fleet) labels(instance string) []string {
+	if f.OwnRacks {
+		return []string{"only-" + instance, "a", "rack-" + instance}
+	}
+	return []string{"a", "r1"}
+}
+
 // ServeHTTP serves the instance interface: it lists the instances, and rejects every move and maintenance as busy.
 func (f *Fleet) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != "/v1/machines" {
@@ -164,7 +174,7 @@
 	machines := []map[string]any{}
 	for instance := range f.addresses {
 		m := map[string]any{
-			"machine": instance, "pool": "p", "state": "down", "zone": "z1", "labels": []string{"a", "r1"},
+			"machine": instance, "pool": "p", "state": "down", "zone": "z1", "labels": f.labels(instance),
 			"capacity": map[string]int{"cpu": 8000, "mem_mb": 16384, "gpu": 0},
 		}
 		if worker := f.current(instance); worker != nil {
--- a/internal/standin/berylfleet/worker.go
+++ b/internal/standin/berylfleet/worker.go
@@ -81,6 +81,13 @@
 // String returns the worker's ID and incarnation.
 func (w *Worker) String() string { return fmt.Sprintf("%s born %d", w.ID, w.startedAt.UnixMilli()) }
 
+// Runs returns how many runs are on the worker.
+func (w *Worker) Runs() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.runs)
+}
+
 // holdsLease reports whether the worker is up and its lease has not expired.
 func (w *Worker) holdsLease() bool {
 	return !w.crashed.Load() && time.Now().UnixNano() < w.leaseUntil.Load()
