--- a/internal/decision/berylscheduler/worker.go
+++ b/internal/decision/berylscheduler/worker.go
@@ -159,11 +159,14 @@
 		return
 	}
 	for _, w := range s.sortedWorkers {
-		if w.info.Instance == n.info.Instance {
-			w.answerMissing = true
+		if w.info.Instance != n.info.Instance {
+			continue
+		}
+		w.answerMissing = true
+		if len(w.runs) > 0 || !w.synced {
 			s.listSoon()
-			s.sendHoldIfDue(w)
 		}
+		s.sendHoldIfDue(w)
 	}
 }
 
