Progress of past occurrences is stored as ranges, and one row holds up no other

Cause: the progress row had an entry for each step of each past occurrence and outgrew row_bytes after about 243 occurrences. The store refused each transaction with that row, and the scheduler took the refusal for an outage and tried the same rows again.

Ruled out: a bound on occurrences at the submission.

Change: occurrences that are done are stored as ranges. Progress that is too large all the same is left out of transactions until it fits. Programs from before hold a job back whose row they cannot read, instead of running its occurrences again.

--- a/internal/decision/berylscheduler/journal.go
+++ b/internal/decision/berylscheduler/journal.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"strconv"
@@ -60,7 +59,9 @@
 	// inFlight is true while a transaction with one of the rows is in flight.
 	inFlight bool
 	// expired is true once the retention is over; the next transaction deletes the progress row.
-	expired      bool
+	expired bool
+	// tooLarge is true once the progress was too large to be stored.
+	tooLarge     bool
 	waitingCalls []waitingCall
 }
 
@@ -258,14 +259,22 @@
 		for len(*queue) > 0 && rows+2 <= maxBatchRows && size < maxBatchBytes {
 			j := (*queue)[0]
 			*queue = (*queue)[1:]
-			j.rows.queued, j.rows.inFlight = false, true
+			j.rows.queued = false
 			before := len(tx.Conditions)
-			bj, length := addJobRows(&tx, j)
+			bj, length := addJobRows(&tx, j, s.Limits.RowBytes)
+			if length < 0 {
+				s.recordTooLarge(j)
+				continue
+			}
+			j.rows.inFlight = true
 			b.jobs = append(b.jobs, bj)
 			size += length
 			rows += len(tx.Conditions) - before
 		}
 	}
+	if len(b.jobs)+len(b.workers)+len(b.waves) == 0 {
+		return
+	}
 	if n.batches == nil {
 		n.batches = make(map[uint64]*batch)
 	}
@@ -285,11 +294,27 @@
 	tx.Deletes = append(tx.Deletes, c)
 }
 
+// recordTooLarge logs a job whose progress is too large to be stored. It is stored with a later change if it fits then: one row that the
+// store refuses would keep all others of the transaction from being stored.
+func (s *Scheduler) recordTooLarge(j *job) {
+	if !j.rows.tooLarge {
+		j.rows.tooLarge = true
+		s.emit(Decision{Name: "row_too_large", Job: j.ID, Detail: fmt.Sprintf("the progress takes more than %d bytes", s.Limits.RowBytes)})
+	}
+}
+
 // addJobRows adds the outdated rows of the job to the transaction, and returns the size of their values in bytes. The job row
-// is deleted once the final state is stored and no run is left.
-func addJobRows(tx *beryllatch.RowTransaction, j *job) (batchJob, int) {
+// is deleted once the final state is stored and no run is left. If the progress takes more bytes than the limit, nothing is added and the
+// size is -1; a limit of 0 is none.
+func addJobRows(tx *beryllatch.RowTransaction, j *job, limit int) (batchJob, int) {
 	b := batchJob{job: j, change: j.rows.latestChange, storesFinal: j.state.Final()}
 	size := 0
+	var progress []byte
+	if !j.rows.expired && (j.rows.latestChange > 1 || b.storesFinal) {
+		if progress = encodeProgress(j); limit > 0 && len(progress) > limit {
+			return b, -1
+		}
+	}
 	switch {
 	case j.rows.expired:
 		addDelete(tx, ProgressTable, j.ID, j.rows.progressVersion)
@@ -305,11 +330,10 @@
 		size += len(value)
 		b.putsJobRow, b.conditionOnJob = true, true
 	}
-	if j.rows.latestChange > 1 || b.storesFinal {
-		value := encodeProgress(j)
-		addPut(tx, ProgressTable, j.ID, j.rows.progressVersion, value)
+	if progress != nil {
+		addPut(tx, ProgressTable, j.ID, j.rows.progressVersion, progress)
 		b.conditionOnProgress = true
-		size += len(value)
+		size += len(progress)
 	}
 	return b, size
 }
@@ -507,83 +531,3 @@
 		Detail: "the job could not be stored",
 	}
 }
-
-// jobRow is the stored form of a job.
-type jobRow struct {
-	beryllatch.Job
-	Pool string `json:"pool"`
-}
-
-func encodeJob(j *job) []byte { return mustEncode(jobRow{j.Job, j.pool}) }
-
-// mustEncode encodes types of this package as JSON; none of them has a field that cannot be encoded.
-func mustEncode(v any) []byte {
-	b, err := json.Marshal(v)
-	if err != nil {
-		panic(err)
-	}
-	return b
-}
-
-// progressRow is the stored form of a job's progress.
-type progressRow struct {
-	State beryllatch.JobState `json:"state"`
-	// Ended is when the final state was reached, in Unix milliseconds.
-	Ended int64 `json:"ended,omitempty"`
-	// Queue is set for final jobs, whose job row is deleted.
-	Queue string         `json:"queue,omitempty"`
-	Steps []progressStep `json:"steps,omitempty"`
-}
-
-type progressStep struct {
-	Occurrence int `json:"k,omitempty"`
-	Step       int `json:"s,omitempty"`
-	// FailedRuns holds the numbers of the failed runs of a gang.
-	FailedRuns []int `json:"failed_runs,omitempty"`
-	// AllDone replaces Done when all tasks are done.
-	AllDone bool           `json:"all,omitempty"`
-	Done    []int          `json:"done,omitempty"`
-	Tasks   []progressTask `json:"tasks,omitempty"`
-}
-
-type progressTask struct {
-	Index      int    `json:"i"`
-	FailedRuns []int  `json:"f,omitempty"`
-	Checkpoint string `json:"c,omitempty"`
-}
-
-func encodeProgress(j *job) []byte {
-	row := progressRow{State: j.state}
-	if j.state.Final() {
-		row.Ended, row.Queue = j.endedAt.UnixMilli(), j.Queue
-		return mustEncode(row)
-	}
-	for _, o := range j.occurrences {
-		if o == nil {
-			continue
-		}
-		for _, st := range o.steps {
-			if p, ok := st.progress(); ok {
-				row.Steps = append(row.Steps, p)
-			}
-		}
-	}
-	return mustEncode(row)
-}
-
-// progress returns the stored form of a step, and false if the step has no progress.
-func (st *stepState) progress() (progressStep, bool) {
-	p := progressStep{Occurrence: st.occurrence, Step: st.number, FailedRuns: st.failedRuns}
-	if st.tasksLeft == 0 {
-		p.AllDone = true
-		return p, true
-	}
-	for _, t := range st.tasks {
-		if t.done {
-			p.Done = append(p.Done, t.index)
-		} else if len(t.failedRuns) > 0 || t.checkpoint != "" {
-			p.Tasks = append(p.Tasks, progressTask{t.index, t.failedRuns, t.checkpoint})
-		}
-	}
-	return p, len(p.FailedRuns)+len(p.Done)+len(p.Tasks) > 0
-}
--- a/internal/decision/berylscheduler/recover.go
+++ b/internal/decision/berylscheduler/recover.go
@@ -118,7 +118,14 @@
 		j.endedAt = notAfterNow(time.UnixMilli(row.Ended), s.now)
 		return
 	}
-	for _, p := range row.Steps {
+	for _, done := range row.Steps.Done {
+		for k := max(done[0], 0); k <= min(done[1], len(j.occurrences)-1); k++ {
+			for i := range j.Steps {
+				j.recoverStep(progressStep{Occurrence: k, Step: i, AllDone: true})
+			}
+		}
+	}
+	for _, p := range row.Steps.Open {
 		j.recoverStep(p)
 	}
 }
--- /dev/null
+++ b/internal/decision/berylscheduler/row.go
@@ -0,0 +1,132 @@
+package berylscheduler
+
+import (
+	"bytes"
+	"encoding/json"
+
+	"github.com/beryllatch/beryllatch"
+)
+
+// jobRow is the stored form of a job.
+type jobRow struct {
+	beryllatch.Job
+	Pool string `json:"pool"`
+}
+
+func encodeJob(j *job) []byte { return mustEncode(jobRow{j.Job, j.pool}) }
+
+// mustEncode encodes types of this package as JSON; none of them has a field that cannot be encoded.
+func mustEncode(v any) []byte {
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
+// progressRow is the stored form of a job's progress.
+type progressRow struct {
+	State beryllatch.JobState `json:"state"`
+	// Ended is when the final state was reached, in Unix milliseconds.
+	Ended int64 `json:"ended,omitempty"`
+	// Queue is set for final jobs, whose job row is deleted.
+	Queue string `json:"queue,omitempty"`
+	// Steps is the progress of a job that has not ended.
+	Steps progressSteps `json:"steps,omitzero"`
+}
+
+// progressSteps is the progress of a job's steps. While no occurrence is done it is stored as a list of steps, else as an object: a program
+// that knows the list only can't read the row then, and holds the job back instead of running it again.
+type progressSteps struct {
+	// Done holds the first and the last number of each range of occurrences that are done.
+	Done [][2]int `json:"done"`
+	// Open holds the steps with progress of the other occurrences.
+	Open []progressStep `json:"open,omitempty"`
+}
+
+// IsZero reports whether there is no progress.
+func (p progressSteps) IsZero() bool { return len(p.Done)+len(p.Open) == 0 }
+
+// MarshalJSON encodes the progress.
+func (p progressSteps) MarshalJSON() ([]byte, error) {
+	if len(p.Done) == 0 {
+		return json.Marshal(p.Open)
+	}
+	type object progressSteps
+	return json.Marshal(object(p))
+}
+
+// UnmarshalJSON decodes both forms.
+func (p *progressSteps) UnmarshalJSON(b []byte) error {
+	if bytes.HasPrefix(b, []byte("[")) {
+		return json.Unmarshal(b, &p.Open)
+	}
+	type object progressSteps
+	return json.Unmarshal(b, (*object)(p))
+}
+
+type progressStep struct {
+	Occurrence int `json:"k,omitempty"`
+	Step       int `json:"s,omitempty"`
+	// FailedRuns holds the numbers of the failed runs of a gang.
+	FailedRuns []int `json:"failed_runs,omitempty"`
+	// AllDone replaces Done when all tasks are done.
+	AllDone bool           `json:"all,omitempty"`
+	Done    []int          `json:"done,omitempty"`
+	Tasks   []progressTask `json:"tasks,omitempty"`
+}
+
+type progressTask struct {
+	Index      int    `json:"i"`
+	FailedRuns []int  `json:"f,omitempty"`
+	Checkpoint string `json:"c,omitempty"`
+}
+
+func encodeProgress(j *job) []byte {
+	row := progressRow{State: j.state}
+	if j.state.Final() {
+		row.Ended, row.Queue = j.endedAt.UnixMilli(), j.Queue
+		return mustEncode(row)
+	}
+	for _, o := range j.occurrences {
+		if o == nil {
+			continue
+		}
+		if o.stepsLeft == 0 {
+			row.Steps.addDone(o.number)
+			continue
+		}
+		for _, st := range o.steps {
+			if p, ok := st.progress(); ok {
+				row.Steps.Open = append(row.Steps.Open, p)
+			}
+		}
+	}
+	return mustEncode(row)
+}
+
+// addDone adds an occurrence above those that were added before.
+func (p *progressSteps) addDone(k int) {
+	if n := len(p.Done); n > 0 && p.Done[n-1][1] == k-1 {
+		p.Done[n-1][1] = k
+		return
+	}
+	p.Done = append(p.Done, [2]int{k, k})
+}
+
+// progress returns the stored form of a step, and false if the step has no progress.
+func (st *stepState) progress() (progressStep, bool) {
+	p := progressStep{Occurrence: st.occurrence, Step: st.number, FailedRuns: st.failedRuns}
+	if st.tasksLeft == 0 {
+		p.AllDone = true
+		return p, true
+	}
+	for _, t := range st.tasks {
+		if t.done {
+			p.Done = append(p.Done, t.index)
+		} else if len(t.failedRuns) > 0 || t.checkpoint != "" {
+			p.Tasks = append(p.Tasks, progressTask{t.index, t.failedRuns, t.checkpoint})
+		}
+	}
+	return p, len(p.FailedRuns)+len(p.Done)+len(p.Tasks) > 0
+}
