A run that is being stopped before its start was answered stays booked

A list of instances wrote such a run off although its start order may have been under way. Workers that were dropped no longer stay in the list of those with ends to acknowledge.

Measured: TestListOfInstancesKeepsStartsUnderWay/being_stopped fails before and passes.

--- a/internal/decision/berylscheduler/entry_test.go
+++ b/internal/decision/berylscheduler/entry_test.go
@@ -89,3 +89,28 @@
 	assert.Equal(t, len(h.starts), 0)
 	assert.Equal(t, len(h.s.workers["a"].runs), 1)
 }
+
+// A run whose start order may be under way must stay booked when its worker is listed as ended: the order may reach the next incarnation.
+func TestListOfInstancesKeepsStartsUnderWay(t *testing.T) {
+	for name, stopped := range map[string]bool{"starting": false, "being stopped": true} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.register("a")
+			h.apply(InstancesListed{Instances: instancesOf("a")})
+			h.accept(singleTaskJob("0000000000000001"))
+			if stopped {
+				h.lastCall++
+				h.apply(CancelRequested{Call: h.lastCall, ID: "0000000000000001"})
+			}
+			h.tickFor(time.Second)
+			down := instancesOf("a")
+			down[0].State = beryllatch.FleetInstanceDown
+			h.apply(InstancesListed{Instances: down})
+			assert.Equal(t, len(h.s.workers["a"].runs), 1)
+			h.tickFor(2 * expiryBound(h.s.Limits.MaxLease))
+			h.answerHolds(nil, "a")
+			h.tickFor(time.Second)
+			assert.Assert(t, h.s.workers["a"] == nil, "the lease has expired")
+		})
+	}
+}
--- a/internal/decision/berylscheduler/hold.go
+++ b/internal/decision/berylscheduler/hold.go
@@ -162,6 +162,9 @@
 // acknowledgeStored sends holds to the workers whose completions have been stored meanwhile.
 func (s *Scheduler) acknowledgeStored() {
 	s.unstored = slices.DeleteFunc(s.unstored, func(w *worker) bool {
+		if s.workers[w.info.ID] != w {
+			return true
+		}
 		s.sendHoldIfDue(w)
 		w.unstoredListed = s.storedCompletions(w) != w.sentAcknowledge || len(w.unacknowledged) > 0
 		return !w.unstoredListed
--- a/internal/decision/berylscheduler/worker.go
+++ b/internal/decision/berylscheduler/worker.go
@@ -189,13 +189,10 @@
 
 // startsEndedBefore reports whether no start order for the run was under way at the given time or later.
 func (r *run) startsEndedBefore(at time.Time) bool {
-	switch r.phase {
-	case runStarting:
-		return false
-	case runUnconfirmed:
+	if r.phase == runUnconfirmed {
 		return r.unconfirmedSince.Before(at)
 	}
-	return r.confirmedAt.Before(at)
+	return !r.confirmedAt.IsZero() && r.confirmedAt.Before(at)
 }
 
 // checkInstances ends the workers whose instance is not up or runs another worker, by a list of instances that was requested at
