--- a/internal/decision/berylscheduler/journal.go
+++ b/internal/decision/berylscheduler/journal.go
@@ -283,61 +283,6 @@
 	s.emit(CommitRows{Batch: n.lastBatch, Transaction: tx})
 }
 
-func addPut(tx *beryllatch.RowTransaction, table, key string, version int64, value []byte) {
-	tx.Conditions = append(tx.Conditions, beryllatch.RowCondition{Table: table, Part: Part, Key: key, Version: version})
-	tx.Puts = append(tx.Puts, beryllatch.DataRow{Table: table, Part: Part, Key: key, Value: value})
-}
-
-func addDelete(tx *beryllatch.RowTransaction, table, key string, version int64) {
-	c := beryllatch.RowCondition{Table: table, Part: Part, Key: key, Version: version}
-	tx.Conditions = append(tx.Conditions, c)
-	tx.Deletes = append(tx.Deletes, c)
-}
-
-// recordTooLarge logs a job whose progress is too large to be stored. It is stored with a later change if it fits then: one row that the
-// store refuses would keep all others of the transaction from being stored.
-func (s *Scheduler) recordTooLarge(j *job) {
-	if !j.rows.tooLarge {
-		j.rows.tooLarge = true
-		s.emit(Decision{Name: "row_too_large", Job: j.ID, Detail: fmt.Sprintf("the progress takes more than %d bytes", s.Limits.RowBytes)})
-	}
-}
-
-// addJobRows adds the outdated rows of the job to the transaction, and returns the size of their values in bytes. The job row
-// is deleted once the final state is stored and no run is left. If the progress takes more bytes than the limit, nothing is added and the
-// size is -1; a limit of 0 is none.
-func addJobRows(tx *beryllatch.RowTransaction, j *job, limit int) (batchJob, int) {
-	b := batchJob{job: j, change: j.rows.latestChange, storesFinal: j.state.Final()}
-	size := 0
-	var progress []byte
-	if !j.rows.expired && (j.rows.latestChange > 1 || b.storesFinal) {
-		if progress = encodeProgress(j); limit > 0 && len(progress) > limit {
-			return b, -1
-		}
-	}
-	switch {
-	case j.rows.expired:
-		addDelete(tx, ProgressTable, j.ID, j.rows.progressVersion)
-		b.conditionOnProgress = true
-		return b, 0
-	case b.storesFinal && j.rows.jobVersion > 0 && j.bookedRuns == 0 && j.rows.finalStored:
-		b.deletesJobRow = true
-		addDelete(tx, JobsTable, j.ID, j.rows.jobVersion)
-		b.conditionOnJob = true
-	case !b.storesFinal && j.rows.jobVersion == 0:
-		value := encodeJob(j)
-		addPut(tx, JobsTable, j.ID, 0, value)
-		size += len(value)
-		b.putsJobRow, b.conditionOnJob = true, true
-	}
-	if progress != nil {
-		addPut(tx, ProgressTable, j.ID, j.rows.progressVersion, progress)
-		b.conditionOnProgress = true
-		size += len(progress)
-	}
-	return b, size
-}
-
 // committed handles the outcome of a transaction.
 func (s *Scheduler) committed(e Committed) {
 	n := &s.journal
