A worker that returns while its row is deleted keeps the row

Cause: the end of the deletion removed the row from the map by ID, while the worker that had returned held it. Preparing it made another row, which was written in each transaction, and the worker never counted as stored.

Change: a row that is not stored is forgotten only if no worker has its ID.

Measured: TestReturnedWorkerIsPreparedAgain fails before (no start) and passes.

--- a/internal/bench/berylsoak/soak_test.go
+++ b/internal/bench/berylsoak/soak_test.go
@@ -88,7 +88,7 @@
 // at once or again after its end was taken note of, and each accepted job is done.
 func TestSoakWithIncarnations(t *testing.T) {
 	program := buildDaemon(t)
-	for seed, cause := range map[uint64]string{9007: restartedWorker, 9009: restartedWorker, 9010: restartedWorker} {
+	for seed, cause := range map[uint64]string{9007: restartedWorker, 9009: restartedWorker, 9010: restartedWorker, 9204: "a worker that returned was never used"} {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			t.Parallel()
 			r, err := Soak{
--- a/internal/decision/berylscheduler/journal.go
+++ b/internal/decision/berylscheduler/journal.go
@@ -210,6 +210,13 @@
 	n.queueWorker(r)
 }
 
+// forgetWorkerRow removes a row that is not stored and should not be. A worker that has returned meanwhile keeps it.
+func (s *Scheduler) forgetWorkerRow(r *workerRow) {
+	if s.workers[r.id] == nil {
+		delete(s.journal.workerRows, r.id)
+	}
+}
+
 func (n *journal) queueWorker(r *workerRow) {
 	if !r.queued && !r.inFlight {
 		r.queued = true
@@ -239,7 +246,7 @@
 			r.stored = false
 			addDelete(&tx, WorkersTable, r.id, r.version)
 		default:
-			delete(n.workerRows, r.id)
+			s.forgetWorkerRow(r)
 			continue
 		}
 		r.inFlight = true
@@ -340,7 +347,7 @@
 		if w.value == nil {
 			w.row.version = 0
 			if w.row.value == nil {
-				delete(s.journal.workerRows, w.row.id)
+				s.forgetWorkerRow(w.row)
 			}
 		}
 		if !bytes.Equal(w.row.value, w.value) {
--- a/internal/decision/berylscheduler/prepare_test.go
+++ b/internal/decision/berylscheduler/prepare_test.go
@@ -211,3 +211,32 @@
 	h.storeAll()
 	assert.Equal(t, len(h.starts), 1)
 }
+
+// A worker that returns before the deletion of its row is stored must be prepared again: it kept a row that was no longer the one of its ID,
+// and got no work for the rest of the epoch (berylsoak --incarnations, seed 9204: LOST).
+func TestReturnedWorkerIsPreparedAgain(t *testing.T) {
+	h := newHarness(t)
+	h.register("a")
+	h.apply(RegistryChanged{Removed: []string{"a"}})
+	h.tickFor(2 * expiryBound(h.s.Limits.MaxLease))
+	assert.Assert(t, h.s.workers["a"] == nil)
+	assert.Equal(t, len(h.commits), 1, "the row is being deleted")
+	draining := workerInfo("a")
+	draining.Draining = true
+	h.apply(RegistryChanged{Workers: []beryllatch.WorkerInfo{draining}})
+	h.storeAll()
+	h.apply(RegistryChanged{Workers: []beryllatch.WorkerInfo{workerInfo("a")}})
+	h.submit(singleTaskJob("0000000000000001"))
+	for range 20 {
+		// A fault may make the scheduler write the row again and again.
+		if len(h.commits) > 0 {
+			h.version++
+			batch := h.commits[0].Batch
+			h.commits = h.commits[1:]
+			h.apply(Committed{Batch: batch, Version: h.version})
+		}
+		h.tickFor(100 * time.Millisecond)
+		h.answerHolds(nil)
+	}
+	assert.Equal(t, len(h.starts), 1)
+}
