A worker that returns after the list of instances has ended it may hold a lease

It is not synced before its lists are read, since a start order of an earlier epoch may have reached it; but its leases counted as expired at once, so that one hold without an answer was taken for the end of them. They count as the longest possible one from the begin of the epoch. No test or run has shown a fault of this kind.

--- a/internal/decision/berylscheduler/worker.go
+++ b/internal/decision/berylscheduler/worker.go
@@ -126,9 +126,12 @@
 	}
 	w := s.workers[i.ID]
 	if w == nil {
-		// Earlier epochs have stored a row of each worker with runs, and this epoch has read all rows. A start order to an ended
-		// incarnation may have reached this one.
+		// Earlier epochs have stored a row of each worker with runs, and this epoch has read all rows. A start order of an earlier epoch
+		// to an ended incarnation may have reached this one.
 		w = &worker{incarnation: incarnation{discoveredAt: s.now, synced: !wasEnded}, info: i, registered: true, idleSince: s.now}
+		if wasEnded {
+			w.leasesExpireBy = s.startedAt.Add(expiryBound(s.Limits.MaxLease))
+		}
 		s.doubtOthers(w)
 		s.addWorker(w)
 		s.emit(Decision{Name: "worker_registered", Worker: i.ID, Detail: i.Pool})
