Log how old the proof of the epoch is when a run is written off

The scheduler now keeps the time of the last request whose answer shows that, from transactions and, if none was stored for 0.5 s, from a read of the duty row. run_lost logs its age; epoch_unproven and epoch_proven mark a second without it. No decision uses it yet. A confirmation that was requested before a pause no longer counts for the time after it.

--- a/internal/decision/berylscheduler/confirm.go
+++ b/internal/decision/berylscheduler/confirm.go
@@ -20,27 +20,37 @@
 		return
 	}
 	s.emit(Decision{Name: "process_was_paused", Age: gap})
-	s.confirmed = false
+	s.confirmed, s.pausedUntil = false, s.now
 	s.requestConfirmation()
 }
 
 // requestConfirmation asks the store whether this node still schedules, unless such a request is in flight.
 func (s *Scheduler) requestConfirmation() {
-	if s.confirmed || s.confirming {
+	if s.confirming {
 		return
 	}
-	s.confirming = true
+	s.confirming, s.proof.requestedAt = true, s.now
 	s.emit(ConfirmEpoch{})
 }
 
 func (s *Scheduler) epochConfirmed(e EpochConfirmed) {
 	s.confirming = false
+	requestedAt := s.proof.requestedAt
 	switch {
 	case e.Err != nil:
 		// The next tick asks again.
 	case !e.Current:
-		s.resign("another node has taken over during a pause of this process")
+		s.resign("another node has taken over")
 	default:
+		s.recordProof(requestedAt)
+		if s.confirmed {
+			return
+		}
+		if requestedAt.Before(s.pausedUntil) {
+			// The answer shows the row as it was before the pause.
+			s.requestConfirmation()
+			return
+		}
 		s.confirmed = true
 		s.placementDue = true
 		s.emit(Decision{Name: "epoch_confirmed"})
--- a/internal/decision/berylscheduler/journal.go
+++ b/internal/decision/berylscheduler/journal.go
@@ -309,6 +309,7 @@
 	}
 	if e.Err == nil {
 		n.failing = false
+		s.recordProof(b.sentAt)
 		s.applyStored(b, e.Version)
 		return
 	}
--- /dev/null
+++ b/internal/decision/berylscheduler/proof.go
@@ -0,0 +1,54 @@
+package berylscheduler
+
+import "time"
+
+const (
+	// proofInterval is the time after which the store is asked again whether this node still schedules, if no transaction has shown it.
+	proofInterval = 500 * time.Millisecond
+	// oldProof is the age from which the lack of a newer proof is logged.
+	oldProof = time.Second
+)
+
+// epochProof is what shows that no other node had taken over by a given time.
+type epochProof struct {
+	// storeAt is when the last request was sent whose answer shows that the duty row is still that of this epoch.
+	storeAt time.Time
+	// requestedAt is when the confirmation in flight was requested.
+	requestedAt time.Time
+	// old is true while the proof is older than oldProof.
+	old bool
+}
+
+// provenAt returns the latest time at which certainly no other node had taken over.
+//
+// What a scheduling node infers from its own past orders holds only as long as no other node gives orders: a worker that it can't reach
+// may have got longer leases, other runs or another instance order from its successor.
+func (s *Scheduler) provenAt() time.Time { return s.proof.storeAt }
+
+// proofAge returns the time since provenAt. The monotonic clock stands still while the machine is suspended, the wall clock does not.
+func (s *Scheduler) proofAge() time.Duration {
+	at := s.provenAt()
+	return max(s.now.Sub(at), s.now.Round(0).Sub(at.Round(0)))
+}
+
+// recordProof records that the store has answered a request, sent at the given time, as it does only without a successor.
+func (s *Scheduler) recordProof(sent time.Time) {
+	s.proof.storeAt = laterTime(s.proof.storeAt, sent)
+	s.checkProof()
+}
+
+// checkProof requests a new proof if the last one is not recent, and logs when there has been none for a while.
+func (s *Scheduler) checkProof() {
+	age := s.proofAge()
+	if s.now.Sub(s.proof.storeAt) >= proofInterval {
+		s.requestConfirmation()
+	}
+	if old := age >= oldProof; old != s.proof.old {
+		s.proof.old = old
+		name := "epoch_proven"
+		if old {
+			name = "epoch_unproven"
+		}
+		s.emit(Decision{Name: name, Age: age})
+	}
+}
--- a/internal/decision/berylscheduler/run.go
+++ b/internal/decision/berylscheduler/run.go
@@ -156,7 +156,9 @@
 	if r.checkpoint != "" {
 		t.checkpoint = r.checkpoint
 	}
-	s.emit(Decision{Name: "run_lost", Job: t.step.job.ID, Task: t.name, Worker: r.worker.info.ID, Run: r.id.n, Detail: reason})
+	s.emit(Decision{
+		Name: "run_lost", Job: t.step.job.ID, Task: t.name, Worker: r.worker.info.ID, Run: r.id.n, Detail: reason, Age: s.proofAge(),
+	})
 }
 
 // nextRun returns the number after the last run, in the range of the epoch.
--- a/internal/decision/berylscheduler/scheduler.go
+++ b/internal/decision/berylscheduler/scheduler.go
@@ -62,6 +62,8 @@
 	// InstanceOrderDelay is how long after its start the scheduler sends no instance orders, since orders of the previous
 	// scheduling node may still be under way.
 	InstanceOrderDelay time.Duration
+	// ClaimedAt is when the transaction was sent that claimed the duty row; zero means at the first event.
+	ClaimedAt time.Time
 
 	now        time.Time
 	startedAt  time.Time
@@ -113,6 +115,9 @@
 	// the epoch, and confirming is true while that is requested.
 	lastEvent             time.Time
 	confirmed, confirming bool
+	// pausedUntil is when the last pause of the process ended.
+	pausedUntil time.Time
+	proof       epochProof
 	resigned              bool
 }
 
@@ -160,6 +165,10 @@
 func (s *Scheduler) start() {
 	s.startedAt = s.now
 	s.confirmed = true
+	s.proof.storeAt = s.ClaimedAt
+	if s.ClaimedAt.IsZero() {
+		s.proof.storeAt = s.now
+	}
 	s.jobs = make(map[string]*job)
 	s.workers = make(map[string]*worker)
 	s.endedIncarnations = make(map[string]int64)
@@ -221,7 +230,10 @@
 
 // tick does everything that depends on the time alone.
 func (s *Scheduler) tick() {
-	s.requestConfirmation()
+	s.checkProof()
+	if !s.confirmed {
+		s.requestConfirmation()
+	}
 	for _, w := range s.sortedWorkers {
 		s.checkLease(w)
 		s.repeatStops(w)
