--- a/internal/decision/berylscheduler/scheduler.go
+++ b/internal/decision/berylscheduler/scheduler.go
@@ -118,7 +118,7 @@
 	// pausedUntil is when the last pause of the process ended.
 	pausedUntil time.Time
 	proof       epochProof
-	resigned              bool
+	resigned    bool
 }
 
 // teamUsage is the capacity that a team's runs use on all workers, and what is left of the team's share of jobs.
