Leases are written off only on a proof from after their end

Cause: "the lease has expired" follows from "I have not extended it" only as long as nobody else can. Ruled out: two nodes with one epoch, repeated start orders, leases that outlast their bound (the doubled run was extended by the successor throughout).

A lease now counts as expired once the store has shown, by a request that was sent after its end, that this node still schedules. The proof is requested at once when a lease ends, so that a write-off is later by one read of a row.

--- a/internal/decision/berylscheduler/worker.go
+++ b/internal/decision/berylscheduler/worker.go
@@ -224,9 +224,17 @@
 	}
 }
 
-// mayHoldLease reports whether the worker may hold a lease that has not expired.
+// mayHoldLease reports whether the worker may hold a lease that has not expired. The leases of this epoch end at known times, but a
+// successor may extend them, so that only a proof from after their end counts.
 func (s *Scheduler) mayHoldLease(w *worker) bool {
-	return s.now.Before(w.leasesExpireBy) || s.now.Before(w.unnoticedLeasesExpireBy)
+	end := laterTime(w.leasesExpireBy, w.unnoticedLeasesExpireBy)
+	if s.provenAt().After(end) {
+		return false
+	}
+	if s.now.After(end) {
+		s.requestConfirmation()
+	}
+	return true
 }
 
 // checkLease writes off the runs of a worker once all its leases have expired.
