Nothing starts and no instance is ordered without a recent proof of the epoch

These decisions now need a proof that is at most 3 s old. TestNothingStartsWithoutAProof fails without the check.

--- a/internal/decision/berylscheduler/fleet.go
+++ b/internal/decision/berylscheduler/fleet.go
@@ -84,7 +84,7 @@
 		f.listPending, f.listRequestedAt = true, s.now
 		s.emit(ListInstances{})
 	}
-	if f.listedAt.IsZero() || !s.confirmed || s.now.Sub(s.startedAt) < s.InstanceOrderDelay {
+	if f.listedAt.IsZero() || !s.mayAct() || s.now.Sub(s.startedAt) < s.InstanceOrderDelay {
 		return
 	}
 	s.advanceInstanceOrders()
--- a/internal/decision/berylscheduler/proof.go
+++ b/internal/decision/berylscheduler/proof.go
@@ -5,8 +5,11 @@
 const (
 	// proofInterval is the time after which the store is asked again whether this node still schedules, if no transaction has shown it.
 	proofInterval = 500 * time.Millisecond
-	// oldProof is the age from which the lack of a newer proof is logged.
+	// oldProof is the age from which the lack of a newer proof is logged. It covers a read that the store answers slowly.
 	oldProof = time.Second
+	// maxActingProofAge is the age of the proof up to which tasks start, runs are stopped and instances are ordered. It covers the
+	// interval at which the nodes that others should take over before probe this one, twice, since an echo comes with the next probe.
+	maxActingProofAge = 3 * time.Second
 )
 
 // epochProof is what shows that no other node had taken over by a given time.
@@ -31,6 +34,10 @@
 	return max(s.now.Sub(at), s.now.Round(0).Sub(at.Round(0)))
 }
 
+// mayAct reports whether tasks may start, runs may be stopped and instances may be ordered: each rests on the belief that no other
+// node does so too.
+func (s *Scheduler) mayAct() bool { return s.confirmed && s.proofAge() <= maxActingProofAge }
+
 // recordProof records that the store has answered a request, sent at the given time, as it does only without a successor.
 func (s *Scheduler) recordProof(sent time.Time) {
 	s.proof.storeAt = laterTime(s.proof.storeAt, sent)
--- a/internal/decision/berylscheduler/proof_test.go
+++ b/internal/decision/berylscheduler/proof_test.go
@@ -37,6 +37,23 @@
 	}
 }
 
+// A scheduling node without a proof that nobody has taken over starts nothing, also what never ran, and orders no instance.
+func TestNothingStartsWithoutAProof(t *testing.T) {
+	h := newHarness(t)
+	h.register("a")
+	h.tickCutOff(maxActingProofAge+time.Second, nil)
+	j := singleTaskJob("0000000000000001")
+	h.submit(j)
+	// The job is stored by a transaction that was sent before the cut.
+	h.s.jobs[j.ID].rows.jobStored = true
+	h.tickCutOff(time.Second, nil)
+	assert.Equal(t, len(h.starts), 0)
+	h.deferConfirmation = false
+	h.tickFor(200 * time.Millisecond)
+	h.storeAll()
+	assert.Equal(t, len(h.starts), 1)
+}
+
 // Issue 33: a scheduling node is cut off with worker b, while its successor extends the lease of a run on worker a. The run must not be
 // written off and its task started again on b.
 func TestCutOffSchedulingNodeStartsNothingTwice(t *testing.T) {
--- a/internal/decision/berylscheduler/run.go
+++ b/internal/decision/berylscheduler/run.go
@@ -227,7 +227,7 @@
 	s.emit(Decision{Name: "start_unanswered", Task: r.id.task, Worker: w.info.ID, Run: r.id.n, Detail: err.Error()})
 	s.recordLostAnswer(w)
 	var rejected *beryllatch.OrderRejectedError
-	if r.startAttempts < maxStartAttempts && s.confirmed && w.synced && w.failedHolds == 0 && s.inService(w) && !errors.As(err, &rejected) {
+	if r.startAttempts < maxStartAttempts && s.mayAct() && w.synced && w.failedHolds == 0 && s.inService(w) && !errors.As(err, &rejected) {
 		s.sendStart(r)
 	} else {
 		r.phase, r.unconfirmedSince = runUnconfirmed, s.now
--- a/internal/decision/berylscheduler/scheduler.go
+++ b/internal/decision/berylscheduler/scheduler.go
@@ -148,7 +148,7 @@
 // placeIfDue places waiting tasks if one may have become placeable. It limits the rate, since each pass covers all waiting
 // steps.
 func (s *Scheduler) placeIfDue() {
-	if !s.placementDue || s.deployment == nil || s.resigned || !s.confirmed {
+	if !s.placementDue || s.deployment == nil || s.resigned || !s.mayAct() {
 		return
 	}
 	if wait := placeInterval + time.Duration(len(s.active))*placeIntervalPerJob - s.now.Sub(s.lastPlacement); wait > 0 {
@@ -237,7 +237,7 @@
 	for _, w := range s.sortedWorkers {
 		s.checkLease(w)
 		s.repeatStops(w)
-		if w.info.Draining && s.confirmed {
+		if w.info.Draining && s.mayAct() {
 			s.vacateOneTask(w)
 		}
 		s.sendHoldIfDue(w)
--- a/internal/decision/berylscheduler/straggler.go
+++ b/internal/decision/berylscheduler/straggler.go
@@ -151,7 +151,7 @@
 // run at once; for other tasks the run is stopped first.
 func (s *Scheduler) restartElsewhere(r *run) {
 	t := r.task
-	if len(t.runs) > 1 || t.restarts >= maxRestarts || !s.confirmed {
+	if len(t.runs) > 1 || t.restarts >= maxRestarts || !s.mayAct() {
 		return
 	}
 	w, ticket := s.chooseWorker(t, s.otherFastWorkers(r.worker))
