A scheduling node extends no lease for longer than its successor waits

A lease now ends within the longest possible one from the last proof that nobody had taken over, which lies before any takeover; a successor counts from its own. On a worker that has not answered lately, a restart may have gone unnoticed, and any lease may be the longest one: it is asked first when the proof is older than 1.5 s, and a successor waits for that time in addition.

TestCutOffSchedulingNodeLetsItsLeasesExpire failed before (a lease until 5.9 s after the proof, with every hold later on) and passes now. The fixture of TestLeaseEndsBeforeItsRunsAreWrittenOff got a proof of the epoch, without which no lease is granted; its checks are the same.

--- a/internal/decision/berylscheduler/clock_test.go
+++ b/internal/decision/berylscheduler/clock_test.go
@@ -38,6 +38,7 @@
 			w := &worker{}
 			w.setClock(clock.at(read), read)
 			s.now = read.Add(age)
+			s.proof.storeAt = s.now
 			end := s.grantLease(w)
 			expires := clock.passes(end)
 			assert.Assert(t, !expires.After(w.leasesExpireBy), "the lease expires %s after the write-off", expires.Sub(w.leasesExpireBy))
--- a/internal/decision/berylscheduler/harness_test.go
+++ b/internal/decision/berylscheduler/harness_test.go
@@ -180,7 +180,7 @@
 	h.holds = nil
 	for _, hold := range holds {
 		e := WorkerHeld{Worker: hold.Worker.ID, Incarnation: hold.Incarnation, Sent: hold.sent, Probe: hold.Probe, Lists: lists[hold.Worker.ID]}
-		e.Lists.Clock, e.Lists.Incarnation = time.Duration(h.now.UnixMilli()%1e6+1e6)*time.Millisecond, hold.Incarnation
+		e.Lists.Clock, e.Lists.Incarnation = h.clock(), hold.Incarnation
 		for _, id := range unanswered {
 			if hold.Worker.ID == id {
 				e = WorkerHeld{Worker: id, Incarnation: hold.Incarnation, Sent: hold.sent, Probe: hold.Probe, Err: errNoAnswer}
@@ -190,6 +190,9 @@
 	}
 }
 
+// clock returns what the clocks of all workers show.
+func (h *harness) clock() time.Duration { return time.Duration(h.now.UnixMilli()%1e6+1e6) * time.Millisecond }
+
 // accept submits a job and stores it.
 func (h *harness) accept(j beryllatch.Job) {
 	h.t.Helper()
--- a/internal/decision/berylscheduler/hold.go
+++ b/internal/decision/berylscheduler/hold.go
@@ -87,7 +87,7 @@
 	case !w.registered:
 		return false
 	}
-	return ack != w.sentAcknowledge || w.failedHolds > 0 || w.answerMissing || w.prepared() && !s.hasRecentClock(w)
+	return ack != w.sentAcknowledge || w.failedHolds > 0 || w.answerMissing || w.prepared() && (!s.hasRecentClock(w) || s.leaseLength() > 0 && s.needsContact(w))
 }
 
 // maxUnsyncedHolds limits the holds for unsynced workers in flight. A node that has just taken over would otherwise ask all of
--- a/internal/decision/berylscheduler/proof.go
+++ b/internal/decision/berylscheduler/proof.go
@@ -7,6 +7,8 @@
 	proofInterval = 500 * time.Millisecond
 	// oldProof is the age from which the lack of a newer proof is logged. It covers a read that the store answers slowly.
 	oldProof = time.Second
+	// maxUnnoticedProofAge is the age of the proof up to which a worker gets a lease that has not answered lately.
+	maxUnnoticedProofAge = 1500 * time.Millisecond
 	// maxActingProofAge is the age of the proof up to which tasks start, runs are stopped and instances are ordered. It covers the
 	// interval at which the nodes that others should take over before probe this one, twice, since an echo comes with the next probe.
 	maxActingProofAge = 3 * time.Second
--- a/internal/decision/berylscheduler/proof_test.go
+++ b/internal/decision/berylscheduler/proof_test.go
@@ -37,6 +37,27 @@
 	}
 }
 
+// A successor counts the leases of workers that it can't reach as expired when the longest possible one has passed since it took over. The
+// scheduling node that it has replaced, and that reaches them, must not extend them for longer.
+func TestCutOffSchedulingNodeLetsItsLeasesExpire(t *testing.T) {
+	h := newHarness(t)
+	h.register("a")
+	h.accept(singleTaskJob("0000000000000001"))
+	lists := runningLists(h.confirmStarts(), 10)
+	h.tickFor(200 * time.Millisecond)
+	h.answerHolds(lists)
+	limit := h.clock() + h.s.Limits.MaxLease
+	last := time.Duration(0)
+	for range 200 {
+		h.tickCutOff(100*time.Millisecond, lists)
+		for _, hold := range h.holds {
+			assert.Assert(t, hold.Order.LeaseEnd <= limit, "a lease until %s, %s after the proof", hold.Order.LeaseEnd, h.s.proofAge())
+			last = max(last, hold.Order.LeaseEnd)
+		}
+	}
+	assert.Assert(t, last > limit-2*time.Second, "the leases are extended as long as that is safe")
+}
+
 // A scheduling node without a proof that nobody has taken over starts nothing, also what never ran, and orders no instance.
 func TestNothingStartsWithoutAProof(t *testing.T) {
 	h := newHarness(t)
--- a/internal/decision/berylscheduler/recover.go
+++ b/internal/decision/berylscheduler/recover.go
@@ -60,7 +60,7 @@
 		row := s.journal.workerRow(info.ID)
 		row.version, row.value, row.stored = r.Version, r.Value, true
 		s.addWorker(&worker{
-			incarnation: incarnation{discoveredAt: s.now}, info: info, leasesExpireBy: s.now.Add(expiryBound(s.Limits.MaxLease)), idleSince: s.now,
+			incarnation: incarnation{discoveredAt: s.now}, info: info, leasesExpireBy: s.foreignLeasesExpireBy(s.now), idleSince: s.now,
 		})
 	}
 	s.recoverWaves(e.Waves)
--- a/internal/decision/berylscheduler/scheduler.go
+++ b/internal/decision/berylscheduler/scheduler.go
@@ -283,8 +283,11 @@
 	return q, ok
 }
 
-// leaseLength returns the length of the leases that the scheduler grants.
-func (s *Scheduler) leaseLength() time.Duration { return min(leaseTime, s.Limits.MaxLease) }
+// leaseLength returns the length of the leases that the scheduler grants now, 0 for none. A successor counts the leases of workers that it
+// can't reach as expired when the longest possible one has passed since it took over, which may have been right after provenAt.
+func (s *Scheduler) leaseLength() time.Duration {
+	return max(min(leaseTime, s.Limits.MaxLease-s.proofAge()), 0)
+}
 
 // expiryBound returns how long after its grant a lease of the given length has certainly expired on the worker, even if the worker's
 // clock runs slow.
--- a/internal/decision/berylscheduler/worker.go
+++ b/internal/decision/berylscheduler/worker.go
@@ -72,7 +72,7 @@
 func (s *Scheduler) usable(w *worker) bool {
 	present := w.registered || (!w.unregisteredAt.IsZero() && s.now.Sub(w.unregisteredAt) < registryGrace)
 	return present && w.synced && s.hasRecentClock(w) && w.failedHolds == 0 && !w.answerMissing && w.row.stored && s.inService(w) &&
-		!w.health.isSuspect(s.now)
+		s.mayGrantLease(w) && !w.health.isSuspect(s.now)
 }
 
 // inService reports whether the worker should keep running tasks: it is not draining, there is no order for its instance, and
@@ -130,7 +130,7 @@
 		// to an ended incarnation may have reached this one.
 		w = &worker{incarnation: incarnation{discoveredAt: s.now, synced: !wasEnded}, info: i, registered: true, idleSince: s.now}
 		if wasEnded {
-			w.leasesExpireBy = s.startedAt.Add(expiryBound(s.Limits.MaxLease))
+			w.leasesExpireBy = s.foreignLeasesExpireBy(s.startedAt)
 		}
 		s.doubtOthers(w)
 		s.addWorker(w)
@@ -257,20 +257,35 @@
 	}
 }
 
-// grantLease returns the end of a new lease by the worker's clock, or 0 if that clock is unknown. However old the reading of
+// grantLease returns the end of a new lease by the worker's clock, or 0 if none can be granted. However old the reading of
 // that clock is, the lease is not longer than leaseLength.
 func (s *Scheduler) grantLease(w *worker) time.Duration {
 	clock, ok := s.clockAtLeast(w)
-	if !ok {
+	if !ok || !s.mayGrantLease(w) {
 		return 0
 	}
-	w.leasesExpireBy = laterTime(w.leasesExpireBy, s.now.Add(expiryBound(s.leaseLength())))
+	length := s.leaseLength()
 	if !s.inContact(w) {
 		// The clock of another incarnation started anew, so that the end is far ahead on it, and the worker shortens the lease to
 		// the longest possible one.
 		w.unnoticedLeasesExpireBy, w.leaseUnnoticedAt = s.now.Add(expiryBound(s.Limits.MaxLease)), s.now
 	}
-	return clock + s.leaseLength()
+	w.leasesExpireBy = laterTime(w.leasesExpireBy, s.now.Add(expiryBound(length)))
+	return clock + length
+}
+
+// mayGrantLease reports whether a lease for the worker is certain to end in the time for which a successor waits.
+func (s *Scheduler) mayGrantLease(w *worker) bool { return s.leaseLength() > 0 && !s.needsContact(w) }
+
+// needsContact reports whether the worker must answer before it gets a lease. On one that has started again unnoticed, a lease may be
+// the longest possible one, however short it was granted.
+func (s *Scheduler) needsContact(w *worker) bool {
+	return !s.inContact(w) && s.proofAge() > maxUnnoticedProofAge
+}
+
+// foreignLeasesExpireBy returns when the leases have expired that earlier epochs may have granted to a worker that can't be reached.
+func (s *Scheduler) foreignLeasesExpireBy(since time.Time) time.Time {
+	return since.Add(maxUnnoticedProofAge + expiryBound(s.Limits.MaxLease))
 }
 
 // noticeLeases records that the worker's present incarnation is the one to which the leases were granted before the given time.
