While the store answers no node, the word of all known nodes proves the epoch

A scheduling node that can't tell a cut from an outage of the store would stop in both. In an outage for all, the nodes that probe it show that none of them has taken over. The scheduler takes the time of their common word with each tick and lets it count as a proof, for at most 10 s after the last heartbeat that was certainly stored before any takeover: nodes that it may not know have to wait that long. Tests: TestWorkGoesOnByTheWordOfAllPeers, TestLeaseExpiresByTheWordOfAllPeers. The nodes don't pass that time on yet.

--- a/internal/decision/berylscheduler/event.go
+++ b/internal/decision/berylscheduler/event.go
@@ -130,8 +130,18 @@
 	Err     error
 }
 
+// HeartbeatStored reports that the store has stored a heartbeat of this node.
+type HeartbeatStored struct {
+	// Sent is when the heartbeat was sent.
+	Sent time.Time
+}
+
 // Ticked is sent at regular intervals, for everything that depends on the time alone.
-type Ticked struct{}
+type Ticked struct {
+	// PeersAt is the latest time at which, by their own word, none of the other nodes had taken over; it is zero if that is not known
+	// of one of them.
+	PeersAt time.Time
+}
 
 // Woken is the outcome of a WakeAfter effect.
 type Woken struct{}
@@ -153,5 +163,6 @@
 func (StatusWritten) event()      {}
 func (AdviceReceived) event()     {}
 func (EpochConfirmed) event()     {}
+func (HeartbeatStored) event()    {}
 func (Ticked) event()             {}
 func (Woken) event()              {}
--- a/internal/decision/berylscheduler/harness_test.go
+++ b/internal/decision/berylscheduler/harness_test.go
@@ -31,6 +31,8 @@
 	// the test.
 	confirmations     int
 	deferConfirmation bool
+	// peersLag is how long before each tick the other nodes had not taken over; 0 means that this is not known.
+	peersLag time.Duration
 	// completions is the number of the last completion that a worker has listed.
 	completions int64
 }
@@ -121,7 +123,11 @@
 	h.t.Helper()
 	for end := h.now.Add(d); h.now.Before(end); {
 		h.now = h.now.Add(100 * time.Millisecond)
-		h.apply(Ticked{})
+		tick := Ticked{}
+		if h.peersLag > 0 {
+			tick.PeersAt = h.now.Add(-h.peersLag)
+		}
+		h.apply(tick)
 	}
 }
 
@@ -191,7 +197,9 @@
 }
 
 // clock returns what the clocks of all workers show.
-func (h *harness) clock() time.Duration { return time.Duration(h.now.UnixMilli()%1e6+1e6) * time.Millisecond }
+func (h *harness) clock() time.Duration {
+	return time.Duration(h.now.UnixMilli()%1e6+1e6) * time.Millisecond
+}
 
 // accept submits a job and stores it.
 func (h *harness) accept(j beryllatch.Job) {
--- a/internal/decision/berylscheduler/proof.go
+++ b/internal/decision/berylscheduler/proof.go
@@ -2,6 +2,11 @@
 
 import "time"
 
+// PeerProofLimit is how long after its last heartbeat a scheduling node may rely on the word of the nodes that it knows. A node that may
+// be unknown to it takes over only once the heartbeat has not changed for this time. It is longer than the outages of the store that
+// have been seen.
+const PeerProofLimit = 10 * time.Second
+
 const (
 	// proofInterval is the time after which the store is asked again whether this node still schedules, if no transaction has shown it.
 	proofInterval = 500 * time.Millisecond
@@ -18,6 +23,13 @@
 type epochProof struct {
 	// storeAt is when the last request was sent whose answer shows that the duty row is still that of this epoch.
 	storeAt time.Time
+	// peersAt is as in Ticked.
+	peersAt time.Time
+	// heartbeatSent is when a stored heartbeat was sent, heartbeatAnswered when its answer came. It is replaced by a later one once it
+	// is heartbeatAt.
+	heartbeatSent, heartbeatAnswered time.Time
+	// heartbeatAt is when a heartbeat was sent that was stored before storeAt, and so before any takeover.
+	heartbeatAt time.Time
 	// requestedAt is when the confirmation in flight was requested.
 	requestedAt time.Time
 	// old is true while the proof is older than oldProof.
@@ -28,7 +40,12 @@
 //
 // What a scheduling node infers from its own past orders holds only as long as no other node gives orders: a worker that it can't reach
 // may have got longer leases, other runs or another instance order from its successor.
-func (s *Scheduler) provenAt() time.Time { return s.proof.storeAt }
+//
+// While the store answers no node, the word of all nodes that this one knows takes the place of its answer. One that this node doesn't
+// know takes over only after PeerProofLimit without a heartbeat, so that their word counts for that long.
+func (s *Scheduler) provenAt() time.Time {
+	return laterTime(s.proof.storeAt, earlierTime(s.proof.peersAt, s.proof.heartbeatAt.Add(PeerProofLimit)))
+}
 
 // proofAge returns the time since provenAt. The monotonic clock stands still while the machine is suspended, the wall clock does not.
 func (s *Scheduler) proofAge() time.Duration {
@@ -43,9 +60,18 @@
 // recordProof records that the store has answered a request, sent at the given time, as it does only without a successor.
 func (s *Scheduler) recordProof(sent time.Time) {
 	s.proof.storeAt = laterTime(s.proof.storeAt, sent)
+	if !s.proof.heartbeatAnswered.After(s.proof.storeAt) {
+		s.proof.heartbeatAt = s.proof.heartbeatSent
+	}
 	s.checkProof()
 }
 
+func (s *Scheduler) heartbeatStored(e HeartbeatStored) {
+	if !s.proof.heartbeatSent.After(s.proof.heartbeatAt) {
+		s.proof.heartbeatSent, s.proof.heartbeatAnswered = e.Sent, s.now
+	}
+}
+
 // checkProof requests a new proof if the last one is not recent, and logs when there has been none for a while.
 func (s *Scheduler) checkProof() {
 	age := s.proofAge()
--- a/internal/decision/berylscheduler/proof_test.go
+++ b/internal/decision/berylscheduler/proof_test.go
@@ -58,6 +58,61 @@
 	assert.Assert(t, last > limit-2*time.Second, "the leases are extended as long as that is safe")
 }
 
+// While the store answers no node, work that was accepted goes on as long as all other nodes say that they have not taken over. Their word
+// counts for PeerProofLimit after the last heartbeat.
+func TestWorkGoesOnByTheWordOfAllPeers(t *testing.T) {
+	for name, c := range map[string]struct {
+		lag, heartbeatAge time.Duration
+		starts            int
+	}{
+		"all nodes":          {time.Second, 0, 1},
+		"one is missing":     {0, 0, 0},
+		"old word":           {2 * maxActingProofAge, 0, 0},
+		"old heartbeat":      {time.Second, PeerProofLimit, 0},
+		"limit not reached":  {time.Second, PeerProofLimit - 2*maxActingProofAge, 1},
+		"heartbeat long ago": {time.Second, time.Minute, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.register("a")
+			j := singleTaskJob("0000000000000001")
+			j.Steps = append(j.Steps, j.Steps[0])
+			j.Steps[1].After = []int{0}
+			h.accept(j)
+			first := h.confirmStarts()
+			assert.Equal(t, len(first), 1)
+			h.apply(HeartbeatStored{Sent: h.now.Add(-c.heartbeatAge)})
+			h.tickFor(2 * proofInterval)
+			h.peersLag = c.lag
+			h.tickCutOff(maxActingProofAge+time.Second, runningLists(first, 50))
+			h.tickCutOff(200*time.Millisecond, map[string]beryllatch.WorkerLists{"a": {Finished: []beryllatch.FinishedEntry{
+				{Number: 1, Task: first[0].Order.Task, Run: first[0].Order.Run, Outcome: beryllatch.RunDone},
+			}}})
+			assert.Equal(t, len(h.starts), c.starts)
+		})
+	}
+}
+
+// The word of all peers also shows that a lease has expired that nobody else can have extended.
+func TestLeaseExpiresByTheWordOfAllPeers(t *testing.T) {
+	for lag, starts := range map[time.Duration]int{0: 0, time.Second: 1, 2 * leaseTime: 0} {
+		t.Run(lag.String(), func(t *testing.T) {
+			h := newHarness(t)
+			h.register("a")
+			h.accept(singleTaskJob("0000000000000001"))
+			h.confirmStarts()
+			h.register("b")
+			h.apply(HeartbeatStored{Sent: h.now})
+			h.tickFor(2 * proofInterval)
+			h.peersLag = lag
+			h.tickCutOff(h.s.workers["a"].leasesExpireBy.Sub(h.now), nil, "a")
+			assert.Equal(t, len(h.starts), 0, "the word is older than the end of the lease")
+			h.tickCutOff(lag+time.Second, nil, "a")
+			assert.Equal(t, len(h.starts), starts)
+		})
+	}
+}
+
 // A scheduling node without a proof that nobody has taken over starts nothing, also what never ran, and orders no instance.
 func TestNothingStartsWithoutAProof(t *testing.T) {
 	h := newHarness(t)
--- a/internal/decision/berylscheduler/scheduler.go
+++ b/internal/decision/berylscheduler/scheduler.go
@@ -220,7 +220,10 @@
 		s.epochConfirmed(e)
 	case AdviceReceived:
 		s.adviceReceived(e)
+	case HeartbeatStored:
+		s.heartbeatStored(e)
 	case Ticked:
+		s.proof.peersAt = e.PeersAt
 		s.tick()
 	case Woken:
 		s.wakePending = false
