The status of a wave is written only by the scheduling node in office

The write now has that condition, in one transaction over both parts; a conflict ends the epoch.

TestReplacedNodeWritesNoWaveStatus failed before and passes now.

--- a/internal/decision/berylscheduler/wave.go
+++ b/internal/decision/berylscheduler/wave.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"slices"
 	"strings"
 	"time"
@@ -120,8 +121,12 @@
 	if w == nil {
 		return
 	}
-	if e.Err == nil {
+	var conflict *beryllatch.RowConflictError
+	switch {
+	case e.Err == nil:
 		w.writtenStatus = w.writingStatus
+	case errors.As(e.Err, &conflict):
+		s.resign("another node has taken over")
 	}
 	w.writingStatus = ""
 }
--- a/internal/node/beryljobs/session.go
+++ b/internal/node/beryljobs/session.go
@@ -297,7 +297,10 @@
 		})}
 	case berylscheduler.WriteWaveStatus:
 		return berylscheduler.StatusWritten{Wave: f.Wave, Done: f.Done, Err: n.guard("wave status", func() error {
-			_, err := n.rows().Commit(s.ctx, beryllatch.RowTransaction{Puts: []beryllatch.DataRow{n.View.WaveStatus(f.Wave, f.Done)}})
+			_, err := n.rows().Commit(s.ctx, beryllatch.RowTransaction{
+				Conditions: []beryllatch.RowCondition{dutyCondition(s.self.version)},
+				Puts:       []beryllatch.DataRow{n.View.WaveStatus(f.Wave, f.Done)},
+			})
 			return err
 		})}
 	case berylscheduler.AskAdvice:
