Probes echo stamps, and the scheduling node tells the scheduler what they prove

Ruled out: a clock shared by the nodes; the stamps are times of the scheduling node alone, which the others only echo. Change: the answer to a probe carries a stamp, the next probe echoes it with its epoch. Ticked carries the latest time at which none of the known nodes had taken over, ClaimedAt when the claim was sent, HeartbeatStored when a stored heartbeat was sent.

--- a/internal/node/beryljobs/node.go
+++ b/internal/node/beryljobs/node.go
@@ -80,6 +80,8 @@
 	// missingSince is since when the scheduling node has had a newer configuration; zero if it has none.
 	missingSince   time.Time
 	schedulingNode schedulingNode
+	// acknowledged is the scheduling node's last answer to a probe.
+	acknowledged acknowledgement
 	// largerNodes is how many nodes could take over and have a larger share of a core, by the last answer of the
 	// scheduling node.
 	largerNodes int
@@ -106,6 +108,8 @@
 	// handedOver is true if the predecessor has named this node as successor. The predecessor is still running then, so
 	// its last calls to workers and instances may be under way.
 	handedOver bool
+	// claimedAt is when the request was sent whose answer has shown that this node holds the row; zero for other nodes' rows.
+	claimedAt time.Time
 }
 
 // peer is what the scheduling node knows of a node that probes it.
--- a/internal/node/beryljobs/remote.go
+++ b/internal/node/beryljobs/remote.go
@@ -127,10 +127,14 @@
 	n.speed.sample()
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
+	n.mu.Lock()
+	last := n.acknowledged
+	n.mu.Unlock()
 	sent := time.Now()
 	r, err := n.client(sn).Probe(ctx, &berylwire.ProbeRequest{
 		Node: n.Name, ConfigVersion: n.configVersion(), CpuShare: n.CPUShare, StoreAgeMs: n.storeAge().Milliseconds(),
 		Address: n.Address, SeparateConfig: true, Slow: n.speed.slow(),
+		EchoedStamp: last.stamp, EchoedEpoch: last.epoch,
 	})
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
@@ -149,6 +153,7 @@
 	age := time.Duration(r.GetStoreAgeMs()) * time.Millisecond
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.acknowledged = acknowledgement{incarnation: r.GetIncarnation(), epoch: r.GetEpoch(), stamp: r.GetStamp(), sent: sent}
 	n.largerNodes = int(r.GetLargerNodes())
 	// A scheduling node of an older build gives no age of its configuration.
 	confirmed := sent.Add(-max(age, time.Duration(r.GetConfigAgeMs())*time.Millisecond))
@@ -270,6 +275,7 @@
 	if s := n.localSession(); s != nil {
 		out.Epoch = s.self.Epoch
 		out.LargerNodes = int32(n.recordPeer(r))
+		out.Stamp = s.recordProbe(r)
 	}
 	if row := n.configRow.Load(); row != nil && r.GetConfigVersion() < out.GetConfigVersion() && !r.GetSeparateConfig() {
 		out.Config = row.Value
--- a/internal/node/beryljobs/session.go
+++ b/internal/node/beryljobs/session.go
@@ -52,6 +52,8 @@
 	registryVersion int64
 	// registryWatched is true once watchRegistry has been called.
 	registryWatched bool
+	// echoes holds the stamps that other nodes have echoed.
+	echoes peerEchoes
 	// successor is the node that the scheduling role is handed to; "" while there is none.
 	successor string
 	// committing counts transactions in flight.
@@ -66,7 +68,7 @@
 		storeTimeout:  adaptiveTimeout{shortest: minStoreTimeout, longest: maxStoreTimeout},
 		workerTimeout: adaptiveTimeout{shortest: minWorkerTimeout, longest: maxWorkerTimeout},
 	}
-	s.scheduler = berylscheduler.Scheduler{Epoch: sn.Epoch, OwnerVersion: sn.version, Limits: n.Limits}
+	s.scheduler = berylscheduler.Scheduler{Epoch: sn.Epoch, OwnerVersion: sn.version, ClaimedAt: sn.claimedAt, Limits: n.Limits}
 	if sn.handedOver {
 		s.scheduler.InstanceOrderDelay = n.Limits.HandoverPause
 	}
@@ -132,7 +134,7 @@
 func (s *session) run(ctx context.Context) {
 	var wg sync.WaitGroup
 	wg.Go(func() {
-		s.node.keepRunning(s.ctx, "heartbeats", func(ctx context.Context) { s.node.sendHeartbeats(ctx, s.self) })
+		s.node.keepRunning(s.ctx, "heartbeats", s.sendHeartbeats)
 	})
 	wg.Go(func() { s.node.keepRunning(s.ctx, "registry", s.watchRegistry) })
 	ticker := time.NewTicker(tickInterval)
@@ -142,7 +144,7 @@
 		case <-s.ctx.Done():
 		case <-ticker.C:
 			s.node.speed.sample()
-			s.apply(berylscheduler.Ticked{})
+			s.apply(berylscheduler.Ticked{PeersAt: s.echoes.state(time.Now()).at})
 			s.successor = s.node.findSuccessor(s.began)
 		case <-s.node.wake:
 		}
--- a/internal/node/beryljobs/takeover.go
+++ b/internal/node/beryljobs/takeover.go
@@ -316,6 +316,7 @@
 		Node: n.Name, Address: n.Address, Incarnation: n.incarnation, Epoch: previous.Epoch + 1, CPUShare: n.CPUShare,
 		handedOver: previous.Successor != "",
 	}
+	sn.claimedAt = time.Now()
 	version, err := n.rows().Commit(ctx, beryllatch.RowTransaction{
 		Conditions: []beryllatch.RowCondition{dutyCondition(previous.version)},
 		Puts:       []beryllatch.DataRow{dutyRow(sn)},
@@ -323,6 +324,7 @@
 	var unknown *beryllatch.UnknownOutcomeError
 	if errors.As(err, &unknown) {
 		// Whether the claim was applied shows in the row.
+		sn.claimedAt = time.Now()
 		current, readErr := n.readSchedulingNode(ctx)
 		if readErr != nil || current.Incarnation != n.incarnation || current.Epoch != sn.Epoch {
 			return
@@ -397,13 +399,16 @@
 }
 
 // sendHeartbeats writes the heartbeat row at intervals until ctx is cancelled.
-func (n *Node) sendHeartbeats(ctx context.Context, sn schedulingNode) {
+func (s *session) sendHeartbeats(ctx context.Context) {
+	n := s.node
 	failing := false
 	for {
-		err := n.renewHeartbeat(ctx, sn)
+		sent := time.Now()
+		err := n.renewHeartbeat(ctx, s.self)
 		switch {
 		case err == nil:
 			n.storeAnswered()
+			s.apply(berylscheduler.HeartbeatStored{Sent: sent})
 			failing = false
 		case ctx.Err() == nil && !failing:
 			failing = true
