A node takes over only if the scheduling node knows it or its heartbeat is old

Ruled out: to forget a silent node 15 s after its last probe, counted from now. The 15 s now count up to the store's last proof of the epoch. Change: a takeover needs an answer of the last 10 s in the present epoch and incarnation, or a heartbeat row that has not changed for 10 s; a claim because of silence has a condition on that row. A refused connection alone is no proof. Not needed without any heartbeat row: the claim's condition covers it. A claim that the store carries out after it was given up counts with the answer of the scheduling node before. Stamps count time in which the machine is suspended. The log has the reason of a takeover, the age of the heartbeat, and the node whose echo is missing.

--- a/internal/node/beryljobs/node.go
+++ b/internal/node/beryljobs/node.go
@@ -82,6 +82,8 @@
 	schedulingNode schedulingNode
 	// acknowledged is the scheduling node's last answer to a probe.
 	acknowledged acknowledgement
+	// claimedEpoch is the last epoch that this node knows to have claimed.
+	claimedEpoch int64
 	// largerNodes is how many nodes could take over and have a larger share of a core, by the last answer of the
 	// scheduling node.
 	largerNodes int
--- a/internal/node/beryljobs/remote.go
+++ b/internal/node/beryljobs/remote.go
@@ -109,9 +109,10 @@
 	probeOK
 	// probeNoStore means that the node schedules without the store.
 	probeNoStore
-	// probeProcessEnded means that nothing listens at the node's address, or that another incarnation of the process
-	// does.
-	probeProcessEnded
+	// probeRefused means that nothing listens at the node's address, or that something on the way resets connections.
+	probeRefused
+	// probeOtherIncarnation means that another incarnation of the node's process has answered.
+	probeOtherIncarnation
 )
 
 // probeSchedulingNode asks the scheduling node whether it schedules. It also takes over a newer configuration from the
@@ -138,11 +139,11 @@
 	})
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
-		return probeProcessEnded
+		return probeRefused
 	case err != nil:
 		return probeFailed
 	case r.GetIncarnation() != "" && r.GetIncarnation() != sn.Incarnation:
-		return probeProcessEnded
+		return probeOtherIncarnation
 	case r.GetEpoch() < sn.Epoch:
 		return probeFailed
 	}
--- a/internal/node/beryljobs/session.go
+++ b/internal/node/beryljobs/session.go
@@ -54,6 +54,8 @@
 	registryWatched bool
 	// echoes holds the stamps that other nodes have echoed.
 	echoes peerEchoes
+	// peersSilent is true while a node has proven nothing for peersSilentAfter; run alone uses it.
+	peersSilent bool
 	// successor is the node that the scheduling role is handed to; "" while there is none.
 	successor string
 	// committing counts transactions in flight.
@@ -144,16 +146,24 @@
 		case <-s.ctx.Done():
 		case <-ticker.C:
 			s.node.speed.sample()
-			s.apply(berylscheduler.Ticked{PeersAt: s.echoes.state(time.Now()).at})
+			s.tick()
 			s.successor = s.node.findSuccessor(s.began)
 		case <-s.node.wake:
 		}
 	}
 	s.flush()
+	s.node.Metrics.Gauge(unechoedPeers, 0)
 	s.endEpoch()
 	wg.Wait()
 }
 
+// tick passes the time to the scheduler, with what the other nodes' echoes prove.
+func (s *session) tick() {
+	peers := s.peers()
+	s.reportPeers(peers)
+	s.apply(berylscheduler.Ticked{PeersAt: peers.at})
+}
+
 // flush waits for the transactions in flight, so that their callers are answered.
 func (s *session) flush() {
 	done := make(chan struct{})
@@ -237,8 +247,13 @@
 func (s *session) confirm() {
 	ctx, cancel := context.WithTimeout(s.ctx, confirmTimeout)
 	defer cancel()
+	sent := time.Now()
 	sn, err := s.node.readSchedulingNode(ctx)
-	s.apply(berylscheduler.EpochConfirmed{Current: sn.version == s.self.version, Err: err})
+	current := sn.version == s.self.version
+	if err == nil && current {
+		s.echoes.recordStoreProof(sent)
+	}
+	s.apply(berylscheduler.EpochConfirmed{Current: current, Err: err})
 }
 
 // carryOut starts an effect without waiting for its result, which comes back as an event.
@@ -387,6 +402,10 @@
 		s.storeTimeout.recordAnswer(time.Since(sent))
 		s.node.storeAnswered()
 	}
+	if err == nil {
+		// Each of the scheduler's transactions requires the duty row of this epoch.
+		s.echoes.recordStoreProof(sent)
+	}
 	s.node.Metrics.Time("store.commit", time.Since(sent))
 	if took := time.Since(sent); took >= slowCommit {
 		s.node.Log.SlowTransaction(f.Batch, len(f.Transaction.Conditions), took, err)
--- a/internal/node/beryljobs/takeover.go
+++ b/internal/node/beryljobs/takeover.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"hash/fnv"
 	"maps"
 	"slices"
@@ -89,12 +90,17 @@
 			watch = failureWatch{}
 			continue
 		}
-		if n.stopping.Load() || !n.mayTakeOver(ctx, sn, result, &watch) {
+		if n.stopping.Load() {
+			n.waitForProbe(ctx)
+			continue
+		}
+		grounds, ok := n.mayTakeOver(ctx, sn, result, &watch)
+		if !ok {
 			n.waitForProbe(ctx)
 			continue
 		}
 		watch = failureWatch{}
-		n.takeOver(ctx, sn)
+		n.takeOver(ctx, sn, grounds)
 	}
 }
 
@@ -141,6 +147,40 @@
 	noStoreSince time.Time
 }
 
+// takeoverReason is why a node takes over.
+type takeoverReason string
+
+const (
+	takeoverReleased takeoverReason = "released"
+	// takeoverProcessEnded means that nothing listens at the scheduling node's address.
+	takeoverProcessEnded takeoverReason = "process_ended"
+	// takeoverOtherIncarnation means that the scheduling node's process has started again.
+	takeoverOtherIncarnation takeoverReason = "other_incarnation"
+	// takeoverNoStore means that the scheduling node has lost the store.
+	takeoverNoStore takeoverReason = "no_store"
+	// takeoverSilent means that the scheduling node neither answers nor stores its heartbeat.
+	takeoverSilent takeoverReason = "silent"
+)
+
+// takeoverGrounds is why a node may take over, and what must still hold when it claims the duty row.
+type takeoverGrounds struct {
+	reason takeoverReason
+	// silence is how long the scheduling node had shown signs of a failure.
+	silence time.Duration
+	// needsAck is true if the scheduling node must have answered a probe of this node lately.
+	needsAck bool
+	// heartbeat is the condition that the heartbeat row has not changed; empty if that doesn't matter.
+	heartbeat []beryllatch.RowCondition
+}
+
+// String implements fmt.Stringer.
+func (g takeoverGrounds) String() string {
+	if g.silence == 0 {
+		return string(g.reason)
+	}
+	return fmt.Sprintf("%s for %v", g.reason, g.silence)
+}
+
 // readSchedulingNode reads the duty row and remembers the scheduling node in it.
 func (n *Node) readSchedulingNode(ctx context.Context) (schedulingNode, error) {
 	row, err := n.rows().Row(ctx, berylscheduler.DutyTable, berylscheduler.Part, berylscheduler.OwnerKey)
@@ -166,44 +206,95 @@
 	return sn, nil
 }
 
-// mayTakeOver reports whether this node may take over: the scheduling node has released the role, its process has
-// ended, or it has failed for so long that a delay or an outage of the store is ruled out. For some of these it first
+// mayTakeOver reports whether this node may take over, and why: the scheduling node has released the role, its process
+// has ended, or it has failed for so long that a delay or an outage of the store is ruled out. For some of these it first
 // waits for takeoverDelay.
-func (n *Node) mayTakeOver(ctx context.Context, sn schedulingNode, result probeResult, watch *failureWatch) bool {
+func (n *Node) mayTakeOver(ctx context.Context, sn schedulingNode, result probeResult, watch *failureWatch) (takeoverGrounds, bool) {
 	delay := n.takeoverDelay(sn)
 	if sn.Epoch == 0 || sn.Released {
+		g := takeoverGrounds{reason: takeoverReleased}
 		if sn.Successor == n.Name {
-			return true
+			return g, true
 		}
 		if sn.Successor != "" {
 			delay += successorDelay
 		}
-		return pause(ctx, delay)
+		return g, pause(ctx, delay)
 	}
 	if sn.Node == n.Name && sn.Incarnation != n.incarnation {
 		// The row is of an earlier incarnation of this very node, whose process has ended.
-		return true
-	}
-	if result == probeProcessEnded {
-		return pause(ctx, delay)
-	}
-	if result == probeNoStore {
+		return takeoverGrounds{reason: takeoverOtherIncarnation}, true
+	}
+	switch result {
+	case probeOtherIncarnation:
+		return takeoverGrounds{reason: takeoverOtherIncarnation}, pause(ctx, delay)
+	case probeRefused:
+		if silence, ok := n.acknowledgedBy(sn); ok {
+			return takeoverGrounds{reason: takeoverProcessEnded, silence: silence, needsAck: true}, pause(ctx, delay)
+		}
+	case probeNoStore:
 		if watch.noStoreSince.IsZero() {
 			watch.noStoreSince = time.Now()
 		}
-		return time.Since(watch.noStoreSince) >= minStoreContact+delay
+		silence := time.Since(watch.noStoreSince)
+		return takeoverGrounds{reason: takeoverNoStore, silence: silence, needsAck: true}, silence >= minStoreContact+delay
+	case probeFailed, probeOK:
 	}
 	watch.noStoreSince = time.Time{}
+	return n.heartbeatExpired(ctx, sn, watch, result == probeRefused, delay)
+}
+
+// heartbeatExpired reports whether this node may take over because the heartbeat row has not changed. refused tells that
+// nothing listens at the scheduling node's address, or that the connection to it is cut in a way that looks the same.
+func (n *Node) heartbeatExpired(
+	ctx context.Context, sn schedulingNode, watch *failureWatch, refused bool, delay time.Duration,
+) (takeoverGrounds, bool) {
 	sent := time.Now()
 	heartbeat, err := n.rows().Row(ctx, heartbeatTable, heartbeatTable, berylscheduler.OwnerKey)
 	if err != nil {
-		return false
+		return takeoverGrounds{}, false
+	}
+	g := takeoverGrounds{reason: takeoverSilent, heartbeat: []beryllatch.RowCondition{{
+		Table: heartbeatTable, Part: heartbeatTable, Key: berylscheduler.OwnerKey, Version: heartbeat.Version,
+	}}}
+	// While there is no heartbeat row, no scheduling node relies on a heartbeat: there is nothing to wait for, and the
+	// claim fails if the row is there by then.
+	neverStored := heartbeat.Version == 0
+	if refused && neverStored {
+		g.reason = takeoverProcessEnded
+		return g, pause(ctx, delay)
 	}
 	if watch.epoch != sn.Epoch || watch.heartbeatVersion != heartbeat.Version {
 		*watch = failureWatch{epoch: sn.Epoch, heartbeatVersion: heartbeat.Version, unchangedSince: time.Now()}
-		return false
+		return g, false
+	}
+	wait := heartbeatExpiry + storeDelayFactor*time.Since(sent)
+	_, acknowledged := n.acknowledgedBy(sn)
+	switch {
+	case neverStored:
+	case acknowledged:
+		g.needsAck = true
+	default:
+		wait = max(wait, peerTenure)
+	}
+	g.silence = time.Since(watch.unchangedSince)
+	return g, g.silence >= wait+delay
+}
+
+// acknowledgedBy reports whether the scheduling node has lately answered a probe in its present epoch, and how long ago
+// that probe was sent. The scheduling node then knows this node, and doesn't rely on its silence. If the row names this very process,
+// its epoch has ended, or the store has carried out its claim after the node had given it up; then the answer of the node that
+// scheduled before counts.
+func (n *Node) acknowledgedBy(sn schedulingNode) (age time.Duration, ok bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	a := n.acknowledged
+	age = elapsed(a.sent)
+	recent := age < ackValidity
+	if sn.Incarnation == n.incarnation {
+		return age, n.claimedEpoch == sn.Epoch || recent && a.epoch == sn.Epoch-1
 	}
-	return time.Since(watch.unchangedSince) >= heartbeatExpiry+storeDelayFactor*time.Since(sent)+delay
+	return age, recent && a.incarnation == sn.Incarnation && a.epoch >= sn.Epoch
 }
 
 // takeoverDelay returns how long this node waits before it takes over from the given node. Nodes with a larger share of a
@@ -306,7 +397,7 @@
 }
 
 // takeOver claims the duty row in a new epoch, and schedules until the epoch ends.
-func (n *Node) takeOver(ctx context.Context, previous schedulingNode) {
+func (n *Node) takeOver(ctx context.Context, previous schedulingNode, grounds takeoverGrounds) {
 	// Other nodes may have claimed the row during the delay. A claim that fails takes as much of the store's time as one that
 	// succeeds, and delays the first transactions of the new scheduling node.
 	if current, err := n.readSchedulingNode(ctx); err != nil || current.version != previous.version {
@@ -316,9 +407,12 @@
 		Node: n.Name, Address: n.Address, Incarnation: n.incarnation, Epoch: previous.Epoch + 1, CPUShare: n.CPUShare,
 		handedOver: previous.Successor != "",
 	}
+	if _, ok := n.acknowledgedBy(previous); grounds.needsAck && !ok {
+		return
+	}
 	sn.claimedAt = time.Now()
 	version, err := n.rows().Commit(ctx, beryllatch.RowTransaction{
-		Conditions: []beryllatch.RowCondition{dutyCondition(previous.version)},
+		Conditions: append([]beryllatch.RowCondition{dutyCondition(previous.version)}, grounds.heartbeat...),
 		Puts:       []beryllatch.DataRow{dutyRow(sn)},
 	})
 	var unknown *beryllatch.UnknownOutcomeError
@@ -332,11 +426,11 @@
 		version, err = current.version, nil
 	}
 	if err != nil {
-		n.Log.Event("takeover_failed", n.Name, err.Error())
+		n.Log.Event("takeover_failed", n.Name, fmt.Sprintf("%v: %v", grounds, err))
 		return
 	}
 	sn.version = version
-	n.Log.Event("takeover", n.Name, n.storeAge().String())
+	n.Log.Event("takeover", n.Name, grounds.String())
 	n.Metrics.Count("takeovers", 1)
 	n.runEpoch(ctx, sn)
 }
@@ -359,6 +453,9 @@
 func (n *Node) runEpoch(ctx context.Context, sn schedulingNode) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	n.mu.Lock()
+	n.claimedEpoch = sn.Epoch
+	n.mu.Unlock()
 	s, err := n.newSession(ctx, sn)
 	if err != nil {
 		n.Log.Event("takeover_failed", n.Name, err.Error())
@@ -402,6 +499,7 @@
 func (s *session) sendHeartbeats(ctx context.Context) {
 	n := s.node
 	failing := false
+	var stored time.Time
 	for {
 		sent := time.Now()
 		err := n.renewHeartbeat(ctx, s.self)
@@ -409,10 +507,13 @@
 		case err == nil:
 			n.storeAnswered()
 			s.apply(berylscheduler.HeartbeatStored{Sent: sent})
-			failing = false
+			if failing {
+				n.Log.Event("beat_regained", n.Name, "the last stored one: "+ageText(stored))
+			}
+			failing, stored = false, sent
 		case ctx.Err() == nil && !failing:
 			failing = true
-			n.Log.Event("beat_failed", n.Name, err.Error())
+			n.Log.Event("beat_failed", n.Name, fmt.Sprintf("the last stored one: %s; %v", ageText(stored), err))
 		}
 		if !pause(ctx, heartbeatInterval) {
 			return
--- a/internal/node/beryljobs/tenure.go
+++ b/internal/node/beryljobs/tenure.go
@@ -1,22 +1,27 @@
 package beryljobs
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/beryllatch/beryllatch/internal/decision/berylscheduler"
 	"github.com/beryllatch/beryllatch/internal/rpc/berylwire"
 )
 
 const (
 	// ackValidity is how long an answer of the scheduling node allows this node to take over from it.
 	ackValidity = 10 * time.Second
-	// peerTenure is how long the heartbeat row must have been unchanged before a node without such an answer may take over. The
-	// scheduling node goes on for no longer than that on the word of the nodes that probe it.
-	peerTenure = 10 * time.Second
-	// knownPeerTime is how long the scheduling node remembers that a node has probed it in its epoch.
-	knownPeerTime = 15 * time.Second
+	// peerTenure is how long the heartbeat row must have been unchanged before a node without such an answer may take over.
+	peerTenure = berylscheduler.PeerProofLimit
+	// claimTime bounds the time from the check whether this node may take over until its claim is stored.
+	claimTime = 5 * time.Second
+	// knownPeerTime is how long after its last probe a node may still take over by the answer to it.
+	knownPeerTime = ackValidity + claimTime
+	// peersSilentAfter is the age of the other nodes' proof at which the scheduling node stops to start tasks without the store.
+	peersSilentAfter = 3 * time.Second
 )
 
 // peerEchoes holds what the scheduling node has learned in one epoch from the stamps that other nodes echo: an echo proves that the
@@ -24,18 +29,20 @@
 type peerEchoes struct {
 	mu    sync.Mutex
 	nodes map[string]peerEcho
+	// storeAt is when the last request was sent whose answer shows that the duty row was still that of this epoch.
+	storeAt time.Time
 }
 
 // peerEcho is what is known of one node.
 type peerEcho struct {
-	// since is when the node was first heard of, and probed when its last probe came.
-	since, probed time.Time
-	// notReplaced is the latest time at which the node had certainly not taken over; zero if it has never echoed.
-	notReplaced time.Time
+	// probed is when its last probe came.
+	probed time.Time
+	// first is the stamp of the first answer to it, and echoed the latest that it has echoed; 0 if there is none.
+	first, echoed int64
 }
 
-// record records a probe of a node. echoed is the time of the stamp that it echoes, or zero.
-func (p *peerEchoes) record(node string, echoed, now time.Time) {
+// record records a probe of a node that echoes a stamp, or 0. stamp is that of the answer.
+func (p *peerEchoes) record(node string, echoed, stamp int64, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.nodes == nil {
@@ -43,11 +50,11 @@
 	}
 	e, known := p.nodes[node]
 	if !known {
-		e.since = now
+		e.first = stamp
 	}
 	e.probed = now
-	if echoed.After(e.notReplaced) && !echoed.After(now) {
-		e.notReplaced = echoed
+	if echoed <= stamp {
+		e.echoed = max(e.echoed, echoed)
 	}
 	p.nodes[node] = e
 }
@@ -63,44 +70,63 @@
 	missing int
 }
 
-// state returns what the echoes prove at a time, and forgets nodes that no longer probe.
-func (p *peerEchoes) state(now time.Time) peersState {
+// recordStoreProof records that a request, sent at the given time, was answered by the store as it is in this epoch alone.
+func (p *peerEchoes) recordStoreProof(sent time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s := peersState{at: now}
+	if sent.After(p.storeAt) {
+		p.storeAt = sent
+	}
+}
+
+// state returns what the echoes prove at a time, whose stamp is given. It forgets the nodes whose last probe was knownPeerTime old when the
+// store last proved the epoch: they had not taken over by then, and no longer may by their last answer. It isn't enough that the
+// probe is that old now, since a node that has taken over since that proof may have been silent for nearly as long before.
+func (p *peerEchoes) state(now time.Time, stamp int64) peersState {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var s peersState
 	for _, name := range slices.Sorted(maps.Keys(p.nodes)) {
 		e := p.nodes[name]
-		if now.Sub(e.probed) > knownPeerTime {
+		if p.storeAt.Sub(e.probed) > knownPeerTime {
 			delete(p.nodes, name)
 			continue
 		}
-		proven := e.notReplaced
-		if proven.IsZero() {
+		proven := e.echoed
+		if proven == 0 {
 			s.missing++
-			proven = e.since
+			proven = e.first
 		}
-		if silence := now.Sub(proven); s.last == "" || silence > s.silence {
+		// A probe may have come after the caller took the stamp.
+		if silence := max(time.Duration(stamp-proven), 0); s.last == "" || silence > s.silence {
 			s.last, s.silence = name, silence
 		}
-		if e.notReplaced.Before(s.at) {
-			s.at = e.notReplaced
-		}
+	}
+	s.at = now.Add(-s.silence)
+	if s.missing > 0 {
+		s.at = time.Time{}
 	}
 	return s
 }
 
-// stamp returns the number by which another node can prove that it has had an answer at that time.
-func (s *session) stamp(at time.Time) int64 { return int64(at.Sub(s.began)) + 1 }
+// stamp returns the number by which another node can prove that it has had an answer from now. Time for which the machine
+// was suspended counts.
+func (s *session) stamp() int64 { return int64(elapsed(s.began)) + 1 }
+
+// peers returns what the other nodes' echoes prove now.
+func (s *session) peers() peersState {
+	return s.echoes.state(time.Now(), s.stamp())
+}
 
 // recordProbe records a probe of another node and returns the stamp for the answer.
 func (s *session) recordProbe(r *berylwire.ProbeRequest) int64 {
-	now := time.Now()
-	var echoed time.Time
-	if stamp := r.GetEchoedStamp(); stamp > 0 && r.GetEchoedEpoch() == s.self.Epoch {
-		echoed = s.began.Add(time.Duration(stamp - 1))
+	echoed := r.GetEchoedStamp()
+	if r.GetEchoedEpoch() != s.self.Epoch {
+		echoed = 0
 	}
-	s.echoes.record(r.GetNode(), echoed, now)
-	return s.stamp(now)
+	stamp := s.stamp()
+	s.echoes.record(r.GetNode(), echoed, stamp, time.Now())
+	return stamp
 }
 
 // acknowledgement is the last answer of a scheduling node to a probe of this node.
@@ -111,3 +137,28 @@
 	// sent is when the probe was sent.
 	sent time.Time
 }
+
+// unechoedPeers is the gauge of the nodes that probe this one and have never echoed a stamp.
+const unechoedPeers = "tenure.unechoed_peers"
+
+// reportPeers counts the nodes without an echo, and logs which node holds the proof back.
+func (s *session) reportPeers(p peersState) {
+	n := s.node
+	n.Metrics.Gauge(unechoedPeers, int64(p.missing))
+	silent := p.silence > peersSilentAfter
+	switch {
+	case silent && !s.peersSilent:
+		n.Log.Event("peers_silent", p.last, fmt.Sprintf("no proof for %v; nodes that have never echoed: %d", p.silence, p.missing))
+	case !silent && s.peersSilent:
+		n.Log.Event("peers_regained", n.Name, "")
+	}
+	s.peersSilent = silent
+}
+
+// ageText returns how long ago t was; zero means never.
+func ageText(t time.Time) string {
+	if t.IsZero() {
+		return "never"
+	}
+	return time.Since(t).String() + " ago"
+}
