The epoch is confirmed by a transaction, not by a read

A read of the duty row may be answered from a state of some seconds before, as after lost history; a scheduling node that had been replaced would have taken it for a proof that it still schedules. The confirmation is now a transaction that has the condition on the duty row and changes nothing, which the store answers by the present state.

TestOldReadDoesNotProveTheEpoch failed before and passes now.

--- a/internal/node/beryljobs/session.go
+++ b/internal/node/beryljobs/session.go
@@ -243,17 +243,23 @@
 	}
 }
 
-// confirm reads whether this node still schedules.
+// confirm asks the store whether this node still schedules. A transaction without changes is answered by the present state; a read
+// may be answered by an older one.
 func (s *session) confirm() {
 	ctx, cancel := context.WithTimeout(s.ctx, confirmTimeout)
 	defer cancel()
 	sent := time.Now()
-	sn, err := s.node.readSchedulingNode(ctx)
-	current := sn.version == s.self.version
-	if err == nil && current {
+	_, err := s.node.rows().Commit(ctx, beryllatch.RowTransaction{Conditions: []beryllatch.RowCondition{dutyCondition(s.self.version)}})
+	var conflict *beryllatch.RowConflictError
+	replaced := errors.As(err, &conflict)
+	switch {
+	case replaced:
+		err = nil
+	case err == nil:
+		s.node.storeAnswered()
 		s.echoes.recordStoreProof(sent)
 	}
-	s.apply(berylscheduler.EpochConfirmed{Current: current, Err: err})
+	s.apply(berylscheduler.EpochConfirmed{Current: !replaced, Err: err})
 }
 
 // carryOut starts an effect without waiting for its result, which comes back as an event.
--- a/internal/node/beryljobs/tenure_test.go
+++ b/internal/node/beryljobs/tenure_test.go
@@ -309,7 +309,7 @@
 
 func (s *lateStore) Commit(ctx context.Context, tx beryllatch.RowTransaction) (version int64, err error) {
 	claim := false
-	if tx.Puts[0].Table == berylscheduler.DutyTable {
+	if len(tx.Puts) > 0 && tx.Puts[0].Table == berylscheduler.DutyTable {
 		s.once.Do(func() { claim = true })
 	}
 	if !claim {
@@ -390,3 +390,46 @@
 		assert.Equal(t, lines.count("beat_regained"), 1)
 	})
 }
+
+// oldReads answers reads of the duty row from an older state.
+type oldReads struct {
+	beryllatch.RowStore
+	mu  sync.Mutex
+	row *beryllatch.DataRow
+}
+
+func (s *oldReads) Row(ctx context.Context, table, part, key string) (beryllatch.DataRow, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if table == berylscheduler.DutyTable && s.row != nil {
+		return *s.row, nil
+	}
+	return s.RowStore.Row(ctx, table, part, key)
+}
+
+// A read that is answered from an older state must not tell a replaced scheduling node that it still schedules.
+func TestOldReadDoesNotProveTheEpoch(t *testing.T) {
+	testCluster(t, 0, func(t *testing.T, c *cluster) {
+		var reads *oldReads
+		start := c.startNode
+		c.startNode = func(n *Node) {
+			reads = &oldReads{RowStore: n.Store}
+			n.Store = reads
+			start(n)
+		}
+		c.join(0.4)
+		time.Sleep(2 * time.Second)
+		s := c.nodes[0].localSession()
+		row, err := reads.Row(context.Background(), berylscheduler.DutyTable, berylscheduler.Part, berylscheduler.OwnerKey)
+		assert.NilError(t, err)
+		reads.mu.Lock()
+		reads.row = &row
+		reads.mu.Unlock()
+		_, err = c.store.Commit(context.Background(), beryllatch.RowTransaction{Puts: []beryllatch.DataRow{
+			dutyRow(schedulingNode{Node: "successor", Address: "successor", Incarnation: "1", Epoch: s.self.Epoch + 1}),
+		}})
+		assert.NilError(t, err)
+		time.Sleep(time.Second)
+		assert.Assert(t, s.ctx.Err() != nil, "the epoch of a replaced node goes on")
+	})
+}
