Stamps of probes follow the monotonic clock alone

A stamp was the longer of the monotonic and the wall clock's time since the session began. After a step of the time of day forward and back, an echo from between lay in the future of later stamps and counted as if it were new, for as long as the step. Stamps are monotonic now; the time of the proof carries the wall clock of the session's start, so that a suspension adds to its age. Found by reading; no test, since tests can't step the clock of the runtime.

--- a/internal/node/beryljobs/tenure.go
+++ b/internal/node/beryljobs/tenure.go
@@ -109,13 +109,14 @@
 	return s
 }
 
-// stamp returns the number by which another node can prove that it has had an answer from now. Time for which the machine
-// was suspended counts.
-func (s *session) stamp() int64 { return int64(elapsed(s.began)) + 1 }
+// stamp returns the number by which another node can prove that it has had an answer from now. Stamps never go back, as the time of day may.
+func (s *session) stamp() int64 { return int64(time.Since(s.began)) + 1 }
 
-// peers returns what the other nodes' echoes prove now.
+// peers returns what the other nodes' echoes prove now. Their time has the wall clock of the session's start, so that time for which the
+// machine was suspended since adds to its age.
 func (s *session) peers() peersState {
-	return s.echoes.state(time.Now(), s.stamp())
+	stamp := s.stamp()
+	return s.echoes.state(s.began.Add(time.Duration(stamp-1)), stamp)
 }
 
 // recordProbe records a probe of another node and returns the stamp for the answer.
