--- a/internal/node/berylentry/entry.go
+++ b/internal/node/berylentry/entry.go
@@ -1,10 +1,12 @@
 package berylentry
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"strconv"
 	"sync/atomic"
@@ -49,6 +51,9 @@
 	LogLines       int64  `env:"BERYLLATCH_LOG_LINES" default:"2000" help:"Most log lines a second; further ones are counted."`
 	CheckSettings  bool   `help:"Check the settings file and exit."`
 	MetricsAddress string `env:"BERYLLATCH_METRICS_ADDRESS" help:"IP address and port for metrics; default: the second internal port."`
+	// SourceAddress and PeerAddress are for machines with several addresses, and for nodes behind a proxy.
+	SourceAddress netip.Addr     `env:"BERYLLATCH_SOURCE_ADDRESS" help:"IP address from which the node connects to others; default: the system's choice."`
+	PeerAddress   netip.AddrPort `env:"BERYLLATCH_PEER_ADDRESS" help:"IP address and port at which other nodes reach this one; default: the first internal port."`
 }
 
 // Entry is an entry node for jobs.
@@ -105,7 +110,7 @@
 	}
 	b := settings.Bounds
 	e.node = &beryljobs.Node{
-		Name: settings.Node, Address: net.JoinHostPort(settings.IP, strconv.Itoa(settings.FirstPort)),
+		Name: settings.Node, Address: e.Flags.peerAddress(settings),
 		CPUShare: settings.CPUShare, ConfigurationDelay: b.ConfigurationDelay,
 		Limits: berylscheduler.Limits{
 			MaxLease: b.MaxLease, HandoverPause: b.HandoverPause, StopTimeout: b.StopTimeout, JobRetention: b.JobRetention, RemoteFactor: b.RemoteFactor,
@@ -114,23 +119,36 @@
 			RowBytes: settings.RowBytes,
 		},
 		Store: &adapter.Store{
-			Exchange: adapter.NewExchange(storeConnections),
+			Exchange: adapter.NewExchange(storeConnections).From(e.Flags.SourceAddress),
 			Address:  address(func(s *adapter.Settings) string { return s.StoreAddress }),
 		},
 		View:    adapter.View{},
-		Workers: &adapter.Workers{},
+		Workers: &adapter.Workers{Source: e.Flags.SourceAddress},
 		Instances: &adapter.Instances{
-			Exchange: adapter.NewExchange(instanceConnections), Address: address(func(s *adapter.Settings) string { return s.InstancesAddress }),
+			Exchange: adapter.NewExchange(instanceConnections).From(e.Flags.SourceAddress), Address: address(func(s *adapter.Settings) string { return s.InstancesAddress }),
 		},
 		Advisor: &adapter.Advisor{
-			Exchange: adapter.NewExchange(1), Address: address(func(s *adapter.Settings) string { return s.AdvisorAddress }),
+			Exchange: adapter.NewExchange(1).From(e.Flags.SourceAddress), Address: address(func(s *adapter.Settings) string { return s.AdvisorAddress }),
 		},
-		Peers:   adapter.NewExchange(peerConnections).Client(),
+		Peers:   adapter.NewExchange(peerConnections).From(e.Flags.SourceAddress).Client(),
 		Log:     &beryljobs.DecisionLog{Logger: e.Log, LinesPerSecond: e.Flags.LogLines},
 		Metrics: e.metrics,
 	}
 }
 
+// peerAddress returns where the other nodes reach this one.
+func (f Flags) peerAddress(settings adapter.Settings) string {
+	if f.PeerAddress.IsValid() {
+		return f.PeerAddress.String()
+	}
+	return internalAddress(settings, 0)
+}
+
+// internalAddress returns the address of the nth internal port, from 0.
+func internalAddress(settings adapter.Settings, n int) string {
+	return net.JoinHostPort(settings.IP, strconv.Itoa(settings.FirstPort+n))
+}
+
 type listener struct {
 	name, address string
 	handler       http.Handler
@@ -143,15 +161,11 @@
 	peers := mux.NewRouter()
 	peers.PathPrefix(berylwire.JobsPathPrefix).Handler(berylwire.NewJobsServer(beryljobs.Server{Node: e.node}))
 	peers.PathPrefix(berylwire.RowsPathPrefix).Handler(berylwire.NewRowsServer(berylrelay.Server{Store: e.node.Store}))
-	metrics := e.Flags.MetricsAddress
-	if metrics == "" {
-		metrics = net.JoinHostPort(settings.IP, strconv.Itoa(settings.FirstPort+1))
-	}
 	return []listener{
 		{"callers", settings.CallersAddress, callers.Handler()},
 		{"readiness", settings.ReadinessAddress, ready},
-		{"peers", e.node.Address, peers},
-		{"metrics", metrics, e.metrics},
+		{"peers", internalAddress(settings, 0), peers},
+		{"metrics", cmp.Or(e.Flags.MetricsAddress, internalAddress(settings, 1)), e.metrics},
 	}
 }
 
