--- a/internal/bench/berylsoak/daemon.go
+++ b/internal/bench/berylsoak/daemon.go
@@ -1,6 +1,7 @@
 package berylsoak
 
 import (
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -18,14 +19,19 @@
 	internalPort  = 17000
 )
 
+func daemonName(n int) string { return fmt.Sprintf("n%d", n) }
+
 // daemon is a process under test. After it has ended it can be started again under the same name and address.
 type daemon struct {
 	program, dir string
 	ip           string
 	name         string
-	// store is the proxy through which the daemon reaches the store; instances is the address of the instance interface.
-	store     *proxy
+	// store is the address at which the daemon reaches the store; instances is the address of the instance interface.
+	store     string
 	instances string
+	// network and peerAddress are set in a soak with cuts: peerAddress is the link before the daemon.
+	network     *network
+	peerAddress string
 
 	mu sync.Mutex
 	// cmd is nil while the process does not run.
@@ -39,7 +45,7 @@
 func (d *daemon) settings() string {
 	return berylfleet.Settings{
 		Node: d.name, IP: d.ip, CallersPort: callersPort, ReadinessPort: readinessPort, InternalPort: internalPort,
-		StoreAddress: d.store.address(), InstancesAddress: d.instances,
+		StoreAddress: d.store, InstancesAddress: d.instances,
 	}.YAML()
 }
 
@@ -58,12 +64,17 @@
 	if err != nil {
 		return err
 	}
-	cmd := exec.Command(d.program, "--settings="+path) //nolint:noctx // The soak ends it by signals.
+	args := []string{"--settings=" + path}
+	if d.network != nil {
+		args = append(args, "--source-address="+d.ip, "--peer-address="+d.peerAddress)
+	}
+	cmd := exec.Command(d.program, args...) //nolint:noctx // The soak ends it by signals.
 	cmd.Stdout, cmd.Stderr = out, out
 	if err := cmd.Start(); err != nil {
 		_ = out.Close() // Nothing was written.
 		return err
 	}
+	d.recordRunning(true)
 	done := make(chan struct{})
 	d.cmd, d.done = cmd, done
 	go func() {
@@ -71,12 +82,19 @@
 		_ = out.Close()
 		d.mu.Lock()
 		d.cmd = nil
+		d.recordRunning(false)
 		d.mu.Unlock()
 		close(done)
 	}()
 	return nil
 }
 
+func (d *daemon) recordRunning(running bool) {
+	if d.network != nil {
+		d.network.setDown(d.name, !running)
+	}
+}
+
 // signal sends a signal to the process, if it runs.
 func (d *daemon) signal(s syscall.Signal) {
 	d.mu.Lock()
--- a/internal/bench/berylsoak/soak.go
+++ b/internal/bench/berylsoak/soak.go
@@ -41,8 +41,10 @@
 	Changes bool `help:"Also change the configuration, and check by which version callers are answered."`
 	// Incarnations adds workers that restart under their IDs, clocks of workers that run slow, cuts of workers that outlast their
 	// leases, and long tasks.
-	Incarnations bool   `help:"Also restart workers under their IDs, with slow clocks, and cut them off for longer than a lease."`
-	Logs         string `help:"Folder for the daemons' logs; default: a temporary one."`
+	Incarnations bool `help:"Also restart workers under their IDs, with slow clocks, and cut them off for longer than a lease."`
+	// Cuts adds cuts between daemons, workers, the store and the instance interface, and of whole data centres, and long tasks.
+	Cuts bool   `help:"Also cut daemons, workers, the store and data centres off from each other, one way as well, with fewer other faults."`
+	Logs string `help:"Folder for the daemons' logs; default: a temporary one."`
 }
 
 // Result is the outcome of a soak.
@@ -64,6 +66,10 @@
 	daemons []*daemon
 	proxies []*proxy
 	changes changes
+	// network is set in a soak with cuts only.
+	network *network
+	// workerAddresses holds the address at which the daemons reach the worker of each instance.
+	workerAddresses []string
 
 	mu     sync.Mutex
 	faults []string
@@ -98,10 +104,16 @@
 }
 
 func (r *soakRun) setUp() error {
+	r.fleet.Ceiling = teamCeiling
 	if r.Incarnations {
 		r.fleet.OwnRacks = true
 		r.slowClocks()
 	}
+	if r.Cuts {
+		if err := r.setUpNetwork(); err != nil {
+			return err
+		}
+	}
 	r.store.Put(berylfleet.Configuration{Version: 1, Host: soakHost, Keys: []string{soakKey}, Ceiling: teamCeiling}.Row())
 	store, err := berylfleet.Serve(r.ctx, r.store)
 	if err != nil {
@@ -111,8 +123,11 @@
 	if err != nil {
 		return err
 	}
+	if instances, err = r.linked(instancesHost, instances, false); err != nil {
+		return err
+	}
 	for i := range r.Workers {
-		instance := fmt.Sprintf("m-%d", i)
+		instance := r.instance(i)
 		address, err := berylfleet.Serve(r.ctx, http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 			if worker := r.fleet.Current(instance); worker != nil {
 				worker.ServeHTTP(w, req)
@@ -128,7 +143,11 @@
 			return err
 		}
 		r.proxies = append(r.proxies, p)
-		r.fleet.Add(instance, "p", p.address())
+		if address, err = r.linked(instance, p.address(), true); err != nil {
+			return err
+		}
+		r.workerAddresses = append(r.workerAddresses, address)
+		r.fleet.Add(instance, "p", address)
 	}
 	go r.sendHeartbeats()
 	for i := range r.Daemons {
@@ -140,9 +159,12 @@
 		if r.Changes && i%2 == 1 {
 			p.setBandwidth(slowLink)
 		}
-		d := &daemon{
-			program: r.Program, dir: r.Logs, name: fmt.Sprintf("n%d", i), store: p, instances: instances,
-			ip: fmt.Sprintf("127.%d.%d.%d", 40+os.Getpid()%200, 1+r.Seed%250, 10+i),
+		d := &daemon{program: r.Program, dir: r.Logs, name: daemonName(i), instances: instances, ip: r.daemonIP(i), network: r.network}
+		if d.store, err = r.linked(storeHost, p.address(), false); err != nil {
+			return err
+		}
+		if d.peerAddress, err = r.linked(d.name, fmt.Sprintf("%s:%d", d.ip, internalPort), false); err != nil {
+			return err
 		}
 		r.daemons = append(r.daemons, d)
 		if err := d.start(); err != nil {
@@ -152,6 +174,11 @@
 	return nil
 }
 
+// daemonIP returns the IP address of a daemon, which soaks that run at the same time don't share.
+func (r *soakRun) daemonIP(n int) string {
+	return fmt.Sprintf("127.%d.%d.%d", 40+os.Getpid()%200, 1+r.Seed%250, 10+n)
+}
+
 func (r *soakRun) sendHeartbeats() {
 	for n := 1; r.ctx.Err() == nil; n++ {
 		r.fleet.Heartbeat(n)
@@ -176,6 +203,9 @@
 		faults.Go(func() { r.disturbWorkers(end, &faults) })
 		faults.Go(func() { r.putOddEntries(end) })
 	}
+	if r.Cuts {
+		faults.Go(func() { r.cutNetwork(end, &faults) })
+	}
 	jobs := make([]*job, r.Jobs)
 	done := make([]bool, r.Jobs)
 	c := &client{http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}}
@@ -187,7 +217,7 @@
 		jobs[i] = j
 		width, cpu := 1+rng.IntN(6), 500+rng.IntN(3000)
 		needs, estimate := berylfleet.Needs{CPU: cpu, Memory: 200}, 300*time.Millisecond
-		if r.Incarnations && rng.IntN(3) == 0 {
+		if (r.Incarnations || r.Cuts) && rng.IntN(3) == 0 {
 			// The team's ceiling must leave room for the work that faults undo.
 			cpu /= longTaskShare
 			needs = berylfleet.Needs{CPU: cpu, Memory: 200, Duration: minLongTask + time.Duration(rng.Int64N(int64(longTaskRange)))}
@@ -254,7 +284,11 @@
 		duration := time.Duration(300+rng.IntN(3500)) * time.Millisecond
 		kind, target, m := rng.IntN(7), rng.IntN(1<<20), mode(1+rng.IntN(int(modeCount)-1))
 		wg.Go(func() { r.injectFault(kind, target, m, duration) })
-		sleep(r.ctx, time.Duration(200+rng.IntN(900))*time.Millisecond)
+		wait := time.Duration(200+rng.IntN(900)) * time.Millisecond
+		if r.Cuts {
+			wait *= cutFaultPause
+		}
+		sleep(r.ctx, wait)
 	}
 }
 
@@ -301,12 +335,12 @@
 		d.signal(syscall.SIGTERM)
 		r.restart(d, duration)
 	case 5:
-		instance := fmt.Sprintf("m-%d", target%r.Workers)
+		instance := r.instance(target)
 		r.recordFault("worker on %s crashes, back after %s", instance, duration)
 		if w := r.fleet.Current(instance); w != nil {
 			w.Crash()
 			sleep(r.ctx, duration)
-			r.fleet.Add(instance, "p", r.proxies[target%r.Workers].address())
+			r.fleet.Add(instance, "p", r.workerAddresses[target%r.Workers])
 		}
 	case 6:
 		r.recordFault("all daemons are killed")
--- a/internal/standin/berylfleet/fleet.go
+++ b/internal/standin/berylfleet/fleet.go
@@ -17,6 +17,9 @@
 	// ClockRate returns the rate of the clock of the next worker; nil means that all clocks are exact.
 	ClockRate func() float64
 
+	// Ceiling is that of the one team, in thousandths of a core; 0 means that starts are not checked against it.
+	Ceiling int
+
 	mu      sync.Mutex
 	workers []*Worker
 	// workerCount counts the workers that have been started, for their IDs.
--- a/internal/standin/berylfleet/record.go
+++ b/internal/standin/berylfleet/record.go
@@ -8,6 +8,9 @@
 	"time"
 )
 
+// quotaOverrun is the share by which a team may exceed its ceiling.
+const quotaOverrun = 0.1
+
 // taskRecord is what has happened to a task.
 type taskRecord struct {
 	running []runningRun
@@ -74,6 +77,7 @@
 	}
 	t.running = append(t.running, runningRun{w, o.RunID})
 	t.starts = append(t.starts, startRecord{time.Now(), w.String(), o.RunID})
+	f.checkCeiling(o.Task)
 	cpu, memory := 0, 0
 	for task := range w.runs {
 		n := f.needs[jobOf(task)]
@@ -84,6 +88,24 @@
 	}
 }
 
+// checkCeiling checks what the team has running at a start: its ceiling, the share that it may exceed it by, and one task more.
+func (f *Fleet) checkCeiling(task string) {
+	if f.Ceiling == 0 {
+		return
+	}
+	cpu := 0
+	for name, t := range f.records {
+		for _, r := range t.running {
+			if r.worker.holdsLease() {
+				cpu += f.needs[jobOf(name)].CPU
+			}
+		}
+	}
+	if most := float64(f.Ceiling)*(1+quotaOverrun) + float64(f.needs[jobOf(task)].CPU); float64(cpu) > most {
+		f.addViolation("task %s starts while the team has %d cpu running, and may have %.0f", task, cpu, most)
+	}
+}
+
 // recordEnd records that a run is no longer on the worker.
 func (f *Fleet) recordEnd(w *Worker, r *run) {
 	f.mu.Lock()
