--- a/internal/bench/berylsoak/cuts.go
+++ b/internal/bench/berylsoak/cuts.go
@@ -18,6 +18,9 @@
 	// minSeriesPause and seriesPauseRange give the pauses between the beginnings of series of cuts.
 	minSeriesPause   = time.Second
 	seriesPauseRange = 4 * time.Second
+	// isolationInterval is how many series there are to each one that isolates the scheduling node, for at least minIsolation.
+	isolationInterval = 3
+	minIsolation      = 8 * time.Second
 	// cutFaultPause is by how much the pauses between the other faults are longer in a soak with cuts, so that a cut can outlast a lease
 	// without a restart.
 	cutFaultPause = 8
@@ -136,10 +139,16 @@
 // cutNetwork starts series of cuts, which overlap, until the given time, at which all end.
 func (r *soakRun) cutNetwork(end time.Time, wg *sync.WaitGroup) {
 	rng := rand.New(rand.NewPCG(r.Seed, 1<<38)) //nolint:gosec // The same seed must give the same soak.
-	for time.Now().Before(end) && r.ctx.Err() == nil {
+	for n := 0; ; n++ {
+		sleep(r.ctx, minSeriesPause+time.Duration(rng.Int64N(int64(seriesPauseRange))))
+		if !time.Now().Before(end) || r.ctx.Err() != nil {
+			return
+		}
 		s := drawSeries(rng, r.Daemons, r.Workers)
+		if n%isolationInterval == 0 {
+			s.isolateScheduler()
+		}
 		wg.Go(func() { r.carryOutSeries(s, end) })
-		sleep(r.ctx, minSeriesPause+time.Duration(rng.Int64N(int64(seriesPauseRange))))
 	}
 }
 
@@ -170,6 +179,12 @@
 	wg.Wait()
 }
 
+// isolateScheduler makes the series cut the data centre of the scheduling node off for longer than a lease.
+func (s *cutSeries) isolateScheduler() {
+	s.kind, s.atScheduler, s.forth, s.back, s.resets = cutDataCentre, true, true, true, false
+	s.duration = max(s.duration, minIsolation)
+}
+
 // describe returns the text of a series for the list of faults.
 func (s cutSeries) describe(daemon int) string {
 	where := fmt.Sprintf("%s is cut off from %s", daemonName(daemon), map[cutKind]string{
