--- a/internal/bench/berylsoak/soak_test.go
+++ b/internal/bench/berylsoak/soak_test.go
@@ -100,3 +100,24 @@
 		})
 	}
 }
+
+// isolatedScheduler is the cause of the first failures with cuts: a scheduling node that was cut off with its data centre, and had been replaced,
+// wrote off the leases that its successor extended.
+const isolatedScheduler = "a replaced scheduling node started runs of its successor again"
+
+// Data centres, and pairs of processes, that are cut off from each other must break no promise: no task runs on two workers at once or again
+// after its end was taken note of, and each accepted job is done.
+func TestSoakWithCutDataCentres(t *testing.T) {
+	program := buildDaemon(t)
+	for seed, cause := range map[uint64]string{3602: isolatedScheduler, 3606: isolatedScheduler} {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			r, err := Soak{
+				Program: program, Seed: seed, Daemons: 6, Workers: 6, Jobs: 60, Duration: 15 * time.Second, Logs: t.TempDir(), Cuts: true,
+			}.Run(context.Background())
+			assert.NilError(t, err)
+			assert.Check(t, len(r.Violations) == 0, "%s: %v after %v", cause, r.Violations, r.Faults)
+			assert.Check(t, r.Done > 0)
+		})
+	}
+}
