--- a/internal/node/beryljobs/tenure_test.go
+++ b/internal/node/beryljobs/tenure_test.go
@@ -278,6 +278,24 @@
 	}
 }
 
+// A node that was paused between its decision and its claim must not claim by an answer that is too old by then.
+func TestClaimNeedsARecentAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, store, sn, _ := silentHolder(t)
+		n.acknowledged = acknowledgement{incarnation: sn.Incarnation, epoch: sn.Epoch, sent: time.Now()}
+		var watch failureWatch
+		grounds, ok := n.mayTakeOver(t.Context(), sn, probeRefused, &watch)
+		assert.Assert(t, ok)
+		assert.Equal(t, grounds.reason, takeoverProcessEnded)
+		time.Sleep(ackValidity)
+		before := store.commitAttempts()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		n.takeOver(ctx, sn, grounds)
+		assert.Equal(t, store.commitAttempts(), before)
+	})
+}
+
 // A node whose probes have been lost for a while may still take over by its last answer. The scheduling node must not forget it then, and
 // go on by a heartbeat from before the takeover.
 func TestLateTakeoverIsNotForgotten(t *testing.T) {
