--- /dev/null
+++ b/internal/decision/berylscheduler/partition_test.go
@@ -0,0 +1,368 @@
+package berylscheduler
+
+import (
+	"container/heap"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// The partition model runs three nodes, of which any may schedule, nine workers and a store in virtual time, on a network that is cut,
+// one way or both ways, slowed down and healed by a seed. The rules are checked at the workers and the store, which alone know what
+// really ran.
+
+const (
+	// partitionSeeds is the number of seeds without PARTITION_SEEDS.
+	partitionSeeds = 40
+	// faultTime is how long the network and the jobs are disturbed, healTime how long everything then has to finish.
+	faultTime = 60 * time.Second
+	healTime  = 40 * time.Second
+	// modelCentres is the number of data centres, each with a node and a third of the workers; the store stands outside.
+	modelCentres = 3
+	modelWorkers = 9
+	storeName    = "store"
+)
+
+var (
+	errLate = errors.New("no answer in time")
+	// errUnsent is the error of a request that certainly had no effect.
+	errUnsent = errors.New("not sent")
+)
+
+// partitionOptions switches mechanisms off, to show that the checks fail without them.
+type partitionOptions struct {
+	// scheduler changes each new scheduler.
+	scheduler func(*Scheduler)
+	// unacknowledged lets nodes take over that the scheduling node may not know.
+	unacknowledged bool
+	// ignoreHeartbeat leaves the condition on the heartbeat row out of the claim.
+	ignoreHeartbeat bool
+}
+
+type partitionModel struct {
+	options partitionOptions
+	rand    *rand.Rand
+	now     time.Duration
+	events  modelEvents
+	lastSeq int
+	links   map[link]*linkState
+	store   modelStore
+	nodes   []*modelNode
+	workers []*modelWorker
+	jobs    map[string]*modelJob
+	jobIDs  []string
+	judge   judge
+	trace   []traceLine
+	// takeovers and cuts count what the seed has covered.
+	takeovers, cuts int
+}
+
+type modelEvent struct {
+	at  time.Duration
+	seq int
+	run func()
+}
+
+type modelEvents []modelEvent
+
+func (q modelEvents) Len() int { return len(q) }
+func (q modelEvents) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
+}
+func (q modelEvents) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *modelEvents) Push(x any)   { *q = append(*q, x.(modelEvent)) }
+func (q *modelEvents) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	old[len(old)-1] = modelEvent{}
+	*q = old[:len(old)-1]
+	return last
+}
+
+// link is one direction between two machines.
+type link struct{ from, to string }
+
+type linkState struct {
+	cutUntil, slowUntil time.Duration
+	// slowBy is the longest delay while the link is slow.
+	slowBy time.Duration
+}
+
+func newPartitionModel(seed uint64, options partitionOptions) *partitionModel {
+	m := &partitionModel{
+		options: options, rand: rand.New(rand.NewPCG(seed, 33)), links: make(map[link]*linkState), jobs: make(map[string]*modelJob),
+	}
+	m.store.rows = make(storedRows)
+	m.judge = judge{model: m, tasks: make(map[string]*judgedTask), used: make(map[string]int), reported: make(map[string]bool)}
+	for i := range modelCentres {
+		m.nodes = append(m.nodes, newModelNode(m, i))
+	}
+	for i := range modelWorkers {
+		m.workers = append(m.workers, newModelWorker(m, i))
+	}
+	m.after(m.between(0, time.Second), m.disturb)
+	m.after(time.Second, m.submitJobs)
+	return m
+}
+
+// run plays the disturbed time and the time after it, and returns the rules that were broken.
+func (m *partitionModel) run() []violation {
+	m.playUntil(faultTime)
+	m.logf("network", "", "heals")
+	clear(m.links)
+	m.playUntil(faultTime + healTime)
+	m.judge.checkEnd()
+	return m.judge.violations
+}
+
+func (m *partitionModel) playUntil(end time.Duration) {
+	for len(m.events) > 0 && m.events[0].at <= end {
+		e := heap.Pop(&m.events).(modelEvent)
+		m.now = e.at
+		e.run()
+	}
+	m.now = end
+}
+
+func (m *partitionModel) after(d time.Duration, run func()) {
+	m.lastSeq++
+	heap.Push(&m.events, modelEvent{m.now + max(d, 0), m.lastSeq, run})
+}
+
+// time returns the time by the clocks of the nodes.
+func (m *partitionModel) time() time.Time { return m.at(m.now) }
+
+func (m *partitionModel) at(d time.Duration) time.Time { return time.Unix(1_800_000_000, 0).Add(d) }
+
+// between returns a random duration in a range.
+func (m *partitionModel) between(from, to time.Duration) time.Duration {
+	return from + time.Duration(m.rand.Int64N(int64(to-from)))
+}
+
+func (m *partitionModel) chance(p float64) bool { return m.rand.Float64() < p }
+
+// send delivers a message to the far side, and returns false if it is lost. A message on a cut link may arrive once the cut is over,
+// since the network repeats packets.
+func (m *partitionModel) send(from, to string, deliver func()) bool {
+	d := m.between(time.Millisecond, 5*time.Millisecond)
+	if l := m.links[link{from, to}]; l != nil {
+		switch {
+		case m.now < l.cutUntil:
+			left := l.cutUntil - m.now
+			if left > 4*time.Second || m.chance(0.7) {
+				return false
+			}
+			d += left
+		case m.now < l.slowUntil:
+			d += m.between(0, l.slowBy)
+		}
+	}
+	m.after(d, deliver)
+	return true
+}
+
+// call sends a request. serve answers it at the far side, at once or later. done gets the first answer, or an error after the
+// time-out: the request may then have had an effect, or may still have one, unless the error is errUnsent.
+func call[A any](m *partitionModel, from, to string, timeout time.Duration, serve func(reply func(A)), done func(A, error)) {
+	over := false
+	end := func(a A, err error) {
+		if !over {
+			over = true
+			done(a, err)
+		}
+	}
+	sent := m.send(from, to, func() {
+		serve(func(a A) { m.send(to, from, func() { end(a, nil) }) })
+	})
+	err := errLate
+	if !sent && m.chance(0.5) {
+		err = errUnsent
+	}
+	m.after(timeout, func() {
+		var none A
+		end(none, err)
+	})
+}
+
+// disturb cuts or slows down a part of the network, and comes again some time later.
+func (m *partitionModel) disturb() {
+	if m.now >= faultTime {
+		return
+	}
+	m.after(m.between(500*time.Millisecond, 6*time.Second), m.disturb)
+	m.cuts++
+	inside, outside := m.chooseSides()
+	length := m.between(time.Second, 30*time.Second)
+	if m.chance(0.5) {
+		length = m.between(time.Second, 9*time.Second)
+	}
+	in, out := true, true
+	switch m.rand.IntN(4) {
+	case 0:
+		in = false
+	case 1:
+		out = false
+	}
+	slow := time.Duration(0)
+	if m.chance(0.2) {
+		slow = m.between(100*time.Millisecond, 4*time.Second)
+	}
+	m.logf("network", "", "%v to %v: to %t, from %t, slow %v, for %v", inside, outside, out, in, slow, length.Round(time.Millisecond))
+	for _, a := range inside {
+		for _, b := range outside {
+			if out {
+				m.disturbLink(link{a, b}, length, slow)
+			}
+			if in {
+				m.disturbLink(link{b, a}, length, slow)
+			}
+		}
+	}
+}
+
+func (m *partitionModel) disturbLink(l link, length, slow time.Duration) {
+	s := m.links[l]
+	if s == nil {
+		s = &linkState{}
+		m.links[l] = s
+	}
+	if slow > 0 {
+		s.slowUntil, s.slowBy = max(s.slowUntil, m.now+length), slow
+	} else {
+		s.cutUntil = max(s.cutUntil, m.now+length)
+	}
+}
+
+// chooseSides returns two groups of machines whose links are disturbed.
+func (m *partitionModel) chooseSides() (inside, outside []string) {
+	var names []string
+	for _, n := range m.nodes {
+		names = append(names, n.name)
+	}
+	for _, w := range m.workers {
+		names = append(names, w.name)
+	}
+	names = append(names, storeName)
+	centre := m.rand.IntN(modelCentres)
+	node := m.nodes[m.rand.IntN(len(m.nodes))].name
+	if s := m.latestSession(); s != nil && m.chance(0.6) {
+		node, centre = s.node.name, s.node.centre
+	}
+	switch m.rand.IntN(6) {
+	case 0, 1:
+		for _, name := range names {
+			if name != storeName && centreOf(name) == centre {
+				inside = append(inside, name)
+			} else {
+				outside = append(outside, name)
+			}
+		}
+		return inside, outside
+	case 2:
+		return []string{node}, []string{storeName}
+	case 3:
+		return []string{node}, names[len(m.nodes) : len(names)-1]
+	case 4:
+		names = slices.DeleteFunc(names, func(name string) bool { return name == node })
+		return []string{node}, []string{names[m.rand.IntN(len(names))]}
+	}
+	// A part of the machines loses one node, or all machines lose the store for a short time.
+	if m.chance(0.8) {
+		for _, name := range names {
+			if name != node && m.chance(0.5) {
+				outside = append(outside, name)
+			}
+		}
+		return []string{node}, outside
+	}
+	return []string{storeName}, names[:len(names)-1]
+}
+
+// centreOf returns the data centre of a node or worker by the number in its name.
+func centreOf(name string) int {
+	n, err := strconv.Atoi(strings.TrimLeft(name, "nw"))
+	if err != nil {
+		panic(err)
+	}
+	return n % modelCentres
+}
+
+// latestSession returns the session of the highest epoch, or nil.
+func (m *partitionModel) latestSession() *modelSession {
+	var latest *modelSession
+	for _, n := range m.nodes {
+		if s := n.session; s != nil && (latest == nil || s.scheduler.Epoch > latest.scheduler.Epoch) {
+			latest = s
+		}
+	}
+	return latest
+}
+
+// traceLine is one line of the record; subject is a task or a machine.
+type traceLine struct {
+	at            time.Duration
+	subject, task string
+	text          string
+}
+
+func (m *partitionModel) logf(subject, task, format string, args ...any) {
+	m.trace = append(m.trace, traceLine{m.now, subject, task, fmt.Sprintf(format, args...)})
+}
+
+// story returns the record of a task and of the nodes, from 15 s before a violation.
+func (m *partitionModel) story(v violation) string {
+	var b strings.Builder
+	for _, l := range m.trace {
+		concerns := l.task == v.task && l.task != "" || l.task == "" && (l.subject == "network" || strings.HasPrefix(l.subject, "n") || l.subject == v.worker)
+		if concerns && l.at <= v.at && (l.task != "" || l.at >= v.at-15*time.Second) {
+			fmt.Fprintf(&b, "%9.3f %-7s %s\n", l.at.Seconds(), l.subject, l.text)
+		}
+	}
+	return b.String()
+}
+
+func partitionSeedRange(t *testing.T) (first, count uint64) {
+	t.Helper()
+	count = partitionSeeds
+	if v := os.Getenv("PARTITION_SEEDS"); v != "" {
+		n, err := fmt.Sscanf(v, "%d+%d", &first, &count)
+		assert.Assert(t, n == 2 && err == nil, "PARTITION_SEEDS is FIRST+COUNT, not %q", v)
+	}
+	return first, count
+}
+
+// The rules hold on a network that is cut at any place, at any time and for any length.
+func TestRulesHoldInPartitions(t *testing.T) {
+	first, count := partitionSeedRange(t)
+	starts, takeovers := 0, 0
+	broken := make(map[string][]uint64)
+	for seed := first; seed < first+count; seed++ {
+		m := newPartitionModel(seed, partitionOptions{})
+		violations := m.run()
+		starts += m.judge.starts
+		takeovers += m.takeovers
+		seen := make(map[string]bool)
+		for _, v := range violations {
+			if !seen[v.rule] {
+				seen[v.rule] = true
+				broken[v.rule] = append(broken[v.rule], seed)
+				if len(broken[v.rule]) == 1 {
+					t.Errorf("seed %d, %d violations, first of %s: %v\n%s", seed, len(violations), v.rule, v, m.story(v))
+				}
+			}
+		}
+	}
+	for rule, seeds := range broken {
+		t.Logf("%s is broken with seeds %v", rule, seeds)
+	}
+	t.Logf("%d starts, %d takeovers", starts, takeovers)
+	assert.Assert(t, starts > 100*int(count) && takeovers > 3*int(count), "%d starts, %d takeovers", starts, takeovers)
+}
