--- /dev/null
+++ b/internal/decision/berylscheduler/partition_network_test.go
@@ -0,0 +1,170 @@
+package berylscheduler
+
+import (
+	"errors"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+var (
+	errLate = errors.New("no answer in time")
+	// errUnsent is the error of a request that certainly had no effect.
+	errUnsent = errors.New("not sent")
+)
+
+// link is one direction between two machines.
+type link struct{ from, to string }
+
+type linkState struct {
+	cutUntil, slowUntil time.Duration
+	// slowBy is the longest delay while the link is slow.
+	slowBy time.Duration
+}
+
+// send delivers a message to the far side, and returns false if it is lost. A message on a cut link may arrive once the cut is over,
+// since the network repeats packets.
+func (m *partitionModel) send(from, to string, deliver func()) bool {
+	d := m.between(time.Millisecond, 5*time.Millisecond)
+	if l := m.links[link{from, to}]; l != nil {
+		switch {
+		case m.now < l.cutUntil:
+			left := l.cutUntil - m.now
+			if left > 4*time.Second || m.chance(0.7) {
+				return false
+			}
+			d += left
+		case m.now < l.slowUntil:
+			d += m.between(0, l.slowBy)
+		}
+	}
+	m.after(d, deliver)
+	return true
+}
+
+// call sends a request. serve answers it at the far side, at once or later. done gets the first answer, or an error after the
+// time-out: the request may then have had an effect, or may still have one, unless the error is errUnsent.
+func call[A any](m *partitionModel, from, to string, timeout time.Duration, serve func(reply func(A)), done func(A, error)) {
+	over := false
+	end := func(a A, err error) {
+		if !over {
+			over = true
+			done(a, err)
+		}
+	}
+	sent := m.send(from, to, func() {
+		serve(func(a A) { m.send(to, from, func() { end(a, nil) }) })
+	})
+	err := errLate
+	if !sent && m.chance(0.5) {
+		err = errUnsent
+	}
+	m.after(timeout, func() {
+		var none A
+		end(none, err)
+	})
+}
+
+// disturb cuts or slows down a part of the network, and comes again some time later.
+func (m *partitionModel) disturb() {
+	if m.now >= faultTime {
+		return
+	}
+	m.after(m.between(500*time.Millisecond, 6*time.Second), m.disturb)
+	m.cuts++
+	inside, outside := m.chooseSides()
+	length := m.between(time.Second, 30*time.Second)
+	if m.chance(0.5) {
+		length = m.between(time.Second, 9*time.Second)
+	}
+	in, out := true, true
+	switch m.rand.IntN(4) {
+	case 0:
+		in = false
+	case 1:
+		out = false
+	}
+	slow := time.Duration(0)
+	if m.chance(0.2) {
+		slow = m.between(100*time.Millisecond, 4*time.Second)
+	}
+	m.logf("network", "", "%v to %v: to %t, from %t, slow %v, for %v", inside, outside, out, in, slow, length.Round(time.Millisecond))
+	for _, a := range inside {
+		for _, b := range outside {
+			if out {
+				m.disturbLink(link{a, b}, length, slow)
+			}
+			if in {
+				m.disturbLink(link{b, a}, length, slow)
+			}
+		}
+	}
+}
+
+func (m *partitionModel) disturbLink(l link, length, slow time.Duration) {
+	s := m.links[l]
+	if s == nil {
+		s = &linkState{}
+		m.links[l] = s
+	}
+	if slow > 0 {
+		s.slowUntil, s.slowBy = max(s.slowUntil, m.now+length), slow
+	} else {
+		s.cutUntil = max(s.cutUntil, m.now+length)
+	}
+}
+
+// chooseSides returns two groups of machines whose links are disturbed.
+func (m *partitionModel) chooseSides() (inside, outside []string) {
+	var names []string
+	for _, n := range m.nodes {
+		names = append(names, n.name)
+	}
+	for _, w := range m.workers {
+		names = append(names, w.name)
+	}
+	names = append(names, storeName)
+	centre := m.rand.IntN(modelCentres)
+	node := m.nodes[m.rand.IntN(len(m.nodes))].name
+	if s := m.latestSession(); s != nil && m.chance(0.6) {
+		node, centre = s.node.name, s.node.centre
+	}
+	switch m.rand.IntN(6) {
+	case 0, 1:
+		for _, name := range names {
+			if name != storeName && centreOf(name) == centre {
+				inside = append(inside, name)
+			} else {
+				outside = append(outside, name)
+			}
+		}
+		return inside, outside
+	case 2:
+		return []string{node}, []string{storeName}
+	case 3:
+		return []string{node}, names[len(m.nodes) : len(names)-1]
+	case 4:
+		names = slices.DeleteFunc(names, func(name string) bool { return name == node })
+		return []string{node}, []string{names[m.rand.IntN(len(names))]}
+	}
+	// A part of the machines loses one node, or all machines lose the store for a short time.
+	if m.chance(0.8) {
+		for _, name := range names {
+			if name != node && m.chance(0.5) {
+				outside = append(outside, name)
+			}
+		}
+		return []string{node}, outside
+	}
+	return []string{storeName}, names[:len(names)-1]
+}
+
+// centreOf returns the data centre of a node or worker by the number in its name.
+func centreOf(name string) int {
+	n, err := strconv.Atoi(strings.TrimLeft(name, "nw"))
+	if err != nil {
+		panic(err)
+	}
+	return n % modelCentres
+}
--- a/internal/decision/berylscheduler/partition_node_test.go
+++ b/internal/decision/berylscheduler/partition_node_test.go
@@ -8,7 +8,7 @@
 	"github.com/beryllatch/beryllatch"
 )
 
-// The times of the nodes, as in beryljobs. A node that the scheduling node may not know waits for peerTenure, one that it knows takes
+// The times of the nodes, as in beryljobs. A node that the scheduling node may not know waits for PeerProofLimit, one that it knows takes
 // over within ackValidity of its last answered probe.
 const (
 	modelTick          = 100 * time.Millisecond
@@ -20,7 +20,6 @@
 	modelBeatExpiry    = 1300 * time.Millisecond
 	modelStoreAge      = 1300 * time.Millisecond
 	modelStoreContact  = 600 * time.Millisecond
-	modelPeerTenure    = 10 * time.Second
 	modelAckValidity   = 10 * time.Second
 	modelKnownPeerTime = 15 * time.Second
 	modelReadAttempts  = 8
@@ -216,7 +215,7 @@
 	}
 	wait := modelBeatExpiry
 	if acked := n.ackedEpoch == d.Epoch && now-n.ackedAt < modelAckValidity; !acked && !n.model.options.unacknowledged {
-		wait = modelPeerTenure
+		wait = PeerProofLimit
 	}
 	if now-n.watch.unchangedSince < wait+n.delay {
 		n.probeLater()
--- a/internal/decision/berylscheduler/partition_session_test.go
+++ b/internal/decision/berylscheduler/partition_session_test.go
@@ -26,10 +26,10 @@
 // is not known.
 type modelPeer struct{ probedAt, unreplacedAt time.Duration }
 
-func newModelSession(n *modelNode, d modelDuty, _ time.Duration) *modelSession {
+func newModelSession(n *modelNode, d modelDuty, claimed time.Duration) *modelSession {
 	s := &modelSession{
 		model: n.model, node: n, peers: make(map[string]*modelPeer), answers: make(map[uint64]func(error)),
-		scheduler: &Scheduler{Epoch: d.Epoch, OwnerVersion: d.version, Limits: modelLimits()},
+		scheduler: &Scheduler{Epoch: d.Epoch, OwnerVersion: d.version, Limits: modelLimits(), ClaimedAt: n.model.at(claimed)},
 	}
 	if change := n.model.options.scheduler; change != nil {
 		change(s.scheduler)
@@ -53,19 +53,41 @@
 	if s.ended {
 		return
 	}
-	s.apply(Ticked{})
+	s.apply(Ticked{PeersAt: s.peersAt()})
 	s.model.after(modelTick, s.tick)
 }
 
+// peersAt returns the latest time at which, by their probes, no other node had taken over; zero if that is not known.
+func (s *modelSession) peersAt() time.Time {
+	at := s.model.now
+	for _, n := range s.model.nodes {
+		p := s.peers[n.name]
+		switch {
+		case p == nil || s.model.options.trustPeers:
+		case s.model.now-p.probedAt > modelKnownPeerTime:
+			delete(s.peers, n.name)
+		case p.unreplacedAt == 0:
+			return time.Time{}
+		default:
+			at = min(at, p.unreplacedAt)
+		}
+	}
+	return s.model.at(at)
+}
+
 // beat writes heartbeats.
 func (s *modelSession) beat() {
 	if s.ended {
 		return
 	}
+	sent := s.model.now
 	tx := beryllatch.RowTransaction{Puts: []beryllatch.DataRow{
 		{Table: modelBeatTable, Part: modelBeatTable, Key: OwnerKey, Value: []byte(s.node.name)},
 	}}
-	callStore(s.node, modelBeatTimeout, func(st *modelStore) storeAnswer { return st.commit(tx) }, func(storeAnswer, error) {
+	callStore(s.node, modelBeatTimeout, func(st *modelStore) storeAnswer { return st.commit(tx) }, func(_ storeAnswer, err error) {
+		if err == nil {
+			s.apply(HeartbeatStored{Sent: s.model.at(sent)})
+		}
 		s.model.after(modelHeartbeat, s.beat)
 	})
 }
