Partition model: cuts in steps, and switches for three rules of the nodes

The model forgets it once a heartbeat is proven that was sent after its last answered probe has ceased to count.

--- a/internal/decision/berylscheduler/partition_network_test.go
+++ b/internal/decision/berylscheduler/partition_network_test.go
@@ -73,6 +73,10 @@
 	}
 	m.after(m.between(500*time.Millisecond, 6*time.Second), m.disturb)
 	m.cuts++
+	if s := m.latestSession(); s != nil && m.chance(0.1) {
+		m.cutInSteps(s.node)
+		return
+	}
 	inside, outside := m.chooseSides()
 	length := m.between(time.Second, 30*time.Second)
 	if m.chance(0.5) {
@@ -89,7 +93,24 @@
 	if m.chance(0.2) {
 		slow = m.between(100*time.Millisecond, 4*time.Second)
 	}
-	m.logf("network", "", "%v to %v: to %t, from %t, slow %v, for %v", inside, outside, out, in, slow, length.Round(time.Millisecond))
+	m.disturbLinks(inside, outside, out, in, length, slow)
+}
+
+// cutInSteps cuts the scheduling node off from another node, and some seconds later its data centre from everything else: the other node
+// then takes over from a node that has not heard of it for long.
+func (m *partitionModel) cutInSteps(n *modelNode) {
+	other := m.nodes[(n.centre+1+m.rand.IntN(len(m.nodes)-1))%len(m.nodes)]
+	m.disturbLinks([]string{n.name}, []string{other.name}, true, true, m.between(20*time.Second, 30*time.Second), 0)
+	m.after(m.between(time.Second, 9*time.Second), func() {
+		if m.now < faultTime {
+			inside, outside := m.centreSides(n.centre)
+			m.disturbLinks(inside, outside, true, true, m.between(15*time.Second, 30*time.Second), 0)
+		}
+	})
+}
+
+func (m *partitionModel) disturbLinks(inside, outside []string, out, in bool, length, slow time.Duration) {
+	m.logf("network", "", "%v and %v for %v: outward %t, inward %t, slow %v", inside, outside, length.Round(time.Millisecond), out, in, slow)
 	for _, a := range inside {
 		for _, b := range outside {
 			if out {
@@ -102,6 +123,29 @@
 	}
 }
 
+func (m *partitionModel) names() []string {
+	var names []string
+	for _, n := range m.nodes {
+		names = append(names, n.name)
+	}
+	for _, w := range m.workers {
+		names = append(names, w.name)
+	}
+	return append(names, storeName)
+}
+
+// centreSides returns the machines of a data centre, and all others.
+func (m *partitionModel) centreSides(centre int) (inside, outside []string) {
+	for _, name := range m.names() {
+		if name != storeName && centreOf(name) == centre {
+			inside = append(inside, name)
+		} else {
+			outside = append(outside, name)
+		}
+	}
+	return inside, outside
+}
+
 func (m *partitionModel) disturbLink(l link, length, slow time.Duration) {
 	s := m.links[l]
 	if s == nil {
@@ -117,14 +161,7 @@
 
 // chooseSides returns two groups of machines whose links are disturbed.
 func (m *partitionModel) chooseSides() (inside, outside []string) {
-	var names []string
-	for _, n := range m.nodes {
-		names = append(names, n.name)
-	}
-	for _, w := range m.workers {
-		names = append(names, w.name)
-	}
-	names = append(names, storeName)
+	names := m.names()
 	centre := m.rand.IntN(modelCentres)
 	node := m.nodes[m.rand.IntN(len(m.nodes))].name
 	if s := m.latestSession(); s != nil && m.chance(0.6) {
@@ -132,14 +169,7 @@
 	}
 	switch m.rand.IntN(6) {
 	case 0, 1:
-		for _, name := range names {
-			if name != storeName && centreOf(name) == centre {
-				inside = append(inside, name)
-			} else {
-				outside = append(outside, name)
-			}
-		}
-		return inside, outside
+		return m.centreSides(centre)
 	case 2:
 		return []string{node}, []string{storeName}
 	case 3:
--- a/internal/decision/berylscheduler/partition_session_test.go
+++ b/internal/decision/berylscheduler/partition_session_test.go
@@ -64,7 +64,7 @@
 		p := s.peers[n.name]
 		switch {
 		case p == nil || s.model.options.trustPeers:
-		case s.model.now-p.probedAt > modelKnownPeerTime:
+		case s.mayForget(p):
 			delete(s.peers, n.name)
 		case p.unreplacedAt == 0:
 			return time.Time{}
@@ -75,6 +75,15 @@
 	return s.model.at(at)
 }
 
+// mayForget reports whether the other node certainly has not taken over as a known one, nor will. Its last answered probe counts for
+// modelAckValidity, and a claim that it has sent fails once a later heartbeat is stored.
+func (s *modelSession) mayForget(p *modelPeer) bool {
+	if s.model.now-p.probedAt <= modelKnownPeerTime {
+		return false
+	}
+	return s.model.options.forgetSilent || s.scheduler.proof.heartbeatAt.After(s.model.at(p.probedAt+modelAckValidity))
+}
+
 // beat writes heartbeats.
 func (s *modelSession) beat() {
 	if s.ended {
--- a/internal/decision/berylscheduler/partition_test.go
+++ b/internal/decision/berylscheduler/partition_test.go
@@ -38,6 +38,8 @@
 	ignoreHeartbeat bool
 	// trustPeers reports the other nodes as not having taken over, whatever their probes show.
 	trustPeers bool
+	// forgetSilent forgets a node that has not probed for a while, although it may have taken over since.
+	forgetSilent bool
 }
 
 type partitionModel struct {
@@ -204,3 +206,25 @@
 	t.Logf("%d starts, %d takeovers", starts, takeovers)
 	assert.Assert(t, starts > 100*int(count) && takeovers > 3*int(count), "%d starts, %d takeovers", starts, takeovers)
 }
+
+// A check that can't fail proves nothing: without a mechanism, the same simulation finds a broken rule.
+func TestPartitionModelNeedsItsMechanisms(t *testing.T) {
+	for name, options := range map[string]partitionOptions{
+		"word of the other nodes": {trustPeers: true},
+		"silent nodes are known":  {forgetSilent: true},
+		"nodes must be known":     {unacknowledged: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(10 * partitionSeeds) {
+				m := newPartitionModel(seed, options)
+				for _, v := range m.run() {
+					if v.rule == "TWICE" {
+						t.Logf("seed %d: %v", seed, v)
+						return
+					}
+				}
+			}
+			t.Error("no task runs twice without it")
+		})
+	}
+}
