--- a/internal/decision/berylscheduler/partition_judge_test.go
+++ b/internal/decision/berylscheduler/partition_judge_test.go
@@ -193,6 +193,14 @@
 	j.used[r.job.job.Team] -= r.spec.Needs.CPUMilli
 }
 
+// crashed removes a run that has ended with its worker.
+func (j *judge) crashed(r *modelRun) {
+	t := j.task(r.id.task)
+	t.running = slices.DeleteFunc(t.running, func(o *modelRun) bool { return o == r })
+	j.used[r.job.job.Team] -= r.spec.Needs.CPUMilli
+}
+
+// lapsed rules out that the ends on a worker that are not noted yet are noted later: its lease has lapsed, or it has crashed.
 func (j *judge) lapsed(w *modelWorker) {
 	for _, t := range j.tasks {
 		for _, e := range t.ends {
--- a/internal/decision/berylscheduler/partition_network_test.go
+++ b/internal/decision/berylscheduler/partition_network_test.go
@@ -96,6 +96,15 @@
 	m.disturbLinks(inside, outside, out, in, length, slow)
 }
 
+// restartWorkers crashes a worker from time to time.
+func (m *partitionModel) restartWorkers() {
+	if m.now >= faultTime {
+		return
+	}
+	m.after(m.between(time.Second, 8*time.Second), m.restartWorkers)
+	m.workers[m.rand.IntN(len(m.workers))].restart()
+}
+
 // cutInSteps cuts the scheduling node off from another node, and some seconds later its data centre from everything else: the other node
 // then takes over from a node that has not heard of it for long.
 func (m *partitionModel) cutInSteps(n *modelNode) {
--- a/internal/decision/berylscheduler/partition_node_test.go
+++ b/internal/decision/berylscheduler/partition_node_test.go
@@ -23,6 +23,7 @@
 	modelAckValidity   = 10 * time.Second
 	modelKnownPeerTime = 15 * time.Second
 	modelReadAttempts  = 8
+	modelRegistryPause = 300 * time.Millisecond
 	modelBeatTable     = "beat"
 )
 
@@ -268,16 +269,19 @@
 		n.release(d)
 		return
 	}
-	type rows struct{ jobs, progress, workers []beryllatch.DataRow }
+	type rows struct {
+		jobs, progress, workers []beryllatch.DataRow
+		registry                []beryllatch.WorkerInfo
+	}
 	callStore(n, modelStoreTimeout, func(s *modelStore) rows {
-		return rows{s.table(JobsTable), s.table(ProgressTable), s.table(WorkersTable)}
+		return rows{s.table(JobsTable), s.table(ProgressTable), s.table(WorkersTable), n.model.registry()}
 	}, func(r rows, err error) {
 		if err != nil {
 			n.model.after(200*time.Millisecond, func() { n.recover(d, claimed, attempts-1) })
 			return
 		}
 		n.session = newModelSession(n, d, claimed)
-		n.session.begin(Recovered{Jobs: r.jobs, Progress: r.progress, Workers: r.workers})
+		n.session.begin(Recovered{Jobs: r.jobs, Progress: r.progress, Workers: r.workers}, r.registry)
 		n.probeLater()
 	})
 }
--- a/internal/decision/berylscheduler/partition_session_test.go
+++ b/internal/decision/berylscheduler/partition_session_test.go
@@ -37,16 +37,45 @@
 	return s
 }
 
-func (s *modelSession) begin(e Recovered) {
+func (s *modelSession) begin(e Recovered, registry []beryllatch.WorkerInfo) {
 	s.apply(e)
-	var infos []beryllatch.WorkerInfo
-	for _, w := range s.model.workers {
-		infos = append(infos, w.info)
-	}
-	s.apply(RegistryRead{Workers: infos})
+	s.apply(RegistryRead{Workers: registry})
 	s.apply(DeploymentChanged{modelDeployment()})
 	s.model.after(modelTick, s.tick)
 	s.beat()
+	s.watchRegistry(registry)
+}
+
+// registry returns the registrations of the workers.
+func (m *partitionModel) registry() []beryllatch.WorkerInfo {
+	var infos []beryllatch.WorkerInfo
+	for _, w := range m.workers {
+		infos = append(infos, w.registered)
+	}
+	return infos
+}
+
+// watchRegistry passes on the registrations that have changed.
+func (s *modelSession) watchRegistry(known []beryllatch.WorkerInfo) {
+	if s.ended {
+		return
+	}
+	callStore(s.node, modelStoreTimeout, func(*modelStore) []beryllatch.WorkerInfo { return s.model.registry() },
+		func(infos []beryllatch.WorkerInfo, err error) {
+			var changed []beryllatch.WorkerInfo
+			for i, info := range infos {
+				if info.Incarnation > known[i].Incarnation {
+					changed = append(changed, info)
+				}
+			}
+			if len(changed) > 0 {
+				s.apply(RegistryChanged{Workers: changed})
+			}
+			if err == nil {
+				known = infos
+			}
+			s.model.after(modelRegistryPause, func() { s.watchRegistry(known) })
+		})
 }
 
 func (s *modelSession) tick() {
@@ -172,7 +201,11 @@
 			w = o
 		}
 	}
-	call(s.model, s.node.name, id, timeout, func(reply func(workerAnswer)) { serve(w, reply) }, func(a workerAnswer, err error) {
+	call(s.model, s.node.name, id, timeout, func(reply func(workerAnswer)) {
+		if s.model.now >= w.downUntil {
+			serve(w, reply)
+		}
+	}, func(a workerAnswer, err error) {
 		switch {
 		case err == nil:
 			s.workerTimeouts = 0
--- a/internal/decision/berylscheduler/partition_test.go
+++ b/internal/decision/berylscheduler/partition_test.go
@@ -30,6 +30,8 @@
 
 // partitionOptions switches mechanisms off, to show that the checks fail without them.
 type partitionOptions struct {
+	// restarts crashes workers, which start again under their IDs.
+	restarts bool
 	// scheduler changes each new scheduler.
 	scheduler func(*Scheduler)
 	// unacknowledged lets nodes take over that the scheduling node may not know.
@@ -96,6 +98,9 @@
 	}
 	m.after(m.between(0, time.Second), m.disturb)
 	m.after(time.Second, m.submitJobs)
+	if options.restarts {
+		m.after(m.between(0, 5*time.Second), m.restartWorkers)
+	}
 	return m
 }
 
@@ -185,7 +190,7 @@
 	starts, takeovers := 0, 0
 	broken := make(map[string][]uint64)
 	for seed := first; seed < first+count; seed++ {
-		m := newPartitionModel(seed, partitionOptions{})
+		m := newPartitionModel(seed, partitionOptions{restarts: seed%2 == 1})
 		violations := m.run()
 		starts += m.judge.starts
 		takeovers += m.takeovers
--- a/internal/decision/berylscheduler/partition_worker_test.go
+++ b/internal/decision/berylscheduler/partition_worker_test.go
@@ -28,6 +28,10 @@
 	oldRuns map[string]int
 	// waiting holds the holds that wait for an end.
 	waiting []func()
+	// downUntil is when the worker has started again after a crash.
+	downUntil time.Duration
+	// registered is what the registry shows of the worker.
+	registered beryllatch.WorkerInfo
 }
 
 // modelRun is a run on a model worker.
@@ -65,9 +69,33 @@
 	w.info = workerInfo(w.name)
 	w.info.DataCentre, w.info.Address = fmt.Sprintf("dc%d", i%modelCentres), w.name
 	w.info.Capacity.CPUMilli = 6000
+	w.registered = w.info
 	return w
 }
 
+// restart crashes the worker and starts it again under its ID: it knows nothing of before, and its clock starts anew. The registry shows
+// it a little later.
+func (w *modelWorker) restart() {
+	m := w.model
+	w.downUntil = m.now + m.between(100*time.Millisecond, 3*time.Second)
+	m.logf(w.name, "", "crashes, is back at %v", w.downUntil)
+	for _, r := range w.sortedRuns() {
+		r.over = true
+		m.judge.crashed(r)
+	}
+	m.judge.lapsed(w)
+	w.runs, w.oldRuns, w.finished, w.waiting = make(map[runID]*modelRun), make(map[string]int), nil, nil
+	w.fence, w.ended, w.leaseEnd, w.leaseEpoch = 0, 0, 0, 0
+	w.offset = time.Second - time.Duration(float64(w.downUntil)*w.rate)
+	w.info.Incarnation = m.at(w.downUntil).UnixMilli()
+	info := w.info
+	m.after(w.downUntil-m.now+m.between(0, time.Second), func() {
+		if w.info.Incarnation == info.Incarnation {
+			w.registered = info
+		}
+	})
+}
+
 // clock returns the worker's steady clock in whole milliseconds.
 func (w *modelWorker) clock() time.Duration {
 	return (w.offset + time.Duration(float64(w.model.now)*w.rate)).Truncate(time.Millisecond)
@@ -199,9 +227,9 @@
 		return true
 	})
 	w.extendLease(o.LeaseEnd, o.Fence)
-	answered := false
+	answered, incarnation := false, w.info.Incarnation
 	answer := func() {
-		if !answered {
+		if !answered && w.info.Incarnation == incarnation {
 			answered = true
 			reply(w.lists())
 		}
