--- a/internal/decision/berylscheduler/partition_session_test.go
+++ b/internal/decision/berylscheduler/partition_session_test.go
@@ -39,6 +39,9 @@
 
 func (s *modelSession) begin(e Recovered, registry []beryllatch.WorkerInfo) {
 	s.apply(e)
+	if change := s.model.options.recovered; change != nil {
+		change(s.scheduler)
+	}
 	s.apply(RegistryRead{Workers: registry})
 	s.apply(DeploymentChanged{modelDeployment()})
 	s.model.after(modelTick, s.tick)
@@ -134,6 +137,10 @@
 	if s.ended {
 		return
 	}
+	if change := s.model.options.event; change != nil {
+		s.scheduler.now = s.model.time()
+		change(s.scheduler)
+	}
 	for _, f := range s.scheduler.Apply(s.model.time(), e) {
 		s.carryOut(f)
 	}
--- a/internal/decision/berylscheduler/partition_test.go
+++ b/internal/decision/berylscheduler/partition_test.go
@@ -19,6 +19,8 @@
 const (
 	// partitionSeeds is the number of seeds without PARTITION_SEEDS.
 	partitionSeeds = 40
+	// mechanismSeeds is the largest number of seeds in which the lack of a mechanism must show.
+	mechanismSeeds = 200
 	// faultTime is how long the network and the jobs are disturbed, healTime how long everything then has to finish.
 	faultTime = 60 * time.Second
 	healTime  = 40 * time.Second
@@ -32,8 +34,9 @@
 type partitionOptions struct {
 	// restarts crashes workers, which start again under their IDs.
 	restarts bool
-	// scheduler changes each new scheduler.
-	scheduler func(*Scheduler)
+	// scheduler changes each new scheduler, and recovered each one that has the rows of earlier epochs; event changes it before each
+	// event.
+	scheduler, recovered, event func(*Scheduler)
 	// unacknowledged lets nodes take over that the scheduling node may not know.
 	unacknowledged bool
 	// ignoreHeartbeat leaves the condition on the heartbeat row out of the claim.
@@ -212,15 +215,30 @@
 	assert.Assert(t, starts > 100*int(count) && takeovers > 3*int(count), "%d starts, %d takeovers", starts, takeovers)
 }
 
-// A check that can't fail proves nothing: without a mechanism, the same simulation finds a broken rule.
+// A check that can't fail proves nothing: without a mechanism, the same simulation finds that tasks run twice.
 func TestPartitionModelNeedsItsMechanisms(t *testing.T) {
 	for name, options := range map[string]partitionOptions{
 		"word of the other nodes": {trustPeers: true},
 		"silent nodes are known":  {forgetSilent: true},
 		"nodes must be known":     {unacknowledged: true},
+		"any proof":               {event: func(s *Scheduler) { s.proof.storeAt = s.now }},
+		"proof of expired leases": {event: func(s *Scheduler) {
+			for _, w := range s.sortedWorkers {
+				if s.now.After(laterTime(w.leasesExpireBy, w.unnoticedLeasesExpireBy)) {
+					w.leasesExpireBy, w.unnoticedLeasesExpireBy = time.Time{}, time.Time{}
+				}
+			}
+		}},
+		"leases end for successors": {recovered: func(s *Scheduler) { s.Limits.MaxLease = time.Hour }},
+		"successors wait": {recovered: func(s *Scheduler) {
+			for _, w := range s.sortedWorkers {
+				w.leasesExpireBy = time.Time{}
+			}
+		}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			for seed := range uint64(10 * partitionSeeds) {
+			for seed := range uint64(mechanismSeeds) {
+				options.restarts = seed%2 == 1
 				m := newPartitionModel(seed, options)
 				for _, v := range m.run() {
 					if v.rule == "TWICE" {
