--- a/internal/decision/berylscheduler/partition_network_test.go
+++ b/internal/decision/berylscheduler/partition_network_test.go
@@ -82,9 +82,14 @@
 	if m.now >= faultTime {
 		return
 	}
-	m.after(m.between(500*time.Millisecond, 6*time.Second), m.disturb)
+	pause := m.between(500*time.Millisecond, 6*time.Second)
+	inSteps := m.options.cutNodesFirst || m.options.cutWorkersFirst
+	if inSteps {
+		pause += 15 * time.Second
+	}
+	m.after(pause, m.disturb)
 	m.cuts++
-	if s := m.latestSession(); s != nil && m.chance(0.1) {
+	if s := m.latestSession(); s != nil && (inSteps || m.chance(0.1)) {
 		m.cutInSteps(s.node)
 		return
 	}
@@ -127,18 +132,26 @@
 // for long.
 func (m *partitionModel) cutInSteps(n *modelNode) {
 	centre := (n.centre + 1 + m.rand.IntN(modelCentres-1)) % modelCentres
-	first := []string{m.nodes[centre].name}
-	if m.chance(0.5) {
-		first = nil
+	first, length, gap := []string{m.nodes[centre].name}, m.between(20*time.Second, 30*time.Second), m.between(time.Second, 7*time.Second)
+	switch {
+	case m.options.cutNodesFirst:
+		first, length, gap = nil, 40*time.Second, m.between(time.Second, 20*time.Second)
+		for _, o := range m.nodes {
+			if o != n {
+				first = append(first, o.name)
+			}
+		}
+	case m.options.cutWorkersFirst || m.chance(0.5):
+		first, length = nil, m.between(7*time.Second, 12*time.Second)
 		for i := centre; i < modelWorkers; i += modelCentres {
 			first = append(first, m.workers[i].name)
 		}
 	}
-	m.disturbLinks([]string{n.name}, first, true, true, m.between(20*time.Second, 30*time.Second), 0)
-	m.after(m.between(time.Second, 7*time.Second), func() {
+	m.disturbLinks([]string{n.name}, first, true, true, length, 0)
+	m.after(gap, func() {
 		if m.now < faultTime {
 			inside, outside := m.centreSides(n.centre)
-			m.disturbLinks(inside, outside, true, true, m.between(15*time.Second, 30*time.Second), 0)
+			m.disturbLinks(inside, outside, true, true, length, 0)
 		}
 	})
 }
--- a/internal/decision/berylscheduler/partition_node_test.go
+++ b/internal/decision/berylscheduler/partition_node_test.go
@@ -51,7 +51,9 @@
 	// ackedEpoch is the epoch of the last answered probe, ackedAt when that was sent.
 	ackedEpoch int64
 	ackedAt    time.Duration
-	watch      modelWatch
+	// claimedEpoch is the last epoch that this node has begun.
+	claimedEpoch int64
+	watch        modelWatch
 }
 
 // modelWatch holds since when the scheduling node has shown signs of a failure.
@@ -179,13 +181,13 @@
 			n.watch = modelWatch{}
 			n.probe()
 		case d.Epoch == 0 || d.Released:
-			n.model.after(n.delay, func() { n.claim(d, 0) })
+			n.model.after(n.delay, func() { n.claim(d, false, nil) })
 		case noStore:
 			if n.watch.noStoreSince == 0 {
 				n.watch.noStoreSince = n.model.now
 			}
 			if n.model.now-n.watch.noStoreSince >= modelStoreContact+n.delay {
-				n.readBeat(func(version int64) { n.claim(d, version) })
+				n.claim(d, true, nil)
 				return
 			}
 			n.probeLater()
@@ -208,39 +210,58 @@
 		})
 }
 
+// acknowledged reports whether the scheduling node knows this node. If the row names this very node, its epoch has ended, or its claim was
+// stored after it had given it up; then the answer of the node that scheduled before counts.
+func (n *modelNode) acknowledged(d modelDuty) bool {
+	recent := n.model.now-n.ackedAt < modelAckValidity
+	switch {
+	case n.model.options.unacknowledged:
+		return true
+	case d.Node == n.name:
+		return n.claimedEpoch == d.Epoch || recent && n.ackedEpoch == d.Epoch-1
+	}
+	return recent && n.ackedEpoch == d.Epoch
+}
+
 // checkBeat takes over when the heartbeat row has not changed for long enough.
 func (n *modelNode) checkBeat(d modelDuty, version int64) {
 	now := n.model.now
 	if n.watch.epoch != d.Epoch || n.watch.beatVersion != version {
 		n.watch = modelWatch{epoch: d.Epoch, beatVersion: version, unchangedSince: now}
+		n.probeLater()
+		return
 	}
-	wait := modelBeatExpiry
-	if acked := n.ackedEpoch == d.Epoch && now-n.ackedAt < modelAckValidity; !acked && !n.model.options.unacknowledged {
-		wait = PeerProofLimit
+	wait, needsAck := modelBeatExpiry, version > 0
+	if needsAck && !n.acknowledged(d) {
+		wait, needsAck = PeerProofLimit, false
 	}
 	if now-n.watch.unchangedSince < wait+n.delay {
 		n.probeLater()
 		return
 	}
-	n.claim(d, version)
+	n.claim(d, needsAck, []beryllatch.RowCondition{{Table: modelBeatTable, Part: modelBeatTable, Key: OwnerKey, Version: version}})
 }
 
 // claim claims the duty row in a new epoch. A claim without an answer may be stored later; the duty row shows it.
-func (n *modelNode) claim(previous modelDuty, beatVersion int64) {
+func (n *modelNode) claim(previous modelDuty, needsAck bool, beat []beryllatch.RowCondition) {
 	m := n.model
 	n.watch = modelWatch{}
+	if needsAck && !n.acknowledged(previous) {
+		n.probeLater()
+		return
+	}
 	d := modelDuty{Node: n.name, Epoch: previous.Epoch + 1}
 	tx := beryllatch.RowTransaction{
 		Conditions: []beryllatch.RowCondition{{Table: DutyTable, Part: Part, Key: OwnerKey, Version: previous.version}},
 		Puts:       []beryllatch.DataRow{{Table: DutyTable, Part: Part, Key: OwnerKey, Value: mustEncode(d)}},
 	}
-	if beatVersion > 0 && !m.options.ignoreHeartbeat {
-		tx.Conditions = append(tx.Conditions, beryllatch.RowCondition{Table: modelBeatTable, Part: modelBeatTable, Key: OwnerKey, Version: beatVersion})
+	if !m.options.ignoreHeartbeat {
+		tx.Conditions = append(tx.Conditions, beat...)
 	}
 	sent := m.now
 	begin := func(version int64) {
 		d.version = version
-		n.duty = d
+		n.duty, n.claimedEpoch = d, d.Epoch
 		m.takeovers++
 		m.logf(n.name, "", "takes over in epoch %d", d.Epoch)
 		n.recover(d, sent, modelReadAttempts)
@@ -248,6 +269,7 @@
 	callStore(n, modelStoreTimeout, func(s *modelStore) storeAnswer { return s.commit(tx) }, func(a storeAnswer, err error) {
 		switch {
 		case err != nil:
+			sent = m.now
 			n.readDuty(func(current modelDuty, ok bool) {
 				if ok && current.Node == n.name && current.Epoch == d.Epoch {
 					begin(current.version)
--- a/internal/decision/berylscheduler/partition_session_test.go
+++ b/internal/decision/berylscheduler/partition_session_test.go
@@ -112,13 +112,12 @@
 	return s.model.at(at)
 }
 
-// mayForget reports whether the other node certainly has not taken over as a known one, nor will. Its last answered probe counts for
-// modelAckValidity, and a claim that it has sent fails once a later heartbeat is stored.
+// mayForget reports whether the other node had not taken over when the store last proved the epoch, and no longer may by its last answer.
 func (s *modelSession) mayForget(p *modelPeer) bool {
-	if s.model.now-p.probedAt <= modelKnownPeerTime {
-		return false
+	if s.model.options.forgetSilent {
+		return s.model.now-p.probedAt > modelKnownPeerTime
 	}
-	return s.model.options.forgetSilent || s.scheduler.proof.heartbeatAt.After(s.model.at(p.probedAt+modelAckValidity))
+	return s.scheduler.proof.storeAt.After(s.model.at(p.probedAt + modelKnownPeerTime))
 }
 
 // beat writes heartbeats.
--- a/internal/decision/berylscheduler/partition_test.go
+++ b/internal/decision/berylscheduler/partition_test.go
@@ -38,6 +38,9 @@
 	restarts bool
 	// quickRestarts starts them again within contactValidity.
 	quickRestarts bool
+	// cutNodesFirst and cutWorkersFirst disturb the network by cuts in steps alone, the first of them between the scheduling node and the
+	// other nodes, or some workers.
+	cutNodesFirst, cutWorkersFirst bool
 	// until ends the run when this rule is broken.
 	until string
 	// scheduler changes each new scheduler, and recovered each one that has the rows of earlier epochs; event changes it before each
@@ -229,32 +232,27 @@
 
 // A check that can't fail proves nothing: without a mechanism, the same simulation finds that tasks run twice.
 func TestPartitionModelNeedsItsMechanisms(t *testing.T) {
-	for name, c := range map[string]struct {
-		// first is a seed from which the fault shows soon.
-		first   uint64
-		options partitionOptions
-	}{
-		"word of the other nodes": {0, partitionOptions{trustPeers: true}},
-		"silent nodes are known":  {0, partitionOptions{forgetSilent: true}},
-		"nodes must be known":     {0, partitionOptions{unacknowledged: true}},
-		"any proof":               {0, partitionOptions{event: func(s *Scheduler) { s.proof.storeAt = s.now }}},
-		"proof of expired leases": {190, partitionOptions{event: func(s *Scheduler) {
+	for name, options := range map[string]partitionOptions{
+		"word of the other nodes": {trustPeers: true},
+		"silent nodes are known":  {cutNodesFirst: true, forgetSilent: true},
+		"nodes must be known":     {cutNodesFirst: true, unacknowledged: true},
+		"any proof":               {event: func(s *Scheduler) { s.proof.storeAt = s.now }},
+		"proof of expired leases": {cutWorkersFirst: true, event: func(s *Scheduler) {
 			for _, w := range s.sortedWorkers {
 				if s.now.After(laterTime(w.leasesExpireBy, w.unnoticedLeasesExpireBy)) {
 					w.leasesExpireBy, w.unnoticedLeasesExpireBy = time.Time{}, time.Time{}
 				}
 			}
-		}}},
-		"leases end for successors": {0, partitionOptions{recovered: func(s *Scheduler) { s.Limits.MaxLease = time.Hour }}},
-		"successors wait": {0, partitionOptions{recovered: func(s *Scheduler) {
+		}},
+		"leases end for successors": {recovered: func(s *Scheduler) { s.Limits.MaxLease = time.Hour }},
+		"successors wait": {recovered: func(s *Scheduler) {
 			for _, w := range s.sortedWorkers {
 				w.leasesExpireBy = time.Time{}
 			}
-		}}},
+		}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			for seed := c.first; seed < c.first+mechanismSeeds; seed++ {
-				options := c.options
+			for seed := range uint64(mechanismSeeds) {
 				options.restarts, options.until = seed%2 == 1, "TWICE"
 				m := newPartitionModel(seed, options)
 				for _, v := range m.run() {
