A takeover continues from no older state than its own claim

The tables of the scheduling node were read at a takeover without a look at the version that the answer shows. Such a read now counts as failed and is repeated.

TestTakeoverReadsNoOlderStateThanItsClaim failed for each of the five tables before and passes now.

--- a/internal/node/beryljobs/session.go
+++ b/internal/node/beryljobs/session.go
@@ -11,6 +11,7 @@
 	"github.com/beryllatch/beryllatch/internal/common/berylguard"
 	"github.com/beryllatch/beryllatch/internal/decision/berylscheduler"
 	"github.com/beryllatch/beryllatch/internal/node/berylrelay"
+	"github.com/rotisserie/eris"
 )
 
 const (
@@ -78,23 +79,26 @@
 	var registry []beryllatch.WorkerInfo
 	for _, read := range []func() error{
 		func() (err error) {
-			e.Jobs, _, err = n.rows().Rows(ctx, berylscheduler.JobsTable, berylscheduler.Part)
+			e.Jobs, err = s.readTable(ctx, berylscheduler.JobsTable)
 			return err
 		},
 		func() (err error) {
-			e.Progress, _, err = n.rows().Rows(ctx, berylscheduler.ProgressTable, berylscheduler.Part)
+			e.Progress, err = s.readTable(ctx, berylscheduler.ProgressTable)
 			return err
 		},
 		func() (err error) {
-			e.Workers, _, err = n.rows().Rows(ctx, berylscheduler.WorkersTable, berylscheduler.Part)
+			e.Workers, err = s.readTable(ctx, berylscheduler.WorkersTable)
 			return err
 		},
 		func() (err error) {
-			e.Waves, _, err = n.rows().Rows(ctx, berylscheduler.WavesTable, berylscheduler.Part)
+			e.Waves, err = s.readTable(ctx, berylscheduler.WavesTable)
 			return err
 		},
 		func() (err error) {
 			registry, s.registryVersion, err = s.readRegistry(ctx)
+			if err == nil {
+				err = s.checkAge(n.View.WorkersTable(), s.registryVersion)
+			}
 			return err
 		},
 		func() error {
@@ -117,6 +121,24 @@
 	return s, nil
 }
 
+// readTable reads a table of the scheduling node.
+func (s *session) readTable(ctx context.Context, table string) ([]beryllatch.DataRow, error) {
+	rows, version, err := s.node.rows().Rows(ctx, table, berylscheduler.Part)
+	if err == nil {
+		err = s.checkAge(table, version)
+	}
+	return rows, err
+}
+
+// checkAge returns an error if a read of a table shows the store as it was before this epoch was claimed: what the epoch before has
+// stored since would be missing.
+func (s *session) checkAge(table string, version int64) error {
+	if s.node.isStaleRead("takeover", table, version, s.self.version) {
+		return eris.Errorf("table %s was read at version %d, before version %d of the claim", table, version, s.self.version)
+	}
+	return nil
+}
+
 // readAttempts bounds the attempts of each read of a takeover. When they are used up, the scheduling role is released.
 const readAttempts = 8
 
--- a/internal/node/beryljobs/tenure_test.go
+++ b/internal/node/beryljobs/tenure_test.go
@@ -451,3 +451,49 @@
 		assert.Assert(t, s.ctx.Err() != nil, "the epoch of a replaced node goes on")
 	})
 }
+
+// oldTables answers the first read of a table from an older state, and says so by its version.
+type oldTables struct {
+	beryllatch.RowStore
+	table string
+	reads int
+}
+
+func (s *oldTables) Rows(ctx context.Context, table, part string) ([]beryllatch.DataRow, int64, error) {
+	rows, version, err := s.RowStore.Rows(ctx, table, part)
+	if table == s.table {
+		s.reads++
+		if s.reads == 1 {
+			return nil, 1, err
+		}
+	}
+	return rows, version, err
+}
+
+// A takeover must not continue from rows of an older state than its own claim: workers with runs would be missing.
+func TestTakeoverReadsNoOlderStateThanItsClaim(t *testing.T) {
+	for _, table := range []string{
+		berylscheduler.JobsTable, berylscheduler.ProgressTable, berylscheduler.WorkersTable, berylscheduler.WavesTable, plainView{}.WorkersTable(),
+	} {
+		t.Run(table, func(t *testing.T) {
+			testCluster(t, 0, func(t *testing.T, c *cluster) {
+				// The claim has a higher version than the older state.
+				for range 3 {
+					_, err := c.store.Commit(context.Background(), beryllatch.RowTransaction{})
+					assert.NilError(t, err)
+				}
+				var tables *oldTables
+				start := c.startNode
+				c.startNode = func(n *Node) {
+					tables = &oldTables{RowStore: n.Store, table: table}
+					n.Store = tables
+					start(n)
+				}
+				c.join(0.4)
+				time.Sleep(2 * time.Second)
+				assert.Equal(t, len(c.schedulingNodes()), 1)
+				assert.Assert(t, tables.reads > 1, "a read of an older state was taken")
+			})
+		})
+	}
+}
