After a pause of the process, any proof of the epoch from after it is enough

After a pause of 0.7 s or more only the store's word let starts go on, so that in an outage of the store for all nothing started until its end, though the nodes that probe this one showed that none had taken over. TestWorkGoesOnAfterAPauseInAnOutage failed before and passes now.

--- a/internal/decision/berylscheduler/confirm.go
+++ b/internal/decision/berylscheduler/confirm.go
@@ -5,7 +5,7 @@
 // pauseThreshold is the time without any event, of which there are ten a second, after which the process must have been paused.
 const pauseThreshold = 700 * time.Millisecond
 
-// checkPause stops starts and instance orders after a pause of the process until the store has confirmed that this node still
+// checkPause stops starts and instance orders after a pause of the process until there is a proof that this node still
 // schedules: another node may have taken over, and workers that it has not reached yet would still carry out orders of this
 // epoch. Holds go on, since they only keep runs going.
 func (s *Scheduler) checkPause() {
@@ -35,24 +35,21 @@
 
 func (s *Scheduler) epochConfirmed(e EpochConfirmed) {
 	s.confirming = false
-	requestedAt := s.proof.requestedAt
 	switch {
 	case e.Err != nil:
 		// The next tick asks again.
 	case !e.Current:
 		s.resign("another node has taken over")
 	default:
-		s.recordProof(requestedAt)
-		if s.confirmed {
-			return
-		}
-		if requestedAt.Before(s.pausedUntil) {
-			// The answer shows the row as it was before the pause.
-			s.requestConfirmation()
-			return
-		}
-		s.confirmed = true
-		s.placementDue = true
-		s.emit(Decision{Name: "epoch_confirmed"})
+		s.recordProof(s.proof.requestedAt)
 	}
 }
+
+// endPause lets starts and instance orders go on once there is a proof from after the last pause of the process.
+func (s *Scheduler) endPause() {
+	if s.confirmed || s.provenAt().Before(s.pausedUntil) {
+		return
+	}
+	s.confirmed, s.placementDue = true, true
+	s.emit(Decision{Name: "epoch_confirmed"})
+}
--- a/internal/decision/berylscheduler/proof.go
+++ b/internal/decision/berylscheduler/proof.go
@@ -86,4 +86,5 @@
 		}
 		s.emit(Decision{Name: name, Age: age})
 	}
+	s.endPause()
 }
--- a/internal/decision/berylscheduler/proof_test.go
+++ b/internal/decision/berylscheduler/proof_test.go
@@ -113,6 +113,22 @@
 	}
 }
 
+// After a pause of the process in an outage of the store, the word of all peers from after it is enough.
+func TestWorkGoesOnAfterAPauseInAnOutage(t *testing.T) {
+	h := newHarness(t)
+	h.register("a")
+	h.apply(HeartbeatStored{Sent: h.now})
+	h.tickFor(2 * proofInterval)
+	h.peersLag = 300 * time.Millisecond
+	h.tickCutOff(time.Second, nil)
+	assert.Assert(t, h.s.mayAct())
+	h.now = h.now.Add(pauseThreshold)
+	h.tickCutOff(200*time.Millisecond, nil)
+	assert.Assert(t, !h.s.mayAct(), "their word is from before the pause")
+	h.tickCutOff(time.Second, nil)
+	assert.Assert(t, h.s.mayAct())
+}
+
 // A scheduling node without a proof that nobody has taken over starts nothing, also what never ran, and orders no instance.
 func TestNothingStartsWithoutAProof(t *testing.T) {
 	h := newHarness(t)
