No confirmation of the epoch beside a transaction that proves as much

At a slow store, where a transaction takes 150 to 300 ms and a part carries out one after another, a confirmation every 0.5 s would take the room of transactions with jobs and progress. It is left out while a transaction is in flight that was sent less than a second ago. TestTransactionInFlightTakesThePlaceOfAConfirmation failed before and passes now.

--- a/internal/decision/berylscheduler/proof.go
+++ b/internal/decision/berylscheduler/proof.go
@@ -72,10 +72,21 @@
 	}
 }
 
+// awaitsProof reports whether the answer to a transaction in flight may soon be a proof. A confirmation would only wait behind it, since the
+// store carries out the transactions of a part one after another.
+func (s *Scheduler) awaitsProof() bool {
+	for _, b := range s.journal.batches {
+		if s.now.Sub(b.sentAt) < oldProof {
+			return true
+		}
+	}
+	return false
+}
+
 // checkProof requests a new proof if the last one is not recent, and logs when there has been none for a while.
 func (s *Scheduler) checkProof() {
 	age := s.proofAge()
-	if s.now.Sub(s.proof.storeAt) >= proofInterval {
+	if s.now.Sub(s.proof.storeAt) >= proofInterval && !s.awaitsProof() {
 		s.requestConfirmation()
 	}
 	if old := age >= oldProof; old != s.proof.old {
--- a/internal/decision/berylscheduler/proof_test.go
+++ b/internal/decision/berylscheduler/proof_test.go
@@ -129,6 +129,18 @@
 	assert.Assert(t, h.s.mayAct())
 }
 
+// At a slow store, confirmations must not take the room of transactions that prove as much; they come if those are not answered.
+func TestTransactionInFlightTakesThePlaceOfAConfirmation(t *testing.T) {
+	h := newHarness(t)
+	h.deferConfirmation = true
+	h.submit(singleTaskJob("0000000000000001"))
+	assert.Equal(t, len(h.commits), 1)
+	h.tickFor(oldProof - 100*time.Millisecond)
+	assert.Equal(t, h.confirmations, 0)
+	h.tickFor(200 * time.Millisecond)
+	assert.Equal(t, h.confirmations, 1)
+}
+
 // A scheduling node without a proof that nobody has taken over starts nothing, also what never ran, and orders no instance.
 func TestNothingStartsWithoutAProof(t *testing.T) {
 	h := newHarness(t)
