Around a takeover two nodes don't exceed the limit of a wave

A scheduling node sent instance orders for 3 s after its last proof, and one that it had prepared without another look at its wave; a successor comes after 1.5 s and doesn't know of it. Both could have instances of a wave down at the same time, beyond its limit (rule LIMIT), since the platform's fences are per instance.

An order of a wave is sent only while the wave has room for it, as the last list of instances shows; instance orders need a proof of at most 1.5 s; a successor begins no maintenance for 3 s if the process before may still act. TestReplacedNodeKeepsToTheLimitOfAWave and TestTakeoverLeavesWavesAloneAtFirst failed before and pass now.

--- a/internal/decision/berylscheduler/fleet.go
+++ b/internal/decision/berylscheduler/fleet.go
@@ -84,7 +84,7 @@
 		f.listPending, f.listRequestedAt = true, s.now
 		s.emit(ListInstances{})
 	}
-	if f.listedAt.IsZero() || !s.mayAct() || s.now.Sub(s.startedAt) < s.InstanceOrderDelay {
+	if f.listedAt.IsZero() || !s.mayOrderInstances() {
 		return
 	}
 	s.advanceInstanceOrders()
@@ -93,7 +93,7 @@
 		spare = s.spareInstances()
 	}
 	for _, n := range slices.Sorted(maps.Keys(f.waves)) {
-		if w := f.waves[n]; !w.done {
+		if w := f.waves[n]; !w.done && s.mayMaintain() {
 			spare -= s.advanceWave(w, spare)
 		}
 	}
@@ -279,6 +279,10 @@
 // have ended. Maintenance waits for short runs up to shortTaskTimeout, and moves long-running tasks to other workers one by one
 // if their steps cannot do without all of them at once. Orders that have waited too long are dropped.
 func (s *Scheduler) canSendInstanceOrder(o *instanceOrder) bool {
+	if w := s.fleet.waves[o.wave]; w != nil && s.countInstancesDown(w) > w.MaxDown {
+		// Another node has ordered instances of the wave since this order was prepared.
+		return false
+	}
 	w := s.workerOn(o.instance)
 	if w == nil {
 		return true
--- a/internal/decision/berylscheduler/proof.go
+++ b/internal/decision/berylscheduler/proof.go
@@ -14,9 +14,12 @@
 	oldProof = time.Second
 	// maxUnnoticedProofAge is the age of the proof up to which a worker gets a lease that has not answered lately.
 	maxUnnoticedProofAge = 1500 * time.Millisecond
-	// maxActingProofAge is the age of the proof up to which tasks start, runs are stopped and instances are ordered. It covers the
+	// maxActingProofAge is the age of the proof up to which tasks start and runs are stopped. It covers the
 	// interval at which the nodes that others should take over before probe this one, twice, since an echo comes with the next probe.
 	maxActingProofAge = 3 * time.Second
+	// maxOrderingProofAge is the same for orders to instances, which an instance that another node has ordered or filled meanwhile
+	// carries out. It is about the time that a takeover takes.
+	maxOrderingProofAge = 1500 * time.Millisecond
 )
 
 // epochProof is what shows that no other node had taken over by a given time.
@@ -53,10 +56,20 @@
 	return max(s.now.Sub(at), s.now.Round(0).Sub(at.Round(0)))
 }
 
-// mayAct reports whether tasks may start, runs may be stopped and instances may be ordered: each rests on the belief that no other
-// node does so too.
+// mayAct reports whether tasks may start and runs may be stopped: both rest on the belief that no other node does so too.
 func (s *Scheduler) mayAct() bool { return s.confirmed && s.proofAge() <= maxActingProofAge }
 
+// mayOrderInstances reports whether instances may be moved or maintained.
+func (s *Scheduler) mayOrderInstances() bool {
+	return s.mayAct() && s.proofAge() <= maxOrderingProofAge && s.now.Sub(s.startedAt) >= s.InstanceOrderDelay
+}
+
+// mayMaintain reports whether instances may be maintained. The scheduling node before may still order instances of a wave, or have ordered
+// some that the list of instances doesn't show yet.
+func (s *Scheduler) mayMaintain() bool {
+	return !s.PredecessorMayAct || s.now.Sub(s.startedAt) >= maxActingProofAge
+}
+
 // recordProof records that the store has answered a request, sent at the given time, as it does only without a successor.
 func (s *Scheduler) recordProof(sent time.Time) {
 	s.proof.storeAt = laterTime(s.proof.storeAt, sent)
--- a/internal/decision/berylscheduler/scheduler.go
+++ b/internal/decision/berylscheduler/scheduler.go
@@ -62,6 +62,8 @@
 	// InstanceOrderDelay is how long after its start the scheduler sends no instance orders, since orders of the previous
 	// scheduling node may still be under way.
 	InstanceOrderDelay time.Duration
+	// PredecessorMayAct is true if the process of the previous scheduling node may still run, and has not released the role.
+	PredecessorMayAct bool
 	// ClaimedAt is when the transaction was sent that claimed the duty row; zero means at the first event.
 	ClaimedAt time.Time
 
--- a/internal/decision/berylscheduler/wave_test.go
+++ b/internal/decision/berylscheduler/wave_test.go
@@ -64,6 +64,55 @@
 }
 
 // A wave must not take down more tasks of a long-running step than may be missing.
+// A scheduling node that has been replaced must not send an order that it has prepared while its successor, which doesn't know of it,
+// has another instance of the wave down.
+func TestReplacedNodeKeepsToTheLimitOfAWave(t *testing.T) {
+	for name, lag := range map[string]time.Duration{"with a recent proof": 300 * time.Millisecond, "without one": 0} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.register("a", "b")
+			h.accept(singleTaskJob("0000000000000001"))
+			starts := h.confirmStarts()
+			lists := runningLists(starts, 10)
+			on := starts[0].Worker.ID
+			other := map[string]string{"a": "b", "b": "a"}[on]
+			h.apply(HeartbeatStored{Sent: h.now})
+			h.tickFor(200 * time.Millisecond)
+			h.answerHolds(lists)
+			h.openWave(1, "m-"+on)
+			h.tickFor(2 * proofInterval)
+			h.answerHolds(lists)
+			assert.Equal(t, len(h.s.fleet.orders), 1)
+			wave := h.s.fleet.waves[1]
+			wave.Instances = append(wave.Instances, "m-"+other)
+			wave.pending["m-"+other] = true
+			h.peersLag = lag
+			h.apply(InstancesListed{Instances: []beryllatch.FleetInstance{
+				{Name: "m-" + on, Pool: "p", State: beryllatch.FleetInstanceUp, Worker: on},
+				{Name: "m-" + other, Pool: "p", State: beryllatch.FleetInstanceMaintenance},
+			}})
+			h.tickCutOff(5*time.Second, lists)
+			assert.Equal(t, len(h.maintainedInstances()), 0, "ordered while m-%s is down", other)
+		})
+	}
+}
+
+// A node that has taken over leaves the waves alone while the one before may still order instances.
+func TestTakeoverLeavesWavesAloneAtFirst(t *testing.T) {
+	h := newHarness(t)
+	next := h.takeOver(make(storedRows))
+	next.s.PredecessorMayAct = true
+	next.register("a")
+	next.openWave(1, "m-a")
+	began := next.s.startedAt
+	for len(next.maintainedInstances()) == 0 && next.now.Sub(began) < 10*time.Second {
+		next.tickFor(100 * time.Millisecond)
+		next.answerHolds(nil)
+	}
+	took := next.now.Sub(began)
+	assert.Assert(t, took >= maxActingProofAge && took < 2*maxActingProofAge, "ordered after %s", took)
+}
+
 func TestWaveKeepsLongRunningTasksAtWork(t *testing.T) {
 	h := newHarness(t)
 	h.register("a", "b")
--- a/internal/node/beryljobs/node.go
+++ b/internal/node/beryljobs/node.go
@@ -110,6 +110,8 @@
 	// handedOver is true if the predecessor has named this node as successor. The predecessor is still running then, so
 	// its last calls to workers and instances may be under way.
 	handedOver bool
+	// predecessorMayAct is true if the predecessor's process may still run, and has not released the role.
+	predecessorMayAct bool
 	// claimedAt is when the request was sent whose answer has shown that this node holds the row; zero for other nodes' rows.
 	claimedAt time.Time
 }
--- a/internal/node/beryljobs/session.go
+++ b/internal/node/beryljobs/session.go
@@ -71,7 +71,7 @@
 		storeTimeout:  adaptiveTimeout{shortest: minStoreTimeout, longest: maxStoreTimeout},
 		workerTimeout: adaptiveTimeout{shortest: minWorkerTimeout, longest: maxWorkerTimeout},
 	}
-	s.scheduler = berylscheduler.Scheduler{Epoch: sn.Epoch, OwnerVersion: sn.version, ClaimedAt: sn.claimedAt, Limits: n.Limits}
+	s.scheduler = berylscheduler.Scheduler{Epoch: sn.Epoch, OwnerVersion: sn.version, ClaimedAt: sn.claimedAt, PredecessorMayAct: sn.predecessorMayAct, Limits: n.Limits}
 	if sn.handedOver {
 		s.scheduler.InstanceOrderDelay = n.Limits.HandoverPause
 	}
--- a/internal/node/beryljobs/takeover.go
+++ b/internal/node/beryljobs/takeover.go
@@ -162,6 +162,11 @@
 	takeoverSilent takeoverReason = "silent"
 )
 
+// predecessorMayAct reports whether the process of the scheduling node before may still run, and has not released the role.
+func (r takeoverReason) predecessorMayAct() bool {
+	return r != takeoverReleased && r != takeoverOtherIncarnation
+}
+
 // takeoverGrounds is why a node may take over, and what must still hold when it claims the duty row.
 type takeoverGrounds struct {
 	reason takeoverReason
@@ -405,7 +410,7 @@
 	}
 	sn := schedulingNode{
 		Node: n.Name, Address: n.Address, Incarnation: n.incarnation, Epoch: previous.Epoch + 1, CPUShare: n.CPUShare,
-		handedOver: previous.Successor != "",
+		handedOver: previous.Successor != "", predecessorMayAct: grounds.reason.predecessorMayAct(),
 	}
 	if _, ok := n.acknowledgedBy(previous); grounds.needsAck && !ok {
 		return
