Runs that a takeover does not know yet count against the ceilings

The successor used 60 % of each team's ceiling until all workers had listed their runs, on the guess that the rest covers what it doesn't know.

The successor now counts what those runs may be at most: the tasks of earlier jobs without a known run, as far as the unsynced workers have room. It may use more than before where few workers are missing.

--- a/internal/decision/berylscheduler/place.go
+++ b/internal/decision/berylscheduler/place.go
@@ -8,10 +8,6 @@
 	"github.com/beryllatch/beryllatch"
 )
 
-// unsyncedCeilingShare is the share of a team's ceiling that may be used while the team may have runs that this epoch does not
-// know yet.
-const unsyncedCeilingShare = 0.6
-
 // candidate is a step with tasks that wait for a worker, with the values that decide its place in the order.
 type candidate struct {
 	step     *stepState
@@ -53,6 +49,7 @@
 		p.updateMaxFree()
 	}
 	s.unsyncedPools = s.findUnsyncedPools()
+	s.updateUnknownUse()
 	for _, c := range s.candidates(pools) {
 		if s.pendingStarts >= maxPendingStarts {
 			return
@@ -189,22 +186,6 @@
 	}
 }
 
-// underCeiling reports whether the team stays within its ceiling if it uses the given resources in addition.
-func (s *Scheduler) underCeiling(team string, more beryllatch.Resources) bool {
-	t, ok := s.deployment.Teams[team]
-	if !ok {
-		return true
-	}
-	factor := 1.0
-	if len(s.unsyncedPools) > 0 {
-		factor = unsyncedCeilingShare
-	}
-	used := s.team(team).used.Plus(more)
-	within := func(used, limit int) bool { return limit == 0 || float64(used) <= factor*float64(limit) }
-	return within(used.CPUMilli, t.Ceiling.CPUMilli) && within(used.MemoryMB, t.Ceiling.MemoryMB) &&
-		within(used.Accelerators, t.Ceiling.Accelerators)
-}
-
 // chooseWorker returns the worker with the lowest placement cost for the task, and the ticket for it; nil if no worker can take
 // the task.
 func (s *Scheduler) chooseWorker(t *task, workers []*worker) (*worker, string) {
--- a/internal/decision/berylscheduler/proof_test.go
+++ b/internal/decision/berylscheduler/proof_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -141,6 +142,38 @@
 	assert.Equal(t, h.confirmations, 1)
 }
 
+// After a takeover, runs on workers that have not listed them count against their team's ceiling as far as they may exist.
+func TestTakeoverCountsUnknownRunsAgainstTheCeiling(t *testing.T) {
+	h := newHarness(t)
+	stored := make(storedRows)
+	h.apply(RegistryChanged{Workers: []beryllatch.WorkerInfo{workerInfo("a")}})
+	h.storeInto(stored)
+	h.answerHolds(nil)
+	h.tickFor(100 * time.Millisecond)
+	j := singleTaskJob("0000000000000001")
+	j.Steps[0].Needs.CPUMilli = 12000
+	h.submit(j)
+	h.storeInto(stored)
+	starts := h.confirmStarts()
+	assert.Equal(t, len(starts), 1)
+
+	next := h.takeOver(stored)
+	// Worker a is of another pool by now, so that the pool of the new jobs is known.
+	next.s.workers["a"].info.Pool = "other"
+	next.apply(RegistryChanged{Workers: []beryllatch.WorkerInfo{workerInfo("b")}})
+	for i := range 3 {
+		k := singleTaskJob(fmt.Sprintf("000000000000000%d", i+2))
+		k.Steps[0].Needs.CPUMilli = 5000
+		next.submit(k)
+	}
+	for range 5 {
+		next.storeInto(stored)
+		next.tickFor(100 * time.Millisecond)
+		next.answerHolds(nil, "a")
+	}
+	assert.Equal(t, len(next.starts), 1, "12 of 20 cores may be in use on the worker that has not answered")
+}
+
 // A scheduling node without a proof that nobody has taken over starts nothing, also what never ran, and orders no instance.
 func TestNothingStartsWithoutAProof(t *testing.T) {
 	h := newHarness(t)
