A claim whose answer was lost takes its proof from a read: failing test

A read may be answered from an older state, by decision 0015, so that the read which shows the claim doesn't prove that no other node has taken over since. The proof should count from when the claim was sent.

--- a/internal/node/beryljobs/proof_session_test.go
+++ b/internal/node/beryljobs/proof_session_test.go
@@ -13,10 +13,11 @@
 	"gotest.tools/v3/assert"
 )
 
-// slowClaims answers claims of the duty row late.
+// slowClaims answers claims of the duty row late; noAnswer tells that the answer is lost.
 type slowClaims struct {
 	beryllatch.RowStore
-	mu sync.Mutex
+	noAnswer bool
+	mu       sync.Mutex
 	// sent is when the last claim came, and lateBy how long after it was carried out it was answered.
 	sent   time.Time
 	lateBy time.Duration
@@ -31,17 +32,20 @@
 	s.mu.Unlock()
 	version, err := s.RowStore.Commit(ctx, tx)
 	time.Sleep(s.lateBy)
+	if s.noAnswer && err == nil {
+		return 0, &beryllatch.UnknownOutcomeError{Err: context.DeadlineExceeded}
+	}
 	return version, err
 }
 
 // slowClaimCluster calls f with a node that schedules after a claim that was answered late.
-func slowClaimCluster(t *testing.T, lateBy time.Duration, f func(t *testing.T, c *cluster, s *session, store *slowClaims)) {
+func slowClaimCluster(t *testing.T, noAnswer bool, lateBy time.Duration, f func(t *testing.T, c *cluster, s *session, store *slowClaims)) {
 	t.Helper()
 	testCluster(t, 0, func(t *testing.T, c *cluster) {
 		var store *slowClaims
 		start := c.startNode
 		c.startNode = func(n *Node) {
-			store = &slowClaims{RowStore: n.Store, lateBy: lateBy}
+			store = &slowClaims{RowStore: n.Store, lateBy: lateBy, noAnswer: noAnswer}
 			n.Store = store
 			start(n)
 		}
@@ -55,13 +59,20 @@
 // Another node may have taken over right after a claim was carried out: a proof from the time of its late answer would hide that.
 func TestClaimProvesTheTimeOfItsRequest(t *testing.T) {
 	const lateBy = 1500 * time.Millisecond
-	slowClaimCluster(t, lateBy, func(t *testing.T, _ *cluster, s *session, store *slowClaims) {
+	slowClaimCluster(t, false, lateBy, func(t *testing.T, _ *cluster, s *session, store *slowClaims) {
 		assert.Assert(t, !s.self.claimedAt.IsZero())
 		assert.Assert(t, !s.self.claimedAt.After(store.sent), "%v after the claim was sent", s.self.claimedAt.Sub(store.sent))
 		assert.Equal(t, s.scheduler.ClaimedAt, s.self.claimedAt)
 	})
 }
 
+// A read may be answered from an older state, so that one which shows a claim whose answer was lost proves no more than the claim itself.
+func TestLostAnswerOfAClaimProvesTheTimeOfItsRequest(t *testing.T) {
+	slowClaimCluster(t, true, time.Second, func(t *testing.T, _ *cluster, s *session, store *slowClaims) {
+		assert.Assert(t, !s.self.claimedAt.After(store.sent), "%v after the claim was sent", s.self.claimedAt.Sub(store.sent))
+	})
+}
+
 // The scheduler must know how old its claim is: it would act by a claim that another node may have replaced meanwhile.
 func TestSchedulerKnowsTheAgeOfTheClaim(t *testing.T) {
 	for name, c := range map[string]struct {
@@ -72,7 +83,7 @@
 		"late":    {1500 * time.Millisecond, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
-			slowClaimCluster(t, c.lateBy, func(t *testing.T, cl *cluster, _ *session, _ *slowClaims) {
+			slowClaimCluster(t, false, c.lateBy, func(t *testing.T, cl *cluster, _ *session, _ *slowClaims) {
 				assert.Equal(t, cl.nodes[0].Metrics.Counter("decisions.epoch_unproven"), c.old)
 			})
 		})
