A claim whose answer was lost proves the time of its request

The proof of a new epoch counted from the read that showed the claim as stored, though that read may be answered by an older state. It counts from the claim itself, before which no successor can have come.

--- a/internal/node/beryljobs/takeover.go
+++ b/internal/node/beryljobs/takeover.go
@@ -423,7 +423,6 @@
 	var unknown *beryllatch.UnknownOutcomeError
 	if errors.As(err, &unknown) {
 		// Whether the claim was applied shows in the row.
-		sn.claimedAt = time.Now()
 		current, readErr := n.readSchedulingNode(ctx)
 		if readErr != nil || current.Incarnation != n.incarnation || current.Epoch != sn.Epoch {
 			return
