A successor that fails at once is replaced at once

A scheduling node now relies on the word of others only from 2 s after its start on, and its heartbeat says so. While it has stored no such heartbeat, the nodes that it has not answered need not wait for it to age; their claim has a condition on the row. TestSuccessorThatFailsAtOnceIsReplaced failed before and passes now. TestUnacknowledgedNodeWaitsForTheTenure and TestRestartWaitsForTheTenure use such a heartbeat; TestSchedulerKnowsOfStoredHeartbeats waits until it is stored.

--- a/internal/node/beryljobs/proof_session_test.go
+++ b/internal/node/beryljobs/proof_session_test.go
@@ -114,7 +114,7 @@
 					start(n)
 				}
 				c.join(0.4)
-				time.Sleep(2 * time.Second)
+				time.Sleep(acquaintanceTime + time.Second)
 				c.holder(t)
 				unproven := func() bool { return c.nodes[0].Metrics.Counter("decisions.epoch_unproven") > 0 }
 				assert.Assert(t, !unproven())
--- a/internal/node/beryljobs/takeover.go
+++ b/internal/node/beryljobs/takeover.go
@@ -61,6 +61,10 @@
 	// releaseTimeout bounds the release of the scheduling role. If it fails, the other nodes find out by their probes
 	// that the node no longer schedules.
 	releaseTimeout = time.Second
+	// acquaintanceTime is how long a scheduling node doesn't rely on the word of the other nodes: by then each has probed it.
+	acquaintanceTime = 2 * time.Second
+	// reliantHeartbeat follows the incarnation in the heartbeat of a scheduling node that may rely on the word of the others.
+	reliantHeartbeat = " relies_on_peers"
 	// heartbeatTable holds the heartbeat row. It has a part of its own in the store, apart from the scheduler's rows.
 	heartbeatTable = "beat"
 )
@@ -262,10 +266,11 @@
 	g := takeoverGrounds{reason: takeoverSilent, heartbeat: []beryllatch.RowCondition{{
 		Table: heartbeatTable, Part: heartbeatTable, Key: berylscheduler.OwnerKey, Version: heartbeat.Version,
 	}}}
-	// While there is no heartbeat row, no scheduling node relies on a heartbeat: there is nothing to wait for, and the
-	// claim fails if the row is there by then.
-	neverStored := heartbeat.Version == 0
-	if refused && neverStored {
+	// A scheduling node that has stored no such heartbeat doesn't rely on the word of others: there is nothing to wait for, and the
+	// claim fails if it has stored one by then.
+	value := string(heartbeat.Value)
+	independent := value != sn.Incarnation+reliantHeartbeat
+	if refused && independent && value != sn.Incarnation {
 		g.reason = takeoverProcessEnded
 		return g, pause(ctx, delay)
 	}
@@ -276,7 +281,7 @@
 	wait := heartbeatExpiry + storeDelayFactor*time.Since(sent)
 	_, acknowledged := n.acknowledgedBy(sn)
 	switch {
-	case neverStored:
+	case independent:
 	case acknowledged:
 		g.needsAck = true
 	default:
@@ -506,11 +511,14 @@
 	var stored time.Time
 	for {
 		sent := time.Now()
-		err := n.renewHeartbeat(ctx, s.self)
+		reliant := sent.Sub(s.began) >= acquaintanceTime
+		err := n.renewHeartbeat(ctx, s.self, reliant)
 		switch {
 		case err == nil:
 			n.storeAnswered()
-			s.apply(berylscheduler.HeartbeatStored{Sent: sent})
+			if reliant {
+				s.apply(berylscheduler.HeartbeatStored{Sent: sent})
+			}
 			if failing {
 				n.Log.Event("beat_regained", n.Name, "the last stored one: "+ageText(stored))
 			}
@@ -525,11 +533,16 @@
 	}
 }
 
-func (n *Node) renewHeartbeat(ctx context.Context, sn schedulingNode) error {
+// renewHeartbeat writes the heartbeat row. reliant tells the other nodes that this one may rely on the word of those that it knows.
+func (n *Node) renewHeartbeat(ctx context.Context, sn schedulingNode, reliant bool) error {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
+	value := sn.Incarnation
+	if reliant {
+		value += reliantHeartbeat
+	}
 	_, err := n.rows().CommitDirectly(ctx, beryllatch.RowTransaction{Puts: []beryllatch.DataRow{
-		{Table: heartbeatTable, Part: heartbeatTable, Key: berylscheduler.OwnerKey, Value: []byte(sn.Incarnation)},
+		{Table: heartbeatTable, Part: heartbeatTable, Key: berylscheduler.OwnerKey, Value: []byte(value)},
 	}})
 	return err
 }
--- a/internal/node/beryljobs/tenure_test.go
+++ b/internal/node/beryljobs/tenure_test.go
@@ -193,7 +193,7 @@
 func TestRestartWaitsForTheTenure(t *testing.T) {
 	restart(t, func(t *testing.T, c *cluster) {
 		_, err := c.store.Commit(t.Context(), beryllatch.RowTransaction{Puts: []beryllatch.DataRow{
-			{Table: heartbeatTable, Part: heartbeatTable, Key: berylscheduler.OwnerKey, Value: []byte("1")},
+			{Table: heartbeatTable, Part: heartbeatTable, Key: berylscheduler.OwnerKey, Value: []byte("1" + reliantHeartbeat)},
 		}})
 		assert.NilError(t, err)
 		for range 6 {
@@ -265,7 +265,7 @@
 				assert.Equal(t, grounds.reason, takeoverSilent)
 				assert.Assert(t, grounds.silence >= peerTenure)
 				if heartbeat {
-					assert.NilError(t, n.renewHeartbeat(t.Context(), sn))
+					assert.NilError(t, n.renewHeartbeat(t.Context(), sn, true))
 				}
 				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 				defer cancel()
@@ -497,3 +497,29 @@
 		})
 	}
 }
+
+// If a successor fails before it has answered a probe, the others must not wait for peerTenure: it has stored no heartbeat to rely on.
+func TestSuccessorThatFailsAtOnceIsReplaced(t *testing.T) {
+	testCluster(t, 8, func(t *testing.T, c *cluster) {
+		lost := make(map[int]bool)
+		awaitNext := func() int {
+			for began := time.Now(); time.Since(began) < peerTenure; time.Sleep(time.Millisecond) {
+				for _, i := range c.schedulingNodes() {
+					if !lost[i] {
+						return i
+					}
+				}
+			}
+			return -1
+		}
+		for range 2 {
+			i := awaitNext()
+			lost[i] = true
+			c.isolate(i, false)
+			c.stores[i].setCut(true)
+		}
+		failed := time.Now()
+		assert.Assert(t, awaitNext() >= 0, "no node schedules")
+		assert.Assert(t, time.Since(failed) < 4*time.Second, "scheduling goes on after %v", time.Since(failed))
+	})
+}
