--- a/internal/decision/berylscheduler/effect.go
+++ b/internal/decision/berylscheduler/effect.go
@@ -79,7 +79,7 @@
 // WakeAfter asks for a Woken event after the given time.
 type WakeAfter struct{ Wait time.Duration }
 
-// ConfirmEpoch reads the row that names the scheduling node.
+// ConfirmEpoch asks the store whether the row that names the scheduling node is still that of this epoch.
 type ConfirmEpoch struct{}
 
 // Resign releases the scheduling role; the scheduler ignores all events after it.
--- a/internal/decision/berylscheduler/proof.go
+++ b/internal/decision/berylscheduler/proof.go
@@ -10,7 +10,7 @@
 const (
 	// proofInterval is the time after which the store is asked again whether this node still schedules, if no transaction has shown it.
 	proofInterval = 500 * time.Millisecond
-	// oldProof is the age from which the lack of a newer proof is logged. It covers a read that the store answers slowly.
+	// oldProof is the age from which the lack of a newer proof is logged. It covers a transaction at a slow store.
 	oldProof = time.Second
 	// maxUnnoticedProofAge is the age of the proof up to which a worker gets a lease that has not answered lately.
 	maxUnnoticedProofAge = 1500 * time.Millisecond
--- a/internal/node/beryljobs/tenure.go
+++ b/internal/node/beryljobs/echo.go
@@ -14,9 +14,9 @@
 const (
 	// ackValidity is how long an answer of the scheduling node allows this node to take over from it.
 	ackValidity = 10 * time.Second
-	// peerTenure is how long the heartbeat row must have been unchanged before a node without such an answer may take over.
-	peerTenure = berylscheduler.PeerProofLimit
-	// claimTime bounds the time from the check whether this node may take over until its claim is stored.
+	// unknownNodeWait is how long the heartbeat row must have been unchanged before a node without such an answer may take over.
+	unknownNodeWait = berylscheduler.PeerProofLimit
+	// claimTime is longer than a claim may take from the check whether this node may take over, by its time-outs.
 	claimTime = 5 * time.Second
 	// knownPeerTime is how long after its last probe a node may still take over by the answer to it.
 	knownPeerTime = ackValidity + claimTime
@@ -140,7 +140,7 @@
 }
 
 // unechoedPeers is the gauge of the nodes that probe this one and have never echoed a stamp.
-const unechoedPeers = "tenure.unechoed_peers"
+const unechoedPeers = "peers.unechoed"
 
 // reportPeers counts the nodes without an echo, and logs which node holds the proof back.
 func (s *session) reportPeers(p peersState) {
--- a/internal/node/beryljobs/tenure_test.go
+++ b/internal/node/beryljobs/echo_test.go
@@ -166,9 +166,9 @@
 	})
 }
 
-// Without the store, the scheduling node goes on until peerTenure after its last heartbeat, unless a node that it knows may have taken over. So
+// Without the store, the scheduling node goes on until unknownNodeWait after its last heartbeat, unless a node that it knows may have taken over. So
 // a node to which it has never answered must wait for that long. A refused connection proves nothing: it may have been cut on the way.
-func TestUnacknowledgedNodeWaitsForTheTenure(t *testing.T) {
+func TestUnacknowledgedNodeWaitsForAnOldHeartbeat(t *testing.T) {
 	for name, refused := range map[string]bool{"no answer": false, "connections are refused": true} {
 		t.Run(name, func(t *testing.T) {
 			testCluster(t, 1, func(t *testing.T, c *cluster) {
@@ -178,7 +178,7 @@
 				time.Sleep(5 * time.Second)
 				assert.Equal(t, c.epoch(), int64(1), "the heartbeat shows that the scheduling node works")
 				c.stores[0].setCut(true)
-				time.Sleep(peerTenure - heartbeatInterval)
+				time.Sleep(unknownNodeWait - heartbeatInterval)
 				assert.Equal(t, c.epoch(), int64(1))
 				assert.Assert(t, s.ctx.Err() == nil, "the scheduling node goes on")
 				assert.Assert(t, time.Since(s.peers().at) <= tickInterval, "nobody has shown that it may take over")
@@ -190,7 +190,7 @@
 }
 
 // When all nodes restart and the machine of the scheduling node stays away, nobody has its answer, and its last heartbeat may be recent.
-func TestRestartWaitsForTheTenure(t *testing.T) {
+func TestRestartWaitsForAnOldHeartbeat(t *testing.T) {
 	restart(t, func(t *testing.T, c *cluster) {
 		_, err := c.store.Commit(t.Context(), beryllatch.RowTransaction{Puts: []beryllatch.DataRow{
 			{Table: heartbeatTable, Part: heartbeatTable, Key: berylscheduler.OwnerKey, Value: []byte("1" + reliantHeartbeat)},
@@ -199,7 +199,7 @@
 		for range 6 {
 			c.join(0.8)
 		}
-		time.Sleep(peerTenure)
+		time.Sleep(unknownNodeWait)
 		assert.Equal(t, len(c.schedulingNodes()), 0)
 		time.Sleep(heartbeatLag)
 		assert.Equal(t, len(c.schedulingNodes()), 1)
@@ -250,7 +250,7 @@
 	var watch failureWatch
 	_, ok := n.mayTakeOver(t.Context(), sn, probeFailed, &watch)
 	assert.Assert(t, !ok)
-	time.Sleep(peerTenure + time.Second)
+	time.Sleep(unknownNodeWait + time.Second)
 	grounds, ok := n.mayTakeOver(t.Context(), sn, probeFailed, &watch)
 	assert.Assert(t, ok)
 	return n, store, sn, grounds
@@ -263,7 +263,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				n, store, sn, grounds := silentHolder(t)
 				assert.Equal(t, grounds.reason, takeoverSilent)
-				assert.Assert(t, grounds.silence >= peerTenure)
+				assert.Assert(t, grounds.silence >= unknownNodeWait)
 				if heartbeat {
 					assert.NilError(t, n.renewHeartbeat(t.Context(), sn, true))
 				}
@@ -311,7 +311,7 @@
 			time.Sleep(10 * time.Millisecond)
 		}
 		tookOver := time.Now()
-		for time.Since(tookOver) < 2*(knownPeerTime+peerTenure) {
+		for time.Since(tookOver) < 2*(knownPeerTime+unknownNodeWait) {
 			time.Sleep(100 * time.Millisecond)
 			at := s.peers().at
 			assert.Assert(t, !at.After(tookOver), "%v after the takeover, proof of %v after it", time.Since(tookOver), at.Sub(tookOver))
@@ -376,7 +376,7 @@
 }
 
 // The log must show once which node holds the proof back and that the heartbeat fails, and once that they are well again.
-func TestLossOfTheTenureIsLogged(t *testing.T) {
+func TestMissingEchoIsLogged(t *testing.T) {
 	var lines lockedBuffer
 	testCluster(t, 0, func(t *testing.T, c *cluster) {
 		start := c.startNode
@@ -498,12 +498,12 @@
 	}
 }
 
-// If a successor fails before it has answered a probe, the others must not wait for peerTenure: it has stored no heartbeat to rely on.
+// If a successor fails before it has answered a probe, the others must not wait for unknownNodeWait: it has stored no heartbeat to rely on.
 func TestSuccessorThatFailsAtOnceIsReplaced(t *testing.T) {
 	testCluster(t, 8, func(t *testing.T, c *cluster) {
 		lost := make(map[int]bool)
 		awaitNext := func() int {
-			for began := time.Now(); time.Since(began) < peerTenure; time.Sleep(time.Millisecond) {
+			for began := time.Now(); time.Since(began) < unknownNodeWait; time.Sleep(time.Millisecond) {
 				for _, i := range c.schedulingNodes() {
 					if !lost[i] {
 						return i
--- a/internal/node/beryljobs/proof_session_test.go
+++ b/internal/node/beryljobs/proof_session_test.go
@@ -119,7 +119,7 @@
 				unproven := func() bool { return c.nodes[0].Metrics.Counter("decisions.epoch_unproven") > 0 }
 				assert.Assert(t, !unproven())
 				c.stores[0].setCut(true)
-				time.Sleep(peerTenure - heartbeatLag)
+				time.Sleep(unknownNodeWait - heartbeatLag)
 				assert.Equal(t, unproven(), !stored)
 				time.Sleep(2 * heartbeatLag)
 				assert.Assert(t, unproven())
--- a/internal/node/beryljobs/session.go
+++ b/internal/node/beryljobs/session.go
@@ -21,7 +21,7 @@
 	holdMargin = 250 * time.Millisecond
 	// slowCommit is how long a transaction must take to be logged: ten times the usual 8 ms.
 	slowCommit = 80 * time.Millisecond
-	// confirmTimeout bounds the read that confirms the epoch after a pause of the process.
+	// confirmTimeout bounds the transaction that confirms the epoch.
 	confirmTimeout = time.Second
 	// flushTimeout bounds the wait for the last transaction of an epoch.
 	flushTimeout = 500 * time.Millisecond
--- a/internal/node/beryljobs/takeover.go
+++ b/internal/node/beryljobs/takeover.go
@@ -285,7 +285,7 @@
 	case acknowledged:
 		g.needsAck = true
 	default:
-		wait = max(wait, peerTenure)
+		wait = max(wait, unknownNodeWait)
 	}
 	g.silence = time.Since(watch.unchangedSince)
 	return g, g.silence >= wait+delay
