A lease that reached the next incarnation of a worker may be the longest one

When another incarnation is seen while the worker may hold a lease, that lease counts as the longest one from then on.

--- a/internal/decision/berylscheduler/incarnation.go
+++ b/internal/decision/berylscheduler/incarnation.go
@@ -57,6 +57,10 @@
 	s.emit(Decision{Name: "worker_restarted", Worker: w.info.ID, Detail: fmt.Sprintf("incarnation %d after %d", number, w.info.Incarnation)})
 	w.info.Incarnation = number
 	w.incarnation = incarnation{discoveredAt: s.now}
+	if s.mayHoldLease(w) {
+		// Its orders may have reached the new incarnation, on whose clock the lease is the longest possible one.
+		w.leasesExpireBy = laterTime(w.leasesExpireBy, s.now.Add(expiryBound(s.Limits.MaxLease)))
+	}
 	w.nextHold = time.Time{}
 	for _, r := range w.runs {
 		// A stop that the incarnation before has confirmed is sent again, and a filler starts at its full speed.
--- a/internal/decision/berylscheduler/incarnation_test.go
+++ b/internal/decision/berylscheduler/incarnation_test.go
@@ -162,6 +162,32 @@
 	assert.Equal(t, len(h.starts), 1)
 }
 
+// The same if the new incarnation has been seen meanwhile: its answers tell nothing of a lease that was granted to the one before and
+// reached it (TWICE).
+func TestLeaseThatReachedTheNextIncarnationMayBeTheLongest(t *testing.T) {
+	h := newHarness(t)
+	h.register("a")
+	h.tickFor(time.Second + contactValidity)
+	h.accept(singleTaskJob("0000000000000001"))
+	lists := runningLists(h.confirmStarts(), 10)
+	granted := h.now
+	i := workerInfo("a")
+	i.Incarnation = 2
+	h.apply(RegistryChanged{Workers: []beryllatch.WorkerInfo{i}})
+	for range 3 {
+		h.answerHolds(lists)
+		h.tickFor(100 * time.Millisecond)
+	}
+	h.register("b")
+	for h.now.Sub(granted) < h.s.Limits.MaxLease {
+		h.tickFor(100 * time.Millisecond)
+		h.answerHolds(nil, "a")
+		assert.Equal(t, len(h.starts), 0, "after %s", h.now.Sub(granted))
+	}
+	h.tickFor(time.Second)
+	assert.Equal(t, len(h.starts), 1)
+}
+
 // The same for a worker that a node which takes over has not read: the epoch before may have granted such a lease.
 func TestTakeoverWaitsForTheLongestLease(t *testing.T) {
 	h, stored, start := usedWorkers(t, 2)
--- a/internal/decision/berylscheduler/partition_test.go
+++ b/internal/decision/berylscheduler/partition_test.go
@@ -3,8 +3,10 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -202,12 +204,23 @@
 	return first, count
 }
 
+// failedPartitionSeeds holds seeds that have failed, with the cause.
+var failedPartitionSeeds = map[uint64]string{
+	50191: "QUOTA: the successor used its share of a ceiling beside runs that it didn't know",
+	50906: "QUOTA: as 50191",
+	60665: "TWICE: a lease that was granted to one incarnation reached the next one, and was the longest there",
+}
+
 // The rules hold on a network that is cut at any place, at any time and for any length.
 func TestRulesHoldInPartitions(t *testing.T) {
 	first, count := partitionSeedRange(t)
 	starts, takeovers := 0, 0
 	broken := make(map[string][]uint64)
+	seeds := slices.Collect(maps.Keys(failedPartitionSeeds))
 	for seed := first; seed < first+count; seed++ {
+		seeds = append(seeds, seed)
+	}
+	for _, seed := range seeds {
 		m := newPartitionModel(seed, partitionOptions{restarts: seed%2 == 1})
 		violations := m.run()
 		starts += m.judge.starts
@@ -227,7 +240,7 @@
 		t.Logf("%s is broken with seeds %v", rule, seeds)
 	}
 	t.Logf("%d starts, %d takeovers", starts, takeovers)
-	assert.Assert(t, starts > 100*int(count) && takeovers > 3*int(count), "%d starts, %d takeovers", starts, takeovers)
+	assert.Assert(t, starts > 100*len(seeds) && takeovers > 3*len(seeds), "%d starts, %d takeovers", starts, takeovers)
 }
 
 // A check that can't fail proves nothing: without a mechanism, the same simulation finds that tasks run twice.
