--- a/internal/decision/berylscheduler/ceiling.go
+++ b/internal/decision/berylscheduler/ceiling.go
@@ -1,10 +1,6 @@
 package berylscheduler
 
-import (
-	"slices"
-
-	"github.com/beryllatch/beryllatch"
-)
+import "github.com/beryllatch/beryllatch"
 
 // underCeiling reports whether the team stays within its ceiling if it uses the given resources in addition.
 func (s *Scheduler) underCeiling(team string, more beryllatch.Resources) bool {
@@ -44,17 +40,25 @@
 	if s.unknownNeeds == nil {
 		s.unknownNeeds = make(map[string]beryllatch.Resources)
 	}
-	for _, j := range slices.Concat(s.active, s.jobRowsToDelete) {
-		if !j.recovered {
+	for _, j := range s.active {
+		s.addUnknownNeeds(j)
+	}
+	for _, j := range s.jobRowsToDelete {
+		s.addUnknownNeeds(j)
+	}
+}
+
+// addUnknownNeeds adds what the tasks of a job of an earlier epoch need that have no known run.
+func (s *Scheduler) addUnknownNeeds(j *job) {
+	if !j.recovered {
+		return
+	}
+	for _, o := range j.occurrences {
+		if o == nil || o.stepsLeft == 0 {
 			continue
 		}
-		for _, o := range j.occurrences {
-			if o == nil {
-				continue
-			}
-			for _, st := range o.steps {
-				s.unknownNeeds[j.Team] = s.unknownNeeds[j.Team].Plus(st.spec.Needs.Times(st.tasksWaiting))
-			}
+		for _, st := range o.steps {
+			s.unknownNeeds[j.Team] = s.unknownNeeds[j.Team].Plus(st.spec.Needs.Times(st.tasksWaiting))
 		}
 	}
 }
--- a/internal/decision/berylscheduler/proof.go
+++ b/internal/decision/berylscheduler/proof.go
@@ -7,6 +7,10 @@
 // have been seen.
 const PeerProofLimit = 10 * time.Second
 
+// MaxActingProofAge is the age of the proof up to which tasks start and runs are stopped. It covers the longest interval of the probes of
+// the other nodes twice, since an echo comes with the next probe.
+const MaxActingProofAge = 3 * time.Second
+
 const (
 	// proofInterval is the time after which the store is asked again whether this node still schedules, if no transaction has shown it.
 	proofInterval = 500 * time.Millisecond
@@ -14,10 +18,7 @@
 	oldProof = time.Second
 	// maxUnnoticedProofAge is the age of the proof up to which a worker gets a lease that has not answered lately.
 	maxUnnoticedProofAge = 1500 * time.Millisecond
-	// maxActingProofAge is the age of the proof up to which tasks start and runs are stopped. It covers the
-	// interval at which the nodes that others should take over before probe this one, twice, since an echo comes with the next probe.
-	maxActingProofAge = 3 * time.Second
-	// maxOrderingProofAge is the same for orders to instances, which an instance that another node has ordered or filled meanwhile
+	// maxOrderingProofAge is as MaxActingProofAge for orders to instances, which an instance that another node has ordered or filled meanwhile
 	// carries out. It is about the time that a takeover takes.
 	maxOrderingProofAge = 1500 * time.Millisecond
 )
@@ -57,7 +58,7 @@
 }
 
 // mayAct reports whether tasks may start and runs may be stopped: both rest on the belief that no other node does so too.
-func (s *Scheduler) mayAct() bool { return s.confirmed && s.proofAge() <= maxActingProofAge }
+func (s *Scheduler) mayAct() bool { return s.confirmed && s.proofAge() <= MaxActingProofAge }
 
 // mayOrderInstances reports whether instances may be moved or maintained.
 func (s *Scheduler) mayOrderInstances() bool {
@@ -67,7 +68,7 @@
 // mayMaintain reports whether instances may be maintained. The scheduling node before may still order instances of a wave, or have ordered
 // some that the list of instances doesn't show yet.
 func (s *Scheduler) mayMaintain() bool {
-	return !s.PredecessorMayAct || s.now.Sub(s.startedAt) >= maxActingProofAge
+	return !s.PredecessorMayAct || s.now.Sub(s.startedAt) >= MaxActingProofAge
 }
 
 // recordProof records that the store has answered a request, sent at the given time, as it does only without a successor.
--- a/internal/decision/berylscheduler/proof_rules_test.go
+++ b/internal/decision/berylscheduler/proof_rules_test.go
@@ -121,7 +121,7 @@
 func TestNoInstanceOrderWithoutAProof(t *testing.T) {
 	h := newHarness(t)
 	h.register("a", "b")
-	h.tickCutOff(maxActingProofAge+time.Second, nil)
+	h.tickCutOff(MaxActingProofAge+time.Second, nil)
 	h.openWave(1, "m-a")
 	h.tickCutOff(2*time.Second, nil)
 	assert.Equal(t, len(h.maintainedInstances()), 0)
@@ -141,7 +141,7 @@
 	h.accept(j)
 	lists := runningLists(h.confirmStarts(), 100)
 	h.register("b")
-	h.tickCutOff(maxActingProofAge+500*time.Millisecond, lists)
+	h.tickCutOff(MaxActingProofAge+500*time.Millisecond, lists)
 	draining := workerInfo("a")
 	draining.Draining = true
 	h.apply(RegistryChanged{Workers: []beryllatch.WorkerInfo{draining}})
@@ -158,7 +158,7 @@
 		repeats int
 	}{
 		"recent proof": {time.Second, 1},
-		"old proof":    {maxActingProofAge + time.Second, 0},
+		"old proof":    {MaxActingProofAge + time.Second, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := newHarness(t)
@@ -186,7 +186,7 @@
 			starts := h.confirmStarts()
 			assert.Equal(t, len(starts), 4)
 			const step = 100 * time.Millisecond
-			stalls := int((maxActingProofAge + time.Second) / step)
+			stalls := int((MaxActingProofAge + time.Second) / step)
 			var lists map[string]beryllatch.WorkerLists
 			for n := range stalls + 20 {
 				lists = runningLists(starts, n)
@@ -220,7 +220,7 @@
 			}
 			h.confirmations--
 			h.apply(EpochConfirmed{Current: true})
-			h.tickCutOff(maxActingProofAge+time.Second, nil)
+			h.tickCutOff(MaxActingProofAge+time.Second, nil)
 			assert.Equal(t, h.s.mayAct(), before)
 		})
 	}
@@ -274,7 +274,7 @@
 			s := testScheduler(1, 7)
 			s.now, s.confirmed, s.proof.storeAt = now, true, proven
 			assert.Equal(t, s.proofAge(), c.want)
-			assert.Equal(t, s.mayAct(), c.want <= maxActingProofAge)
+			assert.Equal(t, s.mayAct(), c.want <= MaxActingProofAge)
 		})
 	}
 }
--- a/internal/decision/berylscheduler/proof_test.go
+++ b/internal/decision/berylscheduler/proof_test.go
@@ -68,9 +68,9 @@
 	}{
 		"all nodes":          {time.Second, 0, 1},
 		"one is missing":     {0, 0, 0},
-		"old word":           {2 * maxActingProofAge, 0, 0},
+		"old word":           {2 * MaxActingProofAge, 0, 0},
 		"old heartbeat":      {time.Second, PeerProofLimit, 0},
-		"limit not reached":  {time.Second, PeerProofLimit - 2*maxActingProofAge, 1},
+		"limit not reached":  {time.Second, PeerProofLimit - 2*MaxActingProofAge, 1},
 		"heartbeat long ago": {time.Second, time.Minute, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -85,7 +85,7 @@
 			h.apply(HeartbeatStored{Sent: h.now.Add(-c.heartbeatAge)})
 			h.tickFor(2 * proofInterval)
 			h.peersLag = c.lag
-			h.tickCutOff(maxActingProofAge+time.Second, runningLists(first, 50))
+			h.tickCutOff(MaxActingProofAge+time.Second, runningLists(first, 50))
 			h.tickCutOff(200*time.Millisecond, map[string]beryllatch.WorkerLists{"a": {Finished: []beryllatch.FinishedEntry{
 				{Number: 1, Task: first[0].Order.Task, Run: first[0].Order.Run, Outcome: beryllatch.RunDone},
 			}}})
@@ -178,7 +178,7 @@
 func TestNothingStartsWithoutAProof(t *testing.T) {
 	h := newHarness(t)
 	h.register("a")
-	h.tickCutOff(maxActingProofAge+time.Second, nil)
+	h.tickCutOff(MaxActingProofAge+time.Second, nil)
 	j := singleTaskJob("0000000000000001")
 	h.submit(j)
 	// The job is stored by a transaction that was sent before the cut.
--- a/internal/decision/berylscheduler/scheduler.go
+++ b/internal/decision/berylscheduler/scheduler.go
@@ -116,8 +116,8 @@
 	unsyncedHolds map[heldWorker]bool
 	// lossyUntil is the time until which answers of workers are likely to get lost.
 	lossyUntil time.Time
-	// lastEvent is when the last event was handled. confirmed is false from a pause of the process until the store has confirmed
-	// the epoch, and confirming is true while that is requested.
+	// lastEvent is when the last event was handled. confirmed is false from a pause of the process until there is a proof
+	// of the epoch from after it, and confirming is true while one is requested from the store.
 	lastEvent             time.Time
 	confirmed, confirming bool
 	// pausedUntil is when the last pause of the process ended.
--- a/internal/decision/berylscheduler/wave_test.go
+++ b/internal/decision/berylscheduler/wave_test.go
@@ -110,7 +110,7 @@
 		next.answerHolds(nil)
 	}
 	took := next.now.Sub(began)
-	assert.Assert(t, took >= maxActingProofAge && took < 2*maxActingProofAge, "ordered after %s", took)
+	assert.Assert(t, took >= MaxActingProofAge && took < 2*MaxActingProofAge, "ordered after %s", took)
 }
 
 func TestWaveKeepsLongRunningTasksAtWork(t *testing.T) {
--- a/internal/node/beryljobs/echo.go
+++ b/internal/node/beryljobs/echo.go
@@ -20,8 +20,6 @@
 	claimTime = 5 * time.Second
 	// knownPeerTime is how long after its last probe a node may still take over by the answer to it.
 	knownPeerTime = ackValidity + claimTime
-	// peersSilentAfter is the age of the other nodes' proof at which the scheduling node stops to start tasks without the store.
-	peersSilentAfter = 3 * time.Second
 )
 
 // peerEchoes holds what the scheduling node has learned in one epoch from the stamps that other nodes echo: an echo proves that the
@@ -146,7 +144,7 @@
 func (s *session) reportPeers(p peersState) {
 	n := s.node
 	n.Metrics.Gauge(unechoedPeers, int64(p.missing))
-	silent := p.silence > peersSilentAfter
+	silent := p.silence > berylscheduler.MaxActingProofAge
 	switch {
 	case silent && !s.peersSilent:
 		n.Log.Event("peers_silent", p.last, fmt.Sprintf("no proof for %v; nodes that have never echoed: %d", p.silence, p.missing))
--- a/internal/node/beryljobs/session.go
+++ b/internal/node/beryljobs/session.go
@@ -55,7 +55,7 @@
 	registryWatched bool
 	// echoes holds the stamps that other nodes have echoed.
 	echoes peerEchoes
-	// peersSilent is true while a node has proven nothing for peersSilentAfter; run alone uses it.
+	// peersSilent is true while a node has proven nothing for berylscheduler.MaxActingProofAge; run alone uses it.
 	peersSilent bool
 	// successor is the node that the scheduling role is handed to; "" while there is none.
 	successor string
