A successor sends heartbeats while it reads the rows of earlier epochs

A successor now sends heartbeats from its claim on, and the 2 s until it may rely on others count from when it answers for its epoch.

--- a/internal/node/beryljobs/session.go
+++ b/internal/node/beryljobs/session.go
@@ -31,10 +31,12 @@
 type session struct {
 	node *Node
 	// self is the duty row of this epoch.
-	self     schedulingNode
-	began    time.Time
-	ctx      context.Context
-	endEpoch context.CancelFunc
+	self  schedulingNode
+	began time.Time
+	// servingSince is since when the node answers for the session.
+	servingSince time.Time
+	ctx          context.Context
+	endEpoch     context.CancelFunc
 
 	mu        sync.Mutex
 	scheduler berylscheduler.Scheduler
--- a/internal/node/beryljobs/takeover.go
+++ b/internal/node/beryljobs/takeover.go
@@ -9,6 +9,7 @@
 	"hash/fnv"
 	"maps"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/beryllatch/beryllatch"
@@ -61,7 +62,8 @@
 	// releaseTimeout bounds the release of the scheduling role. If it fails, the other nodes find out by their probes
 	// that the node no longer schedules.
 	releaseTimeout = time.Second
-	// acquaintanceTime is how long a scheduling node doesn't rely on the word of the other nodes: by then each has probed it.
+	// acquaintanceTime is how long a scheduling node doesn't rely on the word of the other nodes once it answers their probes: by then each
+	// has probed it.
 	acquaintanceTime = 2 * time.Second
 	// reliantHeartbeat follows the incarnation in the heartbeat of a scheduling node that may rely on the word of the others.
 	reliantHeartbeat = " relies_on_peers"
@@ -465,12 +467,15 @@
 	n.mu.Lock()
 	n.claimedEpoch = sn.Epoch
 	n.mu.Unlock()
+	stopBeating := n.beatUntilSession(ctx, sn)
 	s, err := n.newSession(ctx, sn)
+	stopBeating()
 	if err != nil {
 		n.Log.Event("takeover_failed", n.Name, err.Error())
 		n.release(ctx, sn, "")
 		return
 	}
+	s.servingSince = time.Now()
 	n.mu.Lock()
 	n.schedulingNode, n.session = sn, s
 	n.mu.Unlock()
@@ -504,6 +509,29 @@
 	n.Log.Event("duty_released", n.Name, "heir "+successor)
 }
 
+// beatUntilSession writes heartbeats while the rows of earlier epochs are read, which takes seconds at a slow store: without them, other nodes
+// would take over meanwhile. The returned function ends that and waits for it.
+func (n *Node) beatUntilSession(ctx context.Context, sn schedulingNode) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		n.keepRunning(ctx, "heartbeats", func(ctx context.Context) {
+			for {
+				if err := n.renewHeartbeat(ctx, sn, false); err != nil && ctx.Err() == nil {
+					n.Log.Event("beat_failed", n.Name, "before the epoch's first event: "+err.Error())
+				}
+				if !pause(ctx, heartbeatInterval) {
+					return
+				}
+			}
+		})
+	})
+	return func() {
+		cancel()
+		wg.Wait()
+	}
+}
+
 // sendHeartbeats writes the heartbeat row at intervals until ctx is cancelled.
 func (s *session) sendHeartbeats(ctx context.Context) {
 	n := s.node
@@ -511,7 +539,7 @@
 	var stored time.Time
 	for {
 		sent := time.Now()
-		reliant := sent.Sub(s.began) >= acquaintanceTime
+		reliant := sent.Sub(s.servingSince) >= acquaintanceTime
 		err := n.renewHeartbeat(ctx, s.self, reliant)
 		switch {
 		case err == nil:
