Only runs that may exist count against the ceilings after a takeover

Jobs whose pools are known counted too, and a silent worker of another pool could hold a team up for 12 s; fillers, which use more than a worker's capacity, and second runs of speculative tasks counted too little. TestUnknownRunsOfAnotherPoolHoldNothingUp failed before and passes now; the other two were found by reading.

--- a/internal/decision/berylscheduler/ceiling.go
+++ b/internal/decision/berylscheduler/ceiling.go
@@ -14,15 +14,18 @@
 		within(used.Accelerators, t.Ceiling.Accelerators)
 }
 
-// unknownUse returns the most that a team may use in runs of earlier epochs that this one does not know yet: they are runs of tasks without
-// a known one, on unsynced workers.
+// unknownNeeds is what tasks need that may have runs which this epoch doesn't know yet. Fillers use processor time that a worker has given
+// to other runs already, so that its capacity doesn't limit them.
+type unknownNeeds struct{ fillers, others beryllatch.Resources }
+
+// unknownUse returns the most that a team may use in such runs; they are on unsynced workers.
 func (s *Scheduler) unknownUse(team string) beryllatch.Resources {
-	need := s.unknownNeeds[team]
-	return beryllatch.Resources{
-		CPUMilli:     min(need.CPUMilli, s.unsyncedCapacity.CPUMilli),
-		MemoryMB:     min(need.MemoryMB, s.unsyncedCapacity.MemoryMB),
-		Accelerators: min(need.Accelerators, s.unsyncedCapacity.Accelerators),
-	}
+	needs := s.unknownNeeds[team]
+	return needs.fillers.Plus(beryllatch.Resources{
+		CPUMilli:     min(needs.others.CPUMilli, s.unsyncedCapacity.CPUMilli),
+		MemoryMB:     min(needs.others.MemoryMB, s.unsyncedCapacity.MemoryMB),
+		Accelerators: min(needs.others.Accelerators, s.unsyncedCapacity.Accelerators),
+	})
 }
 
 // updateUnknownUse computes what unknownUse needs.
@@ -38,7 +41,7 @@
 		return
 	}
 	if s.unknownNeeds == nil {
-		s.unknownNeeds = make(map[string]beryllatch.Resources)
+		s.unknownNeeds = make(map[string]unknownNeeds)
 	}
 	for _, j := range s.active {
 		s.addUnknownNeeds(j)
@@ -48,17 +51,33 @@
 	}
 }
 
-// addUnknownNeeds adds what the tasks of a job of an earlier epoch need that have no known run.
+// addUnknownNeeds adds what the tasks of a job need that may have unknown runs. Steps that seem to wait for others count too: the epoch before
+// may have started them after ends that it couldn't store.
 func (s *Scheduler) addUnknownNeeds(j *job) {
-	if !j.recovered {
+	pool := j.pool
+	if q, ok := s.queueOf(j); ok {
+		pool = q.Pool
+	}
+	if s.jobSynced(j, pool) {
 		return
 	}
+	needs := s.unknownNeeds[j.Team]
 	for _, o := range j.occurrences {
 		if o == nil || o.stepsLeft == 0 {
 			continue
 		}
 		for _, st := range o.steps {
-			s.unknownNeeds[j.Team] = s.unknownNeeds[j.Team].Plus(st.spec.Needs.Times(st.tasksWaiting))
+			tasks := st.tasksWaiting
+			if st.spec.Speculative {
+				// A task with a known run may have a second one.
+				tasks = st.tasksLeft
+			}
+			if st.spec.Filler {
+				needs.fillers = needs.fillers.Plus(st.spec.Needs.Times(tasks))
+			} else {
+				needs.others = needs.others.Plus(st.spec.Needs.Times(tasks))
+			}
 		}
 	}
+	s.unknownNeeds[j.Team] = needs
 }
--- a/internal/decision/berylscheduler/proof_test.go
+++ b/internal/decision/berylscheduler/proof_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -142,6 +143,27 @@
 	assert.Equal(t, h.confirmations, 1)
 }
 
+// A job whose pool is known has no unknown runs: a silent worker of another pool must not hold it up.
+func TestUnknownRunsOfAnotherPoolHoldNothingUp(t *testing.T) {
+	h, stored, _ := usedWorkers(t, 1)
+	j := singleTaskJob("0000000000000009")
+	j.Steps[0].Needs.CPUMilli = 12000
+	h.submit(j)
+	h.storeInto(stored)
+	next := h.takeOver(stored)
+	for _, w := range next.s.sortedWorkers {
+		w.info.Pool = "other"
+	}
+	silent := next.s.sortedWorkers[0].info.ID
+	next.apply(RegistryChanged{Workers: []beryllatch.WorkerInfo{workerInfo("z")}})
+	for range 10 {
+		next.storeInto(stored)
+		next.tickFor(100 * time.Millisecond)
+		next.answerHolds(nil, silent)
+	}
+	assert.Assert(t, slices.ContainsFunc(next.starts, func(f StartRun) bool { return strings.HasPrefix(f.Order.Task, j.ID) }))
+}
+
 // After a takeover, runs on workers that have not listed them count against their team's ceiling as far as they may exist.
 func TestTakeoverCountsUnknownRunsAgainstTheCeiling(t *testing.T) {
 	h := newHarness(t)
@@ -158,8 +180,6 @@
 	assert.Equal(t, len(starts), 1)
 
 	next := h.takeOver(stored)
-	// Worker a is of another pool by now, so that the pool of the new jobs is known.
-	next.s.workers["a"].info.Pool = "other"
 	next.apply(RegistryChanged{Workers: []beryllatch.WorkerInfo{workerInfo("b")}})
 	for i := range 3 {
 		k := singleTaskJob(fmt.Sprintf("000000000000000%d", i+2))
--- a/internal/decision/berylscheduler/scheduler.go
+++ b/internal/decision/berylscheduler/scheduler.go
@@ -103,7 +103,7 @@
 	unsyncedPools map[string]bool
 	// unsyncedCapacity is the capacity of the unsynced workers, and unknownNeeds what the tasks need that may run there, by team.
 	unsyncedCapacity beryllatch.Resources
-	unknownNeeds     map[string]beryllatch.Resources
+	unknownNeeds     map[string]unknownNeeds
 	// delayedHolds holds the workers whose next hold waits for completionBatchPause, the earliest first.
 	delayedHolds []*worker
 	// holdWakeAt is when the last requested wake for delayedHolds comes.
