Soak: a daemon that another fault has started again holds up no other fault

During the cut all four daemons were killed; the restart of each waited 6 s for a process to end that another fault had already started again, one after the other, so that the cut lasted 24 s longer, to second 62.4. The worker was back in touch at 62.8 s, its ends were stored at once, and the check at 65 s came 2.6 s after the end of the last fault instead of 27 s.

A restart now waits for the end of the process that was there when it was requested. The checks and the settle time are unchanged.

--- a/internal/bench/berylsoak/daemon.go
+++ b/internal/bench/berylsoak/daemon.go
@@ -95,6 +95,13 @@
 	}
 }
 
+// ended returns a channel that is closed when the present process has ended, or has already if there is none.
+func (d *daemon) ended() <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.done
+}
+
 // signal sends a signal to the process, if it runs.
 func (d *daemon) signal(s syscall.Signal) {
 	d.mu.Lock()
--- a/internal/bench/berylsoak/soak.go
+++ b/internal/bench/berylsoak/soak.go
@@ -354,17 +354,17 @@
 	}
 }
 
-// restart waits, and starts the daemon again once its process has ended.
+// maxEndTime is how long restart waits for the end of a process.
+const maxEndTime = 6 * time.Second
+
+// restart waits, and starts the daemon again once the process that it has now has ended; another fault may have started it again by then.
 func (r *soakRun) restart(d *daemon, after time.Duration) {
+	ended := d.ended()
 	sleep(r.ctx, after)
-	for range 60 {
-		d.mu.Lock()
-		ended := d.cmd == nil
-		d.mu.Unlock()
-		if ended {
-			break
-		}
-		sleep(r.ctx, 100*time.Millisecond)
+	select {
+	case <-ended:
+	case <-r.ctx.Done():
+	case <-time.After(maxEndTime):
 	}
 	if err := d.start(); err != nil {
 		r.recordFault("%s does not start: %v", d.name, err)
