--- a/internal/decision/berylscheduler/incarnation_test.go
+++ b/internal/decision/berylscheduler/incarnation_test.go
@@ -143,6 +143,19 @@
 	assert.Equal(t, h.holds[0].Order.Acknowledge, int64(1), "the new incarnation has answered")
 }
 
+// awaitLongestLease checks that nothing starts until the longest lease granted at a time has expired on a silent worker, and that its task
+// does then.
+func (h *harness) awaitLongestLease(granted time.Time, silent string) {
+	h.t.Helper()
+	for h.now.Sub(granted) < h.s.Limits.MaxLease {
+		h.tickFor(100 * time.Millisecond)
+		h.answerHolds(nil, silent)
+		assert.Equal(h.t, len(h.starts), 0, "after %s", h.now.Sub(granted))
+	}
+	h.tickFor(time.Second)
+	assert.Equal(h.t, len(h.starts), 1)
+}
+
 // A worker that has started again unnoticed takes the end of a new lease for a time far ahead on its clock, and shortens the lease to the
 // longest possible one: its runs must not be written off before that one has expired (TWICE).
 func TestLeaseOfAnUnknownIncarnationMayBeTheLongest(t *testing.T) {
@@ -153,13 +166,7 @@
 	h.confirmStarts()
 	granted := h.now
 	h.register("b")
-	for h.now.Sub(granted) < h.s.Limits.MaxLease {
-		h.tickFor(100 * time.Millisecond)
-		h.answerHolds(nil, "a")
-		assert.Equal(t, len(h.starts), 0, "after %s", h.now.Sub(granted))
-	}
-	h.tickFor(time.Second)
-	assert.Equal(t, len(h.starts), 1)
+	h.awaitLongestLease(granted, "a")
 }
 
 // The same if the new incarnation has been seen meanwhile: its answers tell nothing of a lease that was granted to the one before and
@@ -179,13 +186,7 @@
 		h.tickFor(100 * time.Millisecond)
 	}
 	h.register("b")
-	for h.now.Sub(granted) < h.s.Limits.MaxLease {
-		h.tickFor(100 * time.Millisecond)
-		h.answerHolds(nil, "a")
-		assert.Equal(t, len(h.starts), 0, "after %s", h.now.Sub(granted))
-	}
-	h.tickFor(time.Second)
-	assert.Equal(t, len(h.starts), 1)
+	h.awaitLongestLease(granted, "a")
 }
 
 // The same for a worker that a node which takes over has not read: the epoch before may have granted such a lease.
--- a/internal/decision/berylscheduler/proof_test.go
+++ b/internal/decision/berylscheduler/proof_test.go
@@ -166,18 +166,7 @@
 
 // After a takeover, runs on workers that have not listed them count against their team's ceiling as far as they may exist.
 func TestTakeoverCountsUnknownRunsAgainstTheCeiling(t *testing.T) {
-	h := newHarness(t)
-	stored := make(storedRows)
-	h.apply(RegistryChanged{Workers: []beryllatch.WorkerInfo{workerInfo("a")}})
-	h.storeInto(stored)
-	h.answerHolds(nil)
-	h.tickFor(100 * time.Millisecond)
-	j := singleTaskJob("0000000000000001")
-	j.Steps[0].Needs.CPUMilli = 12000
-	h.submit(j)
-	h.storeInto(stored)
-	starts := h.confirmStarts()
-	assert.Equal(t, len(starts), 1)
+	h, stored, _ := largeRun(t)
 
 	next := h.takeOver(stored)
 	next.apply(RegistryChanged{Workers: []beryllatch.WorkerInfo{workerInfo("b")}})
--- a/internal/decision/berylscheduler/takeover_test.go
+++ b/internal/decision/berylscheduler/takeover_test.go
@@ -52,8 +52,9 @@
 	return next
 }
 
-// After a takeover, a run of a cancelled job that is still being stopped must keep its capacity booked.
-func TestTakeoverBooksRunsThatAreBeingStopped(t *testing.T) {
+// largeRun returns a harness with a job of 12 cores that runs on worker a, and its stored rows.
+func largeRun(t *testing.T) (*harness, storedRows, []StartRun) {
+	t.Helper()
 	h := newHarness(t)
 	stored := make(storedRows)
 	h.apply(RegistryChanged{Workers: []beryllatch.WorkerInfo{workerInfo("a")}})
@@ -66,8 +67,14 @@
 	h.storeInto(stored)
 	starts := h.confirmStarts()
 	assert.Equal(t, len(starts), 1)
+	return h, stored, starts
+}
+
+// After a takeover, a run of a cancelled job that is still being stopped must keep its capacity booked.
+func TestTakeoverBooksRunsThatAreBeingStopped(t *testing.T) {
+	h, stored, starts := largeRun(t)
 	h.lastCall++
-	h.apply(CancelRequested{Call: h.lastCall, ID: j.ID})
+	h.apply(CancelRequested{Call: h.lastCall, ID: "0000000000000001"})
 	h.storeInto(stored)
 
 	next := h.takeOver(stored)
