Freeze returns once the process stands still

Freeze only sent SIGSTOP, and the threads of a process stop when they next get to handle it.

Freeze now waits for the stop, so that the tests check what they say: that a frozen node answers nothing. Their assertions are the same.

--- a/internal/bench/berylprocess/process.go
+++ b/internal/bench/berylprocess/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"os"
@@ -12,6 +13,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
 )
 
 // Process is a program that was started by Run.
@@ -58,8 +60,17 @@
 	return p.err
 }
 
-// Freeze suspends the process until Thaw.
-func (p *Process) Freeze() { _ = p.cmd.Process.Signal(syscall.SIGSTOP) }
+// Freeze suspends the process until Thaw. It returns once all threads of the process stand still.
+func (p *Process) Freeze() {
+	_ = p.cmd.Process.Signal(syscall.SIGSTOP)
+	for {
+		// The state stays to be read, since the process is waited for elsewhere.
+		err := unix.Waitid(unix.P_PID, p.cmd.Process.Pid, nil, unix.WSTOPPED|unix.WNOWAIT, nil)
+		if !errors.Is(err, unix.EINTR) {
+			return
+		}
+	}
+}
 
 // Thaw resumes a frozen process.
 func (p *Process) Thaw() { _ = p.cmd.Process.Signal(syscall.SIGCONT) }
