--- a/review/rig2/case8_test.go
+++ b/review/rig2/case8_test.go
@@ -3,129 +3,108 @@
 import (
 	"fmt"
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 )
 
-// One job with many overdue times must not keep the other jobs from running.
+// A task must not start in a queue's pool while it runs in the pool that the queue had meanwhile.
 func TestCase8(t *testing.T) {
-	const (
-		big       = "00000000c0ffee08"
-		workers   = 4
-		watched   = 6
-		steps     = 8
-		finish    = 14 * time.Second
-		idleLimit = 3 * time.Second
-	)
 	r := newRig(t)
-	r.configure(1, []string{"s"}, queue{"q", "/q/", "s", 3})
-	for i := range workers {
-		r.fleet.add(fmt.Sprintf("m%d", i), "s", "a", fmt.Sprintf("r%d", i))
+	const id = "00000000c0ffee08"
+	services := []string{"sa", "sb"}
+	to := func(version int, service string) {
+		r.configure(version, services, queue{"q", "/q/", service, 3}, queue{"qb", "/qb/", "sb", 3})
+	}
+	var cut atomic.Bool
+	var runsOn atomic.Pointer[string]
+	r.fleet.heldBack = func(machine string) bool { return cut.Load() && machine == *runsOn.Load() }
+	r.fleet.taskTime = func(task, _ string, _ int) (time.Duration, string) {
+		if strings.HasPrefix(task, id+".0.1.") {
+			return 12 * time.Second, "done"
+		}
+		return 1500 * time.Millisecond, "done"
+	}
+	to(1, "sa")
+	for i := range 8 {
+		r.fleet.add(fmt.Sprintf("ma%d", i), "sa", "a", fmt.Sprintf("r%d", i/4))
+		r.fleet.add(fmt.Sprintf("mb%d", i), "sb", "a", fmt.Sprintf("r%d", 2+i/4))
 	}
-	r.fleet.taskTime = func(string, string, int) (time.Duration, string) { return 400 * time.Millisecond, "done" }
 	for _, name := range []string{"n1", "n2", "n3"} {
 		r.addNode(name, bounds{StatusS: 120})
 	}
-	r.awaitReady("/q/")
-	times, interval := 10, time.Second
-	first := time.Now()
-	if trouble() {
-		times = 86_400
-		first = first.Add(-time.Duration(times) * interval)
+	r.awaitReady("/q/", "/qb/")
+	job := map[string]any{"spec": "two steps", "steps": []map[string]any{
+		{"count": 1, "cpu": 500, "mem_mb": 256, "estimate_ms": 1500},
+		{"count": 1, "cpu": 500, "mem_mb": 256, "estimate_ms": 12000, "after": []int{0}},
+	}}
+	if !r.submit("/q/", id, job) {
+		cannotRun("the job is not accepted")
 	}
-	chain := map[string]any{"spec": "chain"}
-	var list []map[string]any
-	for i := range steps {
-		step := map[string]any{"count": 1, "cpu": taskCPU, "mem_mb": 256, "estimate_ms": 400}
-		if i > 0 {
-			step["after"] = []int{i - 1}
+	time.Sleep(500 * time.Millisecond)
+	to(2, "sb")
+	r.await(func() bool { return len(r.fleet.of("start", id+".0.1.")) > 0 }, "the second step starts")
+	to(3, "sa")
+	time.Sleep(3 * time.Second)
+	if trouble() {
+		on := r.fleet.of("start", id+".0.1.")[0].worker
+		r.fleet.mu.Lock()
+		for name, m := range r.fleet.machines {
+			if m.worker != nil && m.worker.id == on {
+				runsOn.Store(&name)
+			}
 		}
-		list = append(list, step)
-	}
-	chain["steps"] = list
-	var accepted []string
-	for i := range watched {
-		id := fmt.Sprintf("%016x", 0xb000+i)
-		if !r.submit("/q/", id, chain) {
-			cannotRun("a job is not accepted")
+		r.fleet.mu.Unlock()
+		if runsOn.Load() == nil {
+			cannotRun("the worker of the second step is not known")
 		}
-		accepted = append(accepted, id)
+		cut.Store(true)
+		r.log("network: the worker of %s is cut off for 2 s", *runsOn.Load())
+		r.leader().signal(syscall.SIGTERM)
+		time.Sleep(2 * time.Second)
+		cut.Store(false)
 	}
-	job := simpleJob("every second", 10, 400)
-	job["repeat_count"], job["first_ms"], job["interval_ms"] = times, first.UnixMilli(), interval.Milliseconds()
-	r.submit("/q/", big, job)
-	end := time.Now()
-	time.Sleep(finish + 2*idleLimit)
-	// The rule asks for the jobs finish_s after the end of the traffic.
-	from, to := end.Add(finish), time.Now()
-	for _, id := range accepted {
-		state, began := "", time.Now()
-		for i := 0; i < len(r.nodes) && state != "done" && state != "running" && state != "queued"; i++ {
-			state = r.state(r.nodes[i], "/q/", id)
-		}
-		switch gap := r.fleet.longestIdle(id, from, to); {
-		case state == "done":
-		case state != "running" && state != "queued":
-			t.Errorf("LOST: the state of job %s is not answered within %v: %s", id, time.Since(began), state)
-		case gap >= idleLimit && r.fleet.mostInUse(from)*taskCPU < workers*16000/2:
-			t.Errorf("LOST: job %s has had nothing running for %v, and at most %d of %d thousandths of a core are in use",
-				id, gap, r.fleet.mostInUse(from)*taskCPU, workers*16000)
+	time.Sleep(14 * time.Second)
+	r.checkOverlaps(id)
+}
+
+// await waits until the condition holds.
+func (r *rig) await(condition func() bool, what string) {
+	for range 1000 {
+		if condition() {
+			return
 		}
-		r.log("check: job %s is %s, %d of %d steps done, nothing running for %v", id, state, len(r.fleet.of("end", id)), steps, r.fleet.longestIdle(id, from, to))
-	}
-	r.log("check: at most %d thousandths of a core were in use, of %d", r.fleet.mostInUse(from)*taskCPU, workers*16000)
-	for _, n := range r.nodes {
-		n.mu.Lock()
-		r.log("check: %s took up to %d MB and was ended %d times because of its memory", n.name, n.peakMB, n.memoryEnds)
-		n.mu.Unlock()
+		time.Sleep(20 * time.Millisecond)
 	}
+	cannotRun("it is not seen that %s", what)
 }
 
-// longestIdle returns the longest time between both times in which no run of the job was at work.
-func (f *fleet) longestIdle(job string, from, to time.Time) time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	n, idle, since := 0, time.Duration(0), from
-	for _, e := range f.events {
+// checkOverlaps fails the test if two runs of a task of the job were at work at the same time.
+func (r *rig) checkOverlaps(job string) {
+	type id struct {
+		worker, task string
+		run          int
+	}
+	r.fleet.mu.Lock()
+	defer r.fleet.mu.Unlock()
+	working := make(map[id]bool)
+	for _, e := range r.fleet.events {
 		if !strings.HasPrefix(e.task, job) {
 			continue
 		}
-		at := e.at
-		if at.Before(from) {
-			at = from
-		}
+		this := id{e.worker, e.task, e.run}
 		switch e.what {
 		case "start":
-			if n++; n == 1 {
-				idle = max(idle, at.Sub(since))
+			for o := range working {
+				if o.task == e.task {
+					r.t.Errorf("TWICE: run %d of %s starts on %s while run %d is at work on %s", e.run, e.task, e.worker, o.run, o.worker)
+					r.log("check: run %d of %s starts on %s while run %d is at work on %s", e.run, e.task, e.worker, o.run, o.worker)
+				}
 			}
+			working[this] = true
 		case "end", "gone":
-			if n--; n == 0 {
-				since = at
-			}
-		}
-	}
-	if n == 0 {
-		idle = max(idle, to.Sub(since))
-	}
-	return idle
-}
-
-// mostInUse returns the largest number of runs at work at once since the given time.
-func (f *fleet) mostInUse(since time.Time) int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	n, most := 0, 0
-	for _, e := range f.events {
-		switch e.what {
-		case "start":
-			n++
-		case "end", "gone":
-			n--
-		}
-		if e.at.After(since) {
-			most = max(most, n)
+			delete(working, this)
 		}
 	}
-	return most
 }
