--- a/review/rig2/case6_test.go
+++ b/review/rig2/case6_test.go
@@ -8,7 +8,7 @@
 
 // A job that is done must not run again when the store performs its transaction late and another node takes over.
 func TestCase6(t *testing.T) {
-	const statusS = 20
+	const statusS = 60
 	r := newRig(t)
 	const id = "00000000c0ffee06"
 	lost := false
@@ -33,7 +33,7 @@
 	time.Sleep((statusS + 14) * time.Second)
 	r.state(r.nodes[0], "/q/", id)
 	r.leader().signal(syscall.SIGTERM)
-	time.Sleep(16 * time.Second)
+	time.Sleep(14 * time.Second)
 	noted := 0
 	for _, e := range r.fleet.of("noted", id) {
 		if e.outcome == "done" && e.acknowledged {
