--- a/review/rig2/fleet_test.go
+++ b/review/rig2/fleet_test.go
@@ -63,6 +63,8 @@
 	machines map[string]*machine
 	count    int
 	events   []event
+	// standby is the service whose machines are off, or "".
+	standby string
 	// down holds the machines that are in maintenance, by wave.
 	down map[string]int
 }
@@ -119,14 +121,17 @@
 	return m
 }
 
-// startWorker starts a worker on the machine; the caller holds the lock.
+// startWorker starts a worker on the machine, unless it is off; the caller holds the lock.
 func (f *fleet) startWorker(m *machine) {
+	if m.state = "up"; m.pool == f.standby {
+		return
+	}
 	f.count++
 	w := &worker{
 		id: fmt.Sprintf("i-%04d", f.count), machine: m, fleet: f, born: time.Now(), runs: make(map[string]*taskRun),
 		highest: make(map[string]int), ended: make(chan struct{}),
 	}
-	m.worker, m.state = w, "up"
+	m.worker = w
 	go w.beat()
 	go w.watchLease()
 }
--- a/review/rig2/node_test.go
+++ b/review/rig2/node_test.go
@@ -428,7 +428,7 @@
 	list := []map[string]any{}
 	for _, s := range services {
 		list = append(list, map[string]any{
-			"name": s, "health_path": "/healthz", "max_conns": 64, "protocol": "h1", "tls": false, "admission_check": false, "standby": false,
+			"name": s, "health_path": "/healthz", "max_conns": 64, "protocol": "h1", "tls": false, "admission_check": false, "standby": s == r.fleet.standby,
 		})
 	}
 	r.log("operator: version %d: %+v", version, queues)
