--- a/review/rig2/case7_test.go
+++ b/review/rig2/case7_test.go
@@ -37,11 +37,11 @@
 		name = "q-new"
 	}
 	r.configure(2, []string{"s"}, queue{name, "/q/", "s", 3})
-	end := time.Now()
 	time.Sleep(3 * time.Second)
 	if !r.submit("/q/", "00000000c0ffee17", simpleJob("after the change", 1, 1500)) {
 		cannotRun("no job is accepted after the change")
 	}
+	end := time.Now()
 	time.Sleep(finish + 2*idleLimit)
 	from, to := end.Add(finish), time.Now()
 	state, idle, most := r.state(r.nodes[0], "/q/", id), r.fleet.longestIdle(id, from, to), r.fleet.mostInUse(from)*taskCPU
