--- a/review/rig2/node_test.go
+++ b/review/rig2/node_test.go
@@ -119,6 +119,7 @@
 	r.store = newStore(r.log)
 	r.fleet = newFleet(r.store, r.log)
 	r.log("trouble: %v", trouble())
+	go endWithParent(os.Getppid())
 	t.Cleanup(func() {
 		for _, n := range r.nodes {
 			n.end()
@@ -129,6 +130,14 @@
 	return r
 }
 
+// endWithParent ends the nodes and the test once the script that started it is gone.
+func endWithParent(parent int) {
+	for os.Getppid() == parent {
+		time.Sleep(100 * time.Millisecond)
+	}
+	cannotRun("the script has ended")
+}
+
 // trouble reports whether the disruption is to happen.
 func trouble() bool { return os.Getenv("TROUBLE") != "0" }
 
