A transaction of unknown outcome is void once a later one is stored

Cause: the transaction that stored the job got no answer and was performed after the job's row had been deleted. Its condition, that the row doesn't exist, held again. The duty row stops transactions of earlier epochs only.

Change: each transaction requires a version of the barrier row, and the first one after an unknown outcome writes it. Once it is performed, none that was sent before can be. The same cause on related paths: rows of a job that is cancelled, or of a worker that leaves, while it is unknown whether they were stored, and a job row that outlives its progress row.

--- a/internal/decision/berylscheduler/event.go
+++ b/internal/decision/berylscheduler/event.go
@@ -16,6 +16,8 @@
 	// Workers holds the registrations of all workers that earlier scheduling nodes may have used.
 	Workers []beryllatch.DataRow
 	Waves   []beryllatch.DataRow
+	// Barrier holds the barrier row, if there is one.
+	Barrier []beryllatch.DataRow
 }
 
 // DeploymentChanged holds a newer version of the configuration.
--- a/internal/decision/berylscheduler/journal.go
+++ b/internal/decision/berylscheduler/journal.go
@@ -72,7 +72,8 @@
 }
 
 // journal stores changes in batches. While the store is slow, a second transaction is sent before the first is answered, with
-// other rows. While the store fails there is only one: the store queues transactions, and repeats would keep the queue full.
+// other rows. While the store fails there is only one: the store queues transactions, and repeats would keep the queue full. There is
+// only one, too, that writes the barrier row.
 type journal struct {
 	// awaitedJobs are changed jobs that callers wait for; they are stored before changedJobs.
 	awaitedJobs    []*job
@@ -81,6 +82,7 @@
 	changedWaves   []*wave
 	// workerRows holds the rows of workers by ID; all incarnations of a worker ID share one row.
 	workerRows map[string]*workerRow
+	barrier    barrier
 	// batches holds the transactions in flight by number; lastBatch is the number of the latest one.
 	batches   map[uint64]*batch
 	lastBatch uint64
@@ -93,10 +95,12 @@
 
 // batch is a transaction in flight.
 type batch struct {
-	sentAt  time.Time
-	jobs    []batchJob
-	workers []batchWorker
-	waves   []waveChange
+	sentAt time.Time
+	// writesBarrier is true if the transaction writes the barrier row.
+	writesBarrier bool
+	jobs          []batchJob
+	workers       []batchWorker
+	waves         []waveChange
 }
 
 // waveChange is a wave and the number of the change that a transaction stores.
@@ -165,7 +169,7 @@
 // mayCommit reports whether another transaction may be sent now.
 func (n *journal) mayCommit(now time.Time) bool {
 	limit := maxBatchesInFlight
-	if n.failing {
+	if n.failing || n.barrier.outdated {
 		limit = 1
 	}
 	if now.Before(n.retryAt) || len(n.batches) >= limit {
@@ -234,6 +238,7 @@
 	tx := beryllatch.RowTransaction{Conditions: []beryllatch.RowCondition{
 		{Table: DutyTable, Part: Part, Key: OwnerKey, Version: s.OwnerVersion},
 	}}
+	b.writesBarrier = n.barrier.guard(&tx, s.Epoch)
 	rows, size := 0, 0
 	for len(n.changedWorkers) > 0 && rows < maxBatchRows {
 		r := n.changedWorkers[0]
@@ -245,6 +250,9 @@
 		case r.version > 0:
 			r.stored = false
 			addDelete(&tx, WorkersTable, r.id, r.version)
+		case n.barrier.outdated:
+			// A transaction of unknown outcome may have stored the row; a conflict shows it.
+			addCondition(&tx, WorkersTable, r.id, 0)
 		default:
 			s.forgetWorkerRow(r)
 			continue
@@ -310,6 +318,9 @@
 	if e.Err == nil {
 		n.failing = false
 		s.recordProof(b.sentAt)
+		if b.writesBarrier {
+			n.barrier.observe(e.Version)
+		}
 		s.applyStored(b, e.Version)
 		return
 	}
@@ -422,6 +433,7 @@
 		s.resign("another node has taken over")
 		return
 	}
+	s.journal.barrier.observe(versions[id{BarrierTable, BarrierKey}])
 	for _, w := range b.workers {
 		w.row.version = versions[id{WorkersTable, w.row.id}]
 		w.row.stored = w.row.stored && w.row.version > 0
@@ -452,6 +464,7 @@
 	n.retryAt = s.now.Add(commitRetryPause)
 	if unknown {
 		n.retryAt = s.now
+		n.barrier.outdated = true
 	}
 	for _, bj := range b.jobs {
 		j := bj.job
--- a/internal/decision/berylscheduler/partition_node_test.go
+++ b/internal/decision/berylscheduler/partition_node_test.go
@@ -292,18 +292,18 @@
 		return
 	}
 	type rows struct {
-		jobs, progress, workers []beryllatch.DataRow
-		registry                []beryllatch.WorkerInfo
+		jobs, progress, workers, barrier []beryllatch.DataRow
+		registry                         []beryllatch.WorkerInfo
 	}
 	callStore(n, modelStoreTimeout, func(s *modelStore) rows {
-		return rows{s.table(JobsTable), s.table(ProgressTable), s.table(WorkersTable), n.model.registry()}
+		return rows{s.table(JobsTable), s.table(ProgressTable), s.table(WorkersTable), s.table(BarrierTable), n.model.registry()}
 	}, func(r rows, err error) {
 		if err != nil {
 			n.model.after(200*time.Millisecond, func() { n.recover(d, claimed, attempts-1) })
 			return
 		}
 		n.session = newModelSession(n, d, claimed)
-		n.session.begin(Recovered{Jobs: r.jobs, Progress: r.progress, Workers: r.workers}, r.registry)
+		n.session.begin(Recovered{Jobs: r.jobs, Progress: r.progress, Workers: r.workers, Barrier: r.barrier}, r.registry)
 		n.probeLater()
 	})
 }
--- a/internal/decision/berylscheduler/recover.go
+++ b/internal/decision/berylscheduler/recover.go
@@ -15,6 +15,9 @@
 // recover restores the state of the previous epoch from its rows. Tasks of the jobs may have runs already, so no task of a pool
 // starts before the pool's workers have listed their runs or their leases have expired.
 func (s *Scheduler) recover(e Recovered) {
+	for _, r := range e.Barrier {
+		s.journal.barrier.observe(r.Version)
+	}
 	for _, r := range e.Jobs {
 		var row jobRow
 		if err := json.Unmarshal(r.Value, &row); err != nil || row.ID != r.Key {
--- a/internal/decision/berylscheduler/row.go
+++ b/internal/decision/berylscheduler/row.go
@@ -132,8 +132,12 @@
 	return p, len(p.FailedRuns)+len(p.Done)+len(p.Tasks) > 0
 }
 
-func addPut(tx *beryllatch.RowTransaction, table, key string, version int64, value []byte) {
+func addCondition(tx *beryllatch.RowTransaction, table, key string, version int64) {
 	tx.Conditions = append(tx.Conditions, beryllatch.RowCondition{Table: table, Part: Part, Key: key, Version: version})
+}
+
+func addPut(tx *beryllatch.RowTransaction, table, key string, version int64, value []byte) {
+	addCondition(tx, table, key, version)
 	tx.Puts = append(tx.Puts, beryllatch.DataRow{Table: table, Part: Part, Key: key, Value: value})
 }
 
@@ -166,6 +170,11 @@
 	}
 	switch {
 	case j.rows.expired:
+		// Without its progress row, a job row that is left would be taken for a new job.
+		if j.rows.jobVersion > 0 {
+			addDelete(tx, JobsTable, j.ID, j.rows.jobVersion)
+			b.conditionOnJob = true
+		}
 		addDelete(tx, ProgressTable, j.ID, j.rows.progressVersion)
 		b.conditionOnProgress = true
 		return b, 0
@@ -173,6 +182,10 @@
 		b.deletesJobRow = true
 		addDelete(tx, JobsTable, j.ID, j.rows.jobVersion)
 		b.conditionOnJob = true
+	case b.storesFinal && j.rows.jobVersion == 0 && j.rows.outcomeUnknown:
+		// The job may have been stored before it ended; a conflict shows its row, which has to be deleted.
+		addCondition(tx, JobsTable, j.ID, 0)
+		b.conditionOnJob = true
 	case !b.storesFinal && j.rows.jobVersion == 0:
 		value := encodeJob(j)
 		addPut(tx, JobsTable, j.ID, 0, value)
--- a/internal/decision/berylscheduler/takeover_test.go
+++ b/internal/decision/berylscheduler/takeover_test.go
@@ -47,7 +47,7 @@
 func (h *harness) takeOver(r storedRows) *harness {
 	h.t.Helper()
 	next := &harness{t: h.t, now: h.now.Add(time.Second), version: h.version + 1000, answers: make(map[uint64]error), s: testScheduler(h.s.Epoch+1, 8)}
-	next.apply(Recovered{Jobs: r.table(JobsTable), Progress: r.table(ProgressTable), Workers: r.table(WorkersTable), Waves: r.table(WavesTable)})
+	next.apply(Recovered{Jobs: r.table(JobsTable), Progress: r.table(ProgressTable), Workers: r.table(WorkersTable), Waves: r.table(WavesTable), Barrier: r.table(BarrierTable)})
 	next.apply(DeploymentChanged{testDeployment()})
 	return next
 }
--- a/internal/node/beryljobs/echo_test.go
+++ b/internal/node/beryljobs/echo_test.go
@@ -473,7 +473,7 @@
 // A takeover must not continue from rows of an older state than its own claim: workers with runs would be missing.
 func TestTakeoverReadsNoOlderStateThanItsClaim(t *testing.T) {
 	for _, table := range []string{
-		berylscheduler.JobsTable, berylscheduler.ProgressTable, berylscheduler.WorkersTable, berylscheduler.WavesTable, plainView{}.WorkersTable(),
+		berylscheduler.JobsTable, berylscheduler.ProgressTable, berylscheduler.WorkersTable, berylscheduler.WavesTable, berylscheduler.BarrierTable, plainView{}.WorkersTable(),
 	} {
 		t.Run(table, func(t *testing.T) {
 			testCluster(t, 0, func(t *testing.T, c *cluster) {
--- a/internal/node/beryljobs/recovery.go
+++ b/internal/node/beryljobs/recovery.go
@@ -40,6 +40,10 @@
 			e.Waves, err = s.readTable(ctx, berylscheduler.WavesTable)
 			return err
 		},
+		func() (err error) {
+			e.Barrier, err = s.readTable(ctx, berylscheduler.BarrierTable)
+			return err
+		},
 		func() (err error) {
 			registry, s.registryVersion, err = s.readRegistry(ctx)
 			if err == nil {
