A job keeps the settings of its queue when the configuration drops it

Cause: six places looked the queue of a job up by name in the newest configuration, and passed the job over where the name was missing.

Change: a job holds the settings of its queue, of the newest configuration that has it or else the last known ones, stored with the job and its progress. Ceilings are kept in the same way.

--- a/fleet.go
+++ b/fleet.go
@@ -8,23 +8,23 @@
 
 // JobQueue is a queue for jobs in the platform's configuration.
 type JobQueue struct {
-	Name string
+	Name string `json:"name,omitempty"`
 	// Host and Prefix select the queue for a request: the request's host, and a prefix of its path.
-	Host   string
-	Prefix string
-	Pool   string
+	Host   string `json:"host,omitempty"`
+	Prefix string `json:"prefix,omitempty"`
+	Pool   string `json:"pool,omitempty"`
 	// Priority decides which queue's tasks are placed first; 0 is the highest.
-	Priority int
+	Priority int `json:"priority,omitempty"`
 	// MaxAttempts is the number of failed runs after which a task, and with it its job, has failed.
-	MaxAttempts int
+	MaxAttempts int `json:"max_attempts,omitempty"`
 	// Slack and Latency give the latency objective of a job: Slack times the duration of its longest chain of dependent
 	// steps, plus Latency.
-	Slack   float64
-	Latency time.Duration
+	Slack   float64       `json:"slack,omitempty"`
+	Latency time.Duration `json:"latency,omitempty"`
 	// Public is true if the queue accepts requests without a secret.
-	Public bool
+	Public bool `json:"public,omitempty"`
 	// Restricted is true if each start of a run needs a ticket from the PlacementAdvisor.
-	Restricted bool
+	Restricted bool `json:"restricted,omitempty"`
 }
 
 // JobPool is a pool of workers in the platform's configuration.
--- a/internal/decision/berylscheduler/advice.go
+++ b/internal/decision/berylscheduler/advice.go
@@ -36,10 +36,7 @@
 }
 
 // restricted reports whether a task of the step needs a ticket of the advisor to start.
-func (s *Scheduler) restricted(st *stepState) bool {
-	q, ok := s.queueOf(st.job)
-	return ok && q.Restricted
-}
+func (s *Scheduler) restricted(st *stepState) bool { return st.job.queue.Restricted }
 
 // ticket returns the valid ticket with which the worker may run tasks of the step, or an empty string.
 func (s *Scheduler) ticket(st *stepState, w *worker) string {
--- a/internal/decision/berylscheduler/arrival.go
+++ b/internal/decision/berylscheduler/arrival.go
@@ -28,7 +28,7 @@
 			work += float64(st.spec.ReservedCapacity().CPUMilli*st.spec.Count) * s.expectedDuration(st).Seconds()
 		}
 	}
-	s.fleet.arrivals = append(s.fleet.arrivals, arrival{s.now, j.pool, work})
+	s.fleet.arrivals = append(s.fleet.arrivals, arrival{s.now, j.queue.Pool, work})
 }
 
 // arrivingCPU returns, for each pool, the processor capacity in millicores that would keep up with the arriving work, averaged
--- a/internal/decision/berylscheduler/ceiling.go
+++ b/internal/decision/berylscheduler/ceiling.go
@@ -4,14 +4,11 @@
 
 // underCeiling reports whether the team stays within its ceiling if it uses the given resources in addition.
 func (s *Scheduler) underCeiling(team string, more beryllatch.Resources) bool {
-	t, ok := s.deployment.Teams[team]
-	if !ok {
-		return true
-	}
+	ceiling := s.ceiling(team)
 	used := s.team(team).used.Plus(s.unknownUse(team)).Plus(more)
 	within := func(used, limit int) bool { return limit == 0 || used <= limit }
-	return within(used.CPUMilli, t.Ceiling.CPUMilli) && within(used.MemoryMB, t.Ceiling.MemoryMB) &&
-		within(used.Accelerators, t.Ceiling.Accelerators)
+	return within(used.CPUMilli, ceiling.CPUMilli) && within(used.MemoryMB, ceiling.MemoryMB) &&
+		within(used.Accelerators, ceiling.Accelerators)
 }
 
 // unknownNeeds is what tasks need that may have runs which this epoch doesn't know yet. Fillers use processor time that a worker has given
@@ -54,11 +51,7 @@
 // addUnknownNeeds adds what the tasks of a job need that may have unknown runs. Steps that seem to wait for others count too: the epoch before
 // may have started them after ends that it couldn't store.
 func (s *Scheduler) addUnknownNeeds(j *job) {
-	pool := j.pool
-	if q, ok := s.queueOf(j); ok {
-		pool = q.Pool
-	}
-	if s.jobSynced(j, pool) {
+	if s.jobSynced(j, j.queue.Pool) {
 		return
 	}
 	needs := s.unknownNeeds[j.Team]
--- a/internal/decision/berylscheduler/job.go
+++ b/internal/decision/berylscheduler/job.go
@@ -15,8 +15,11 @@
 	endedAt time.Time
 	// recovered is true for jobs of an earlier epoch: they may have runs that this epoch does not know yet.
 	recovered bool
-	// pool is the pool of the job's queue at the time of acceptance.
-	pool        string
+	// queue holds the settings of the job's queue in the last configuration that had it, acceptedQueue those at its acceptance.
+	queue, acceptedQueue beryllatch.JobQueue
+	// acceptedCeiling is the ceiling of the job's team at its acceptance.
+	acceptedCeiling beryllatch.Resources
+
 	occurrences []*occurrence
 	// openedOccurrences counts the occurrences that have become due.
 	openedOccurrences int
@@ -260,7 +263,7 @@
 	}
 	*failed = append(*failed, n)
 	s.markChanged(st.job)
-	if q, ok := s.queueOf(st.job); ok && len(*failed) >= q.MaxAttempts {
+	if limit := st.job.queue.MaxAttempts; limit > 0 && len(*failed) >= limit {
 		s.endJob(st.job, beryllatch.JobFailed, "no attempt is left for "+t.name)
 	}
 }
@@ -284,7 +287,7 @@
 func (s *Scheduler) Pending(queue string) int {
 	n := 0
 	for _, j := range s.active {
-		if j.Queue == queue && !j.started && j.rows.jobStored {
+		if s.countsFor(j, queue) && !j.started && j.rows.jobStored {
 			n++
 		}
 	}
@@ -312,7 +315,7 @@
 func (s *Scheduler) deleteJobRows() {
 	s.unsyncedPools = s.findUnsyncedPools()
 	s.jobRowsToDelete = slices.DeleteFunc(s.jobRowsToDelete, func(j *job) bool {
-		if j.bookedRuns > 0 || !j.rows.finalStored || !s.jobSynced(j, j.pool) {
+		if j.bookedRuns > 0 || !j.rows.finalStored || !s.jobSynced(j, j.queue.Pool) {
 			return false
 		}
 		if j.rows.jobVersion > 0 {
--- a/internal/decision/berylscheduler/label.go
+++ b/internal/decision/berylscheduler/label.go
@@ -11,11 +11,10 @@
 func (s *Scheduler) countLabelShortages(pools map[string]*poolDemand, instanceCPU int) {
 	found := false
 	for _, j := range s.active {
-		q, ok := s.queueOf(j)
-		if !ok || !j.rows.jobStored || pools[q.Pool] == nil {
+		p := pools[j.queue.Pool]
+		if p == nil || !j.rows.jobStored {
 			continue
 		}
-		p := pools[q.Pool]
 		for _, st := range j.waitingSteps {
 			if label := st.spec.RequiredLabel; label != "" {
 				if p.labelShortage == nil {
--- a/internal/decision/berylscheduler/place.go
+++ b/internal/decision/berylscheduler/place.go
@@ -89,8 +89,8 @@
 		if !j.rows.jobStored {
 			continue
 		}
-		q, ok := s.queueOf(j)
-		if !ok || pools[q.Pool] == nil || len(pools[q.Pool].workers) == 0 || !s.jobSynced(j, q.Pool) {
+		q := j.queue
+		if pools[q.Pool] == nil || len(pools[q.Pool].workers) == 0 || !s.jobSynced(j, q.Pool) {
 			continue
 		}
 		for o, st := range j.waitingSteps {
--- a/internal/decision/berylscheduler/place_need.go
+++ b/internal/decision/berylscheduler/place_need.go
@@ -73,15 +73,14 @@
 		}
 	}
 	for _, j := range s.active {
-		q, ok := s.queueOf(j)
-		if !ok || !j.rows.jobStored {
+		if !j.rows.jobStored {
 			continue
 		}
 		for _, st := range j.waitingSteps {
 			if !s.underCeiling(j.Team, st.spec.Needs) {
 				continue
 			}
-			missing, labelled := s.missingPlaces(st, q.Pool, 0)
+			missing, labelled := s.missingPlaces(st, j.queue.Pool, 0)
 			switch {
 			case missing <= 0:
 				st.shortSince = time.Time{}
@@ -90,18 +89,18 @@
 				st.shortSince = s.now
 			}
 			if !labelled || s.now.Sub(st.shortSince) >= reserveAfter {
-				add(q.Pool, st, missing)
+				add(j.queue.Pool, st, missing)
 			}
 		}
 	}
 	for st, at := range s.fleet.alternatives {
-		q, ok := s.queueOf(st.job)
-		if !ok || s.now.Sub(at) > alternativeTime {
+		pool := st.job.queue.Pool
+		if s.now.Sub(at) > alternativeTime {
 			delete(s.fleet.alternatives, st)
 			continue
 		}
-		if missing, _ := s.missingPlaces(st, q.Pool, 1); missing > 0 {
-			add(q.Pool, st, missing)
+		if missing, _ := s.missingPlaces(st, pool, 1); missing > 0 {
+			add(pool, st, missing)
 		}
 	}
 	return needs
--- a/internal/decision/berylscheduler/pool.go
+++ b/internal/decision/berylscheduler/pool.go
@@ -267,21 +267,20 @@
 		}
 	}
 	room := make(map[string]int)
-	for name, t := range s.deployment.Teams {
-		room[name] = t.Ceiling.CPUMilli - s.team(name).used.CPUMilli
+	for name, t := range s.teams {
+		room[name] = s.ceiling(name).CPUMilli - t.used.CPUMilli
 	}
 	for _, j := range s.active {
-		q, ok := s.queueOf(j)
-		if !ok || !j.rows.jobStored {
+		if !j.rows.jobStored {
 			continue
 		}
 		for _, st := range j.waitingSteps {
 			cpu := st.spec.ReservedCapacity().CPUMilli * st.tasksWaiting
-			if t, ok := s.deployment.Teams[j.Team]; ok && t.Ceiling.CPUMilli > 0 {
+			if s.ceiling(j.Team).CPUMilli > 0 {
 				cpu = min(cpu, max(room[j.Team], 0))
 				room[j.Team] -= cpu
 			}
-			needs[q.Pool] += cpu
+			needs[j.queue.Pool] += cpu
 		}
 	}
 	return needs
--- a/internal/decision/berylscheduler/prepare.go
+++ b/internal/decision/berylscheduler/prepare.go
@@ -72,12 +72,12 @@
 		}
 	}
 	for _, j := range s.active {
-		q, ok := s.queueOf(j)
-		if !ok || pools[q.Pool] == nil || len(pools[q.Pool].unprepared) == 0 {
+		p := pools[j.queue.Pool]
+		if p == nil || len(p.unprepared) == 0 {
 			continue
 		}
 		for _, st := range j.waitingSteps {
-			pools[q.Pool].addDemand(s, st)
+			p.addDemand(s, st)
 		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(pools)) {
--- a/internal/decision/berylscheduler/recover.go
+++ b/internal/decision/berylscheduler/recover.go
@@ -26,7 +26,8 @@
 			continue
 		}
 		j := newJob(row.Job)
-		j.pool, j.recovered = row.Pool, true
+		j.acceptedQueue, j.acceptedCeiling, j.recovered = row.queue(), row.Ceiling, true
+		j.queue = j.acceptedQueue
 		j.rows = jobRows{jobVersion: r.Version, latestChange: 1, storedChange: 1, jobStored: true}
 		s.jobs[j.ID] = j
 	}
@@ -54,6 +55,9 @@
 	slices.SortFunc(s.active, func(a, b *job) int {
 		return cmp.Or(a.Accepted.Compare(b.Accepted), strings.Compare(a.ID, b.ID))
 	})
+	for _, j := range s.active {
+		s.team(j.Team).lastCeiling = j.acceptedCeiling
+	}
 	for _, r := range e.Workers {
 		var info beryllatch.WorkerInfo
 		if err := json.Unmarshal(r.Value, &info); err != nil {
@@ -121,6 +125,9 @@
 		j.endedAt = notAfterNow(time.UnixMilli(row.Ended), s.now)
 		return
 	}
+	if row.QueueSettings != nil {
+		j.queue = *row.QueueSettings
+	}
 	for _, done := range row.Steps.Done {
 		for k := max(done[0], 0); k <= min(done[1], len(j.occurrences)-1); k++ {
 			for i := range j.Steps {
@@ -176,7 +183,7 @@
 // jobSynced reports whether the scheduler knows all runs that earlier epochs may have started for the job: no worker of the
 // given pool, or of the job's pool at acceptance, was unsynced when unsyncedPools was computed.
 func (s *Scheduler) jobSynced(j *job, pool string) bool {
-	return !j.recovered || !s.unsyncedPools[pool] && !s.unsyncedPools[j.pool]
+	return !j.recovered || !s.unsyncedPools[pool] && !s.unsyncedPools[j.acceptedQueue.Pool]
 }
 
 // findUnsyncedPools returns the pools with unsynced workers, which may have runs of an earlier epoch.
--- a/internal/decision/berylscheduler/row.go
+++ b/internal/decision/berylscheduler/row.go
@@ -12,9 +12,24 @@
 type jobRow struct {
 	beryllatch.Job
 	Pool string `json:"pool"`
+	// QueueSettings holds the settings of the queue at the job's acceptance, without its name and pool. Rows of earlier programs lack it.
+	QueueSettings beryllatch.JobQueue `json:"queue_settings,omitzero"`
+	// Ceiling is the ceiling of the job's team at its acceptance.
+	Ceiling beryllatch.Resources `json:"ceiling,omitzero"`
 }
 
-func encodeJob(j *job) []byte { return mustEncode(jobRow{j.Job, j.pool}) }
+func encodeJob(j *job) []byte {
+	row := jobRow{Job: j.Job, Pool: j.acceptedQueue.Pool, QueueSettings: j.acceptedQueue, Ceiling: j.acceptedCeiling}
+	row.QueueSettings.Name, row.QueueSettings.Pool = "", ""
+	return mustEncode(row)
+}
+
+// queue returns the settings of the queue at the job's acceptance.
+func (r *jobRow) queue() beryllatch.JobQueue {
+	q := r.QueueSettings
+	q.Name, q.Pool = r.Queue, r.Pool
+	return q
+}
 
 // mustEncode encodes types of this package as JSON; none of them has a field that cannot be encoded.
 func mustEncode(v any) []byte {
@@ -32,6 +47,8 @@
 	Ended int64 `json:"ended,omitempty"`
 	// Queue is set for final jobs, whose job row is deleted.
 	Queue string `json:"queue,omitempty"`
+	// QueueSettings holds the last known settings of the queue, if they differ from those at the job's acceptance.
+	QueueSettings *beryllatch.JobQueue `json:"queue_settings,omitempty"`
 	// Steps is the progress of a job that has not ended.
 	Steps progressSteps `json:"steps,omitzero"`
 }
@@ -89,6 +106,9 @@
 		row.Ended, row.Queue = j.endedAt.UnixMilli(), j.Queue
 		return mustEncode(row)
 	}
+	if j.queue != j.acceptedQueue {
+		row.QueueSettings = &j.queue
+	}
 	for _, o := range j.occurrences {
 		if o == nil {
 			continue
--- a/internal/decision/berylscheduler/scheduler.go
+++ b/internal/decision/berylscheduler/scheduler.go
@@ -130,6 +130,8 @@
 type teamUsage struct {
 	used  beryllatch.Resources
 	share teamShare
+	// lastCeiling is the team's ceiling in the last configuration that had the team.
+	lastCeiling beryllatch.Resources
 }
 
 // Apply handles an event and returns the effects to carry out; the slice is valid until the next call.
@@ -191,8 +193,7 @@
 		if s.deployment != nil && e.Deployment.Version < s.deployment.Version {
 			return
 		}
-		s.deployment = e.Deployment
-		s.placementDue = true
+		s.changeDeployment(e.Deployment)
 	case OperationsChanged:
 		s.operations = e.Operations
 		s.updateWaves()
@@ -282,15 +283,6 @@
 	return t
 }
 
-// queueOf returns the queue of a job, and false if the configuration no longer has it.
-func (s *Scheduler) queueOf(j *job) (beryllatch.JobQueue, bool) {
-	if s.deployment == nil {
-		return beryllatch.JobQueue{}, false
-	}
-	q, ok := s.deployment.Queues[j.Queue]
-	return q, ok
-}
-
 // leaseLength returns the length of the leases that the scheduler grants now, 0 for none. A successor counts the leases of workers that it
 // can't reach as expired when the longest possible one has passed since it took over, which may have been right after provenAt.
 func (s *Scheduler) leaseLength() time.Duration {
--- a/internal/decision/berylscheduler/submit.go
+++ b/internal/decision/berylscheduler/submit.go
@@ -20,9 +20,8 @@
 	}
 	e.Job.Accepted = s.now
 	j := newJob(e.Job)
-	if q, ok := s.queueOf(j); ok {
-		j.pool = q.Pool
-	}
+	j.queue = s.deployment.Queues[j.Queue]
+	j.acceptedQueue, j.acceptedCeiling = j.queue, s.ceiling(j.Team)
 	j.exceedsShare = s.takeFromShare(j.Team)
 	s.jobs[j.ID] = j
 	s.active = append(s.active, j)
@@ -47,7 +46,8 @@
 	if s.deployment == nil {
 		return &beryllatch.Refusal{Reason: beryllatch.ReasonNodeStale, RunState: beryllatch.RunStateNotRun, RetryAfter: outageRetryAfter}
 	}
-	if _, ok := s.deployment.Queues[j.Queue]; !ok {
+	q, ok := s.deployment.Queues[j.Queue]
+	if !ok {
 		return &beryllatch.Refusal{
 			Reason: beryllatch.ReasonNodeStale, RunState: beryllatch.RunStateNotRun, RetryAfter: outageRetryAfter,
 			Detail: fmt.Sprintf("queue %q is not in version %d of the configuration", j.Queue, s.deployment.Version),
@@ -64,7 +64,7 @@
 	if n.unavailable(s.now) && (len(n.batches) > 0 || s.now.Before(n.retryAt)) {
 		return notStoredRefusal()
 	}
-	if size := len(encodeJob(&job{Job: *j})); s.Limits.RowBytes > 0 && size > s.Limits.RowBytes {
+	if size := len(encodeJob(&job{Job: *j, acceptedQueue: q, acceptedCeiling: s.ceiling(j.Team)})); s.Limits.RowBytes > 0 && size > s.Limits.RowBytes {
 		return &beryllatch.Refusal{
 			Reason: beryllatch.ReasonBadRequest, RunState: beryllatch.RunStateNotRun,
 			Detail: fmt.Sprintf("the job takes %d bytes; %d are allowed", size, s.Limits.RowBytes),
--- a/internal/decision/berylscheduler/takeover_test.go
+++ b/internal/decision/berylscheduler/takeover_test.go
@@ -45,10 +45,16 @@
 
 // takeOver returns a harness for the next epoch, recovered from the stored rows; it has no registered workers yet.
 func (h *harness) takeOver(r storedRows) *harness {
+	h.t.Helper()
+	return h.takeOverWith(r, testDeployment())
+}
+
+// takeOverWith is as takeOver with another configuration than the test's.
+func (h *harness) takeOverWith(r storedRows, d *beryllatch.Deployment) *harness {
 	h.t.Helper()
 	next := &harness{t: h.t, now: h.now.Add(time.Second), version: h.version + 1000, answers: make(map[uint64]error), s: testScheduler(h.s.Epoch+1, 8)}
 	next.apply(Recovered{Jobs: r.table(JobsTable), Progress: r.table(ProgressTable), Workers: r.table(WorkersTable), Waves: r.table(WavesTable), Barrier: r.table(BarrierTable)})
-	next.apply(DeploymentChanged{testDeployment()})
+	next.apply(DeploymentChanged{d})
 	return next
 }
 
