A pool is stored with the job before its first start there

Cause: a takeover waited for the workers of two pools of a job, that of its queue now and the one at its acceptance. A pool in between was on record nowhere.

Change: a pool to which the queue was moved is stored with the job's progress before the first start there. Takeovers, ceilings and the rows of cancelled jobs go by that set. The row of a worker names the pool in which it registers now before it gets a run.

TestUnknownRunsOfAnotherPoolHoldNothingUp forged a worker of another pool by its registration alone; it now forges the stored pool, too, and checks the same.

--- a/internal/decision/berylscheduler/ceiling.go
+++ b/internal/decision/berylscheduler/ceiling.go
@@ -51,7 +51,7 @@
 // addUnknownNeeds adds what the tasks of a job need that may have unknown runs. Steps that seem to wait for others count too: the epoch before
 // may have started them after ends that it couldn't store.
 func (s *Scheduler) addUnknownNeeds(j *job) {
-	if s.jobSynced(j, j.queue.Pool) {
+	if s.jobSynced(j) {
 		return
 	}
 	needs := s.unknownNeeds[j.Team]
--- a/internal/decision/berylscheduler/job.go
+++ b/internal/decision/berylscheduler/job.go
@@ -17,6 +17,10 @@
 	recovered bool
 	// queue holds the settings of the job's queue in the last configuration that had it, acceptedQueue those at its acceptance.
 	queue, acceptedQueue beryllatch.JobQueue
+	// movedPools holds the other pools than that of acceptedQueue in which runs may have been ordered, since the queue was moved;
+	// movedPoolsChange is the change that added the last one.
+	movedPools       []string
+	movedPoolsChange uint64
 	// acceptedCeiling is the ceiling of the job's team at its acceptance.
 	acceptedCeiling beryllatch.Resources
 
@@ -315,7 +319,7 @@
 func (s *Scheduler) deleteJobRows() {
 	s.unsyncedPools = s.findUnsyncedPools()
 	s.jobRowsToDelete = slices.DeleteFunc(s.jobRowsToDelete, func(j *job) bool {
-		if j.bookedRuns > 0 || !j.rows.finalStored || !s.jobSynced(j, j.queue.Pool) {
+		if j.bookedRuns > 0 || !j.rows.finalStored || !s.jobSynced(j) {
 			return false
 		}
 		if j.rows.jobVersion > 0 {
--- a/internal/decision/berylscheduler/journal.go
+++ b/internal/decision/berylscheduler/journal.go
@@ -115,7 +115,8 @@
 	id string
 	// version is the version of the stored row, 0 if there is none.
 	version int64
-	// stored is true while the store certainly has the row: from a confirmed write to the next attempt to delete it.
+	// stored is true while the store certainly has the row: from a confirmed write of its value to the next attempt to delete it, or
+	// until the worker has another pool.
 	stored bool
 	// value is what the row should contain; nil means that it should not exist.
 	value    []byte
@@ -355,7 +356,7 @@
 
 func (s *Scheduler) applyStored(b *batch, version int64) {
 	for _, w := range b.workers {
-		w.row.version, w.row.stored = version, w.value != nil
+		w.row.version, w.row.stored = version, w.value != nil && bytes.Equal(w.row.value, w.value)
 		if w.value == nil {
 			w.row.version = 0
 			if w.row.value == nil {
@@ -390,6 +391,7 @@
 		if bj.change > 1 || bj.storesFinal {
 			j.rows.progressVersion = version
 		}
+		s.placementDue = s.placementDue || j.movedPoolsChange > j.rows.storedChange
 		if !j.rows.jobStored {
 			j.rows.jobStored = true
 			s.placementDue = true
--- a/internal/decision/berylscheduler/place.go
+++ b/internal/decision/berylscheduler/place.go
@@ -90,10 +90,13 @@
 			continue
 		}
 		q := j.queue
-		if pools[q.Pool] == nil || len(pools[q.Pool].workers) == 0 || !s.jobSynced(j, q.Pool) {
+		if pools[q.Pool] == nil || len(pools[q.Pool].workers) == 0 || !s.jobSynced(j) {
 			continue
 		}
 		for o, st := range j.waitingSteps {
+			if !s.mayStartIn(j, q.Pool) {
+				break
+			}
 			if st.spec.LongRunning || !st.blockedSince.IsZero() || st.spec.ReservedCapacity().Fits(pools[q.Pool].maxFree) {
 				out = append(out, s.candidate(q, st, o))
 			}
--- a/internal/decision/berylscheduler/proof_test.go
+++ b/internal/decision/berylscheduler/proof_test.go
@@ -152,7 +152,7 @@
 	h.storeInto(stored)
 	next := h.takeOver(stored)
 	for _, w := range next.s.sortedWorkers {
-		w.info.Pool = "other"
+		w.info.Pool, w.storedPool = "other", "other"
 	}
 	silent := next.s.sortedWorkers[0].info.ID
 	next.apply(RegistryChanged{Workers: []beryllatch.WorkerInfo{workerInfo("z")}})
--- a/internal/decision/berylscheduler/recover.go
+++ b/internal/decision/berylscheduler/recover.go
@@ -67,7 +67,7 @@
 		row := s.journal.workerRow(info.ID)
 		row.version, row.value, row.stored = r.Version, r.Value, true
 		s.addWorker(&worker{
-			incarnation: incarnation{discoveredAt: s.now}, info: info, leasesExpireBy: s.foreignLeasesExpireBy(s.now), idleSince: s.now,
+			incarnation: incarnation{discoveredAt: s.now}, info: info, storedPool: info.Pool, leasesExpireBy: s.foreignLeasesExpireBy(s.now), idleSince: s.now,
 		})
 	}
 	s.recoverWaves(e.Waves)
@@ -119,6 +119,7 @@
 		s.jobs[r.Key] = j
 	}
 	j.rows.progressVersion, j.rows.latestChange, j.rows.storedChange = r.Version, 2, 2
+	j.movedPools = row.MovedPools
 	if row.State.Final() {
 		j.state, j.rows.finalStored = row.State, true
 		// On a node whose clock differs, the job must not be kept much longer or deleted early.
@@ -180,18 +181,38 @@
 	j.started = j.started || len(p.Done) > 0 || p.AllDone
 }
 
-// jobSynced reports whether the scheduler knows all runs that earlier epochs may have started for the job: no worker of the
-// given pool, or of the job's pool at acceptance, was unsynced when unsyncedPools was computed.
-func (s *Scheduler) jobSynced(j *job, pool string) bool {
-	return !j.recovered || !s.unsyncedPools[pool] && !s.unsyncedPools[j.acceptedQueue.Pool]
+// mayStartIn reports whether runs of the job may be ordered in the pool. A pool to which the queue was moved is stored with the job first,
+// so that a node that takes over knows all pools in which the job may have runs.
+func (s *Scheduler) mayStartIn(j *job, pool string) bool {
+	switch {
+	case pool == j.acceptedQueue.Pool:
+		return true
+	case slices.Contains(j.movedPools, pool):
+		return j.rows.storedChange >= j.movedPoolsChange
+	}
+	j.movedPools = append(j.movedPools, pool)
+	s.markChanged(j)
+	j.movedPoolsChange = j.rows.latestChange
+	return false
+}
+
+// jobSynced reports whether the scheduler knows all runs that earlier epochs may have started for the job: no worker of a pool in which
+// they may have ordered one, or of the queue's present pool, was unsynced when unsyncedPools was computed.
+func (s *Scheduler) jobSynced(j *job) bool {
+	return !j.recovered || !s.unsyncedPools[j.queue.Pool] && !s.unsyncedPools[j.acceptedQueue.Pool] &&
+		!slices.ContainsFunc(j.movedPools, func(p string) bool { return s.unsyncedPools[p] })
 }
 
-// findUnsyncedPools returns the pools with unsynced workers, which may have runs of an earlier epoch.
+// findUnsyncedPools returns the pools with unsynced workers, which may have runs of an earlier epoch: by their rows, and by their
+// registrations, since a worker may have started again in another pool.
 func (s *Scheduler) findUnsyncedPools() map[string]bool {
 	out := make(map[string]bool)
 	for _, w := range s.sortedWorkers {
 		if !w.synced {
 			out[w.info.Pool] = true
+			if w.storedPool != "" {
+				out[w.storedPool] = true
+			}
 		}
 	}
 	return out
--- a/internal/decision/berylscheduler/row.go
+++ b/internal/decision/berylscheduler/row.go
@@ -49,6 +49,8 @@
 	Queue string `json:"queue,omitempty"`
 	// QueueSettings holds the last known settings of the queue, if they differ from those at the job's acceptance.
 	QueueSettings *beryllatch.JobQueue `json:"queue_settings,omitempty"`
+	// MovedPools is as in job.
+	MovedPools []string `json:"moved_pools,omitempty"`
 	// Steps is the progress of a job that has not ended.
 	Steps progressSteps `json:"steps,omitzero"`
 }
@@ -101,7 +103,7 @@
 }
 
 func encodeProgress(j *job) []byte {
-	row := progressRow{State: j.state}
+	row := progressRow{State: j.state, MovedPools: j.movedPools}
 	if j.state.Final() {
 		row.Ended, row.Queue = j.endedAt.UnixMilli(), j.Queue
 		return mustEncode(row)
--- a/internal/decision/berylscheduler/worker.go
+++ b/internal/decision/berylscheduler/worker.go
@@ -24,6 +24,8 @@
 	// row is the worker's row, shared by all incarnations of its ID. The worker gets no runs before the row is stored, see
 	// prepareWorkers.
 	row *workerRow
+	// storedPool is the pool in the row of an earlier epoch.
+	storedPool string
 	// runs holds the booked runs. An order may have reached any incarnation, so that only lists, or leases that have expired, end
 	// a booking.
 	runs map[runID]*run
@@ -145,10 +147,14 @@
 	if i.Draining && !w.info.Draining {
 		s.emit(Decision{Name: "worker_draining", Worker: i.ID})
 	}
-	moved := i.Address != w.info.Address
+	changed := i.Address != w.info.Address || i.Pool != w.info.Pool
+	if i.Pool != w.info.Pool {
+		// By the stored row, a node that takes over would look for the worker's runs in another pool.
+		w.row.stored = false
+	}
 	w.info, w.registered = i, true
 	s.fleet.workerByInstance = nil
-	if moved && w.prepared() {
+	if changed && w.prepared() {
 		s.journal.setWorkerRow(i.ID, w.encode())
 	}
 	s.placementDue = true
