Steps of a job are open when they can start, in bounded number

Cause: all tasks of all due occurrences were created at once, and each pass and each encoding of the progress went through them.

Change: occurrences are ranges of numbers for each step; only steps that can start or run have tasks in memory, up to a limit for each step number and a share of a limit over all jobs. Overdue occurrences take their turn by when they were opened. Steps without a run wait while the progress row is half full.

--- /dev/null
+++ b/internal/common/berylrange/doc.go
@@ -0,0 +1,2 @@
+// Package berylrange holds sets of integers that consist of few ranges.
+package berylrange
--- a/internal/decision/berylscheduler/advice.go
+++ b/internal/decision/berylscheduler/advice.go
@@ -18,6 +18,8 @@
 
 // stepAdvice holds the advisor's answers about a step of a restricted queue.
 type stepAdvice struct {
+	job     string
+	step    stepKey
 	tickets map[string]ticket
 	// denied holds the workers for which the advisor gave no ticket; they are not asked about again.
 	denied  map[string]bool
@@ -65,7 +67,7 @@
 	key := adviceKey(st)
 	a := s.advice[key]
 	if a == nil {
-		a = &stepAdvice{tickets: make(map[string]ticket), denied: make(map[string]bool)}
+		a = &stepAdvice{job: st.job.ID, step: stepKey{st.occurrence, st.number}, tickets: make(map[string]ticket), denied: make(map[string]bool)}
 		s.advice[key] = a
 	}
 	if a.pending || s.now.Before(a.retryAt) {
@@ -123,11 +125,10 @@
 	}
 }
 
-// expireAdvice deletes the advice on steps of finished jobs.
+// expireAdvice deletes the advice on steps that are done or whose job is finished.
 func (s *Scheduler) expireAdvice() {
 	for key, a := range s.advice {
-		id, _, _ := strings.Cut(key, ".")
-		if j := s.jobs[id]; !a.pending && (j == nil || j.state.Final()) {
+		if j := s.jobs[a.job]; !a.pending && (j == nil || j.state.Final() || j.isDone(a.step)) {
 			delete(s.advice, key)
 		}
 	}
--- a/internal/decision/berylscheduler/arrival.go
+++ b/internal/decision/berylscheduler/arrival.go
@@ -23,9 +23,9 @@
 // recordArrival adds the work of an accepted job to the arrivals; long-running steps don't count.
 func (s *Scheduler) recordArrival(j *job) {
 	work := 0.0
-	for _, st := range j.open(0).steps {
-		if !st.spec.LongRunning {
-			work += float64(st.spec.ReservedCapacity().CPUMilli*st.spec.Count) * s.expectedDuration(st).Seconds()
+	for i := range j.Steps {
+		if spec := &j.Steps[i]; !spec.LongRunning {
+			work += float64(spec.ReservedCapacity().CPUMilli*spec.Count) * s.expectedDuration(j, spec).Seconds()
 		}
 	}
 	s.fleet.arrivals = append(s.fleet.arrivals, arrival{s.now, j.queue.Pool, work})
--- a/internal/decision/berylscheduler/ceiling.go
+++ b/internal/decision/berylscheduler/ceiling.go
@@ -55,21 +55,25 @@
 		return
 	}
 	needs := s.unknownNeeds[j.Team]
-	for _, o := range j.occurrences {
-		if o == nil || o.stepsLeft == 0 {
-			continue
+	add := func(spec *beryllatch.JobStep, tasks int) {
+		if spec.Filler {
+			needs.fillers = needs.fillers.Plus(spec.Needs.Times(tasks))
+		} else {
+			needs.others = needs.others.Plus(spec.Needs.Times(tasks))
 		}
-		for _, st := range o.steps {
-			tasks := st.tasksWaiting
-			if st.spec.Speculative {
-				// A task with a known run may have a second one.
-				tasks = st.tasksLeft
-			}
-			if st.spec.Filler {
-				needs.fillers = needs.fillers.Plus(st.spec.Needs.Times(tasks))
-			} else {
-				needs.others = needs.others.Plus(st.spec.Needs.Times(tasks))
-			}
+	}
+	for n, p := range j.steps {
+		add(&j.Steps[n], (j.due-p.done.Within(0, j.due-1).Len())*j.Steps[n].Count)
+	}
+	for _, st := range j.open {
+		tasks := st.tasksWaiting
+		if st.spec.Speculative {
+			// A task with a known run may have a second one.
+			tasks = st.tasksLeft
+		}
+		add(st.spec, tasks)
+		if st.occurrence < j.due {
+			add(st.spec, -st.spec.Count)
 		}
 	}
 	s.unknownNeeds[j.Team] = needs
--- a/internal/decision/berylscheduler/job.go
+++ b/internal/decision/berylscheduler/job.go
@@ -24,10 +24,15 @@
 	// acceptedCeiling is the ceiling of the job's team at its acceptance.
 	acceptedCeiling beryllatch.Resources
 
-	occurrences []*occurrence
-	// openedOccurrences counts the occurrences that have become due.
-	openedOccurrences int
-	started           bool
+	// steps holds the progress by step number, over all occurrences: the passes through all steps, of which a repeated job has several.
+	steps []stepProgress
+	// open holds the open steps, by occurrence and number.
+	open []*stepState
+	// rowIsFull is true while steps that have not started wait for room in the progress row.
+	rowIsFull bool
+	// due counts the occurrences that have become due.
+	due     int
+	started bool
 	// heldBack is true if the stored rows of the job can't be read.
 	heldBack bool
 	// exceedsShare marks a job that was accepted when its team had used up its share.
@@ -38,39 +43,6 @@
 	rows jobRows
 }
 
-// occurrence is one pass through all steps of a job; a repeated job has several.
-type occurrence struct {
-	number    int
-	due       time.Time
-	steps     []*stepState
-	stepsLeft int
-}
-
-// stepState is the state of one step in one occurrence.
-type stepState struct {
-	job        *job
-	occurrence int
-	number     int
-	spec       *beryllatch.JobStep
-	tasks      []*task
-	// tasksLeft counts the tasks that are not done.
-	tasksLeft int
-	// tasksWaiting counts the tasks that are not done and have no run.
-	tasksWaiting int
-	// failedRuns holds the numbers of the failed runs of a gang.
-	failedRuns []int
-	lastRun    int
-	durations  stepDurations
-	// blockedSince is when a task of the step first found no room since the last start; reservedWorker is the worker that was
-	// last kept free for the step.
-	blockedSince   time.Time
-	reservedWorker *worker
-	// shortSince is since when the pool has had too few workers that can take the step's waiting tasks.
-	shortSince time.Time
-	// waitLoggedAt is when the wait was last logged.
-	waitLoggedAt time.Time
-}
-
 // task is one task of a step. It normally has one run at a time, a speculative task up to two.
 type task struct {
 	step  *stepState
@@ -96,70 +68,7 @@
 
 // newJob returns a queued job without progress.
 func newJob(j beryllatch.Job) *job {
-	n := &job{Job: j, state: beryllatch.JobQueued}
-	n.occurrences = make([]*occurrence, j.Occurrences())
-	return n
-}
-
-// open creates the steps and tasks of occurrence k, unless they exist.
-func (j *job) open(k int) *occurrence {
-	if o := j.occurrences[k]; o != nil {
-		return o
-	}
-	o := &occurrence{number: k, due: j.First.Add(time.Duration(k) * j.Interval), stepsLeft: len(j.Steps)}
-	if j.Repeat == 0 {
-		o.due = j.Accepted
-	}
-	for i := range j.Steps {
-		spec := &j.Steps[i]
-		step := &stepState{job: j, occurrence: k, number: i, spec: spec, tasksLeft: spec.Count, tasksWaiting: spec.Count}
-		for n := range spec.Count {
-			t := &task{step: step, index: n}
-			t.name = t.key().String()
-			step.tasks = append(step.tasks, t)
-		}
-		o.steps = append(o.steps, step)
-	}
-	j.occurrences[k] = o
-	return o
-}
-
-// ready reports whether all steps that this one depends on are done.
-func (st *stepState) ready() bool {
-	o := st.job.occurrences[st.occurrence]
-	for _, a := range st.spec.After {
-		if o.steps[a].tasksLeft > 0 {
-			return false
-		}
-	}
-	return true
-}
-
-// waitingSteps yields the steps of due occurrences that are ready and have tasks without a run.
-func (j *job) waitingSteps(yield func(*occurrence, *stepState) bool) {
-	for _, o := range j.occurrences[:j.openedOccurrences] {
-		if o == nil || o.stepsLeft == 0 {
-			continue
-		}
-		for _, st := range o.steps {
-			if st.tasksWaiting > 0 && st.tasksLeft > 0 && st.ready() && !yield(o, st) {
-				return
-			}
-		}
-	}
-}
-
-// openOccurrences opens the occurrences that have become due.
-func (s *Scheduler) openOccurrences(j *job) {
-	for j.openedOccurrences < len(j.occurrences) {
-		k := j.openedOccurrences
-		if j.Repeat > 0 && s.now.Before(j.First.Add(time.Duration(k)*j.Interval)) {
-			return
-		}
-		j.open(k)
-		j.openedOccurrences++
-		s.placementDue = true
-	}
+	return &job{Job: j, state: beryllatch.JobQueued, steps: make([]stepProgress, len(j.Steps))}
 }
 
 // findTask returns the task with the given name, or nil.
@@ -169,10 +78,10 @@
 		return nil
 	}
 	j := s.jobs[k.Job]
-	if j == nil || k.Occurrence >= len(j.occurrences) || k.Step >= len(j.Steps) || k.Index >= j.Steps[k.Step].Count {
+	if j == nil || k.Occurrence >= j.Occurrences() || k.Step >= len(j.Steps) || k.Index >= j.Steps[k.Step].Count {
 		return nil
 	}
-	return j.open(k.Occurrence).steps[k.Step].tasks[k.Index]
+	return j.step(stepKey{k.Occurrence, k.Step}, s.now).tasks[k.Index]
 }
 
 // finishTask marks a task as done, and ends the job if it was the last task.
@@ -203,15 +112,13 @@
 	if st.tasksLeft > 0 {
 		return
 	}
-	o := j.occurrences[st.occurrence]
-	o.stepsLeft--
+	j.finish(stepKey{st.occurrence, st.number})
 	s.placementDue = true
-	for _, o := range j.occurrences {
-		if o == nil || o.stepsLeft > 0 {
-			return
-		}
+	if j.isFinished() {
+		s.endJob(j, beryllatch.JobDone, "")
+		return
 	}
-	s.endJob(j, beryllatch.JobDone, "")
+	s.openSteps(j)
 }
 
 // endJob sets the final state of a job and stops its remaining runs.
@@ -221,20 +128,15 @@
 	}
 	j.state, j.endedAt = state, s.now
 	s.markChanged(j)
-	for _, o := range j.occurrences {
-		if o == nil {
-			continue
-		}
-		for _, st := range o.steps {
-			for _, t := range st.tasks {
-				for _, r := range t.runs {
-					if !st.spec.Gang || !t.done {
-						s.stop(r, "job is "+string(state))
-					}
-				}
+	for _, st := range j.open {
+		for _, t := range st.tasks {
+			for _, r := range t.runs {
+				s.stop(r, "job is "+string(state))
 			}
 		}
 	}
+	// Runs that are being stopped refer to their tasks.
+	j.open = nil
 	s.removeActive(j)
 	s.finished = append(s.finished, j)
 	s.jobRowsToDelete = append(s.jobRowsToDelete, j)
--- a/internal/decision/berylscheduler/journal.go
+++ b/internal/decision/berylscheduler/journal.go
@@ -60,6 +60,8 @@
 	inFlight bool
 	// expired is true once the retention is over; the next transaction deletes the progress row.
 	expired bool
+	// progressSize is the size of the last progress row in bytes.
+	progressSize int
 	// tooLarge is true once the progress was too large to be stored.
 	tooLarge     bool
 	waitingCalls []waitingCall
--- a/internal/decision/berylscheduler/label.go
+++ b/internal/decision/berylscheduler/label.go
@@ -15,7 +15,7 @@
 		if p == nil || !j.rows.jobStored {
 			continue
 		}
-		for _, st := range j.waitingSteps {
+		for st := range j.waitingSteps {
 			if label := st.spec.RequiredLabel; label != "" {
 				if p.labelShortage == nil {
 					p.labelShortage, p.instanceCPU = make(map[string]int), instanceCPU
--- a/internal/decision/berylscheduler/learn.go
+++ b/internal/decision/berylscheduler/learn.go
@@ -1,6 +1,10 @@
 package berylscheduler
 
-import "time"
+import (
+	"time"
+
+	"github.com/beryllatch/beryllatch"
+)
 
 // durationWeight is the weight of a new duration in the moving average.
 const durationWeight = 0.2
@@ -12,11 +16,11 @@
 }
 
 // taskKind returns the key under which durations are averaged: the image, or the queue for tasks without an image.
-func taskKind(st *stepState) string {
-	if st.spec.Image != "" {
-		return st.spec.Image
+func taskKind(j *job, spec *beryllatch.JobStep) string {
+	if spec.Image != "" {
+		return spec.Image
 	}
-	return st.job.Queue
+	return j.Queue
 }
 
 // recordDuration adds the duration of a completed run to the averages. Runs with a checkpoint don't count, since they may have
@@ -28,10 +32,11 @@
 	took := s.now.Sub(r.confirmedAt)
 	st.durations.finishedTotal += took
 	st.durations.finishedCount++
-	l := s.learnedDurations[taskKind(st)]
+	kind := taskKind(st.job, st.spec)
+	l := s.learnedDurations[kind]
 	if l == nil {
 		l = &learnedDuration{mean: took}
-		s.learnedDurations[taskKind(st)] = l
+		s.learnedDurations[kind] = l
 	}
 	l.count++
 	l.mean += time.Duration(durationWeight * float64(took-l.mean))
@@ -42,9 +47,9 @@
 
 // expectedDuration returns how long a task of the step should take. Declared durations are often far off, so the average of
 // earlier runs gets the same weight once three of them are known.
-func (s *Scheduler) expectedDuration(st *stepState) time.Duration {
-	declared := st.spec.Estimate
-	l := s.learnedDurations[taskKind(st)]
+func (s *Scheduler) expectedDuration(j *job, spec *beryllatch.JobStep) time.Duration {
+	declared := spec.Estimate
+	l := s.learnedDurations[taskKind(j, spec)]
 	switch {
 	case l == nil && declared == 0:
 		return defaultDuration
--- a/internal/decision/berylscheduler/place.go
+++ b/internal/decision/berylscheduler/place.go
@@ -44,6 +44,12 @@
 			p.unprepared = append(p.unprepared, w)
 		}
 	}
+	for _, j := range s.active {
+		// The steps of other jobs are all open.
+		if j.Repeat > 0 {
+			s.openSteps(j)
+		}
+	}
 	s.prepareWorkers(pools)
 	for _, p := range pools {
 		p.updateMaxFree()
@@ -93,12 +99,12 @@
 		if pools[q.Pool] == nil || len(pools[q.Pool].workers) == 0 || !s.jobSynced(j) {
 			continue
 		}
-		for o, st := range j.waitingSteps {
+		for st := range j.waitingSteps {
 			if !s.mayStartIn(j, q.Pool) {
 				break
 			}
 			if st.spec.LongRunning || !st.blockedSince.IsZero() || st.spec.ReservedCapacity().Fits(pools[q.Pool].maxFree) {
-				out = append(out, s.candidate(q, st, o))
+				out = append(out, s.candidate(q, st))
 			}
 		}
 	}
@@ -122,30 +128,36 @@
 	return -1
 }
 
-func (s *Scheduler) candidate(q beryllatch.JobQueue, st *stepState, o *occurrence) candidate {
-	total, rest := s.criticalPaths(o)
-	due := o.due.Add(time.Duration(q.Slack*float64(total)) + q.Latency)
-	c := candidate{step: st, pool: q.Pool, priority: q.Priority, exceedsShare: st.job.exceedsShare, startBy: due.Add(-rest)}
+func (s *Scheduler) candidate(q beryllatch.JobQueue, st *stepState) candidate {
+	total, rest := s.criticalPaths(st.job, st.occurrence)
+	due := st.job.dueAt(st.occurrence)
+	objective := due.Add(time.Duration(q.Slack*float64(total)) + q.Latency)
+	c := candidate{step: st, pool: q.Pool, priority: q.Priority, exceedsShare: st.job.exceedsShare, startBy: objective.Add(-rest)}
 	c.late = !st.spec.LongRunning && s.now.After(c.startBy)
 	if st.spec.LongRunning {
-		c.startBy = o.due
+		c.startBy = due
+	}
+	if st.job.Repeat > 0 && (c.late || st.spec.LongRunning) {
+		// Occurrences that have long been due take their turn with the late work of other jobs.
+		c.startBy = laterTime(c.startBy, st.openedAt)
 	}
 	return c
 }
 
 // criticalPaths returns the expected duration of the longest chain of dependent steps in an occurrence, for all steps and for
 // those that are not done.
-func (s *Scheduler) criticalPaths(o *occurrence) (total, rest time.Duration) {
-	totals := make([]time.Duration, len(o.steps))
-	rests := make([]time.Duration, len(o.steps))
-	for i, st := range o.steps {
-		for _, a := range st.spec.After {
+func (s *Scheduler) criticalPaths(j *job, occurrence int) (total, rest time.Duration) {
+	totals := make([]time.Duration, len(j.Steps))
+	rests := make([]time.Duration, len(j.Steps))
+	for i := range j.Steps {
+		spec := &j.Steps[i]
+		for _, a := range spec.After {
 			totals[i] = max(totals[i], totals[a])
 			rests[i] = max(rests[i], rests[a])
 		}
-		d := s.expectedDuration(st)
+		d := s.expectedDuration(j, spec)
 		totals[i] += d
-		if st.tasksLeft > 0 {
+		if !j.isDone(stepKey{occurrence, i}) {
 			rests[i] += d
 		}
 		total, rest = max(total, totals[i]), max(rest, rests[i])
--- a/internal/decision/berylscheduler/place_need.go
+++ b/internal/decision/berylscheduler/place_need.go
@@ -76,7 +76,7 @@
 		if !j.rows.jobStored {
 			continue
 		}
-		for _, st := range j.waitingSteps {
+		for st := range j.waitingSteps {
 			if !s.underCeiling(j.Team, st.spec.Needs) {
 				continue
 			}
--- a/internal/decision/berylscheduler/pool.go
+++ b/internal/decision/berylscheduler/pool.go
@@ -274,7 +274,7 @@
 		if !j.rows.jobStored {
 			continue
 		}
-		for _, st := range j.waitingSteps {
+		for st := range j.waitingSteps {
 			cpu := st.spec.ReservedCapacity().CPUMilli * st.tasksWaiting
 			if s.ceiling(j.Team).CPUMilli > 0 {
 				cpu = min(cpu, max(room[j.Team], 0))
--- a/internal/decision/berylscheduler/prepare.go
+++ b/internal/decision/berylscheduler/prepare.go
@@ -76,7 +76,7 @@
 		if p == nil || len(p.unprepared) == 0 {
 			continue
 		}
-		for _, st := range j.waitingSteps {
+		for st := range j.waitingSteps {
 			p.addDemand(s, st)
 		}
 	}
--- a/internal/decision/berylscheduler/recover.go
+++ b/internal/decision/berylscheduler/recover.go
@@ -72,7 +72,7 @@
 	}
 	s.recoverWaves(e.Waves)
 	for _, j := range s.active {
-		s.openOccurrences(j)
+		s.openSteps(j)
 	}
 }
 
@@ -129,15 +129,14 @@
 	if row.QueueSettings != nil {
 		j.queue = *row.QueueSettings
 	}
-	for _, done := range row.Steps.Done {
-		for k := max(done[0], 0); k <= min(done[1], len(j.occurrences)-1); k++ {
-			for i := range j.Steps {
-				j.recoverStep(progressStep{Occurrence: k, Step: i, AllDone: true})
-			}
-		}
+	for n := range j.steps {
+		j.recoverDone(n, row.Steps.Done)
+	}
+	for _, a := range row.Steps.Ahead {
+		j.recoverDone(a.Step, a.Occurrences)
 	}
 	for _, p := range row.Steps.Open {
-		j.recoverStep(p)
+		j.recoverStep(p, s.now)
 	}
 }
 
@@ -149,36 +148,46 @@
 	return now
 }
 
-func (j *job) recoverStep(p progressStep) {
-	if p.Occurrence >= len(j.occurrences) || p.Step >= len(j.Steps) {
+// recoverDone records the occurrences in which a step is done, given by ranges.
+func (j *job) recoverDone(number int, ranges [][2]int) {
+	if number < 0 || number >= len(j.steps) {
+		return
+	}
+	p := &j.steps[number]
+	for _, r := range ranges {
+		p.done = p.done.With(max(r[0], 0), min(r[1], j.Occurrences()-1))
+	}
+	j.started = j.started || !p.done.IsEmpty()
+}
+
+// recoverStep records the progress of a step.
+func (j *job) recoverStep(p progressStep, now time.Time) {
+	at := stepKey{p.Occurrence, p.Step}
+	if min(at.occurrence, at.number) < 0 || at.occurrence >= j.Occurrences() || at.number >= len(j.Steps) {
 		return
 	}
-	o := j.open(p.Occurrence)
-	st := o.steps[p.Step]
-	st.failedRuns = p.FailedRuns
-	done := p.Done
 	if p.AllDone {
-		done = nil
-		for i := range st.tasks {
-			done = append(done, i)
-		}
+		j.recoverDone(at.number, [][2]int{{at.occurrence, at.occurrence}})
+		return
 	}
-	for _, i := range done {
-		if i < len(st.tasks) && !st.tasks[i].done {
+	st := j.step(at, now)
+	st.failedRuns = p.FailedRuns
+	for _, i := range p.Done {
+		if i >= 0 && i < len(st.tasks) && !st.tasks[i].done {
 			st.tasks[i].done = true
 			st.tasksLeft--
 			st.tasksWaiting--
 		}
 	}
 	for _, t := range p.Tasks {
-		if t.Index < len(st.tasks) {
+		if t.Index >= 0 && t.Index < len(st.tasks) {
 			st.tasks[t.Index].failedRuns, st.tasks[t.Index].checkpoint = t.FailedRuns, t.Checkpoint
 		}
 	}
 	if st.tasksLeft == 0 {
-		o.stepsLeft--
+		j.finish(at)
 	}
-	j.started = j.started || len(p.Done) > 0 || p.AllDone
+	j.started = j.started || len(p.Done) > 0
 }
 
 // mayStartIn reports whether runs of the job may be ordered in the pool. A pool to which the queue was moved is stored with the job first,
--- a/internal/decision/berylscheduler/row.go
+++ b/internal/decision/berylscheduler/row.go
@@ -59,30 +59,66 @@
 // that knows the list only can't read the row then, and holds the job back instead of running it again.
 type progressSteps struct {
 	// Done holds the first and the last number of each range of occurrences that are done.
-	Done [][2]int `json:"done"`
-	// Open holds the steps with progress of the other occurrences.
+	Done [][2]int
+	// Ahead holds, for each step that is also done in other occurrences, the ranges of these.
+	Ahead []stepRanges
+	// Open holds the steps that are not done and have progress; while there is no range, also those that are done.
+	Open []progressStep
+}
+
+// stepRanges holds the first and the last number of each range of occurrences of a step.
+type stepRanges struct {
+	Step        int      `json:"s"`
+	Occurrences [][2]int `json:"k"`
+}
+
+// doneAndAhead is the stored form of the ranges if Ahead is not empty; else they are stored as a list. A program that knows the list only can't
+// read this form.
+type doneAndAhead struct {
+	All   [][2]int     `json:"all,omitempty"`
+	Ahead []stepRanges `json:"ahead"`
+}
+
+// progressObject is the stored form of progress with ranges.
+type progressObject struct {
+	Done any            `json:"done"`
 	Open []progressStep `json:"open,omitempty"`
 }
 
 // IsZero reports whether there is no progress.
-func (p progressSteps) IsZero() bool { return len(p.Done)+len(p.Open) == 0 }
+func (p progressSteps) IsZero() bool { return len(p.Done)+len(p.Ahead)+len(p.Open) == 0 }
 
 // MarshalJSON encodes the progress.
 func (p progressSteps) MarshalJSON() ([]byte, error) {
-	if len(p.Done) == 0 {
-		return json.Marshal(p.Open)
+	switch {
+	case len(p.Ahead) > 0:
+		return json.Marshal(progressObject{doneAndAhead{p.Done, p.Ahead}, p.Open})
+	case len(p.Done) > 0:
+		return json.Marshal(progressObject{p.Done, p.Open})
 	}
-	type object progressSteps
-	return json.Marshal(object(p))
+	return json.Marshal(p.Open)
 }
 
-// UnmarshalJSON decodes both forms.
+// UnmarshalJSON decodes all forms.
 func (p *progressSteps) UnmarshalJSON(b []byte) error {
 	if bytes.HasPrefix(b, []byte("[")) {
 		return json.Unmarshal(b, &p.Open)
 	}
-	type object progressSteps
-	return json.Unmarshal(b, (*object)(p))
+	var done json.RawMessage
+	o := progressObject{Done: &done}
+	if err := json.Unmarshal(b, &o); err != nil {
+		return err
+	}
+	p.Open = o.Open
+	if bytes.HasPrefix(done, []byte("[")) {
+		return json.Unmarshal(done, &p.Done)
+	}
+	var d doneAndAhead
+	if err := json.Unmarshal(done, &d); err != nil {
+		return err
+	}
+	p.Done, p.Ahead = d.All, d.Ahead
+	return nil
 }
 
 type progressStep struct {
@@ -111,39 +147,40 @@
 	if j.queue != j.acceptedQueue {
 		row.QueueSettings = &j.queue
 	}
-	for _, o := range j.occurrences {
-		if o == nil {
-			continue
-		}
-		if o.stepsLeft == 0 {
-			row.Steps.addDone(o.number)
-			continue
-		}
-		for _, st := range o.steps {
-			if p, ok := st.progress(); ok {
-				row.Steps.Open = append(row.Steps.Open, p)
-			}
+	row.Steps.addDone(j)
+	for _, st := range j.open {
+		if p, ok := st.progress(); ok {
+			row.Steps.Open = append(row.Steps.Open, p)
 		}
 	}
 	return mustEncode(row)
 }
 
-// addDone adds an occurrence above those that were added before.
-func (p *progressSteps) addDone(k int) {
-	if n := len(p.Done); n > 0 && p.Done[n-1][1] == k-1 {
-		p.Done[n-1][1] = k
+// addDone adds the steps that are done.
+func (p *progressSteps) addDone(j *job) {
+	if j.Occurrences() == 1 {
+		for n := range j.steps {
+			if j.isDone(stepKey{0, n}) {
+				p.Open = append(p.Open, progressStep{Step: n, AllDone: true})
+			}
+		}
 		return
 	}
-	p.Done = append(p.Done, [2]int{k, k})
+	all := j.steps[0].done
+	for _, step := range j.steps[1:] {
+		all = all.And(step.done)
+	}
+	p.Done = all.Ranges()
+	for n, step := range j.steps {
+		if ahead := step.done.Minus(all); !ahead.IsEmpty() {
+			p.Ahead = append(p.Ahead, stepRanges{n, ahead.Ranges()})
+		}
+	}
 }
 
 // progress returns the stored form of a step, and false if the step has no progress.
 func (st *stepState) progress() (progressStep, bool) {
 	p := progressStep{Occurrence: st.occurrence, Step: st.number, FailedRuns: st.failedRuns}
-	if st.tasksLeft == 0 {
-		p.AllDone = true
-		return p, true
-	}
 	for _, t := range st.tasks {
 		if t.done {
 			p.Done = append(p.Done, t.index)
@@ -186,7 +223,9 @@
 	size := 0
 	var progress []byte
 	if !j.rows.expired && (j.rows.latestChange > 1 || b.storesFinal) {
-		if progress = encodeProgress(j); limit > 0 && len(progress) > limit {
+		progress = encodeProgress(j)
+		j.rows.progressSize = len(progress)
+		if limit > 0 && len(progress) > limit {
 			return b, -1
 		}
 	}
--- a/internal/decision/berylscheduler/row_test.go
+++ b/internal/decision/berylscheduler/row_test.go
@@ -10,6 +10,17 @@
 	"gotest.tools/v3/assert"
 )
 
+// stepsLeft returns the number of steps that are not done in an occurrence.
+func (j *job) stepsLeft(occurrence int) int {
+	n := 0
+	for i := range j.steps {
+		if !j.isDone(stepKey{occurrence, i}) {
+			n++
+		}
+	}
+	return n
+}
+
 // Guards against review/2: the row of a job with many past occurrences outgrew the limit of the store, which then refused every
 // transaction, so that no progress of any job was stored any more.
 func TestProgressOfPastOccurrencesStaysSmall(t *testing.T) {
@@ -25,12 +36,10 @@
 			continue
 		}
 		for i := range steps {
-			j.open(k)
-			j.recoverStep(progressStep{Occurrence: k, Step: i, AllDone: true})
+			j.recoverStep(progressStep{Occurrence: k, Step: i, AllDone: true}, time.Time{})
 		}
 	}
-	j.open(999)
-	j.recoverStep(progressStep{Occurrence: 999, Step: 3, AllDone: true})
+	j.recoverStep(progressStep{Occurrence: 999, Step: 3, AllDone: true}, time.Time{})
 	value := encodeProgress(j)
 	assert.Assert(t, len(value) < 1000, "%d bytes", len(value))
 
@@ -48,7 +57,7 @@
 		case k%1000 == 999:
 			left = steps
 		}
-		assert.Equal(t, again.open(k).stepsLeft, left, "occurrence %d", k)
+		assert.Equal(t, again.stepsLeft(k), left, "occurrence %d", k)
 	}
 }
 
@@ -57,7 +66,7 @@
 	var row progressRow
 	assert.NilError(t, json.Unmarshal([]byte(`{"state":"running","steps":[{"s":1,"done":[0,2]},{"k":3,"all":true}]}`), &row))
 	assert.DeepEqual(t, row.Steps, progressSteps{Open: []progressStep{{Step: 1, Done: []int{0, 2}}, {Occurrence: 3, AllDone: true}}})
-	for _, p := range []progressSteps{{}, {Open: row.Steps.Open}, {Done: [][2]int{{0, 4}}, Open: row.Steps.Open}} {
+	for _, p := range []progressSteps{{}, {Open: row.Steps.Open}, {Done: [][2]int{{0, 4}}, Open: row.Steps.Open}, {Ahead: []stepRanges{{1, [][2]int{{0, 4}, {7, 7}}}}}} {
 		value := mustEncode(progressRow{State: beryllatch.JobRunning, Steps: p})
 		var again progressRow
 		assert.NilError(t, json.Unmarshal(value, &again))
@@ -66,7 +75,7 @@
 			Steps []progressStep `json:"steps"`
 		}
 		err := json.Unmarshal(value, &earlier)
-		assert.Equal(t, err != nil, len(p.Done) > 0, fmt.Sprint(err))
+		assert.Equal(t, err != nil, len(p.Done)+len(p.Ahead) > 0, fmt.Sprint(err))
 	}
 }
 
@@ -80,7 +89,7 @@
 		Progress: []beryllatch.DataRow{{Key: job.ID, Value: []byte(`{"state":"running","steps":{"done":[[-5,0],[2,99],[7,1]]}}`), Version: 2}},
 	})
 	for k, left := range []int{0, 1, 0} {
-		assert.Equal(t, s.jobs[job.ID].open(k).stepsLeft, left, "occurrence %d", k)
+		assert.Equal(t, s.jobs[job.ID].stepsLeft(k), left, "occurrence %d", k)
 	}
 }
 
@@ -93,7 +102,7 @@
 	large.Steps[0].Needs.CPUMilli = 1
 	h.accept(large)
 	j := h.s.jobs[large.ID]
-	for _, t := range j.occurrences[0].steps[0].tasks[:900] {
+	for _, t := range j.open[0].tasks[:900] {
 		t.done = true
 	}
 	h.s.markChanged(j)
--- a/internal/decision/berylscheduler/scheduler.go
+++ b/internal/decision/berylscheduler/scheduler.go
@@ -253,7 +253,7 @@
 	}
 	s.dropWorkers()
 	for _, j := range s.active {
-		s.openOccurrences(j)
+		s.openSteps(j)
 	}
 	s.deleteJobRows()
 	s.expireJobs()
--- a/internal/decision/berylscheduler/straggler.go
+++ b/internal/decision/berylscheduler/straggler.go
@@ -115,7 +115,7 @@
 	}
 	st.durations.computedAt = s.now
 	if len(times) < minTasksForMedian {
-		st.durations.typical = time.Duration(fewTasksFactor * float64(s.expectedDuration(st)))
+		st.durations.typical = time.Duration(fewTasksFactor * float64(s.expectedDuration(st.job, st.spec)))
 		return st.durations.typical
 	}
 	slices.Sort(times)
--- a/internal/decision/berylscheduler/submit.go
+++ b/internal/decision/berylscheduler/submit.go
@@ -25,7 +25,7 @@
 	j.exceedsShare = s.takeFromShare(j.Team)
 	s.jobs[j.ID] = j
 	s.active = append(s.active, j)
-	s.openOccurrences(j)
+	s.openSteps(j)
 	s.recordArrival(j)
 	// The call is added before the change, so that the change is stored with those that callers wait for.
 	s.answerWhenStored(j, e.Call, j.rows.latestChange+1)
