The partition model changes the configuration, repeats jobs and performs transactions late

It now also moves and renames the queue, hands in jobs that are due up to twelve times, performs 2 % of the transactions up to 15 s after their answer was lost, and forgets finished jobs.

--- a/internal/decision/berylscheduler/partition_judge_test.go
+++ b/internal/decision/berylscheduler/partition_judge_test.go
@@ -67,6 +67,12 @@
 		second.Count, second.After = 1+m.rand.IntN(2), []int{0}
 		j.job.Steps = append(j.job.Steps, second)
 	}
+	if m.options.changes {
+		m.repeatSome(&j.job)
+		for name := range m.deployment.Queues {
+			j.job.Queue = name
+		}
+	}
 	m.jobs[id] = j
 	m.jobIDs = append(m.jobIDs, id)
 	m.handIn(j, 4)
@@ -244,9 +250,16 @@
 
 // checkOrder requires that all tasks of the steps before are done.
 func (j *judge) checkOrder(r *modelRun) {
+	k, err := beryllatch.ParseTaskKey(r.id.task)
+	if err != nil {
+		panic(err)
+	}
+	if job := r.job.job; job.Repeat > 0 && j.model.time().Before(job.First.Add(time.Duration(k.Occurrence)*job.Interval)) {
+		j.report("ORDER", r.id.task, r.worker.name, "starts before it is due")
+	}
 	for _, after := range r.spec.After {
 		for i := range r.job.job.Steps[after].Count {
-			name := beryllatch.TaskKey{Job: r.job.job.ID, Step: after, Index: i}.String()
+			name := beryllatch.TaskKey{Job: r.job.job.ID, Occurrence: k.Occurrence, Step: after, Index: i}.String()
 			if !slices.ContainsFunc(j.task(name).ends, func(e *judgedEnd) bool { return e.how == beryllatch.RunDone }) {
 				j.report("ORDER", r.id.task, r.worker.name, "starts before %s is done", name)
 			}
@@ -270,6 +283,13 @@
 			}
 			continue
 		}
+		if j.model.options.changes && job.Version == 0 && progress.Version == 0 {
+			// The job is forgotten: it has to be done, or to have failed.
+			if !j.mayFail(id) {
+				j.checkDone(mj)
+			}
+			continue
+		}
 		var row progressRow
 		if progress.Version > 0 {
 			if err := json.Unmarshal(progress.Value, &row); err != nil {
@@ -291,11 +311,13 @@
 
 // checkDone requires that each task of a job that is shown as done has ended so.
 func (j *judge) checkDone(mj *modelJob) {
-	for step := range mj.job.Steps {
-		for i := range mj.job.Steps[step].Count {
-			name := beryllatch.TaskKey{Job: mj.job.ID, Step: step, Index: i}.String()
-			if !slices.ContainsFunc(j.task(name).ends, func(e *judgedEnd) bool { return e.how == beryllatch.RunDone }) {
-				j.report("MIXED", name, "", "is not done, but its job is")
+	for occurrence := range mj.job.Occurrences() {
+		for step := range mj.job.Steps {
+			for i := range mj.job.Steps[step].Count {
+				name := beryllatch.TaskKey{Job: mj.job.ID, Occurrence: occurrence, Step: step, Index: i}.String()
+				if !slices.ContainsFunc(j.task(name).ends, func(e *judgedEnd) bool { return e.how == beryllatch.RunDone }) {
+					j.report("MIXED", name, "", "is not done, but its job is")
+				}
 			}
 		}
 	}
--- a/internal/decision/berylscheduler/partition_session_test.go
+++ b/internal/decision/berylscheduler/partition_session_test.go
@@ -31,6 +31,9 @@
 		model: n.model, node: n, peers: make(map[string]*modelPeer), answers: make(map[uint64]func(error)),
 		scheduler: &Scheduler{Epoch: d.Epoch, OwnerVersion: d.version, Limits: modelLimits(), ClaimedAt: n.model.at(claimed)},
 	}
+	if n.model.options.changes {
+		s.scheduler.Limits.JobRetention = shortRetention
+	}
 	if change := n.model.options.scheduler; change != nil {
 		change(s.scheduler)
 	}
@@ -43,7 +46,10 @@
 		change(s.scheduler)
 	}
 	s.apply(RegistryRead{Workers: registry})
-	s.apply(DeploymentChanged{modelDeployment()})
+	s.apply(DeploymentChanged{s.model.deployment})
+	if s.model.options.changes {
+		s.watchConfiguration()
+	}
 	s.later(modelTick, s.tick)
 	s.beat()
 	s.watchRegistry(registry)
@@ -185,6 +191,11 @@
 			}
 			s.apply(e)
 		})
+	case MoveInstance:
+		// The platform of the model allows no moves.
+		s.later(5*time.Millisecond, func() {
+			s.apply(InstanceOrderEnded{Instance: f.Instance, Err: &beryllatch.InstanceRejectedError{Reason: beryllatch.InstanceInvalid}})
+		})
 	case Resign:
 		m.logf(s.node.name, "", "resigns in epoch %d: %s", s.scheduler.Epoch, f.Reason)
 		s.ended = true
@@ -248,7 +259,19 @@
 // commit sends a transaction. After the time-out a read shows whether the store answers at all.
 func (s *modelSession) commit(f CommitRows) {
 	timeout := 120 * time.Millisecond << min(s.storeTimeouts, 4)
-	callStore(s.node, timeout, func(st *modelStore) storeAnswer { return st.commit(f.Transaction) }, func(a storeAnswer, err error) {
+	if s.model.options.ignoreBarrier {
+		f.Transaction = withoutBarrier(f.Transaction)
+	}
+	lost := s.model.delayCommit(f.Transaction)
+	callStore(s.node, timeout, func(st *modelStore) storeAnswer {
+		if lost {
+			return storeAnswer{}
+		}
+		return st.commit(f.Transaction)
+	}, func(a storeAnswer, err error) {
+		if lost {
+			err = errLate
+		}
 		e := Committed{Batch: f.Batch, Version: a.version, Err: a.err}
 		if err == nil {
 			s.storeTimeouts = 0
--- a/internal/decision/berylscheduler/partition_test.go
+++ b/internal/decision/berylscheduler/partition_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/beryllatch/beryllatch"
 	"gotest.tools/v3/assert"
 )
 
@@ -38,6 +39,8 @@
 type partitionOptions struct {
 	// restarts crashes workers, which start again under their IDs.
 	restarts bool
+	// changes changes the configuration, and more; see partition_changes_test.go.
+	changes bool
 	// quickRestarts starts them again within contactValidity.
 	quickRestarts bool
 	// cutNodesFirst and cutWorkersFirst disturb the network by cuts in steps alone, the first of them between the scheduling node and the
@@ -50,6 +53,8 @@
 	scheduler, recovered, event func(*Scheduler)
 	// unacknowledged lets nodes take over that the scheduling node may not know.
 	unacknowledged bool
+	// ignoreBarrier leaves the barrier row out of all transactions.
+	ignoreBarrier bool
 	// ignoreHeartbeat leaves the condition on the heartbeat row out of the claim.
 	ignoreHeartbeat bool
 	// trustPeers reports the other nodes as not having taken over, whatever their probes show.
@@ -68,6 +73,7 @@
 	// frozenUntil holds the nodes whose processes are paused.
 	frozenUntil map[string]time.Duration
 	store       modelStore
+	deployment  *beryllatch.Deployment
 	nodes       []*modelNode
 	workers     []*modelWorker
 	jobs        map[string]*modelJob
@@ -103,7 +109,7 @@
 func newPartitionModel(seed uint64, options partitionOptions) *partitionModel {
 	m := &partitionModel{
 		options: options, rand: rand.New(rand.NewPCG(seed, 33)), links: make(map[link]*linkState), jobs: make(map[string]*modelJob),
-		frozenUntil: make(map[string]time.Duration),
+		frozenUntil: make(map[string]time.Duration), deployment: modelDeployment(),
 	}
 	m.store.rows = make(storedRows)
 	m.judge = judge{model: m, tasks: make(map[string]*judgedTask), used: make(map[string]int), reported: make(map[string]bool)}
@@ -113,6 +119,13 @@
 	for i := range modelWorkers {
 		m.workers = append(m.workers, newModelWorker(m, i))
 	}
+	if options.changes {
+		m.deployment = m.deploymentOf(1, "p")
+		for i := 1; i < len(m.workers); i += 2 {
+			m.workers[i].info.Pool, m.workers[i].registered.Pool = otherPool, otherPool
+		}
+		m.after(m.between(5*time.Second, 10*time.Second), m.changeConfiguration)
+	}
 	m.after(m.between(0, time.Second), m.disturb)
 	m.after(time.Second, m.submitJobs)
 	if options.restarts {
@@ -126,7 +139,12 @@
 	m.playUntil(faultTime)
 	m.logf("network", "", "heals")
 	clear(m.links)
-	m.playUntil(faultTime + healTime)
+	heal := healTime
+	if m.options.changes {
+		// The queue may have no more than the smaller pool.
+		heal *= 2
+	}
+	m.playUntil(faultTime + heal)
 	m.judge.checkEnd()
 	return m.judge.violations
 }
@@ -194,9 +212,10 @@
 	return b.String()
 }
 
-func partitionSeedRange(t *testing.T) (first, count uint64) {
+// partitionSeedRange returns the seeds of PARTITION_SEEDS, or else the first ones.
+func partitionSeedRange(t *testing.T, normal uint64) (first, count uint64) {
 	t.Helper()
-	count = partitionSeeds
+	count = normal
 	if v := os.Getenv("PARTITION_SEEDS"); v != "" {
 		n, err := fmt.Sscanf(v, "%d+%d", &first, &count)
 		assert.Assert(t, n == 2 && err == nil, "PARTITION_SEEDS is FIRST+COUNT, not %q", v)
@@ -213,7 +232,7 @@
 
 // The rules hold on a network that is cut at any place, at any time and for any length.
 func TestRulesHoldInPartitions(t *testing.T) {
-	first, count := partitionSeedRange(t)
+	first, count := partitionSeedRange(t, partitionSeeds)
 	starts, takeovers := 0, 0
 	broken := make(map[string][]uint64)
 	seeds := slices.Collect(maps.Keys(failedPartitionSeeds))
