--- a/internal/decision/berylscheduler/fleet.go
+++ b/internal/decision/berylscheduler/fleet.go
@@ -272,7 +272,7 @@
 		switch {
 		case !s.canSendInstanceOrder(o):
 		case s.hasRoomInWave(o):
-			if w := f.waves[o.wave]; w == nil || s.mayOrderMaintenance(w, o.instance) {
+			if w := f.waves[o.wave]; w == nil || s.recordMaintenance(w, o.instance) {
 				s.sendInstanceOrder(o)
 			}
 		case s.now.Sub(o.preparedAt) >= vacateTimeout:
--- a/internal/decision/berylscheduler/job.go
+++ b/internal/decision/berylscheduler/job.go
@@ -135,8 +135,6 @@
 			}
 		}
 	}
-	// Runs that are being stopped refer to their tasks.
-	j.open = nil
 	s.removeActive(j)
 	s.finished = append(s.finished, j)
 	s.jobRowsToDelete = append(s.jobRowsToDelete, j)
--- a/internal/decision/berylscheduler/place.go
+++ b/internal/decision/berylscheduler/place.go
@@ -100,7 +100,7 @@
 			continue
 		}
 		for st := range j.waitingSteps {
-			if !s.mayStartIn(j, q.Pool) {
+			if !s.recordPool(j, q.Pool) {
 				break
 			}
 			if st.spec.LongRunning || !st.blockedSince.IsZero() || st.spec.ReservedCapacity().Fits(pools[q.Pool].maxFree) {
--- a/internal/decision/berylscheduler/recover.go
+++ b/internal/decision/berylscheduler/recover.go
@@ -190,9 +190,9 @@
 	j.started = j.started || len(p.Done) > 0
 }
 
-// mayStartIn reports whether runs of the job may be ordered in the pool. A pool to which the queue was moved is stored with the job first,
-// so that a node that takes over knows all pools in which the job may have runs.
-func (s *Scheduler) mayStartIn(j *job, pool string) bool {
+// recordPool records that runs of the job may be ordered in the pool, and reports whether the record is stored, so that a node that takes
+// over knows all pools in which the job may have runs. The pool of the queue at the job's acceptance is stored with the job.
+func (s *Scheduler) recordPool(j *job, pool string) bool {
 	switch {
 	case pool == j.acceptedQueue.Pool:
 		return true
--- a/internal/decision/berylscheduler/wave.go
+++ b/internal/decision/berylscheduler/wave.go
@@ -77,8 +77,8 @@
 	s.journal.queueWave(w)
 }
 
-// mayOrderMaintenance reports whether the maintenance of an instance may be ordered, which has to be on record first.
-func (s *Scheduler) mayOrderMaintenance(w *wave, instance string) bool {
+// recordMaintenance records that the maintenance of an instance may be ordered, and reports whether the record is stored.
+func (s *Scheduler) recordMaintenance(w *wave, instance string) bool {
 	r := w.ordered[instance]
 	if r == nil {
 		w.change++
