Moves wait only for workers that may have runs of an earlier epoch

Cause: a worker that crashes while a start order to it is in flight counts as one whose runs are not known, until its longest lease has run out. As long as there was one such worker, no instance of the whole fleet was moved, here for 5.6 s while a burst passed from one queue to the next. The wait is meant for the time after a takeover.

Change: moves wait only while a worker may have runs of an earlier epoch. An instance whose own worker is not synced is left alone, as before.

--- a/internal/decision/berylscheduler/hold.go
+++ b/internal/decision/berylscheduler/hold.go
@@ -251,7 +251,7 @@
 	}
 	w.setClock(e.Lists.Clock, s.now)
 	if !w.synced && !e.Lists.MoreFinished {
-		w.synced, w.stopsEndBy = true, s.now.Add(s.Limits.StopTimeout+stopMargin)
+		w.synced, w.storedPool, w.stopsEndBy = true, "", s.now.Add(s.Limits.StopTimeout+stopMargin)
 		s.placementDue = true
 		s.emit(Decision{Name: "worker_settled", Worker: w.info.ID, Detail: "its lists are read"})
 	}
--- a/internal/decision/berylscheduler/pool.go
+++ b/internal/decision/berylscheduler/pool.go
@@ -56,8 +56,9 @@
 // rebalance moves instances to pools that have fewer than their target. Queues often burst in turn: one needs more instances
 // than its pool has while those of other pools are idle. Instances that no pool needs go to a standby pool.
 func (s *Scheduler) rebalance() {
-	// A new worker gets no runs before its row is stored, so instances are not moved while the store is unavailable.
-	if s.deployment == nil || s.hasUnsyncedWorkers() || s.journal.unavailable(s.now) {
+	// Before all runs are known, pools seem to need less than they do. A new worker gets no runs before its row is stored, so instances are
+	// not moved while the store is unavailable.
+	if s.deployment == nil || s.awaitsEarlierRuns() || s.journal.unavailable(s.now) {
 		return
 	}
 	pools := s.poolDemands()
--- a/internal/decision/berylscheduler/pool_test.go
+++ b/internal/decision/berylscheduler/pool_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/beryllatch/beryllatch"
 	"gotest.tools/v3/assert"
 )
 
@@ -45,6 +47,31 @@
 	}
 }
 
+// Guards against rimwise-large trouble-3 of issue 39: a worker crashed while a start order to it was in flight, and no instance was moved until
+// its longest lease had run out.
+func TestCrashedWorkerHoldsUpNoMoves(t *testing.T) {
+	h := newHarness(t)
+	h.s.Limits.InstanceOrders = 50
+	h.register("a", "b")
+	h.accept(singleTaskJob("0000000000000001"))
+	assert.Equal(t, len(h.starts), 1)
+	crashed := h.starts[0].Worker.ID
+	h.tickFor(100 * time.Millisecond)
+	list := instancesOf("a", "b")
+	for i := range list {
+		list[i].Capacity = workerInfo("a").Capacity
+		if list[i].Worker == crashed {
+			list[i].State = beryllatch.FleetInstanceDown
+		}
+	}
+	spare := list[0]
+	spare.Name, spare.Pool, spare.Worker, spare.State = "m-spare", "spare", "", beryllatch.FleetInstanceUp
+	h.apply(InstancesListed{Instances: append(list, spare)})
+	assert.Assert(t, !h.s.workers[crashed].synced, "the order may reach the next incarnation")
+	h.tickFor(200 * time.Millisecond)
+	assert.Assert(t, slices.ContainsFunc(h.otherEffects, func(f Effect) bool { _, ok := f.(MoveInstance); return ok }))
+}
+
 // The platform rejects instance orders beyond its limit per second, so moves must stay below it, and should use their share of
 // it.
 func TestMovesKeepToTheRateOfOrders(t *testing.T) {
--- a/internal/decision/berylscheduler/prepare_test.go
+++ b/internal/decision/berylscheduler/prepare_test.go
@@ -126,7 +126,7 @@
 			break
 		}
 	}
-	assert.Assert(t, !next.s.hasUnsyncedWorkers())
+	assert.Equal(t, len(next.s.findUnsyncedPools()), 0)
 }
 
 // A queue whose policy rules most workers out needs more prepared workers than its tasks have room for, until one is allowed.
--- a/internal/decision/berylscheduler/recover.go
+++ b/internal/decision/berylscheduler/recover.go
@@ -227,12 +227,8 @@
 	return out
 }
 
-// hasUnsyncedWorkers reports whether a worker is unsynced.
-func (s *Scheduler) hasUnsyncedWorkers() bool {
-	for _, w := range s.sortedWorkers {
-		if !w.synced {
-			return true
-		}
-	}
-	return false
+// awaitsEarlierRuns reports whether a worker may have runs of an earlier epoch that are not known yet. One that has ended in this epoch,
+// and may still get an order of this epoch, has none.
+func (s *Scheduler) awaitsEarlierRuns() bool {
+	return slices.ContainsFunc(s.sortedWorkers, func(w *worker) bool { return !w.synced && w.storedPool != "" })
 }
--- a/internal/decision/berylscheduler/worker.go
+++ b/internal/decision/berylscheduler/worker.go
@@ -24,7 +24,7 @@
 	// row is the worker's row, shared by all incarnations of its ID. The worker gets no runs before the row is stored, see
 	// prepareWorkers.
 	row *workerRow
-	// storedPool is the pool in the row of an earlier epoch.
+	// storedPool is the pool in the row of an earlier epoch, until the worker is synced.
 	storedPool string
 	// runs holds the booked runs. An order may have reached any incarnation, so that only lists, or leases that have expired, end
 	// a booking.
@@ -253,7 +253,7 @@
 			// The worker has not been asked yet, and may list a completion that an earlier epoch did not store.
 			return
 		}
-		w.synced = true
+		w.synced, w.storedPool = true, ""
 		s.emit(Decision{Name: "worker_settled", Worker: w.info.ID, Detail: "its longest lease has run out"})
 		s.placementDue = true
 	}
