--- a/internal/decision/berylscheduler/moved_queue_test.go
+++ b/internal/decision/berylscheduler/moved_queue_test.go
@@ -57,13 +57,9 @@
 	return h, stored, second[0]
 }
 
-// Guards against review/8: after a queue was moved and moved back, a node that took over started a task in one pool while it ran in the other.
-func TestTakeoverWaitsForAllPoolsOfAJob(t *testing.T) {
-	h, stored, run := jobInMovedQueue(t)
-	h.submit(singleTaskJob("0000000000000002"))
-	h.storeInto(stored)
-	other := h.confirmStarts()
-	assert.Equal(t, len(other), 1)
+// takeOverWithoutAnswer lets another node take over, whose holds worker b doesn't answer for 2 s.
+func (h *harness) takeOverWithoutAnswer(stored storedRows) *harness {
+	h.t.Helper()
 	next := h.takeOverWith(stored, deploymentWithPool(4, "p"))
 	next.apply(RegistryRead{Workers: []beryllatch.WorkerInfo{workerIn("a", "p"), workerIn("b", "p2")}})
 	for range 4 {
@@ -71,6 +67,17 @@
 		next.storeInto(stored)
 		next.tickFor(500 * time.Millisecond)
 	}
+	return next
+}
+
+// Guards against review/8: after a queue was moved and moved back, a node that took over started a task in one pool while it ran in the other.
+func TestTakeoverWaitsForAllPoolsOfAJob(t *testing.T) {
+	h, stored, run := jobInMovedQueue(t)
+	h.submit(singleTaskJob("0000000000000002"))
+	h.storeInto(stored)
+	other := h.confirmStarts()
+	assert.Equal(t, len(other), 1)
+	next := h.takeOverWithoutAnswer(stored)
 	for _, f := range next.starts {
 		assert.Assert(t, f.Order.Task != run.Order.Task, "worker b may still run the task")
 	}
@@ -92,13 +99,7 @@
 	h.lastCall++
 	h.apply(CancelRequested{Call: h.lastCall, ID: "0000000000000001"})
 	h.storeInto(stored)
-	next := h.takeOverWith(stored, deploymentWithPool(4, "p"))
-	next.apply(RegistryRead{Workers: []beryllatch.WorkerInfo{workerIn("a", "p"), workerIn("b", "p2")}})
-	for range 4 {
-		next.answerHolds(nil, "b")
-		next.storeInto(stored)
-		next.tickFor(500 * time.Millisecond)
-	}
+	next := h.takeOverWithoutAnswer(stored)
 	assert.Equal(t, len(stored.table(JobsTable)), 1)
 	next.answerHolds(runningLists([]StartRun{run}, 50))
 	assert.Equal(t, len(next.stops), 1)
--- a/internal/decision/berylscheduler/wave_test.go
+++ b/internal/decision/berylscheduler/wave_test.go
@@ -237,15 +237,22 @@
 	return out
 }
 
-// Guards against review/10: an order without an answer was carried out late, when the next scheduling node, which knew nothing of it, had
-// another instance of the wave down.
-func TestTakeoverCountsMaintenanceThatMayHaveBeenOrdered(t *testing.T) {
+// openStoredWave returns a scheduler with a wave of two instances, of which one may be down, and its stored rows.
+func openStoredWave(t *testing.T) (*harness, storedRows) {
+	t.Helper()
 	h := newHarness(t)
 	stored := make(storedRows)
 	h.apply(RegistryChanged{Workers: []beryllatch.WorkerInfo{workerInfo("a"), workerInfo("b")}})
 	h.storeInto(stored)
 	h.answerHolds(nil)
 	h.openWave(1, "m-a", "m-b")
+	return h, stored
+}
+
+// Guards against review/10: an order without an answer was carried out late, when the next scheduling node, which knew nothing of it, had
+// another instance of the wave down.
+func TestTakeoverCountsMaintenanceThatMayHaveBeenOrdered(t *testing.T) {
+	h, stored := openStoredWave(t)
 	for range 10 {
 		sent := len(h.maintainedInstances()) > 0
 		assert.Assert(t, !sent || len(stored.waveRows()[0].Ordered) == 1, "an order goes out before it is on record")
@@ -292,12 +299,7 @@
 
 // An order that certainly had no effect must not keep its place in the wave.
 func TestRejectedMaintenanceLeavesNoRecord(t *testing.T) {
-	h := newHarness(t)
-	stored := make(storedRows)
-	h.apply(RegistryChanged{Workers: []beryllatch.WorkerInfo{workerInfo("a"), workerInfo("b")}})
-	h.storeInto(stored)
-	h.answerHolds(nil)
-	h.openWave(1, "m-a", "m-b")
+	h, stored := openStoredWave(t)
 	for range 3 {
 		h.tickFor(100 * time.Millisecond)
 		h.storeInto(stored)
