Tests of removed queues and steps call finishRuns instead of a copy of it

endRuns repeated finishRuns but for the times and the stored rows. Where rows have to go into a test's own store, finishedLists gives the lists alone. The assertions are the same.

--- a/internal/decision/berylscheduler/deployment_test.go
+++ b/internal/decision/berylscheduler/deployment_test.go
@@ -22,22 +22,6 @@
 	}.WithIndex()
 }
 
-// endRuns lists the ends of the given runs with the outcome, in an answer to the worker's next hold.
-func (h *harness) endRuns(outcome beryllatch.RunOutcome, runs ...StartRun) {
-	h.t.Helper()
-	lists := make(map[string]beryllatch.WorkerLists)
-	for _, f := range runs {
-		h.completions++
-		l := lists[f.Worker.ID]
-		l.Finished = append(l.Finished, beryllatch.FinishedEntry{Number: h.completions, Task: f.Order.Task, Run: f.Order.Run, Outcome: outcome})
-		lists[f.Worker.ID] = l
-	}
-	h.tickFor(time.Second)
-	h.answerHolds(lists)
-	h.tickFor(time.Second)
-	h.answerHolds(nil)
-}
-
 // twoStepJob returns a job with two steps of one task, one after the other.
 func twoStepJob(id string) beryllatch.Job {
 	j := singleTaskJob(id)
@@ -57,10 +41,10 @@
 	assert.Equal(t, len(first), 2)
 	h.apply(DeploymentChanged{deploymentWithout()})
 	assert.Assert(t, slices.Contains(h.decisions, "queue_removed") && slices.Contains(h.decisions, "pool_removed"))
-	h.endRuns(beryllatch.RunDone, first...)
+	h.finishRuns(beryllatch.RunDone, first...)
 	second := h.confirmStarts()
 	assert.Equal(t, len(second), 1)
-	h.endRuns(beryllatch.RunDone, second...)
+	h.finishRuns(beryllatch.RunDone, second...)
 	h.storeAll()
 	state, _ := h.s.JobState("0000000000000001")
 	assert.Equal(t, state, beryllatch.JobDone)
@@ -84,7 +68,7 @@
 	for range testDeployment().Queues["q"].MaxAttempts {
 		starts := h.confirmStarts()
 		assert.Equal(t, len(starts), 1)
-		h.endRuns(beryllatch.RunFailed, starts...)
+		h.finishRuns(beryllatch.RunFailed, starts...)
 	}
 	h.storeAll()
 	assert.Equal(t, len(h.starts), 0)
@@ -121,7 +105,9 @@
 	changed.MaxAttempts = 5
 	d.Version, d.Queues["q"] = 2, changed
 	h.apply(DeploymentChanged{d})
-	h.endRuns(beryllatch.RunDone, h.confirmStarts()[0])
+	lists := h.finishedLists(beryllatch.RunDone, h.confirmStarts()[0])
+	h.tickFor(time.Second)
+	h.answerHolds(lists)
 	h.storeInto(stored)
 
 	next := h.takeOverWith(stored, deploymentWithout())
@@ -145,6 +131,6 @@
 	next.register("a")
 	starts := next.confirmStarts()
 	assert.Equal(t, len(starts), 1)
-	next.endRuns(beryllatch.RunFailed, starts...)
+	next.finishRuns(beryllatch.RunFailed, starts...)
 	assert.Equal(t, len(next.starts), 1, "no limit of attempts is known")
 }
--- a/internal/decision/berylscheduler/moved_queue_test.go
+++ b/internal/decision/berylscheduler/moved_queue_test.go
@@ -1,7 +1,6 @@
 package berylscheduler
 
 import (
-	"strconv"
 	"testing"
 	"time"
 
@@ -46,7 +45,10 @@
 	first := h.confirmStarts()
 	assert.Equal(t, first[0].Worker.ID, "a")
 	h.apply(DeploymentChanged{deploymentWithPool(3, "p2")})
-	h.endRuns(beryllatch.RunDone, first...)
+	lists := h.finishedLists(beryllatch.RunDone, first...)
+	h.tickFor(time.Second)
+	h.answerHolds(lists)
+	h.tickFor(time.Second)
 	assert.Equal(t, len(h.starts), 0, "the new pool is not stored yet")
 	h.storeInto(stored)
 	h.tickFor(100 * time.Millisecond)
@@ -121,5 +123,5 @@
 	next := h.takeOverWith(stored, deploymentWithPool(2, "p2"))
 	next.apply(RegistryRead{Workers: []beryllatch.WorkerInfo{workerIn("a", "p2")}})
 	unsynced := next.s.findUnsyncedPools()
-	assert.Assert(t, unsynced["p"] && unsynced["p2"], "worker a may have runs of both pools: "+strconv.Itoa(len(unsynced)))
+	assert.Assert(t, unsynced["p"] && unsynced["p2"], "worker a may have runs of both pools: %v", unsynced)
 }
--- a/internal/decision/berylscheduler/rules_test.go
+++ b/internal/decision/berylscheduler/rules_test.go
@@ -9,8 +9,8 @@
 	"gotest.tools/v3/assert"
 )
 
-// finishRuns lists the runs as finished in the answer to the next hold.
-func (h *harness) finishRuns(outcome beryllatch.RunOutcome, starts ...StartRun) {
+// finishedLists returns the lists of workers on which the runs have ended.
+func (h *harness) finishedLists(outcome beryllatch.RunOutcome, starts ...StartRun) map[string]beryllatch.WorkerLists {
 	h.t.Helper()
 	lists := make(map[string]beryllatch.WorkerLists)
 	for _, f := range starts {
@@ -19,6 +19,13 @@
 		l.Finished = append(l.Finished, beryllatch.FinishedEntry{Number: h.completions, Task: f.Order.Task, Run: f.Order.Run, Outcome: outcome})
 		lists[f.Worker.ID] = l
 	}
+	return lists
+}
+
+// finishRuns lists the runs as finished in the answer to the next hold.
+func (h *harness) finishRuns(outcome beryllatch.RunOutcome, starts ...StartRun) {
+	h.t.Helper()
+	lists := h.finishedLists(outcome, starts...)
 	h.tickFor(200 * time.Millisecond)
 	h.answerHolds(lists)
 	h.storeAll()
--- a/internal/decision/berylscheduler/step_test.go
+++ b/internal/decision/berylscheduler/step_test.go
@@ -46,8 +46,7 @@
 	// The second job becomes late, too, and has its turn before the occurrences that are opened meanwhile.
 	h.tickFor(5 * time.Second)
 	for range 40 {
-		h.endRuns(beryllatch.RunDone, running...)
-		h.storeAll()
+		h.finishRuns(beryllatch.RunDone, running...)
 		assert.Assert(t, j.openTasks() <= maxWaitingTasks+26*10, "%d tasks", j.openTasks())
 		running = h.confirmStarts()
 		for _, f := range running {
@@ -86,8 +85,7 @@
 	j.Steps = append(j.Steps, second)
 	h.accept(j)
 	for range 200 {
-		h.endRuns(beryllatch.RunDone, h.confirmStarts()...)
-		h.storeAll()
+		h.finishRuns(beryllatch.RunDone, h.confirmStarts()...)
 	}
 	got := h.s.jobs[j.ID]
 	assert.Equal(t, got.steps[0].done.Len(), 1000)
