An order in flight counts in its wave without a record, too

A wave that is withdrawn and announced again has no records of orders in flight, which counted before the records came. Found by reading; no run has shown it.

--- a/internal/decision/berylscheduler/wave.go
+++ b/internal/decision/berylscheduler/wave.go
@@ -203,7 +203,7 @@
 	down := 0
 	for _, i := range w.Instances {
 		other := s.fleet.orders[i]
-		ordered := other != nil && other.wave == w.Number && !other.confirmedAt.IsZero() || w.ordered[i] != nil && w.ordered[i].sent
+		ordered := other != nil && other.wave == w.Number && (other.inFlight || !other.confirmedAt.IsZero()) || w.ordered[i] != nil && w.ordered[i].sent
 		if i != o.instance && (ordered || s.fleet.instances[i].State == beryllatch.FleetInstanceMaintenance) {
 			down++
 		}
