--- a/internal/decision/berylscheduler/place.go
+++ b/internal/decision/berylscheduler/place.go
@@ -100,6 +100,7 @@
 			continue
 		}
 		for st := range j.waitingSteps {
+			// Only a job that can start needs the record.
 			if !s.recordPool(j, q.Pool) {
 				break
 			}
--- a/internal/decision/berylscheduler/step.go
+++ b/internal/decision/berylscheduler/step.go
@@ -145,7 +145,7 @@
 // isFinished reports whether all steps of all occurrences are done.
 func (j *job) isFinished() bool {
 	for _, p := range j.steps {
-		if r := p.done.Ranges(); len(r) != 1 || p.done.Len() != j.Occurrences() {
+		if p.done.Len() != j.Occurrences() {
 			return false
 		}
 	}
