--- a/internal/decision/berylscheduler/share.go
+++ b/internal/decision/berylscheduler/share.go
@@ -1,6 +1,14 @@
 package berylscheduler
 
-import "time"
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/beryllatch/beryllatch"
+	"github.com/beryllatch/beryllatch/internal/decision/berylshare"
+)
 
 // shareBurst is for how long a team's unused share accumulates.
 const shareBurst = 2 * time.Second
@@ -33,3 +41,74 @@
 	share.jobs--
 	return false
 }
+
+// hasShares reports whether the configuration divides a full fleet between teams.
+func (s *Scheduler) hasShares() bool {
+	if s.deployment == nil {
+		return false
+	}
+	for _, t := range s.deployment.Teams {
+		if t.Weight > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// updateShares computes the capacity of the fleet and the part of it up to which each team is within its fair share. The load that it
+// answers is one team that sends many times its usual to any of the queues: the others get what they ask for up to their weighted
+// part, and the team gets what they leave. Late work doesn't count as demand.
+func (s *Scheduler) updateShares() {
+	if !s.hasShares() {
+		return
+	}
+	s.capacity = s.fleetCapacity()
+	demands := make(map[string]beryllatch.Resources)
+	for _, j := range s.active {
+		if !j.rows.jobStored {
+			continue
+		}
+		for st := range j.waitingSteps {
+			if !s.isLate(j.queue, st) {
+				demands[j.Team] = demands[j.Team].Plus(st.spec.ReservedCapacity().Times(st.tasksWaiting))
+			}
+		}
+	}
+	names := slices.Sorted(maps.Keys(s.teams))
+	names = slices.DeleteFunc(names, func(name string) bool { return s.deployment.Teams[name].Weight <= 0 })
+	accounts := make([]berylshare.Account, len(names))
+	for i, name := range names {
+		accounts[i] = berylshare.Account{Weight: s.deployment.Teams[name].Weight, Demand: demands[name].Plus(s.teams[name].booked)}
+	}
+	for i, limit := range berylshare.Divide(s.capacity, accounts) {
+		s.teams[names[i]].shareLimit = limit
+	}
+}
+
+// fleetCapacity returns the capacity of all instances that serve pools or can be moved to them, or of all workers if the platform
+// lists no instances.
+func (s *Scheduler) fleetCapacity() beryllatch.Resources {
+	var out beryllatch.Resources
+	if len(s.fleet.instances) == 0 {
+		for _, w := range s.sortedWorkers {
+			if w.registered && s.inService(w) {
+				out = out.Plus(w.info.Capacity)
+			}
+		}
+		return out
+	}
+	for _, i := range s.fleet.instances {
+		if i.State == beryllatch.FleetInstanceUp || i.State == beryllatch.FleetInstanceMoving {
+			out = out.Plus(i.Capacity)
+		}
+	}
+	return out
+}
+
+// shareLimit returns the part of the fleet's capacity up to which the team is within its share; teams without a weight have no limit.
+func (s *Scheduler) shareLimit(team string) float64 {
+	if t := s.teams[team]; t != nil && s.deployment.Teams[team].Weight > 0 && t.shareLimit > 0 {
+		return t.shareLimit
+	}
+	return math.Inf(1)
+}
