Waiting work is ordered by team shares and by what can still meet its target

Cause: with more work in time than capacity, every job started at its last possible moment and ended late; one team's backlog held the fleet, and a share counted jobs at acceptance only. Change: weighted max-min shares of the dominant resource over all queues; steps that can't meet their target behind the work ahead of them are deferred; a job whose result would be of no use is refused; instances are divided by the work in time of teams within their share when pools need more than there are. A returning caller's target counts from the first refusal. All of it only with weights.

--- a/internal/decision/berylscheduler/arrival.go
+++ b/internal/decision/berylscheduler/arrival.go
@@ -18,6 +18,8 @@
 	pool string
 	// work is in millicore-seconds.
 	work float64
+	// aboveShare is true if the job's team was above its share of the fleet.
+	aboveShare bool
 }
 
 // recordArrival adds the work of an accepted job to the arrivals; long-running steps don't count.
@@ -28,7 +30,7 @@
 			work += float64(spec.ReservedCapacity().CPUMilli*spec.Count) * s.expectedDuration(j, spec).Seconds()
 		}
 	}
-	s.fleet.arrivals = append(s.fleet.arrivals, arrival{s.now, j.queue.Pool, work})
+	s.fleet.arrivals = append(s.fleet.arrivals, arrival{at: s.now, pool: j.queue.Pool, work: work, aboveShare: j.exceedsShare || s.shared && s.team(j.Team).aboveShare})
 }
 
 // arrivingCPU returns, for each pool, the processor capacity in millicores that would keep up with the arriving work, averaged
--- a/internal/decision/berylscheduler/job.go
+++ b/internal/decision/berylscheduler/job.go
@@ -37,6 +37,8 @@
 	heldBack bool
 	// exceedsShare marks a job that was accepted when its team had used up its share.
 	exceedsShare bool
+	// firstSubmitted is when the job was first submitted, if it was refused at that time.
+	firstSubmitted time.Time
 	// bookedRuns counts the runs for which capacity is booked, including those that are being stopped.
 	bookedRuns int
 
--- a/internal/decision/berylscheduler/place.go
+++ b/internal/decision/berylscheduler/place.go
@@ -17,6 +17,9 @@
 	late bool
 	// exceedsShare is true if the job was accepted when its team had used up its share.
 	exceedsShare bool
+	// class and begun count only where the configuration has shares; begun is true if the job has had a run.
+	class stepClass
+	begun bool
 	// startBy is the latest start that meets the objective.
 	startBy time.Time
 }
@@ -109,12 +112,7 @@
 			}
 		}
 	}
-	slices.SortStableFunc(out, func(a, b candidate) int {
-		if a.priority != b.priority {
-			return a.priority - b.priority
-		}
-		return cmp.Or(falseFirst(a.late, b.late), falseFirst(a.exceedsShare, b.exceedsShare), a.startBy.Compare(b.startBy))
-	})
+	slices.SortStableFunc(out, compareWaiting)
 	return out
 }
 
@@ -130,13 +128,17 @@
 }
 
 func (s *Scheduler) candidate(q beryllatch.JobQueue, st *stepState) candidate {
-	total, rest := s.criticalPaths(st.job, st.occurrence)
-	due := st.job.dueAt(st.occurrence)
-	objective := due.Add(time.Duration(q.Slack*float64(total)) + q.Latency)
-	c := candidate{step: st, pool: q.Pool, priority: q.Priority, exceedsShare: st.job.exceedsShare, startBy: objective.Add(-rest)}
+	t := s.timing(st)
+	c := candidate{step: st, pool: q.Pool, priority: q.Priority, exceedsShare: st.job.exceedsShare, startBy: t.startBy}
 	c.late = !st.spec.LongRunning && s.now.After(c.startBy)
 	if st.spec.LongRunning {
-		c.startBy = due
+		c.startBy = st.job.dueAt(st.occurrence)
+	}
+	if s.shared {
+		c.class = s.classOf(c)
+		c.begun = st.job.started && !c.late && st.job.Repeat == 0 && !st.spec.LongRunning
+	} else if c.late {
+		c.class = classLate
 	}
 	if st.job.Repeat > 0 && (c.late || st.spec.LongRunning) {
 		// Occurrences that have long been due take their turn with the late work of other jobs.
@@ -189,7 +191,7 @@
 		}
 		if w == nil {
 			pool.updateMaxFree()
-			if !c.late {
+			if c.class < classDeferred {
 				s.reserveWorker(t, pool)
 			}
 			return
--- a/internal/decision/berylscheduler/pool.go
+++ b/internal/decision/berylscheduler/pool.go
@@ -37,6 +37,9 @@
 	hadBurst bool
 	// usedCPU is in use, neededCPU adds what waiting tasks need, arrivingCPU keeps up with arriving work; all in millicores.
 	usedCPU, neededCPU, arrivingCPU int
+	// firstCPU is the part of the need that counts first when instances are short: running and waiting work that can meet its target,
+	// of teams within their share, and such arriving work.
+	firstCPU int
 	// labelShortage is, for each label that waiting tasks require, by how much they exceed the free capacity with that label, in
 	// millicores. instanceCPU is the mean capacity of an instance.
 	labelShortage map[string]int
@@ -110,6 +113,7 @@
 	capacity := s.countInstances(byName)
 	needs := s.neededCPU()
 	longTerm, shortTerm := s.arrivingCPU()
+	s.accepting = longTerm
 	forecast := s.forecastCPU()
 	out := make([]*poolDemand, 0, len(byName))
 	for _, name := range slices.Sorted(maps.Keys(byName)) {
@@ -117,9 +121,11 @@
 		p.neededCPU, p.arrivingCPU = needs[name], max(longTerm[name], shortTerm[name], forecast[name])
 		out = append(out, p)
 	}
+	s.countFirstNeeds(byName)
 	s.countLabelShortages(byName, capacity)
 	if capacity > 0 {
 		s.setTargets(out, longTerm, loadTarget*float64(capacity))
+		s.updateReachableRates(out, float64(capacity))
 	}
 	slices.SortStableFunc(out, func(a, b *poolDemand) int { return cmp.Compare(b.target-b.supply, a.target-a.supply) })
 	return out
@@ -175,6 +181,10 @@
 		baseline += count(max(p.neededCPU, longTerm[p.name]))
 		withBursts += count(max(p.neededCPU, p.arrivingCPU))
 	}
+	if s.shared && baseline > present {
+		s.setScarceTargets(pools, present, count)
+		return
+	}
 	share := 1.0
 	if withBursts > baseline {
 		share = min(max(usableShare*float64(present)-float64(baseline), 0)/float64(withBursts-baseline), 1)
--- a/internal/decision/berylscheduler/run.go
+++ b/internal/decision/berylscheduler/run.go
@@ -46,8 +46,10 @@
 	// charged is what counts against the team's ceiling.
 	charged beryllatch.Resources
 	team    string
-	phase   runPhase
-	sentAt  time.Time
+	// yields is true for runs of classes that give way to work in time of teams within their share.
+	yields bool
+	phase  runPhase
+	sentAt time.Time
 	// confirmedAt is when the worker first confirmed or listed the run.
 	confirmedAt time.Time
 	// unconfirmedSince is when the last start order went unanswered.
@@ -117,6 +119,9 @@
 	w.used = w.used.Plus(r.booked)
 	team := s.team(r.team)
 	team.used = team.used.Plus(r.charged)
+	if t != nil {
+		team.booked = team.booked.Plus(r.booked)
+	}
 	return r
 }
 
@@ -136,6 +141,7 @@
 	if t == nil {
 		return
 	}
+	team.booked = team.booked.Minus(r.booked)
 	t.step.job.bookedRuns--
 	if t.step.spec.LongRunning {
 		w.longRunningRuns--
@@ -167,6 +173,7 @@
 // startTask books run n of the task and sends the start order.
 func (s *Scheduler) startTask(w *worker, t *task, n int, ticket string) {
 	r := s.book(w, t, runID{t.name, n})
+	r.yields = s.shared && s.candidate(t.step.job.queue, t.step).class > classInShare
 	r.checkpoint, r.ticket, r.resumed = t.checkpoint, ticket, t.checkpoint != ""
 	s.sendStart(r)
 	s.emit(Decision{Name: "run_start", Job: t.step.job.ID, Task: t.name, Worker: w.info.ID, Run: n, Age: s.now.Sub(w.lastContact)})
--- a/internal/decision/berylscheduler/scheduler.go
+++ b/internal/decision/berylscheduler/scheduler.go
@@ -88,7 +88,17 @@
 	// endedIncarnations holds the last ended incarnation by worker ID; registrations of it or an earlier one are ignored.
 	endedIncarnations map[string]int64
 	teams             map[string]*teamUsage
-	learnedDurations  map[string]*learnedDuration
+	// capacity is the capacity that the teams share, and backlogs what waits for each pool; both as of the last tick.
+	capacity  beryllatch.Resources
+	backlogs  map[string]poolBacklog
+	admission admission
+	// reachableRates is the processor capacity in millicores that each pool has or could get from pools that don't need it.
+	reachableRates map[string]float64
+	// accepting is the processor capacity in millicores that keeps up with the work that each pool has accepted lately.
+	accepting map[string]int
+	// shared is true if the configuration has weights, by which a full fleet is divided between teams.
+	shared           bool
+	learnedDurations map[string]*learnedDuration
 
 	journal journal
 	fleet   fleet
@@ -130,6 +140,13 @@
 type teamUsage struct {
 	used  beryllatch.Resources
 	share teamShare
+	// booked is the capacity reserved on workers for the team's runs; unlike used, it leaves out what fillers use of other runs'
+	// capacity.
+	booked beryllatch.Resources
+	// shareLimit is the part of the fleet's capacity up to which the team is within its fair share, as of the last tick.
+	shareLimit float64
+	// aboveShare is true if what the team runs and waits for exceeds shareLimit.
+	aboveShare bool
 	// lastCeiling is the team's ceiling in the last configuration that had the team.
 	lastCeiling beryllatch.Resources
 }
@@ -255,6 +272,8 @@
 	for _, j := range s.active {
 		s.openSteps(j)
 	}
+	s.updateShares()
+	s.classify()
 	s.deleteJobRows()
 	s.expireJobs()
 	s.tickFleet()
--- a/internal/decision/berylscheduler/share.go
+++ b/internal/decision/berylscheduler/share.go
@@ -42,12 +42,9 @@
 	return false
 }
 
-// hasShares reports whether the configuration divides a full fleet between teams.
-func (s *Scheduler) hasShares() bool {
-	if s.deployment == nil {
-		return false
-	}
-	for _, t := range s.deployment.Teams {
+// hasShares reports whether a configuration divides a full fleet between teams.
+func hasShares(d *beryllatch.Deployment) bool {
+	for _, t := range d.Teams {
 		if t.Weight > 0 {
 			return true
 		}
@@ -59,7 +56,7 @@
 // answers is one team that sends many times its usual to any of the queues: the others get what they ask for up to their weighted
 // part, and the team gets what they leave. Late work doesn't count as demand.
 func (s *Scheduler) updateShares() {
-	if !s.hasShares() {
+	if !s.shared {
 		return
 	}
 	s.capacity = s.fleetCapacity()
@@ -69,7 +66,7 @@
 			continue
 		}
 		for st := range j.waitingSteps {
-			if !s.isLate(j.queue, st) {
+			if st.spec.LongRunning || !s.now.After(s.timing(st).startBy) {
 				demands[j.Team] = demands[j.Team].Plus(st.spec.ReservedCapacity().Times(st.tasksWaiting))
 			}
 		}
--- a/internal/decision/berylscheduler/step.go
+++ b/internal/decision/berylscheduler/step.go
@@ -45,6 +45,11 @@
 	failedRuns []int
 	lastRun    int
 	durations  stepDurations
+	// class is the step's class as of the last pass or tick, timing is kept for timingValidity.
+	class stepClass
+	// classified is true once a tick has set the class.
+	classified bool
+	timing     stepTiming
 	// blockedSince is when a task of the step first found no room since the last start; reservedWorker is the worker that was
 	// last kept free for the step.
 	blockedSince   time.Time
--- a/internal/decision/berylscheduler/submit.go
+++ b/internal/decision/berylscheduler/submit.go
@@ -14,6 +14,7 @@
 		return
 	}
 	if err := s.admit(&e.Job); err != nil {
+		s.admission.remember(e.Job.ID, s.now)
 		s.emit(AnswerCall{e.Call, err})
 		s.emit(Decision{Name: "job_refused", Job: e.Job.ID, Detail: err.Error()})
 		return
@@ -23,6 +24,9 @@
 	j.queue = s.deployment.Queues[j.Queue]
 	j.acceptedQueue, j.acceptedCeiling = j.queue, s.ceiling(j.Team)
 	j.exceedsShare = s.takeFromShare(j.Team)
+	if s.shared {
+		j.firstSubmitted = s.admission.firstSubmission(j.ID)
+	}
 	s.jobs[j.ID] = j
 	s.active = append(s.active, j)
 	s.openSteps(j)
@@ -70,6 +74,9 @@
 			Detail: fmt.Sprintf("the job takes %d bytes; %d are allowed", size, s.Limits.RowBytes),
 		}
 	}
+	if f := s.loadRefusal(j, q); f != nil {
+		return f
+	}
 	return nil
 }
 
