Spread the callers that a node refuses during a takeover or with an outdated configuration

Cause: these refusals had a constant retry time of 2 s and 1 s, so the callers of all nodes returned together. Change: where a team has a positive weight, the node that answers the caller plans the time with berylretry, from 1 s on and at the rate of its own refusals of the last 2 s. platform/ gets the time of a stale node from Node.StaleRetry. Without weights the constants stay.

--- a/internal/node/berylentry/entry.go
+++ b/internal/node/berylentry/entry.go
@@ -155,7 +155,7 @@
 }
 
 func (e *Entry) listeners(settings adapter.Settings) []listener {
-	callers := &adapter.Callers{Jobs: e.node, Deployment: e.node.Deployment, Refused: e.refused}
+	callers := &adapter.Callers{Jobs: e.node, Deployment: e.node.Deployment, StaleRetry: e.node.StaleRetry, Refused: e.refused}
 	ready := mux.NewRouter()
 	ready.HandleFunc(adapter.ReadinessPath, e.ready)
 	peers := mux.NewRouter()
--- a/internal/node/beryljobs/node.go
+++ b/internal/node/beryljobs/node.go
@@ -63,6 +63,8 @@
 	fetching atomic.Bool
 	// catchingUp holds a value while a call reads a newer configuration that another node has.
 	catchingUp chan struct{}
+	// retryTimes plans when the callers return that this node refuses by itself.
+	retryTimes retryTimes
 
 	operationsMu sync.Mutex
 	// operationsVersion is the version of the store that operations show.
--- a/internal/node/beryljobs/service.go
+++ b/internal/node/beryljobs/service.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	// noSchedulerRetry is the retry time in refusals while no node schedules; a takeover takes up to 2 s.
+	// noSchedulerRetry is the retry time in refusals while no node schedules, in deployments without weights; a takeover takes up to 2 s.
 	noSchedulerRetry = 2 * time.Second
 	// noSchedulerWait is how long a call waits for a scheduling node before it is refused.
 	noSchedulerWait = 1200 * time.Millisecond
@@ -74,7 +74,7 @@
 // Submit implements beryllatch.JobService.
 func (n *Node) Submit(ctx context.Context, j beryllatch.Job) error {
 	start := time.Now()
-	err := n.retry(ctx, func() error { return n.submit(ctx, j) })
+	err := n.planRetry(n.retry(ctx, func() error { return n.submit(ctx, j) }))
 	n.Metrics.Time("calls.submit", time.Since(start))
 	n.Log.Call("submit", j.Queue, j.ID, j.Team, time.Since(start), err)
 	return err
@@ -99,6 +99,7 @@
 func (n *Node) JobState(ctx context.Context, queue, id string) (beryllatch.JobState, error) {
 	start := time.Now()
 	state, err := n.jobState(ctx, queue, id)
+	err = n.planRetry(err)
 	n.Metrics.Time("calls.state", time.Since(start))
 	if err != nil {
 		n.Log.Call("state", queue, id, "", time.Since(start), err)
@@ -170,7 +171,7 @@
 // Cancel implements beryllatch.JobService.
 func (n *Node) Cancel(ctx context.Context, queue, id string) error {
 	start := time.Now()
-	err := n.retry(ctx, func() error { return n.cancel(ctx, queue, id) })
+	err := n.planRetry(n.retry(ctx, func() error { return n.cancel(ctx, queue, id) }))
 	n.Metrics.Time("calls.cancel", time.Since(start))
 	n.Log.Call("cancel", queue, id, "", time.Since(start), err)
 	return err
@@ -207,6 +208,11 @@
 
 // Pending implements beryllatch.JobService.
 func (n *Node) Pending(ctx context.Context, queue string) (int, error) {
+	pending, err := n.countPending(ctx, queue)
+	return pending, n.planRetry(err)
+}
+
+func (n *Node) countPending(ctx context.Context, queue string) (int, error) {
 	if s := n.localSession(); s != nil {
 		return s.pending(queue), nil
 	}
