--- a/fleet.go
+++ b/fleet.go
@@ -56,6 +56,19 @@
 	bySecret map[string]string
 }
 
+// HasShares reports whether a team has a weight, by which a full fleet is divided between teams. It is false for no configuration.
+func (d *Deployment) HasShares() bool {
+	if d == nil {
+		return false
+	}
+	for _, t := range d.Teams {
+		if t.Weight > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // WithIndex builds the indexes that Route and TeamOf need and returns the deployment with them.
 func (d Deployment) WithIndex() *Deployment {
 	d.byHost = make(map[string][]JobQueue)
--- a/internal/decision/berylscheduler/admission.go
+++ b/internal/decision/berylscheduler/admission.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/beryllatch/beryllatch"
+	"github.com/beryllatch/beryllatch/internal/decision/berylretry"
 )
 
 const (
@@ -19,6 +20,8 @@
 	refused map[string]refusedJob
 	// order holds the IDs of refused jobs, the one that was refused first in front.
 	order []string
+	// returns plans when refused callers return.
+	returns berylretry.Planner
 }
 
 // refusedJob is a job that was submitted and refused.
@@ -58,18 +61,19 @@
 		}
 	}
 	path, _ := s.criticalPaths(newJob(*j), 0)
-	useful := usefulFactor * jobTarget(q.Slack, path, q.Latency)
+	target := jobTarget(q.Slack, path, q.Latency)
 	passed := time.Duration(0)
 	if first := s.admission.firstSubmission(j.ID); !first.IsZero() {
 		passed = s.now.Sub(first)
 	}
-	left := useful - passed - path
-	wait := s.estimateWait(j, q, jobTarget(q.Slack, path, q.Latency)-passed-path)
+	left := usefulFactor*target - passed - path
+	slack := target - path
+	wait := s.estimateWait(j, q, target, slack-marginOf(slack)-passed)
 	if wait <= left {
 		return nil
 	}
 	return &beryllatch.Refusal{
-		Reason: beryllatch.ReasonQueueFull, RunState: beryllatch.RunStateNotRun, RetryAfter: s.retryAfter(j.Team, wait-max(left, 0)),
+		Reason: beryllatch.ReasonQueueFull, RunState: beryllatch.RunStateNotRun, RetryAfter: s.bookReturn(j, wait-max(left, 0)),
 		Detail: fmt.Sprintf("the result would be of no use: the job would wait for %s, and may for %s",
 			wait.Round(time.Millisecond), max(left, 0).Round(time.Millisecond)),
 	}
@@ -77,9 +81,9 @@
 
 // estimateWait estimates how long a job waits at least until its work starts. slack is for how long it can wait and still meet its
 // target: then it starts after the other work in time, else after all accepted work and behind the work in time that goes on to
-// arrive.
-func (s *Scheduler) estimateWait(j *beryllatch.Job, q beryllatch.JobQueue, slack time.Duration) time.Duration {
-	rate := s.reachableRates[q.Pool]
+// arrive. A load above the pool's capacity is expected to go on for as long as it has lasted, and at least for the job's target.
+func (s *Scheduler) estimateWait(j *beryllatch.Job, q beryllatch.JobQueue, target, slack time.Duration) time.Duration {
+	rate := s.reachableRate(q.Pool)
 	if rate <= 0 {
 		return 0
 	}
@@ -91,11 +95,33 @@
 	if wait := seconds(inTime / rate); wait <= slack {
 		return wait
 	}
-	rest := rate - s.arrivingInTime(q.Pool)
-	if rest <= 0 {
-		return maxWait
+	ahead := b.inTime + b.late
+	if since, ok := s.overloadedSince[q.Pool]; ok {
+		ahead += float64(s.offered[q.Pool]) * (longArrivalWindow + s.now.Sub(since)).Seconds()
+	}
+	return seconds(ahead / rate)
+}
+
+// reachableRate returns the processor capacity in millicores that the pool has or could get.
+func (s *Scheduler) reachableRate(pool string) float64 {
+	return max(s.reachableRates[pool], s.usableRates[pool])
+}
+
+// updateOverload records since when more work is submitted for each pool than it could serve.
+func (s *Scheduler) updateOverload() {
+	if s.overloadedSince == nil {
+		s.overloadedSince = make(map[string]time.Time)
+	}
+	for pool := range s.overloadedSince {
+		if float64(s.offered[pool]) <= s.reachableRate(pool) {
+			delete(s.overloadedSince, pool)
+		}
+	}
+	for pool, cpu := range s.offered {
+		if _, ok := s.overloadedSince[pool]; !ok && float64(cpu) > s.reachableRate(pool) {
+			s.overloadedSince[pool] = s.now
+		}
 	}
-	return min(seconds((b.inTime+b.late)/rest), maxWait)
 }
 
 // maxWait is the longest wait that is estimated.
@@ -105,8 +131,31 @@
 	return time.Duration(min(n, maxWait.Seconds()) * float64(time.Second))
 }
 
-// arrivingInTime returns the processor capacity in millicores that the work needs which was accepted for the pool lately.
-func (s *Scheduler) arrivingInTime(pool string) float64 { return float64(s.accepting[pool]) }
+// The first delays of callers that are refused because of an outage of the store. A short first one finds the end of a short outage
+// within the target; the next ones are longer, since callers have few retries.
+const (
+	firstOutageDelay = time.Second
+	nextOutageDelay  = 2 * time.Second
+)
+
+// outageDelay returns when a caller should return that is refused since the job can't be stored now.
+func (s *Scheduler) outageDelay(j *beryllatch.Job) time.Duration {
+	if !s.shared {
+		return outageRetryAfter
+	}
+	delay := firstOutageDelay
+	if _, refused := s.admission.refused[j.ID]; refused {
+		delay = nextOutageDelay
+	}
+	return s.bookReturn(j, delay)
+}
 
-// retryAfter returns when a refused caller should return, if the capacity is free for it after the given time.
-func (s *Scheduler) retryAfter(_ string, _ time.Duration) time.Duration { return outageRetryAfter }
+// bookReturn returns when a refused caller should return, if there is capacity for it after the delay: callers that return together
+// would only be refused together again.
+func (s *Scheduler) bookReturn(j *beryllatch.Job, delay time.Duration) time.Duration {
+	room := berylretry.Room{From: s.now.Add(delay)}
+	if s.meanWork > 0 {
+		room.Rate = loadTarget * float64(s.capacity.CPUMilli) / s.meanWork
+	}
+	return s.admission.returns.Book(s.now, room, s.team(j.Team).aboveShare)
+}
--- a/internal/decision/berylscheduler/arrival.go
+++ b/internal/decision/berylscheduler/arrival.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/beryllatch/beryllatch"
 )
 
 // The windows over which arriving work is averaged: the short one shows the start of a burst, the long one bridges the gaps
@@ -12,6 +14,9 @@
 	longArrivalWindow  = 1500 * time.Millisecond
 )
 
+// meanWorkWeight is the weight of a job in the moving average of the work of jobs.
+const meanWorkWeight = 0.02
+
 // arrival is the amount of work of one accepted job.
 type arrival struct {
 	at   time.Time
@@ -24,13 +29,57 @@
 
 // recordArrival adds the work of an accepted job to the arrivals; long-running steps don't count.
 func (s *Scheduler) recordArrival(j *job) {
+	work := s.jobWork(j)
+	if s.meanWork == 0 {
+		s.meanWork = work
+	}
+	s.meanWork += meanWorkWeight * (work - s.meanWork)
+	s.fleet.arrivals = append(s.fleet.arrivals, arrival{at: s.now, pool: j.queue.Pool, work: work, aboveShare: j.exceedsShare || s.shared && s.team(j.Team).aboveShare})
+}
+
+// jobWork returns the work of a job in millicore-seconds; long-running steps don't count.
+func (s *Scheduler) jobWork(j *job) float64 {
 	work := 0.0
 	for i := range j.Steps {
-		if spec := &j.Steps[i]; !spec.LongRunning {
-			work += float64(spec.ReservedCapacity().CPUMilli*spec.Count) * s.expectedDuration(j, spec).Seconds()
-		}
+		work += s.stepWork(j, &j.Steps[i])
 	}
-	s.fleet.arrivals = append(s.fleet.arrivals, arrival{at: s.now, pool: j.queue.Pool, work: work, aboveShare: j.exceedsShare || s.shared && s.team(j.Team).aboveShare})
+	return work
+}
+
+// stepWork returns the work of a step in millicore-seconds, 0 for a long-running one.
+func (s *Scheduler) stepWork(j *job, spec *beryllatch.JobStep) float64 {
+	if spec.LongRunning {
+		return 0
+	}
+	return float64(spec.ReservedCapacity().CPUMilli*spec.Count) * s.expectedDuration(j, spec).Seconds()
+}
+
+// recordRefused adds the work of a refused job to the offered work, once.
+func (s *Scheduler) recordRefused(j *beryllatch.Job) {
+	if !s.shared || !s.admission.firstSubmission(j.ID).IsZero() {
+		return
+	}
+	if q, ok := s.deployment.Queues[j.Queue]; ok {
+		s.fleet.refused = append(s.fleet.refused, arrival{at: s.now, pool: q.Pool, work: s.jobWork(newJob(*j))})
+	}
+}
+
+// offeredCPU returns, for each pool, the processor capacity in millicores that would keep up with all submitted work, accepted or not,
+// averaged over the long window. A job counts with its first submission.
+func (s *Scheduler) offeredCPU() map[string]int {
+	f := &s.fleet
+	out, _ := s.arrivingCPU()
+	for len(f.refused) > 0 && s.now.Sub(f.refused[0].at) > longArrivalWindow {
+		f.refused = f.refused[1:]
+	}
+	sums := make(map[string]float64)
+	for _, a := range f.refused {
+		sums[a.pool] += a.work
+	}
+	for pool, work := range sums {
+		out[pool] += int(work / longArrivalWindow.Seconds())
+	}
+	return out
 }
 
 // arrivingCPU returns, for each pool, the processor capacity in millicores that would keep up with the arriving work, averaged
--- a/internal/decision/berylscheduler/commit.go
+++ b/internal/decision/berylscheduler/commit.go
@@ -259,8 +259,9 @@
 			continue
 		}
 		for _, c := range j.rows.waitingCalls {
-			s.emit(AnswerCall{c.call, notStoredRefusal()})
+			s.emit(AnswerCall{c.call, s.notStoredRefusal(&j.Job)})
 		}
+		s.admission.remember(j.ID, j.Accepted)
 		delete(s.jobs, j.ID)
 		s.removeActive(j)
 		s.emit(Decision{Name: "job_refused", Job: j.ID, Detail: "the store is unavailable"})
@@ -274,9 +275,9 @@
 	return b
 }
 
-func notStoredRefusal() error {
+func (s *Scheduler) notStoredRefusal(j *beryllatch.Job) error {
 	return &beryllatch.Refusal{
-		Reason: beryllatch.ReasonPlatformUnavailable, RunState: beryllatch.RunStateNotRun, RetryAfter: outageRetryAfter,
+		Reason: beryllatch.ReasonPlatformUnavailable, RunState: beryllatch.RunStateNotRun, RetryAfter: s.outageDelay(j),
 		Detail: "the job could not be stored",
 	}
 }
--- a/internal/decision/berylscheduler/deployment.go
+++ b/internal/decision/berylscheduler/deployment.go
@@ -12,7 +12,7 @@
 // in it keeps the settings of the last configuration that had it.
 func (s *Scheduler) changeDeployment(d *beryllatch.Deployment) {
 	s.deployment = d
-	s.shared = hasShares(d)
+	s.shared = d.HasShares()
 	for name, t := range d.Teams {
 		s.team(name).lastCeiling = t.Ceiling
 	}
--- a/internal/decision/berylscheduler/fleet.go
+++ b/internal/decision/berylscheduler/fleet.go
@@ -48,8 +48,10 @@
 	// workerByInstance holds the latest worker of each instance; it is nil if it has to be built again.
 	workerByInstance map[string]*worker
 	arrivals         []arrival
-	loadLoggedAt     time.Time
-	budget           orderBudget
+	// refused holds the refused jobs within longArrivalWindow.
+	refused      []arrival
+	loadLoggedAt time.Time
+	budget       orderBudget
 	// alternatives holds the steps with a task on a worker that is to be emptied, and when no other worker could last take it.
 	alternatives       map[*stepState]time.Time
 	noInstanceLoggedAt time.Time
--- a/internal/decision/berylscheduler/order.go
+++ b/internal/decision/berylscheduler/order.go
@@ -17,8 +17,9 @@
 	timingValidity = 200 * time.Millisecond
 	// slackMargin is the part of a job's slack that is left for wrong estimates and the waits of later steps.
 	slackMargin = 0.25
-	// maxLateWait is how long late work waits behind all work in time.
-	maxLateWait = 20 * time.Second
+	// maxLateWait is how long late work waits behind all work in time. After that it gets overdueShare of its pool's capacity.
+	maxLateWait  = 20 * time.Second
+	overdueShare = 0.125
 )
 
 // stepClass is the first sort key of waiting steps of the same priority.
@@ -68,6 +69,9 @@
 	return time.Duration(slack*float64(path)) + latency
 }
 
+// marginOf returns the part of a job's slack that is left for wrong estimates and the waits of later steps.
+func marginOf(slack time.Duration) time.Duration { return time.Duration(slackMargin * float64(slack)) }
+
 // classOf returns the class of a candidate: by the time now, and for work in time by the last tick.
 func (s *Scheduler) classOf(c candidate) stepClass {
 	switch st := c.step; {
@@ -77,8 +81,8 @@
 		return classAboveShare
 	case !c.late:
 		return st.class
-	case s.now.Sub(laterTime(c.startBy, st.openedAt)) > maxLateWait:
-		return classAboveShare
+	case st.overdue:
+		return classInShare
 	case s.now.After(st.timing.uselessAfter):
 		return classUseless
 	}
@@ -118,6 +122,9 @@
 		usage[name] = berylshare.Dominant(t.booked, s.capacity)
 	}
 	rates := s.poolRates()
+	s.usableRates = rates
+	s.offered = s.offeredCPU()
+	s.updateOverload()
 	ahead := make(map[string]float64, len(rates))
 	s.backlogs = make(map[string]poolBacklog, len(rates))
 	for i := range waiting {
@@ -144,6 +151,13 @@
 		}
 		b := s.backlogs[c.pool]
 		work := s.remainingWork(st)
+		if st.job.Repeat == 0 && st.job.backlogAt != s.now {
+			st.job.backlogAt = s.now
+			work += s.laterWork(st.job)
+		}
+		if c.late && s.takeOverdue(c, work, rates[c.pool]) {
+			st.overdue = true
+		}
 		if c.class >= classLate {
 			b.late += work
 			s.backlogs[c.pool] = b
@@ -153,7 +167,7 @@
 		if r := rates[c.pool]; r > 0 {
 			wait = ahead[c.pool] / r
 		}
-		startBy := c.startBy.Add(-time.Duration(slackMargin * float64(st.timing.slack)))
+		startBy := c.startBy.Add(-marginOf(st.timing.slack))
 		if !c.late && !c.begun && wait > startBy.Sub(s.now).Seconds() {
 			st.class = classDeferred
 		} else {
@@ -168,6 +182,47 @@
 	}
 }
 
+// takeOverdue reports whether a late step has waited for maxLateWait and its pool has capacity for such steps, and takes the capacity.
+func (s *Scheduler) takeOverdue(c candidate, work, rate float64) bool {
+	if s.now.Sub(laterTime(c.startBy, c.step.openedAt)) <= maxLateWait || c.step.overdue {
+		return false
+	}
+	a := s.overdue[c.pool]
+	a.work = min(a.work+overdueShare*rate*s.now.Sub(a.at).Seconds(), overdueShare*rate)
+	a.at = s.now
+	taken := a.work > 0
+	if taken {
+		a.work -= work
+	}
+	if s.overdue == nil {
+		s.overdue = make(map[string]overdueAllowance)
+	}
+	s.overdue[c.pool] = a
+	return taken
+}
+
+// overdueAllowance is the work in millicore-seconds that overdue steps of a pool may still do.
+type overdueAllowance struct {
+	work float64
+	at   time.Time
+}
+
+// addToBacklog counts a job that was accepted since the last tick.
+func (s *Scheduler) addToBacklog(j *job) {
+	if !s.shared || j.Repeat > 0 {
+		return
+	}
+	if s.backlogs == nil {
+		s.backlogs = make(map[string]poolBacklog)
+	}
+	b, work := s.backlogs[j.queue.Pool], s.jobWork(j)
+	b.inTime += work
+	if !s.team(j.Team).aboveShare {
+		b.inShare += work
+	}
+	s.backlogs[j.queue.Pool] = b
+}
+
 // waitingCandidates returns all waiting steps of stored jobs, in the order in which they would be placed by time alone.
 func (s *Scheduler) waitingCandidates() []candidate {
 	var out []candidate
@@ -189,6 +244,18 @@
 	return float64(st.spec.ReservedCapacity().CPUMilli*st.tasksWaiting) * s.expectedDuration(st.job, st.spec).Seconds()
 }
 
+// laterWork returns the work of the steps that wait for others, in millicore-seconds.
+func (s *Scheduler) laterWork(j *job) float64 {
+	work := 0.0
+	for n := range j.Steps {
+		at := stepKey{0, n}
+		if !j.isDone(at) && !j.isReady(at) {
+			work += s.stepWork(j, &j.Steps[n])
+		}
+	}
+	return work
+}
+
 // poolRates returns the processor capacity of each pool's usable workers that short tasks can use, in millicores.
 func (s *Scheduler) poolRates() map[string]float64 {
 	out := make(map[string]float64)
--- a/internal/decision/berylscheduler/pool.go
+++ b/internal/decision/berylscheduler/pool.go
@@ -113,7 +113,6 @@
 	capacity := s.countInstances(byName)
 	needs := s.neededCPU()
 	longTerm, shortTerm := s.arrivingCPU()
-	s.accepting = longTerm
 	forecast := s.forecastCPU()
 	out := make([]*poolDemand, 0, len(byName))
 	for _, name := range slices.Sorted(maps.Keys(byName)) {
--- a/internal/decision/berylscheduler/scheduler.go
+++ b/internal/decision/berylscheduler/scheduler.go
@@ -94,8 +94,15 @@
 	admission admission
 	// reachableRates is the processor capacity in millicores that each pool has or could get from pools that don't need it.
 	reachableRates map[string]float64
-	// accepting is the processor capacity in millicores that keeps up with the work that each pool has accepted lately.
-	accepting map[string]int
+	// usableRates is the processor capacity in millicores of each pool's usable workers, overdue what their overdue steps may use.
+	usableRates map[string]float64
+	overdue     map[string]overdueAllowance
+	// offered is the processor capacity in millicores that would keep up with the work that was submitted for each pool lately.
+	offered map[string]int
+	// overloadedSince holds the pools for which more work is submitted than they could serve.
+	overloadedSince map[string]time.Time
+	// meanWork is the moving average of the work of accepted jobs in millicore-seconds.
+	meanWork float64
 	// shared is true if the configuration has weights, by which a full fleet is divided between teams.
 	shared           bool
 	learnedDurations map[string]*learnedDuration
--- a/internal/decision/berylscheduler/share.go
+++ b/internal/decision/berylscheduler/share.go
@@ -42,16 +42,6 @@
 	return false
 }
 
-// hasShares reports whether a configuration divides a full fleet between teams.
-func hasShares(d *beryllatch.Deployment) bool {
-	for _, t := range d.Teams {
-		if t.Weight > 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // updateShares computes the capacity of the fleet and the part of it up to which each team is within its fair share. The load that it
 // answers is one team that sends many times its usual to any of the queues: the others get what they ask for up to their weighted
 // part, and the team gets what they leave. Late work doesn't count as demand.
--- a/internal/decision/berylscheduler/step.go
+++ b/internal/decision/berylscheduler/step.go
@@ -49,7 +49,9 @@
 	class stepClass
 	// classified is true once a tick has set the class.
 	classified bool
-	timing     stepTiming
+	// overdue is true once the step has got a part of the capacity for work that has been late for long.
+	overdue bool
+	timing  stepTiming
 	// blockedSince is when a task of the step first found no room since the last start; reservedWorker is the worker that was
 	// last kept free for the step.
 	blockedSince   time.Time
--- a/internal/decision/berylscheduler/submit.go
+++ b/internal/decision/berylscheduler/submit.go
@@ -14,6 +14,7 @@
 		return
 	}
 	if err := s.admit(&e.Job); err != nil {
+		s.recordRefused(&e.Job)
 		s.admission.remember(e.Job.ID, s.now)
 		s.emit(AnswerCall{e.Call, err})
 		s.emit(Decision{Name: "job_refused", Job: e.Job.ID, Detail: err.Error()})
@@ -31,6 +32,7 @@
 	s.active = append(s.active, j)
 	s.openSteps(j)
 	s.recordArrival(j)
+	s.addToBacklog(j)
 	// The call is added before the change, so that the change is stored with those that callers wait for.
 	s.answerWhenStored(j, e.Call, j.rows.latestChange+1)
 	s.markChanged(j)
@@ -53,20 +55,20 @@
 	q, ok := s.deployment.Queues[j.Queue]
 	if !ok {
 		return &beryllatch.Refusal{
-			Reason: beryllatch.ReasonNodeStale, RunState: beryllatch.RunStateNotRun, RetryAfter: outageRetryAfter,
+			Reason: beryllatch.ReasonNodeStale, RunState: beryllatch.RunStateNotRun, RetryAfter: s.outageDelay(j),
 			Detail: fmt.Sprintf("queue %q is not in version %d of the configuration", j.Queue, s.deployment.Version),
 		}
 	}
 	if len(s.active) >= maxActiveJobs {
 		return &beryllatch.Refusal{
-			Reason: beryllatch.ReasonQueueFull, RunState: beryllatch.RunStateNotRun, RetryAfter: outageRetryAfter,
+			Reason: beryllatch.ReasonQueueFull, RunState: beryllatch.RunStateNotRun, RetryAfter: s.outageDelay(j),
 			Detail: fmt.Sprintf("%d jobs are unfinished", len(s.active)),
 		}
 	}
 	// During an outage, one submission after each pause is accepted, to find out whether the store is back.
 	n := &s.journal
 	if n.unavailable(s.now) && (len(n.batches) > 0 || s.now.Before(n.retryAt)) {
-		return notStoredRefusal()
+		return s.notStoredRefusal(j)
 	}
 	if size := len(encodeJob(&job{Job: *j, acceptedQueue: q, acceptedCeiling: s.ceiling(j.Team)})); s.Limits.RowBytes > 0 && size > s.Limits.RowBytes {
 		return &beryllatch.Refusal{
--- a/internal/node/beryljobs/retry.go
+++ b/internal/node/beryljobs/retry.go
@@ -70,7 +70,7 @@
 // the caller plans the time, also if the refusal comes from another node, so that each caller is booked once.
 func (n *Node) planRetry(err error) error {
 	var f *beryllatch.Refusal
-	if !errors.As(err, &f) || f.Reason != beryllatch.ReasonNoScheduler || f.RunState != beryllatch.RunStateNotRun || !n.hasWeights() {
+	if !errors.As(err, &f) || f.Reason != beryllatch.ReasonNoScheduler || f.RunState != beryllatch.RunStateNotRun || !n.deployment.Load().HasShares() {
 		return err
 	}
 	planned := *f
@@ -78,25 +78,11 @@
 	return &planned
 }
 
-// StaleRetry returns the retry time of a caller that is refused because the configuration may be outdated, or 0 if it is not
-// planned. Call it once for each such refusal.
+// StaleRetry returns the retry time of a caller that is refused because the configuration may be outdated, or 0 if the last known
+// configuration has no shares. Call it once for each such refusal.
 func (n *Node) StaleRetry() time.Duration {
-	if !n.hasWeights() {
+	if !n.deployment.Load().HasShares() {
 		return 0
 	}
 	return n.retryTimes.next()
 }
-
-// hasWeights reports whether a team has a positive weight in the last known configuration, which may be outdated.
-func (n *Node) hasWeights() bool {
-	d := n.deployment.Load()
-	if d == nil {
-		return false
-	}
-	for _, t := range d.Teams {
-		if t.Weight > 0 {
-			return true
-		}
-	}
-	return false
-}
