Soak with a team that submits many times its share

Cause: no soak submits more than the workers can do, so that nothing shows whether refusals for load are true and harm no other team.

The first team submits two bursts of 24 jobs for each worker, about twice what the workers can do before the results are worthless; the jobs of the other come steadily. Clients repeat refused submissions after their Retry-After, up to four times, and the number of refusals is printed. A job with a run must not be submitted again if all of its submissions were refused: the repetition would be accepted and hide the run. This check applies to the other soaks, too; what else they submit is unchanged.

--- a/cmd/berylsoak/main.go
+++ b/cmd/berylsoak/main.go
@@ -26,8 +26,8 @@
 			fmt.Fprintln(os.Stderr, "berylsoak:", err)
 			os.Exit(2)
 		}
-		fmt.Printf("seed %d: %d accepted, %d done, %d refused, %d checked, %d faults, %d violations\n",
-			o.Seed, r.Accepted, r.Done, r.Refused, r.Checked, len(r.Faults), len(r.Violations))
+		fmt.Printf("seed %d: %d accepted, %d done, %d refused, %d refusals, %d checked, %d faults, %d violations\n",
+			o.Seed, r.Accepted, r.Done, r.Refused, r.Refusals, r.Checked, len(r.Faults), len(r.Violations))
 		if len(r.Violations) > 0 {
 			failed++
 			for _, line := range append(r.Faults, r.Violations...) {
--- a/internal/bench/berylsoak/client.go
+++ b/internal/bench/berylsoak/client.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -16,8 +17,12 @@
 
 // job is a job of the soak and what its client was answered.
 type job struct {
-	id       string
-	accepted bool
+	id string
+	// key is that of the job's team.
+	key            string
+	accepted, done bool
+	// refusals counts the refused submissions.
+	refusals int
 	// unknown is true after an attempt whose outcome the client doesn't know.
 	unknown bool
 	// violation describes an answer that breaks the platform's rules; empty if there was none.
@@ -27,47 +32,77 @@
 type client struct {
 	http  *http.Client
 	hosts []string
+	// pollInterval is the pause between two looks at a job's state.
+	pollInterval time.Duration
+	// retries is how often a refused submission is repeated after its Retry-After. With 0 the client doesn't read Retry-After.
+	retries int
+	// starts returns how many runs of a job have started.
+	starts func(job string) int
 }
 
-func (c *client) call(ctx context.Context, rng *rand.Rand, method, id, body string) (int, string, error) {
+// answer is what a daemon has answered.
+type answer struct {
+	status     int
+	body       string
+	retryAfter time.Duration
+}
+
+func (c *client) call(ctx context.Context, rng *rand.Rand, method string, j *job, body string) (answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	host := c.hosts[rng.IntN(len(c.hosts))]
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+host+"/q/"+id, strings.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+host+"/q/"+j.id, strings.NewReader(body))
 	if err != nil {
-		return 0, "", err
+		return answer{}, err
 	}
 	req.Host = soakHost
-	req.Header.Set("Authorization", "Token "+soakKey)
+	req.Header.Set("Authorization", "Token "+j.key)
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return 0, "", err
+		return answer{}, err
 	}
 	defer func() { _ = resp.Body.Close() }()
 	b, err := io.ReadAll(resp.Body)
-	return resp.StatusCode, string(b), err
+	seconds, _ := strconv.Atoi(resp.Header.Get("Retry-After")) // Without one it is 0.
+	return answer{resp.StatusCode, string(b), time.Duration(seconds) * time.Second}, err
 }
 
-// submit submits the job, and repeats that while the outcome is unknown, until ctx ends. After each refusal it gives up
-// with a probability of one half.
+// givesUp reports whether the client doesn't repeat a submission after its latest refusal.
+func (c *client) givesUp(rng *rand.Rand, j *job) bool {
+	if c.retries > 0 {
+		return j.refusals > c.retries
+	}
+	return rng.IntN(2) == 0
+}
+
+// submit submits the job, and repeats that while the outcome is unknown, until ctx ends. After a refusal it gives up with a probability
+// of one half, or after the client's number of retries.
 func (c *client) submit(ctx context.Context, rng *rand.Rand, j *job, body string) {
 	for ctx.Err() == nil {
-		status, text, err := c.call(ctx, rng, http.MethodPost, j.id, body)
+		if j.refusals > 0 && !j.unknown && c.starts(j.id) > 0 {
+			return // The evaluation reports it. If the submission were repeated, the job would count as accepted.
+		}
+		a, err := c.call(ctx, rng, http.MethodPost, j, body)
+		pause := 200 * time.Millisecond
 		switch {
-		case err == nil && status == http.StatusOK:
+		case err == nil && a.status == http.StatusOK:
 			j.accepted = true
 			return
-		case err != nil || status == http.StatusGatewayTimeout:
+		case err != nil || a.status == http.StatusGatewayTimeout:
 			j.unknown = true
-		case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
-			if rng.IntN(2) == 0 {
+		case a.status == http.StatusServiceUnavailable || a.status == http.StatusTooManyRequests:
+			j.refusals++
+			if c.givesUp(rng, j) {
 				return
 			}
+			if c.retries > 0 {
+				pause = max(pause, a.retryAfter)
+			}
 		default:
-			j.violation = fmt.Sprintf("job %s: submission is answered %d %s", j.id, status, text)
+			j.violation = fmt.Sprintf("job %s: submission is answered %d %s", j.id, a.status, a.body)
 			return
 		}
-		sleep(ctx, 200*time.Millisecond)
+		sleep(ctx, pause)
 	}
 }
 
@@ -75,12 +110,12 @@
 // or is unknown.
 func (c *client) awaitDone(ctx context.Context, rng *rand.Rand, j *job) bool {
 	for ctx.Err() == nil {
-		status, text, err := c.call(ctx, rng, http.MethodGet, j.id, "")
+		a, err := c.call(ctx, rng, http.MethodGet, j, "")
 		var state struct {
 			State string `json:"state"`
 		}
-		if err == nil && status == http.StatusOK {
-			if err := json.Unmarshal([]byte(text), &state); err == nil {
+		if err == nil && a.status == http.StatusOK {
+			if err := json.Unmarshal([]byte(a.body), &state); err == nil {
 				switch state.State {
 				case "done":
 					return true
@@ -90,11 +125,11 @@
 				}
 			}
 		}
-		if err == nil && status == http.StatusGone {
+		if err == nil && a.status == http.StatusGone {
 			j.violation = fmt.Sprintf("job %s was accepted and is not known", j.id)
 			return false
 		}
-		sleep(ctx, 300*time.Millisecond)
+		sleep(ctx, c.pollInterval)
 	}
 	return false
 }
--- a/internal/bench/berylsoak/configuration.go
+++ b/internal/bench/berylsoak/configuration.go
@@ -49,7 +49,7 @@
 // older one of each.
 func (r *soakRun) changeConfiguration(end time.Time) {
 	rng := rand.New(rand.NewPCG(r.Seed, 1<<33)) //nolint:gosec // The same seed must give the same soak.
-	c := berylfleet.Configuration{Version: 1, Host: soakHost, Keys: []string{soakKey}, Ceiling: teamCeiling}
+	c := r.configuration()
 	growth := 2 + rng.IntN(4)
 	for n := 2; time.Now().Before(end) && r.ctx.Err() == nil; n++ {
 		c.Version += 1 + rng.IntN(3)
--- a/internal/bench/berylsoak/soak.go
+++ b/internal/bench/berylsoak/soak.go
@@ -25,6 +25,8 @@
 	startTime = 2 * time.Second
 	// teamCeiling is the ceiling of the clients' team, in thousandths of a core.
 	teamCeiling = 40000
+	// soakEstimate is the declared duration of tasks, which take between 0.1 and 0.6 s.
+	soakEstimate = 300 * time.Millisecond
 )
 
 // Soak is a soak test that a seed determines; its fields are also flags of the command.
@@ -43,13 +45,17 @@
 	// leases, and long tasks.
 	Incarnations bool `help:"Also restart workers under their IDs, with slow clocks, and cut them off for longer than a lease."`
 	// Cuts adds cuts between daemons, workers, the store and the instance interface, and of whole data centres, and long tasks.
-	Cuts bool   `help:"Also cut daemons, workers, the store and data centres off from each other, one way as well, with fewer other faults."`
+	Cuts bool `help:"Also cut daemons, workers, the store and data centres off from each other, one way as well, with fewer other faults."`
+	// Hot adds a second team, and bursts of the first one that exceed what the workers can do in time.
+	Hot  bool   `help:"Also submit bursts of one team that far exceed its share, beside the jobs of a second team."`
 	Logs string `help:"Folder for the daemons' logs; default: a temporary one."`
 }
 
 // Result is the outcome of a soak.
 type Result struct {
 	Accepted, Refused, Done int
+	// Refusals is how many submissions were refused; a job may have several. SteadyDone counts the done jobs of the steady team.
+	Refusals, SteadyDone int
 	// Checked is how many answers were compared with the configurations that might be in force.
 	Checked    int
 	Faults     []string
@@ -104,7 +110,8 @@
 }
 
 func (r *soakRun) setUp() error {
-	r.fleet.Ceiling = teamCeiling
+	configuration := r.configuration()
+	r.fleet.Ceiling = configuration.Ceiling
 	if r.Incarnations {
 		r.fleet.OwnRacks = true
 		r.slowClocks()
@@ -114,7 +121,7 @@
 			return err
 		}
 	}
-	r.store.Put(berylfleet.Configuration{Version: 1, Host: soakHost, Keys: []string{soakKey}, Ceiling: teamCeiling}.Row())
+	r.store.Put(configuration.Row())
 	store, err := berylfleet.Serve(r.ctx, r.store)
 	if err != nil {
 		return err
@@ -188,7 +195,6 @@
 
 // execute submits jobs and injects faults, then waits until the accepted jobs are done.
 func (r *soakRun) execute() Result {
-	rng := rand.New(rand.NewPCG(r.Seed, 1)) //nolint:gosec // The same seed must give the same soak.
 	end := time.Now().Add(r.Duration)
 	var faults, clients sync.WaitGroup
 	faults.Go(func() { r.injectFaults(end, &faults) })
@@ -206,17 +212,24 @@
 	if r.Cuts {
 		faults.Go(func() { r.cutNetwork(end, &faults) })
 	}
-	jobs := make([]*job, r.Jobs)
-	done := make([]bool, r.Jobs)
-	c := &client{http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}}
+	c := &client{http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}, pollInterval: 300 * time.Millisecond, starts: r.fleet.Starts}
 	for _, d := range r.daemons {
 		c.hosts = append(c.hosts, fmt.Sprintf("%s:%d", d.ip, callersPort))
 	}
-	for i := range jobs {
-		j := &job{id: fmt.Sprintf("%08x%08x", r.Seed, i)}
-		jobs[i] = j
+	var jobs, burstJobs []*job
+	if r.Hot {
+		c.retries, c.pollInterval = hotRetries, hotPollInterval
+		clients.Go(func() { burstJobs = r.submitBursts(c, end, &clients) })
+	}
+	rng := rand.New(rand.NewPCG(r.Seed, 1)) //nolint:gosec // The same seed must give the same soak.
+	for i := range r.Jobs {
+		j := r.newJob(i)
+		if r.Hot {
+			j.key = steadyKey
+		}
+		jobs = append(jobs, j)
 		width, cpu := 1+rng.IntN(6), 500+rng.IntN(3000)
-		needs, estimate := berylfleet.Needs{CPU: cpu, Memory: 200}, 300*time.Millisecond
+		needs, estimate := berylfleet.Needs{CPU: cpu, Memory: 200}, soakEstimate
 		if (r.Incarnations || r.Cuts) && rng.IntN(3) == 0 {
 			// The team's ceiling must leave room for the work that faults undo.
 			cpu /= longTaskShare
@@ -228,44 +241,60 @@
 			place = r.placeOfJob(rng)
 		}
 		r.fleet.Expect(j.id, needs)
-		body := fmt.Sprintf(`{"spec":"soak","steps":[{"count":%d,"cpu":%d,"mem_mb":200,"estimate_ms":%d%s},`+
-			`{"count":1,"cpu":%d,"mem_mb":200,"estimate_ms":%d,"after":[0]}]}`, width, cpu, estimate.Milliseconds(), place, cpu, estimate.Milliseconds())
-		clientRNG := rand.New(rand.NewPCG(r.Seed, uint64(i)+2)) //nolint:gosec // The same seed must give the same soak.
-		clients.Go(func() {
-			submit, cancel := context.WithTimeout(r.ctx, r.Duration)
-			defer cancel()
-			c.submit(submit, clientRNG, j, body)
-			if j.accepted {
-				wait, cancel := context.WithDeadline(r.ctx, end.Add(settleTime))
-				defer cancel()
-				done[i] = c.awaitDone(wait, clientRNG, j)
-			}
-		})
+		body := jobBody(width, cpu, estimate, place)
+		clients.Go(func() { r.runJob(c, j, i, body, end) })
 		sleep(r.ctx, r.Duration/time.Duration(r.Jobs))
 	}
 	faults.Wait()
 	clients.Wait()
-	return r.evaluate(jobs, done)
+	return r.evaluate(append(jobs, burstJobs...))
+}
+
+func (r *soakRun) newJob(number int) *job {
+	return &job{id: fmt.Sprintf("%08x%08x", r.Seed, number), key: soakKey}
+}
+
+// jobBody returns a submission with a step of the given width and a second step of one task.
+func jobBody(width, cpu int, estimate time.Duration, place string) string {
+	return fmt.Sprintf(`{"spec":"soak","steps":[{"count":%d,"cpu":%d,"mem_mb":200,"estimate_ms":%d%s},`+
+		`{"count":1,"cpu":%d,"mem_mb":200,"estimate_ms":%d,"after":[0]}]}`, width, cpu, estimate.Milliseconds(), place, cpu, estimate.Milliseconds())
+}
+
+// runJob submits a job and, if it is accepted, waits until it is done.
+func (r *soakRun) runJob(c *client, j *job, number int, body string, end time.Time) {
+	rng := rand.New(rand.NewPCG(r.Seed, uint64(number)+2)) //nolint:gosec // The same seed must give the same soak.
+	submit, cancel := context.WithTimeout(r.ctx, r.Duration)
+	defer cancel()
+	c.submit(submit, rng, j, body)
+	if j.accepted {
+		wait, cancel := context.WithDeadline(r.ctx, end.Add(settleTime))
+		defer cancel()
+		j.done = c.awaitDone(wait, rng, j)
+	}
 }
 
 // evaluate compares what the clients were answered with what the workers ran.
-func (r *soakRun) evaluate(jobs []*job, done []bool) Result {
+func (r *soakRun) evaluate(jobs []*job) Result {
 	result := Result{Faults: r.faults, Violations: r.fleet.Violations()}
 	if r.Changes {
 		result.Checked, result.Violations = r.changes.evaluate(result.Violations)
 	}
-	for i, j := range jobs {
+	for _, j := range jobs {
+		result.Refusals += j.refusals
 		if j.violation != "" {
 			result.Violations = append(result.Violations, j.violation)
 		}
 		switch {
-		case j.accepted && done[i]:
+		case j.accepted && j.done:
 			result.Accepted++
 			result.Done++
+			if j.key == steadyKey {
+				result.SteadyDone++
+			}
 		case j.accepted:
 			result.Accepted++
 			if j.violation == "" {
-				result.Violations = append(result.Violations, fmt.Sprintf("job %s was accepted and is not done", j.id))
+				result.Violations = append(result.Violations, fmt.Sprintf("job %s, submitted with %s, was accepted and is not done", j.id, j.key))
 			}
 		default:
 			result.Refused++
--- a/internal/bench/berylsoak/soak_test.go
+++ b/internal/bench/berylsoak/soak_test.go
@@ -66,6 +66,23 @@
 	}
 }
 
+// Bursts of one team that far exceed its share must break no promise: no job runs whose submissions were all refused, and each accepted job
+// is done, those of the other team as well.
+func TestSoakWithHotTeam(t *testing.T) {
+	program := buildDaemon(t)
+	for _, seed := range []uint64{5001, 5002} {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			r, err := Soak{
+				Program: program, Seed: seed, Daemons: 4, Workers: 6, Jobs: 60, Duration: 15 * time.Second, Logs: t.TempDir(), Hot: true,
+			}.Run(context.Background())
+			assert.NilError(t, err)
+			assert.Check(t, len(r.Violations) == 0, "%v after %v", r.Violations, r.Faults)
+			assert.Check(t, r.SteadyDone > 0 && r.Done > r.SteadyDone, "%d done, %d of them of the steady team", r.Done, r.SteadyDone)
+		})
+	}
+}
+
 func TestShortSoak(t *testing.T) {
 	program := buildDaemon(t)
 	for seed, cause := range seeds {
--- a/internal/standin/berylfleet/operator.go
+++ b/internal/standin/berylfleet/operator.go
@@ -31,7 +31,7 @@
 `, s.Node, s.IP, s.IP, s.CallersPort, s.IP, s.ReadinessPort, s.InternalPort, s.InternalPort+15, s.MemoryMB, s.StoreAddress, s.InstancesAddress)
 }
 
-// Configuration is what an operator stores as the configuration: one pool, the queue /q/ of one team, and public queues.
+// Configuration is what an operator stores as the configuration: one pool, the queue /q/ of one team or more, and public queues.
 type Configuration struct {
 	Version int
 	Host    string
@@ -40,6 +40,14 @@
 	Ceiling int
 	// Public holds the prefixes of the public queues.
 	Public []string
+	// Teams holds the further teams; the first one has a weight of 1.
+	Teams []Team
+}
+
+// Team is a team without a ceiling.
+type Team struct {
+	Name, Key string
+	Weight    float64
 }
 
 // Row returns the configuration as a row of the store.
@@ -54,13 +62,15 @@
 	for _, prefix := range c.Public {
 		queues = append(queues, queue("public"+prefix, prefix, true))
 	}
+	teams := []map[string]any{{"name": "t", "api_keys": c.Keys, "weight": 1, "maximum": map[string]int{"cpu": c.Ceiling}}}
+	for _, t := range c.Teams {
+		teams = append(teams, map[string]any{"name": t.Name, "api_keys": []string{t.Key}, "weight": t.Weight})
+	}
 	b, err := json.Marshal(map[string]any{
 		"version":  c.Version,
 		"routes":   queues,
 		"services": []map[string]any{{"name": "p"}},
-		"tenants": []map[string]any{{
-			"name": "t", "api_keys": c.Keys, "weight": 1, "maximum": map[string]int{"cpu": c.Ceiling},
-		}},
+		"tenants":  teams,
 	})
 	if err != nil {
 		panic(err) // The map has only texts, numbers and booleans.
