--- a/internal/standin/berylfleet/operator.go
+++ b/internal/standin/berylfleet/operator.go
@@ -12,6 +12,8 @@
 	StoreAddress, InstancesAddress           string
 	// MemoryMB is the node's memory limit; 0 means that there is none.
 	MemoryMB int
+	// MaxFDs is the node's limit of descriptors; 0 means that the file has none.
+	MaxFDs int
 }
 
 // YAML returns the settings file.
@@ -23,12 +25,12 @@
 internal_ports: [%d, %d]
 heartbeat_ms: 500
 orders: "call"
-limits: {cpu_share: 0.4, memory_mb: %d}
+limits: {cpu_share: 0.4, memory_mb: %d, max_fds: %d}
 platform: {address: %q, form: "table", row_bytes: 65536}
 cloud_api: {address: %q, duties_per_s: 64.0}
 bounds: {grace_s: 4, hold_max_ms: 10000, stop_timeout_ms: 200, status_s: 120, lease_ms: 3000, remote_factor: 1.5,
   config_apply_ms: 2000, notice_ms: 4500, migrate_s: 1.5, maintenance_s: 2, gang_timeout_ms: 3000}
-`, s.Node, s.IP, s.IP, s.CallersPort, s.IP, s.ReadinessPort, s.InternalPort, s.InternalPort+15, s.MemoryMB, s.StoreAddress, s.InstancesAddress)
+`, s.Node, s.IP, s.IP, s.CallersPort, s.IP, s.ReadinessPort, s.InternalPort, s.InternalPort+15, s.MemoryMB, s.MaxFDs, s.StoreAddress, s.InstancesAddress)
 }
 
 // Configuration is what an operator stores as the configuration: one pool, the queue /q/ of one team, and public queues.
