beryljobd bounds what clients use that don't end their requests

Change: all four listeners use berylintake; the limits follow limits.memory_mb and limits.max_fds, which are checked. Bodies of calls that are refused by key or route are not read. Refusals body_too_large (413, without a body before), request_too_slow (408) and no_memory (503 with Retry-After), all not_run. Gauges intake.bytes and intake.connections, counters intake.refused.<kind>, one log line a second and kind.

--- a/internal/node/berylentry/entry.go
+++ b/internal/node/berylentry/entry.go
@@ -15,6 +15,7 @@
 	"github.com/beryllatch/beryllatch"
 	"github.com/beryllatch/beryllatch/internal/common/berylmetrics"
 	"github.com/beryllatch/beryllatch/internal/decision/berylscheduler"
+	"github.com/beryllatch/beryllatch/internal/node/berylintake"
 	"github.com/beryllatch/beryllatch/internal/node/beryljobs"
 	"github.com/beryllatch/beryllatch/internal/node/berylrelay"
 	"github.com/beryllatch/beryllatch/internal/rpc/berylwire"
@@ -29,6 +30,8 @@
 	idleTimeout   = 60 * time.Second
 	// settingsInterval is how often the settings file is checked for changes, in addition to the reload signal.
 	settingsInterval = time.Second
+	// intakeInterval is how often refused requests are counted and logged.
+	intakeInterval = time.Second
 	// shutdownDelay is how long callers are still served after SIGTERM, until the platform has noticed that the node is
 	// not ready: it checks once per second and acts on the second failure.
 	shutdownDelay = 3 * time.Second
@@ -63,6 +66,7 @@
 
 	settings atomic.Pointer[adapter.Settings]
 	metrics  *berylmetrics.Registry
+	intake   *berylintake.Intake
 	node     *beryljobs.Node
 	servers  []*http.Server
 	stopping atomic.Bool
@@ -90,6 +94,7 @@
 		e.node.Run(runCtx)
 	}()
 	go e.watchSettings(runCtx, reload)
+	go e.reportIntake(runCtx)
 	<-ctx.Done()
 	e.stop(runCtx, settings)
 	cancel()
@@ -105,6 +110,7 @@
 // build creates the clients and the node.
 func (e *Entry) build(settings adapter.Settings) {
 	e.metrics = berylmetrics.New()
+	e.intake = berylintake.New(berylintake.LimitsFor(settings.MemoryMB, settings.MaxFDs))
 	address := func(f func(*adapter.Settings) string) func() string {
 		return func() string { return f(e.settings.Load()) }
 	}
@@ -149,6 +155,20 @@
 	return net.JoinHostPort(settings.IP, strconv.Itoa(settings.FirstPort+n))
 }
 
+const (
+	peersListener = "peers"
+	// peerRequestBytes bounds a request of another node without the job that it passes on; a row has up to 1 MB.
+	peerRequestBytes = 4 << 20
+)
+
+// maxPeerBody returns the size in bytes up to which requests of other nodes are read.
+func (e *Entry) maxPeerBody() int64 {
+	if d := e.node.Deployment(); d != nil {
+		return peerRequestBytes + d.MaxBody
+	}
+	return peerRequestBytes
+}
+
 type listener struct {
 	name, address string
 	handler       http.Handler
@@ -163,9 +183,9 @@
 	peers.PathPrefix(berylwire.RowsPathPrefix).Handler(berylwire.NewRowsServer(berylrelay.Server{Store: e.node.Store}))
 	return []listener{
 		{"callers", settings.CallersAddress, callers.Handler()},
-		{"readiness", settings.ReadinessAddress, ready},
-		{"peers", internalAddress(settings, 0), peers},
-		{"metrics", cmp.Or(e.Flags.MetricsAddress, internalAddress(settings, 1)), e.metrics},
+		{"readiness", settings.ReadinessAddress, berylintake.WithoutBody(ready)},
+		{peersListener, internalAddress(settings, 0), berylintake.WithBody(e.maxPeerBody, peers)},
+		{"metrics", cmp.Or(e.Flags.MetricsAddress, internalAddress(settings, 1)), berylintake.WithoutBody(e.metrics)},
 	}
 }
 
@@ -192,15 +212,37 @@
 		handler = e.closeAfterAnswer(handler)
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	e.intake.Protect(server)
 	e.servers = append(e.servers, server)
 	go func() {
-		if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(e.intake.Listen(ln, l.name == peersListener)); !errors.Is(err, http.ErrServerClosed) {
 			e.Log.Error().Err(err).Str("listener", l.name).Msg("listener_failed")
 		}
 	}()
 	return nil
 }
 
+// reportIntake publishes what callers use and how many of their requests were refused, with at most one log line for each
+// kind of refusal and intakeInterval.
+func (e *Entry) reportIntake(ctx context.Context) {
+	t := time.NewTicker(intakeInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		bytes, connections := e.intake.Usage()
+		e.metrics.Gauge("intake.bytes", bytes)
+		e.metrics.Gauge("intake.connections", int64(connections))
+		for kind, n := range e.intake.TakeRefused() {
+			e.metrics.Count("intake.refused."+string(kind), n)
+			e.Log.Warn().Str("kind", string(kind)).Int64("count", n).Int64("bytes", bytes).Int("connections", connections).Msg("intake_refused")
+		}
+	}
+}
+
 // closeAfterAnswer closes each connection of a caller after its next answer once the node is stopping.
 func (e *Entry) closeAfterAnswer(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/node/berylproblem/problem.go
+++ b/internal/node/berylproblem/problem.go
@@ -37,6 +37,8 @@
 	beryllatch.ReasonUnknownTask:       http.StatusNotFound,
 	beryllatch.ReasonTaskNotFinished:   http.StatusConflict,
 	beryllatch.ReasonAnswerNotKept:     http.StatusGone,
+	beryllatch.ReasonBodyTooLarge:      http.StatusRequestEntityTooLarge,
+	beryllatch.ReasonRequestTooSlow:    http.StatusRequestTimeout,
 }
 
 // Status returns the HTTP status code of a refusal.
--- a/refusal.go
+++ b/refusal.go
@@ -32,6 +32,9 @@
 	ReasonUnknownTask         Reason = "unknown_task"
 	ReasonTaskNotFinished     Reason = "task_not_finished"
 	ReasonNoScheduler         Reason = "no_scheduler"
+	ReasonBodyTooLarge        Reason = "body_too_large"
+	ReasonRequestTooSlow      Reason = "request_too_slow"
+	ReasonNoMemory            Reason = "no_memory"
 )
 
 // Permanent reports whether the same call gets the same refusal however often it is repeated.
