Waves are planned by the time that is left

Cause: near the deadline nothing expedited an instance that a move held, that was not listed as up, that waited for short or long-running tasks, whose worker was cut off after a takeover, or whose order had no answer. Instances with tasks that leave one after another were taken last. Orders that could not go held places of the maximum.

Change: wave_plan.go compares the time left (the deadline less a maintenance) with the time that the pending instances need. A wave without time to spare takes all of them, tries those that are not up, keeps its orders prepared, replaces moves, and waits for no short runs; pools take none of its instances. Instances whose tasks leave one after another are taken early. The maximum, the limit of missing tasks and the record before an order are as before: all records together stay within the maximum.

--- a/internal/decision/berylscheduler/fleet.go
+++ b/internal/decision/berylscheduler/fleet.go
@@ -72,6 +72,8 @@
 	retryAt    time.Time
 	// confirmedAt is when the platform confirmed the order.
 	confirmedAt time.Time
+	// early is true for maintenance that was prepared before that of others, since long-running tasks on the instance have to move.
+	early bool
 }
 
 // tickFleet requests lists of instances, and advances instance orders, waves and moves between pools.
@@ -80,6 +82,7 @@
 	for _, n := range slices.Sorted(maps.Keys(f.waves)) {
 		s.writeWaveStatus(f.waves[n])
 	}
+	s.planWaves()
 	if !f.listPending && !s.now.Before(f.nextList) {
 		f.listPending, f.listRequestedAt = true, s.now
 		s.emit(ListInstances{})
@@ -275,7 +278,9 @@
 			if w := f.waves[o.wave]; w == nil || s.recordMaintenance(w, o.instance) {
 				s.sendInstanceOrder(o)
 			}
-		case s.now.Sub(o.preparedAt) >= vacateTimeout:
+		case o.early:
+			s.vacateEarly(o)
+		case s.now.Sub(o.preparedAt) >= vacateTimeout && !s.staysPrepared(o):
 			s.dropInstanceOrder(o)
 		}
 	}
@@ -283,7 +288,7 @@
 
 // canSendInstanceOrder reports whether the instance can be moved or maintained now. A move waits until all runs on the instance
 // have ended. Maintenance waits for short runs up to shortTaskTimeout, and moves long-running tasks to other workers one by one
-// if their steps cannot do without all of them at once. Orders that have waited too long are dropped.
+// if their steps cannot do without all of them at once. Orders that have waited too long are dropped, see staysPrepared.
 func (s *Scheduler) canSendInstanceOrder(o *instanceOrder) bool {
 	w := s.workerOn(o.instance)
 	if w == nil {
@@ -296,14 +301,24 @@
 		}
 		return false
 	}
-	if waited < shortTaskTimeout && w.countShortRuns() > 0 {
+	if s.waitsForShortRuns(o) && w.countShortRuns() > 0 {
+		if o.early {
+			s.vacateEarly(o)
+		}
 		return false
 	}
-	if s.canStopRuns(w) {
+	if s.canStopForOrder(o, w) {
 		return true
 	}
-	s.vacateOneTask(w)
-	if waited >= vacateTimeout {
+	if o.early {
+		s.vacateEarly(o)
+	} else {
+		s.vacateOneTask(w)
+	}
+	switch {
+	case s.staysPrepared(o):
+		s.freePlace(o)
+	case waited >= vacateTimeout:
 		s.dropInstanceOrder(o)
 	}
 	return false
@@ -401,6 +416,9 @@
 		w.maintenanceFailed(o.instance, certain)
 	}
 	if !certain {
+		if s.repeatsAtOnce(o) {
+			o.retryAt = s.now
+		}
 		return
 	}
 	switch rejected.Reason {
@@ -408,7 +426,9 @@
 		s.resign("the platform has seen a later epoch for instance " + o.instance)
 	case beryllatch.InstanceNotInWave, beryllatch.InstanceInvalid:
 		s.recordInvalidMove(o)
-		if w := s.fleet.waves[o.wave]; w != nil {
+		// An instance that is not up is only tried; its wave may still take it when it has returned.
+		up := s.fleet.instances[o.instance].State == beryllatch.FleetInstanceUp
+		if w := s.fleet.waves[o.wave]; w != nil && (up || rejected.Reason == beryllatch.InstanceNotInWave) {
 			s.markBegun(w, o.instance)
 		}
 		s.dropInstanceOrder(o)
--- a/internal/decision/berylscheduler/place.go
+++ b/internal/decision/berylscheduler/place.go
@@ -284,7 +284,7 @@
 		if !w.runsLongRunning() {
 			cost += noLongRunningCost
 		}
-		cost += sameStepCost * float64(s.countOnWorker(t.step, w))
+		cost += sameStepCost*float64(s.countOnWorker(t.step, w)) + s.maintenanceCost(t, w)
 	}
 	if w.info.Capacity.CPUMilli > 0 {
 		cost += emptinessCost * float64(w.info.Capacity.CPUMilli-w.used.CPUMilli) / float64(w.info.Capacity.CPUMilli)
--- a/internal/decision/berylscheduler/pool.go
+++ b/internal/decision/berylscheduler/pool.go
@@ -307,7 +307,7 @@
 		best := -1
 		for n, name := range *list {
 			i := s.fleet.instances[name]
-			if s.fleet.orders[name] != nil || s.fleet.invalidMoves[moveKind(i, to.name)] || !filter.allows(i) || !suits(name) {
+			if s.fleet.orders[name] != nil || s.keptForWave(name) || s.fleet.invalidMoves[moveKind(i, to.name)] || !filter.allows(i) || !suits(name) {
 				continue
 			}
 			if best = n; !s.awaitsWave(name) {
@@ -409,7 +409,7 @@
 			if p.supply <= p.target || !s.fleet.budget.allowsOrder() {
 				break
 			}
-			if !s.idleFor(i, standbyDelay) || s.awaitsWave(i) || s.fleet.invalidMoves[moveKind(s.fleet.instances[i], standby)] {
+			if !s.idleFor(i, standbyDelay) || s.awaitsWave(i) || s.keptForWave(i) || s.fleet.invalidMoves[moveKind(s.fleet.instances[i], standby)] {
 				continue
 			}
 			s.prepareInstanceOrder(&instanceOrder{instance: i, pool: standby})
--- a/internal/decision/berylscheduler/wave.go
+++ b/internal/decision/berylscheduler/wave.go
@@ -1,9 +1,7 @@
 package berylscheduler
 
 import (
-	"cmp"
 	"errors"
-	"slices"
 	"strings"
 	"time"
 
@@ -20,6 +18,10 @@
 	// ordered holds the pending instances whose maintenance has been ordered, or may be once that is stored.
 	ordered map[string]*maintenanceRecord
 	done    bool
+	// short is true while the wave has no time to wait for more than the short runs on its instances, hurried while it can't wait
+	// for them either, see planWaves. triedAt is when an instance that was not listed as up was last tried.
+	short, hurried bool
+	triedAt        map[string]time.Time
 	// writtenStatus is the status that is written for operators, writingStatus the one that is being written.
 	writtenStatus, writingStatus string
 	rowVersion                   int64
@@ -186,7 +188,8 @@
 	n := 0
 	for _, i := range w.Instances {
 		o := s.fleet.orders[i]
-		if (o != nil && o.wave == w.Number) || w.ordered[i] != nil || s.fleet.instances[i].State == beryllatch.FleetInstanceMaintenance {
+		ordered := o != nil && o.wave == w.Number && !s.isBack(o) && !s.waitsOutsideMaximum(w, o)
+		if ordered || w.ordered[i] != nil || s.fleet.instances[i].State == beryllatch.FleetInstanceMaintenance {
 			n++
 		}
 	}
@@ -194,7 +197,8 @@
 }
 
 // hasRoomInWave reports whether the order leaves its wave within the limit: another node may have ordered instances of it since the order
-// was prepared.
+// was prepared. An order without a record also leaves room for those that have one: all records together stay within the limit, since a
+// node that takes over counts each of them.
 func (s *Scheduler) hasRoomInWave(o *instanceOrder) bool {
 	w := s.fleet.waves[o.wave]
 	if w == nil {
@@ -202,8 +206,9 @@
 	}
 	down := 0
 	for _, i := range w.Instances {
-		other := s.fleet.orders[i]
-		ordered := other != nil && other.wave == w.Number && (other.inFlight || !other.confirmedAt.IsZero()) || w.ordered[i] != nil && w.ordered[i].sent
+		other, r := s.fleet.orders[i], w.ordered[i]
+		ordered := other != nil && other.wave == w.Number && (other.inFlight || !other.confirmedAt.IsZero() && !s.isBack(other)) ||
+			r != nil && (r.sent || w.ordered[o.instance] == nil)
 		if i != o.instance && (ordered || s.fleet.instances[i].State == beryllatch.FleetInstanceMaintenance) {
 			down++
 		}
@@ -211,9 +216,10 @@
 	return down < w.MaxDown
 }
 
-// advanceWave prepares the maintenance of further instances, those with the least work to lose first. It takes as many as are
+// advanceWave prepares the maintenance of further instances, in the order of waveCandidates. It takes as many as are
 // spare or as the deadline requires, whichever is more, and leaves the others for bursts. Instances of evacuated data centres
-// are taken in addition, since they serve no pool. It returns the number of instances taken, without those.
+// are taken in addition, since they serve no pool, and so are those that have to be taken early: tasks leave them also while the
+// maximum is down. It returns the number of instances taken, without those.
 func (s *Scheduler) advanceWave(w *wave, spare int) int {
 	if s.fleet.listRequestedAt.Sub(w.firstSeen) > listDelay {
 		for _, i := range w.Instances {
@@ -228,55 +234,37 @@
 		s.writeWaveStatus(w)
 		return 0
 	}
-	s.orderAgain(w)
+	vacating := s.planVacating(w)
+	s.orderAgain(w, vacating)
 	room := w.MaxDown - s.countInstancesDown(w)
-	if room <= 0 {
-		return 0
-	}
-	var candidates []string
-	for i := range w.pending {
-		if s.fleet.orders[i] == nil && s.fleet.instances[i].State == beryllatch.FleetInstanceUp {
-			candidates = append(candidates, i)
-		}
-	}
-	losses := make(map[string]int, len(candidates))
-	for _, i := range candidates {
-		losses[i] = s.lostCPU(i)
-	}
-	slices.SortFunc(candidates, func(a, b string) int {
-		return cmp.Or(cmp.Compare(losses[a], losses[b]), strings.Compare(a, b))
-	})
 	required := s.requiredNow(w)
 	taken := 0
-	for _, i := range candidates {
-		if room == 0 {
-			break
-		}
-		if k := s.workerOn(i); k != nil && !k.synced {
+	for _, c := range s.waveCandidates(w, vacating) {
+		evacuated := s.operations.Evacuated[s.fleet.instances[c.instance].DataCentre]
+		switch {
+		case c.early && !vacating.mayPrepare(c.instance):
+			continue
+		case !c.early && (room <= 0 || !evacuated && taken >= max(spare, required)):
 			continue
 		}
-		if !s.operations.Evacuated[s.fleet.instances[i].DataCentre] {
-			if taken >= max(spare, required) {
-				continue
-			}
+		if !evacuated {
 			taken++
 		}
-		room--
-		s.prepareInstanceOrder(&instanceOrder{instance: i, wave: w.Number})
+		s.takeInstance(w, c.instance, c.early)
+		if !s.waitsOutsideMaximum(w, s.fleet.orders[c.instance]) {
+			room--
+		}
 	}
 	return taken
 }
 
 // orderAgain prepares the maintenance of instances for which it may have been ordered before: once the platform has confirmed an order of
 // this epoch, an earlier one can't be carried out late.
-func (s *Scheduler) orderAgain(w *wave) {
+func (s *Scheduler) orderAgain(w *wave, p vacatePlan) {
 	for _, i := range w.Instances {
 		r := w.ordered[i]
-		if r == nil || !r.sent || s.fleet.orders[i] != nil || s.fleet.instances[i].State != beryllatch.FleetInstanceUp {
-			continue
-		}
-		if k := s.workerOn(i); k == nil || k.synced {
-			s.prepareInstanceOrder(&instanceOrder{instance: i, wave: w.Number})
+		if r != nil && r.sent && s.canTake(w, i) && !s.hidesRuns(w, i) {
+			s.takeInstance(w, i, s.isEarly(w, p, i))
 		}
 	}
 }
@@ -285,9 +273,10 @@
 // rest is for instances whose long-running tasks have to be moved first.
 const wavePaceShare = 0.65
 
-// requiredNow returns how many further instances must be taken now so that the wave meets its deadline.
+// requiredNow returns how many further instances must be taken now so that the wave meets its deadline; all of them if it is short of
+// time.
 func (s *Scheduler) requiredNow(w *wave) int {
-	if w.Deadline <= 0 {
+	if w.Deadline <= 0 || w.short {
 		return len(w.Instances)
 	}
 	passed := s.now.Sub(w.firstSeen).Seconds() / (wavePaceShare * w.Deadline.Seconds())
