wave_waits and gauges say what is left of waves and why

Cause: a wave that was not done by its deadline said neither which instances were left nor why.

Change: the scheduler reports once a second what open waves have left, with a count for each reason, as an effect that sets gauges (waves.left, waves.left.<reason>), and logs it as wave_waits from half of a wave's time. The gauges go to 0 when the node no longer schedules.

--- a/internal/decision/berylscheduler/effect.go
+++ b/internal/decision/berylscheduler/effect.go
@@ -70,6 +70,12 @@
 	Done bool
 }
 
+// WavesLeft reports how many instances all open waves together still have to maintain, and how many for each of WaveReasons.
+type WavesLeft struct {
+	Left    int
+	Reasons map[string]int
+}
+
 // AskAdvice asks the advisor which of the workers may run a step of a restricted queue.
 type AskAdvice struct {
 	Step    string
@@ -106,6 +112,7 @@
 func (MoveInstance) effect()     {}
 func (MaintainInstance) effect() {}
 func (WriteWaveStatus) effect()  {}
+func (WavesLeft) effect()        {}
 func (AskAdvice) effect()        {}
 func (WakeAfter) effect()        {}
 func (ConfirmEpoch) effect()     {}
--- a/internal/decision/berylscheduler/fleet.go
+++ b/internal/decision/berylscheduler/fleet.go
@@ -57,6 +57,9 @@
 	invalidMoves map[string]bool
 	// storedWaves holds the rows of waves that earlier epochs have stored.
 	storedWaves map[int]storedWave
+	// wavesReported is the last report on what is left of the waves, wavesReportedAt its time.
+	wavesReported   WavesLeft
+	wavesReportedAt time.Time
 }
 
 // instanceOrder is a move or the maintenance of an instance. It exists from its preparation until the instance is in service
@@ -83,6 +86,7 @@
 		s.writeWaveStatus(f.waves[n])
 	}
 	s.planWaves()
+	s.reportWaves()
 	if !f.listPending && !s.now.Before(f.nextList) {
 		f.listPending, f.listRequestedAt = true, s.now
 		s.emit(ListInstances{})
--- a/internal/decision/berylscheduler/wave_plan_test.go
+++ b/internal/decision/berylscheduler/wave_plan_test.go
@@ -331,3 +331,44 @@
 	h.runFor(100*time.Millisecond, nil, 0)
 	assert.DeepEqual(t, h.maintainedInstances(), []string{"m-a"})
 }
+
+// Operators were not told which instances of a wave were left and why: the log has it once a second from half of the wave's time, the gauges
+// until it is done.
+func TestWaveSaysWhatIsLeft(t *testing.T) {
+	h, starts := blockedTask(t)
+	h.openWaveOf(20*time.Second, 2, map[string]beryllatch.FleetInstanceState{"b": beryllatch.FleetInstanceDown}, "a", "b")
+	logged := func() int {
+		n := 0
+		for _, name := range h.decisions {
+			if name == "wave_waits" {
+				n++
+			}
+		}
+		return n
+	}
+	h.runFor(9*time.Second, starts, 50)
+	assert.Equal(t, logged(), 0)
+	h.otherEffects = nil
+	h.runFor(6*time.Second, starts, 50)
+	assert.Assert(t, logged() >= 4 && logged() <= 6, "%d lines in 6 s", logged())
+	var last *WavesLeft
+	for _, f := range h.otherEffects {
+		if left, ok := f.(WavesLeft); ok {
+			last = &left
+		}
+	}
+	assert.Assert(t, last != nil)
+	assert.DeepEqual(t, *last, WavesLeft{Left: 2, Reasons: map[string]int{leftLongRunning: 1, leftNotUp: 1}})
+	for i := range h.s.fleet.waves[1].pending {
+		h.s.markBegun(h.s.fleet.waves[1], i)
+	}
+	h.otherEffects = nil
+	h.runFor(2*time.Second, starts, 50)
+	var reports []int
+	for _, f := range h.otherEffects {
+		if left, ok := f.(WavesLeft); ok {
+			reports = append(reports, left.Left)
+		}
+	}
+	assert.DeepEqual(t, reports, []int{0})
+}
--- a/internal/node/beryljobs/session.go
+++ b/internal/node/beryljobs/session.go
@@ -86,6 +86,7 @@
 	}
 	s.flush()
 	s.node.Metrics.Gauge(unechoedPeers, 0)
+	s.node.reportWavesLeft(berylscheduler.WavesLeft{})
 	s.endEpoch()
 	wg.Wait()
 }
@@ -233,12 +234,25 @@
 	case berylscheduler.Resign:
 		n.Log.Event("resigned", n.Name, f.Reason)
 		s.endEpoch()
+	case berylscheduler.WavesLeft:
+		n.reportWavesLeft(f)
 	case berylscheduler.Decision:
 		n.Metrics.Count("decisions."+f.Name, 1)
 		n.Log.Decision(s.self.Epoch, f)
 	}
 }
 
+// wavesLeft is the gauge of the instances that open waves still have to maintain. There is one for each of the reasons, too, whose name
+// begins with it.
+const wavesLeft = "waves.left"
+
+func (n *Node) reportWavesLeft(f berylscheduler.WavesLeft) {
+	n.Metrics.Gauge(wavesLeft, int64(f.Left))
+	for _, r := range berylscheduler.WaveReasons {
+		n.Metrics.Gauge(wavesLeft+"."+r, int64(f.Reasons[r]))
+	}
+}
+
 // callPlatform carries out an effect at the platform's instance interface, its store or its advisor, and returns its outcome.
 func (s *session) callPlatform(f berylscheduler.Effect) berylscheduler.Event {
 	n := s.node
--- a/internal/node/beryljobs/wave_test.go
+++ b/internal/node/beryljobs/wave_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	"github.com/beryllatch/beryllatch"
+	"github.com/beryllatch/beryllatch/internal/common/berylmetrics"
 	"github.com/beryllatch/beryllatch/internal/decision/berylscheduler"
 	"gotest.tools/v3/assert"
 )
@@ -43,3 +46,22 @@
 		assert.Equal(t, status().Version, int64(0))
 	})
 }
+
+// The gauge of a reason for which no instance is left any more must not keep its value.
+func TestGaugesOfWavesAreReset(t *testing.T) {
+	n := &Node{Log: &DecisionLog{}, Metrics: berylmetrics.New()}
+	s := &session{node: n}
+	gauges := func() map[string]struct{ Value int64 } {
+		w := httptest.NewRecorder()
+		n.Metrics.ServeHTTP(w, nil)
+		var out map[string]struct{ Value int64 }
+		assert.NilError(t, json.Unmarshal(w.Body.Bytes(), &out))
+		return out
+	}
+	s.carryOut(berylscheduler.WavesLeft{Left: 3, Reasons: map[string]int{"move": 1, "maximum": 2}})
+	assert.Equal(t, gauges()["waves.left"].Value, int64(3))
+	assert.Equal(t, gauges()["waves.left.maximum"].Value, int64(2))
+	s.carryOut(berylscheduler.WavesLeft{Left: 1, Reasons: map[string]int{"move": 1}})
+	assert.Equal(t, gauges()["waves.left.maximum"].Value, int64(0))
+	assert.Equal(t, gauges()["waves.left.move"].Value, int64(1))
+}
