A record gives its place of the maximum up only when time is short

Cause: a recorded order whose tasks could no longer stop lost its record whenever the maximum was down.

Change: freePlace applies to waves that are short of time.

--- a/internal/decision/berylscheduler/wave_plan.go
+++ b/internal/decision/berylscheduler/wave_plan.go
@@ -96,10 +96,10 @@
 	return cmp.Or(a.preparedAt.Compare(b.preparedAt), strings.Compare(a.instance, b.instance))
 }
 
-// freePlace deletes the record of an order that was about to be sent and now has to wait for its tasks, perhaps for long, if the maximum of
-// its wave is down. Otherwise the record stays, since the next one would have to be stored first.
+// freePlace deletes the record of an order that was about to be sent and now has to wait for its tasks, perhaps for long, if its wave is
+// short of time and has its maximum down. Otherwise the record stays, since the next one would have to be stored first.
 func (s *Scheduler) freePlace(o *instanceOrder) {
-	if w := s.waveOf(o); w != nil && s.countInstancesDown(w) >= w.MaxDown {
+	if w := s.waveOf(o); w != nil && w.short && s.countInstancesDown(w) >= w.MaxDown {
 		s.dropRecord(w, o.instance)
 	}
 }
