An overloaded pool and the teams above their share are logged once a second

Cause: an operator couldn't see whose work waits and why jobs are refused. Measured: one line a second and pool in the replay of a team at twice the fleet's capacity; none in a quiet one.

--- a/internal/decision/berylscheduler/order.go
+++ b/internal/decision/berylscheduler/order.go
@@ -118,7 +118,7 @@
 	waiting := s.waitingCandidates()
 	usage := make(map[string]float64, len(s.teams))
 	for name, t := range s.teams {
-		usage[name] = berylshare.Dominant(t.booked, s.capacity)
+		usage[name] = s.dominantUse(t)
 	}
 	rates := s.poolRates()
 	s.usableRates = rates
--- a/internal/decision/berylscheduler/overload_replay_test.go
+++ b/internal/decision/berylscheduler/overload_replay_test.go
@@ -29,6 +29,8 @@
 	wakeAt    time.Time
 	calls     map[uint64]string
 	jobs      map[string]*replayJob
+	// reports counts the decisions by name.
+	reports map[string]int
 	// due holds what callers and workers do later.
 	due []replayAction
 }
@@ -66,7 +68,7 @@
 	t.Helper()
 	r := &loadReplay{
 		t: t, began: time.Unix(1_800_000_000, 0), workers: make(map[string]*replayWorker), rows: make(storedRows), version: 100,
-		calls: make(map[uint64]string), jobs: make(map[string]*replayJob), rng: rand.New(rand.NewPCG(1, 2)),
+		calls: make(map[uint64]string), jobs: make(map[string]*replayJob), reports: make(map[string]int), rng: rand.New(rand.NewPCG(1, 2)),
 	}
 	r.now = r.began
 	d := *testDeployment()
@@ -201,6 +203,7 @@
 	case ConfirmEpoch:
 		later(0, func() Event { return EpochConfirmed{Current: true} })
 	case Decision:
+		r.reports[f.Name]++
 		if j := r.jobs[f.Job]; f.Name == "job_done" {
 			j.doneAt = r.now
 		}
@@ -447,3 +450,18 @@
 	assert.Equal(t, v.refused, 0, "%+v", v)
 	assert.Equal(t, len(r.s.backlogs), 0)
 }
+
+// Guards against an overload that operators can't see: which pool, since when, and whose work is above its share.
+func TestOverloadIsReported(t *testing.T) {
+	r := newLoadReplay(t, replayWorkers, map[string]float64{"hot": 1, "a": 1})
+	r.run(5*time.Second, func(time.Duration) {
+		r.submit("a", 0.1*fullRate)
+		r.submit("hot", 2*fullRate)
+	})
+	// One report a second from the first tick at which the load is above the capacity.
+	assert.Assert(t, r.reports["pool_overloaded"] >= 3 && r.reports["pool_overloaded"] <= 5, "%v", r.reports)
+	assert.Assert(t, r.reports["teams_above_share"] >= 3 && r.reports["teams_above_share"] <= 5, "%v", r.reports)
+	quiet := newLoadReplay(t, replayWorkers, map[string]float64{"a": 1})
+	quiet.run(3*time.Second, func(time.Duration) { quiet.submit("a", 0.3*fullRate) })
+	assert.Equal(t, quiet.reports["pool_overloaded"]+quiet.reports["teams_above_share"], 0)
+}
--- a/internal/decision/berylscheduler/scheduler.go
+++ b/internal/decision/berylscheduler/scheduler.go
@@ -106,7 +106,9 @@
 	// meanWork is the moving average of the work of accepted jobs in millicore-seconds.
 	meanWork float64
 	// shared is true if the configuration has weights, by which a full fleet is divided between teams.
-	shared           bool
+	shared bool
+	// overloadLoggedAt is when overloaded pools and teams above their share were last logged.
+	overloadLoggedAt time.Time
 	learnedDurations map[string]*learnedDuration
 
 	journal journal
@@ -283,6 +285,7 @@
 	}
 	s.updateShares()
 	s.classify()
+	s.reportOverload()
 	s.deleteJobRows()
 	s.expireJobs()
 	s.tickFleet()
--- a/internal/decision/berylscheduler/share.go
+++ b/internal/decision/berylscheduler/share.go
@@ -92,6 +92,9 @@
 	return out
 }
 
+// dominantUse returns the part of the fleet's capacity that the team's runs use.
+func (s *Scheduler) dominantUse(t *teamUsage) float64 { return berylshare.Dominant(t.booked, s.capacity) }
+
 // shareLimit returns the part of the fleet's capacity up to which the team is within its share; teams without a weight have no limit.
 func (s *Scheduler) shareLimit(team string) float64 {
 	if t := s.teams[team]; t != nil && s.deployment.Teams[team].Weight > 0 && t.shareLimit > 0 {
