Keep unanswered moves and other waves' orders when a wave is short of time

A move without an answer may be carried out after the maintenance that replaced it, and end the tasks that the instance has then. The order of another wave was dropped by the time alone, so that the other wave could count its instance as back too early.

--- a/internal/decision/berylscheduler/fleet.go
+++ b/internal/decision/berylscheduler/fleet.go
@@ -74,6 +74,8 @@
 	pool       string
 	preparedAt time.Time
 	inFlight   bool
+	// unanswered is true once an attempt has had no answer, and may be carried out late.
+	unanswered bool
 	retryAt    time.Time
 	// confirmedAt is when the platform confirmed the order.
 	confirmedAt time.Time
@@ -422,6 +424,7 @@
 		w.maintenanceFailed(o.instance, certain)
 	}
 	if !certain {
+		o.unanswered = true
 		if s.repeatsAtOnce(o) {
 			o.retryAt = s.now
 		}
--- /dev/null
+++ b/internal/decision/berylscheduler/wave_orders_test.go
@@ -0,0 +1,29 @@
+package berylscheduler
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// rejected, which the late move would have ended.
+func TestShortWaveReplacesNoUnansweredMove(t *testing.T) {
+	h := newHarness(t)
+	h.register("a")
+	move := &instanceOrder{instance: "m-a", pool: "p", inFlight: true}
+	h.s.prepareInstanceOrder(move)
+	h.openWaveOf(5*time.Second, 1, nil, "a")
+	h.apply(InstanceOrderEnded{Instance: "m-a", Err: errNoAnswer})
+	h.runFor(time.Second, nil, 0)
+	assert.Assert(t, h.s.fleet.orders["m-a"] == move)
+	assert.Equal(t, len(h.maintainedInstances()), 0)
+}
+
+// The order of another wave was dropped by the time alone, so that this wave counted an instance as back that was still in maintenance.
+func TestShortWaveReplacesNoOrderOfAnotherWave(t *testing.T) {
+	h := newHarness(t)
+	h.register("a")
+	h.openWaveOf(5*time.Second, 1, nil, "a")
+	assert.Assert(t, !h.s.canReplace(&instanceOrder{instance: "m-a", wave: 2, confirmedAt: h.now.Add(-time.Minute)}))
+}
--- a/internal/decision/berylscheduler/wave_plan.go
+++ b/internal/decision/berylscheduler/wave_plan.go
@@ -113,20 +113,21 @@
 	if !w.short {
 		return o == nil && i.State == beryllatch.FleetInstanceUp
 	}
-	if !listed || i.State == beryllatch.FleetInstanceMaintenance || o != nil && !s.canReplace(w, o) {
+	if !listed || i.State == beryllatch.FleetInstanceMaintenance || o != nil && !s.canReplace(o) {
 		return false
 	}
 	return i.State == beryllatch.FleetInstanceUp || s.now.Sub(w.triedAt[instance]) >= listInterval
 }
 
-// canReplace reports whether the wave may put its own order in the place of one that moves the instance: one that waits for runs or for
-// its next attempt, or one that the platform has carried out, while the worker of the instance has not registered yet.
-func (s *Scheduler) canReplace(w *wave, o *instanceOrder) bool {
-	if o.wave == w.Number || o.inFlight {
+// canReplace reports whether a wave may put its own order in the place of this one: of a move that certainly has not been carried out, or
+// of one that is over while the worker of the instance has not registered yet. A move without an answer may still be carried out after
+// the maintenance, and end the runs that the instance has then.
+func (s *Scheduler) canReplace(o *instanceOrder) bool {
+	if o.wave > 0 || o.inFlight {
 		return false
 	}
 	if o.confirmedAt.IsZero() {
-		return o.wave == 0
+		return !o.unanswered
 	}
 	return !s.now.Before(o.confirmedAt.Add(s.expectedAbsence(o) + registrationMargin))
 }
