Count an instance as gone by the age of the list that doesn't show it

The time of a list that had no answer counted, while the instances were those of an older one, so that a wave could be done although an instance of it was about to be listed.

--- a/internal/decision/berylscheduler/wave.go
+++ b/internal/decision/berylscheduler/wave.go
@@ -221,7 +221,7 @@
 // are taken in addition, since they serve no pool, and so are those that have to be taken early: tasks leave them also while the
 // maximum is down. It returns the number of instances taken, without those.
 func (s *Scheduler) advanceWave(w *wave, spare int) int {
-	if s.fleet.listRequestedAt.Sub(w.firstSeen) > listDelay {
+	if s.fleet.listShows.Sub(w.firstSeen) > listDelay {
 		for _, i := range w.Instances {
 			if _, ok := s.fleet.instances[i]; !ok && w.pending[i] {
 				s.markBegun(w, i)
--- a/internal/decision/berylscheduler/wave_orders_test.go
+++ b/internal/decision/berylscheduler/wave_orders_test.go
@@ -27,3 +27,17 @@
 	h.openWaveOf(5*time.Second, 1, nil, "a")
 	assert.Assert(t, !h.s.canReplace(&instanceOrder{instance: "m-a", wave: 2, confirmedAt: h.now.Add(-time.Minute)}))
 }
+
+// A list that was requested in time but had no answer counted as one that showed an instance as gone, which an older list didn't have yet.
+func TestUnansweredListShowsNoInstanceAsGone(t *testing.T) {
+	h := newHarness(t)
+	h.register("a")
+	h.openWaveOf(20*time.Second, 1, nil)
+	w := h.s.fleet.waves[1]
+	w.Instances, w.pending["m-a"] = []string{"m-a"}, true
+	w.done = false
+	h.runFor(4*time.Second, nil, 0)
+	h.apply(InstancesListed{Err: errNoAnswer})
+	h.runFor(2*time.Second, nil, 0)
+	assert.Assert(t, h.s.fleet.waves[1].pending["m-a"])
+}
