Count an instance whose repeated order is rejected; an invalid order begins nothing

The platform may reject the repeat of an order that it has carried out without an answer. The instance counted as back at once, by a list from before, and another one was taken beside it.

An instance that the platform rejects as invalid (400 or 404) has not begun its maintenance. It was counted as such if the list, which may be old, had it as up, so that the wave could be done without it. It is tried again at most once in listInterval until the list no longer has it.

--- a/internal/decision/berylscheduler/fleet.go
+++ b/internal/decision/berylscheduler/fleet.go
@@ -433,14 +433,23 @@
 	switch rejected.Reason {
 	case beryllatch.InstanceFenced:
 		s.resign("the platform has seen a later epoch for instance " + o.instance)
-	case beryllatch.InstanceNotInWave, beryllatch.InstanceInvalid:
+	case beryllatch.InstanceNotInWave:
 		s.recordInvalidMove(o)
-		// An instance that is not up is only tried; its wave may still take it when it has returned.
-		up := s.fleet.instances[o.instance].State == beryllatch.FleetInstanceUp
-		if w := s.fleet.waves[o.wave]; w != nil && (up || rejected.Reason == beryllatch.InstanceNotInWave) {
+		if w := s.fleet.waves[o.wave]; w != nil {
+			r := w.ordered[o.instance]
 			s.markBegun(w, o.instance)
+			if r != nil && r.unanswered {
+				// An earlier attempt may have been carried out just now, which the last list doesn't show yet.
+				o.confirmedAt = s.now
+				return
+			}
 		}
 		s.dropInstanceOrder(o)
+	case beryllatch.InstanceInvalid:
+		// The maintenance has not begun; the wave tries the instance again until it is gone from the list.
+		s.recordInvalidMove(o)
+		s.recordTry(o)
+		s.dropInstanceOrder(o)
 	case beryllatch.InstanceBusy:
 		s.dropInstanceOrder(o)
 	}
--- a/internal/decision/berylscheduler/wave.go
+++ b/internal/decision/berylscheduler/wave.go
@@ -19,7 +19,8 @@
 	ordered map[string]*maintenanceRecord
 	done    bool
 	// short is true while the wave has no time to wait for more than the short runs on its instances, hurried while it can't wait
-	// for them either, see planWaves. triedAt is when an instance that was not listed as up was last tried.
+	// for them either, see planWaves. triedAt is when an instance was last tried that was not listed as up, or
+	// whose order the platform rejected as invalid.
 	short, hurried bool
 	triedAt        map[string]time.Time
 	// writtenStatus is the status that is written for operators, writingStatus the one that is being written.
--- a/internal/decision/berylscheduler/wave_plan.go
+++ b/internal/decision/berylscheduler/wave_plan.go
@@ -106,17 +106,18 @@
 
 // canTake reports whether the wave may prepare an order for the instance, by the list and the orders. A wave that is short of time also
 // takes instances that a move holds, and tries those that are not listed as up: the list may be old, and the platform rejects what
-// it can't do.
+// it can't do. An instance that was tried is tried again after listInterval, or once a later list shows it as up.
 func (s *Scheduler) canTake(w *wave, instance string) bool {
 	i, listed := s.fleet.instances[instance]
-	o := s.fleet.orders[instance]
-	if !w.short {
-		return o == nil && i.State == beryllatch.FleetInstanceUp
-	}
-	if !listed || i.State == beryllatch.FleetInstanceMaintenance || o != nil && !s.canReplace(o) {
+	o, up := s.fleet.orders[instance], i.State == beryllatch.FleetInstanceUp
+	tried := w.triedAt[instance]
+	if !listed || s.now.Sub(tried) < listInterval && !(up && s.fleet.listShows.After(tried)) {
 		return false
 	}
-	return i.State == beryllatch.FleetInstanceUp || s.now.Sub(w.triedAt[instance]) >= listInterval
+	if !w.short {
+		return o == nil && up
+	}
+	return i.State != beryllatch.FleetInstanceMaintenance && (o == nil || s.canReplace(o))
 }
 
 // canReplace reports whether a wave may put its own order in the place of this one: of a move that certainly has not been carried out, or
@@ -137,13 +138,23 @@
 	if o := s.fleet.orders[instance]; o != nil {
 		s.dropInstanceOrder(o)
 	}
+	o := &instanceOrder{instance: instance, wave: w.Number, early: early}
 	if s.fleet.instances[instance].State != beryllatch.FleetInstanceUp {
-		if w.triedAt == nil {
-			w.triedAt = make(map[string]time.Time)
-		}
-		w.triedAt[instance] = s.now
+		s.recordTry(o)
+	}
+	s.prepareInstanceOrder(o)
+}
+
+// recordTry records that the wave of the order has tried an instance for which the platform may reject it.
+func (s *Scheduler) recordTry(o *instanceOrder) {
+	w := s.waveOf(o)
+	if w == nil {
+		return
+	}
+	if w.triedAt == nil {
+		w.triedAt = make(map[string]time.Time)
 	}
-	s.prepareInstanceOrder(&instanceOrder{instance: instance, wave: w.Number, early: early})
+	w.triedAt[o.instance] = s.now
 }
 
 // keptForWave reports whether moves leave the instance alone, since it awaits a wave that is short of time.
