Count tasks as missing whose instance may still be maintained by an order without an answer

Such an order has no instanceOrder after a takeover, after a rejected repeat and after vacateTimeout. The tasks on its instance counted as present meanwhile, so that others of their step were stopped; and a worker that registered while the order was under way got tasks.

--- a/internal/decision/berylscheduler/fleet.go
+++ b/internal/decision/berylscheduler/fleet.go
@@ -89,6 +89,7 @@
 	for _, n := range slices.Sorted(maps.Keys(f.waves)) {
 		s.writeWaveStatus(f.waves[n])
 	}
+	s.markLateMaintenance()
 	s.planWaves()
 	s.reportWaves()
 	if !f.listPending && !s.now.Before(f.nextList) {
@@ -395,7 +396,7 @@
 	}
 	for _, w := range s.sortedWorkers {
 		if w.preparedFor == o.instance {
-			w.preparedFor, w.instanceOrderSent = "", false
+			w.preparedFor, w.instanceOrderSent = "", s.mayBeMaintainedLate(o.instance)
 		}
 	}
 	s.placementDue = true
--- a/internal/decision/berylscheduler/wave.go
+++ b/internal/decision/berylscheduler/wave.go
@@ -109,6 +109,34 @@
 	}
 }
 
+// mayBeMaintainedLate reports whether an order for the instance's maintenance may still be carried out.
+func (s *Scheduler) mayBeMaintainedLate(instance string) bool {
+	for _, w := range s.fleet.waves {
+		if r := w.ordered[instance]; r != nil && r.sent {
+			return true
+		}
+	}
+	return false
+}
+
+// markLateMaintenance updates which workers may still be stopped by an order for maintenance, whether or not the order is being repeated.
+// They get no tasks, and those that they have count as missing.
+func (s *Scheduler) markLateMaintenance() {
+	for _, k := range s.sortedWorkers {
+		if k.instanceOrderSent && k.preparedFor == "" && s.fleet.orders[k.info.Instance] == nil {
+			k.instanceOrderSent = s.mayBeMaintainedLate(k.info.Instance)
+			s.placementDue = s.placementDue || !k.instanceOrderSent
+		}
+	}
+	for _, w := range s.fleet.waves {
+		for i, r := range w.ordered {
+			if k := s.workerOn(i); k != nil && r.sent {
+				k.instanceOrderSent = true
+			}
+		}
+	}
+}
+
 // updateWaves adds new waves and removes those that operators have withdrawn.
 func (s *Scheduler) updateWaves() {
 	f := &s.fleet
@@ -144,6 +172,7 @@
 			delete(f.waves, n)
 		}
 	}
+	s.markLateMaintenance()
 }
 
 // hasOpenWave reports whether a wave is not done.
--- a/internal/decision/berylscheduler/wave_orders_test.go
+++ b/internal/decision/berylscheduler/wave_orders_test.go
@@ -1,6 +1,7 @@
 package berylscheduler
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -79,3 +80,62 @@
 	h.runFor(2*time.Second, nil, 0)
 	assert.Assert(t, h.s.fleet.waves[1].pending["m-a"])
 }
+
+// limitedStepOn returns a scheduler with the workers and a step of as many tasks as workers, at full performance, of which one may be missing.
+func limitedStepOn(t *testing.T, ids ...string) (*harness, []StartRun) {
+	t.Helper()
+	h := newHarness(t)
+	h.register(ids...)
+	h.accept(limitedStep(len(ids), 1))
+	starts := h.confirmStarts()
+	assert.Equal(t, len(starts), len(ids))
+	h.runFor(time.Second, starts, 100)
+	return h, starts
+}
+
+// counted as present, so that another one of their step was stopped.
+func TestTasksOnInstancesThatMayStillGoDownAreMissing(t *testing.T) {
+	for name, order := range map[string]func(h *harness, w *wave){
+		"after a busy platform": func(h *harness, w *wave) {
+			h.s.recordMaintenance(w, "m-a")
+			o := &instanceOrder{instance: "m-a", wave: 1, inFlight: true}
+			h.s.prepareInstanceOrder(o)
+			w.ordered["m-a"].sent = true
+			h.apply(InstanceOrderEnded{Instance: "m-a", Err: errNoAnswer})
+			o.inFlight = true
+			h.apply(InstanceOrderEnded{Instance: "m-a", Err: &beryllatch.InstanceRejectedError{Reason: beryllatch.InstanceBusy}})
+		},
+		"after a takeover": func(_ *harness, w *wave) {
+			w.ordered["m-a"] = &maintenanceRecord{sent: true, unanswered: true}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h, starts := limitedStepOn(t, "a", "b")
+			// An instance that is not up isn't ordered again.
+			h.openWaveOf(20*time.Second, 2, nil, "a", "b")
+			w := h.s.fleet.waves[1]
+			order(h, w)
+			h.s.fleet.instances["m-a"] = beryllatch.FleetInstance{Name: "m-a", Pool: "p", State: beryllatch.FleetInstanceMoving}
+			for range 30 {
+				h.runFor(100*time.Millisecond, starts, 100)
+				assert.Assert(t, !slices.Contains(h.maintainedInstances(), "m-b"))
+			}
+			assert.Assert(t, !h.s.usable(h.s.workers["a"]))
+		})
+	}
+}
+
+// ended.
+func TestNewWorkerWithAnUnansweredOrderGetsNoTasks(t *testing.T) {
+	h := newHarness(t)
+	h.openWaveOf(10*time.Second, 1, map[string]beryllatch.FleetInstanceState{"a": beryllatch.FleetInstanceDown}, "a")
+	for range 70 {
+		if h.runFor(100*time.Millisecond, nil, 0); len(h.maintainedInstances()) > 0 {
+			break
+		}
+	}
+	assert.DeepEqual(t, h.maintainedInstances(), []string{"m-a"})
+	h.register("a")
+	h.accept(limitedStep(1, 1))
+	assert.Equal(t, len(h.starts), 0)
+}
--- a/internal/decision/berylscheduler/worker.go
+++ b/internal/decision/berylscheduler/worker.go
@@ -54,7 +54,7 @@
 
 	// preparedFor is the name of the worker's instance while there is an order for it; the worker gets no new tasks.
 	preparedFor string
-	// instanceOrderSent is true once that order has been sent.
+	// instanceOrderSent is true once that order has been sent, and while maintenance of the instance may still be carried out late.
 	instanceOrderSent bool
 }
 
@@ -80,7 +80,7 @@
 // inService reports whether the worker should keep running tasks: it is not draining, there is no order for its instance, and
 // its data centre is not being evacuated.
 func (s *Scheduler) inService(w *worker) bool {
-	return !w.info.Draining && w.preparedFor == "" && !s.operations.Evacuated[w.info.DataCentre]
+	return !w.info.Draining && w.preparedFor == "" && !w.instanceOrderSent && !s.operations.Evacuated[w.info.DataCentre]
 }
 
 func (s *Scheduler) readRegistry(workers []beryllatch.WorkerInfo) {
@@ -134,6 +134,7 @@
 		if wasEnded {
 			w.leasesExpireBy = s.foreignLeasesExpireBy(s.startedAt)
 		}
+		w.instanceOrderSent = s.mayBeMaintainedLate(i.Instance)
 		s.doubtOthers(w)
 		s.addWorker(w)
 		s.emit(Decision{Name: "worker_registered", Worker: i.ID, Detail: i.Pool})
@@ -153,6 +154,7 @@
 		w.row.stored = false
 	}
 	w.info, w.registered = i, true
+	w.instanceOrderSent = w.instanceOrderSent || s.mayBeMaintainedLate(i.Instance)
 	s.fleet.workerByInstance = nil
 	if changed && w.prepared() {
 		s.journal.setWorkerRow(i.ID, w.encode())
