Take no cut-off worker that may have runs of a step that is not open

An earlier epoch may have started a step and not stored the end of the steps before it, so that the step is neither open nor ready, and its runs on a worker that doesn't answer were not counted.

--- a/internal/decision/berylscheduler/fleet.go
+++ b/internal/decision/berylscheduler/fleet.go
@@ -214,7 +214,7 @@
 // runs would all stop, count as missing, too.
 func (s *Scheduler) canStopTask(t *task, vacated *worker) bool {
 	st := t.step
-	if !st.spec.LongRunning || st.spec.MaxMissing == 0 {
+	if !hasMissingLimit(st.spec) {
 		return true
 	}
 	missing := 0
--- a/internal/decision/berylscheduler/wave_orders_test.go
+++ b/internal/decision/berylscheduler/wave_orders_test.go
@@ -139,3 +139,17 @@
 	h.accept(limitedStep(1, 1))
 	assert.Equal(t, len(h.starts), 0)
 }
+
+// could have had all of them.
+func TestCutOffWorkerMayHaveRunsOfLaterSteps(t *testing.T) {
+	h := newHarness(t)
+	h.register("a")
+	j := limitedStep(3, 1)
+	first := singleTaskJob("").Steps[0]
+	j.Steps = []beryllatch.JobStep{first, j.Steps[0]}
+	j.Steps[1].After = []int{0}
+	h.accept(j)
+	k := h.s.workers["a"]
+	k.synced, k.failedHolds = false, 1
+	assert.Assert(t, !h.s.canStopUnknownRuns(k))
+}
--- a/internal/decision/berylscheduler/wave_plan.go
+++ b/internal/decision/berylscheduler/wave_plan.go
@@ -173,7 +173,7 @@
 
 // maintenanceCost returns the cost of placing the task on the worker because of open waves.
 func (s *Scheduler) maintenanceCost(t *task, k *worker) float64 {
-	if !hasMissingLimit(t.step) {
+	if !hasMissingLimit(t.step.spec) {
 		return 0
 	}
 	for _, w := range s.fleet.waves {
@@ -185,7 +185,7 @@
 }
 
 // hasMissingLimit reports whether only some of the step's tasks may be missing.
-func hasMissingLimit(st *stepState) bool { return st.spec.LongRunning && st.spec.MaxMissing > 0 }
+func hasMissingLimit(spec *beryllatch.JobStep) bool { return spec.LongRunning && spec.MaxMissing > 0 }
 
 // limitedSteps returns the steps with a limit of missing tasks that have a run on the instance.
 func (s *Scheduler) limitedSteps(instance string) map[*stepState]bool {
@@ -195,7 +195,7 @@
 	}
 	var out map[*stepState]bool
 	for _, r := range k.runs {
-		if r.task != nil && hasMissingLimit(r.task.step) {
+		if r.task != nil && hasMissingLimit(r.task.step.spec) {
 			if out == nil {
 				out = make(map[*stepState]bool)
 			}
@@ -319,23 +319,11 @@
 		}
 	}
 	for _, j := range s.active {
-		for n := range j.steps {
-			if spec := &j.Steps[n]; spec.LongRunning && spec.MaxMissing > 0 && !j.steps[n].ready.IsEmpty() {
-				// The runs of a step that is not open are not known.
-				return false
-			}
+		if !j.limitedStepsAreOpen() {
+			return false
 		}
 		for _, st := range j.open {
-			if !hasMissingLimit(st) {
-				continue
-			}
-			missing := 0
-			for _, t := range st.tasks {
-				if !t.done && !s.hasFullRun(t, k) {
-					missing++
-				}
-			}
-			if missing > st.spec.MaxMissing {
+			if hasMissingLimit(st.spec) && s.countMissing(st) > st.spec.MaxMissing {
 				return false
 			}
 		}
@@ -343,6 +331,34 @@
 	return true
 }
 
+// limitedStepsAreOpen reports whether all steps with a limit of missing tasks are open or done. One that is not open may have runs that
+// are not known: an earlier epoch may have started it and not stored the end of the steps that it depends on.
+func (j *job) limitedStepsAreOpen() bool {
+	left := 0
+	for n := range j.Steps {
+		if hasMissingLimit(&j.Steps[n]) {
+			left += j.Occurrences() - j.steps[n].done.Len()
+		}
+	}
+	for _, st := range j.open {
+		if hasMissingLimit(st.spec) {
+			left--
+		}
+	}
+	return left == 0
+}
+
+// countMissing counts the tasks of a step without a run at full performance.
+func (s *Scheduler) countMissing(st *stepState) int {
+	n := 0
+	for _, t := range st.tasks {
+		if !t.done && !s.hasFullRun(t, nil) {
+			n++
+		}
+	}
+	return n
+}
+
 // waitsOutsideMaximum reports whether the order holds no place of its wave's maximum, since it waits for long-running tasks to move. It
 // gets one before it is recorded and sent.
 func (s *Scheduler) waitsOutsideMaximum(w *wave, o *instanceOrder) bool {
