Make the ticks of a wave that is short of time cheaper

The turns of the instances that are vacated early are found once a tick, candidates are ranked only if they can be taken, and freePlace counts only for orders that have a record.

--- a/internal/decision/berylscheduler/fleet.go
+++ b/internal/decision/berylscheduler/fleet.go
@@ -42,7 +42,9 @@
 	nextList                   time.Time
 	waves                      map[int]*wave
 	orders                     map[string]*instanceOrder
-	peaks                      map[string]poolPeak
+	// vacated holds the instances that long-running tasks leave early, as of the last tick.
+	vacated map[string]bool
+	peaks   map[string]poolPeak
 	// recentPeak is the largest number of instances that all pools together have needed within fleetPeakHold.
 	recentPeak fleetPeak
 	// workerByInstance holds the latest worker of each instance; it is nil if it has to be built again.
@@ -219,11 +221,14 @@
 	}
 	missing := 0
 	for _, o := range st.tasks {
-		if o != t && !s.hasFullRun(o, vacated) {
-			missing++
+		if o == t || s.hasFullRun(o, vacated) {
+			continue
+		}
+		if missing++; missing >= st.spec.MaxMissing {
+			return false
 		}
 	}
-	return missing < st.spec.MaxMissing
+	return true
 }
 
 // hasFullRun reports whether a long-running task has a run at full performance on a worker that answers, is not about to be
@@ -272,6 +277,7 @@
 // in service again.
 func (s *Scheduler) advanceInstanceOrders() {
 	f := &s.fleet
+	f.vacated = s.instancesToVacate()
 	for _, name := range slices.Sorted(maps.Keys(f.orders)) {
 		o := f.orders[name]
 		if !o.confirmedAt.IsZero() {
--- a/internal/decision/berylscheduler/wave.go
+++ b/internal/decision/berylscheduler/wave.go
@@ -234,12 +234,16 @@
 	if w == nil {
 		return true
 	}
+	recorded := w.ordered[o.instance] != nil
 	down := 0
 	for _, i := range w.Instances {
+		if i == o.instance {
+			continue
+		}
 		other, r := s.fleet.orders[i], w.ordered[i]
-		ordered := other != nil && other.wave == w.Number && (other.inFlight || !other.confirmedAt.IsZero() && !s.isBack(other)) ||
-			r != nil && (r.sent || w.ordered[o.instance] == nil)
-		if i != o.instance && (ordered || s.fleet.instances[i].State == beryllatch.FleetInstanceMaintenance) {
+		if r != nil && (r.sent || !recorded) ||
+			other != nil && other.wave == w.Number && (other.inFlight || !other.confirmedAt.IsZero() && !s.isBack(other)) ||
+			s.fleet.instances[i].State == beryllatch.FleetInstanceMaintenance {
 			down++
 		}
 	}
@@ -269,7 +273,7 @@
 	room := w.MaxDown - s.countInstancesDown(w)
 	required := s.requiredNow(w)
 	taken := 0
-	for _, c := range s.waveCandidates(w, vacating) {
+	for _, c := range s.waveCandidates(w, vacating, room) {
 		evacuated := s.operations.Evacuated[s.fleet.instances[c.instance].DataCentre]
 		switch {
 		case c.early && !vacating.mayPrepare(c.instance):
@@ -280,6 +284,9 @@
 		if !evacuated {
 			taken++
 		}
+		if c.early {
+			vacating.recordPrepared(c.instance)
+		}
 		s.takeInstance(w, c.instance, c.early)
 		if !s.waitsOutsideMaximum(w, s.fleet.orders[c.instance]) {
 			room--
--- a/internal/decision/berylscheduler/wave_plan.go
+++ b/internal/decision/berylscheduler/wave_plan.go
@@ -69,27 +69,35 @@
 // instance, and the next one has to wait for them again.
 func (s *Scheduler) staysPrepared(o *instanceOrder) bool { return o.early || s.isShort(o) }
 
-// vacateEarly moves a long-running task away from an instance that was taken early, while its short runs end or the maximum is down. Of
-// the instances with tasks of a step, as many are vacated at a time as tasks may be missing.
+// vacateEarly moves a long-running task away from an instance that was taken early, while its short runs end or the maximum is down, if it
+// is its turn.
 func (s *Scheduler) vacateEarly(o *instanceOrder) {
-	k := s.workerOn(o.instance)
-	if k == nil {
-		return
+	if k := s.workerOn(o.instance); k != nil && s.fleet.vacated[o.instance] {
+		s.vacateOneTask(k)
 	}
-	before := make(map[*stepState]int)
-	for _, other := range s.fleet.orders {
-		if other.early && !other.inFlight && other.confirmedAt.IsZero() && compareOrders(other, o) < 0 {
-			for st := range s.limitedSteps(other.instance) {
-				before[st]++
-			}
+}
+
+// instancesToVacate returns the instances taken early that are vacated now. Of the instances with tasks of a step, as many are vacated at a
+// time as tasks may be missing, those that were prepared first.
+func (s *Scheduler) instancesToVacate() map[string]bool {
+	var early []*instanceOrder
+	for _, o := range s.fleet.orders {
+		if o.early && !o.inFlight && o.confirmedAt.IsZero() {
+			early = append(early, o)
 		}
 	}
-	for st := range s.limitedSteps(o.instance) {
-		if before[st] >= st.spec.MaxMissing {
-			return
+	slices.SortFunc(early, compareOrders)
+	out := make(map[string]bool, len(early))
+	before := make(map[*stepState]int)
+	for _, o := range early {
+		turn := true
+		for st := range s.limitedSteps(o.instance) {
+			turn = turn && before[st] < st.spec.MaxMissing
+			before[st]++
 		}
+		out[o.instance] = turn
 	}
-	s.vacateOneTask(k)
+	return out
 }
 
 func compareOrders(a, b *instanceOrder) int {
@@ -99,7 +107,7 @@
 // freePlace deletes the record of an order that was about to be sent and now has to wait for its tasks, perhaps for long, if its wave is
 // short of time and has its maximum down. Otherwise the record stays, since the next one would have to be stored first.
 func (s *Scheduler) freePlace(o *instanceOrder) {
-	if w := s.waveOf(o); w != nil && w.short && s.countInstancesDown(w) >= w.MaxDown {
+	if w := s.waveOf(o); w != nil && w.short && w.ordered[o.instance] != nil && s.countInstancesDown(w) >= w.MaxDown {
 		s.dropRecord(w, o.instance)
 	}
 }
@@ -246,17 +254,21 @@
 // meanwhile.
 const preparedAhead = 2
 
-// mayPrepare reports whether one more instance may be prepared early, and counts it.
+// mayPrepare reports whether one more instance may be prepared early.
 func (p vacatePlan) mayPrepare(instance string) bool {
 	for st := range p.steps[instance] {
 		if p.preparing[st] >= preparedAhead*st.spec.MaxMissing {
 			return false
 		}
 	}
+	return true
+}
+
+// recordPrepared counts an instance that is prepared early.
+func (p vacatePlan) recordPrepared(instance string) {
 	for st := range p.steps[instance] {
 		p.preparing[st]++
 	}
-	return true
 }
 
 // waveCandidate is an instance that a wave may take.
@@ -270,16 +282,18 @@
 }
 
 // waveCandidates returns the instances that the wave may take, in order: those first whose runs may take longer to end than the wave has
-// to spare, those that take the longest before the others, and then those with the least work to lose.
-func (s *Scheduler) waveCandidates(w *wave, p vacatePlan) []waveCandidate {
+// to spare, those that take the longest before the others, and then those with the least work to lose. Only the former are returned if the
+// wave has no room left within its maximum.
+func (s *Scheduler) waveCandidates(w *wave, p vacatePlan, room int) []waveCandidate {
 	var out []waveCandidate
 	for i := range w.pending {
-		if !s.canTake(w, i) || s.hidesRuns(w, i) {
+		early := s.isEarly(w, p, i)
+		if early && !p.mayPrepare(i) || !early && room <= 0 || !s.canTake(w, i) || s.hidesRuns(w, i) {
 			continue
 		}
-		c := waveCandidate{instance: i, wait: p.wait(i), loss: s.lostCPU(i)}
-		if c.early = s.isEarly(w, p, i); !c.early {
-			c.wait = 0
+		c := waveCandidate{instance: i, early: early, loss: s.lostCPU(i)}
+		if early {
+			c.wait = p.wait(i)
 		}
 		out = append(out, c)
 	}
