--- a/internal/decision/berylscheduler/recover.go
+++ b/internal/decision/berylscheduler/recover.go
@@ -85,6 +85,9 @@
 		j = newJob(beryllatch.Job{ID: id})
 		s.jobs[id] = j
 	}
+	if !j.heldBack {
+		s.heldBack = append(s.heldBack, j)
+	}
 	j.heldBack, j.started = true, true
 	j.rows.jobStored, j.rows.latestChange, j.rows.storedChange = true, 1, 1
 }
--- a/internal/decision/berylscheduler/scheduler.go
+++ b/internal/decision/berylscheduler/scheduler.go
@@ -76,6 +76,8 @@
 	jobs map[string]*job
 	// active holds the unfinished jobs, in the order of acceptance.
 	active []*job
+	// heldBack holds the jobs whose stored rows can't be read.
+	heldBack []*job
 	// finished holds the final jobs, in the order in which they ended.
 	finished []*job
 	// jobRowsToDelete holds the final jobs whose job rows are still stored.
--- a/internal/decision/berylscheduler/wave_plan.go
+++ b/internal/decision/berylscheduler/wave_plan.go
@@ -327,8 +327,8 @@
 	if k.failedHolds == 0 {
 		return false
 	}
-	for _, j := range s.jobs {
-		if j.heldBack && !j.state.Final() {
+	for _, j := range s.heldBack {
+		if !j.state.Final() {
 			return false
 		}
 	}
