Drop the unsent orders of a withdrawn wave; keep new workers clear of prepared instances

The orders of a withdrawn wave went out without a record and without its limit. A worker that registered on an instance whose maintenance was prepared, after a move, got tasks that had to end or move first.

--- a/internal/decision/berylscheduler/fleet.go
+++ b/internal/decision/berylscheduler/fleet.go
@@ -85,6 +85,9 @@
 	early bool
 }
 
+// wasSent reports whether the order has been sent, and not certainly without an effect.
+func (o *instanceOrder) wasSent() bool { return o.inFlight || o.unanswered || !o.confirmedAt.IsZero() }
+
 // tickFleet requests lists of instances, and advances instance orders, waves and moves between pools.
 func (s *Scheduler) tickFleet() {
 	f := &s.fleet
--- a/internal/decision/berylscheduler/wave.go
+++ b/internal/decision/berylscheduler/wave.go
@@ -137,7 +137,7 @@
 	}
 }
 
-// updateWaves adds new waves and removes those that operators have withdrawn.
+// updateWaves adds new waves, and removes those that operators have withdrawn with their orders that have not been sent.
 func (s *Scheduler) updateWaves() {
 	f := &s.fleet
 	for n, m := range s.operations.Waves {
@@ -172,6 +172,11 @@
 			delete(f.waves, n)
 		}
 	}
+	for _, o := range f.orders {
+		if o.wave > 0 && f.waves[o.wave] == nil && !o.wasSent() {
+			s.dropInstanceOrder(o)
+		}
+	}
 	s.markLateMaintenance()
 }
 
--- a/internal/decision/berylscheduler/wave_orders_test.go
+++ b/internal/decision/berylscheduler/wave_orders_test.go
@@ -153,3 +153,26 @@
 	k.synced, k.failedHolds = false, 1
 	assert.Assert(t, !h.s.canStopUnknownRuns(k))
 }
+
+// Orders of a wave that operators had withdrawn went out without a record and without its limit.
+func TestWithdrawnWaveSendsNoOrders(t *testing.T) {
+	h := newHarness(t)
+	h.register("a", "b", "c")
+	h.openWaveOf(0, 2, nil, "a", "b", "c")
+	h.apply(Ticked{})
+	assert.Equal(t, len(h.s.fleet.orders), 2)
+	h.apply(OperationsChanged{})
+	h.runFor(time.Second, nil, 0)
+	assert.Equal(t, len(h.maintainedInstances()), 0)
+	assert.Equal(t, len(h.s.fleet.orders), 0)
+}
+
+// A worker that registered on an instance whose order had been prepared, after a move, got tasks that then had to end or move first.
+func TestNewWorkerOnAPreparedInstanceGetsNoTasks(t *testing.T) {
+	h := newHarness(t)
+	h.openWaveOf(0, 1, nil, "a")
+	h.apply(Ticked{})
+	assert.Assert(t, h.s.fleet.orders["m-a"] != nil)
+	h.apply(RegistryChanged{Workers: []beryllatch.WorkerInfo{workerInfo("a")}})
+	assert.Assert(t, !h.s.inService(h.s.workers["a"]))
+}
--- a/internal/decision/berylscheduler/wave_plan.go
+++ b/internal/decision/berylscheduler/wave_plan.go
@@ -132,13 +132,11 @@
 // of one that is over while the worker of the instance has not registered yet. A move without an answer may still be carried out after
 // the maintenance, and end the runs that the instance has then.
 func (s *Scheduler) canReplace(o *instanceOrder) bool {
-	if o.wave > 0 || o.inFlight {
+	if o.wave > 0 {
 		return false
 	}
-	if o.confirmedAt.IsZero() {
-		return !o.unanswered
-	}
-	return !s.now.Before(o.confirmedAt.Add(s.expectedAbsence(o) + registrationMargin))
+	isOver := !o.confirmedAt.IsZero() && !s.now.Before(o.confirmedAt.Add(s.expectedAbsence(o)+registrationMargin))
+	return isOver || !o.wasSent()
 }
 
 // takeInstance prepares the maintenance of an instance, in the place of a move if there is one.
--- a/internal/decision/berylscheduler/worker.go
+++ b/internal/decision/berylscheduler/worker.go
@@ -134,6 +134,9 @@
 		if wasEnded {
 			w.leasesExpireBy = s.foreignLeasesExpireBy(s.startedAt)
 		}
+		if o := s.fleet.orders[i.Instance]; o != nil && o.wave > 0 && !o.wasSent() {
+			w.preparedFor = i.Instance
+		}
 		w.instanceOrderSent = s.mayBeMaintainedLate(i.Instance)
 		s.doubtOthers(w)
 		s.addWorker(w)
