--- a/internal/decision/berylscheduler/wave.go
+++ b/internal/decision/berylscheduler/wave.go
@@ -258,7 +258,7 @@
 // advanceWave prepares the maintenance of further instances, in the order of waveCandidates. It takes as many as are
 // spare or as the deadline requires, whichever is more, and leaves the others for bursts. Instances of evacuated data centres
 // are taken in addition, since they serve no pool, and so are those that have to be taken early: tasks leave them also while the
-// maximum is down. It returns the number of instances taken, without those.
+// maximum is down. It returns the number of instances taken outside evacuated data centres.
 func (s *Scheduler) advanceWave(w *wave, spare int) int {
 	if s.fleet.listShows.Sub(w.firstSeen) > listDelay {
 		for _, i := range w.Instances {
--- a/internal/decision/berylscheduler/wave_bench_test.go
+++ b/internal/decision/berylscheduler/wave_bench_test.go
@@ -87,8 +87,11 @@
 		age             time.Duration
 		percent, cutOff int
 	}{
-		{"in-time", 2 * time.Second, 100, 0}, {"short", 12 * time.Second, 100, 0}, {"hurried", 18 * time.Second, 100, 0},
-		{"blocked", 18 * time.Second, 50, 0}, {"cut-off", 18 * time.Second, 50, 60},
+		{"in-time", 2 * time.Second, 100, 0},
+		{"short", 12 * time.Second, 100, 0},
+		{"hurried", 18 * time.Second, 100, 0},
+		{"blocked", 18 * time.Second, 50, 0},
+		{"cut-off", 18 * time.Second, 50, 60},
 	} {
 		b.Run(c.name, func(b *testing.B) {
 			s, now := waveLoad(b, c.age, c.percent, c.cutOff)
--- a/internal/decision/berylscheduler/wave_plan.go
+++ b/internal/decision/berylscheduler/wave_plan.go
@@ -9,9 +9,9 @@
 	"github.com/beryllatch/beryllatch"
 )
 
-// A wave is taken at an even pace until its time gets short. The load that the rest of this file answers is an outage of the store or a
-// takeover within a wave of 25 s, and long-running tasks that can leave their workers only one after another: both use up the time that
-// the even pace keeps back, and what is left then needs other rules than a wave that is in time.
+// A wave is taken at an even pace until its time gets short. An outage of the store, a takeover, or long-running tasks that can leave their
+// workers only one after another use up the time that the even pace keeps back. The rules in this file apply to a wave that is short of
+// time because of that.
 
 // instanceRoundTime returns the time from one order on a place of the wave's maximum to the next: the maintenance, the return of the
 // instance, and the list that shows it.
@@ -119,7 +119,8 @@
 	i, listed := s.fleet.instances[instance]
 	o, up := s.fleet.orders[instance], i.State == beryllatch.FleetInstanceUp
 	tried := w.triedAt[instance]
-	if !listed || s.now.Sub(tried) < listInterval && !(up && s.fleet.listShows.After(tried)) {
+	mayTry := s.now.Sub(tried) >= listInterval || up && s.fleet.listShows.After(tried)
+	if !listed || !mayTry {
 		return false
 	}
 	if !w.short {
