--- a/internal/decision/berylscheduler/fleet.go
+++ b/internal/decision/berylscheduler/fleet.go
@@ -42,7 +42,9 @@
 	nextList                   time.Time
 	waves                      map[int]*wave
 	orders                     map[string]*instanceOrder
-	peaks                      map[string]poolPeak
+	// vacated holds the instances that long-running tasks leave early, as of the last tick.
+	vacated map[string]bool
+	peaks   map[string]poolPeak
 	// recentPeak is the largest number of instances that all pools together have needed within fleetPeakHold.
 	recentPeak fleetPeak
 	// workerByInstance holds the latest worker of each instance; it is nil if it has to be built again.
@@ -74,6 +76,8 @@
 	pool       string
 	preparedAt time.Time
 	inFlight   bool
+	// unanswered is true once an attempt has had no answer, and may be carried out late.
+	unanswered bool
 	retryAt    time.Time
 	// confirmedAt is when the platform confirmed the order.
 	confirmedAt time.Time
@@ -81,12 +85,16 @@
 	early bool
 }
 
+// wasSent reports whether the order has been sent, and not certainly without an effect.
+func (o *instanceOrder) wasSent() bool { return o.inFlight || o.unanswered || !o.confirmedAt.IsZero() }
+
 // tickFleet requests lists of instances, and advances instance orders, waves and moves between pools.
 func (s *Scheduler) tickFleet() {
 	f := &s.fleet
 	for _, n := range slices.Sorted(maps.Keys(f.waves)) {
 		s.writeWaveStatus(f.waves[n])
 	}
+	s.markLateMaintenance()
 	s.planWaves()
 	s.reportWaves()
 	if !f.listPending && !s.now.Before(f.nextList) {
@@ -211,16 +219,19 @@
 // runs would all stop, count as missing, too.
 func (s *Scheduler) canStopTask(t *task, vacated *worker) bool {
 	st := t.step
-	if !st.spec.LongRunning || st.spec.MaxMissing == 0 {
+	if !hasMissingLimit(st.spec) {
 		return true
 	}
 	missing := 0
 	for _, o := range st.tasks {
-		if o != t && !s.hasFullRun(o, vacated) {
-			missing++
+		if o == t || s.hasFullRun(o, vacated) {
+			continue
+		}
+		if missing++; missing >= st.spec.MaxMissing {
+			return false
 		}
 	}
-	return missing < st.spec.MaxMissing
+	return true
 }
 
 // hasFullRun reports whether a long-running task has a run at full performance on a worker that answers, is not about to be
@@ -269,6 +280,7 @@
 // in service again.
 func (s *Scheduler) advanceInstanceOrders() {
 	f := &s.fleet
+	f.vacated = s.instancesToVacate()
 	for _, name := range slices.Sorted(maps.Keys(f.orders)) {
 		o := f.orders[name]
 		if !o.confirmedAt.IsZero() {
@@ -393,7 +405,7 @@
 	}
 	for _, w := range s.sortedWorkers {
 		if w.preparedFor == o.instance {
-			w.preparedFor, w.instanceOrderSent = "", false
+			w.preparedFor, w.instanceOrderSent = "", s.mayBeMaintainedLate(o.instance)
 		}
 	}
 	s.placementDue = true
@@ -422,6 +434,7 @@
 		w.maintenanceFailed(o.instance, certain)
 	}
 	if !certain {
+		o.unanswered = true
 		if s.repeatsAtOnce(o) {
 			o.retryAt = s.now
 		}
@@ -430,14 +443,23 @@
 	switch rejected.Reason {
 	case beryllatch.InstanceFenced:
 		s.resign("the platform has seen a later epoch for instance " + o.instance)
-	case beryllatch.InstanceNotInWave, beryllatch.InstanceInvalid:
+	case beryllatch.InstanceNotInWave:
 		s.recordInvalidMove(o)
-		// An instance that is not up is only tried; its wave may still take it when it has returned.
-		up := s.fleet.instances[o.instance].State == beryllatch.FleetInstanceUp
-		if w := s.fleet.waves[o.wave]; w != nil && (up || rejected.Reason == beryllatch.InstanceNotInWave) {
+		if w := s.fleet.waves[o.wave]; w != nil {
+			r := w.ordered[o.instance]
 			s.markBegun(w, o.instance)
+			if r != nil && r.unanswered {
+				// An earlier attempt may have been carried out just now, which the last list doesn't show yet.
+				o.confirmedAt = s.now
+				return
+			}
 		}
 		s.dropInstanceOrder(o)
+	case beryllatch.InstanceInvalid:
+		// The maintenance has not begun; the wave tries the instance again until it is gone from the list.
+		s.recordInvalidMove(o)
+		s.recordTry(o)
+		s.dropInstanceOrder(o)
 	case beryllatch.InstanceBusy:
 		s.dropInstanceOrder(o)
 	}
--- a/internal/decision/berylscheduler/wave.go
+++ b/internal/decision/berylscheduler/wave.go
@@ -19,7 +19,8 @@
 	ordered map[string]*maintenanceRecord
 	done    bool
 	// short is true while the wave has no time to wait for more than the short runs on its instances, hurried while it can't wait
-	// for them either, see planWaves. triedAt is when an instance that was not listed as up was last tried.
+	// for them either, see planWaves. triedAt is when an instance was last tried that was not listed as up, or
+	// whose order the platform rejected as invalid.
 	short, hurried bool
 	triedAt        map[string]time.Time
 	// writtenStatus is the status that is written for operators, writingStatus the one that is being written.
@@ -108,7 +109,35 @@
 	}
 }
 
-// updateWaves adds new waves and removes those that operators have withdrawn.
+// mayBeMaintainedLate reports whether an order for the instance's maintenance may still be carried out.
+func (s *Scheduler) mayBeMaintainedLate(instance string) bool {
+	for _, w := range s.fleet.waves {
+		if r := w.ordered[instance]; r != nil && r.sent {
+			return true
+		}
+	}
+	return false
+}
+
+// markLateMaintenance updates which workers may still be stopped by an order for maintenance, whether or not the order is being repeated.
+// They get no tasks, and those that they have count as missing.
+func (s *Scheduler) markLateMaintenance() {
+	for _, k := range s.sortedWorkers {
+		if k.instanceOrderSent && k.preparedFor == "" && s.fleet.orders[k.info.Instance] == nil {
+			k.instanceOrderSent = s.mayBeMaintainedLate(k.info.Instance)
+			s.placementDue = s.placementDue || !k.instanceOrderSent
+		}
+	}
+	for _, w := range s.fleet.waves {
+		for i, r := range w.ordered {
+			if k := s.workerOn(i); k != nil && r.sent {
+				k.instanceOrderSent = true
+			}
+		}
+	}
+}
+
+// updateWaves adds new waves, and removes those that operators have withdrawn with their orders that have not been sent.
 func (s *Scheduler) updateWaves() {
 	f := &s.fleet
 	for n, m := range s.operations.Waves {
@@ -143,6 +172,12 @@
 			delete(f.waves, n)
 		}
 	}
+	for _, o := range f.orders {
+		if o.wave > 0 && f.waves[o.wave] == nil && !o.wasSent() {
+			s.dropInstanceOrder(o)
+		}
+	}
+	s.markLateMaintenance()
 }
 
 // hasOpenWave reports whether a wave is not done.
@@ -204,12 +239,16 @@
 	if w == nil {
 		return true
 	}
+	recorded := w.ordered[o.instance] != nil
 	down := 0
 	for _, i := range w.Instances {
+		if i == o.instance {
+			continue
+		}
 		other, r := s.fleet.orders[i], w.ordered[i]
-		ordered := other != nil && other.wave == w.Number && (other.inFlight || !other.confirmedAt.IsZero() && !s.isBack(other)) ||
-			r != nil && (r.sent || w.ordered[o.instance] == nil)
-		if i != o.instance && (ordered || s.fleet.instances[i].State == beryllatch.FleetInstanceMaintenance) {
+		if r != nil && (r.sent || !recorded) ||
+			other != nil && other.wave == w.Number && (other.inFlight || !other.confirmedAt.IsZero() && !s.isBack(other)) ||
+			s.fleet.instances[i].State == beryllatch.FleetInstanceMaintenance {
 			down++
 		}
 	}
@@ -219,9 +258,9 @@
 // advanceWave prepares the maintenance of further instances, in the order of waveCandidates. It takes as many as are
 // spare or as the deadline requires, whichever is more, and leaves the others for bursts. Instances of evacuated data centres
 // are taken in addition, since they serve no pool, and so are those that have to be taken early: tasks leave them also while the
-// maximum is down. It returns the number of instances taken, without those.
+// maximum is down. It returns the number of instances taken outside evacuated data centres.
 func (s *Scheduler) advanceWave(w *wave, spare int) int {
-	if s.fleet.listRequestedAt.Sub(w.firstSeen) > listDelay {
+	if s.fleet.listShows.Sub(w.firstSeen) > listDelay {
 		for _, i := range w.Instances {
 			if _, ok := s.fleet.instances[i]; !ok && w.pending[i] {
 				s.markBegun(w, i)
@@ -239,7 +278,7 @@
 	room := w.MaxDown - s.countInstancesDown(w)
 	required := s.requiredNow(w)
 	taken := 0
-	for _, c := range s.waveCandidates(w, vacating) {
+	for _, c := range s.waveCandidates(w, vacating, room) {
 		evacuated := s.operations.Evacuated[s.fleet.instances[c.instance].DataCentre]
 		switch {
 		case c.early && !vacating.mayPrepare(c.instance):
@@ -250,6 +289,9 @@
 		if !evacuated {
 			taken++
 		}
+		if c.early {
+			vacating.recordPrepared(c.instance)
+		}
 		s.takeInstance(w, c.instance, c.early)
 		if !s.waitsOutsideMaximum(w, s.fleet.orders[c.instance]) {
 			room--
--- a/internal/decision/berylscheduler/wave_plan.go
+++ b/internal/decision/berylscheduler/wave_plan.go
@@ -9,9 +9,9 @@
 	"github.com/beryllatch/beryllatch"
 )
 
-// A wave is taken at an even pace until its time gets short. The load that the rest of this file answers is an outage of the store or a
-// takeover within a wave of 25 s, and long-running tasks that can leave their workers only one after another: both use up the time that
-// the even pace keeps back, and what is left then needs other rules than a wave that is in time.
+// A wave is taken at an even pace until its time gets short. An outage of the store, a takeover, or long-running tasks that can leave their
+// workers only one after another use up the time that the even pace keeps back. The rules in this file apply to a wave that is short of
+// time because of that.
 
 // instanceRoundTime returns the time from one order on a place of the wave's maximum to the next: the maintenance, the return of the
 // instance, and the list that shows it.
@@ -69,27 +69,35 @@
 // instance, and the next one has to wait for them again.
 func (s *Scheduler) staysPrepared(o *instanceOrder) bool { return o.early || s.isShort(o) }
 
-// vacateEarly moves a long-running task away from an instance that was taken early, while its short runs end or the maximum is down. Of
-// the instances with tasks of a step, as many are vacated at a time as tasks may be missing.
+// vacateEarly moves a long-running task away from an instance that was taken early, while its short runs end or the maximum is down, if it
+// is its turn.
 func (s *Scheduler) vacateEarly(o *instanceOrder) {
-	k := s.workerOn(o.instance)
-	if k == nil {
-		return
+	if k := s.workerOn(o.instance); k != nil && s.fleet.vacated[o.instance] {
+		s.vacateOneTask(k)
 	}
-	before := make(map[*stepState]int)
-	for _, other := range s.fleet.orders {
-		if other.early && !other.inFlight && other.confirmedAt.IsZero() && compareOrders(other, o) < 0 {
-			for st := range s.limitedSteps(other.instance) {
-				before[st]++
-			}
+}
+
+// instancesToVacate returns the instances taken early that are vacated now. Of the instances with tasks of a step, as many are vacated at a
+// time as tasks may be missing, those that were prepared first.
+func (s *Scheduler) instancesToVacate() map[string]bool {
+	var early []*instanceOrder
+	for _, o := range s.fleet.orders {
+		if o.early && !o.inFlight && o.confirmedAt.IsZero() {
+			early = append(early, o)
 		}
 	}
-	for st := range s.limitedSteps(o.instance) {
-		if before[st] >= st.spec.MaxMissing {
-			return
+	slices.SortFunc(early, compareOrders)
+	out := make(map[string]bool, len(early))
+	before := make(map[*stepState]int)
+	for _, o := range early {
+		turn := true
+		for st := range s.limitedSteps(o.instance) {
+			turn = turn && before[st] < st.spec.MaxMissing
+			before[st]++
 		}
+		out[o.instance] = turn
 	}
-	s.vacateOneTask(k)
+	return out
 }
 
 func compareOrders(a, b *instanceOrder) int {
@@ -99,36 +107,37 @@
 // freePlace deletes the record of an order that was about to be sent and now has to wait for its tasks, perhaps for long, if its wave is
 // short of time and has its maximum down. Otherwise the record stays, since the next one would have to be stored first.
 func (s *Scheduler) freePlace(o *instanceOrder) {
-	if w := s.waveOf(o); w != nil && w.short && s.countInstancesDown(w) >= w.MaxDown {
+	if w := s.waveOf(o); w != nil && w.short && w.ordered[o.instance] != nil && s.countInstancesDown(w) >= w.MaxDown {
 		s.dropRecord(w, o.instance)
 	}
 }
 
 // canTake reports whether the wave may prepare an order for the instance, by the list and the orders. A wave that is short of time also
 // takes instances that a move holds, and tries those that are not listed as up: the list may be old, and the platform rejects what
-// it can't do.
+// it can't do. An instance that was tried is tried again after listInterval, or once a later list shows it as up.
 func (s *Scheduler) canTake(w *wave, instance string) bool {
 	i, listed := s.fleet.instances[instance]
-	o := s.fleet.orders[instance]
-	if !w.short {
-		return o == nil && i.State == beryllatch.FleetInstanceUp
-	}
-	if !listed || i.State == beryllatch.FleetInstanceMaintenance || o != nil && !s.canReplace(w, o) {
+	o, up := s.fleet.orders[instance], i.State == beryllatch.FleetInstanceUp
+	tried := w.triedAt[instance]
+	mayTry := s.now.Sub(tried) >= listInterval || up && s.fleet.listShows.After(tried)
+	if !listed || !mayTry {
 		return false
 	}
-	return i.State == beryllatch.FleetInstanceUp || s.now.Sub(w.triedAt[instance]) >= listInterval
+	if !w.short {
+		return o == nil && up
+	}
+	return i.State != beryllatch.FleetInstanceMaintenance && (o == nil || s.canReplace(o))
 }
 
-// canReplace reports whether the wave may put its own order in the place of one that moves the instance: one that waits for runs or for
-// its next attempt, or one that the platform has carried out, while the worker of the instance has not registered yet.
-func (s *Scheduler) canReplace(w *wave, o *instanceOrder) bool {
-	if o.wave == w.Number || o.inFlight {
+// canReplace reports whether a wave may put its own order in the place of this one: of a move that certainly has not been carried out, or
+// of one that is over while the worker of the instance has not registered yet. A move without an answer may still be carried out after
+// the maintenance, and end the runs that the instance has then.
+func (s *Scheduler) canReplace(o *instanceOrder) bool {
+	if o.wave > 0 {
 		return false
 	}
-	if o.confirmedAt.IsZero() {
-		return o.wave == 0
-	}
-	return !s.now.Before(o.confirmedAt.Add(s.expectedAbsence(o) + registrationMargin))
+	isOver := !o.confirmedAt.IsZero() && !s.now.Before(o.confirmedAt.Add(s.expectedAbsence(o)+registrationMargin))
+	return isOver || !o.wasSent()
 }
 
 // takeInstance prepares the maintenance of an instance, in the place of a move if there is one.
@@ -136,13 +145,23 @@
 	if o := s.fleet.orders[instance]; o != nil {
 		s.dropInstanceOrder(o)
 	}
+	o := &instanceOrder{instance: instance, wave: w.Number, early: early}
 	if s.fleet.instances[instance].State != beryllatch.FleetInstanceUp {
-		if w.triedAt == nil {
-			w.triedAt = make(map[string]time.Time)
-		}
-		w.triedAt[instance] = s.now
+		s.recordTry(o)
+	}
+	s.prepareInstanceOrder(o)
+}
+
+// recordTry records that the wave of the order has tried an instance for which the platform may reject it.
+func (s *Scheduler) recordTry(o *instanceOrder) {
+	w := s.waveOf(o)
+	if w == nil {
+		return
+	}
+	if w.triedAt == nil {
+		w.triedAt = make(map[string]time.Time)
 	}
-	s.prepareInstanceOrder(&instanceOrder{instance: instance, wave: w.Number, early: early})
+	w.triedAt[o.instance] = s.now
 }
 
 // keptForWave reports whether moves leave the instance alone, since it awaits a wave that is short of time.
@@ -161,7 +180,7 @@
 
 // maintenanceCost returns the cost of placing the task on the worker because of open waves.
 func (s *Scheduler) maintenanceCost(t *task, k *worker) float64 {
-	if !hasMissingLimit(t.step) {
+	if !hasMissingLimit(t.step.spec) {
 		return 0
 	}
 	for _, w := range s.fleet.waves {
@@ -173,7 +192,7 @@
 }
 
 // hasMissingLimit reports whether only some of the step's tasks may be missing.
-func hasMissingLimit(st *stepState) bool { return st.spec.LongRunning && st.spec.MaxMissing > 0 }
+func hasMissingLimit(spec *beryllatch.JobStep) bool { return spec.LongRunning && spec.MaxMissing > 0 }
 
 // limitedSteps returns the steps with a limit of missing tasks that have a run on the instance.
 func (s *Scheduler) limitedSteps(instance string) map[*stepState]bool {
@@ -183,7 +202,7 @@
 	}
 	var out map[*stepState]bool
 	for _, r := range k.runs {
-		if r.task != nil && hasMissingLimit(r.task.step) {
+		if r.task != nil && hasMissingLimit(r.task.step.spec) {
 			if out == nil {
 				out = make(map[*stepState]bool)
 			}
@@ -234,17 +253,21 @@
 // meanwhile.
 const preparedAhead = 2
 
-// mayPrepare reports whether one more instance may be prepared early, and counts it.
+// mayPrepare reports whether one more instance may be prepared early.
 func (p vacatePlan) mayPrepare(instance string) bool {
 	for st := range p.steps[instance] {
 		if p.preparing[st] >= preparedAhead*st.spec.MaxMissing {
 			return false
 		}
 	}
+	return true
+}
+
+// recordPrepared counts an instance that is prepared early.
+func (p vacatePlan) recordPrepared(instance string) {
 	for st := range p.steps[instance] {
 		p.preparing[st]++
 	}
-	return true
 }
 
 // waveCandidate is an instance that a wave may take.
@@ -258,16 +281,18 @@
 }
 
 // waveCandidates returns the instances that the wave may take, in order: those first whose runs may take longer to end than the wave has
-// to spare, those that take the longest before the others, and then those with the least work to lose.
-func (s *Scheduler) waveCandidates(w *wave, p vacatePlan) []waveCandidate {
+// to spare, those that take the longest before the others, and then those with the least work to lose. Only the former are returned if the
+// wave has no room left within its maximum.
+func (s *Scheduler) waveCandidates(w *wave, p vacatePlan, room int) []waveCandidate {
 	var out []waveCandidate
 	for i := range w.pending {
-		if !s.canTake(w, i) || s.hidesRuns(w, i) {
+		early := s.isEarly(w, p, i)
+		if early && !p.mayPrepare(i) || !early && room <= 0 || !s.canTake(w, i) || s.hidesRuns(w, i) {
 			continue
 		}
-		c := waveCandidate{instance: i, wait: p.wait(i), loss: s.lostCPU(i)}
-		if c.early = s.isEarly(w, p, i); !c.early {
-			c.wait = 0
+		c := waveCandidate{instance: i, early: early, loss: s.lostCPU(i)}
+		if early {
+			c.wait = p.wait(i)
 		}
 		out = append(out, c)
 	}
@@ -301,29 +326,17 @@
 	if k.failedHolds == 0 {
 		return false
 	}
-	for _, j := range s.jobs {
-		if j.heldBack && !j.state.Final() {
+	for _, j := range s.heldBack {
+		if !j.state.Final() {
 			return false
 		}
 	}
 	for _, j := range s.active {
-		for n := range j.steps {
-			if spec := &j.Steps[n]; spec.LongRunning && spec.MaxMissing > 0 && !j.steps[n].ready.IsEmpty() {
-				// The runs of a step that is not open are not known.
-				return false
-			}
+		if !j.limitedStepsAreOpen() {
+			return false
 		}
 		for _, st := range j.open {
-			if !hasMissingLimit(st) {
-				continue
-			}
-			missing := 0
-			for _, t := range st.tasks {
-				if !t.done && !s.hasFullRun(t, k) {
-					missing++
-				}
-			}
-			if missing > st.spec.MaxMissing {
+			if hasMissingLimit(st.spec) && s.countMissing(st) > st.spec.MaxMissing {
 				return false
 			}
 		}
@@ -331,6 +344,34 @@
 	return true
 }
 
+// limitedStepsAreOpen reports whether all steps with a limit of missing tasks are open or done. One that is not open may have runs that
+// are not known: an earlier epoch may have started it and not stored the end of the steps that it depends on.
+func (j *job) limitedStepsAreOpen() bool {
+	left := 0
+	for n := range j.Steps {
+		if hasMissingLimit(&j.Steps[n]) {
+			left += j.Occurrences() - j.steps[n].done.Len()
+		}
+	}
+	for _, st := range j.open {
+		if hasMissingLimit(st.spec) {
+			left--
+		}
+	}
+	return left == 0
+}
+
+// countMissing counts the tasks of a step without a run at full performance.
+func (s *Scheduler) countMissing(st *stepState) int {
+	n := 0
+	for _, t := range st.tasks {
+		if !t.done && !s.hasFullRun(t, nil) {
+			n++
+		}
+	}
+	return n
+}
+
 // waitsOutsideMaximum reports whether the order holds no place of its wave's maximum, since it waits for long-running tasks to move. It
 // gets one before it is recorded and sent.
 func (s *Scheduler) waitsOutsideMaximum(w *wave, o *instanceOrder) bool {
