beryllatchd bounds what clients use that don't end their requests

A connection of HTTP/2 is not closed while it has requests, and each request gives its own charge back. berylintake reports its metrics and log lines itself.

--- a/internal/common/berylsettings/daemon.go
+++ b/internal/common/berylsettings/daemon.go
@@ -8,6 +8,9 @@
 	"time"
 )
 
+// MinFDs is the least limit of descriptors that is accepted: 200 for files, and four times 16 connections.
+const MinFDs = 264
+
 // Daemon holds the settings of beryllatchd; every flag has an environment variable with the prefix BERYLLATCH_.
 type Daemon struct {
 	Node       string `required:"" env:"BERYLLATCH_NODE" help:"Name of this entry node."`
@@ -31,6 +34,9 @@
 	AllowPlainText  bool          `env:"BERYLLATCH_ALLOW_PLAIN_TEXT" help:"Accept plain text on addresses other than loopback."`
 	ShutdownTimeout time.Duration `default:"70s" env:"BERYLLATCH_SHUTDOWN_TIMEOUT" help:"Longest wait for running requests at a graceful shutdown."`
 
+	MemoryMB int `name:"memory-mb" default:"0" env:"BERYLLATCH_MEMORY_MB" help:"Memory of the process in MB, a quarter of which requests that are not answered may use; 0 allows them 64 MB."`
+	MaxFDs   int `name:"max-fds" default:"0" env:"BERYLLATCH_MAX_FDS" help:"Descriptors of the process, a quarter of which, after 200 for files, incoming connections may use; 0 means the system's limit."`
+
 	CallersTLS   TLSFiles `embed:"" prefix:"callers-tls-" envprefix:"BERYLLATCH_CALLERS_TLS_"`
 	OperatorsTLS TLSFiles `embed:"" prefix:"operators-tls-" envprefix:"BERYLLATCH_OPERATORS_TLS_"`
 	PeersTLS     TLSFiles `embed:"" prefix:"peers-tls-" envprefix:"BERYLLATCH_PEERS_TLS_"`
@@ -66,7 +72,7 @@
 	if d.AdvertiseAddress == "" {
 		d.AdvertiseAddress = d.PeersAddress
 	}
-	for _, check := range []func() error{d.validateNames, d.validateListeners, d.validatePlatform, d.validateTokens} {
+	for _, check := range []func() error{d.validateNames, d.validateListeners, d.validatePlatform, d.validateTokens, d.validateLimits} {
 		if err := check(); err != nil {
 			return err
 		}
@@ -74,6 +80,16 @@
 	return nil
 }
 
+func (d *Daemon) validateLimits() error {
+	if d.MemoryMB < 0 {
+		return &SettingError{Flag: "memory-mb", Reason: "must not be below 0"}
+	}
+	if d.MaxFDs != 0 && d.MaxFDs < MinFDs {
+		return &SettingError{Flag: "max-fds", Reason: fmt.Sprintf("must be 0 or at least %d", MinFDs)}
+	}
+	return nil
+}
+
 func (d *Daemon) validateNames() error {
 	if !namePattern.MatchString(d.Node) {
 		return &SettingError{Flag: "node", Reason: "must match " + namePattern.String()}
--- a/internal/common/berylsettings/daemon_test.go
+++ b/internal/common/berylsettings/daemon_test.go
@@ -33,6 +33,9 @@
 		"peers without ca":   {func(d *Daemon) { d.PeersTLS = TLSFiles{Cert: "c", Key: "k"} }, "peers-tls-ca"},
 		"table":              {func(d *Daemon) { d.TableEndpoint = "127.0.0.1" }, "table-endpoint"},
 		"token":              {func(d *Daemon) { d.OperatorTokens = []string{"ann:secret"} }, "operator-tokens"},
+		"memory":             {func(d *Daemon) { d.MemoryMB = -1 }, "memory-mb"},
+		"descriptors":        {func(d *Daemon) { d.MaxFDs = MinFDs - 1 }, "max-fds"},
+		"least descriptors":  {func(d *Daemon) { d.MaxFDs = MinFDs }, ""},
 		"token hash":         {func(d *Daemon) { d.OperatorTokens = []string{"ann:" + strings.Repeat("a", 64)} }, ""},
 	}
 	for name, tc := range tests {
--- a/internal/common/berylsettings/page.go
+++ b/internal/common/berylsettings/page.go
@@ -24,6 +24,8 @@
 	"instance-list":      endpointCheck,
 	"operator-tokens":    "each entry matches `" + tokenPattern.String() + "`",
 	"shutdown-timeout":   "positive",
+	"memory-mb":          "not below 0",
+	"max-fds":            fmt.Sprintf("0, or at least %d", MinFDs),
 	"callers-tls-cert":   certCheck,
 	"operators-tls-cert": certCheck,
 	"peers-tls-cert":     certCheck,
--- a/internal/node/berylcaller/body.go
+++ b/internal/node/berylcaller/body.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/beryllatch/beryllatch"
+	"github.com/beryllatch/beryllatch/internal/node/berylintake"
 
 	"github.com/rotisserie/eris"
 )
@@ -38,7 +39,7 @@
 	}
 	rc := http.NewResponseController(w)
 	_ = rc.SetReadDeadline(time.Now().Add(prefetchTimeout))
-	data, err := io.ReadAll(io.LimitReader(b.r.Body, replayLimit+1))
+	data, err := berylintake.ReadBody(w, b.r, replayLimit)
 	if err != nil {
 		return eris.Wrap(err, "read body")
 	}
--- a/internal/node/berylcaller/handler.go
+++ b/internal/node/berylcaller/handler.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
+	"time"
 
 	"github.com/beryllatch/beryllatch/internal/node/berylheader"
 
 	"github.com/beryllatch/beryllatch"
 	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
 	"github.com/beryllatch/beryllatch/internal/node/beryldaemon"
+	"github.com/beryllatch/beryllatch/internal/node/berylintake"
 	"github.com/beryllatch/beryllatch/internal/node/berylproblem"
 	"github.com/gorilla/mux"
 )
@@ -43,15 +46,14 @@
 	q, err := parseRequest(r)
 	w.Header().Set(berylheader.RequestID, q.publicID())
 	if err != nil {
+		berylintake.SkipBody(w, r)
 		berylproblem.Write(w, q.publicID(), beryllatch.Refusal{
 			Reason: beryllatch.ReasonBadRequest, RunState: beryllatch.RunStateNotRun, Detail: err.Error(),
 		})
 		return
 	}
 	if err := q.body.prefetch(w); err != nil {
-		berylproblem.Write(w, q.publicID(), beryllatch.Refusal{
-			Reason: beryllatch.ReasonBadRequest, RunState: beryllatch.RunStateNotRun, Detail: err.Error(),
-		})
+		berylproblem.Write(w, q.publicID(), bodyRefusal(err))
 		return
 	}
 	x := exchange{h: h, w: w, r: r, req: q}
@@ -60,6 +62,21 @@
 	x.serve(r.Context(), effects)
 }
 
+// bodyRefusal returns the refusal of a request whose body could not be read.
+func bodyRefusal(err error) beryllatch.Refusal {
+	f := beryllatch.Refusal{Reason: beryllatch.ReasonBadRequest, RunState: beryllatch.RunStateNotRun, Detail: err.Error()}
+	var refused *berylintake.RefusedError
+	if errors.As(err, &refused) {
+		switch refused.Status() {
+		case http.StatusRequestTimeout:
+			f.Reason = beryllatch.ReasonRequestTooSlow
+		case http.StatusServiceUnavailable:
+			f.Reason, f.RetryAfter = beryllatch.ReasonNoMemory, time.Second
+		}
+	}
+	return f
+}
+
 // exchange is one request with its answer, over one or more attempts.
 type exchange struct {
 	h   *Handler
@@ -124,5 +141,6 @@
 		// Aborting the connection shows the caller that the answer is incomplete.
 		panic(http.ErrAbortHandler)
 	}
+	berylintake.SkipBody(x.w, x.r)
 	berylproblem.Write(x.w, x.req.publicID(), refusal)
 }
--- a/internal/node/berylentry/entry.go
+++ b/internal/node/berylentry/entry.go
@@ -30,8 +30,6 @@
 	idleTimeout   = 60 * time.Second
 	// settingsInterval is how often the settings file is checked for changes, in addition to the reload signal.
 	settingsInterval = time.Second
-	// intakeInterval is how often refused requests are counted and logged.
-	intakeInterval = time.Second
 	// shutdownDelay is how long callers are still served after SIGTERM, until the platform has noticed that the node is
 	// not ready: it checks once per second and acts on the second failure.
 	shutdownDelay = 3 * time.Second
@@ -94,7 +92,7 @@
 		e.node.Run(runCtx)
 	}()
 	go e.watchSettings(runCtx, reload)
-	go e.reportIntake(runCtx)
+	go e.intake.Report(runCtx.Done(), e.metrics, e.Log)
 	<-ctx.Done()
 	e.stop(runCtx, settings)
 	cancel()
@@ -222,27 +220,6 @@
 	return nil
 }
 
-// reportIntake publishes what callers use and how many of their requests were refused, with at most one log line for each
-// kind of refusal and intakeInterval.
-func (e *Entry) reportIntake(ctx context.Context) {
-	t := time.NewTicker(intakeInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-		bytes, connections := e.intake.Usage()
-		e.metrics.Gauge("intake.bytes", bytes)
-		e.metrics.Gauge("intake.connections", int64(connections))
-		for kind, n := range e.intake.TakeRefused() {
-			e.metrics.Count("intake.refused."+string(kind), n)
-			e.Log.Warn().Str("kind", string(kind)).Int64("count", n).Int64("bytes", bytes).Int("connections", connections).Msg("intake_refused")
-		}
-	}
-}
-
 // closeAfterAnswer closes each connection of a caller after its next answer once the node is stopping.
 func (e *Entry) closeAfterAnswer(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/node/berylintake/conn.go
+++ b/internal/node/berylintake/conn.go
@@ -46,6 +46,8 @@
 	sinceProgress int
 	// bodyLeft is true until the body of the present request has been read.
 	bodyLeft bool
+	// multiplexed is true for HTTP/2, where a connection has several requests at once. It is not closed while it has any.
+	multiplexed bool
 	// stalled is true after the budget of the present request was given to others.
 	stalled bool
 
@@ -53,6 +55,8 @@
 	// readingBody is true while a body is read under bodyTimeout; untilRenewal is how many bytes are left until it is renewed.
 	readingBody  bool
 	untilRenewal int
+	// encrypted is true if net/http speaks TLS on the connection, so that only it can answer.
+	encrypted bool
 	// stopped is true when nothing more is read.
 	stopped bool
 	lingers bool
@@ -117,9 +121,12 @@
 	}
 	c.mu.Lock()
 	c.stopped, c.lingers = true, true
+	encrypted := c.encrypted
 	c.mu.Unlock()
-	// A client that does not take the answer finds the connection closed.
-	_, _ = c.Write([]byte(answer))
+	if !encrypted {
+		// A client that does not take the answer finds the connection closed.
+		_, _ = c.Write([]byte(answer))
+	}
 	return errStopped
 }
 
@@ -136,7 +143,12 @@
 }
 
 // SetWriteDeadline is called by net/http to remove the deadline after each answer, which Write sets again when it is due.
-func (c *conn) SetWriteDeadline(time.Time) error { return nil }
+func (c *conn) SetWriteDeadline(t time.Time) error {
+	if t.IsZero() {
+		return nil
+	}
+	return c.Conn.SetWriteDeadline(t)
+}
 
 // SetReadDeadline is called by net/http between the requests, and at the end of one to stop its read in the background.
 // That read must not set a deadline of its own afterwards.
@@ -152,6 +164,7 @@
 
 // startBody begins the time limit of a body.
 func (c *conn) startBody() {
+	c.intake.readingBody(c)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.readingBody, c.untilRenewal = true, 0
@@ -167,11 +180,11 @@
 	c.readingBody = false
 }
 
-// stopReading ends the present and all further reads.
-func (c *conn) stopReading() {
+// stopReading ends the present and all further reads. lingers is true if an answer follows.
+func (c *conn) stopReading(lingers bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.stopped, c.lingers = true, true
+	c.stopped, c.lingers = true, c.lingers || lingers
 	_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // On a closed connection the read fails.
 }
 
--- a/internal/node/berylintake/intake.go
+++ b/internal/node/berylintake/intake.go
@@ -47,7 +47,7 @@
 	mu    sync.Mutex
 	used  int64
 	conns map[*conn]struct{}
-	// refused counts the refusals since the last call of TakeRefused.
+	// refused counts the refusals since the last call of takeRefused.
 	refused map[Kind]int64
 }
 
@@ -63,8 +63,8 @@
 	return in.used, len(in.conns)
 }
 
-// TakeRefused returns how many refusals of each kind there were since its last call.
-func (in *Intake) TakeRefused() map[Kind]int64 {
+// takeRefused returns how many refusals of each kind there were since its last call.
+func (in *Intake) takeRefused() map[Kind]int64 {
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	out := maps.Clone(in.refused)
@@ -137,7 +137,7 @@
 	granted, stalled := in.tryCharge(c, n, size)
 	in.mu.Unlock()
 	for _, v := range stalled {
-		v.stopReading()
+		v.stopReading(true)
 	}
 	return granted
 }
@@ -191,7 +191,7 @@
 	}
 	in.mu.Unlock()
 	for _, v := range stalled {
-		v.stopReading()
+		v.stopReading(true)
 	}
 	return granted
 }
@@ -201,7 +201,7 @@
 func (in *Intake) began(c *conn, r *http.Request) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	if c.usage.held > headerEstimate {
+	if c.readingHeader && c.usage.held > headerEstimate {
 		if n := c.usage.held - headerFactor*headerSize(r); n > 0 {
 			in.used -= n
 			c.usage.held -= n
@@ -209,10 +209,18 @@
 	}
 	c.readingHeader = false
 	c.bodyLeft = r.ContentLength != 0
-	c.usage.answering = !c.bodyLeft
+	c.usage.answering = true
+	c.multiplexed = r.ProtoMajor > 1
 	c.usage.progress = time.Now()
 }
 
+// readingBody records that the rest of a request is awaited.
+func (in *Intake) readingBody(c *conn) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	c.usage.answering = c.multiplexed || !c.bodyLeft
+}
+
 // bodyEnded records that the body of a request is complete. It returns false if its budget has been given to others.
 func (in *Intake) bodyEnded(c *conn) bool {
 	in.mu.Lock()
@@ -235,20 +243,13 @@
 	return c.stalled
 }
 
-// handled records that the handler of a request has returned. If it has left a part of the body, net/http may read it.
-func (in *Intake) handled(c *conn) {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	c.usage.answering = !c.bodyLeft
-}
-
 // answered records that a request has been answered and that its connection stays open.
 func (in *Intake) answered(c *conn) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	in.used -= c.usage.held
 	c.usage = usage{peer: c.usage.peer, answered: true, progress: time.Now()}
-	c.size, c.sinceProgress, c.readingHeader = 0, 0, true
+	c.size, c.sinceProgress, c.readingHeader = 0, 0, !c.multiplexed
 }
 
 // closed takes a connection out of the accounts.
--- a/internal/node/berylintake/server.go
+++ b/internal/node/berylintake/server.go
@@ -3,12 +3,15 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
+	"sync/atomic"
+	"time"
 )
 
 const (
@@ -54,16 +57,49 @@
 
 type connKey struct{}
 
-// Protect makes a server keep the limits for the connections of Listen.
+// chargeKey is the context key of what is charged for a request on a multiplexed connection, as a *atomic.Int64.
+type chargeKey struct{}
+
+// Protect makes a server keep the limits for the connections of Listen. Headers have 16 KB unless the server has a limit of its own.
+// Call it after everything else of the server has been set.
 func (in *Intake) Protect(s *http.Server) {
-	s.MaxHeaderBytes = maxHeader - headerSlack
+	if s.MaxHeaderBytes == 0 {
+		s.MaxHeaderBytes = maxHeader - headerSlack
+	}
+	s.HTTP2 = &http.HTTP2Config{MaxReceiveBufferPerConnection: peerBuffer, MaxReceiveBufferPerStream: peerBuffer}
 	s.Handler = follow(s.Handler)
-	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
+	connContext, connState := s.ConnContext, s.ConnState
+	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		if connContext != nil {
+			ctx = connContext(ctx, c)
+		}
+		accepted, _ := unwrap(c)
+		return context.WithValue(ctx, connKey{}, accepted)
+	}
 	s.ConnState = func(c net.Conn, state http.ConnState) {
-		if c, ok := c.(*conn); ok && state == http.StateIdle {
-			in.answered(c)
+		accepted, encrypted := unwrap(c)
+		switch {
+		case accepted == nil:
+		case state == http.StateNew && encrypted:
+			accepted.mu.Lock()
+			accepted.encrypted = true
+			accepted.mu.Unlock()
+		case state == http.StateIdle:
+			in.answered(accepted)
 		}
+		if connState != nil {
+			connState(c, state)
+		}
+	}
+}
+
+// unwrap returns the accepted connection below a connection of net/http, or nil, and whether there is TLS between.
+func unwrap(c net.Conn) (accepted *conn, encrypted bool) {
+	if t, ok := c.(*tls.Conn); ok {
+		c, encrypted = t.NetConn(), true
 	}
+	accepted, _ = c.(*conn)
+	return accepted, encrypted
 }
 
 // follow records the beginning and the end of each request.
@@ -75,20 +111,27 @@
 			return
 		}
 		c.intake.began(c, r)
+		if r.ProtoMajor > 1 {
+			var charged atomic.Int64
+			next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), chargeKey{}, &charged)))
+			c.intake.release(c, charged.Load())
+			return
+		}
 		if r.ContentLength == 0 {
 			next.ServeHTTP(w, r)
 			return
 		}
-		c.startBody()
 		returned := false
 		defer func() {
 			if !returned {
-				c.stopReading() // After a panic, net/http reads the rest of the body otherwise.
+				c.stopReading(false) // After a panic, net/http reads the rest of the body otherwise.
 			}
 		}()
 		next.ServeHTTP(w, r)
 		returned = true
-		c.intake.handled(c)
+		if c.intake.hasBodyLeft(c) {
+			c.startBody() // net/http may read the rest.
+		}
 	})
 }
 
@@ -113,19 +156,26 @@
 // a declared length is left to net/http, which reads it so that the connection can be used again.
 func SkipBody(w http.ResponseWriter, r *http.Request) {
 	c := connOf(r)
-	if c == nil || r.ContentLength >= 0 && r.ContentLength <= smallRequest || !c.intake.hasBodyLeft(c) {
+	if c == nil || r.ProtoMajor > 1 || !c.intake.hasBodyLeft(c) {
+		return
+	}
+	if r.ContentLength > 0 && r.ContentLength <= smallRequest {
+		c.startBody()
 		return
 	}
 	w.Header().Set("Connection", "close")
-	c.stopReading()
+	c.stopReading(true)
 }
 
 // ReadBody reads a body of at most limit bytes and charges it until the request is answered. If it is refused, the error is a
 // *RefusedError and the rest of it is not read.
 func ReadBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
 	c := connOf(r)
-	data, err := read(c, r, limit)
-	if c != nil && err == nil {
+	if c != nil && r.ProtoMajor == 1 {
+		c.startBody()
+	}
+	data, err := read(c, w, r, limit)
+	if c != nil && r.ProtoMajor == 1 && err == nil {
 		c.endBody()
 		if !c.intake.bodyEnded(c) {
 			err = &RefusedError{KindStalled, limit}
@@ -137,13 +187,15 @@
 			c.intake.count(refused.Kind) // Stalled requests have been counted.
 		}
 		SkipBody(w, r)
-		w.Header().Set("Connection", "close")
+		if r.ProtoMajor == 1 {
+			w.Header().Set("Connection", "close")
+		}
 	}
 	return data, err
 }
 
 // read reads a body; c is nil if it isn't charged.
-func read(c *conn, r *http.Request, limit int64) ([]byte, error) {
+func read(c *conn, w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
 	if r.ContentLength > limit {
 		return nil, &RefusedError{KindBody, limit}
 	}
@@ -153,19 +205,23 @@
 		most = r.ContentLength + 1
 	}
 	var data []byte
+	renewAt := 0
 	for {
 		if len(data) == cap(data) {
 			size := min(max(2*int64(cap(data)), firstBuffer), most)
-			if c != nil && !c.intake.charge(c, size, size) {
+			if !charge(c, r, size) {
 				return nil, &RefusedError{KindBudget, limit}
 			}
 			grown := make([]byte, len(data), size)
 			copy(grown, data)
-			if c != nil && cap(data) > 0 {
-				c.intake.release(c, int64(cap(data)))
-			}
+			discharge(c, r, int64(cap(data)))
 			data = grown
 		}
+		if r.ProtoMajor > 1 && len(data) >= renewAt {
+			// Deadlines of HTTP/2 are those of a request; where they are not supported, the read waits for the client.
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
+			renewAt = len(data) + progressBytes
+		}
 		n, err := r.Body.Read(data[len(data):cap(data)])
 		data = data[:len(data)+n]
 		if int64(len(data)) > limit {
@@ -185,6 +241,35 @@
 	}
 }
 
+// charge charges n bytes until the request is answered; c is nil if it has no limits.
+func charge(c *conn, r *http.Request, n int64) bool {
+	if c == nil {
+		return true
+	}
+	if !c.intake.charge(c, n, n) {
+		return false
+	}
+	if r.ProtoMajor > 1 {
+		if charged, ok := r.Context().Value(chargeKey{}).(*atomic.Int64); ok {
+			charged.Add(n)
+		}
+	}
+	return true
+}
+
+// discharge gives back n bytes of charge before the request is answered.
+func discharge(c *conn, r *http.Request, n int64) {
+	if c == nil || n == 0 {
+		return
+	}
+	c.intake.release(c, n)
+	if r.ProtoMajor > 1 {
+		if charged, ok := r.Context().Value(chargeKey{}).(*atomic.Int64); ok {
+			charged.Add(-n)
+		}
+	}
+}
+
 // WithBody reads each body of at most limit bytes before it calls next, for handlers that read bodies of any size.
 func WithBody(limit func() int64, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -193,11 +278,9 @@
 			return
 		}
 		data, err := ReadBody(w, r, limit())
-		if c := connOf(r); c != nil && err == nil {
-			if n := int64(len(data)) * decodeFactor; !c.intake.charge(c, n, int64(len(data))) {
-				c.intake.count(KindBudget)
-				err = &RefusedError{Kind: KindBudget}
-			}
+		if c := connOf(r); err == nil && !charge(c, r, int64(len(data))*decodeFactor) {
+			c.intake.count(KindBudget)
+			err = &RefusedError{Kind: KindBudget}
 		}
 		if err != nil {
 			writeRefusal(w, err)
--- a/internal/node/berylintake/server_test.go
+++ b/internal/node/berylintake/server_test.go
@@ -9,11 +9,14 @@
 	"log"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	is "gotest.tools/v3/assert/cmp"
 )
 
 const (
@@ -136,7 +139,7 @@
 			assert.Equal(t, got.retryAfter != "", c.status == http.StatusServiceUnavailable)
 			assert.Equal(t, got.closes, c.status != http.StatusOK)
 			if c.kind != "" {
-				assert.Equal(t, in.TakeRefused()[c.kind], int64(1))
+				assert.Equal(t, in.takeRefused()[c.kind], int64(1))
 			}
 		})
 	}
@@ -228,7 +231,7 @@
 	got = stalled.answer(t)
 	assert.Equal(t, got.status, http.StatusServiceUnavailable)
 	assert.Equal(t, got.retryAfter, "1")
-	assert.Equal(t, in.TakeRefused()[KindStalled], int64(1))
+	assert.Equal(t, in.takeRefused()[KindStalled], int64(1))
 }
 
 // Guards against open connections that keep a new one from being served, and against closing one that has been answered
@@ -252,6 +255,52 @@
 	assert.Assert(t, connections <= 3)
 }
 
+// Guards against requests on one HTTP/2 connection that are refused, or whose charges are not returned, and against deadlines
+// of one that end the others.
+func TestHTTP2(t *testing.T) {
+	in := New(ample)
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		data, err := ReadBody(w, r, testLimit)
+		if err != nil {
+			writeRefusal(w, err)
+			return
+		}
+		_, _ = fmt.Fprint(w, r.ProtoMajor, len(data))
+	}))
+	s.EnableHTTP2 = true
+	in.Protect(s.Config)
+	s.Listener = in.Listen(s.Listener, false)
+	s.StartTLS()
+	defer s.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
+	defer cancel()
+	var calls sync.WaitGroup
+	for range 20 {
+		calls.Go(func() {
+			for size, status := range map[int]int{0: 200, 10: 200, testLimit / 4: 200, testLimit + 1: 413} {
+				req, err := http.NewRequestWithContext(ctx, http.MethodPost, s.URL, bytes.NewReader(make([]byte, size)))
+				assert.Check(t, err)
+				resp, err := s.Client().Do(req)
+				if !assert.Check(t, err) {
+					return
+				}
+				b, err := io.ReadAll(resp.Body)
+				_ = resp.Body.Close()
+				assert.Check(t, err)
+				assert.Check(t, is.Equal(resp.StatusCode, status))
+				if status == http.StatusOK {
+					assert.Check(t, is.Equal(string(b), fmt.Sprint(2, size)))
+				}
+			}
+		})
+	}
+	calls.Wait()
+	await(t, func() bool {
+		charged, connections := in.Usage()
+		return charged == int64(connections)*connectionCharge
+	})
+}
+
 // Guards against a handler of bodies of any size that reads more than the limit, or not all of the body.
 func TestWithBody(t *testing.T) {
 	wrap := func(http.Handler) http.Handler {
--- a/internal/node/berylserver/build.go
+++ b/internal/node/berylserver/build.go
@@ -1,6 +1,7 @@
 package berylserver
 
 import (
+	"cmp"
 	"net/http"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
 	"github.com/beryllatch/beryllatch/internal/node/berylcaller"
 	"github.com/beryllatch/beryllatch/internal/node/beryldaemon"
+	"github.com/beryllatch/beryllatch/internal/node/berylintake"
 	"github.com/beryllatch/beryllatch/internal/node/beryloperator"
 	"github.com/beryllatch/beryllatch/internal/node/berylpeer"
 	"github.com/beryllatch/beryllatch/internal/node/beryltaskapi"
@@ -22,6 +24,10 @@
 	"github.com/rotisserie/eris"
 )
 
+// maxPeerBody returns the size in bytes up to which requests of other nodes are read; it is above the limit of berylpeer, which
+// answers in the form that other nodes know.
+func maxPeerBody() int64 { return 512 << 10 }
+
 // handlers holds the HTTP handler of each of the four listeners.
 type handlers struct {
 	callers   http.Handler
@@ -40,6 +46,8 @@
 	}
 	workers := berylworker.New()
 	metrics := berylmetrics.New()
+	s.metrics = metrics
+	s.intake = berylintake.New(berylintake.LimitsFor(cfg.MemoryMB, cmp.Or(cfg.MaxFDs, berylintake.ProcessFDs())))
 	s.daemon = &beryldaemon.Daemon{
 		Self: berylreducer.Identity{
 			Node:        cfg.Node,
@@ -77,8 +85,8 @@
 		credentials = append(credentials, c)
 	}
 	return handlers{
-		callers: callers, operators: beryloperator.New(s.daemon, credentials), peers: berylpeer.NewHandler(s.daemon),
-		admin: s.admin(metrics),
+		callers: callers, operators: beryloperator.New(s.daemon, credentials), peers: berylintake.WithBody(maxPeerBody, berylpeer.NewHandler(s.daemon)),
+		admin: berylintake.WithoutBody(s.admin(metrics)),
 	}, nil
 }
 
--- a/internal/node/berylserver/server.go
+++ b/internal/node/berylserver/server.go
@@ -8,9 +8,11 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/beryllatch/beryllatch/internal/common/berylmetrics"
 	"github.com/beryllatch/beryllatch/internal/common/berylsettings"
 	"github.com/beryllatch/beryllatch/internal/common/beryltls"
 	"github.com/beryllatch/beryllatch/internal/node/beryldaemon"
+	"github.com/beryllatch/beryllatch/internal/node/berylintake"
 	"github.com/phuslu/log"
 	"github.com/rotisserie/eris"
 )
@@ -30,6 +32,8 @@
 	Log      *log.Logger
 
 	daemon   *beryldaemon.Daemon
+	metrics  *berylmetrics.Registry
+	intake   *berylintake.Intake
 	servers  []*http.Server
 	stopping atomic.Bool
 	// closeIdle makes stop close idle connections at its start; only tests set it.
@@ -55,6 +59,7 @@
 		// The daemon's event loop must continue after ctx is cancelled, since the graceful shutdown needs it.
 		s.daemon.Run(context.WithoutCancel(ctx))
 	}()
+	go s.intake.Report(done, s.metrics, s.Log)
 	select {
 	case <-ctx.Done():
 		s.stop(ctx, done)
@@ -134,8 +139,9 @@
 	if err != nil {
 		return eris.Wrapf(err, "%s listener", l.name)
 	}
+	s.intake.Protect(h)
 	s.servers = append(s.servers, h)
-	go s.serve(h, ln, l.name)
+	go s.serve(h, s.intake.Listen(ln, l.name == "peers"), l.name)
 	s.Log.Info().Str("subject", l.name+" listener").Str("to", "listening").Str("address", ln.Addr().String()).
 		Msg("state changed")
 	return nil
--- a/internal/node/berylserver/stop_test.go
+++ b/internal/node/berylserver/stop_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/beryllatch/beryllatch/internal/common/berylsettings"
 	"github.com/beryllatch/beryllatch/internal/node/beryldaemon"
+	"github.com/beryllatch/beryllatch/internal/node/berylintake"
 	"github.com/phuslu/log"
 	"gotest.tools/v3/assert"
 )
@@ -95,6 +96,9 @@
 	return err
 }
 
+// Guards against settings that accept a limit of descriptors which leaves no connections.
+func TestLeastDescriptors(t *testing.T) { assert.Equal(t, berylsettings.MinFDs, berylintake.MinFDs) }
+
 // Guards against a graceful stop that closes the connection of a request in progress, or of a request that arrives on a
 // connection that was idle.
 func TestStopCutsNothing(t *testing.T) {
