The stand-ins bound headers, connections and bodies

Change: berylstandin and berylfleet serve with berylintake; the platform's stand-in charges bodies to a budget of 512 MB, as its objects have up to 64 MB. Bodies of the stand-in worker and the load balancer are as before.

--- a/cmd/berylstandin/platform.go
+++ b/cmd/berylstandin/platform.go
@@ -61,7 +61,7 @@
 	return runAll(ctx,
 		func(ctx context.Context) error { return p.Balancer().Serve(ctx, balancer) },
 		func(ctx context.Context) error {
-			return serve(ctx, control, &http.Server{Handler: p.Control(), ReadHeaderTimeout: headerTimeout})
+			return serve(ctx, control, &http.Server{Handler: p.Control(), ReadHeaderTimeout: headerTimeout}, p.Intake())
 		},
 	)
 }
--- a/cmd/berylstandin/serve.go
+++ b/cmd/berylstandin/serve.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/beryllatch/beryllatch/internal/node/berylintake"
 	"github.com/phuslu/log"
 )
 
@@ -25,11 +26,12 @@
 	return l, nil
 }
 
-// serve runs the server until the context is cancelled, then closes it and all its connections.
-func serve(ctx context.Context, l net.Listener, s *http.Server) error {
+// serve runs the server within the limits for clients until the context is cancelled, then closes it and all its connections.
+func serve(ctx context.Context, l net.Listener, s *http.Server, in *berylintake.Intake) error {
+	in.Protect(s)
 	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
 	defer stop()
-	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+	if err := s.Serve(in.Listen(l, false)); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	return nil
--- a/cmd/berylstandin/worker.go
+++ b/cmd/berylstandin/worker.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/beryllatch/beryllatch/internal/node/berylintake"
 	"github.com/beryllatch/beryllatch/internal/standin/berylupstream"
 )
 
@@ -24,6 +25,7 @@
 	if c.Slots < 1 || c.Connections < 1 {
 		return errors.New("slots and connections must be at least 1")
 	}
+	in := berylintake.New(berylintake.LimitsFor(0, berylintake.ProcessFDs()))
 	var servers []func(context.Context) error
 	for _, address := range c.Listen {
 		l, err := listen(ctx, "worker", address)
@@ -39,7 +41,7 @@
 		// worker is closing.
 		s := &http.Server{Handler: w.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: 2 * time.Minute}
 		w.Configure(s)
-		servers = append(servers, func(ctx context.Context) error { return serve(ctx, l, s) })
+		servers = append(servers, func(ctx context.Context) error { return serve(ctx, l, s, in) })
 	}
 	return runAll(ctx, servers...)
 }
--- a/internal/standin/berylfleet/serve.go
+++ b/internal/standin/berylfleet/serve.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/beryllatch/beryllatch/internal/node/berylintake"
 	"github.com/rotisserie/eris"
 )
 
@@ -20,7 +21,9 @@
 		return "", eris.Wrap(err, "listen")
 	}
 	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
-	go func() { _ = server.Serve(ln) }() // It ends with ctx.
+	intake := berylintake.New(berylintake.LimitsFor(0, berylintake.ProcessFDs()))
+	intake.Protect(server)
+	go func() { _ = server.Serve(intake.Listen(ln, false)) }() // It ends with ctx.
 	go func() {
 		<-ctx.Done()
 		_ = server.Close() // Nobody waits for the calls that are left.
--- a/internal/standin/berylplatform/faults.go
+++ b/internal/standin/berylplatform/faults.go
@@ -3,12 +3,14 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"maps"
 	"net/http"
 	"time"
 
+	"github.com/beryllatch/beryllatch/internal/node/berylintake"
 	"github.com/beryllatch/beryllatch/internal/standin/berylreply"
 )
 
@@ -157,9 +159,14 @@
 			return
 		}
 		// The body is read before the delay, so that the call takes effect even if the client gives up during it.
-		b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxObjectBytes+1))
+		b, err := berylintake.ReadBody(w, r, maxObjectBytes+1)
 		if err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
+			status := http.StatusBadRequest
+			var refused *berylintake.RefusedError
+			if errors.As(err, &refused) && refused.Kind != berylintake.KindBody {
+				status = refused.Status()
+			}
+			http.Error(w, err.Error(), status)
 			return
 		}
 		r.Body = io.NopCloser(bytes.NewReader(b))
--- a/internal/standin/berylplatform/platform.go
+++ b/internal/standin/berylplatform/platform.go
@@ -7,9 +7,13 @@
 
 	"github.com/gorilla/mux"
 
+	"github.com/beryllatch/beryllatch/internal/node/berylintake"
 	"github.com/beryllatch/beryllatch/internal/standin/berylreply"
 )
 
+// maxBodies bounds the memory of requests that are not answered: five of the largest objects at once, each with a buffer that grows.
+const maxBodies = 512 << 20
+
 // Platform is the stand-in with all of its services.
 type Platform struct {
 	cfg       settings
@@ -17,6 +21,7 @@
 	objects   *objects
 	instances *instances
 	balancer  *Balancer
+	intake    *berylintake.Intake
 
 	// setFaultsMu serialises calls of SetFaults, which open and close the servers after releasing mu.
 	setFaultsMu sync.Mutex
@@ -39,8 +44,11 @@
 		objects:   newObjects(),
 		instances: newInstances(),
 		balancer:  newBalancer(cfg.healthInterval),
-		random:    rand.New(rand.NewPCG(cfg.seed, 0)),
-		servers:   make(map[string]*Server),
+		intake: berylintake.New(berylintake.Limits{
+			Bytes: maxBodies, Connections: berylintake.LimitsFor(0, berylintake.ProcessFDs()).Connections,
+		}),
+		random:  rand.New(rand.NewPCG(cfg.seed, 0)),
+		servers: make(map[string]*Server),
 	}
 }
 
@@ -57,6 +65,9 @@
 	return p.withFaults(ServiceInstances, r)
 }
 
+// Intake returns the limits for clients of the platform's servers.
+func (p *Platform) Intake() *berylintake.Intake { return p.intake }
+
 // Balancer returns the load balancer over the entry daemons.
 func (p *Platform) Balancer() *Balancer { return p.balancer }
 
--- a/internal/standin/berylplatform/platform_test.go
+++ b/internal/standin/berylplatform/platform_test.go
@@ -237,3 +237,17 @@
 	cancel()
 	assert.NilError(t, <-serveErr)
 }
+
+// Guards against a server of the stand-in that reads headers of any size.
+func TestLargeHeaderIsRefused(t *testing.T) {
+	s, err := berylplatform.New().Listen(t.Context(), berylplatform.ServiceTable, "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { assert.Check(t, s.Close()) }()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+s.Address(), http.NoBody)
+	assert.NilError(t, err)
+	req.Header.Set("A", strings.Repeat("a", 16<<10))
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	assert.NilError(t, resp.Body.Close())
+	assert.Equal(t, resp.StatusCode, http.StatusRequestHeaderFieldsTooLarge)
+}
--- a/internal/standin/berylplatform/server.go
+++ b/internal/standin/berylplatform/server.go
@@ -7,11 +7,14 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/beryllatch/beryllatch/internal/node/berylintake"
 )
 
 // Server serves a handler on one address. While it is closed, connections to the address are refused.
 type Server struct {
 	handler http.Handler
+	intake  *berylintake.Intake
 
 	mu      sync.Mutex
 	address string
@@ -30,7 +33,7 @@
 	if !ok {
 		return nil, errors.New("unknown service " + name)
 	}
-	s := &Server{handler: h, address: address}
+	s := &Server{handler: h, intake: p.intake, address: address}
 	if err := s.listen(ctx); err != nil {
 		return nil, err
 	}
@@ -83,7 +86,8 @@
 	}
 	s.address, s.listener = l.Addr().String(), l
 	s.httpServer = &http.Server{Handler: s.handler, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute}
+	s.intake.Protect(s.httpServer)
 	// Serve returns when the server is closed, with an error that only says so.
-	go func(s *http.Server) { _ = s.Serve(l) }(s.httpServer)
+	go func(h *http.Server) { _ = h.Serve(s.intake.Listen(l, false)) }(s.httpServer)
 	return nil
 }
