A tick visits waiting steps and teams less often

Change: the waiting steps are listed and sorted once, as pointers; teams stay sorted; the timing of a job that isn't repeated is kept with the job and dropped when a step ends; workers count what yielding runs use; placeNeeds groups the workers by pool once. classify is split. The decisions are the same, except that steps beside one that has ended no longer keep its timing for up to 200 ms.

--- a/internal/decision/berylscheduler/arrival.go
+++ b/internal/decision/berylscheduler/arrival.go
@@ -68,10 +68,8 @@
 // averaged over the long window. A job counts with its first submission.
 func (s *Scheduler) offeredCPU() map[string]int {
 	f := &s.fleet
-	out, _ := s.arrivingCPU()
-	for len(f.refused) > 0 && s.now.Sub(f.refused[0].at) > longArrivalWindow {
-		f.refused = f.refused[1:]
-	}
+	f.arrivals, f.refused = dropPast(f.arrivals, s.now), dropPast(f.refused, s.now)
+	out := f.arrivalRate(s.now, longArrivalWindow)
 	sums := make(map[string]float64)
 	for _, a := range f.refused {
 		sums[a.pool] += a.work
@@ -82,13 +80,19 @@
 	return out
 }
 
+// dropPast returns the arrivals within the long window.
+func dropPast(arrivals []arrival, now time.Time) []arrival {
+	for len(arrivals) > 0 && now.Sub(arrivals[0].at) > longArrivalWindow {
+		arrivals = arrivals[1:]
+	}
+	return arrivals
+}
+
 // arrivingCPU returns, for each pool, the processor capacity in millicores that would keep up with the arriving work, averaged
 // over the long and over the short window.
 func (s *Scheduler) arrivingCPU() (longTerm, shortTerm map[string]int) {
 	f := &s.fleet
-	for len(f.arrivals) > 0 && s.now.Sub(f.arrivals[0].at) > longArrivalWindow {
-		f.arrivals = f.arrivals[1:]
-	}
+	f.arrivals = dropPast(f.arrivals, s.now)
 	return f.arrivalRate(s.now, longArrivalWindow), f.arrivalRate(s.now, shortArrivalWindow)
 }
 
--- a/internal/decision/berylscheduler/deployment.go
+++ b/internal/decision/berylscheduler/deployment.go
@@ -16,6 +16,9 @@
 	for name, t := range d.Teams {
 		s.team(name).lastCeiling = t.Ceiling
 	}
+	for _, t := range s.sortedTeams {
+		t.weight = d.Teams[t.name].Weight
+	}
 	withoutQueue, withoutPool := make(map[string]int), make(map[string]int)
 	for _, j := range s.active {
 		if q, ok := d.Queues[j.Queue]; ok {
--- a/internal/decision/berylscheduler/job.go
+++ b/internal/decision/berylscheduler/job.go
@@ -39,6 +39,8 @@
 	exceedsShare bool
 	// firstSubmitted is when the job was first submitted, if it was refused at that time.
 	firstSubmitted time.Time
+	// timing is that of the steps of a job that isn't repeated, kept for timingValidity.
+	timing stepTiming
 	// backlogAt is when the job was last counted in its pool's backlog.
 	backlogAt time.Time
 	// bookedRuns counts the runs for which capacity is booked, including those that are being stopped.
--- a/internal/decision/berylscheduler/order.go
+++ b/internal/decision/berylscheduler/order.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"slices"
 	"time"
-
-	"github.com/beryllatch/beryllatch/internal/decision/berylshare"
 )
 
 // usefulFactor is by how many times its target a job may be late before its result is of no use to the caller.
@@ -45,22 +43,27 @@
 	slack time.Duration
 }
 
-// timing returns the timing of a step, which is kept for timingValidity.
-func (s *Scheduler) timing(st *stepState) stepTiming {
-	if t := st.timing; s.shared && !t.computedAt.IsZero() && s.now.Sub(t.computedAt) < timingValidity {
-		return t
-	}
+// timing returns the timing of a step, which is kept for timingValidity. All steps of an occurrence have the same one, so that a job that
+// isn't repeated needs it once.
+func (s *Scheduler) timing(st *stepState) *stepTiming {
 	j := st.job
+	kept := &st.timing
+	if j.Repeat == 0 {
+		kept = &j.timing
+	}
+	if s.shared && !kept.computedAt.IsZero() && s.now.Sub(kept.computedAt) < timingValidity {
+		return kept
+	}
 	total, rest := s.criticalPaths(j, st.occurrence)
 	target := jobTarget(j.queue.Slack, total, j.queue.Latency)
 	from := j.dueAt(st.occurrence)
 	if !j.firstSubmitted.IsZero() {
 		from = j.firstSubmitted
 	}
-	st.timing = stepTiming{
+	*kept = stepTiming{
 		computedAt: s.now, startBy: from.Add(target - rest), uselessAfter: from.Add(usefulFactor*target - rest), slack: target - total,
 	}
-	return st.timing
+	return kept
 }
 
 // jobTarget returns the time in which a job of the queue should be done.
@@ -82,7 +85,7 @@
 		return st.class
 	case st.overdue:
 		return classInShare
-	case s.now.After(st.timing.uselessAfter):
+	case s.now.After(c.timing.uselessAfter):
 		return classUseless
 	}
 	return classLate
@@ -116,76 +119,73 @@
 		return
 	}
 	waiting := s.waitingCandidates()
-	usage := make(map[string]float64, len(s.teams))
-	for name, t := range s.teams {
-		usage[name] = berylshare.Dominant(t.booked, s.capacity)
-	}
-	rates := s.poolRates()
-	s.usableRates = rates
+	s.updateShares(waiting)
+	waiting = s.assignShares(waiting)
+	s.usableRates = s.poolRates()
 	s.offered = s.offeredCPU()
 	s.updateOverload()
-	ahead := make(map[string]float64, len(rates))
-	s.lastBacklogs, s.backlogs = s.backlogs, make(map[string]poolBacklog, len(rates))
-	for i := range waiting {
-		c := &waiting[i]
-		st := c.step
-		team := st.job.Team
-		if c.late || st.spec.LongRunning {
+	s.lastBacklogs, s.backlogs = s.backlogs, make(map[string]poolBacklog, len(s.usableRates))
+	plans := make(map[string]*poolPlan, len(s.usableRates))
+	for _, c := range waiting {
+		if c.step.spec.LongRunning {
 			continue
 		}
-		if usage[team] >= s.shareLimit(team) || c.exceedsShare {
-			st.class = classAboveShare
+		p := plans[c.pool]
+		if p == nil {
+			p = &poolPlan{}
+			plans[c.pool] = p
 		}
-		usage[team] += berylshare.Dominant(st.spec.ReservedCapacity().Times(st.tasksWaiting), s.capacity)
-		c.class = st.class
+		s.planStep(c, p)
 	}
-	for name, t := range s.teams {
-		t.aboveShare = usage[name] >= s.shareLimit(name)
+	for pool, p := range plans {
+		s.backlogs[pool] = p.backlog
 	}
-	slices.SortStableFunc(waiting, compareWaiting)
-	for _, c := range waiting {
-		st := c.step
-		if st.spec.LongRunning {
-			continue
-		}
-		b := s.backlogs[c.pool]
-		work := s.remainingWork(st)
-		if st.job.Repeat == 0 && st.job.backlogAt != s.now {
-			st.job.backlogAt = s.now
-			work += s.laterWork(st.job)
-		}
-		if c.late && s.takeOverdue(c, work, rates[c.pool]) {
-			st.overdue = true
-		}
-		if c.class >= classLate {
-			b.late += work
-			s.backlogs[c.pool] = b
-			continue
-		}
-		wait := maxWait
-		if r := s.planningRate(c.pool, st.timing.slack); r > 0 {
-			wait = seconds(ahead[c.pool] / r)
-		}
-		limit := c.startBy.Sub(s.now)
-		if c.unplanned {
-			limit -= marginOf(st.timing.slack)
-		}
-		if !c.late && !c.begun && wait > limit {
-			st.class = classDeferred
-		} else {
-			ahead[c.pool] += work
-		}
-		b.inTime += work
-		if st.class == classInShare {
-			b.inShare += work
-			b.firstCPU += st.spec.ReservedCapacity().CPUMilli * st.tasksWaiting
-		}
-		s.backlogs[c.pool] = b
+}
+
+// poolPlan is what classify has counted for a pool.
+type poolPlan struct {
+	backlog poolBacklog
+	// ahead is the work of steps that aren't deferred, in millicore-seconds.
+	ahead float64
+}
+
+// planStep counts a step in its pool's plan, and defers it if it can't meet its target behind the steps that were counted before.
+func (s *Scheduler) planStep(c *candidate, p *poolPlan) {
+	st := c.step
+	work := s.remainingWork(st)
+	if st.job.Repeat == 0 && st.job.backlogAt != s.now {
+		st.job.backlogAt = s.now
+		work += s.laterWork(st.job)
+	}
+	if c.late && s.takeOverdue(c, work, s.usableRates[c.pool]) {
+		st.overdue = true
+	}
+	if c.class >= classLate {
+		p.backlog.late += work
+		return
+	}
+	wait := maxWait
+	if r := s.planningRate(c.pool, c.timing.slack); r > 0 {
+		wait = seconds(p.ahead / r)
+	}
+	limit := c.startBy.Sub(s.now)
+	if c.unplanned {
+		limit -= marginOf(c.timing.slack)
+	}
+	if !c.late && !c.begun && wait > limit {
+		st.class = classDeferred
+	} else {
+		p.ahead += work
+	}
+	p.backlog.inTime += work
+	if st.class == classInShare {
+		p.backlog.inShare += work
+		p.backlog.firstCPU += st.spec.ReservedCapacity().CPUMilli * st.tasksWaiting
 	}
 }
 
 // takeOverdue reports whether a late step has waited for maxLateWait and its pool has capacity for such steps, and takes the capacity.
-func (s *Scheduler) takeOverdue(c candidate, work, rate float64) bool {
+func (s *Scheduler) takeOverdue(c *candidate, work, rate float64) bool {
 	if s.now.Sub(laterTime(c.startBy, c.step.openedAt)) <= maxLateWait || c.step.overdue {
 		return false
 	}
@@ -225,22 +225,29 @@
 	s.backlogs[j.queue.Pool] = b
 }
 
-// waitingCandidates returns all waiting steps of stored jobs, in the order in which they would be placed by time alone.
-func (s *Scheduler) waitingCandidates() []candidate {
-	var out []candidate
+// waitingCandidates returns all waiting steps of stored jobs, in the order in which they would be placed by time alone. The result is valid
+// until the next call.
+func (s *Scheduler) waitingCandidates() []*candidate {
+	clear(s.waiting)
+	s.waiting = s.waiting[:0]
 	for _, j := range s.active {
 		if !j.rows.jobStored {
 			continue
 		}
+		team := s.team(j.Team)
 		for st := range j.waitingSteps {
 			unplanned := !st.classified || st.class == classDeferred
 			st.class, st.classified = classInShare, true
 			c := s.candidate(j.queue, st)
-			c.unplanned = unplanned
-			out = append(out, c)
+			c.unplanned, c.team = unplanned, team
+			s.waiting = append(s.waiting, c)
 		}
 	}
-	slices.SortStableFunc(out, compareWaiting)
+	out := make([]*candidate, len(s.waiting))
+	for i := range s.waiting {
+		out[i] = &s.waiting[i]
+	}
+	slices.SortStableFunc(out, func(a, b *candidate) int { return compareWaiting(*a, *b) })
 	return out
 }
 
--- a/internal/decision/berylscheduler/place.go
+++ b/internal/decision/berylscheduler/place.go
@@ -24,6 +24,9 @@
 	unplanned bool
 	// startBy is the latest start that meets the objective.
 	startBy time.Time
+	timing  *stepTiming
+	// team is set for the steps that a tick classifies.
+	team *teamUsage
 }
 
 // place starts waiting tasks in this order: by the queue's priority, steps that can still meet their objective before late
@@ -131,7 +134,7 @@
 
 func (s *Scheduler) candidate(q beryllatch.JobQueue, st *stepState) candidate {
 	t := s.timing(st)
-	c := candidate{step: st, pool: q.Pool, priority: q.Priority, exceedsShare: st.job.exceedsShare, startBy: t.startBy}
+	c := candidate{step: st, pool: q.Pool, priority: q.Priority, exceedsShare: st.job.exceedsShare, startBy: t.startBy, timing: t}
 	c.late = !st.spec.LongRunning && s.now.After(c.startBy)
 	if st.spec.LongRunning {
 		c.startBy = st.job.dueAt(st.occurrence)
--- a/internal/decision/berylscheduler/place_need.go
+++ b/internal/decision/berylscheduler/place_need.go
@@ -63,6 +63,7 @@
 // a single worker that has its label doesn't wait for that long.
 func (s *Scheduler) placeNeeds() map[placeNeed]neededInstances {
 	needs := make(map[placeNeed]neededInstances)
+	workers := s.workersForPlaces()
 	add := func(pool string, st *stepState, missing int) {
 		room := st.spec.ReservedCapacity()
 		perInstance := s.tasksPerInstance(st, pool)
@@ -80,7 +81,7 @@
 			if !s.underCeiling(j.Team, st.spec.Needs) {
 				continue
 			}
-			missing, labelled := s.missingPlaces(st, j.queue.Pool, 0)
+			missing, labelled := s.missingPlaces(st, workers[j.queue.Pool], 0)
 			switch {
 			case missing <= 0:
 				st.shortSince = time.Time{}
@@ -99,17 +100,28 @@
 			delete(s.fleet.alternatives, st)
 			continue
 		}
-		if missing, _ := s.missingPlaces(st, pool, 1); missing > 0 {
+		if missing, _ := s.missingPlaces(st, workers[pool], 1); missing > 0 {
 			add(pool, st, missing)
 		}
 	}
 	return needs
 }
 
-// missingPlaces returns how many more places the step needs in the pool than its workers have without their short tasks, for its waiting
+// workersForPlaces returns the workers of each pool whose places count as those that steps can take.
+func (s *Scheduler) workersForPlaces() map[string][]*worker {
+	out := make(map[string][]*worker)
+	for _, w := range s.sortedWorkers {
+		if w.registered && w.failedHolds == 0 && s.inService(w) && !w.health.isSuspect(s.now) {
+			out[w.info.Pool] = append(out[w.info.Pool], w)
+		}
+	}
+	return out
+}
+
+// missingPlaces returns how many more places the step needs than the given workers have without their short tasks, for its waiting
 // tasks and some more. A long-running step needs a place for each, a gang for all of its members, another step any place, since short
 // tasks follow each other on it. labelled is false if no worker has the label that the step requires.
-func (s *Scheduler) missingPlaces(st *stepState, pool string, more int) (missing int, labelled bool) {
+func (s *Scheduler) missingPlaces(st *stepState, workers []*worker, more int) (missing int, labelled bool) {
 	needed := more
 	switch {
 	case st.tasksWaiting == 0:
@@ -120,10 +132,7 @@
 	default:
 		needed++
 	}
-	for _, w := range s.sortedWorkers {
-		if w.info.Pool != pool || !w.registered || w.failedHolds > 0 || !s.inService(w) || w.health.isSuspect(s.now) {
-			continue
-		}
+	for _, w := range workers {
 		if st.spec.RequiredLabel != "" && !w.info.HasLabel(st.spec.RequiredLabel) {
 			continue
 		}
--- a/internal/decision/berylscheduler/pool.go
+++ b/internal/decision/berylscheduler/pool.go
@@ -276,22 +276,21 @@
 			needs[w.info.Pool] += w.used.CPUMilli
 		}
 	}
-	room := make(map[string]int)
-	for name, t := range s.teams {
-		room[name] = s.ceiling(name).CPUMilli - t.used.CPUMilli
-	}
+	// waiting is what waiting tasks of each team need.
+	waiting := make(map[string]int)
 	for _, j := range s.active {
 		if !j.rows.jobStored {
 			continue
 		}
+		ceiling, sum := s.ceiling(j.Team).CPUMilli, 0
 		for st := range j.waitingSteps {
-			cpu := st.spec.ReservedCapacity().CPUMilli * st.tasksWaiting
-			if s.ceiling(j.Team).CPUMilli > 0 {
-				cpu = min(cpu, max(room[j.Team], 0))
-				room[j.Team] -= cpu
-			}
-			needs[j.queue.Pool] += cpu
+			sum += st.spec.ReservedCapacity().CPUMilli * st.tasksWaiting
+		}
+		if ceiling > 0 {
+			sum = min(sum, max(ceiling-s.team(j.Team).used.CPUMilli-waiting[j.Team], 0))
+			waiting[j.Team] += sum
 		}
+		needs[j.queue.Pool] += sum
 	}
 	return needs
 }
--- a/internal/decision/berylscheduler/run.go
+++ b/internal/decision/berylscheduler/run.go
@@ -134,6 +134,9 @@
 	delete(w.runs, r.id)
 	w.idleSince = s.now
 	w.used = w.used.Minus(r.booked)
+	if r.yields {
+		w.yieldingCPU -= r.booked.CPUMilli
+	}
 	team := s.team(r.team)
 	team.used = team.used.Minus(r.charged)
 	s.placementDue = true
@@ -173,7 +176,10 @@
 // startTask books run n of the task and sends the start order.
 func (s *Scheduler) startTask(w *worker, t *task, n int, ticket string) {
 	r := s.book(w, t, runID{t.name, n})
-	r.yields = s.shared && s.candidate(t.step.job.queue, t.step).class > classInShare
+	if s.shared && s.candidate(t.step.job.queue, t.step).class > classInShare {
+		r.yields = true
+		w.yieldingCPU += r.booked.CPUMilli
+	}
 	r.checkpoint, r.ticket, r.resumed = t.checkpoint, ticket, t.checkpoint != ""
 	s.sendStart(r)
 	s.emit(Decision{Name: "run_start", Job: t.step.job.ID, Task: t.name, Worker: w.info.ID, Run: n, Age: s.now.Sub(w.lastContact)})
--- a/internal/decision/berylscheduler/scarcity.go
+++ b/internal/decision/berylscheduler/scarcity.go
@@ -10,11 +10,7 @@
 		if p == nil || !w.registered {
 			continue
 		}
-		for _, r := range w.runs {
-			if !r.yields {
-				p.firstCPU += r.booked.CPUMilli
-			}
-		}
+		p.firstCPU += w.used.CPUMilli - w.yieldingCPU
 	}
 	arriving := make(map[string]float64)
 	for _, a := range s.fleet.arrivals {
--- a/internal/decision/berylscheduler/scheduler.go
+++ b/internal/decision/berylscheduler/scheduler.go
@@ -88,6 +88,10 @@
 	// endedIncarnations holds the last ended incarnation by worker ID; registrations of it or an earlier one are ignored.
 	endedIncarnations map[string]int64
 	teams             map[string]*teamUsage
+	// sortedTeams holds the teams sorted by name.
+	sortedTeams []*teamUsage
+	// waiting holds the waiting steps as of the last tick; its memory is used again.
+	waiting []candidate
 	// capacity is the capacity that the teams share, and backlogs what waits for each pool; both as of the last tick.
 	capacity beryllatch.Resources
 	backlogs map[string]poolBacklog
@@ -152,6 +156,12 @@
 	// booked is the capacity reserved on workers for the team's runs; unlike used, it leaves out what fillers use of other runs'
 	// capacity.
 	booked beryllatch.Resources
+	name   string
+	// weight is the team's weight in the configuration, 0 for teams that aren't subject to shares.
+	weight float64
+	// demand is what the team uses and waits for, usage the largest part of the fleet's capacity that it takes; both as of the last tick.
+	demand beryllatch.Resources
+	usage  float64
 	// shareLimit is the part of the fleet's capacity up to which the team is within its fair share, as of the last tick.
 	shareLimit float64
 	// aboveShare is true if what the team runs and waits for exceeds shareLimit.
@@ -281,7 +291,6 @@
 	for _, j := range s.active {
 		s.openSteps(j)
 	}
-	s.updateShares()
 	s.classify()
 	s.deleteJobRows()
 	s.expireJobs()
@@ -305,8 +314,10 @@
 func (s *Scheduler) team(name string) *teamUsage {
 	t := s.teams[name]
 	if t == nil {
-		t = &teamUsage{}
+		t = &teamUsage{name: name}
 		s.teams[name] = t
+		i, _ := slices.BinarySearchFunc(s.sortedTeams, name, func(o *teamUsage, name string) int { return strings.Compare(o.name, name) })
+		s.sortedTeams = slices.Insert(s.sortedTeams, i, t)
 	}
 	return t
 }
--- a/internal/decision/berylscheduler/share.go
+++ b/internal/decision/berylscheduler/share.go
@@ -1,7 +1,7 @@
 package berylscheduler
 
 import (
-	"maps"
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -45,33 +45,58 @@
 // updateShares computes the capacity of the fleet and the part of it up to which each team is within its fair share. The load that it
 // answers is one team that sends many times its usual to any of the queues: the others get what they ask for up to their weighted
 // part, and the team gets what they leave. Late work doesn't count as demand.
-func (s *Scheduler) updateShares() {
-	if !s.shared {
-		return
-	}
+func (s *Scheduler) updateShares(waiting []*candidate) {
 	s.capacity = s.fleetCapacity()
-	demands := make(map[string]beryllatch.Resources)
-	for _, j := range s.active {
-		if !j.rows.jobStored {
-			continue
-		}
-		for st := range j.waitingSteps {
-			if st.spec.LongRunning || !s.now.After(s.timing(st).startBy) {
-				demands[j.Team] = demands[j.Team].Plus(st.spec.ReservedCapacity().Times(st.tasksWaiting))
-			}
+	for _, t := range s.sortedTeams {
+		t.demand, t.shareLimit = t.booked, math.Inf(1)
+	}
+	for _, c := range waiting {
+		if !c.late {
+			c.team.demand = c.team.demand.Plus(c.waitingCapacity())
 		}
 	}
-	names := slices.Sorted(maps.Keys(s.teams))
-	names = slices.DeleteFunc(names, func(name string) bool { return s.deployment.Teams[name].Weight <= 0 })
-	accounts := make([]berylshare.Account, len(names))
-	for i, name := range names {
-		accounts[i] = berylshare.Account{Weight: s.deployment.Teams[name].Weight, Demand: demands[name].Plus(s.teams[name].booked)}
+	var asking []*teamUsage
+	var accounts []berylshare.Account
+	for _, t := range s.sortedTeams {
+		if t.weight > 0 && t.demand != (beryllatch.Resources{}) {
+			asking = append(asking, t)
+			accounts = append(accounts, berylshare.Account{Weight: t.weight, Demand: t.demand})
+		}
 	}
 	for i, limit := range berylshare.Divide(s.capacity, accounts) {
-		s.teams[names[i]].shareLimit = limit
+		asking[i].shareLimit = limit
 	}
 }
 
+// assignShares sets the class of the waiting steps in time, which come in the order of time, by the shares of their teams. It returns the
+// steps in the order of their classes.
+func (s *Scheduler) assignShares(waiting []*candidate) []*candidate {
+	for _, t := range s.sortedTeams {
+		t.usage = berylshare.Dominant(t.booked, s.capacity)
+	}
+	for _, c := range waiting {
+		st := c.step
+		if c.late || st.spec.LongRunning {
+			continue
+		}
+		if c.team.usage >= c.team.shareLimit || c.exceedsShare {
+			st.class = classAboveShare
+		}
+		c.team.usage += berylshare.Dominant(c.waitingCapacity(), s.capacity)
+		c.class = st.class
+	}
+	for _, t := range s.sortedTeams {
+		t.aboveShare = t.usage >= t.shareLimit
+	}
+	slices.SortStableFunc(waiting, func(a, b *candidate) int { return cmp.Or(a.priority-b.priority, cmp.Compare(a.class, b.class)) })
+	return waiting
+}
+
+// waitingCapacity returns the capacity that the waiting tasks of the step need together.
+func (c *candidate) waitingCapacity() beryllatch.Resources {
+	return c.step.spec.ReservedCapacity().Times(c.step.tasksWaiting)
+}
+
 // fleetCapacity returns the capacity of all instances that serve pools or can be moved to them, or of all workers if the platform
 // lists no instances.
 func (s *Scheduler) fleetCapacity() beryllatch.Resources {
@@ -91,11 +116,3 @@
 	}
 	return out
 }
-
-// shareLimit returns the part of the fleet's capacity up to which the team is within its share; teams without a weight have no limit.
-func (s *Scheduler) shareLimit(team string) float64 {
-	if t := s.teams[team]; t != nil && s.deployment.Teams[team].Weight > 0 && t.shareLimit > 0 {
-		return t.shareLimit
-	}
-	return math.Inf(1)
-}
--- a/internal/decision/berylscheduler/step.go
+++ b/internal/decision/berylscheduler/step.go
@@ -45,13 +45,13 @@
 	failedRuns []int
 	lastRun    int
 	durations  stepDurations
-	// class is the step's class as of the last pass or tick, timing is kept for timingValidity.
-	class stepClass
-	// classified is true once a tick has set the class.
+	// class is the step's class as of the last pass or tick, classified is true once a tick has set it.
+	class      stepClass
 	classified bool
 	// overdue is true once the step has got a part of the capacity for work that has been late for long.
 	overdue bool
-	timing  stepTiming
+	// timing is that of a step of a repeated job.
+	timing stepTiming
 	// blockedSince is when a task of the step first found no room since the last start; reservedWorker is the worker that was
 	// last kept free for the step.
 	blockedSince   time.Time
@@ -139,6 +139,7 @@
 	}
 	p := &j.steps[at.number]
 	p.done = p.done.With(at.occurrence, at.occurrence)
+	j.timing = stepTiming{}
 	if at.occurrence >= j.due {
 		return
 	}
--- a/internal/decision/berylscheduler/worker.go
+++ b/internal/decision/berylscheduler/worker.go
@@ -41,6 +41,8 @@
 	// reserved is the step that the worker is kept free for in the present pass.
 	reserved *stepState
 	used     beryllatch.Resources
+	// yieldingCPU is the part of used that belongs to runs that yield, in millicores.
+	yieldingCPU int
 
 	// pendingStarts counts the start orders in flight.
 	pendingStarts int
