A late task that needs most of a worker gets one kept free

Cause: a task that has been late for maxLateWait may do overdueShare of its pool's work, but a pass left it out while no worker had room for it, so that no worker was ever kept free for it. In the replay of the test it was accepted and not started after 35 s.

Change: a pass takes overdue steps whatever room there is.

--- a/internal/decision/berylscheduler/overload_replay_test.go
+++ b/internal/decision/berylscheduler/overload_replay_test.go
@@ -436,6 +436,24 @@
 	}
 }
 
+// Guards against a late task that takes most of a worker and finds no room for ever, as the room that small tasks leave goes to others.
+func TestLateLargeTaskIsNotStarved(t *testing.T) {
+	r := newLoadReplay(t, replayWorkers, map[string]float64{"a": 1, "b": 1, "large": 1})
+	large := beryllatch.Job{ID: "00000000000fffff", Queue: "q", Team: "large", Payload: "x", Steps: []beryllatch.JobStep{{
+		Count: 1, Needs: beryllatch.Resources{CPUMilli: 12000, MemoryMB: 100}, Estimate: 500 * time.Millisecond,
+	}}}
+	r.run(40*time.Second, func(at time.Duration) {
+		r.submit("a", fullRate)
+		r.submit("b", fullRate)
+		if at == 5*time.Second {
+			r.jobs[large.ID] = &replayJob{job: large, submitted: r.now}
+			r.send(large.ID)
+		}
+	})
+	assert.Assert(t, r.jobs[large.ID].accepted)
+	assert.Assert(t, !r.jobs[large.ID].doneAt.IsZero(), "the job isn't done after 35 s")
+}
+
 // Guards against refusals, deferral and shares in a deployment without weights, which is served as before.
 func TestWithoutWeightsNothingIsRefusedForLoad(t *testing.T) {
 	r := newLoadReplay(t, replayWorkers, map[string]float64{"a": 0, "b": 0})
--- a/internal/decision/berylscheduler/place.go
+++ b/internal/decision/berylscheduler/place.go
@@ -112,7 +112,7 @@
 			if !s.recordPool(j, q.Pool) {
 				break
 			}
-			if st.spec.LongRunning || !st.blockedSince.IsZero() || st.spec.ReservedCapacity().Fits(pools[q.Pool].maxFree) {
+			if st.spec.LongRunning || st.overdue || !st.blockedSince.IsZero() || st.spec.ReservedCapacity().Fits(pools[q.Pool].maxFree) {
 				out = append(out, s.candidate(q, st))
 			}
 		}
