Replays of a load give the same events in each run, and must get the same decisions

The order of submissions, registrations and lists of running tasks came from maps, so that the counts differed between runs of the same code. TestSameLoadGetsSameDecisions compares all effects of five runs; no fault was found.

--- a/internal/decision/berylscheduler/overload_replay_test.go
+++ b/internal/decision/berylscheduler/overload_replay_test.go
@@ -1,11 +1,14 @@
 package berylscheduler
 
 import (
+	"crypto/sha256"
 	"errors"
 	"fmt"
+	"io"
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -29,6 +32,8 @@
 	wakeAt    time.Time
 	calls     map[uint64]string
 	jobs      map[string]*replayJob
+	// effects takes the effects as text, unless it is nil.
+	effects io.Writer
 	// due holds what callers and workers do later.
 	due []replayAction
 }
@@ -92,8 +97,8 @@
 	r.apply(Recovered{Jobs: r.rows.table(JobsTable), Progress: r.rows.table(ProgressTable), Workers: r.rows.table(WorkersTable)})
 	r.apply(DeploymentChanged{d})
 	var infos []beryllatch.WorkerInfo
-	for _, w := range r.workers {
-		infos = append(infos, w.info)
+	for _, id := range slices.Sorted(maps.Keys(r.workers)) {
+		infos = append(infos, r.workers[id].info)
 	}
 	r.apply(RegistryRead{Workers: infos})
 }
@@ -158,6 +163,9 @@
 	r.t.Helper()
 	effects := append([]Effect(nil), r.s.Apply(r.now, e)...)
 	for _, f := range effects {
+		if r.effects != nil {
+			fmt.Fprintf(r.effects, "%s %T %+v\n", r.now, f, f)
+		}
 		r.carryOut(r.s, f)
 	}
 }
@@ -238,7 +246,7 @@
 		w.finished = w.finished[1:]
 	}
 	lists := beryllatch.WorkerLists{Clock: r.clock(), Incarnation: f.Incarnation, Finished: append([]beryllatch.FinishedEntry(nil), w.finished...)}
-	lists.Running = slices.Collect(maps.Keys(w.running))
+	lists.Running = slices.SortedFunc(maps.Keys(w.running), func(a, b beryllatch.RunningEntry) int { return strings.Compare(a.Task, b.Task) })
 	return WorkerHeld{Worker: f.Worker.ID, Incarnation: f.Incarnation, Sent: r.now, Probe: f.Probe, Lists: lists}
 }
 
@@ -327,8 +335,8 @@
 	r := newLoadReplay(t, replayWorkers, weights)
 	r.run(14*time.Second, func(at time.Duration) {
 		if at < 10*time.Second {
-			for team, w := range weights {
-				r.submit(team, 3*fullRate*w/4)
+			for _, team := range []string{"a", "b", "c"} {
+				r.submit(team, 3*fullRate*weights[team]/4)
 			}
 		}
 	})
@@ -436,6 +444,26 @@
 	}
 }
 
+// Guards against decisions that depend on the random order of a map: a session could not be replayed.
+func TestSameLoadGetsSameDecisions(t *testing.T) {
+	play := func() []byte {
+		r := newLoadReplay(t, replayWorkers, map[string]float64{"a": 1, "b": 2, "c": 3, "without": 0})
+		h := sha256.New()
+		r.effects = h
+		r.run(6*time.Second, func(at time.Duration) {
+			r.storeDown = at >= 4*time.Second
+			for _, team := range []string{"a", "b", "c", "without"} {
+				r.submit(team, 0.6*fullRate)
+			}
+		})
+		return h.Sum(nil)
+	}
+	first := play()
+	for range 4 {
+		assert.DeepEqual(t, play(), first)
+	}
+}
+
 // Guards against a late task that takes most of a worker and finds no room for ever, as the room that small tasks leave goes to others.
 func TestLateLargeTaskIsNotStarved(t *testing.T) {
 	r := newLoadReplay(t, replayWorkers, map[string]float64{"a": 1, "b": 1, "large": 1})
