The target of an occurrence counts from when it is due

Cause: a repeated job whose first submission was refused, for example in an outage, had the target of all its occurrences counted from that submission. Later ones were late or of no use as soon as they were due, and waited behind all work in time.

Change: only a job that isn't repeated keeps its first submission.

--- a/internal/decision/berylscheduler/job.go
+++ b/internal/decision/berylscheduler/job.go
@@ -37,7 +37,7 @@
 	heldBack bool
 	// exceedsShare marks a job that was accepted when its team had used up its share.
 	exceedsShare bool
-	// firstSubmitted is when the job was first submitted, if it was refused at that time.
+	// firstSubmitted is when the job was first submitted, if it was refused at that time and isn't repeated.
 	firstSubmitted time.Time
 	// timing is that of the steps of a job that isn't repeated, kept for timingValidity.
 	timing stepTiming
--- a/internal/decision/berylscheduler/submit.go
+++ b/internal/decision/berylscheduler/submit.go
@@ -25,7 +25,7 @@
 	j.queue = s.deployment.Queues[j.Queue]
 	j.acceptedQueue, j.acceptedCeiling = j.queue, s.ceiling(j.Team)
 	j.exceedsShare = s.takeFromShare(j.Team)
-	if s.shared {
+	if s.shared && j.Repeat == 0 {
 		j.firstSubmitted = s.admission.firstSubmission(j.ID)
 	}
 	s.jobs[j.ID] = j
