Fillers are not refused because of load

Cause: a job of fillers was refused with the wait behind its pool's backlog, although fillers use processor time that is given to other runs and don't wait for it.

Change: a job with such a step isn't judged by the backlog. estimateWait loses a parameter that it didn't use, and its comment says for how long a load is expected to go on.

--- a/internal/decision/berylscheduler/admission.go
+++ b/internal/decision/berylscheduler/admission.go
@@ -49,14 +49,14 @@
 func (a *admission) firstSubmission(id string) time.Time { return a.refused[id].first }
 
 // loadRefusal returns the refusal of a job that can't be done before its result is of no use to the caller, or nil. The load that it
-// answers is a queue, or a team under its ceiling, whose accepted work already takes longer than that. What is ahead of the job is
-// estimated low and the capacity high, so that a job which is only in doubt is accepted.
+// answers is a queue whose accepted work already takes longer than that. What is ahead of the job is estimated low and the capacity high,
+// so that a job which is only in doubt is accepted. The processor time that long-running steps and fillers wait for isn't known.
 func (s *Scheduler) loadRefusal(j *beryllatch.Job, q beryllatch.JobQueue) *beryllatch.Refusal {
 	if !s.shared || j.Repeat > 0 || s.awaitsEarlierRuns() {
 		return nil
 	}
 	for i := range j.Steps {
-		if j.Steps[i].LongRunning {
+		if j.Steps[i].LongRunning || j.Steps[i].Filler {
 			return nil
 		}
 	}
@@ -68,7 +68,7 @@
 	}
 	left := usefulFactor*target - passed - path
 	slack := target - path
-	wait := s.estimateWait(j, q, target, slack-marginOf(slack)-passed)
+	wait := s.estimateWait(j, q, slack-marginOf(slack)-passed)
 	if wait <= left {
 		return nil
 	}
@@ -81,8 +81,8 @@
 
 // estimateWait estimates how long a job waits at least until its work starts. slack is for how long it can wait and still meet its
 // target: then it starts after the other work in time, else after all accepted work and behind the work in time that goes on to
-// arrive. A load above the pool's capacity is expected to go on for as long as it has lasted, and at least for the job's target.
-func (s *Scheduler) estimateWait(j *beryllatch.Job, q beryllatch.JobQueue, target, slack time.Duration) time.Duration {
+// arrive. A load above the pool's capacity is expected to go on for as long as it has lasted, and at least for longArrivalWindow.
+func (s *Scheduler) estimateWait(j *beryllatch.Job, q beryllatch.JobQueue, slack time.Duration) time.Duration {
 	rate := s.reachableRate(q.Pool)
 	if rate <= 0 {
 		return 0
--- a/internal/decision/berylscheduler/overload_rules_test.go
+++ b/internal/decision/berylscheduler/overload_rules_test.go
@@ -4,9 +4,26 @@
 	"testing"
 	"time"
 
+	"github.com/beryllatch/beryllatch"
 	"gotest.tools/v3/assert"
 )
 
+// overloadedHarness returns a scheduler whose only pool has accepted work for a minute, as of the last tick.
+func overloadedHarness(t *testing.T) *harness {
+	h := newHarness(t)
+	h.register("a")
+	h.tickFor(100 * time.Millisecond)
+	h.s.usableRates = map[string]float64{"p": 1000}
+	h.s.backlogs = map[string]poolBacklog{"p": {inTime: 60_000, inShare: 60_000}}
+	return h
+}
+
+// refused submits a job and reports whether it is refused.
+func (h *harness) refused(j beryllatch.Job) bool {
+	h.submit(j)
+	return h.answers[h.lastCall] != nil
+}
+
 // Guards against later occurrences of a repeated job that count as late when they become due, because an earlier submission was refused.
 func TestTargetOfAnOccurrenceCountsFromItsDueTime(t *testing.T) {
 	h := newHarness(t)
@@ -17,3 +34,12 @@
 	st := h.s.jobs[j.ID].step(stepKey{1, 0}, h.now)
 	assert.Assert(t, h.s.timing(st).startBy.After(j.First.Add(j.Interval)))
 }
+
+// Guards against the refusal of a job whose tasks need no reserved capacity, and so don't wait behind the backlog.
+func TestFillerIsNotRefusedForLoad(t *testing.T) {
+	h := overloadedHarness(t)
+	assert.Assert(t, h.refused(singleTaskJob("0000000000000001")))
+	j := singleTaskJob("0000000000000002")
+	j.Steps[0].Filler = true
+	assert.Assert(t, !h.refused(j))
+}
