Estimates older than a second refuse no job

Cause: the backlogs and the time since when a pool is overloaded are those of the last tick. After a pause of the process, or when weights return to the configuration, a job was refused before the next tick by a load that was then taken to have lasted all the time.

Change: loadRefusal accepts jobs while the last tick is more than maxEstimateAge ago.

--- a/internal/decision/berylscheduler/admission.go
+++ b/internal/decision/berylscheduler/admission.go
@@ -13,6 +13,9 @@
 	maxRefusedJobs = 8192
 	// refusalMemory is how long the first submission of a refused job is remembered after its last one; callers return within seconds.
 	refusalMemory = 20 * time.Second
+	// maxEstimateAge is for how long the backlogs of the last tick count; ticks come ten times a second. After a pause of the process, or
+	// a time without weights in the configuration, the load may be over.
+	maxEstimateAge = time.Second
 )
 
 // admission is what the scheduler remembers of refused jobs.
@@ -52,7 +55,7 @@
 // answers is a queue whose accepted work already takes longer than that. What is ahead of the job is estimated low and the capacity high,
 // so that a job which is only in doubt is accepted. The processor time that long-running steps and fillers wait for isn't known.
 func (s *Scheduler) loadRefusal(j *beryllatch.Job, q beryllatch.JobQueue) *beryllatch.Refusal {
-	if !s.shared || j.Repeat > 0 || s.awaitsEarlierRuns() {
+	if !s.shared || j.Repeat > 0 || s.awaitsEarlierRuns() || s.now.Sub(s.classifiedAt) > maxEstimateAge {
 		return nil
 	}
 	for i := range j.Steps {
--- a/internal/decision/berylscheduler/order.go
+++ b/internal/decision/berylscheduler/order.go
@@ -118,6 +118,7 @@
 	if !s.shared {
 		return
 	}
+	s.classifiedAt = s.now
 	waiting := s.waitingCandidates()
 	s.updateShares(waiting)
 	waiting = s.assignShares(waiting)
--- a/internal/decision/berylscheduler/overload_rules_test.go
+++ b/internal/decision/berylscheduler/overload_rules_test.go
@@ -43,3 +43,10 @@
 	j.Steps[0].Filler = true
 	assert.Assert(t, !h.refused(j))
 }
+
+// Guards against refusals by estimates from before a pause of the process: the backlog may be done, and the load over.
+func TestOldEstimatesRefuseNothing(t *testing.T) {
+	h := overloadedHarness(t)
+	h.now = h.now.Add(2 * time.Second)
+	assert.Assert(t, !h.refused(singleTaskJob("0000000000000001")))
+}
--- a/internal/decision/berylscheduler/scheduler.go
+++ b/internal/decision/berylscheduler/scheduler.go
@@ -97,6 +97,8 @@
 	backlogs map[string]poolBacklog
 	// lastBacklogs holds the backlogs before the last tick.
 	lastBacklogs map[string]poolBacklog
+	// classifiedAt is when classify last ran.
+	classifiedAt time.Time
 	admission    admission
 	// reachableRates is the processor capacity in millicores that each pool has or could get from pools that don't need it.
 	reachableRates map[string]float64
