A job that is too large counts as no load

Cause: the work of a job that is refused as a bad request was added to the load of its pool, and the refusals of a configuration without weights were remembered although nothing uses them.

Change: only refusals whose callers may return are recorded, and only with weights.

--- a/internal/decision/berylscheduler/arrival.go
+++ b/internal/decision/berylscheduler/arrival.go
@@ -1,6 +1,7 @@
 package berylscheduler
 
 import (
+	"errors"
 	"math"
 	"time"
 
@@ -54,12 +55,15 @@
 	return float64(spec.ReservedCapacity().CPUMilli*spec.Count) * s.expectedDuration(j, spec).Seconds()
 }
 
-// recordRefused adds the work of a refused job to the offered work, once.
-func (s *Scheduler) recordRefused(j *beryllatch.Job) {
-	if !s.shared || !s.admission.firstSubmission(j.ID).IsZero() {
+// recordRefused remembers a refused job that may be accepted later, and adds its work to the offered work, once.
+func (s *Scheduler) recordRefused(j *beryllatch.Job, err error) {
+	var f *beryllatch.Refusal
+	if !s.shared || errors.As(err, &f) && f.Reason == beryllatch.ReasonBadRequest {
 		return
 	}
-	if q, ok := s.deployment.Queues[j.Queue]; ok {
+	returns := !s.admission.firstSubmission(j.ID).IsZero()
+	s.admission.remember(j.ID, s.now)
+	if q, ok := s.deployment.Queues[j.Queue]; ok && !returns {
 		s.fleet.refused = append(s.fleet.refused, arrival{at: s.now, pool: q.Pool, work: s.jobWork(newJob(*j))})
 	}
 }
--- a/internal/decision/berylscheduler/commit.go
+++ b/internal/decision/berylscheduler/commit.go
@@ -261,7 +261,9 @@
 		for _, c := range j.rows.waitingCalls {
 			s.emit(AnswerCall{c.call, s.notStoredRefusal(&j.Job)})
 		}
-		s.admission.remember(j.ID, j.Accepted)
+		if s.shared {
+			s.admission.remember(j.ID, j.Accepted)
+		}
 		delete(s.jobs, j.ID)
 		s.removeActive(j)
 		s.emit(Decision{Name: "job_refused", Job: j.ID, Detail: "the store is unavailable"})
--- a/internal/decision/berylscheduler/overload_rules_test.go
+++ b/internal/decision/berylscheduler/overload_rules_test.go
@@ -1,6 +1,7 @@
 package berylscheduler
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -50,3 +51,19 @@
 	h.now = h.now.Add(2 * time.Second)
 	assert.Assert(t, !h.refused(singleTaskJob("0000000000000001")))
 }
+
+// Guards against a load that consists of jobs which can never be accepted, and against memory of refusals where nothing uses it.
+func TestOnlyRefusalsThatMayReturnAreRecorded(t *testing.T) {
+	h := newHarness(t)
+	j := singleTaskJob("0000000000000001")
+	j.Payload = strings.Repeat("x", h.s.Limits.RowBytes)
+	assert.Assert(t, h.refused(j))
+	assert.Equal(t, len(h.s.fleet.refused), 0)
+	assert.Equal(t, len(h.s.admission.refused), 0)
+	d := testDeployment()
+	d.Teams = map[string]beryllatch.JobTeam{"team": {Name: "team"}}
+	delete(d.Queues, "q")
+	h.apply(DeploymentChanged{d})
+	assert.Assert(t, h.refused(singleTaskJob("0000000000000002")))
+	assert.Equal(t, len(h.s.admission.refused), 0)
+}
--- a/internal/decision/berylscheduler/submit.go
+++ b/internal/decision/berylscheduler/submit.go
@@ -14,8 +14,7 @@
 		return
 	}
 	if err := s.admit(&e.Job); err != nil {
-		s.recordRefused(&e.Job)
-		s.admission.remember(e.Job.ID, s.now)
+		s.recordRefused(&e.Job, err)
 		s.emit(AnswerCall{e.Call, err})
 		s.emit(Decision{Name: "job_refused", Job: e.Job.ID, Detail: err.Error()})
 		return
