Shares leave out evacuated data centres and workers that don't answer

Cause: OVERLOAD.md says that workers which don't answer contribute no capacity, but shares counted their instances, and those of data centres that are being evacuated. With half of the workers cut off, a team was within its share up to twice its part of the rest.

Change: fleetCapacity leaves both out.

--- a/internal/decision/berylscheduler/overload_rules_test.go
+++ b/internal/decision/berylscheduler/overload_rules_test.go
@@ -67,3 +67,23 @@
 	assert.Assert(t, h.refused(singleTaskJob("0000000000000002")))
 	assert.Equal(t, len(h.s.admission.refused), 0)
 }
+
+// Guards against shares of a capacity that no worker can provide: that of data centres which are being evacuated, and of workers that
+// don't answer.
+func TestFleetCapacityLeavesOutUnusableInstances(t *testing.T) {
+	h := newHarness(t)
+	h.register("a", "b", "c")
+	want := h.s.workers["a"].info.Capacity
+	h.s.workers["b"].failedHolds = 1
+	h.apply(OperationsChanged{beryllatch.Operations{Evacuated: map[string]bool{"dc2": true}}})
+	h.s.workers["c"].info.DataCentre = "dc2"
+	assert.DeepEqual(t, h.s.fleetCapacity(), want)
+	var list []beryllatch.FleetInstance
+	for _, w := range h.s.sortedWorkers {
+		list = append(list, beryllatch.FleetInstance{
+			Name: w.info.Instance, Pool: "p", State: beryllatch.FleetInstanceUp, Worker: w.info.ID, Capacity: want, DataCentre: w.info.DataCentre,
+		})
+	}
+	h.apply(InstancesListed{Instances: list})
+	assert.DeepEqual(t, h.s.fleetCapacity(), want)
+}
--- a/internal/decision/berylscheduler/share.go
+++ b/internal/decision/berylscheduler/share.go
@@ -98,19 +98,22 @@
 }
 
 // fleetCapacity returns the capacity of all instances that serve pools or can be moved to them, or of all workers if the platform
-// lists no instances.
+// lists no instances. Workers that don't answer contribute none.
 func (s *Scheduler) fleetCapacity() beryllatch.Resources {
 	var out beryllatch.Resources
 	if len(s.fleet.instances) == 0 {
 		for _, w := range s.sortedWorkers {
-			if w.registered && s.inService(w) {
+			if w.registered && w.failedHolds == 0 && s.inService(w) {
 				out = out.Plus(w.info.Capacity)
 			}
 		}
 		return out
 	}
-	for _, i := range s.fleet.instances {
-		if i.State == beryllatch.FleetInstanceUp || i.State == beryllatch.FleetInstanceMoving {
+	for name, i := range s.fleet.instances {
+		if i.State != beryllatch.FleetInstanceUp && i.State != beryllatch.FleetInstanceMoving || s.operations.Evacuated[i.DataCentre] {
+			continue
+		}
+		if w := s.workerOn(name); w == nil || w.failedHolds == 0 {
 			out = out.Plus(i.Capacity)
 		}
 	}
