--- a/internal/decision/berylscheduler/overload_replay_test.go
+++ b/internal/decision/berylscheduler/overload_replay_test.go
@@ -65,9 +65,9 @@
 
 const replayStep = 10 * time.Millisecond
 
-// newLoadReplay returns a replay with workers of 16 cores in the pool of the queue q and teams with the given weights, in hundreds: a
+// newLoadReplay returns a replay with replayWorkers of 16 cores in the pool of the queue q and teams with the given weights, in hundreds: a
 // weight is also the rate of jobs up to which a team counts as within its share, and no team of the replays reaches that.
-func newLoadReplay(t *testing.T, workers int, weights map[string]float64) *loadReplay {
+func newLoadReplay(t *testing.T, weights map[string]float64) *loadReplay {
 	t.Helper()
 	r := &loadReplay{
 		t: t, began: time.Unix(1_800_000_000, 0), workers: make(map[string]*replayWorker), rows: make(storedRows), version: 100,
@@ -79,7 +79,7 @@
 	for name, w := range weights {
 		d.Teams[name] = beryllatch.JobTeam{Name: name, Weight: 100 * w}
 	}
-	for i := range workers {
+	for i := range replayWorkers {
 		id := fmt.Sprintf("w%03d", i)
 		r.workers[id] = &replayWorker{info: workerInfo(id), running: make(map[beryllatch.RunningEntry]bool)}
 	}
@@ -164,7 +164,8 @@
 	effects := append([]Effect(nil), r.s.Apply(r.now, e)...)
 	for _, f := range effects {
 		if r.effects != nil {
-			fmt.Fprintf(r.effects, "%s %T %+v\n", r.now, f, f)
+			_, err := fmt.Fprintf(r.effects, "%s %T %+v\n", r.now, f, f)
+			assert.NilError(r.t, err)
 		}
 		r.carryOut(r.s, f)
 	}
@@ -310,7 +311,7 @@
 // little more than half of their share.
 func TestHotTeamLeavesOthersTheirService(t *testing.T) {
 	for _, weight := range []float64{1.5, 4} {
-		r := newLoadReplay(t, replayWorkers, map[string]float64{"hot": weight, "a": 1, "b": 1, "c": 1})
+		r := newLoadReplay(t, map[string]float64{"hot": weight, "a": 1, "b": 1, "c": 1})
 		r.run(16*time.Second, func(at time.Duration) {
 			for _, team := range []string{"a", "b", "c"} {
 				r.submit(team, 0.08*fullRate)
@@ -332,7 +333,7 @@
 // than their part of a full fleet: all teams send three times their part.
 func TestAllTeamsHotAreServedByWeight(t *testing.T) {
 	weights := map[string]float64{"a": 1, "b": 1, "c": 2}
-	r := newLoadReplay(t, replayWorkers, weights)
+	r := newLoadReplay(t, weights)
 	r.run(14*time.Second, func(at time.Duration) {
 		if at < 10*time.Second {
 			for _, team := range []string{"a", "b", "c"} {
@@ -354,7 +355,7 @@
 // Guards against a turn of five times the mean demand in which nobody is served in time, and against jobs that are accepted although
 // their results are of no use.
 func TestTurnAboveCapacityIsServedAtCapacity(t *testing.T) {
-	r := newLoadReplay(t, replayWorkers, map[string]float64{"a": 1, "b": 1})
+	r := newLoadReplay(t, map[string]float64{"a": 1, "b": 1})
 	r.run(14*time.Second, func(at time.Duration) {
 		rate := 0.05 * fullRate
 		if at >= 3*time.Second && at < 7*time.Second {
@@ -372,7 +373,7 @@
 
 // Guards against a store's outage that is followed by a wave of returning callers in which those submitted after it are late too.
 func TestCallersAreServedAfterAnOutage(t *testing.T) {
-	r := newLoadReplay(t, replayWorkers, map[string]float64{"a": 1, "b": 1})
+	r := newLoadReplay(t, map[string]float64{"a": 1, "b": 1})
 	r.run(16*time.Second, func(at time.Duration) {
 		r.storeDown = at >= 4*time.Second && at < 7*time.Second
 		rate := 0.4 * fullRate
@@ -394,7 +395,7 @@
 
 // Guards against a takeover after which the hot team's backlog comes before the others' work: shares are rebuilt from what is stored.
 func TestSharesHoldAfterATakeover(t *testing.T) {
-	r := newLoadReplay(t, replayWorkers, map[string]float64{"hot": 1, "a": 1, "b": 1})
+	r := newLoadReplay(t, map[string]float64{"hot": 1, "a": 1, "b": 1})
 	load := func(at time.Duration) {
 		r.submit("a", 0.1*fullRate)
 		r.submit("b", 0.1*fullRate)
@@ -414,7 +415,7 @@
 
 // Guards against a job that never starts since it needs more at once than its team's share.
 func TestJobWiderThanItsTeamsShareRuns(t *testing.T) {
-	r := newLoadReplay(t, replayWorkers, map[string]float64{"wide": 1, "a": 9, "b": 9})
+	r := newLoadReplay(t, map[string]float64{"wide": 1, "a": 9, "b": 9})
 	r.run(12*time.Second, func(at time.Duration) {
 		r.submit("a", 0.6*fullRate)
 		r.submit("b", 0.6*fullRate)
@@ -430,7 +431,7 @@
 
 // Guards against late work that waits for ever behind work in time.
 func TestLateWorkIsNotStarved(t *testing.T) {
-	r := newLoadReplay(t, replayWorkers, map[string]float64{"a": 1, "b": 1})
+	r := newLoadReplay(t, map[string]float64{"a": 1, "b": 1})
 	r.run(45*time.Second, func(at time.Duration) {
 		if at < 40*time.Second {
 			r.submit("a", fullRate)
@@ -447,7 +448,7 @@
 // Guards against decisions that depend on the random order of a map: a session could not be replayed.
 func TestSameLoadGetsSameDecisions(t *testing.T) {
 	play := func() []byte {
-		r := newLoadReplay(t, replayWorkers, map[string]float64{"a": 1, "b": 2, "c": 3, "without": 0})
+		r := newLoadReplay(t, map[string]float64{"a": 1, "b": 2, "c": 3, "without": 0})
 		h := sha256.New()
 		r.effects = h
 		r.run(6*time.Second, func(at time.Duration) {
@@ -466,7 +467,7 @@
 
 // Guards against a late task that takes most of a worker and finds no room for ever, as the room that small tasks leave goes to others.
 func TestLateLargeTaskIsNotStarved(t *testing.T) {
-	r := newLoadReplay(t, replayWorkers, map[string]float64{"a": 1, "b": 1, "large": 1})
+	r := newLoadReplay(t, map[string]float64{"a": 1, "b": 1, "large": 1})
 	large := beryllatch.Job{ID: "00000000000fffff", Queue: "q", Team: "large", Payload: "x", Steps: []beryllatch.JobStep{{
 		Count: 1, Needs: beryllatch.Resources{CPUMilli: 12000, MemoryMB: 100}, Estimate: 500 * time.Millisecond,
 	}}}
@@ -484,7 +485,7 @@
 
 // Guards against refusals, deferral and shares in a deployment without weights, which is served as before.
 func TestWithoutWeightsNothingIsRefusedForLoad(t *testing.T) {
-	r := newLoadReplay(t, replayWorkers, map[string]float64{"a": 0, "b": 0})
+	r := newLoadReplay(t, map[string]float64{"a": 0, "b": 0})
 	r.run(8*time.Second, func(time.Duration) {
 		r.submit("a", 2*fullRate)
 		r.submit("b", 2*fullRate)
