A removed team keeps its weight

Cause: a team that the configuration dropped counted as a team without a weight, so that its accepted jobs were always within their share and came before those of the other teams. Queues and ceilings keep their last settings.

Change: the weight does too, until another node takes over, which doesn't know it.

--- a/internal/decision/berylscheduler/deployment.go
+++ b/internal/decision/berylscheduler/deployment.go
@@ -14,10 +14,8 @@
 	s.deployment = d
 	s.shared = d.HasShares()
 	for name, t := range d.Teams {
-		s.team(name).lastCeiling = t.Ceiling
-	}
-	for _, t := range s.sortedTeams {
-		t.weight = d.Teams[t.name].Weight
+		team := s.team(name)
+		team.lastCeiling, team.weight = t.Ceiling, t.Weight
 	}
 	withoutQueue, withoutPool := make(map[string]int), make(map[string]int)
 	for _, j := range s.active {
--- a/internal/decision/berylscheduler/overload_rules_test.go
+++ b/internal/decision/berylscheduler/overload_rules_test.go
@@ -1,6 +1,7 @@
 package berylscheduler
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -87,3 +88,25 @@
 	h.apply(InstancesListed{Instances: list})
 	assert.DeepEqual(t, h.s.fleetCapacity(), want)
 }
+
+// Guards against a team that is exempt from shares once the configuration drops it, while its accepted jobs still wait.
+func TestRemovedTeamKeepsItsWeight(t *testing.T) {
+	h := newHarness(t)
+	h.register("a")
+	d := testDeployment()
+	d.Teams["other"] = beryllatch.JobTeam{Name: "other", Weight: 1}
+	h.apply(DeploymentChanged{d})
+	for _, team := range []string{"team", "other"} {
+		j := singleTaskJob(fmt.Sprintf("%016x", len(team)))
+		j.Queue, j.Team, j.Steps[0].Count = "q", team, 40
+		h.apply(JobSubmitted{Call: uint64(len(team)), Job: j})
+	}
+	h.storeAll()
+	d = testDeployment()
+	delete(d.Teams, "team")
+	d.Teams["other"] = beryllatch.JobTeam{Name: "other", Weight: 1}
+	d.Version++
+	h.apply(DeploymentChanged{d})
+	h.tickFor(100 * time.Millisecond)
+	assert.Assert(t, h.s.team("team").aboveShare)
+}
--- a/internal/decision/berylscheduler/scheduler.go
+++ b/internal/decision/berylscheduler/scheduler.go
@@ -159,7 +159,7 @@
 	// capacity.
 	booked beryllatch.Resources
 	name   string
-	// weight is the team's weight in the configuration, 0 for teams that aren't subject to shares.
+	// weight is the team's weight in the last configuration that had the team, 0 for teams that aren't subject to shares.
 	weight float64
 	// demand is what the team uses and waits for, usage the largest part of the fleet's capacity that it takes; both as of the last tick.
 	demand beryllatch.Resources
