Each pool gets its reserve when instances are scarce

Cause: while the first needs of all pools exceeded the instances, they were divided in proportion to these needs alone. Beside a pool that needs 4,000 of 350 instances, one that needs 3 got none, and its accepted jobs waited for as long as that lasted.

Change: poolReserve comes first. Targets are the same as before while the instances suffice for the first needs.

--- a/internal/decision/berylscheduler/overload_rules_test.go
+++ b/internal/decision/berylscheduler/overload_rules_test.go
@@ -110,3 +110,14 @@
 	h.tickFor(100 * time.Millisecond)
 	assert.Assert(t, h.s.team("team").aboveShare)
 }
+
+// Guards against a pool that gets no instance while the others need many times what there is: its accepted jobs would wait for as long.
+func TestEachPoolGetsItsReserveWhenInstancesAreScarce(t *testing.T) {
+	for _, needs := range [][]int{{4000, 3, 0}, {4000, 20, 3}, {9, 9, 9}} {
+		out := divideInstances(350, needs, needs)
+		for i, n := range needs {
+			assert.Assert(t, out[i] >= min(n, poolReserve), "%v: %v", needs, out)
+		}
+		assert.Assert(t, out[0]+out[1]+out[2] <= 350, "%v: %v", needs, out)
+	}
+}
--- a/internal/decision/berylscheduler/scarcity.go
+++ b/internal/decision/berylscheduler/scarcity.go
@@ -46,20 +46,23 @@
 	}
 }
 
-// divideInstances divides the present instances: first in proportion to the first needs, as far as these go, then in proportion to
-// what is missing to all needs.
+// divideInstances divides the present instances: up to poolReserve for each pool, then in proportion to what is missing to the first needs,
+// as far as these go, and then to all needs. Without its reserve, a pool with a small need would get nothing beside one that needs many
+// times what there is.
 func divideInstances(present int, first, all []int) []int {
 	out := make([]int, len(first))
 	give := func(left int, wants []int) int {
 		sum := 0
-		for _, n := range wants {
-			sum += n
+		missing := make([]int, len(wants))
+		for i, n := range wants {
+			missing[i] = max(n-out[i], 0)
+			sum += missing[i]
 		}
 		if sum == 0 {
 			return left
 		}
 		given := 0
-		for i, n := range wants {
+		for i, n := range missing {
 			part := n
 			if sum > left {
 				part = n * left / sum
@@ -69,12 +72,11 @@
 		}
 		return left - given
 	}
-	left := give(present, first)
-	rest := make([]int, len(all))
-	for i := range all {
-		rest[i] = max(all[i]-out[i], 0)
+	reserve := make([]int, len(first))
+	for i := range first {
+		reserve[i] = min(first[i], poolReserve)
 	}
-	give(left, rest)
+	give(give(give(present, reserve), first), all)
 	return out
 }
 
