--- a/internal/decision/berylscheduler/order.go
+++ b/internal/decision/berylscheduler/order.go
@@ -91,8 +91,8 @@
 	return classLate
 }
 
-// compareWaiting orders waiting steps: by the queue's priority, then by class, then those of jobs that have begun, whose work would
-// be lost if the rest came too late, then by latest start.
+// compareWaiting orders waiting steps: by the queue's priority, then by class, then those of jobs within the rate of their team first, then
+// by latest start.
 func compareWaiting(a, b candidate) int {
 	return cmp.Or(
 		a.priority-b.priority, cmp.Compare(a.class, b.class), falseFirst(a.exceedsShare, b.exceedsShare),
@@ -113,9 +113,10 @@
 // classify sets the class of all waiting steps and counts the backlog of each pool. The load that it answers is a pool for which more work
 // in time waits than it can serve: in the order of the latest starts each job would start at the last possible moment, and end late
 // for any small delay. Steps that can't meet their target behind the work ahead of them, with a margin when that is first decided, are
-// deferred, so that the others start well before.
+// deferred, so that the others start well before. Steps of jobs that have begun are not, since the work done so far would be lost.
 func (s *Scheduler) classify() {
 	if !s.shared {
+		s.waiting = nil
 		return
 	}
 	s.classifiedAt = s.now
--- a/internal/decision/berylscheduler/place.go
+++ b/internal/decision/berylscheduler/place.go
@@ -15,7 +15,7 @@
 	priority int
 	// late is true if the step can no longer meet its objective.
 	late bool
-	// exceedsShare is true if the job was accepted when its team had used up its share.
+	// exceedsShare is true if the job was accepted when its team had submitted more jobs a second than its weight.
 	exceedsShare bool
 	// class and begun count only where the configuration has shares; begun is true if the job has had a run.
 	class stepClass
@@ -29,9 +29,8 @@
 	team *teamUsage
 }
 
-// place starts waiting tasks in this order: by the queue's priority, steps that can still meet their objective before late
-// ones, jobs within their team's share before others, then by latest start. When a burst exceeds the pool's capacity, work that
-// is late anyway must not delay the rest.
+// place starts waiting tasks in the order of compareWaiting. When a burst exceeds the pool's capacity, work that is late anyway must not
+// delay the rest.
 func (s *Scheduler) place() {
 	pools := make(map[string]*poolWorkers)
 	for _, w := range s.sortedWorkers {
