A job that returns counts once in the offered work

Cause: offeredCPU says that a job counts with its first submission, but counted it with its refusal and, within 1.5 s, again when it was accepted. After refusals a pool seemed overloaded by up to twice the load, and refused more.

Change: an arrival that was refused before is left out.

--- a/internal/decision/berylscheduler/arrival.go
+++ b/internal/decision/berylscheduler/arrival.go
@@ -26,6 +26,8 @@
 	work float64
 	// aboveShare is true if the job's team was above its share of the fleet.
 	aboveShare bool
+	// offeredBefore is true if the job was refused before, so that its work was offered then.
+	offeredBefore bool
 }
 
 // recordArrival adds the work of an accepted job to the arrivals; long-running steps don't count.
@@ -35,7 +37,10 @@
 		s.meanWork = work
 	}
 	s.meanWork += meanWorkWeight * (work - s.meanWork)
-	s.fleet.arrivals = append(s.fleet.arrivals, arrival{at: s.now, pool: j.queue.Pool, work: work, aboveShare: j.exceedsShare || s.shared && s.team(j.Team).aboveShare})
+	s.fleet.arrivals = append(s.fleet.arrivals, arrival{
+		at: s.now, pool: j.queue.Pool, work: work, offeredBefore: !j.firstSubmitted.IsZero(),
+		aboveShare: j.exceedsShare || s.shared && s.team(j.Team).aboveShare,
+	})
 }
 
 // jobWork returns the work of a job in millicore-seconds; long-running steps don't count.
@@ -73,13 +78,18 @@
 func (s *Scheduler) offeredCPU() map[string]int {
 	f := &s.fleet
 	f.arrivals, f.refused = dropPast(f.arrivals, s.now), dropPast(f.refused, s.now)
-	out := f.arrivalRate(s.now, longArrivalWindow)
 	sums := make(map[string]float64)
 	for _, a := range f.refused {
 		sums[a.pool] += a.work
 	}
+	for _, a := range f.arrivals {
+		if !a.offeredBefore {
+			sums[a.pool] += a.work
+		}
+	}
+	out := make(map[string]int, len(sums))
 	for pool, work := range sums {
-		out[pool] += int(work / longArrivalWindow.Seconds())
+		out[pool] = int(work / longArrivalWindow.Seconds())
 	}
 	return out
 }
--- a/internal/decision/berylscheduler/overload_rules_test.go
+++ b/internal/decision/berylscheduler/overload_rules_test.go
@@ -121,3 +121,16 @@
 		assert.Assert(t, out[0]+out[1]+out[2] <= 350, "%v: %v", needs, out)
 	}
 }
+
+// Guards against a load that counts callers twice who return after a refusal: the next ones would be refused by it.
+func TestReturningJobCountsOnceInTheOfferedWork(t *testing.T) {
+	h := newHarness(t)
+	j := singleTaskJob("0000000000000001")
+	j.Queue, j.Team = "q", "team"
+	h.s.recordRefused(&j, h.s.notStoredRefusal(&j))
+	want := h.s.offeredCPU()["p"]
+	assert.Assert(t, want > 0)
+	h.now = h.now.Add(time.Second)
+	h.accept(j)
+	assert.Equal(t, h.s.offeredCPU()["p"], want)
+}
