--- a/internal/decision/berylscheduler/arrival.go
+++ b/internal/decision/berylscheduler/arrival.go
@@ -1,6 +1,7 @@
 package berylscheduler
 
 import (
+	"errors"
 	"math"
 	"time"
 
@@ -25,6 +26,8 @@
 	work float64
 	// aboveShare is true if the job's team was above its share of the fleet.
 	aboveShare bool
+	// offeredBefore is true if the job was refused before, so that its work was offered then.
+	offeredBefore bool
 }
 
 // recordArrival adds the work of an accepted job to the arrivals; long-running steps don't count.
@@ -34,7 +37,10 @@
 		s.meanWork = work
 	}
 	s.meanWork += meanWorkWeight * (work - s.meanWork)
-	s.fleet.arrivals = append(s.fleet.arrivals, arrival{at: s.now, pool: j.queue.Pool, work: work, aboveShare: j.exceedsShare || s.shared && s.team(j.Team).aboveShare})
+	s.fleet.arrivals = append(s.fleet.arrivals, arrival{
+		at: s.now, pool: j.queue.Pool, work: work, offeredBefore: !j.firstSubmitted.IsZero(),
+		aboveShare: j.exceedsShare || s.shared && s.team(j.Team).aboveShare,
+	})
 }
 
 // jobWork returns the work of a job in millicore-seconds; long-running steps don't count.
@@ -54,12 +60,15 @@
 	return float64(spec.ReservedCapacity().CPUMilli*spec.Count) * s.expectedDuration(j, spec).Seconds()
 }
 
-// recordRefused adds the work of a refused job to the offered work, once.
-func (s *Scheduler) recordRefused(j *beryllatch.Job) {
-	if !s.shared || !s.admission.firstSubmission(j.ID).IsZero() {
+// recordRefused remembers a refused job that may be accepted later, and adds its work to the offered work, once.
+func (s *Scheduler) recordRefused(j *beryllatch.Job, err error) {
+	var f *beryllatch.Refusal
+	if !s.shared || errors.As(err, &f) && f.Reason == beryllatch.ReasonBadRequest {
 		return
 	}
-	if q, ok := s.deployment.Queues[j.Queue]; ok {
+	returns := !s.admission.firstSubmission(j.ID).IsZero()
+	s.admission.remember(j.ID, s.now)
+	if q, ok := s.deployment.Queues[j.Queue]; ok && !returns {
 		s.fleet.refused = append(s.fleet.refused, arrival{at: s.now, pool: q.Pool, work: s.jobWork(newJob(*j))})
 	}
 }
@@ -68,27 +77,36 @@
 // averaged over the long window. A job counts with its first submission.
 func (s *Scheduler) offeredCPU() map[string]int {
 	f := &s.fleet
-	out, _ := s.arrivingCPU()
-	for len(f.refused) > 0 && s.now.Sub(f.refused[0].at) > longArrivalWindow {
-		f.refused = f.refused[1:]
-	}
+	f.arrivals, f.refused = dropPast(f.arrivals, s.now), dropPast(f.refused, s.now)
 	sums := make(map[string]float64)
 	for _, a := range f.refused {
 		sums[a.pool] += a.work
 	}
+	for _, a := range f.arrivals {
+		if !a.offeredBefore {
+			sums[a.pool] += a.work
+		}
+	}
+	out := make(map[string]int, len(sums))
 	for pool, work := range sums {
-		out[pool] += int(work / longArrivalWindow.Seconds())
+		out[pool] = int(work / longArrivalWindow.Seconds())
 	}
 	return out
 }
 
+// dropPast returns the arrivals within the long window.
+func dropPast(arrivals []arrival, now time.Time) []arrival {
+	for len(arrivals) > 0 && now.Sub(arrivals[0].at) > longArrivalWindow {
+		arrivals = arrivals[1:]
+	}
+	return arrivals
+}
+
 // arrivingCPU returns, for each pool, the processor capacity in millicores that would keep up with the arriving work, averaged
 // over the long and over the short window.
 func (s *Scheduler) arrivingCPU() (longTerm, shortTerm map[string]int) {
 	f := &s.fleet
-	for len(f.arrivals) > 0 && s.now.Sub(f.arrivals[0].at) > longArrivalWindow {
-		f.arrivals = f.arrivals[1:]
-	}
+	f.arrivals = dropPast(f.arrivals, s.now)
 	return f.arrivalRate(s.now, longArrivalWindow), f.arrivalRate(s.now, shortArrivalWindow)
 }
 
--- a/internal/decision/berylscheduler/overload_replay_test.go
+++ b/internal/decision/berylscheduler/overload_replay_test.go
@@ -1,11 +1,14 @@
 package berylscheduler
 
 import (
+	"crypto/sha256"
 	"errors"
 	"fmt"
+	"io"
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -31,6 +34,8 @@
 	jobs      map[string]*replayJob
 	// reports counts the decisions by name.
 	reports map[string]int
+	// effects takes the effects as text, unless it is nil.
+	effects io.Writer
 	// due holds what callers and workers do later.
 	due []replayAction
 }
@@ -62,9 +67,9 @@
 
 const replayStep = 10 * time.Millisecond
 
-// newLoadReplay returns a replay with workers of 16 cores in the pool of the queue q and teams with the given weights, in hundreds: a
+// newLoadReplay returns a replay with replayWorkers of 16 cores in the pool of the queue q and teams with the given weights, in hundreds: a
 // weight is also the rate of jobs up to which a team counts as within its share, and no team of the replays reaches that.
-func newLoadReplay(t *testing.T, workers int, weights map[string]float64) *loadReplay {
+func newLoadReplay(t *testing.T, weights map[string]float64) *loadReplay {
 	t.Helper()
 	r := &loadReplay{
 		t: t, began: time.Unix(1_800_000_000, 0), workers: make(map[string]*replayWorker), rows: make(storedRows), version: 100,
@@ -76,7 +81,7 @@
 	for name, w := range weights {
 		d.Teams[name] = beryllatch.JobTeam{Name: name, Weight: 100 * w}
 	}
-	for i := range workers {
+	for i := range replayWorkers {
 		id := fmt.Sprintf("w%03d", i)
 		r.workers[id] = &replayWorker{info: workerInfo(id), running: make(map[beryllatch.RunningEntry]bool)}
 	}
@@ -94,8 +99,8 @@
 	r.apply(Recovered{Jobs: r.rows.table(JobsTable), Progress: r.rows.table(ProgressTable), Workers: r.rows.table(WorkersTable)})
 	r.apply(DeploymentChanged{d})
 	var infos []beryllatch.WorkerInfo
-	for _, w := range r.workers {
-		infos = append(infos, w.info)
+	for _, id := range slices.Sorted(maps.Keys(r.workers)) {
+		infos = append(infos, r.workers[id].info)
 	}
 	r.apply(RegistryRead{Workers: infos})
 }
@@ -160,6 +165,10 @@
 	r.t.Helper()
 	effects := append([]Effect(nil), r.s.Apply(r.now, e)...)
 	for _, f := range effects {
+		if r.effects != nil {
+			_, err := fmt.Fprintf(r.effects, "%s %T %+v\n", r.now, f, f)
+			assert.NilError(r.t, err)
+		}
 		r.carryOut(r.s, f)
 	}
 }
@@ -241,7 +250,7 @@
 		w.finished = w.finished[1:]
 	}
 	lists := beryllatch.WorkerLists{Clock: r.clock(), Incarnation: f.Incarnation, Finished: append([]beryllatch.FinishedEntry(nil), w.finished...)}
-	lists.Running = slices.Collect(maps.Keys(w.running))
+	lists.Running = slices.SortedFunc(maps.Keys(w.running), func(a, b beryllatch.RunningEntry) int { return strings.Compare(a.Task, b.Task) })
 	return WorkerHeld{Worker: f.Worker.ID, Incarnation: f.Incarnation, Sent: r.now, Probe: f.Probe, Lists: lists}
 }
 
@@ -305,7 +314,7 @@
 // little more than half of their share.
 func TestHotTeamLeavesOthersTheirService(t *testing.T) {
 	for _, weight := range []float64{1.5, 4} {
-		r := newLoadReplay(t, replayWorkers, map[string]float64{"hot": weight, "a": 1, "b": 1, "c": 1})
+		r := newLoadReplay(t, map[string]float64{"hot": weight, "a": 1, "b": 1, "c": 1})
 		r.run(16*time.Second, func(at time.Duration) {
 			for _, team := range []string{"a", "b", "c"} {
 				r.submit(team, 0.08*fullRate)
@@ -327,11 +336,11 @@
 // than their part of a full fleet: all teams send three times their part.
 func TestAllTeamsHotAreServedByWeight(t *testing.T) {
 	weights := map[string]float64{"a": 1, "b": 1, "c": 2}
-	r := newLoadReplay(t, replayWorkers, weights)
+	r := newLoadReplay(t, weights)
 	r.run(14*time.Second, func(at time.Duration) {
 		if at < 10*time.Second {
-			for team, w := range weights {
-				r.submit(team, 3*fullRate*w/4)
+			for _, team := range []string{"a", "b", "c"} {
+				r.submit(team, 3*fullRate*weights[team]/4)
 			}
 		}
 	})
@@ -349,7 +358,7 @@
 // Guards against a turn of five times the mean demand in which nobody is served in time, and against jobs that are accepted although
 // their results are of no use.
 func TestTurnAboveCapacityIsServedAtCapacity(t *testing.T) {
-	r := newLoadReplay(t, replayWorkers, map[string]float64{"a": 1, "b": 1})
+	r := newLoadReplay(t, map[string]float64{"a": 1, "b": 1})
 	r.run(14*time.Second, func(at time.Duration) {
 		rate := 0.05 * fullRate
 		if at >= 3*time.Second && at < 7*time.Second {
@@ -367,7 +376,7 @@
 
 // Guards against a store's outage that is followed by a wave of returning callers in which those submitted after it are late too.
 func TestCallersAreServedAfterAnOutage(t *testing.T) {
-	r := newLoadReplay(t, replayWorkers, map[string]float64{"a": 1, "b": 1})
+	r := newLoadReplay(t, map[string]float64{"a": 1, "b": 1})
 	r.run(16*time.Second, func(at time.Duration) {
 		r.storeDown = at >= 4*time.Second && at < 7*time.Second
 		rate := 0.4 * fullRate
@@ -389,7 +398,7 @@
 
 // Guards against a takeover after which the hot team's backlog comes before the others' work: shares are rebuilt from what is stored.
 func TestSharesHoldAfterATakeover(t *testing.T) {
-	r := newLoadReplay(t, replayWorkers, map[string]float64{"hot": 1, "a": 1, "b": 1})
+	r := newLoadReplay(t, map[string]float64{"hot": 1, "a": 1, "b": 1})
 	load := func(at time.Duration) {
 		r.submit("a", 0.1*fullRate)
 		r.submit("b", 0.1*fullRate)
@@ -409,7 +418,7 @@
 
 // Guards against a job that never starts since it needs more at once than its team's share.
 func TestJobWiderThanItsTeamsShareRuns(t *testing.T) {
-	r := newLoadReplay(t, replayWorkers, map[string]float64{"wide": 1, "a": 9, "b": 9})
+	r := newLoadReplay(t, map[string]float64{"wide": 1, "a": 9, "b": 9})
 	r.run(12*time.Second, func(at time.Duration) {
 		r.submit("a", 0.6*fullRate)
 		r.submit("b", 0.6*fullRate)
@@ -425,7 +434,7 @@
 
 // Guards against late work that waits for ever behind work in time.
 func TestLateWorkIsNotStarved(t *testing.T) {
-	r := newLoadReplay(t, replayWorkers, map[string]float64{"a": 1, "b": 1})
+	r := newLoadReplay(t, map[string]float64{"a": 1, "b": 1})
 	r.run(45*time.Second, func(at time.Duration) {
 		if at < 40*time.Second {
 			r.submit("a", fullRate)
@@ -439,9 +448,47 @@
 	}
 }
 
+// Guards against decisions that depend on the random order of a map: a session could not be replayed.
+func TestSameLoadGetsSameDecisions(t *testing.T) {
+	play := func() []byte {
+		r := newLoadReplay(t, map[string]float64{"a": 1, "b": 2, "c": 3, "without": 0})
+		h := sha256.New()
+		r.effects = h
+		r.run(6*time.Second, func(at time.Duration) {
+			r.storeDown = at >= 4*time.Second
+			for _, team := range []string{"a", "b", "c", "without"} {
+				r.submit(team, 0.6*fullRate)
+			}
+		})
+		return h.Sum(nil)
+	}
+	first := play()
+	for range 4 {
+		assert.DeepEqual(t, play(), first)
+	}
+}
+
+// Guards against a late task that takes most of a worker and finds no room for ever, as the room that small tasks leave goes to others.
+func TestLateLargeTaskIsNotStarved(t *testing.T) {
+	r := newLoadReplay(t, map[string]float64{"a": 1, "b": 1, "large": 1})
+	large := beryllatch.Job{ID: "00000000000fffff", Queue: "q", Team: "large", Payload: "x", Steps: []beryllatch.JobStep{{
+		Count: 1, Needs: beryllatch.Resources{CPUMilli: 12000, MemoryMB: 100}, Estimate: 500 * time.Millisecond,
+	}}}
+	r.run(40*time.Second, func(at time.Duration) {
+		r.submit("a", fullRate)
+		r.submit("b", fullRate)
+		if at == 5*time.Second {
+			r.jobs[large.ID] = &replayJob{job: large, submitted: r.now}
+			r.send(large.ID)
+		}
+	})
+	assert.Assert(t, r.jobs[large.ID].accepted)
+	assert.Assert(t, !r.jobs[large.ID].doneAt.IsZero(), "the job isn't done after 35 s")
+}
+
 // Guards against refusals, deferral and shares in a deployment without weights, which is served as before.
 func TestWithoutWeightsNothingIsRefusedForLoad(t *testing.T) {
-	r := newLoadReplay(t, replayWorkers, map[string]float64{"a": 0, "b": 0})
+	r := newLoadReplay(t, map[string]float64{"a": 0, "b": 0})
 	r.run(8*time.Second, func(time.Duration) {
 		r.submit("a", 2*fullRate)
 		r.submit("b", 2*fullRate)
@@ -453,7 +500,7 @@
 
 // Guards against an overload that operators can't see: which pool, since when, and whose work is above its share.
 func TestOverloadIsReported(t *testing.T) {
-	r := newLoadReplay(t, replayWorkers, map[string]float64{"hot": 1, "a": 1})
+	r := newLoadReplay(t, map[string]float64{"hot": 1, "a": 1})
 	r.run(5*time.Second, func(time.Duration) {
 		r.submit("a", 0.1*fullRate)
 		r.submit("hot", 2*fullRate)
@@ -461,7 +508,7 @@
 	// One report a second from the first tick at which the load is above the capacity.
 	assert.Assert(t, r.reports["pool_overloaded"] >= 3 && r.reports["pool_overloaded"] <= 5, "%v", r.reports)
 	assert.Assert(t, r.reports["teams_above_share"] >= 3 && r.reports["teams_above_share"] <= 5, "%v", r.reports)
-	quiet := newLoadReplay(t, replayWorkers, map[string]float64{"a": 1})
+	quiet := newLoadReplay(t, map[string]float64{"a": 1})
 	quiet.run(3*time.Second, func(time.Duration) { quiet.submit("a", 0.3*fullRate) })
 	assert.Equal(t, quiet.reports["pool_overloaded"]+quiet.reports["teams_above_share"], 0)
 }
--- a/internal/decision/berylscheduler/overload_report.go
+++ b/internal/decision/berylscheduler/overload_report.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/beryllatch/beryllatch/internal/decision/berylshare"
 )
 
 // overloadLogInterval is the time between two reports on pools and teams.
@@ -29,7 +31,7 @@
 	var above []string
 	for _, name := range slices.Sorted(maps.Keys(s.teams)) {
 		if t := s.teams[name]; t.aboveShare {
-			above = append(above, fmt.Sprintf("%s: share %.0f%%, in use %.0f%%", name, 100*s.shareLimit(name), 100*s.dominantUse(t)))
+			above = append(above, fmt.Sprintf("%s: share %.0f%%, in use %.0f%%", name, 100*t.shareLimit, 100*berylshare.Dominant(t.booked, s.capacity)))
 		}
 	}
 	if len(above) > 0 {
--- a/internal/decision/berylscheduler/place.go
+++ b/internal/decision/berylscheduler/place.go
@@ -15,7 +15,7 @@
 	priority int
 	// late is true if the step can no longer meet its objective.
 	late bool
-	// exceedsShare is true if the job was accepted when its team had used up its share.
+	// exceedsShare is true if the job was accepted when its team had submitted more jobs a second than its weight.
 	exceedsShare bool
 	// class and begun count only where the configuration has shares; begun is true if the job has had a run.
 	class stepClass
@@ -24,11 +24,13 @@
 	unplanned bool
 	// startBy is the latest start that meets the objective.
 	startBy time.Time
+	timing  *stepTiming
+	// team is set for the steps that a tick classifies.
+	team *teamUsage
 }
 
-// place starts waiting tasks in this order: by the queue's priority, steps that can still meet their objective before late
-// ones, jobs within their team's share before others, then by latest start. When a burst exceeds the pool's capacity, work that
-// is late anyway must not delay the rest.
+// place starts waiting tasks in the order of compareWaiting. When a burst exceeds the pool's capacity, work that is late anyway must not
+// delay the rest.
 func (s *Scheduler) place() {
 	pools := make(map[string]*poolWorkers)
 	for _, w := range s.sortedWorkers {
@@ -109,7 +111,7 @@
 			if !s.recordPool(j, q.Pool) {
 				break
 			}
-			if st.spec.LongRunning || !st.blockedSince.IsZero() || st.spec.ReservedCapacity().Fits(pools[q.Pool].maxFree) {
+			if st.spec.LongRunning || st.overdue || !st.blockedSince.IsZero() || st.spec.ReservedCapacity().Fits(pools[q.Pool].maxFree) {
 				out = append(out, s.candidate(q, st))
 			}
 		}
@@ -131,7 +133,7 @@
 
 func (s *Scheduler) candidate(q beryllatch.JobQueue, st *stepState) candidate {
 	t := s.timing(st)
-	c := candidate{step: st, pool: q.Pool, priority: q.Priority, exceedsShare: st.job.exceedsShare, startBy: t.startBy}
+	c := candidate{step: st, pool: q.Pool, priority: q.Priority, exceedsShare: st.job.exceedsShare, startBy: t.startBy, timing: t}
 	c.late = !st.spec.LongRunning && s.now.After(c.startBy)
 	if st.spec.LongRunning {
 		c.startBy = st.job.dueAt(st.occurrence)
