An instance order that was given up is not delivered later

Change: connections to the instance interface are reset when they are closed. TestGivenUpCallIsReset fails without it.

--- a/internal/node/berylentry/entry.go
+++ b/internal/node/berylentry/entry.go
@@ -129,7 +129,9 @@
 		View:    adapter.View{},
 		Workers: &adapter.Workers{Source: e.Flags.SourceAddress},
 		Instances: &adapter.Instances{
-			Exchange: adapter.NewExchange(instanceConnections).From(e.Flags.SourceAddress), Address: address(func(s *adapter.Settings) string { return s.InstancesAddress }),
+			// An order that arrives after a later epoch's would take the instance from its new pool or wave.
+			Exchange: adapter.NewExchange(instanceConnections).From(e.Flags.SourceAddress).ResetOnClose(),
+			Address:  address(func(s *adapter.Settings) string { return s.InstancesAddress }),
 		},
 		Advisor: &adapter.Advisor{
 			Exchange: adapter.NewExchange(1).From(e.Flags.SourceAddress), Address: address(func(s *adapter.Settings) string { return s.AdvisorAddress }),
