A caller that returns late is served by an idle pool

Cause: a job that was refused for longer than its result is of use was refused as long as its caller returned, without any load. Change: such a job is refused only while other work waits. TestCallerThatReturnsLateIsServedByAnIdlePool fails without it.

--- a/internal/decision/berylscheduler/admission.go
+++ b/internal/decision/berylscheduler/admission.go
@@ -69,16 +69,17 @@
 	if first := s.admission.firstSubmission(j.ID); !first.IsZero() {
 		passed = s.now.Sub(first)
 	}
-	left := usefulFactor*target - passed - path
 	slack := target - path
+	// A caller that returns after all of that time may still want the result; it is refused only while other work waits.
+	left := max(usefulFactor*target-passed-path, 0)
 	wait := s.estimateWait(j, q, slack-marginOf(slack)-passed)
 	if wait <= left {
 		return nil
 	}
 	return &beryllatch.Refusal{
-		Reason: beryllatch.ReasonQueueFull, RunState: beryllatch.RunStateNotRun, RetryAfter: s.bookReturn(j, wait-max(left, 0)),
+		Reason: beryllatch.ReasonQueueFull, RunState: beryllatch.RunStateNotRun, RetryAfter: s.bookReturn(j, wait-left),
 		Detail: fmt.Sprintf("the result would be of no use: the job would wait for %s, and may for %s",
-			wait.Round(time.Millisecond), max(left, 0).Round(time.Millisecond)),
+			wait.Round(time.Millisecond), left.Round(time.Millisecond)),
 	}
 }
 
--- a/internal/decision/berylscheduler/overload_rules_test.go
+++ b/internal/decision/berylscheduler/overload_rules_test.go
@@ -134,3 +134,17 @@
 	h.accept(j)
 	assert.Equal(t, h.s.offeredCPU()["p"], want)
 }
+
+// Guards against callers that were refused in a long outage and are refused for as long as they return, although the pool is idle.
+func TestCallerThatReturnsLateIsServedByAnIdlePool(t *testing.T) {
+	h := newHarness(t)
+	h.register("a")
+	h.tickFor(100 * time.Millisecond)
+	j := singleTaskJob("0000000000000001")
+	h.s.admission.remember(j.ID, h.now.Add(-15*time.Second))
+	assert.Assert(t, !h.refused(j))
+	h.s.backlogs = map[string]poolBacklog{"p": {inTime: 60_000, inShare: 60_000}}
+	late := singleTaskJob("0000000000000002")
+	h.s.admission.remember(late.ID, h.now.Add(-15*time.Second))
+	assert.Assert(t, h.refused(late))
+}
