What a job becomes when it is decoded counts towards the budget

Callers saw: a node of beryljobd ended, since it ran out of memory, when clients sent complete bodies of legal size with many small steps. Cause: the budget counted the bytes of a body. The body was decoded as a whole before its steps were checked, and a step of 3 bytes became a value of 200. Why it works: what is decoded at a time is within the budget.

--- a/internal/node/berylintake/server.go
+++ b/internal/node/berylintake/server.go
@@ -209,12 +209,12 @@
 	for {
 		if len(data) == cap(data) {
 			size := min(max(2*int64(cap(data)), firstBuffer), most)
-			if !charge(c, r, size) {
+			if !charge(r.Context(), size) {
 				return nil, &RefusedError{KindBudget, limit}
 			}
 			grown := make([]byte, len(data), size)
 			copy(grown, data)
-			discharge(c, r, int64(cap(data)))
+			discharge(r.Context(), int64(cap(data)))
 			data = grown
 		}
 		if r.ProtoMajor > 1 && len(data) >= renewAt {
@@ -241,32 +241,41 @@
 	}
 }
 
-// charge charges n bytes until the request is answered; c is nil if it has no limits.
-func charge(c *conn, r *http.Request, n int64) bool {
-	if c == nil {
+// Reserve charges n bytes for what a request becomes until it is answered, such as its decoded form. ctx is that of the request. If
+// there is no budget, the error is a *RefusedError.
+func Reserve(ctx context.Context, n int64) error {
+	c, _ := ctx.Value(connKey{}).(*conn)
+	if charge(ctx, n) {
+		return nil
+	}
+	c.intake.count(KindBudget)
+	return &RefusedError{Kind: KindBudget}
+}
+
+// charge charges n bytes until the request with the context is answered, unless its connection has no limits.
+func charge(ctx context.Context, n int64) bool {
+	c, ok := ctx.Value(connKey{}).(*conn)
+	if !ok || c == nil {
 		return true
 	}
 	if !c.intake.charge(c, n, n) {
 		return false
 	}
-	if r.ProtoMajor > 1 {
-		if charged, ok := r.Context().Value(chargeKey{}).(*atomic.Int64); ok {
-			charged.Add(n)
-		}
+	if charged, ok := ctx.Value(chargeKey{}).(*atomic.Int64); ok {
+		charged.Add(n)
 	}
 	return true
 }
 
 // discharge gives back n bytes of charge before the request is answered.
-func discharge(c *conn, r *http.Request, n int64) {
-	if c == nil || n == 0 {
+func discharge(ctx context.Context, n int64) {
+	c, ok := ctx.Value(connKey{}).(*conn)
+	if !ok || c == nil || n == 0 {
 		return
 	}
 	c.intake.release(c, n)
-	if r.ProtoMajor > 1 {
-		if charged, ok := r.Context().Value(chargeKey{}).(*atomic.Int64); ok {
-			charged.Add(-n)
-		}
+	if charged, ok := ctx.Value(chargeKey{}).(*atomic.Int64); ok {
+		charged.Add(-n)
 	}
 }
 
@@ -278,9 +287,8 @@
 			return
 		}
 		data, err := ReadBody(w, r, limit())
-		if c := connOf(r); err == nil && !charge(c, r, int64(len(data))*decodeFactor) {
-			c.intake.count(KindBudget)
-			err = &RefusedError{Kind: KindBudget}
+		if err == nil {
+			err = Reserve(r.Context(), int64(len(data))*decodeFactor)
 		}
 		if err != nil {
 			writeRefusal(w, err)
--- a/job.go
+++ b/job.go
@@ -1,6 +1,7 @@
 package beryllatch
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"strconv"
@@ -94,6 +95,19 @@
 	Accepted time.Time     `json:"accepted,omitzero"`
 }
 
+// The memory of what is listed in a job in bytes, with the lists that are outgrown while they become longer.
+const (
+	decodedStepBytes   = 512
+	decodedNumberBytes = 32
+)
+
+// DecodedJobBytes returns how many bytes a job takes at most while it is decoded from JSON of which no more than maxSteps steps are
+// decoded, and passed on.
+func DecodedJobBytes(b []byte, maxSteps int) int64 {
+	steps := min(bytes.Count(b, []byte("{")), maxSteps)
+	return int64(4*len(b) + steps*decodedStepBytes + bytes.Count(b, []byte(","))*decodedNumberBytes)
+}
+
 // Occurrences returns the number of times that the steps run.
 func (j *Job) Occurrences() int { return max(1, j.Repeat) }
 
