A repeated job with many steps has a bounded number of tasks in memory

Callers saw: the scheduling node answered no job for minutes after a few jobs of 26 KB with 1,150 steps that were due any number of times. Cause: up to 256 waiting tasks were opened for each step number, so that one job had 300,000, and each was inserted into a sorted list. Change: the limit of waiting tasks is shared by the steps of a job, and a job has no more tasks in memory than those of one occurrence and 4,096. Jobs of up to 16 steps have the limits that they had.

--- a/internal/decision/berylscheduler/step.go
+++ b/internal/decision/berylscheduler/step.go
@@ -15,6 +15,8 @@
 	maxWaitingTasks = 256
 	// maxWaitingTasksOfAll is shared by all unfinished jobs, so that passes stay short when many of them are overdue.
 	maxWaitingTasksOfAll = 16 << 10
+	// maxOverlappingTasks limits the tasks that a repeated job has in memory beyond those of one occurrence. It is shared by its steps.
+	maxOverlappingTasks = 4 << 10
 	// progressBytes is about what the progress of a step takes in the row of its job.
 	progressBytes = 64
 )
@@ -207,18 +209,21 @@
 		return
 	}
 	var waiting []int
-	limit := max(min(maxWaitingTasks, maxWaitingTasksOfAll/max(len(s.active), 1)), 1)
+	var open, mostOpen int
+	limit := max(min(maxWaitingTasks, maxWaitingTasksOfAll/max(len(s.active), 1), maxOverlappingTasks/max(len(j.steps), 1)), 1)
 	for n := range j.steps {
 		p := &j.steps[n]
 		for !p.ready.IsEmpty() {
 			if waiting == nil {
-				waiting = j.countWaiting()
+				waiting, open, mostOpen = j.countWaiting(), j.countOpen(), maxOpenTasks(&j.Job)
 			}
-			if waiting[n] >= limit {
+			count := j.Steps[n].Count
+			if waiting[n] >= limit || open+count > mostOpen {
 				break
 			}
 			j.step(stepKey{p.ready.Min(), n}, s.now)
-			waiting[n] += j.Steps[n].Count
+			waiting[n] += count
+			open += count
 			s.placementDue = true
 		}
 	}
@@ -233,6 +238,30 @@
 	return out
 }
 
+// taskCount returns the number of tasks of an occurrence.
+func taskCount(j *beryllatch.Job) int {
+	n := 0
+	for i := range j.Steps {
+		n += j.Steps[i].Count
+	}
+	return n
+}
+
+// maxOpenTasks returns how many tasks of a job may be in memory.
+func maxOpenTasks(j *beryllatch.Job) int {
+	tasks := taskCount(j)
+	return tasks + min((j.Occurrences()-1)*tasks, maxOverlappingTasks)
+}
+
+// countOpen returns the number of tasks in memory.
+func (j *job) countOpen() int {
+	n := 0
+	for _, st := range j.open {
+		n += len(st.tasks)
+	}
+	return n
+}
+
 // progressFillsRow reports whether the progress of a repeated job may soon outgrow its row, so that steps which have not started should wait
 // for the end of others.
 func (s *Scheduler) progressFillsRow(j *job) bool {
