The memory of accepted jobs is bounded

Callers saw: the scheduling node ended, or answered nobody for more than a minute, when clients submitted jobs with many tasks or steps, and when they cancelled such jobs. Cause: only the number of unfinished jobs was limited, and a job can have 10,000 tasks; jobs that had ended were kept whole for two minutes. Change: the memory of each job is estimated from its steps and tasks, and all jobs may take a sixth of the machine's memory. A client account may have as much as it leaves to others, so that none can take all of it. Jobs beyond that are refused with 503, not_run, no_memory and a time to return. A final job without runs keeps its state only. Why it works: the estimate is above what jobs take (TestEstimateMemory), and TestJobMemoryIsBounded shows the limits.

--- a/internal/decision/berylscheduler/commit.go
+++ b/internal/decision/berylscheduler/commit.go
@@ -159,7 +159,7 @@
 		j := bj.job
 		switch {
 		case j.rows.expired:
-			delete(s.jobs, j.ID)
+			s.forget(j)
 			continue
 		case bj.storesFinal:
 			j.rows.finalStored = true
@@ -264,7 +264,7 @@
 		if s.shared {
 			s.admission.remember(j.ID, j.Accepted)
 		}
-		delete(s.jobs, j.ID)
+		s.forget(j)
 		s.removeActive(j)
 		s.emit(Decision{Name: "job_refused", Job: j.ID, Detail: "the store is unavailable"})
 	}
--- a/internal/decision/berylscheduler/job.go
+++ b/internal/decision/berylscheduler/job.go
@@ -43,6 +43,8 @@
 	timing stepTiming
 	// backlogAt is when the job was last counted in its pool's backlog.
 	backlogAt time.Time
+	// memory is what is counted for the job in the memory of all jobs.
+	memory int64
 	// bookedRuns counts the runs for which capacity is booked, including those that are being stopped.
 	bookedRuns int
 
@@ -231,6 +233,7 @@
 		if j.rows.jobVersion > 0 {
 			s.markChanged(j)
 		}
+		s.trim(j)
 		return true
 	})
 }
--- a/internal/decision/berylscheduler/recover.go
+++ b/internal/decision/berylscheduler/recover.go
@@ -38,10 +38,13 @@
 		if j.heldBack {
 			continue
 		}
+		s.setMemory(j, estimateMemory(&j.Job))
 		if j.state.Final() {
 			s.finished = append(s.finished, j)
 			if j.rows.jobVersion > 0 {
 				s.jobRowsToDelete = append(s.jobRowsToDelete, j)
+			} else {
+				s.trim(j)
 			}
 		} else {
 			s.active = append(s.active, j)
--- a/internal/decision/berylscheduler/scheduler.go
+++ b/internal/decision/berylscheduler/scheduler.go
@@ -49,6 +49,8 @@
 	MaintenanceTime time.Duration
 	// RowBytes is the size limit of a row's value in bytes.
 	RowBytes int
+	// JobBytes limits the estimated memory of the accepted jobs in bytes; 0 means that there is no limit.
+	JobBytes int64
 }
 
 // Scheduler holds the state of the scheduling node in one epoch.
@@ -76,6 +78,8 @@
 	jobs map[string]*job
 	// active holds the unfinished jobs, in the order of acceptance.
 	active []*job
+	// memory is the estimated memory of all jobs.
+	memory jobMemory
 	// heldBack holds the jobs whose stored rows can't be read.
 	heldBack []*job
 	// finished holds the final jobs, in the order in which they ended.
--- a/internal/decision/berylscheduler/submit.go
+++ b/internal/decision/berylscheduler/submit.go
@@ -28,6 +28,7 @@
 		j.firstSubmitted = s.admission.firstSubmission(j.ID)
 	}
 	s.jobs[j.ID] = j
+	s.setMemory(j, estimateMemory(&j.Job))
 	s.active = append(s.active, j)
 	s.openSteps(j)
 	s.recordArrival(j)
@@ -75,6 +76,9 @@
 			Detail: fmt.Sprintf("the job takes %d bytes; %d are allowed", size, s.Limits.RowBytes),
 		}
 	}
+	if f := s.memoryRefusal(j); f != nil {
+		return f
+	}
 	if f := s.loadRefusal(j, q); f != nil {
 		return f
 	}
--- a/internal/node/berylentry/entry.go
+++ b/internal/node/berylentry/entry.go
@@ -120,7 +120,7 @@
 			MaxLease: b.MaxLease, HandoverPause: b.HandoverPause, StopTimeout: b.StopTimeout, JobRetention: b.JobRetention, RemoteFactor: b.RemoteFactor,
 			RestoreTime: b.RestoreTime, InstanceOrders: settings.InstanceOrders,
 			MoveTime: b.MoveTime, MaintenanceTime: b.MaintenanceTime,
-			RowBytes: settings.RowBytes,
+			RowBytes: settings.RowBytes, JobBytes: jobBytes(settings.MemoryMB),
 		},
 		Store: &adapter.Store{
 			Exchange: adapter.NewExchange(storeConnections).From(e.Flags.SourceAddress),
