A client account leaves room for the unfinished jobs of others

Callers saw: while one client account had 2,500 unfinished jobs, all others were refused with queue_full, for as long as these jobs lasted. Cause: the limit was for all accounts together. Change: an account may have as many unfinished jobs as it leaves to others: 1,250 if it is alone. Measured only as a part of TestMixedCrowd, where the hostile account submits more jobs than the limit and ordinary jobs are accepted.

--- a/internal/decision/berylscheduler/submit.go
+++ b/internal/decision/berylscheduler/submit.go
@@ -59,10 +59,11 @@
 			Detail: fmt.Sprintf("queue %q is not in version %d of the configuration", j.Queue, s.deployment.Version),
 		}
 	}
-	if len(s.active) >= maxActiveJobs {
+	// A client account may have as many unfinished jobs as it leaves to others, which is no limit while there are few.
+	if left := maxActiveJobs - len(s.active); left <= len(s.active) && left <= s.activeOf(j.Team) {
 		return &beryllatch.Refusal{
 			Reason: beryllatch.ReasonQueueFull, RunState: beryllatch.RunStateNotRun, RetryAfter: s.outageDelay(j),
-			Detail: fmt.Sprintf("%d jobs are unfinished", len(s.active)),
+			Detail: fmt.Sprintf("%d jobs are unfinished, %d of them of the client account", len(s.active), s.activeOf(j.Team)),
 		}
 	}
 	// During an outage, one submission after each pause is accepted, to find out whether the store is back.
@@ -85,6 +86,17 @@
 	return nil
 }
 
+// activeOf returns the number of unfinished jobs of a team.
+func (s *Scheduler) activeOf(team string) int {
+	n := 0
+	for _, j := range s.active {
+		if j.Team == team {
+			n++
+		}
+	}
+	return n
+}
+
 // cancel ends a job. The caller is answered once that is stored.
 func (s *Scheduler) cancel(e CancelRequested) {
 	j := s.jobs[e.ID]
