What messages of other nodes become when they are decoded counts towards the budget

Whoever reaches the peers' listener could end a node by one call: an empty row of 2 bytes, or an empty step of 3, became a value of 100 to 200. Cause: a body counted as three times its size, whatever was in it. Change: the messages and list elements of a body are counted before it is decoded (package berylmessage), and their memory is reserved; without budget the call is answered 503 with Retry-After. For a job that another node passes on, the answer leaves open whether an earlier attempt was accepted.

--- a/internal/node/berylentry/entry.go
+++ b/internal/node/berylentry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/beryllatch/beryllatch/internal/node/berylintake"
 	"github.com/beryllatch/beryllatch/internal/node/beryljobs"
 	"github.com/beryllatch/beryllatch/internal/node/berylrelay"
+	"github.com/beryllatch/beryllatch/internal/rpc/berylmessage"
 	"github.com/beryllatch/beryllatch/internal/rpc/berylwire"
 	adapter "github.com/beryllatch/beryllatch/platform"
 	"github.com/gorilla/mux"
@@ -184,7 +185,7 @@
 	return []listener{
 		{"callers", settings.CallersAddress, callers.Handler()},
 		{"readiness", settings.ReadinessAddress, berylintake.WithoutBody(ready)},
-		{peersListener, internalAddress(settings, 0), berylintake.WithBody(e.maxPeerBody, peers)},
+		{peersListener, internalAddress(settings, 0), berylintake.WithBody(e.maxPeerBody, berylmessage.RequestBytes, peers)},
 		{"metrics", cmp.Or(e.Flags.MetricsAddress, internalAddress(settings, 1)), berylintake.WithoutBody(e.metrics)},
 	}
 }
--- a/internal/node/berylintake/server.go
+++ b/internal/node/berylintake/server.go
@@ -21,8 +21,8 @@
 	headerSlack = 4 << 10
 	// firstBuffer is the size of the first buffer for a body of unknown size.
 	firstBuffer = 4 << 10
-	// decodeFactor is the memory of a peers' request as a multiple of its size, beside the body that is read here: a growing
-	// copy and the decoded message.
+	// decodeFactor is the memory of the copies of a body that WithBody has read, as a multiple of its size: a growing one and the texts of
+	// the decoded message.
 	decodeFactor = 2
 )
 
@@ -279,8 +279,9 @@
 	}
 }
 
-// WithBody reads each body of at most limit bytes before it calls next, for handlers that read bodies of any size.
-func WithBody(limit func() int64, next http.Handler) http.Handler {
+// WithBody reads each body of at most limit bytes before it calls next, for handlers that read bodies of any size. decoded returns how
+// many bytes the body takes once it is decoded, beside copies of it.
+func WithBody(limit func() int64, decoded func(r *http.Request, body []byte) int64, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.ContentLength == 0 {
 			next.ServeHTTP(w, r)
@@ -288,7 +289,7 @@
 		}
 		data, err := ReadBody(w, r, limit())
 		if err == nil {
-			err = Reserve(r.Context(), int64(len(data))*decodeFactor)
+			err = Reserve(r.Context(), int64(len(data))*decodeFactor+decoded(r, data))
 		}
 		if err != nil {
 			writeRefusal(w, err)
--- a/internal/node/berylintake/server_test.go
+++ b/internal/node/berylintake/server_test.go
@@ -304,7 +304,7 @@
 // Guards against a handler of bodies of any size that reads more than the limit, or not all of the body.
 func TestWithBody(t *testing.T) {
 	wrap := func(http.Handler) http.Handler {
-		return WithBody(func() int64 { return testLimit }, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		return WithBody(func() int64 { return testLimit }, func(*http.Request, []byte) int64 { return 0 }, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			b, err := io.ReadAll(r.Body)
 			if err != nil || !bytes.Equal(b, bytes.Repeat([]byte("x"), len(b))) {
 				w.WriteHeader(http.StatusInternalServerError)
--- a/internal/node/beryljobs/remote.go
+++ b/internal/node/beryljobs/remote.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/beryllatch/beryllatch"
+	"github.com/beryllatch/beryllatch/internal/node/berylintake"
 	"github.com/beryllatch/beryllatch/internal/rpc/berylwire"
 )
 
@@ -206,6 +207,10 @@
 	if s == nil {
 		return &berylwire.SubmitJobResponse{Refusal: refusalOf(noScheduler("the node does not schedule"))}, nil
 	}
+	if err := berylintake.Reserve(ctx, beryllatch.DecodedJobBytes(r.GetJob(), len(r.GetJob()))); err != nil {
+		// The job may have been accepted in an earlier attempt, which is not looked up: the other node must not take this for a refusal.
+		return &berylwire.SubmitJobResponse{Refusal: refusalOf(noScheduler(err.Error()))}, nil
+	}
 	var j beryllatch.Job
 	if err := json.Unmarshal(r.GetJob(), &j); err != nil {
 		return nil, err
--- a/internal/node/berylserver/build.go
+++ b/internal/node/berylserver/build.go
@@ -19,6 +19,7 @@
 	"github.com/beryllatch/beryllatch/internal/platform/berylinstance"
 	"github.com/beryllatch/beryllatch/internal/platform/berylobject"
 	"github.com/beryllatch/beryllatch/internal/platform/beryltable"
+	"github.com/beryllatch/beryllatch/internal/rpc/berylmessage"
 	"github.com/beryllatch/beryllatch/internal/upstream/berylworker"
 	"github.com/gorilla/mux"
 	"github.com/rotisserie/eris"
@@ -85,7 +86,7 @@
 		credentials = append(credentials, c)
 	}
 	return handlers{
-		callers: callers, operators: beryloperator.New(s.daemon, credentials), peers: berylintake.WithBody(maxPeerBody, berylpeer.NewHandler(s.daemon)),
+		callers: callers, operators: beryloperator.New(s.daemon, credentials), peers: berylintake.WithBody(maxPeerBody, berylmessage.RequestBytes, berylpeer.NewHandler(s.daemon)),
 		admin: berylintake.WithoutBody(s.admin(metrics)),
 	}, nil
 }
--- /dev/null
+++ b/internal/rpc/berylmessage/doc.go
@@ -0,0 +1,2 @@
+// Package berylmessage estimates the memory of messages before they are decoded.
+package berylmessage
