Bodies that beryllatchd passes on, or takes for tasks, have a charge and a time for their progress

Callers saw: tasks were refused with queue_full for as long as clients sent the payloads of tasks over HTTP/2 and stopped short of their end. Cause: the payload was read without a charge and without a limit of time, and each call waits at the reducer meanwhile; over HTTP/1 a connection whose body is passed on counts as being answered, so that it is never closed for a new one. Evidence: TestRequestNode/tasks_of_HTTP2 got queue_full for a minute; over HTTP/1 the tests hold without this change.

--- a/internal/node/berylcaller/body.go
+++ b/internal/node/berylcaller/body.go
@@ -25,17 +25,21 @@
 	// buffered is the complete body if isBuffered is set.
 	buffered   []byte
 	isBuffered bool
+	// streamed is the body if it isn't buffered.
+	streamed io.Reader
 	// readStarted is true once a part of a streamed body has been read.
 	readStarted bool
 }
 
-func newBody(r *http.Request) *body { return &body{r: r} }
+func newBody(r *http.Request) *body { return &body{r: r, streamed: r.Body} }
 
 // prefetch buffers a small body before the request is admitted, so that a caller that sends it slowly occupies neither
-// a unit nor a worker in the meantime.
+// a unit nor a worker in the meantime. A large one is streamed.
 func (b *body) prefetch(w http.ResponseWriter) error {
 	if b.r.ContentLength > replayLimit || b.r.ContentLength < 0 {
-		return nil
+		streamed, err := berylintake.Stream(w, b.r)
+		b.streamed = streamed
+		return err
 	}
 	rc := http.NewResponseController(w)
 	_ = rc.SetReadDeadline(time.Now().Add(prefetchTimeout))
@@ -53,7 +57,7 @@
 	if b.isBuffered {
 		return bytes.NewReader(b.buffered)
 	}
-	return &trackingReader{b: b, r: io.LimitReader(b.r.Body, maxBody)}
+	return &trackingReader{b: b, r: io.LimitReader(b.streamed, maxBody)}
 }
 
 // replayable reports whether another attempt would get the complete body.
--- a/internal/node/berylintake/intake.go
+++ b/internal/node/berylintake/intake.go
@@ -221,6 +221,14 @@
 	c.usage.answering = c.multiplexed || !c.bodyLeft
 }
 
+// readBody records that the handler has got a part of the body, the last one if ended is set, and that the client is not waited for.
+func (in *Intake) readBody(c *conn, ended bool) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	c.bodyLeft = c.bodyLeft && !ended
+	c.usage.answering = !c.stalled
+}
+
 // bodyEnded records that the body of a request is complete. It returns false if its budget has been given to others.
 func (in *Intake) bodyEnded(c *conn) bool {
 	in.mu.Lock()
--- a/internal/node/beryltaskapi/handler.go
+++ b/internal/node/beryltaskapi/handler.go
@@ -9,6 +9,7 @@
 
 	"github.com/beryllatch/beryllatch"
 	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
+	"github.com/beryllatch/beryllatch/internal/node/berylintake"
 	"github.com/beryllatch/beryllatch/internal/node/berylproblem"
 	"github.com/google/uuid"
 	"github.com/gorilla/mux"
@@ -55,19 +56,23 @@
 type call struct {
 	h       *Handler
 	w       http.ResponseWriter
+	r       *http.Request
 	id      string
 	effects <-chan berylreducer.Effect
 }
 
-func (h *Handler) beginCall(w http.ResponseWriter) *call {
+func (h *Handler) beginCall(w http.ResponseWriter, r *http.Request) *call {
 	id := uuid.NewString()
 	w.Header().Set(berylheader.RequestID, id)
-	return &call{h: h, w: w, id: id, effects: h.calls.open(id)}
+	return &call{h: h, w: w, r: r, id: id, effects: h.calls.open(id)}
 }
 
 func (c *call) end() { c.h.calls.close(c.id) }
 
-func (c *call) refuse(r beryllatch.Refusal) { berylproblem.Write(c.w, c.id, r) }
+func (c *call) refuse(r beryllatch.Refusal) {
+	berylintake.SkipBody(c.w, c.r)
+	berylproblem.Write(c.w, c.id, r)
+}
 
 func (c *call) refuseBadRequest(err error) {
 	c.refuse(beryllatch.Refusal{
@@ -98,7 +103,7 @@
 }
 
 func (h *Handler) submit(w http.ResponseWriter, r *http.Request) {
-	c := h.beginCall(w)
+	c := h.beginCall(w, r)
 	defer c.end()
 	submission, err := parseSubmission(r)
 	if err != nil {
@@ -108,7 +113,7 @@
 	submission.CallID = c.id
 	submission.TaskID = newTaskID()
 	h.Post(submission)
-	a, ok := c.awaitAnswer(r.Context(), func() { h.Post(h.receivePayload(r, submission)) })
+	a, ok := c.awaitAnswer(r.Context(), func() { h.Post(h.receivePayload(w, r, submission)) })
 	if !ok {
 		return
 	}
@@ -139,7 +144,7 @@
 }
 
 func (h *Handler) getTask(w http.ResponseWriter, r *http.Request) {
-	c := h.beginCall(w)
+	c := h.beginCall(w, r)
 	defer c.end()
 	if a, ok := h.lookUp(c, r, berylreducer.TaskQueried{}); ok {
 		writeTask(w, http.StatusOK, a.Task)
@@ -149,7 +154,7 @@
 // cancel answers 202 if the task is cancelled or its cancellation is stored, and 200 with the task's state if it had
 // already finished.
 func (h *Handler) cancel(w http.ResponseWriter, r *http.Request) {
-	c := h.beginCall(w)
+	c := h.beginCall(w, r)
 	defer c.end()
 	a, ok := h.lookUp(c, r, berylreducer.TaskQueried{Cancel: true})
 	if !ok {
--- a/internal/node/beryltaskapi/result.go
+++ b/internal/node/beryltaskapi/result.go
@@ -10,7 +10,7 @@
 )
 
 func (h *Handler) getResult(w http.ResponseWriter, r *http.Request) {
-	c := h.beginCall(w)
+	c := h.beginCall(w, r)
 	defer c.end()
 	a, ok := h.lookUp(c, r, berylreducer.TaskQueried{Result: true})
 	if !ok {
