Operators' calls count towards the budget

Evidence, bound 96 MB: TestRequestNode took 194 MB for calls of 1 MB that stop short, 192 MB for calls over HTTP/2, and for complete calls of empty changes 3,032 MB in JSON and 3,866 MB in protobuf. Cause: the bodies were decoded as they arrived, limited by their size only, without a charge and a limit of time. Change: after the token has been checked, the body is read within the budget, and what it becomes is reserved; a call with a wrong token is refused without reading its body.

--- a/internal/node/beryloperator/server.go
+++ b/internal/node/beryloperator/server.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"strings"
 
+	"github.com/beryllatch/beryllatch/internal/node/berylintake"
+	"github.com/beryllatch/beryllatch/internal/rpc/berylmessage"
 	"github.com/beryllatch/beryllatch/internal/rpc/berylwire"
 	"github.com/twitchtv/twirp"
 )
@@ -21,10 +23,11 @@
 
 // New returns the HTTP handler of the operators' interface, whose paths start with /twirp/.
 func New(n Node, credentials []Credential, opts ...Option) http.Handler {
-	h := &handler{credentials: credentials, maxBody: defaultMaxBody, next: berylwire.NewOperatorServer(&service{node: n})}
+	h := &handler{credentials: credentials, maxBody: defaultMaxBody}
 	for _, o := range opts {
 		o(h)
 	}
+	h.next = berylintake.WithBody(func() int64 { return h.maxBody }, berylmessage.RequestBytes, berylwire.NewOperatorServer(&service{node: n}))
 	return h
 }
 
@@ -40,21 +43,24 @@
 
 // ServeHTTP passes on calls with a known token, with the operator's name in the context, and refuses any other.
 func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	refuse := func(err twirp.Error) {
+		berylintake.SkipBody(w, r)
+		_ = twirp.WriteError(w, err)
+	}
 	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 	if !ok {
-		_ = twirp.WriteError(w, twirp.Unauthenticated.Error("the operator token is missing"))
+		refuse(twirp.Unauthenticated.Error("the operator token is missing"))
 		return
 	}
 	name, ok := identify(h.credentials, token)
 	if !ok {
-		_ = twirp.WriteError(w, twirp.Unauthenticated.Error("the operator token is unknown"))
+		refuse(twirp.Unauthenticated.Error("the operator token is unknown"))
 		return
 	}
 	if r.ContentLength > h.maxBody {
-		_ = twirp.WriteError(w, twirp.InvalidArgument.Errorf("the body is larger than %d bytes", h.maxBody))
+		refuse(twirp.InvalidArgument.Errorf("the body is larger than %d bytes", h.maxBody))
 		return
 	}
-	r.Body = http.MaxBytesReader(w, r.Body, h.maxBody)
 	h.next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), operatorKey{}, name)))
 }
 
