Requests of HTTP/2 count with their headers

A connection of HTTP/2 counted as one connection, whatever it carried: its up to 250 requests had no charge for their headers. Evidence: TestRequestNode/peers,_headers,_HTTP2 took 146 of 96 MB with 20 requests on each of 300 connections. Change: each request counts as a connection and its header until it has been answered, and is refused with 503 and Retry-After without budget.

--- a/internal/node/berylintake/server.go
+++ b/internal/node/berylintake/server.go
@@ -112,9 +112,7 @@
 		}
 		c.intake.began(c, r)
 		if r.ProtoMajor > 1 {
-			var charged atomic.Int64
-			next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), chargeKey{}, &charged)))
-			c.intake.release(c, charged.Load())
+			followStream(w, r, c, next)
 			return
 		}
 		if r.ContentLength == 0 {
@@ -135,6 +133,18 @@
 	})
 }
 
+// followStream serves a request on a multiplexed connection, whose header and body were received without a charge.
+func followStream(w http.ResponseWriter, r *http.Request, c *conn, next http.Handler) {
+	var charged atomic.Int64
+	ctx := context.WithValue(r.Context(), chargeKey{}, &charged)
+	defer func() { c.intake.release(c, charged.Load()) }()
+	if err := Reserve(ctx, connectionCharge+headerFactor*headerSize(r)); err != nil {
+		writeRefusal(w, err)
+		return
+	}
+	next.ServeHTTP(w, r.WithContext(ctx))
+}
+
 // connOf returns the connection of a request, or nil if it has no limits.
 func connOf(r *http.Request) *conn {
 	c, _ := r.Context().Value(connKey{}).(*conn)
