Answers of workers count towards the budget

beryllatchd buffers answers of up to 1 MB before their callers get any of them, which counted towards nothing. Change: an answer counts while it is in memory; without budget it is streamed to the caller, as larger ones are. An answer whose caller has disconnected is kept as before. Evidence: none of the tests failed without this change: TestRequestNode/large_answers held its bound before; it is suspected only.

--- a/internal/node/berylcaller/attempt.go
+++ b/internal/node/berylcaller/attempt.go
@@ -12,11 +12,15 @@
 	"github.com/beryllatch/beryllatch/internal/decision/berylreducer"
 	"github.com/beryllatch/beryllatch/internal/node/beryldaemon"
 	"github.com/beryllatch/beryllatch/internal/node/berylheader"
+	"github.com/beryllatch/beryllatch/internal/node/berylintake"
 )
 
 // answerLimit is the largest answer in bytes that is buffered; a larger one is streamed to the caller.
 const answerLimit = 1 << 20
 
+// firstAnswerBuffer is the size of the first buffer for an answer in bytes.
+const firstAnswerBuffer = 4 << 10
+
 // answer is a complete answer of a worker, held in memory.
 type answer struct {
 	status int
@@ -99,13 +103,13 @@
 }
 
 // receive reads an answer of up to answerLimit bytes completely before the caller gets any of it. It streams a larger
-// one to the caller and returns nil.
+// one to the caller and returns nil, as it does if the node has no memory for the answer.
 func (x *exchange) receive(attempt int, resp *http.Response) (*answer, error) {
-	head, err := io.ReadAll(io.LimitReader(resp.Body, answerLimit+1))
+	head, complete, err := x.readAnswer(resp.Body)
 	if err != nil && !x.h.ignoreTruncation {
 		return nil, err
 	}
-	if len(head) <= answerLimit {
+	if complete || err != nil {
 		a := &answer{status: resp.StatusCode, header: resp.Header, body: head}
 		return a, x.setBuffered(attempt, a)
 	}
@@ -126,6 +130,35 @@
 	return nil, err
 }
 
+// readAnswer reads an answer until its end, until it has more than answerLimit bytes, or until there is no budget for more of it; complete
+// is false then.
+func (x *exchange) readAnswer(body io.Reader) (head []byte, complete bool, err error) {
+	for {
+		if len(head) == cap(head) {
+			size := min(max(2*cap(head), firstAnswerBuffer), answerLimit+1)
+			if len(head) == size || !x.reserve(size-cap(head)) {
+				return head, false, nil
+			}
+			head = append(make([]byte, 0, size), head...)
+		}
+		n, err := body.Read(head[len(head):cap(head)])
+		head = head[:len(head)+n]
+		if errors.Is(err, io.EOF) {
+			return head, true, nil
+		}
+		if err != nil {
+			return head, false, err
+		}
+	}
+}
+
+// reserve reports whether an answer may take n more bytes. That of a caller that has disconnected needs no budget: it is kept only for its
+// idempotency key, and the team's ceiling bounds how many there are.
+func (x *exchange) reserve(n int) bool {
+	ctx := x.r.Context()
+	return berylintake.Reserve(ctx, int64(n)) == nil || ctx.Err() != nil
+}
+
 // lenientWriter writes to the caller until a write fails, then discards everything. It never returns an error, so that
 // an error of io.Copy is always one of the worker's answer.
 type lenientWriter struct {
