The stand-ins' load balancer survives clients that use up its descriptors

Evidence: TestBalancer/silent, with 600 descriptors and 300 silent connections: an ordinary request was not answered within a minute. Cause: the balancer ended with the first connection that could not be accepted, and the platform with it; and nothing bounded its connections. Change: it accepts again after a pause, and closes the connection that was not used for the longest time when half of its descriptors are used. TestBalancerUnderPressure shows both without the daemon.

--- a/internal/standin/berylplatform/balancer.go
+++ b/internal/standin/berylplatform/balancer.go
@@ -1,17 +1,23 @@
 package berylplatform
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/gorilla/mux"
 
 	"github.com/beryllatch/beryllatch"
+	"github.com/beryllatch/beryllatch/internal/node/berylintake"
 	"github.com/beryllatch/beryllatch/internal/standin/berylreply"
 )
 
@@ -25,8 +31,18 @@
 	entries map[string]entry
 	// next is the index, among the ready daemons, of the one that gets the next connection.
 	next int
+	// relays holds the forwarded connections, at most maxRelays.
+	relays    map[*activeConn]struct{}
+	maxRelays int
 }
 
+const (
+	// relayFDs is how many descriptors a forwarded connection takes: those of the client's side and of the daemon's.
+	relayFDs = 2
+	// acceptPause is the pause after a connection could not be accepted, since descriptors are short.
+	acceptPause = 50 * time.Millisecond
+)
+
 // entry is the state of one entry daemon; Admin is the address of its admin listener.
 type entry struct {
 	Admin string `json:"admin"`
@@ -35,9 +51,9 @@
 
 func newBalancer(interval time.Duration) *Balancer {
 	return &Balancer{
-		interval: interval,
-		client:   &http.Client{Timeout: time.Second, Transport: &http.Transport{IdleConnTimeout: time.Minute}},
-		entries:  make(map[string]entry),
+		interval: interval, relays: make(map[*activeConn]struct{}), maxRelays: maxRelays(berylintake.ProcessFDs()),
+		client:  &http.Client{Timeout: time.Second, Transport: &http.Transport{IdleConnTimeout: time.Minute}},
+		entries: make(map[string]entry),
 	}
 }
 
@@ -68,11 +84,72 @@
 		if ctx.Err() != nil {
 			return nil
 		}
+		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+			time.Sleep(acceptPause)
+			continue
+		}
 		if err != nil {
 			return err
 		}
-		go b.forward(ctx, c)
+		go b.forward(ctx, b.add(c))
+	}
+}
+
+// maxRelays returns how many connections are forwarded at once with the given limit of descriptors, of which the platform's servers use a
+// quarter for connections and another one for all else.
+func maxRelays(maxFDs int) int {
+	if maxFDs <= 0 {
+		maxFDs = defaultFDs
+	}
+	return max(maxFDs/2/relayFDs, 1)
+}
+
+// defaultFDs is the assumed limit of descriptors if the system's is not known.
+const defaultFDs = 1024
+
+// activeConn is a client's connection that knows when it was last used.
+type activeConn struct {
+	net.Conn
+	usedAt atomic.Int64
+}
+
+// Read records that the client has sent something.
+func (c *activeConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.usedAt.Store(time.Now().UnixNano())
 	}
+	return n, err
+}
+
+// CloseWrite ends the answers to the client.
+func (c *activeConn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return nil
+}
+
+// add registers a client's connection. If there are too many, it closes the one that was not used for the longest time.
+func (b *Balancer) add(raw net.Conn) *activeConn {
+	c := &activeConn{Conn: raw}
+	c.usedAt.Store(time.Now().UnixNano())
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.relays) >= b.maxRelays {
+		oldest := slices.MinFunc(slices.Collect(maps.Keys(b.relays)), func(x, y *activeConn) int { return cmp.Compare(x.usedAt.Load(), y.usedAt.Load()) })
+		delete(b.relays, oldest)
+		_ = oldest.Close() // Its relay ends.
+	}
+	b.relays[c] = struct{}{}
+	return c
+}
+
+func (b *Balancer) release(c *activeConn) {
+	b.mu.Lock()
+	delete(b.relays, c)
+	b.mu.Unlock()
+	_ = c.Close() // Its relay has ended.
 }
 
 func (b *Balancer) pollReadiness(ctx context.Context) {
@@ -143,8 +220,8 @@
 }
 
 // forward connects c with the first entry daemon that accepts a connection, and closes it if there is none.
-func (b *Balancer) forward(ctx context.Context, c net.Conn) {
-	defer func() { _ = c.Close() }()
+func (b *Balancer) forward(ctx context.Context, c *activeConn) {
+	defer b.release(c)
 	d := net.Dialer{Timeout: time.Second}
 	for _, a := range b.nextAddresses() {
 		entryConn, err := d.DialContext(ctx, "tcp", a)
