The tests of hostile connections run through the same crowd

The older tests had a crowd and a check of their own; they are the same with the clients and the check of the newer ones. Settings, crowd, kinds and bounds are unchanged.

--- a/internal/bench/beryloverload/crowd_test.go
+++ b/internal/bench/beryloverload/crowd_test.go
@@ -60,8 +60,8 @@
 	w.failed = err != nil || resp.Close
 }
 
-// attackWith opens the hostile connections to an address, each with a client.
-func attackWith(t *testing.T, address string, run client) *hostileClients {
+// attack opens the hostile connections to an address, each with a client.
+func attack(t *testing.T, address string, run client) *hostileClients {
 	h := &hostileClients{done: make(chan struct{})}
 	for n := range connections {
 		h.sending.Add(1)
@@ -259,7 +259,7 @@
 func testClients(t *testing.T, n target, listener string, run client) {
 	t.Helper()
 	n.checkOrdinaryRequests(t, listener)
-	h := attackWith(t, n.address(listener), run)
+	h := attack(t, n.address(listener), run)
 	defer h.stop()
 	h.sending.Wait()
 	// Slow clients send their next bytes meanwhile.
--- a/internal/bench/beryloverload/hostile_test.go
+++ b/internal/bench/beryloverload/hostile_test.go
@@ -8,8 +8,6 @@
 	"sync"
 	"testing"
 	"time"
-
-	"gotest.tools/v3/assert"
 )
 
 // writeTimeout is after how long a client counts a write as blocked by the node.
@@ -85,40 +83,6 @@
 	done    chan struct{}
 }
 
-// attack opens the hostile connections to an address. After its request, each client sends one byte a second if slow.
-func attack(t *testing.T, address string, slow bool, requestOf func(n int) request) *hostileClients {
-	h := &hostileClients{done: make(chan struct{})}
-	for n := range connections {
-		h.sending.Add(1)
-		h.all.Go(func() {
-			c, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", address)
-			if err != nil {
-				h.sending.Done()
-				return
-			}
-			defer func() { _ = c.Close() }() // The test has ended.
-			r := requestOf(n)
-			ok := send(c, []byte(r.head))
-			for range r.count {
-				ok = ok && send(c, r.piece)
-			}
-			ok = ok && send(c, r.tail)
-			h.sending.Done()
-			for i := 0; ; i++ {
-				select {
-				case <-h.done:
-					return
-				case <-time.After(time.Second):
-				}
-				if slow && ok {
-					ok = send(c, []byte{r.slow[i%len(r.slow)]})
-				}
-			}
-		})
-	}
-	return h
-}
-
 // send reports whether the node has taken the bytes; a node may refuse them.
 func send(c net.Conn, b []byte) bool {
 	if c.SetWriteDeadline(time.Now().Add(writeTimeout)) != nil {
@@ -151,11 +115,7 @@
 				for _, pace := range []string{"silent", "slow"} {
 					name := strings.ReplaceAll(strings.Join([]string{k.name, listener, key, pace}, ","), " ", "_")
 					t.Run(strings.ReplaceAll(name, ",,", ","), func(t *testing.T) {
-						held := 1
-						if pace == "slow" {
-							held = slowBytes
-						}
-						testKind(t, program, k, listener, key, pace == "slow", held)
+						testKind(t, program, k, listener, key, pace == "slow")
 					})
 				}
 			}
@@ -163,22 +123,10 @@
 	}
 }
 
-func testKind(t *testing.T, program string, k kind, listener, key string, slow bool, held int) {
-	n := startNode(t, program)
-	n.checkOrdinaryRequests(t, listener)
-	secret := validKey
+func testKind(t *testing.T, program string, k kind, listener, key string, slow bool) {
+	token := "Token " + validKey
 	if key == "wrong key" {
-		secret = "wrong"
+		token = "Token wrong"
 	}
-	h := attack(t, n.address(listener), slow, func(i int) request {
-		head := fmt.Sprintf("POST /q/%016x HTTP/1.1\r\nHost: %s\r\nAuthorization: Token %s\r\n", 1<<32+i, host, secret)
-		return k.request(head, held)
-	})
-	defer h.stop()
-	h.sending.Wait()
-	// Slow clients send their next bytes meanwhile.
-	time.Sleep(3 * time.Second)
-	n.checkOrdinaryRequests(t, listener)
-	n.checkBounds(t)
-	assert.Assert(t, n.running(), "the process has ended")
+	testClients(t, startNode(t, program), listener, stops(k, token, slow))
 }
