--- a/internal/bench/beryloverload/doc.go
+++ b/internal/bench/beryloverload/doc.go
@@ -1,3 +1,3 @@
-// Package beryloverload tests that hostile connections neither end an entry node nor keep it from answering other
-// callers. Its tests start the node as a process of its own.
+// Package beryloverload tests that hostile clients neither end a process of the system nor keep it from answering others. Its
+// tests start the process, with lowered limits, and check its memory and its descriptors.
 package beryloverload
--- a/internal/bench/beryloverload/peer_test.go
+++ b/internal/bench/beryloverload/peer_test.go
@@ -16,7 +16,7 @@
 	jobBody  = 1 << 20
 )
 
-// call returns the head of a call of a method with a body of the given length and type, without the empty line at its end.
+// rpcHead returns the head of a call with a body of the given type and length, without the empty line at its end.
 func rpcHead(path, contentType, authorization string, length int) string {
 	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nAuthorization: %s\r\nContent-Type: %s\r\nContent-Length: %d\r\n", path, host, authorization, contentType, length)
 }
