--- a/internal/node/berylcaller/body.go
+++ b/internal/node/berylcaller/body.go
@@ -25,13 +25,13 @@
 	// buffered is the complete body if isBuffered is set.
 	buffered   []byte
 	isBuffered bool
-	// streamed is the body if it isn't buffered.
+	// streamed is the body if it isn't buffered; prefetch sets it.
 	streamed io.Reader
 	// readStarted is true once a part of a streamed body has been read.
 	readStarted bool
 }
 
-func newBody(r *http.Request) *body { return &body{r: r, streamed: r.Body} }
+func newBody(r *http.Request) *body { return &body{r: r} }
 
 // prefetch buffers a small body before the request is admitted, so that a caller that sends it slowly occupies neither
 // a unit nor a worker in the meantime. A large one is streamed.
--- a/internal/node/berylcaller/handler.go
+++ b/internal/node/berylcaller/handler.go
@@ -67,11 +67,9 @@
 	f := beryllatch.Refusal{Reason: beryllatch.ReasonBadRequest, RunState: beryllatch.RunStateNotRun, Detail: err.Error()}
 	var refused *berylintake.RefusedError
 	if errors.As(err, &refused) {
-		switch refused.Status() {
-		case http.StatusRequestTimeout:
-			f.Reason = beryllatch.ReasonRequestTooSlow
-		case http.StatusServiceUnavailable:
-			f.Reason, f.RetryAfter = beryllatch.ReasonNoMemory, time.Second
+		f.Reason = refused.Reason()
+		if refused.Status() == http.StatusServiceUnavailable {
+			f.RetryAfter = time.Second
 		}
 	}
 	return f
--- a/internal/node/berylintake/server.go
+++ b/internal/node/berylintake/server.go
@@ -12,6 +12,8 @@
 	"os"
 	"sync/atomic"
 	"time"
+
+	"github.com/beryllatch/beryllatch"
 )
 
 const (
@@ -55,6 +57,17 @@
 	return http.StatusServiceUnavailable
 }
 
+// Reason returns the reason of the refusal.
+func (e *RefusedError) Reason() beryllatch.Reason {
+	switch e.Kind {
+	case KindBody:
+		return beryllatch.ReasonBodyTooLarge
+	case KindSlowBody:
+		return beryllatch.ReasonRequestTooSlow
+	}
+	return beryllatch.ReasonNoMemory
+}
+
 type connKey struct{}
 
 // chargeKey is the context key of what is charged for a request on a multiplexed connection, as a *atomic.Int64.
--- a/internal/node/beryltaskapi/payload.go
+++ b/internal/node/beryltaskapi/payload.go
@@ -45,12 +45,7 @@
 func bodyReason(err error) beryllatch.Reason {
 	var refused *berylintake.RefusedError
 	if errors.As(err, &refused) {
-		switch refused.Status() {
-		case http.StatusRequestTimeout:
-			return beryllatch.ReasonRequestTooSlow
-		case http.StatusServiceUnavailable:
-			return beryllatch.ReasonNoMemory
-		}
+		return refused.Reason()
 	}
 	return beryllatch.ReasonBadRequest
 }
