The balancer takes its limit of connections from berylintake

The stand-ins' balancer derived a limit of its own from the descriptors, with a default that berylintake has, too.

--- a/internal/standin/berylplatform/balancer.go
+++ b/internal/standin/berylplatform/balancer.go
@@ -36,12 +36,8 @@
 	maxRelays int
 }
 
-const (
-	// relayFDs is how many descriptors a forwarded connection takes: those of the client's side and of the daemon's.
-	relayFDs = 2
-	// acceptPause is the pause after a connection could not be accepted, since descriptors are short.
-	acceptPause = 50 * time.Millisecond
-)
+// acceptPause is the pause after a connection could not be accepted, since descriptors are short.
+const acceptPause = 50 * time.Millisecond
 
 // entry is the state of one entry daemon; Admin is the address of its admin listener.
 type entry struct {
@@ -51,7 +47,7 @@
 
 func newBalancer(interval time.Duration) *Balancer {
 	return &Balancer{
-		interval: interval, relays: make(map[*activeConn]struct{}), maxRelays: maxRelays(berylintake.ProcessFDs()),
+		interval: interval, relays: make(map[*activeConn]struct{}), maxRelays: berylintake.LimitsFor(0, berylintake.ProcessFDs()).Connections,
 		client:  &http.Client{Timeout: time.Second, Transport: &http.Transport{IdleConnTimeout: time.Minute}},
 		entries: make(map[string]entry),
 	}
@@ -95,18 +91,6 @@
 	}
 }
 
-// maxRelays returns how many connections are forwarded at once with the given limit of descriptors, of which the platform's servers use a
-// quarter for connections and another one for all else.
-func maxRelays(maxFDs int) int {
-	if maxFDs <= 0 {
-		maxFDs = defaultFDs
-	}
-	return max(maxFDs/2/relayFDs, 1)
-}
-
-// defaultFDs is the assumed limit of descriptors if the system's is not known.
-const defaultFDs = 1024
-
 // activeConn is a client's connection that knows when it was last used.
 type activeConn struct {
 	net.Conn
