--- a/review/rig-3/client.go
+++ b/review/rig-3/client.go
@@ -32,6 +32,9 @@
 // route is a queue of the configuration.
 type route struct{ name, prefix string }
 
+// statusS replaces status_s of the settings if it is set, for cases that can't wait for so long.
+var statusS int
+
 // newSystem starts the stand-ins, and count nodes.
 func newSystem(ctx context.Context, rec *record, dir string, count, workers int, routes []route) (*system, error) {
 	// Each run has loopback addresses of its own, so that several can run beside each other.
@@ -70,10 +73,15 @@
 	for i := range count {
 		n, err := newNode(fmt.Sprintf("frontend-nbo-a-%d", i+1), fmt.Sprintf("127.%s.%d", net, i+11), storeAddress, machines, dir, rec)
 		if err != nil {
+			s.stop()
 			return nil, err
 		}
+		if statusS > 0 {
+			n.StatusS = statusS
+		}
 		s.nodes = append(s.nodes, n)
 		if err := n.start(); err != nil {
+			s.stop()
 			return nil, err
 		}
 	}
--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -3,12 +3,15 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -84,10 +87,15 @@
 	} else {
 		fmt.Println(filepath.Clean(dir))
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), 115*time.Second)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	ctx, cancel := context.WithTimeout(ctx, 115*time.Second)
 	defer cancel()
 	rec := &record{f: f}
 	code, err := play(ctx, rec, dir, os.Getenv("TROUBLE") != "0")
+	if errors.Is(context.Cause(ctx), context.Canceled) && err == nil {
+		err = errors.New("the run was interrupted")
+	}
 	if err != nil {
 		rec.write("the case could not run: %v", err)
 		fmt.Fprintln(os.Stderr, err)
--- a/review/rig-3/node.go
+++ b/review/rig-3/node.go
@@ -18,6 +18,7 @@
 // node is a process of the system.
 type node struct {
 	Name, IP                                string
+	StatusS                                 int
 	Port, ReadyPort, InternalPort, LastPort int
 	Store, Machines                         string
 	program, dir                            string
@@ -31,7 +32,7 @@
 
 // newNode returns a node at a loopback address of its own with free ports.
 func newNode(name, ip, store, machines, dir string, rec *record) (*node, error) {
-	n := &node{Name: name, IP: ip, Store: store, Machines: machines, dir: dir, program: "target/beryljobd", record: rec}
+	n := &node{Name: name, IP: ip, StatusS: 120, Store: store, Machines: machines, dir: dir, program: "target/beryljobd", record: rec}
 	var free []int
 	for range 2 {
 		ln, err := net.Listen("tcp", ip+":0")
