--- a/review/rig-3/client.go
+++ b/review/rig-3/client.go
@@ -37,6 +37,11 @@
 
 // newSystem starts the stand-ins, and count nodes.
 func newSystem(ctx context.Context, rec *record, dir string, count, workers int, routes []route) (*system, error) {
+	return newSystemWith(ctx, rec, dir, count, workers, routes, func(*fleet) error { return nil })
+}
+
+// newSystemWith is newSystem with preparations before the workers begin.
+func newSystemWith(ctx context.Context, rec *record, dir string, count, workers int, routes []route, prepare func(*fleet) error) (*system, error) {
 	// Each run has loopback addresses of its own, so that several can run beside each other.
 	net := fmt.Sprintf("%d.%d", 16+os.Getpid()%200, 1+rand.N(250))
 	st := &store{answerTime: 4 * time.Millisecond}
@@ -64,6 +69,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := prepare(s.fleet); err != nil {
+		return nil, err
+	}
 	for i := range workers {
 		if err := s.fleet.add(fmt.Sprintf("m-%02d", i), fmt.Sprintf("r%d", i/4)); err != nil {
 			return nil, err
--- a/review/rig-3/worker.go
+++ b/review/rig-3/worker.go
@@ -78,6 +78,12 @@
 	// again holds the tasks that were started after their end was taken note of.
 	noted map[string]time.Time
 	again []string
+	// kinds holds the labels of machines whose kind isn't "a"; refuses, if set, says whether the worker on a machine is unhealthy and
+	// answers starts with 503.
+	kinds   map[string]string
+	refuses func(machine string) bool
+	// fronts holds the proxies before the workers' machines, if there are any.
+	fronts map[string]*front
 }
 
 func newFleet(s *store, pool string, rec *record) *fleet {
@@ -116,6 +122,11 @@
 	f.mu.Unlock()
 	w.server = &http.Server{Handler: w}
 	go func() { _ = w.server.Serve(ln) }()
+	f.mu.Lock()
+	if p := f.fronts[machine]; p != nil {
+		w.address = p.address
+	}
+	f.mu.Unlock()
 	f.register(w)
 	return nil
 }
@@ -133,7 +144,7 @@
 	f.mu.Unlock()
 	b, err := json.Marshal(body{
 		"service": f.pool, "address": w.address, "zone": "nbo-a", "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0,
-		"capacity": body{"cpu": workerCPU, "mem_mb": workerMem, "gpu": 0}, "labels": []string{"a", w.rack}, "sequence": sequence,
+		"capacity": body{"cpu": workerCPU, "mem_mb": workerMem, "gpu": 0}, "labels": []string{f.kind(w.machine), w.rack}, "sequence": sequence,
 		"machine": w.machine, "born": w.born.UnixMilli(), "clock_ms": w.clock().Milliseconds(),
 	})
 	if err != nil {
@@ -142,6 +153,14 @@
 	f.store.put(row{Table: "servers", Key: w.id, Value: b})
 }
 
+// kind returns the label of a machine's kind.
+func (f *fleet) kind(machine string) string {
+	if k, ok := f.kinds[machine]; ok {
+		return k
+	}
+	return "a"
+}
+
 // ping renews all registrations until ctx ends.
 func (f *fleet) ping(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -172,7 +191,11 @@
 		return fmt.Errorf("no worker on %s", machine)
 	}
 	time.Sleep(after)
-	if err := f.begin(machine, w.rack, w.id, w.address); err != nil {
+	address := w.address
+	if f.fronts[machine] != nil {
+		address = "127.0.0.1:0"
+	}
+	if err := f.begin(machine, w.rack, w.id, address); err != nil {
 		return err
 	}
 	f.record.write("worker %s on %s has started again under its id", w.id, machine)
@@ -219,7 +242,7 @@
 	f.mu.Lock()
 	out := []body{}
 	for m, rack := range f.racks {
-		e := body{"machine": m, "pool": f.pool, "state": "down", "zone": "nbo-a", "labels": []string{"a", rack}, "capacity": body{"cpu": workerCPU, "mem_mb": workerMem, "gpu": 0}}
+		e := body{"machine": m, "pool": f.pool, "state": "down", "zone": "nbo-a", "labels": []string{f.kind(m), rack}, "capacity": body{"cpu": workerCPU, "mem_mb": workerMem, "gpu": 0}}
 		if k := f.workers[m]; k != nil {
 			e["state"], e["id"] = "up", k.id
 		}
@@ -241,6 +264,11 @@
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if refuses := w.fleet.refuses; refuses != nil && r.URL.Path == wire["start"] && refuses(w.machine) {
+		w.fleet.record.write("worker %s is unhealthy and answers the start of %s with 503", w.id, o.text("task"))
+		rw.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	w.mu.Lock()
 	if w.gone {
 		w.mu.Unlock()
@@ -381,10 +409,6 @@
 		f.done[r.task] = time.Now()
 		f.mu.Unlock()
 	}
-	if w.last <= w.acked {
-		f.record.write("worker %s: the end %d of %s run %d (%s) is up to the cursor %d that this life was given before", w.id, w.last, r.task, r.number, how, w.acked)
-	}
-	w.acknowledge(w.acked)
 	close(w.wake)
 	w.wake = make(chan struct{})
 }
