--- a/review/rig-3/case12.go
+++ b/review/rig-3/case12.go
@@ -14,14 +14,14 @@
 func init() { cases["12"] = endedJobsStay }
 
 const (
-	flowRate = 330             // Jobs a second.
+	flowRate = 700             // Jobs a second.
 	outage   = 2 * time.Second // How long the store answers 503.
 )
 
 // endedJobsStay sends a steady flow of jobs. While the store turns transactions away, some clients leave and cancel the job that they have
 // not had an answer for. Afterwards everything is calm, and jobs have to go on being accepted.
 func endedJobsStay(ctx context.Context, rec *record, dir string, trouble bool) (int, error) {
-	statusS = 30
+	statusS = 20
 	s, err := newSystem(ctx, rec, dir, 3, 8, []route{{"quick", "/quick/"}})
 	if err != nil {
 		return notRun, err
@@ -30,7 +30,7 @@
 	var refusing atomic.Bool
 	s.store.refuse = refusing.Load
 	sleep(ctx, 5*time.Second)
-	traffic, end := context.WithTimeout(ctx, 100*time.Second)
+	traffic, end := context.WithTimeout(ctx, 104*time.Second)
 	defer end()
 	if trouble {
 		time.AfterFunc(3*time.Second, func() {
@@ -55,13 +55,11 @@
 		counts[k]++
 		total[k]++
 	}
-	lastSecond := make(map[string]int)
 	go func() {
 		for traffic.Err() == nil {
 			sleep(traffic, time.Second)
 			mu.Lock()
 			rec.write("answers in the last second: %v; rows in the store: %d", counts, s.store.count())
-			lastSecond = counts
 			counts = make(map[string]int)
 			mu.Unlock()
 		}
@@ -88,26 +86,24 @@
 				})
 			}
 			r := s.call(post, http.MethodPost, "/quick/"+id, body{"spec": "30", "steps": []body{{"count": 1, "cpu": 100, "mem_mb": 64, "estimate_ms": 30}}})
-			if traffic.Err() == nil {
+			// What a client gave up early isn't owed.
+			if traffic.Err() == nil && post.Err() == nil {
 				count(r)
 			}
 		})
 	}
 	wg.Wait()
-	rec.write("all answers: %v", total)
-	mu.Lock()
-	defer mu.Unlock()
-	accepted, refused := lastSecond["200"], 0
-	for k, n := range lastSecond {
-		if strings.HasPrefix(k, "503") {
-			refused += n
-		}
+	owed, accepted := 0, total["200"]
+	for _, n := range total {
+		owed += n
 	}
-	rec.write("in the last second, %d jobs were accepted and %d refused with 503", accepted, refused)
-	if total["200"] < 1000 {
-		return notRun, fmt.Errorf("only %d jobs were accepted", total["200"])
+	rec.write("all answers: %v", total)
+	rec.write("%d of %d submissions were refused or failed (%.0f %%)", owed-accepted, owed, 100*float64(owed-accepted)/float64(max(owed, 1)))
+	if accepted < 1000 {
+		return notRun, fmt.Errorf("only %d jobs were accepted", accepted)
 	}
-	if refused > 2*accepted {
+	// The gate allows 60 %.
+	if 10*(owed-accepted) > 6*owed {
 		return broken, nil
 	}
 	return held, nil
