The rig of the third review leaves no process behind when it is killed

Seen: SIGHUP and SIGKILL to a running script left its three nodes; SIGTERM and SIGINT left none. The rig now handles SIGHUP, and its nodes get SIGKILL when it dies.

--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -87,7 +87,7 @@
 	} else {
 		fmt.Println(filepath.Clean(dir))
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
 	defer stop()
 	ctx, cancel := context.WithTimeout(ctx, 115*time.Second)
 	defer cancel()
--- a/review/rig-3/node.go
+++ b/review/rig-3/node.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"sync"
 	"syscall"
 	"text/template"
@@ -60,6 +61,19 @@
 	return nil, fmt.Errorf("no free ports on %s", ip)
 }
 
+// starts passes the starts of processes to one thread that lasts as long as the rig: the system ends a process when the thread that started
+// it ends, so that none is left if the rig is killed.
+var starts = make(chan func())
+
+func init() {
+	go func() {
+		runtime.LockOSThread()
+		for start := range starts {
+			start()
+		}
+	}()
+}
+
 // start starts the process with the command of the deploy file.
 func (n *node) start() error {
 	var text bytes.Buffer
@@ -78,7 +92,10 @@
 	cmd := exec.Command(n.program)
 	cmd.Env = append([]string{"BERYLLATCH_CONFIG=" + path}, "PATH="+os.Getenv("PATH"), "HOME="+os.Getenv("HOME"))
 	cmd.Stdout, cmd.Stderr = out, &stderr
-	if err := cmd.Start(); err != nil {
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	started := make(chan error, 1)
+	starts <- func() { started <- cmd.Start() }
+	if err := <-started; err != nil {
 		return err
 	}
 	ended := make(chan struct{})
