The scheduler logs completions that a worker has forgotten unread

The log had run_lost with "worker no longer lists it" for each, and nothing that tells a run that never reached the restarted worker from one whose completion was forgotten there.

Change: completions_missing, with their count, when a worker's numbers have a gap.

--- a/internal/decision/berylscheduler/incarnation.go
+++ b/internal/decision/berylscheduler/incarnation.go
@@ -10,6 +10,8 @@
 type incarnation struct {
 	// discoveredAt is when the scheduler learned of the incarnation.
 	discoveredAt time.Time
+	// restarted is true if the scheduler knew the incarnation before, whose orders may still reach this one.
+	restarted bool
 	// synced is true once the scheduler knows all runs on the worker: its lists have been read in this epoch, all leases that it
 	// can hold have expired, or it cannot have had runs before this epoch.
 	synced bool
@@ -56,7 +58,7 @@
 	}
 	s.emit(Decision{Name: "worker_restarted", Worker: w.info.ID, Detail: fmt.Sprintf("incarnation %d after %d", number, w.info.Incarnation)})
 	w.info.Incarnation = number
-	w.incarnation = incarnation{discoveredAt: s.now}
+	w.incarnation = incarnation{discoveredAt: s.now, restarted: true}
 	if s.mayHoldLease(w) {
 		// Its orders may have reached the new incarnation, on whose clock the lease is the longest possible one.
 		w.leasesExpireBy = laterTime(w.leasesExpireBy, s.now.Add(expiryBound(s.Limits.MaxLease)))
@@ -97,6 +99,17 @@
 	return w.failedHolds == 0 && !w.lastContact.IsZero() && s.now.Sub(w.lastContact) <= contactValidity
 }
 
+// checkNumber logs completions that the worker has forgotten before it listed them. Those before the first list that is read are
+// missing only if the worker has started again since the scheduler has known it: an earlier epoch may have acknowledged them otherwise.
+func (s *Scheduler) checkNumber(w *worker, number int64) {
+	if missing := number - w.lastCompletion - 1; missing > 0 && (w.lastCompletion > 0 || w.restarted) {
+		s.emit(Decision{
+			Name: "completions_missing", Worker: w.info.ID,
+			Detail: fmt.Sprintf("%d before number %d, incarnation %d", missing, number, w.info.Incarnation), Age: s.now.Sub(w.discoveredAt),
+		})
+	}
+}
+
 func (w *worker) setClock(clock time.Duration, at time.Time) {
 	if clock > 0 {
 		w.clock, w.clockAt = clock, at
--- a/internal/decision/berylscheduler/run.go
+++ b/internal/decision/berylscheduler/run.go
@@ -358,6 +358,7 @@
 func (s *Scheduler) applyLists(w *worker, e WorkerHeld) {
 	for _, f := range e.Lists.Finished {
 		if f.Number > w.lastCompletion {
+			s.checkNumber(w, f.Number)
 			w.lastCompletion = f.Number
 			s.recordCompletion(w, f)
 		}
