Completions are acknowledged once, and not while an order is unanswered

Cause: each hold to a worker in contact repeated the last number, also when the worker had taken note of it. If the worker had started again unnoticed, any such hold made it forget completions up to that number. A start that has no answer may have begun there.

--- a/internal/decision/berylscheduler/entry_test.go
+++ b/internal/decision/berylscheduler/entry_test.go
@@ -78,7 +78,7 @@
 		holds := h.holds
 		h.holds = nil
 		for _, f := range holds {
-			e := WorkerHeld{Worker: f.Worker.ID, Fence: f.Order.Fence, Sent: f.sent}
+			e := WorkerHeld{Worker: f.Worker.ID, Fence: f.Order.Fence, Acknowledge: f.Order.Acknowledge, Sent: f.sent}
 			e.Lists.Incarnation, e.Lists.Clock = f.incarnation, time.Second
 			if f.Worker.ID == "a" {
 				e.Lists.Incarnation, e.Lists.Running = 2, runningLists(starts, 50)["a"].Running
--- a/internal/decision/berylscheduler/event.go
+++ b/internal/decision/berylscheduler/event.go
@@ -50,8 +50,8 @@
 // WorkerHeld is the outcome of a HoldWorker effect.
 type WorkerHeld struct {
 	Worker string
-	// Fence is copied from the order.
-	Fence int64
+	// Fence and Acknowledge are copied from the order.
+	Fence, Acknowledge int64
 	// Sent is when the hold was sent.
 	Sent  time.Time
 	Lists beryllatch.WorkerLists
--- a/internal/decision/berylscheduler/harness_test.go
+++ b/internal/decision/berylscheduler/harness_test.go
@@ -187,7 +187,7 @@
 	holds := h.holds
 	h.holds = nil
 	for _, hold := range holds {
-		e := WorkerHeld{Worker: hold.Worker.ID, Fence: hold.Order.Fence, Sent: hold.sent, Probe: hold.Probe, Lists: lists[hold.Worker.ID]}
+		e := WorkerHeld{Worker: hold.Worker.ID, Fence: hold.Order.Fence, Acknowledge: hold.Order.Acknowledge, Sent: hold.sent, Probe: hold.Probe, Lists: lists[hold.Worker.ID]}
 		e.Lists.Clock, e.Lists.Incarnation = h.clock(), hold.incarnation
 		for _, id := range unanswered {
 			if hold.Worker.ID == id {
--- a/internal/decision/berylscheduler/hold.go
+++ b/internal/decision/berylscheduler/hold.go
@@ -169,9 +169,11 @@
 	if w.failedHolds == 0 {
 		order.LeaseEnd = s.grantLease(w)
 	}
-	if s.inContact(w) {
+	mayAcknowledge := s.inContact(w) && !w.answerMissing
+	if mayAcknowledge {
 		w.sentAcknowledge = order.Acknowledge
-	} else {
+	}
+	if !mayAcknowledge || order.Acknowledge <= w.acknowledgeTaken {
 		// Another incarnation would forget completions that the scheduler has never read, since their numbers start anew.
 		order.Acknowledge = 0
 	}
@@ -238,6 +240,7 @@
 		// Until now, orders to the incarnation before may have granted a lease, which is the longest possible one on this one's clock.
 		w.leasesExpireBy = laterTime(w.leasesExpireBy, s.now.Add(expiryBound(s.Limits.MaxLease)))
 	}
+	w.acknowledgeTaken = max(w.acknowledgeTaken, e.Acknowledge)
 	w.answerMissing = false
 	if w.failedHolds > 0 {
 		s.emit(Decision{Name: "worker_regained", Worker: w.info.ID})
--- a/internal/decision/berylscheduler/incarnation.go
+++ b/internal/decision/berylscheduler/incarnation.go
@@ -39,7 +39,9 @@
 	// lastCompletion is the number of the last completion that was applied. The worker may forget completions up to
 	// acknowledged, which has been sent up to sentAcknowledge.
 	lastCompletion, acknowledged, sentAcknowledge int64
-	unacknowledged                                []unacknowledgedCompletion
+	// acknowledgeTaken is the highest number in a hold that was answered.
+	acknowledgeTaken int64
+	unacknowledged   []unacknowledgedCompletion
 
 	// preparingSince is since when the worker has been prepared and not usable.
 	preparingSince time.Time
--- a/internal/decision/berylscheduler/incarnation_test.go
+++ b/internal/decision/berylscheduler/incarnation_test.go
@@ -295,3 +295,52 @@
 	h.register("b")
 	h.awaitLongestLease(answered, "a")
 }
+
+// A number that the worker has taken note of must not be sent again: if the worker starts again unnoticed, its next incarnation would forget
+// completions that nobody has read (TWICE).
+func TestAcknowledgementIsSentOnce(t *testing.T) {
+	h := newHarness(t)
+	h.register("a")
+	h.accept(singleTaskJob("0000000000000001"))
+	h.finishRuns(beryllatch.RunDone, h.confirmStarts()...)
+	h.accept(singleTaskJob("0000000000000002"))
+	running := runningLists(h.confirmStarts(), 10)
+	var sent []int64
+	for range 10 {
+		for _, f := range h.holds {
+			if f.Order.Acknowledge > 0 {
+				sent = append(sent, f.Order.Acknowledge)
+			}
+		}
+		h.answerHolds(running)
+		h.tickFor(200 * time.Millisecond)
+	}
+	assert.DeepEqual(t, sent, []int64{1})
+}
+
+// While an order is unanswered, it may have started a run on the next incarnation, whose completion an acknowledgement could make it forget
+// unread (TWICE).
+func TestNoAcknowledgementWhileAnOrderIsUnanswered(t *testing.T) {
+	h := newHarness(t)
+	h.register("a")
+	h.accept(singleTaskJob("0000000000000001"))
+	h.confirmStarts()
+	h.accept(singleTaskJob("0000000000000002"))
+	start := h.starts[0]
+	w := h.s.workers["a"]
+	h.answerHolds(map[string]beryllatch.WorkerLists{"a": {Finished: []beryllatch.FinishedEntry{
+		{Number: 1, Task: "0000000000000001.0.0.0", Run: 1, Outcome: beryllatch.RunDone},
+	}}})
+	h.apply(StartEnded{Worker: "a", Fence: start.Order.Fence, Task: start.Order.Task, Run: start.Order.Run, Err: errNoAnswer})
+	h.storeAll()
+	assert.Equal(t, h.s.storedCompletions(w), int64(1))
+	holds := len(h.holds)
+	h.tickFor(200 * time.Millisecond)
+	assert.Assert(t, len(h.holds) > 0 && holds > 0)
+	for _, f := range h.holds {
+		assert.Equal(t, f.Order.Acknowledge, int64(0))
+	}
+	h.answerHolds(runningLists([]StartRun{start}, 10))
+	h.tickFor(200 * time.Millisecond)
+	assert.Equal(t, h.holds[len(h.holds)-1].Order.Acknowledge, int64(1), "the worker has answered")
+}
--- a/internal/decision/berylscheduler/overload_replay_test.go
+++ b/internal/decision/berylscheduler/overload_replay_test.go
@@ -251,7 +251,7 @@
 	}
 	lists := beryllatch.WorkerLists{Clock: r.clock(), Incarnation: 1, Finished: append([]beryllatch.FinishedEntry(nil), w.finished...)}
 	lists.Running = slices.SortedFunc(maps.Keys(w.running), func(a, b beryllatch.RunningEntry) int { return strings.Compare(a.Task, b.Task) })
-	return WorkerHeld{Worker: f.Worker.ID, Fence: f.Order.Fence, Sent: r.now, Probe: f.Probe, Lists: lists}
+	return WorkerHeld{Worker: f.Worker.ID, Fence: f.Order.Fence, Acknowledge: f.Order.Acknowledge, Sent: r.now, Probe: f.Probe, Lists: lists}
 }
 
 func (r *loadReplay) clock() time.Duration { return r.now.Sub(r.began) + time.Hour }
--- a/internal/decision/berylscheduler/partition_restart_test.go
+++ b/internal/decision/berylscheduler/partition_restart_test.go
@@ -41,3 +41,8 @@
 func TestRulesHoldAcrossRestarts(t *testing.T) {
 	checkRestarts(t, partitionOptions{connected: true})
 }
+
+// The same on a network that is cut, with nodes that are paused.
+func TestRulesHoldAcrossRestartsInPartitions(t *testing.T) {
+	checkRestarts(t, partitionOptions{})
+}
--- a/internal/decision/berylscheduler/partition_session_test.go
+++ b/internal/decision/berylscheduler/partition_session_test.go
@@ -257,7 +257,7 @@
 	timeout := f.Order.Wait + 50*time.Millisecond + s.workerTimeout()
 	s.callWorkerWithin(timeout, f.Worker.ID, func(w *modelWorker, reply func(workerAnswer)) { w.hold(f.Order, reply) },
 		func(a workerAnswer, err error) {
-			s.apply(WorkerHeld{Worker: f.Worker.ID, Fence: f.Order.Fence, Sent: sent, Lists: a.lists, Probe: f.Probe, Err: err})
+			s.apply(WorkerHeld{Worker: f.Worker.ID, Fence: f.Order.Fence, Acknowledge: f.Order.Acknowledge, Sent: sent, Lists: a.lists, Probe: f.Probe, Err: err})
 		})
 }
 
--- a/internal/decision/berylscheduler/prepare_test.go
+++ b/internal/decision/berylscheduler/prepare_test.go
@@ -121,7 +121,7 @@
 		hold := next.holds[0]
 		next.holds = next.holds[1:]
 		asked++
-		next.apply(WorkerHeld{Worker: hold.Worker.ID, Fence: hold.Order.Fence, Sent: hold.sent, Lists: beryllatch.WorkerLists{Clock: time.Hour, Incarnation: 1}})
+		next.apply(WorkerHeld{Worker: hold.Worker.ID, Fence: hold.Order.Fence, Acknowledge: hold.Order.Acknowledge, Sent: hold.sent, Lists: beryllatch.WorkerLists{Clock: time.Hour, Incarnation: 1}})
 		if asked == workers {
 			break
 		}
--- a/internal/decision/berylscheduler/wave_bench_test.go
+++ b/internal/decision/berylscheduler/wave_bench_test.go
@@ -29,7 +29,7 @@
 				apply(Committed{Batch: f.Batch, Version: version})
 			case HoldWorker:
 				if !f.Probe && f.Order.Wait == 0 {
-					apply(WorkerHeld{Worker: f.Worker.ID, Fence: f.Order.Fence, Sent: now, Lists: beryllatch.WorkerLists{Clock: time.Hour, Incarnation: 1}})
+					apply(WorkerHeld{Worker: f.Worker.ID, Fence: f.Order.Fence, Acknowledge: f.Order.Acknowledge, Sent: now, Lists: beryllatch.WorkerLists{Clock: time.Hour, Incarnation: 1}})
 				}
 			case StartRun:
 				apply(StartEnded{Worker: f.Worker.ID, Fence: f.Order.Fence, Task: f.Order.Task, Run: f.Order.Run, Clock: time.Hour})
--- a/internal/node/beryljobs/session.go
+++ b/internal/node/beryljobs/session.go
@@ -340,7 +340,7 @@
 		return err
 	})
 	s.apply(berylscheduler.WorkerHeld{
-		Worker: f.Worker.ID, Fence: f.Order.Fence, Sent: sent, Lists: lists, Probe: f.Probe, Err: err,
+		Worker: f.Worker.ID, Fence: f.Order.Fence, Acknowledge: f.Order.Acknowledge, Sent: sent, Lists: lists, Probe: f.Probe, Err: err,
 	})
 }
 
