A job has begun once a worker says so

Cause: book marked a job as started when a start was ordered. A refusal takes the run back, and the mark stayed.

Change: the mark is set by a confirmed start, or a list that names the run or its end; after a takeover also by failed runs and checkpoints that are stored. An order without an answer leaves the job queued and pending until the worker's answer. For the order of waiting work, an order under way counts as begun as before.

--- a/internal/decision/berylscheduler/job.go
+++ b/internal/decision/berylscheduler/job.go
@@ -31,8 +31,10 @@
 	// rowIsFull is true while steps that have not started wait for room in the progress row.
 	rowIsFull bool
 	// due counts the occurrences that have become due.
-	due     int
-	started bool
+	due int
+	// begun is true once a worker has begun a task of the job: it has confirmed a start order, or listed a run or its end. An order that
+	// was refused, or not answered, doesn't count.
+	begun bool
 	// heldBack is true if the stored rows of the job can't be read.
 	heldBack bool
 	// exceedsShare marks a job that was accepted when its team had used up its share.
@@ -189,7 +191,7 @@
 	if j.state.Final() && j.rows.finalStored {
 		return j.state, true
 	}
-	if j.started {
+	if j.begun {
 		return beryllatch.JobRunning, true
 	}
 	return beryllatch.JobQueued, true
@@ -199,7 +201,7 @@
 func (s *Scheduler) Pending(queue string) int {
 	n := 0
 	for _, j := range s.active {
-		if s.countsFor(j, queue) && !j.started && j.rows.jobStored {
+		if s.countsFor(j, queue) && !j.begun && j.rows.jobStored {
 			n++
 		}
 	}
--- a/internal/decision/berylscheduler/place.go
+++ b/internal/decision/berylscheduler/place.go
@@ -17,7 +17,7 @@
 	late bool
 	// exceedsShare is true if the job was accepted when its team had submitted more jobs a second than its weight.
 	exceedsShare bool
-	// class and begun count only where the configuration has shares; begun is true if the job has had a run.
+	// class and begun count only where the configuration has shares; begun is true if the job has begun, or has an order to start.
 	class stepClass
 	begun bool
 	// unplanned is true for steps that are new or deferred, as of the last tick.
@@ -140,7 +140,7 @@
 	}
 	if s.shared {
 		c.class = s.classOf(c)
-		c.begun = st.job.started && !c.late && st.job.Repeat == 0 && !st.spec.LongRunning
+		c.begun = (st.job.begun || st.job.bookedRuns > 0) && !c.late && st.job.Repeat == 0 && !st.spec.LongRunning
 	} else if c.late {
 		c.class = classLate
 	}
--- a/internal/decision/berylscheduler/recover.go
+++ b/internal/decision/berylscheduler/recover.go
@@ -91,7 +91,7 @@
 	if !j.heldBack {
 		s.heldBack = append(s.heldBack, j)
 	}
-	j.heldBack, j.started = true, true
+	j.heldBack, j.begun = true, true
 	j.rows.jobStored, j.rows.latestChange, j.rows.storedChange = true, 1, 1
 }
 
@@ -163,7 +163,7 @@
 	for _, r := range ranges {
 		p.done = p.done.With(max(r[0], 0), min(r[1], j.Occurrences()-1))
 	}
-	j.started = j.started || !p.done.IsEmpty()
+	j.begun = j.begun || !p.done.IsEmpty()
 }
 
 // recoverStep records the progress of a step.
@@ -188,12 +188,13 @@
 	for _, t := range p.Tasks {
 		if t.Index >= 0 && t.Index < len(st.tasks) {
 			st.tasks[t.Index].failedRuns, st.tasks[t.Index].checkpoint = t.FailedRuns, t.Checkpoint
+			j.begun = j.begun || len(t.FailedRuns) > 0 || t.Checkpoint != ""
 		}
 	}
 	if st.tasksLeft == 0 {
 		j.finish(at)
 	}
-	j.started = j.started || len(p.Done) > 0
+	j.begun = j.begun || len(p.Done) > 0 || len(p.FailedRuns) > 0
 }
 
 // recordPool records that runs of the job may be ordered in the pool, and reports whether the record is stored, so that a node that takes
--- a/internal/decision/berylscheduler/run.go
+++ b/internal/decision/berylscheduler/run.go
@@ -104,7 +104,6 @@
 		t.runs = append(t.runs, r)
 		t.lastRun = max(t.lastRun, id.n)
 		t.step.lastRun = max(t.step.lastRun, id.n)
-		t.step.job.started = true
 		t.step.job.bookedRuns++
 		if t.step.spec.LongRunning {
 			w.longRunningRuns++
@@ -222,12 +221,7 @@
 	var rejected *beryllatch.OrderRejectedError
 	switch {
 	case e.Err == nil:
-		if r.phase == runStarting {
-			r.phase = runPresent
-		}
-		if r.confirmedAt.IsZero() {
-			r.confirmedAt = s.now
-		}
+		r.confirm(s.now)
 	case errors.As(e.Err, &rejected) && rejected.Reason == beryllatch.RejectFence && present:
 		s.resign("worker " + w.info.ID + " has seen a later epoch")
 	case errors.As(e.Err, &rejected) && (r.startAttempts == 1 || rejected.Reason == beryllatch.RejectIncarnation):
@@ -240,6 +234,19 @@
 	s.sendHoldIfDue(w)
 }
 
+// confirm records that the worker has begun the run.
+func (r *run) confirm(now time.Time) {
+	if r.phase == runStarting || r.phase == runUnconfirmed {
+		r.phase = runPresent
+	}
+	if r.confirmedAt.IsZero() {
+		r.confirmedAt = now
+	}
+	if r.task != nil {
+		r.task.step.job.begun = true
+	}
+}
+
 // startUnanswered repeats a start order and probes the worker. A worker may carry out an order seconds after it was sent. The
 // repeat starts the run at once, and the late order has no effect since the worker has already started that run.
 func (s *Scheduler) startUnanswered(w *worker, r *run, err error) {
@@ -407,12 +414,7 @@
 	if r == nil {
 		r = s.adopt(w, id)
 	}
-	if r.phase == runStarting || r.phase == runUnconfirmed {
-		r.phase = runPresent
-	}
-	if r.confirmedAt.IsZero() {
-		r.confirmedAt = s.now
-	}
+	r.confirm(s.now)
 	s.recordProgress(r, l.Percent)
 	r.load = l.Load
 	if l.Checkpoint != "" {
@@ -445,6 +447,7 @@
 	s.emit(Decision{Name: "run_end", Task: f.Task, Worker: w.info.ID, Run: f.Run, Detail: string(f.Outcome)})
 	pending := unacknowledgedCompletion{number: f.Number}
 	if t != nil {
+		t.step.job.begun = true
 		s.applyCompletion(w, t, r, f)
 		pending.job, pending.change = t.step.job, t.step.job.rows.latestChange
 	}
