A node that was paused asks a worker before it writes off its runs

Seen by callers: a task runs twice at once (TWICE); only in the partition model.

Cause: checkLease wrote off the runs of a worker that had answered so far as soon as all leases had expired that the scheduler had granted. After a pause of the process that is at once, while a worker that has started again in the pause may have a longer lease, from a start that was delivered late.

Change: a hold has to fail before the lease counts, as was the rule for workers that are not synced.

Result: TestPausedNodeAsksBeforeItWritesOffRuns fails without the change; a silent worker is still written off within a second of the pause.

--- a/internal/decision/berylscheduler/confirm_test.go
+++ b/internal/decision/berylscheduler/confirm_test.go
@@ -106,3 +106,36 @@
 	}
 	assert.DeepEqual(t, names, []string{"epoch_unproven", "epoch_proven"})
 }
+
+// After a pause, all leases that this node knows of may have expired, while a worker that has started again meanwhile has a longer one, from
+// an order that was delivered late: it must be asked before its runs are written off (TWICE).
+func TestPausedNodeAsksBeforeItWritesOffRuns(t *testing.T) {
+	for name, answers := range map[string]bool{"answers": true, "is silent": false} {
+		t.Run("the worker "+name, func(t *testing.T) {
+			h := newHarness(t)
+			h.register("a")
+			h.accept(singleTaskJob("0000000000000001"))
+			running := runningLists(h.confirmStarts(), 10)
+			h.answerHolds(running)
+			h.register("b")
+			silent := "a"
+			if answers {
+				silent = ""
+			}
+			h.resumeAfter(expiryBound(testLease) + time.Second)
+			h.deferConfirmation = false
+			h.apply(EpochConfirmed{Current: true})
+			h.tickFor(100 * time.Millisecond)
+			assert.Equal(t, len(h.starts), 0, "the worker has not been asked since")
+			for range 10 {
+				h.answerHolds(running, silent)
+				h.tickFor(100 * time.Millisecond)
+			}
+			want := 1
+			if answers {
+				want = 0
+			}
+			assert.Equal(t, len(h.starts), want)
+		})
+	}
+}
--- a/internal/decision/berylscheduler/worker.go
+++ b/internal/decision/berylscheduler/worker.go
@@ -253,11 +253,12 @@
 	if s.mayHoldLease(w) {
 		return
 	}
+	if w.failedHolds == 0 {
+		// The worker has not been asked since, and may list a completion that an earlier epoch did not store. After a pause of this process
+		// it may also have started again, with a longer lease from a late order.
+		return
+	}
 	if !w.synced {
-		if w.failedHolds == 0 {
-			// The worker has not been asked yet, and may list a completion that an earlier epoch did not store.
-			return
-		}
 		w.synced, w.storedPool = true, ""
 		s.emit(Decision{Name: "worker_settled", Worker: w.info.ID, Detail: "its longest lease has run out"})
 		s.placementDue = true
