A clock that starts anew shows that a worker has started again

Cause: the scheduler learned of a restart from registrations and lists alone. Starts that the new incarnation answered told it nothing, so that late orders to the one before were carried out until the next list came; if the answer to a hold was lost, that took up to a second.

Change: an answer to a start whose clock is behind what the incarnation's clock had reached when the order was sent begins a new incarnation, which is asked at once.

TestClockThatStartsAnewShowsARestart fails without the change.

--- a/internal/decision/berylscheduler/incarnation.go
+++ b/internal/decision/berylscheduler/incarnation.go
@@ -70,8 +70,8 @@
 	return incarnation{discoveredAt: s.now, fence: s.Epoch*fencesPerEpoch + s.incarnations}
 }
 
-// beginIncarnation replaces what is known of the worker's incarnation. The runs stay booked: the orders for them may have reached the
-// new incarnation, and its lists show which of them it has.
+// beginIncarnation replaces what is known of the worker's incarnation if another one than the present one is seen. The runs stay booked:
+// the orders for them may have reached the new incarnation, and its lists show which of them it has.
 func (s *Scheduler) beginIncarnation(w *worker, number int64) {
 	if number == w.info.Incarnation {
 		return
@@ -82,6 +82,11 @@
 	}
 	s.emit(Decision{Name: "worker_restarted", Worker: w.info.ID, Detail: fmt.Sprintf("incarnation %d after %d", number, w.info.Incarnation)})
 	w.info.Incarnation = number
+	s.replaceIncarnation(w)
+}
+
+// replaceIncarnation replaces what is known of the worker's incarnation.
+func (s *Scheduler) replaceIncarnation(w *worker) {
 	unshared := !w.lastContact.IsZero()
 	w.incarnation = s.newIncarnation()
 	w.restarted, w.unshared = true, unshared
@@ -110,6 +115,27 @@
 	return w.clock + time.Duration(float64(s.now.Sub(w.clockAt))*(1-clockDrift)), true
 }
 
+// checkClock replaces the worker's incarnation by an unknown one if the clock in the answer to an order shows that the worker has started
+// again since: its present incarnation's clock had passed that time when the order was sent. Only lists name the incarnation that
+// answers.
+func (s *Scheduler) checkClock(w *worker, clock time.Duration, sent time.Time) {
+	if clock == 0 || w.clockAt.IsZero() {
+		return
+	}
+	rate := 1 - clockDrift
+	if sent.Before(w.clockAt) {
+		rate = 1 + clockDrift
+	}
+	least := w.clock + time.Duration(float64(sent.Sub(w.clockAt))*rate) - time.Millisecond // Clocks are in whole milliseconds.
+	if clock >= least {
+		return
+	}
+	s.emit(Decision{Name: "worker_restarted", Worker: w.info.ID, Detail: fmt.Sprintf("its clock is at %s, and was at %s", clock, w.clock)})
+	w.info.Incarnation = 0
+	s.replaceIncarnation(w)
+	s.sendHoldIfDue(w)
+}
+
 // hasRecentClock reports whether the worker's clock has been read within maxClockAge.
 func (s *Scheduler) hasRecentClock(w *worker) bool {
 	return !w.clockAt.IsZero() && s.now.Sub(w.clockAt) <= maxClockAge
--- a/internal/decision/berylscheduler/incarnation_test.go
+++ b/internal/decision/berylscheduler/incarnation_test.go
@@ -344,3 +344,33 @@
 	h.tickFor(200 * time.Millisecond)
 	assert.Equal(t, h.holds[len(h.holds)-1].Order.Acknowledge, int64(1), "the worker has answered")
 }
+
+// A worker that has started again unnoticed must be asked as soon as the clock in an answer shows it: an acknowledgement that is delivered late
+// would make it forget the completion of the run that it has just started (TWICE).
+func TestClockThatStartsAnewShowsARestart(t *testing.T) {
+	h := newHarness(t)
+	h.register("a")
+	w := h.s.workers["a"]
+	fence := w.fence
+	h.accept(singleTaskJob("0000000000000001"))
+	start := h.starts[0]
+	h.holds, h.starts = nil, nil
+	e := StartEnded{Worker: "a", Fence: fence, Task: start.Order.Task, Run: start.Order.Run, Clock: h.clock()}
+	h.now = h.now.Add(2 * time.Second)
+	h.apply(e)
+	assert.Equal(t, w.fence, fence, "the answer may have taken that long")
+
+	e.Clock = time.Second
+	h.apply(e)
+	assert.Assert(t, w.fence > fence)
+	assert.Equal(t, len(h.holds), 1, "it is asked at once")
+	hold := h.holds[0]
+	h.holds = nil
+	assert.Equal(t, hold.Order.Fence, w.fence)
+	lists := beryllatch.WorkerLists{Incarnation: 2, Clock: 2 * time.Second, Running: runningLists([]StartRun{start}, 10)["a"].Running}
+	h.apply(WorkerHeld{Worker: "a", Fence: hold.Order.Fence, Sent: hold.sent, Lists: lists})
+	assert.Equal(t, w.fence, hold.Order.Fence, "the lists show which incarnation it is")
+	h.tickFor(200 * time.Millisecond)
+	assert.Equal(t, len(w.runs), 1)
+	assert.Equal(t, len(h.starts), 0)
+}
--- a/internal/decision/berylscheduler/run.go
+++ b/internal/decision/berylscheduler/run.go
@@ -209,8 +209,11 @@
 		return
 	}
 	w.pendingStarts = max(w.pendingStarts-1, 0)
-	present := e.Fence == w.fence
 	r := w.runs[runID{e.Task, e.Run}]
+	if r != nil && e.Fence == w.fence {
+		s.checkClock(w, e.Clock, r.sentAt)
+	}
+	present := e.Fence == w.fence
 	if e.Err == nil && present {
 		w.setClock(e.Clock, s.now)
 		w.answerMissing = false
