The soak leaves orders to workers unanswered and carries them out late

A run that an incarnation starts in that way before it can refuse it breaks no rule by itself: the program can't prevent it.

--- a/internal/bench/berylsoak/soak.go
+++ b/internal/bench/berylsoak/soak.go
@@ -44,6 +44,8 @@
 	// Incarnations adds workers that restart under their IDs, clocks of workers that run slow, cuts of workers that outlast their
 	// leases, and long tasks.
 	Incarnations bool `help:"Also restart workers under their IDs, with slow clocks, and cut them off for longer than a lease."`
+	// Late leaves a share of the orders to workers without an answer, and has them carried out seconds later.
+	Late bool `help:"Also leave orders to workers without an answer, and carry them out seconds later."`
 	// Cuts adds cuts between daemons, workers, the store and the instance interface, and of whole data centres, and long tasks.
 	Cuts bool `help:"Also cut daemons, workers, the store and data centres off from each other, one way as well, with fewer other faults."`
 	// Hot adds a second team, and bursts of the first one that exceed what the workers can do in time.
@@ -135,12 +137,17 @@
 	}
 	for i := range r.Workers {
 		instance := r.instance(i)
+		late := r.lateOrders(i)
 		address, err := berylfleet.Serve(r.ctx, http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
-			if worker := r.fleet.Current(instance); worker != nil {
+			worker := r.fleet.Current(instance)
+			switch {
+			case worker == nil:
+				panic(http.ErrAbortHandler)
+			case late.take():
+				r.carryOutLate(req, worker, late.delay())
+			default:
 				worker.ServeHTTP(w, req)
-				return
 			}
-			panic(http.ErrAbortHandler)
 		}))
 		if err != nil {
 			return err
--- a/internal/bench/berylsoak/soak_test.go
+++ b/internal/bench/berylsoak/soak_test.go
@@ -138,3 +138,20 @@
 		})
 	}
 }
+
+// Orders that get no answer and are carried out seconds later, by the next incarnation of a restarted worker if need be, must break no promise
+// either, and must not end an epoch for good.
+func TestSoakWithLateOrders(t *testing.T) {
+	program := buildDaemon(t)
+	for _, seed := range []uint64{9501, 9502} {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			r, err := Soak{
+				Program: program, Seed: seed, Daemons: 4, Workers: 6, Jobs: 80, Duration: 25 * time.Second, Logs: t.TempDir(), Incarnations: true, Late: true,
+			}.Run(context.Background())
+			assert.NilError(t, err)
+			assert.Check(t, len(r.Violations) == 0, "%v after %v", r.Violations, r.Faults)
+			assert.Check(t, r.Done > 0)
+		})
+	}
+}
--- a/internal/standin/berylfleet/record.go
+++ b/internal/standin/berylfleet/record.go
@@ -79,7 +79,10 @@
 	t.starts = append(t.starts, startRecord{time.Now(), w.String(), o.RunID})
 	f.checkCeiling(o.Task)
 	cpu, memory := 0, 0
-	for task := range w.runs {
+	for task, r := range w.runs {
+		if r.unguarded {
+			continue
+		}
 		n := f.needs[jobOf(task)]
 		cpu, memory = cpu+n.CPU, memory+n.Memory
 	}
@@ -118,7 +121,7 @@
 // recordAcknowledgement records that the scheduling node has taken note of the end of a run. A task that is done must not start
 // again after that end, unless the worker's lease expired in between.
 func (f *Fleet) recordAcknowledgement(w *Worker, e endedRun) {
-	if e.outcome != "done" || e.lapses != w.lapses {
+	if e.outcome != "done" || e.lapses != w.lapses || e.unguarded {
 		return
 	}
 	f.mu.Lock()
--- a/internal/standin/berylfleet/worker.go
+++ b/internal/standin/berylfleet/worker.go
@@ -45,11 +45,13 @@
 }
 
 type run struct {
-	task     string
-	number   int // The number of the run, from 1 for each task.
-	started  time.Time
-	duration time.Duration
-	timer    *time.Timer
+	task   string
+	number int // The number of the run, from 1 for each task.
+	// unguarded is true if the order was sent to the incarnation before, and this one could not know it.
+	unguarded bool
+	started   time.Time
+	duration  time.Duration
+	timer     *time.Timer
 }
 
 // endedRun is the outcome of a run.
@@ -59,8 +61,9 @@
 	run     int
 	outcome string
 	// at is when the run ended, and lapses is how many leases of the worker had expired by then.
-	at     time.Time
-	lapses int
+	at        time.Time
+	lapses    int
+	unguarded bool
 }
 
 // order is the body of every call to a worker; each call uses some of the fields.
@@ -107,23 +110,34 @@
 		rw.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	status, reason := w.carryOut(r, o, false)
+	switch {
+	case status == http.StatusMisdirectedRequest:
+		rw.WriteHeader(status)
+	case reason != "":
+		w.reject(rw, reason)
+	case r.URL.Path == "/v1/hold":
+		w.answerHold(rw, r, o)
+	default:
+		answer(rw, status, map[string]any{"clock_ms": w.clock().Milliseconds()})
+	}
+}
+
+// carryOut performs an order, and returns the status of the answer and the reason of a refusal.
+func (w *Worker) carryOut(r *http.Request, o order, unguarded bool) (status int, reason string) {
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	if w.crashed.Load() || r.Header.Get("X-Beryllatch-Expect-Instance") != w.ID {
-		w.mu.Unlock()
-		rw.WriteHeader(http.StatusMisdirectedRequest)
-		return
+		return http.StatusMisdirectedRequest, ""
 	}
 	w.expireLease()
 	if o.Fence < w.fence {
-		w.mu.Unlock()
-		w.reject(rw, "fence")
-		return
+		return http.StatusConflict, "fence"
 	}
 	w.fence = o.Fence
-	status, reason := http.StatusOK, ""
 	switch r.URL.Path {
 	case "/v1/run-start":
-		reason = w.start(o)
+		reason = w.start(o, unguarded)
 	case "/v1/run-stop":
 		w.stop(o)
 	case "/v1/hold":
@@ -131,16 +145,17 @@
 		w.acknowledge(o.AckCursor)
 	case "/v1/pace":
 	default:
-		status = http.StatusNotFound
+		return http.StatusNotFound, ""
 	}
-	w.mu.Unlock()
-	switch {
-	case reason != "":
-		w.reject(rw, reason)
-	case r.URL.Path == "/v1/hold":
-		w.answerHold(rw, r, o)
-	default:
-		answer(rw, status, map[string]any{"clock_ms": w.clock().Milliseconds()})
+	return http.StatusOK, reason
+}
+
+// CarryOutLate performs a call that was sent to a worker some time ago, and whose caller gets no answer. An incarnation that has started since
+// can refuse it only once it has received a higher fencing token: what it starts before breaks no rule by itself.
+func (w *Worker) CarryOutLate(r *http.Request, sentTo *Worker) {
+	var o order
+	if err := json.NewDecoder(r.Body).Decode(&o); err == nil {
+		w.carryOut(r, o, w != sentTo)
 	}
 }
 
@@ -171,7 +186,7 @@
 }
 
 // start starts a run and returns "", or returns the reason for a refusal.
-func (w *Worker) start(o order) string {
+func (w *Worker) start(o order, unguarded bool) string {
 	if r := w.runs[o.Task]; r != nil && r.number == o.RunID {
 		w.extend(o)
 		return ""
@@ -184,9 +199,11 @@
 		return "late"
 	}
 	w.extend(o)
-	r := &run{task: o.Task, number: o.RunID, started: time.Now(), duration: w.fleet.duration(o.Task)}
+	r := &run{task: o.Task, number: o.RunID, unguarded: unguarded, started: time.Now(), duration: w.fleet.duration(o.Task)}
 	w.runs[o.Task] = r
-	w.fleet.recordStart(w, o)
+	if !unguarded {
+		w.fleet.recordStart(w, o)
+	}
 	r.timer = time.AfterFunc(r.duration, func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
@@ -212,7 +229,7 @@
 	r.timer.Stop()
 	w.lastNumber++
 	w.lastStopped[r.task] = max(w.lastStopped[r.task], r.number)
-	w.ended = append(w.ended, endedRun{w.lastNumber, r.task, r.number, outcome, time.Now(), w.lapses})
+	w.ended = append(w.ended, endedRun{w.lastNumber, r.task, r.number, outcome, time.Now(), w.lapses, r.unguarded})
 	w.fleet.recordEnd(w, r)
 	close(w.runEnded)
 	w.runEnded = make(chan struct{})
