--- a/internal/decision/berylscheduler/hold.go
+++ b/internal/decision/berylscheduler/hold.go
@@ -169,12 +169,13 @@
 	if w.failedHolds == 0 {
 		order.LeaseEnd = s.grantLease(w)
 	}
+	// Another incarnation would forget completions that the scheduler has never read, since their numbers start anew. So a number is sent
+	// only while the worker answers, and until it has taken note of it.
 	mayAcknowledge := s.inContact(w) && !w.answerMissing
 	if mayAcknowledge {
 		w.sentAcknowledge = order.Acknowledge
 	}
 	if !mayAcknowledge || order.Acknowledge <= w.acknowledgeTaken {
-		// Another incarnation would forget completions that the scheduler has never read, since their numbers start anew.
 		order.Acknowledge = 0
 	}
 	s.emit(HoldWorker{Worker: w.address(), Order: order, Probe: probe})
