--- a/internal/decision/berylscheduler/partition_worker_test.go
+++ b/internal/decision/berylscheduler/partition_worker_test.go
@@ -31,7 +31,7 @@
 	// downUntil is when the worker has started again after a crash.
 	downUntil time.Duration
 	// knownAt is when a node first had the lists of the incarnation, 0 before. Until the worker receives an order that was sent later, it
-	// can't refuse those to the incarnation before: unguarded is true while it carries out one of them.
+	// can't refuse those to the incarnation before: with late orders, unguarded is true while it carries out one of them.
 	knownAt          time.Duration
 	asked, unguarded bool
 	// registered is what the registry shows of the worker.
@@ -113,7 +113,7 @@
 		return
 	}
 	w.asked = w.asked || w.knownAt > 0 && sent >= w.knownAt
-	w.unguarded = sent < w.downUntil && !w.asked
+	w.unguarded = w.model.options.lateOrders && sent < w.downUntil && !w.asked
 	perform()
 	w.unguarded = false
 }
