The stand-in's balancer closes both sides of a connection that it gives up

Cause: a connection that was closed for a newer one was taken off the count of relays at once, and only its client's side was closed. The copying from the daemon stood in a read, so that the connection to the daemon stayed open, uncounted, until the daemon closed it. The same held for a connection whose daemon was still being dialled.

Evidence: the new TestBalancerClosesBothSidesOfRelays failed before: the daemon's side of a closed relay was still open after 10 s.

Change: closing a relay for a newer one cancels its context, which ends the dialling and closes both connections. It counts until both are closed, and a new connection waits for that.

Result: the test passes.

--- a/internal/standin/berylplatform/balancer.go
+++ b/internal/standin/berylplatform/balancer.go
@@ -1,14 +1,11 @@
 package berylplatform
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"io"
-	"maps"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -31,9 +28,12 @@
 	entries map[string]entry
 	// next is the index, among the ready daemons, of the one that gets the next connection.
 	next int
-	// relays holds the forwarded connections, at most maxRelays.
+	// relays holds the clients' connections whose descriptors, or those of their connections to a daemon, are not yet closed; at most
+	// maxRelays.
 	relays    map[*activeConn]struct{}
 	maxRelays int
+	// ended is signalled after a relay has closed its descriptors.
+	ended *sync.Cond
 }
 
 // acceptPause is the pause after a connection could not be accepted, since descriptors are short.
@@ -46,11 +46,13 @@
 }
 
 func newBalancer(interval time.Duration) *Balancer {
-	return &Balancer{
+	b := &Balancer{
 		interval: interval, relays: make(map[*activeConn]struct{}), maxRelays: berylintake.LimitsFor(0, berylintake.ProcessFDs()).Connections,
 		client:  &http.Client{Timeout: time.Second, Transport: &http.Transport{IdleConnTimeout: time.Minute}},
 		entries: make(map[string]entry),
 	}
+	b.ended = sync.NewCond(&b.mu)
+	return b
 }
 
 // Add registers an entry daemon by the addresses of its callers' listener and its admin listener. It gets connections
@@ -87,7 +89,8 @@
 		if err != nil {
 			return err
 		}
-		go b.forward(ctx, b.add(c))
+		relayCtx, cancel := context.WithCancel(ctx)
+		go b.forward(relayCtx, b.add(c, cancel))
 	}
 }
 
@@ -95,6 +98,9 @@
 type activeConn struct {
 	net.Conn
 	usedAt atomic.Int64
+	// cancel ends the relay; closing is set, under the balancer's lock, once that was done for a newer connection.
+	cancel  context.CancelFunc
+	closing bool
 }
 
 // Read records that the client has sent something.
@@ -114,26 +120,44 @@
 	return nil
 }
 
-// add registers a client's connection. If there are too many, it closes the one that was not used for the longest time.
-func (b *Balancer) add(raw net.Conn) *activeConn {
-	c := &activeConn{Conn: raw}
+// add registers a client's connection, whose relay is ended by cancel. If there are too many, it ends the relay that was not used for the
+// longest time and waits until descriptors are free.
+func (b *Balancer) add(raw net.Conn, cancel context.CancelFunc) *activeConn {
+	c := &activeConn{Conn: raw, cancel: cancel}
 	c.usedAt.Store(time.Now().UnixNano())
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if len(b.relays) >= b.maxRelays {
-		oldest := slices.MinFunc(slices.Collect(maps.Keys(b.relays)), func(x, y *activeConn) int { return cmp.Compare(x.usedAt.Load(), y.usedAt.Load()) })
-		delete(b.relays, oldest)
-		_ = oldest.Close() // Its relay ends.
+	for len(b.relays) >= b.maxRelays {
+		b.endOldest()
+		b.ended.Wait()
 	}
 	b.relays[c] = struct{}{}
 	return c
 }
 
+// endOldest ends the relay that was not used for the longest time, unless one is being ended already.
+func (b *Balancer) endOldest() {
+	var oldest *activeConn
+	for c := range b.relays {
+		if c.closing {
+			return
+		}
+		if oldest == nil || c.usedAt.Load() < oldest.usedAt.Load() {
+			oldest = c
+		}
+	}
+	oldest.closing = true
+	oldest.cancel()
+}
+
+// release closes a client's connection after its relay has ended.
 func (b *Balancer) release(c *activeConn) {
+	c.cancel()
+	_ = c.Close() // Nothing is written any more.
 	b.mu.Lock()
 	delete(b.relays, c)
 	b.mu.Unlock()
-	_ = c.Close() // Its relay has ended.
+	b.ended.Signal()
 }
 
 func (b *Balancer) pollReadiness(ctx context.Context) {
--- a/internal/standin/berylplatform/balancer_test.go
+++ b/internal/standin/berylplatform/balancer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -27,38 +28,80 @@
 	return l.Listener.Accept()
 }
 
-// Guards against a platform that ends when its descriptors are used up, and against idle connections that keep new ones from being
-// forwarded.
-func TestBalancerUnderPressure(t *testing.T) {
-	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
-	defer cancel()
+// pressedBalancer is a balancer for two connections before a daemon that accepts connections and never answers.
+type pressedBalancer struct {
+	*Balancer
+	address string
+	daemon  net.Listener
+}
+
+// startBalancer starts a balancer that has no descriptors for its first connections. It ends with the test.
+func startBalancer(t *testing.T, failures int) pressedBalancer {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
 	var cfg net.ListenConfig
 	ln, err := cfg.Listen(ctx, "tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	b := newBalancer(time.Hour)
-	b.maxRelays = 2
-	served := make(chan error, 1)
-	go func() { served <- b.Serve(ctx, &fullListener{Listener: ln, failures: 2}) }()
 	daemon, err := cfg.Listen(ctx, "tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	defer func() { _ = daemon.Close() }()
+	assert.NilError(t, daemon.(*net.TCPListener).SetDeadline(time.Now().Add(time.Minute)))
 	admin := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
-	defer admin.Close()
+	b := newBalancer(time.Hour)
+	b.maxRelays = 2
+	served := make(chan error, 1)
+	go func() { served <- b.Serve(ctx, &fullListener{Listener: ln, failures: failures}) }()
+	t.Cleanup(func() {
+		cancel()
+		assert.Check(t, <-served)
+		_ = daemon.Close()
+		admin.Close()
+	})
 	b.Add(daemon.Addr().String(), admin.Listener.Addr().String())
 	b.checkReadiness(ctx)
-	assert.NilError(t, daemon.(*net.TCPListener).SetDeadline(time.Now().Add(time.Minute)))
+	return pressedBalancer{Balancer: b, address: ln.Addr().String(), daemon: daemon}
+}
+
+// connect opens a connection and returns the daemon's side of it.
+func (b pressedBalancer) connect(t *testing.T) net.Conn {
+	t.Helper()
+	c, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", b.address)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	forwarded, err := b.daemon.Accept()
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = forwarded.Close() })
+	return forwarded
+}
+
+// Guards against a platform that ends when its descriptors are used up, and against idle connections that keep new ones from being
+// forwarded.
+func TestBalancerUnderPressure(t *testing.T) {
+	b := startBalancer(t, 2)
 	for range 5 {
-		c, err := (&net.Dialer{}).DialContext(ctx, "tcp", ln.Addr().String())
-		assert.NilError(t, err)
-		defer func() { _ = c.Close() }()
-		forwarded, err := daemon.Accept()
-		assert.NilError(t, err)
-		defer func() { _ = forwarded.Close() }()
+		b.connect(t)
 	}
 	b.mu.Lock()
 	relays := len(b.relays)
 	b.mu.Unlock()
 	assert.Equal(t, relays, 2)
-	cancel()
-	assert.NilError(t, <-served)
+}
+
+// Guards against relays that are closed for newer ones and keep their connections to the daemon.
+func TestBalancerClosesBothSidesOfRelays(t *testing.T) {
+	b := startBalancer(t, 0)
+	const clients = 10
+	closed := make(chan error, clients)
+	for i := range clients {
+		c := b.connect(t)
+		assert.NilError(t, c.SetReadDeadline(time.Now().Add(10*time.Second)))
+		if i < clients-b.maxRelays {
+			go func() {
+				_, err := c.Read(make([]byte, 1))
+				closed <- err
+			}()
+		}
+	}
+	for range clients - b.maxRelays {
+		assert.ErrorIs(t, <-closed, io.EOF)
+	}
 }
