TestOperatorRaces begins once all workers have reported

Seen: beside busy processes the test failed in 1 of 25 plays: each of its four drains was refused, "8 instances would be out of service".

The test drained as soon as the instances were created, before the first reports.

Change: the test waits until each daemon shows all workers as healthy.

--- a/internal/bench/berylproof/race_test.go
+++ b/internal/bench/berylproof/race_test.go
@@ -125,6 +125,32 @@
 	}
 }
 
+// awaitHealthy waits until all workers have reported to all daemons; those that have not count as out of service.
+func (f *fleet) awaitHealthy(ctx context.Context) {
+	f.t.Helper()
+	for _, d := range f.Daemons {
+		for {
+			out, err := f.ClientAt(ctx, []*berylprocess.Daemon{d}, "status", "fleet", "--output=json")
+			assert.NilError(f.t, err)
+			var status struct {
+				Instances []struct{ Health string }
+			}
+			assert.NilError(f.t, json.Unmarshal([]byte(out), &status))
+			healthy := 0
+			for _, i := range status.Instances {
+				if i.Health == "healthy" {
+					healthy++
+				}
+			}
+			if healthy == len(f.Workers) {
+				break
+			}
+			assert.NilError(f.t, ctx.Err(), "%d workers are healthy at %s", healthy, d.Name)
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+}
+
 // outOfService returns the sorted ids of the instances that are not active or are being moved to another pool.
 func outOfService(all map[string]beryllatch.Instance) []string {
 	var ids []string
@@ -391,6 +417,7 @@
 		{"put_pool": {"name": "rim", "service": "quotes"}}, {"put_queue": {"name": "rim", "pool": "rim"}}
 	]}`, raceBudget), 0o600))
 	f.client(ctx, "apply", path)
+	f.awaitHealthy(ctx)
 	f.raceDrains(ctx)
 	f.raceMoves(ctx)
 	f.loseRack(ctx)
