A soak ends its faults on time and waits for jobs from the last one on

Each time it was the job that was accepted before the last cut and whose first step may run on one instance only.

Cause: in the soak, not in the daemons. A fault that restarts daemons waited for whatever process a daemon had then, also for one that another fault had started meanwhile, 6 s for each daemon. A cut ended only after that. Furthermore the 40 s for accepted jobs began at the planned end of the faults; the stated bound counts from the last fault.

The daemons' logs of failures: the worker got the job's tasks 10 ms after it was in contact again. A failed soak now prints these lines.

Change: a restart waits for the process that the fault has signalled, cuts of workers and of the network end after their time also if a daemon isn't back yet, and the 40 s begin when the last fault has ended, as their comment says. The bound is unchanged.

--- a/internal/bench/berylsoak/cuts.go
+++ b/internal/bench/berylsoak/cuts.go
@@ -165,7 +165,6 @@
 	c := r.cutOf(s, daemon)
 	r.recordFault("%s for %s", s.describe(daemon), duration.Round(time.Millisecond))
 	r.network.begin(c)
-	defer r.network.end(c)
 	var wg sync.WaitGroup
 	for _, sig := range s.signals {
 		if sig.after < duration {
@@ -176,6 +175,7 @@
 		}
 	}
 	sleep(r.ctx, duration)
+	r.network.end(c)
 	wg.Wait()
 }
 
--- a/internal/bench/berylsoak/daemon.go
+++ b/internal/bench/berylsoak/daemon.go
@@ -49,6 +49,9 @@
 	}.YAML()
 }
 
+// logPath returns the path of the daemon's log, which its processes continue.
+func (d *daemon) logPath() string { return filepath.Join(d.dir, d.name+".log") }
+
 // start starts the process unless it runs.
 func (d *daemon) start() error {
 	d.mu.Lock()
@@ -60,7 +63,7 @@
 	if err := os.WriteFile(path, []byte(d.settings()), 0o600); err != nil {
 		return err
 	}
-	out, err := os.OpenFile(filepath.Join(d.dir, d.name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	out, err := os.OpenFile(d.logPath(), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
@@ -95,20 +98,14 @@
 	}
 }
 
-// ended returns a channel that is closed when the present process has ended, or has already if there is none.
-func (d *daemon) ended() <-chan struct{} {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.done
-}
-
-// signal sends a signal to the process, if it runs.
-func (d *daemon) signal(s syscall.Signal) {
+// signal sends a signal to the process, if it runs, and returns a channel that is closed when that process has ended.
+func (d *daemon) signal(s syscall.Signal) <-chan struct{} {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.cmd != nil {
 		_ = d.cmd.Process.Signal(s) // It may have ended meanwhile.
 	}
+	return d.done
 }
 
 // shutDown kills the process and waits for its end; it is not started again.
--- a/internal/bench/berylsoak/hot.go
+++ b/internal/bench/berylsoak/hot.go
@@ -1,6 +1,7 @@
 package berylsoak
 
 import (
+	"context"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -35,8 +36,8 @@
 	return c
 }
 
-// submitBursts submits bursts of jobs, spread over the time until end, and returns the jobs.
-func (r *soakRun) submitBursts(c *client, end time.Time, clients *sync.WaitGroup) []*job {
+// submitBursts submits bursts of jobs, spread over the duration of the soak, and returns the jobs.
+func (r *soakRun) submitBursts(settling context.Context, c *client, clients *sync.WaitGroup) []*job {
 	rng := rand.New(rand.NewPCG(r.Seed, 1<<38)) //nolint:gosec // The same seed must give the same soak.
 	var jobs []*job
 	for n := range hotBursts {
@@ -47,7 +48,7 @@
 			jobs = append(jobs, j)
 			width, cpu := 1+rng.IntN(6), 500+rng.IntN(3000)
 			r.fleet.Expect(j.id, berylfleet.Needs{CPU: cpu, Memory: 200})
-			clients.Go(func() { r.runJob(c, j, number, jobBody(width, cpu, soakEstimate, ""), end) })
+			clients.Go(func() { r.runJob(settling, c, j, number, jobBody(width, cpu, soakEstimate, "")) })
 		}
 		sleep(r.ctx, r.Duration/hotBursts)
 	}
--- a/internal/bench/berylsoak/incarnation.go
+++ b/internal/bench/berylsoak/incarnation.go
@@ -138,33 +138,31 @@
 	if s.afterStart && !r.awaitStart(instance) {
 		return
 	}
+	var disturbance sync.WaitGroup
+	defer disturbance.Wait()
 	if s.cut > 0 {
 		r.recordFault("worker on %s is cut off for %s", instance, s.cut)
 		r.proxies[s.worker].setMode(modeDropAll)
+		defer r.proxies[s.worker].setMode(modePass)
 		sleep(r.ctx, s.down)
 	}
+	disturbance.Go(func() { r.disturbDaemons(s) })
+	if s.cut > 0 {
+		sleep(r.ctx, s.cut-s.down)
+	}
+}
+
+// disturbDaemons causes the faults of daemons that belong to a series.
+func (r *soakRun) disturbDaemons(s workerSeries) {
 	d := r.daemons[s.daemon]
 	switch s.takeover {
 	case 0:
 		r.recordFault("%s is stopped", d.name)
-		d.signal(syscall.SIGTERM)
-		r.restart(d, s.down)
+		r.restart(d, d.signal(syscall.SIGTERM), s.down)
 	case 1:
 		r.recordFault("%s is killed", d.name)
-		d.signal(syscall.SIGKILL)
-		r.restart(d, s.down)
+		r.restart(d, d.signal(syscall.SIGKILL), s.down)
 	case 2:
-		r.recordFault("all daemons are killed")
-		for _, d := range r.daemons {
-			d.signal(syscall.SIGCONT)
-			d.signal(syscall.SIGKILL)
-		}
-		for _, d := range r.daemons {
-			r.restart(d, s.down/8)
-		}
-	}
-	if s.cut > 0 {
-		sleep(r.ctx, s.cut-s.down)
-		r.proxies[s.worker].setMode(modePass)
+		r.restartAll(s.down / 8)
 	}
 }
--- a/internal/bench/berylsoak/soak.go
+++ b/internal/bench/berylsoak/soak.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -62,6 +64,8 @@
 	Checked    int
 	Faults     []string
 	Violations []string
+	// Lines holds the daemons' log lines on accepted jobs that aren't done, and on what their pool waits for.
+	Lines []string
 }
 
 // soakRun is the state of one soak.
@@ -203,6 +207,8 @@
 // execute submits jobs and injects faults, then waits until the accepted jobs are done.
 func (r *soakRun) execute() Result {
 	end := time.Now().Add(r.Duration)
+	settling, cancel := context.WithCancel(r.ctx)
+	defer cancel()
 	var faults, clients sync.WaitGroup
 	faults.Go(func() { r.injectFaults(end, &faults) })
 	if r.Malformed {
@@ -226,7 +232,7 @@
 	var jobs, burstJobs []*job
 	if r.Hot {
 		c.retries, c.pollInterval = hotRetries, hotPollInterval
-		clients.Go(func() { burstJobs = r.submitBursts(c, end, &clients) })
+		clients.Go(func() { burstJobs = r.submitBursts(settling, c, &clients) })
 	}
 	rng := rand.New(rand.NewPCG(r.Seed, 1)) //nolint:gosec // The same seed must give the same soak.
 	for i := range r.Jobs {
@@ -249,10 +255,11 @@
 		}
 		r.fleet.Expect(j.id, needs)
 		body := jobBody(width, cpu, estimate, place)
-		clients.Go(func() { r.runJob(c, j, i, body, end) })
+		clients.Go(func() { r.runJob(settling, c, j, i, body) })
 		sleep(r.ctx, r.Duration/time.Duration(r.Jobs))
 	}
 	faults.Wait()
+	defer time.AfterFunc(settleTime, cancel).Stop()
 	clients.Wait()
 	return r.evaluate(append(jobs, burstJobs...))
 }
@@ -267,22 +274,21 @@
 		`{"count":1,"cpu":%d,"mem_mb":200,"estimate_ms":%d,"after":[0]}]}`, width, cpu, estimate.Milliseconds(), place, cpu, estimate.Milliseconds())
 }
 
-// runJob submits a job and, if it is accepted, waits until it is done.
-func (r *soakRun) runJob(c *client, j *job, number int, body string, end time.Time) {
+// runJob submits a job and, if it is accepted, waits until it is done or settling ends.
+func (r *soakRun) runJob(settling context.Context, c *client, j *job, number int, body string) {
 	rng := rand.New(rand.NewPCG(r.Seed, uint64(number)+2)) //nolint:gosec // The same seed must give the same soak.
 	submit, cancel := context.WithTimeout(r.ctx, r.Duration)
 	defer cancel()
 	c.submit(submit, rng, j, body)
 	if j.accepted {
-		wait, cancel := context.WithDeadline(r.ctx, end.Add(settleTime))
-		defer cancel()
-		j.done = c.awaitDone(wait, rng, j)
+		j.done = c.awaitDone(settling, rng, j)
 	}
 }
 
 // evaluate compares what the clients were answered with what the workers ran.
 func (r *soakRun) evaluate(jobs []*job) Result {
 	result := Result{Faults: r.faults, Violations: r.fleet.Violations()}
+	var open []string
 	if r.Changes {
 		result.Checked, result.Violations = r.changes.evaluate(result.Violations)
 	}
@@ -300,6 +306,7 @@
 			}
 		case j.accepted:
 			result.Accepted++
+			open = append(open, j.id)
 			if j.violation == "" {
 				result.Violations = append(result.Violations, fmt.Sprintf("job %s, submitted with %s, was accepted and is not done", j.id, j.key))
 			}
@@ -310,9 +317,36 @@
 			}
 		}
 	}
+	if len(open) > 0 {
+		result.Lines = r.logLines(open)
+	}
 	return result
 }
 
+// maxLines is how many log lines a daemon adds to a result.
+const maxLines = 100
+
+// logLines returns the last lines of each daemon's log on the jobs, and on loads and waiting tasks.
+func (r *soakRun) logLines(jobs []string) []string {
+	parts := append([]string{`"pool_load"`, `"task_waits"`}, jobs...)
+	var out []string
+	for _, d := range r.daemons {
+		log, err := os.ReadFile(d.logPath())
+		if err != nil {
+			out = append(out, err.Error())
+			continue
+		}
+		var lines []string
+		for line := range strings.Lines(string(log)) {
+			if slices.ContainsFunc(parts, func(part string) bool { return strings.Contains(line, part) }) {
+				lines = append(lines, d.name+" "+strings.TrimSpace(line))
+			}
+		}
+		out = append(out, lines[max(0, len(lines)-maxLines):]...)
+	}
+	return out
+}
+
 // injectFaults starts faults, which overlap, until the given time.
 func (r *soakRun) injectFaults(end time.Time, wg *sync.WaitGroup) {
 	rng := rand.New(rand.NewPCG(r.Seed, 0)) //nolint:gosec // The same seed must give the same soak.
@@ -359,8 +393,7 @@
 		p.setMode(modePass)
 	case 2:
 		r.recordFault("%s is killed, back after %s", d.name, duration/4)
-		d.signal(syscall.SIGKILL)
-		r.restart(d, duration/4)
+		r.restart(d, d.signal(syscall.SIGKILL), duration/4)
 	case 3:
 		r.recordFault("%s is paused for %s", d.name, duration)
 		d.signal(syscall.SIGSTOP)
@@ -368,8 +401,7 @@
 		d.signal(syscall.SIGCONT)
 	case 4:
 		r.recordFault("%s is stopped", d.name)
-		d.signal(syscall.SIGTERM)
-		r.restart(d, duration)
+		r.restart(d, d.signal(syscall.SIGTERM), duration)
 	case 5:
 		instance := r.instance(target)
 		r.recordFault("worker on %s crashes, back after %s", instance, duration)
@@ -379,23 +411,28 @@
 			r.fleet.Add(instance, "p", r.workerAddresses[target%r.Workers])
 		}
 	case 6:
-		r.recordFault("all daemons are killed")
-		for _, d := range r.daemons {
-			d.signal(syscall.SIGCONT)
-			d.signal(syscall.SIGKILL)
-		}
-		for _, d := range r.daemons {
-			r.restart(d, duration/8)
-		}
+		r.restartAll(duration / 8)
+	}
+}
+
+// restartAll kills all daemons and starts one after the other again, each after a pause.
+func (r *soakRun) restartAll(pause time.Duration) {
+	r.recordFault("all daemons are killed")
+	var ended []<-chan struct{}
+	for _, d := range r.daemons {
+		d.signal(syscall.SIGCONT)
+		ended = append(ended, d.signal(syscall.SIGKILL))
+	}
+	for i, d := range r.daemons {
+		r.restart(d, ended[i], pause)
 	}
 }
 
 // maxEndTime is how long restart waits for the end of a process.
 const maxEndTime = 6 * time.Second
 
-// restart waits, and starts the daemon again once the process that it has now has ended; another fault may have started it again by then.
-func (r *soakRun) restart(d *daemon, after time.Duration) {
-	ended := d.ended()
+// restart waits, and starts the daemon again once its process has ended; another fault may have started it again by then.
+func (r *soakRun) restart(d *daemon, ended <-chan struct{}, after time.Duration) {
 	sleep(r.ctx, after)
 	select {
 	case <-ended:
--- a/internal/bench/berylsoak/soak_test.go
+++ b/internal/bench/berylsoak/soak_test.go
@@ -5,6 +5,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -29,6 +30,12 @@
 	return program
 }
 
+// checkViolations checks that a soak has broken no promise; cause is that of earlier failures.
+func checkViolations(t *testing.T, r Result, cause string) {
+	t.Helper()
+	assert.Check(t, len(r.Violations) == 0, "%s: %v after %v\n%s", cause, r.Violations, r.Faults, strings.Join(r.Lines, "\n"))
+}
+
 // Answers that cannot be decoded must neither end a process nor break a promise.
 func TestSoakWithMalformedAnswers(t *testing.T) {
 	program := buildDaemon(t)
@@ -39,7 +46,7 @@
 				Program: program, Seed: seed, Daemons: 4, Workers: 6, Jobs: 60, Duration: 15 * time.Second, Logs: t.TempDir(), Malformed: true,
 			}.Run(context.Background())
 			assert.NilError(t, err)
-			assert.Check(t, len(r.Violations) == 0, "%v after %v", r.Violations, r.Faults)
+			checkViolations(t, r, "never failed")
 			assert.Check(t, r.Done > 0)
 		})
 	}
@@ -60,7 +67,7 @@
 				Program: program, Seed: seed, Daemons: 4, Workers: 6, Jobs: 60, Duration: 15 * time.Second, Logs: t.TempDir(), Changes: true,
 			}.Run(context.Background())
 			assert.NilError(t, err)
-			assert.Check(t, len(r.Violations) == 0, "%s: %v after %v", cause, r.Violations, r.Faults)
+			checkViolations(t, r, cause)
 			assert.Check(t, r.Done > 0 && r.Checked > 100, "%d done, %d checked", r.Done, r.Checked)
 		})
 	}
@@ -77,7 +84,7 @@
 				Program: program, Seed: seed, Daemons: 4, Workers: 6, Jobs: 60, Duration: 15 * time.Second, Logs: t.TempDir(), Hot: true,
 			}.Run(context.Background())
 			assert.NilError(t, err)
-			assert.Check(t, len(r.Violations) == 0, "%v after %v", r.Violations, r.Faults)
+			checkViolations(t, r, "never failed")
 			assert.Check(t, r.SteadyDone > 0 && r.Done > r.SteadyDone, "%d done, %d of them of the steady team", r.Done, r.SteadyDone)
 		})
 	}
@@ -91,7 +98,7 @@
 			r, err := Soak{Program: program, Seed: seed, Daemons: 4, Workers: 6, Jobs: 60, Duration: 15 * time.Second, Logs: t.TempDir()}.
 				Run(context.Background())
 			assert.NilError(t, err)
-			assert.Check(t, len(r.Violations) == 0, "%s: %v after %v", cause, r.Violations, r.Faults)
+			checkViolations(t, r, cause)
 			assert.Check(t, r.Done > 0)
 		})
 	}
@@ -112,7 +119,7 @@
 				Program: program, Seed: seed, Daemons: 4, Workers: 6, Jobs: 80, Duration: 25 * time.Second, Logs: t.TempDir(), Incarnations: true,
 			}.Run(context.Background())
 			assert.NilError(t, err)
-			assert.Check(t, len(r.Violations) == 0, "%s: %v after %v", cause, r.Violations, r.Faults)
+			checkViolations(t, r, cause)
 			assert.Check(t, r.Done > 0)
 		})
 	}
@@ -133,7 +140,7 @@
 				Program: program, Seed: seed, Daemons: 6, Workers: 6, Jobs: 60, Duration: 15 * time.Second, Logs: t.TempDir(), Cuts: true,
 			}.Run(context.Background())
 			assert.NilError(t, err)
-			assert.Check(t, len(r.Violations) == 0, "%s: %v after %v", cause, r.Violations, r.Faults)
+			checkViolations(t, r, cause)
 			assert.Check(t, r.Done > 0)
 		})
 	}
@@ -150,7 +157,7 @@
 				Program: program, Seed: seed, Daemons: 4, Workers: 6, Jobs: 80, Duration: 25 * time.Second, Logs: t.TempDir(), Incarnations: true, Late: true,
 			}.Run(context.Background())
 			assert.NilError(t, err)
-			assert.Check(t, len(r.Violations) == 0, "%v after %v", r.Violations, r.Faults)
+			checkViolations(t, r, "never failed")
 			assert.Check(t, r.Done > 0)
 		})
 	}
