--- a/internal/bench/berylproof/race_test.go
+++ b/internal/bench/berylproof/race_test.go
@@ -117,35 +117,39 @@
 // awaitInstances polls each daemon until ok accepts its instances; what names the awaited change in the failure message.
 func (f *fleet) awaitInstances(ctx context.Context, daemons []*berylprocess.Daemon, what string, ok func(map[string]beryllatch.Instance) bool) {
 	f.t.Helper()
-	for _, d := range daemons {
-		for !ok(f.instances(ctx, d)) {
-			assert.NilError(f.t, ctx.Err(), "%s: not at %s", what, d.Name)
-			time.Sleep(100 * time.Millisecond)
-		}
-	}
+	f.awaitAt(ctx, daemons, what, func(d *berylprocess.Daemon) bool { return ok(f.instances(ctx, d)) })
 }
 
 // awaitHealthy waits until all workers have reported to all daemons; those that have not count as out of service.
 func (f *fleet) awaitHealthy(ctx context.Context) {
 	f.t.Helper()
-	for _, d := range f.Daemons {
-		for {
-			out, err := f.ClientAt(ctx, []*berylprocess.Daemon{d}, "status", "fleet", "--output=json")
-			assert.NilError(f.t, err)
-			var status struct {
-				Instances []struct{ Health string }
-			}
-			assert.NilError(f.t, json.Unmarshal([]byte(out), &status))
-			healthy := 0
-			for _, i := range status.Instances {
-				if i.Health == "healthy" {
-					healthy++
-				}
-			}
-			if healthy == len(f.Workers) {
-				break
-			}
-			assert.NilError(f.t, ctx.Err(), "%d workers are healthy at %s", healthy, d.Name)
+	f.awaitAt(ctx, f.Daemons, "reports of all workers", func(d *berylprocess.Daemon) bool { return f.healthy(ctx, d) == len(f.Workers) })
+}
+
+// healthy returns how many instances are healthy at a daemon.
+func (f *fleet) healthy(ctx context.Context, d *berylprocess.Daemon) int {
+	f.t.Helper()
+	out, err := f.ClientAt(ctx, []*berylprocess.Daemon{d}, "status", "fleet", "--output=json")
+	assert.NilError(f.t, err)
+	var status struct {
+		Instances []struct{ Health string }
+	}
+	assert.NilError(f.t, json.Unmarshal([]byte(out), &status))
+	n := 0
+	for _, i := range status.Instances {
+		if i.Health == "healthy" {
+			n++
+		}
+	}
+	return n
+}
+
+// awaitAt polls each daemon until ok accepts it.
+func (f *fleet) awaitAt(ctx context.Context, daemons []*berylprocess.Daemon, what string, ok func(*berylprocess.Daemon) bool) {
+	f.t.Helper()
+	for _, d := range daemons {
+		for !ok(d) {
+			assert.NilError(f.t, ctx.Err(), "%s: not at %s", what, d.Name)
 			time.Sleep(100 * time.Millisecond)
 		}
 	}
