A failed wait for an answer shows the first errors and the last

Errors that hold a request ID are all different, so that showing each once would list up to 600. The first five and the last are kept now; what is awaited is unchanged. Two comments of the balancer and its tests say the same in fewer words.

--- a/internal/bench/beryloverload/node_test.go
+++ b/internal/bench/beryloverload/node_test.go
@@ -7,7 +7,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -31,13 +30,15 @@
 const (
 	// answerTimeout is for how long an ordinary request is tried again; it is no assertion about speed.
 	answerTimeout = time.Minute
-	host          = "overload.example"
-	validKey      = "overload-key"
-	hostileKey    = "hostile-key"
-	hostileToken  = "Token " + hostileKey
-	callersPort   = 18340
-	readinessPort = 18343
-	internalPort  = 17000
+	// maxFirstErrors is how many of the first errors are shown if it is never answered.
+	maxFirstErrors = 5
+	host           = "overload.example"
+	validKey       = "overload-key"
+	hostileKey     = "hostile-key"
+	hostileToken   = "Token " + hostileKey
+	callersPort    = 18340
+	readinessPort  = 18343
+	internalPort   = 17000
 	// nodeNetwork differs from the third bytes of the addresses that soaks use.
 	nodeNetwork = 251
 )
@@ -172,17 +173,15 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), answerTimeout)
 	defer cancel()
-	var seen []string // The errors in their order, each once.
+	var before []string // The first errors and the last one.
 	for {
 		err := call(ctx)
 		if err == nil {
 			return
 		}
 		assert.Assert(t, running(), "%s: the process has ended: %v", what, err)
-		assert.NilError(t, ctx.Err(), "%s is not answered: %v; before: %s", what, err, strings.Join(seen, "; "))
-		if !slices.Contains(seen, err.Error()) {
-			seen = append(seen, err.Error())
-		}
+		assert.NilError(t, ctx.Err(), "%s is not answered: %v; before: %s", what, err, strings.Join(before, "; "))
+		before = append(before[:min(len(before), maxFirstErrors)], err.Error())
 		time.Sleep(100 * time.Millisecond)
 	}
 }
--- a/internal/standin/berylplatform/balancer.go
+++ b/internal/standin/berylplatform/balancer.go
@@ -28,8 +28,7 @@
 	entries map[string]entry
 	// next is the index, among the ready daemons, of the one that gets the next connection.
 	next int
-	// relays holds the clients' connections whose descriptors, or those of their connections to a daemon, are not yet closed; at most
-	// maxRelays.
+	// relays holds the clients' connections, at most maxRelays, each until it and its connection to a daemon are closed.
 	relays    map[*activeConn]struct{}
 	maxRelays int
 	// ended is signalled after a relay has closed its descriptors.
--- a/internal/standin/berylplatform/balancer_test.go
+++ b/internal/standin/berylplatform/balancer_test.go
@@ -35,7 +35,7 @@
 	daemon  net.Listener
 }
 
-// startBalancer starts a balancer that has no descriptors for its first connections. It ends with the test.
+// startBalancer starts a balancer that fails to accept the given number of times. It ends with the test.
 func startBalancer(t *testing.T, failures int) pressedBalancer {
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
